--- /dev/null
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "poplarstream/telemetry/event.hpp"  // for EventKind
+
+// The kinds of event, ordered by number: 1xx process, 2xx log and configuration, 3xx hosts and
+// waves, 4xx runs, 5xx urgent path, 6xx peers.
+namespace poplarstream::events {
+
+inline constexpr EventKind entryHostStarting{100, EventLevel::Info, "entry-host-starting",
+                                             "id zone version", "None."};
+inline constexpr EventKind entryHostReady{101, EventLevel::Info, "entry-host-ready",
+                                          "config offset", "None."};
+inline constexpr EventKind entryHostLeaving{
+        102, EventLevel::Info, "entry-host-leaving", "requests",
+        "None; the process ends when the requests in progress have been answered."};
+inline constexpr EventKind entryHostStopped{103, EventLevel::Info, "entry-host-stopped", "seconds",
+                                            "None."};
+inline constexpr EventKind settingsFault{104, EventLevel::Error, "settings-fault",
+                                         "file section key fault",
+                                         "Correct the key and start the process again."};
+inline constexpr EventKind noConfiguration{
+        105, EventLevel::Warning, "no-configuration", "",
+        "Publish a document; until then the process is not ready."};
+inline constexpr EventKind internalFault{
+        106, EventLevel::Error, "internal-fault", "duty fault",
+        "Report it with the lines around it. The other duties go on."};
+inline constexpr EventKind ringFull{
+        107, EventLevel::Warning, "ring-full", "ring refused",
+        "If it repeats, add entry hosts or look for a slow duty in /metrics."};
+
+inline constexpr EventKind configurationInForce{200, EventLevel::Info, "configuration-in-force",
+                                                "config offset author", "None."};
+inline constexpr EventKind configurationRefused{
+        201, EventLevel::Warning, "configuration-refused", "record reason",
+        "Write the change again from the version in force and publish it."};
+inline constexpr EventKind recordUnreadable{
+        202, EventLevel::Error, "record-unreadable", "stream offset fault",
+        "Check that all entry hosts run the same release; the record is skipped."};
+inline constexpr EventKind snapshotRestored{203, EventLevel::Info, "snapshot-restored",
+                                            "stream through", "None."};
+inline constexpr EventKind snapshotWritten{204, EventLevel::Info, "snapshot-written",
+                                           "stream through parts", "None."};
+inline constexpr EventKind retentionGap{
+        205, EventLevel::Error, "retention-gap", "stream expected first",
+        "Records were dropped by the log before a snapshot covered them; the process "
+        "restarts its replay from the newest snapshot or a peer."};
+inline constexpr EventKind stateFromPeer{206, EventLevel::Info, "state-from-peer", "peer through",
+                                         "None."};
+inline constexpr EventKind logUnavailable{
+        210, EventLevel::Warning, "log-unavailable", "fault",
+        "Check the platform's log service. Urgent requests continue."};
+inline constexpr EventKind logAvailable{211, EventLevel::Info, "log-available", "offset", "None."};
+inline constexpr EventKind appendUnknown{
+        212, EventLevel::Warning, "append-unknown", "stream record",
+        "None; the record is looked for in the log before anything is repeated."};
+inline constexpr EventKind dutyAcquired{220, EventLevel::Info, "duty-acquired", "duty", "None."};
+inline constexpr EventKind dutyLost{221, EventLevel::Info, "duty-lost", "duty", "None."};
+
+inline constexpr EventKind absenceGranted{300, EventLevel::Info, "absence-granted",
+                                          "host pool kind wave", "None."};
+inline constexpr EventKind absenceRefused{301, EventLevel::Info, "absence-refused", "host reason",
+                                          "None; it is proposed again when the budget allows it."};
+inline constexpr EventKind absenceProgress{302, EventLevel::Info, "absence-progress", "host phase",
+                                           "None."};
+inline constexpr EventKind hostMoved{303, EventLevel::Info, "host-moved", "host from to", "None."};
+inline constexpr EventKind hostFailed{
+        304, EventLevel::Warning, "host-failed", "host evidence",
+        "Repair or replace the host; it counts as away until it is back."};
+inline constexpr EventKind hostRecovered{305, EventLevel::Info, "host-recovered", "host", "None."};
+inline constexpr EventKind hostNotBack{
+        306, EventLevel::Error, "host-not-back", "host",
+        "The host did not come back from its reboot. Repair or remove it."};
+inline constexpr EventKind zoneReachability{307, EventLevel::Warning, "zone-reachability",
+                                            "zone lost", "Check the network between the zones."};
+inline constexpr EventKind waveProgress{308, EventLevel::Info, "wave-progress", "wave done total",
+                                        "None."};
+
+inline constexpr EventKind runAccepted{400, EventLevel::Info, "run-accepted", "run service",
+                                       "None."};
+inline constexpr EventKind runClaimed{401, EventLevel::Info, "run-claimed", "run worker token",
+                                      "None."};
+inline constexpr EventKind runFinished{402, EventLevel::Info, "run-finished", "run outcome",
+                                       "None."};
+inline constexpr EventKind runSetAside{403, EventLevel::Warning, "run-set-aside", "run reason",
+                                       "Correct the cause that is named and submit the run again."};
+inline constexpr EventKind runMayHaveRun{
+        404, EventLevel::Error, "run-may-have-run", "run",
+        "Find out at the back end whether the run took effect; it is not started again."};
+inline constexpr EventKind workerQuarantined{405, EventLevel::Warning, "worker-quarantined",
+                                             "host evidence",
+                                             "Inspect the worker; it gets probe runs only."};
+inline constexpr EventKind workerCallFailed{406, EventLevel::Warning, "worker-call-failed",
+                                            "host call fault",
+                                            "None unless it repeats for one host."};
+
+inline constexpr EventKind requestRefused{
+        500, EventLevel::Info, "request-refused", "service reason count",
+        "If it repeats, compare the demand with the pool's size. Written at most once a "
+        "second for each service and reason."};
+inline constexpr EventKind minionEjected{501, EventLevel::Warning, "minion-ejected",
+                                         "minion reason",
+                                         "Inspect the minion; probes let it back in."};
+inline constexpr EventKind minionLeaving{502, EventLevel::Info, "minion-leaving", "minion",
+                                         "None."};
+inline constexpr EventKind connectionSilent{
+        503, EventLevel::Warning, "connection-silent", "minion connections",
+        "If many minions are named at once, look at the network between the ends."};
+inline constexpr EventKind peerSuspected{600, EventLevel::Warning, "peer-suspected", "peer",
+                                         "None unless it stays away."};
+inline constexpr EventKind peerSeen{601, EventLevel::Info, "peer-seen", "peer incarnation",
+                                    "None."};
+
+}  // namespace poplarstream::events
--- /dev/null
+++ b/include/poplarstream/telemetry/request_histograms.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>  // for uint64_t
+#include <memory>  // for unique_ptr
+#include <string>  // for string
+
+#include "poplarstream/base/id.hpp"  // for TenantId
+#include "poplarstream/base/time.hpp"  // for Milliseconds
+
+namespace poplarstream {
+
+enum class WorkClass { Urgent, Slow };
+
+// How a request ended, as the caller saw it.
+enum class RequestOutcome { OnTime, Late, Refused, Failed, MayHaveRun };
+
+// Latency and outcome histograms for each tenant and class.
+//
+// Memory is bounded: each tenant costs about 2.6 KB, and after `maxTenants` names all further
+// tenants share the name "other". Histograms of several entry hosts can be merged. Not thread-safe.
+class RequestHistograms
+{
+public:
+    explicit RequestHistograms(std::size_t maxTenants = 1024);
+    ~RequestHistograms();
+    RequestHistograms(const RequestHistograms &other);
+    RequestHistograms &operator=(const RequestHistograms &other);
+    RequestHistograms(RequestHistograms &&) noexcept;
+    RequestHistograms &operator=(RequestHistograms &&) noexcept;
+
+    void record(const TenantId &tenant, WorkClass workClass, RequestOutcome outcome,
+                Milliseconds latency);
+
+    // Adds the counts of another entry host.
+    void merge(const RequestHistograms &other);
+
+    std::uint64_t count(const TenantId &tenant, WorkClass workClass, RequestOutcome outcome) const;
+    std::size_t tenantCount() const;
+
+    // Prometheus text exposition (format 0.0.4): one histogram
+    // `poplarstream_request_duration_seconds` and one counter `poplarstream_requests_total`,
+    // labelled by tenant, class and, for the counter, outcome. Empty series are left out.
+    std::string prometheusText() const;
+
+private:
+    struct Content;
+    std::unique_ptr<Content> content_;
+};
+
+// `text` with the escapes that a Prometheus label value needs.
+std::string prometheusLabel(std::string_view text);
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -0,0 +1,52 @@
+#include <array>  // for array
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/telemetry/event.hpp"  // for EventKind
+#include "poplarstream/telemetry/event_kinds.hpp"  // for the kinds
+
+namespace poplarstream {
+
+namespace {
+
+using namespace events;
+
+constexpr std::array allKinds{
+        entryHostStarting,    entryHostReady,    entryHostLeaving,
+        entryHostStopped,     settingsFault,     noConfiguration,
+        internalFault,        ringFull,          configurationInForce,
+        configurationRefused, recordUnreadable,  snapshotRestored,
+        snapshotWritten,      retentionGap,      stateFromPeer,
+        logUnavailable,       logAvailable,      appendUnknown,
+        dutyAcquired,         dutyLost,          absenceGranted,
+        absenceRefused,       absenceProgress,   hostMoved,
+        hostFailed,           hostRecovered,     hostNotBack,
+        zoneReachability,     waveProgress,      runAccepted,
+        runClaimed,           runFinished,       runSetAside,
+        runMayHaveRun,        workerQuarantined, workerCallFailed,
+        requestRefused,       minionEjected,     minionLeaving,
+        connectionSilent,     peerSuspected,     peerSeen,
+};
+
+}  // namespace
+
+std::span<const EventKind> eventCatalogue()
+{
+    return allKinds;
+}
+
+std::string eventCatalogueMarkdown()
+{
+    std::string text = "| number | level | name | fields | what an operator does |\n"
+                       "|---|---|---|---|---|\n";
+    for (const EventKind &kind : eventCatalogue()) {
+        const std::string_view level = kind.level == EventLevel::Info      ? "info"
+                                       : kind.level == EventLevel::Warning ? "warning"
+                                                                           : "error";
+        text += fmt::format("| {} | {} | {} | {} | {} |\n", kind.number, level, kind.name,
+                            kind.fields, kind.operatorAction);
+    }
+    return text;
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/telemetry/request_histograms_test.cpp
@@ -0,0 +1,47 @@
+#include "poplarstream/telemetry/request_histograms.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+
+namespace poplarstream {
+namespace {
+
+// Guards against memory that grows with every name a caller invents, and against counts that are
+// lost when histograms of several entry hosts are added.
+TEST(RequestHistograms, BoundedAndMergeable)
+{
+    SCOPED_TRACE("given histograms for two tenants at the most");
+    RequestHistograms first(2);
+    for (const char *tenant : {"a", "b", "c", "d"}) {
+        first.record(TenantId(tenant), WorkClass::Urgent, RequestOutcome::OnTime, Milliseconds{5});
+    }
+    {
+        SCOPED_TRACE("then further tenants share one name");
+        EXPECT_EQ(first.tenantCount(), 3U);
+        EXPECT_EQ(first.count(TenantId("other"), WorkClass::Urgent, RequestOutcome::OnTime), 2U);
+    }
+    {
+        SCOPED_TRACE("when another entry host's are merged, then the counts add up");
+        RequestHistograms second(2);
+        second.record(TenantId("a"), WorkClass::Urgent, RequestOutcome::OnTime, Milliseconds{900});
+        second.record(TenantId("a"), WorkClass::Slow, RequestOutcome::Failed, Milliseconds{900000});
+        first.merge(second);
+        EXPECT_EQ(first.count(TenantId("a"), WorkClass::Urgent, RequestOutcome::OnTime), 2U);
+        EXPECT_EQ(first.count(TenantId("a"), WorkClass::Slow, RequestOutcome::Failed), 1U);
+    }
+}
+
+// Guards against text that a Prometheus server refuses.
+TEST(RequestHistograms, PrometheusText)
+{
+    RequestHistograms histograms;
+    histograms.record(TenantId("a\"b\n"), WorkClass::Urgent, RequestOutcome::Late,
+                      Milliseconds{40});
+    const std::string text = histograms.prometheusText();
+    EXPECT_NE(text.find("requests_total{tenant=\"a\\\"b\\n\",class=\"urgent\",outcome=\"late\"} 1"),
+              std::string::npos)
+            << text;
+    EXPECT_NE(text.find("le=\"+Inf\"} 1"), std::string::npos) << text;
+}
+
+}  // namespace
+}  // namespace poplarstream
