Add the config module: documents, typed configuration, settings

Documents are sorted tables of shared sections, so that a copy and a change of one section are cheap. Every fault is listed with section, key and what was expected; unknown keys and names come with the nearest known one.

--- /dev/null
+++ b/include/poplarstream/config/address.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <compare>  // for strong_ordering
+#include <cstdint>  // for uint16_t, uint32_t
+#include <optional>  // for optional
+#include <string>  // for string
+#include <string_view>  // for string_view
+
+namespace poplarstream {
+
+// A numeric IPv4 address and port. `ip` is in host byte order.
+struct Address
+{
+    std::uint32_t ip = 0;
+    std::uint16_t port = 0;
+
+    friend auto operator<=>(const Address &, const Address &) = default;
+};
+
+// "ip:port", for example "127.0.1.2:7000".
+std::string addressText(Address address);
+
+// The address without the port.
+std::string ipText(Address address);
+
+// The inverse of addressText; nothing for names, IPv6, port 0 and any other text.
+std::optional<Address> addressFromText(std::string_view text);
+
+}  // namespace poplarstream
--- /dev/null
+++ b/include/poplarstream/config/document.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <compare>  // for strong_ordering
+#include <string>  // for string
+#include <string_view>  // for string_view
+#include <vector>  // for vector
+
+#include "poplarstream/config/shared_table.hpp"  // for SharedTable
+
+namespace poplarstream {
+
+// The heading of a section, "kind name" or "kind" alone. Ordered by kind as listed on the design
+// page (unknown kinds last), then by text, so that every document has one spelling.
+class SectionId
+{
+public:
+    SectionId() = default;
+    explicit SectionId(std::string text);
+
+    const std::string &text() const { return text_; }
+    // The part before the first blank.
+    std::string_view kind() const;
+    // The part after the first blank; empty for a section without a name.
+    std::string_view name() const;
+
+    friend auto operator<=>(const SectionId &, const SectionId &) = default;
+
+private:
+    int rank_ = 0;
+    std::string text_;
+};
+
+struct ConfigEntry
+{
+    std::string key;
+    std::string value;
+
+    friend bool operator==(const ConfigEntry &, const ConfigEntry &) = default;
+};
+
+// A section with its entries in the order of the design page, unknown keys last.
+struct ConfigSection
+{
+    SectionId id;
+    std::vector<ConfigEntry> entries;
+
+    friend bool operator==(const ConfigSection &, const ConfigSection &) = default;
+};
+
+// The value of `key`, or null.
+const std::string *valueOf(const ConfigSection &section, std::string_view key);
+
+// Sets or replaces one entry at its place in the order.
+void setEntry(ConfigSection &section, std::string_view key, std::string value);
+
+// Returns whether there was such an entry.
+bool removeEntry(ConfigSection &section, std::string_view key);
+
+// A document: sections with at least one entry each, ordered by heading.
+using ConfigDocument = SharedTable<ConfigSection>;
+
+}  // namespace poplarstream
--- /dev/null
+++ b/include/poplarstream/config/settings.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>  // for uint32_t, uint64_t
+#include <map>  // for map
+#include <string>  // for string
+
+#include "poplarstream/base/id.hpp"  // for EntryHostId, RegionId, ZoneId
+#include "poplarstream/base/time.hpp"  // for Milliseconds
+#include "poplarstream/config/address.hpp"  // for Address
+#include "poplarstream/config/document.hpp"  // for ConfigDocument
+#include "poplarstream/config/fault.hpp"  // for ConfigFaults
+
+namespace poplarstream {
+
+// [limits]; all optional.
+struct ProcessLimits
+{
+    std::uint32_t connections = 4096;  // open connections of callers
+    std::uint32_t queue = 4096;  // requests that wait for a slot
+    std::uint64_t bodyBytes = 1024 * 1024;  // largest body of a request
+    Milliseconds drain{30'000};  // how long a planned stop waits for requests in progress
+};
+
+// [tokens]: files that hold one token a line; empty when not given.
+struct TokenFiles
+{
+    std::string operators;
+    std::string platform;
+    std::string peers;
+};
+
+// The settings of one process: what it must know before it has read the configuration.
+struct ProcessSettings
+{
+    EntryHostId id;
+    ZoneId zone;
+    RegionId region;
+    Address callers;
+    Address operators;
+    Address peersListen;
+    Address platform;
+    std::map<EntryHostId, Address> peers;
+    ProcessLimits limits;
+    TokenFiles tokens;
+};
+
+// With faults, the settings must not be used.
+struct ReadSettings
+{
+    ProcessSettings settings;
+    ConfigFaults faults;
+};
+
+// Reads the sections [entry-host], [listen], [platform], [peers], [limits] and [tokens]. The first
+// three are required. `[peers]` has one entry id=ip:port for each other entry host.
+ReadSettings readSettings(const ConfigDocument &document);
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/config/cross_checks.cpp
@@ -0,0 +1,186 @@
+#include "poplarstream/config/cross_checks.hpp"
+
+#include <algorithm>  // for find, sort
+#include <map>  // for map
+#include <string_view>  // for string_view
+#include <unordered_map>  // for unordered_map
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/config/suggest.hpp"  // for nearestWord
+
+namespace poplarstream {
+namespace {
+
+void add(ConfigFaults &faults, std::string_view kind, std::string_view name, std::string key,
+         std::string expected, std::string found = {})
+{
+    faults.push_back({fmt::format("{} {}", kind, name), std::move(key), std::move(expected),
+                      std::move(found)});
+}
+
+// Names the nearest row, for a reference to a row that does not exist.
+template <class Row>
+std::string knownName(std::string_view kind, const SharedTable<Row> &table,
+                      const std::string &found)
+{
+    std::vector<std::string_view> names;
+    for (const Row &row : table) {
+        names.push_back(row.id.text());
+    }
+    if (names.empty()) {
+        return fmt::format("the name of a [{}]; there is none", kind);
+    }
+    return fmt::format("the name of a [{}]; the nearest is '{}'", kind, nearestWord(found, names));
+}
+
+void checkPools(const Configuration &configuration, ConfigFaults &faults)
+{
+    std::string spare;
+    for (const PoolConfig &pool : configuration.pools) {
+        for (const ServiceId &service : pool.services) {
+            if (!configuration.services.contains(service)) {
+                add(faults, "pool", pool.id.text(), "services",
+                    knownName("service", configuration.services, service.text()), service.text());
+            }
+        }
+        if (pool.spare && !spare.empty()) {
+            add(faults, "pool", pool.id.text(), "spare",
+                fmt::format("no, since pool '{}' is the spare pool", spare), "yes");
+        } else if (pool.spare) {
+            spare = pool.id.text();
+        }
+    }
+}
+
+void checkBudgets(const Configuration &configuration, ConfigFaults &faults)
+{
+    std::unordered_map<std::string_view, std::uint32_t> sizes;
+    for (const HostConfig &host : configuration.hosts) {
+        ++sizes[host.pool.text()];
+    }
+    for (const PoolConfig &pool : configuration.pools) {
+        const std::uint32_t size = sizes[pool.id.text()];
+        if (pool.maxAway > size) {
+            add(faults, "pool", pool.id.text(), "max_away",
+                fmt::format("at most {}, the number of hosts in the pool", size),
+                std::to_string(pool.maxAway));
+        }
+    }
+}
+
+void checkHostReferences(const Configuration &configuration, ConfigFaults &faults)
+{
+    std::unordered_map<std::string_view, const HostConfig *> firstOfRack;
+    for (const HostConfig &host : configuration.hosts) {
+        if (!configuration.zones.contains(host.zone)) {
+            add(faults, "host", host.id.text(), "zone",
+                knownName("zone", configuration.zones, host.zone.text()), host.zone.text());
+        }
+        if (!configuration.pools.contains(host.pool)) {
+            add(faults, "host", host.id.text(), "pool",
+                knownName("pool", configuration.pools, host.pool.text()), host.pool.text());
+        }
+        const RackConfig *rack = configuration.racks.find(host.rack);
+        const HostConfig *first = firstOfRack.emplace(host.rack.text(), &host).first->second;
+        const ZoneId &zone = rack ? rack->zone : first->zone;
+        if (host.zone != zone) {
+            add(faults, "host", host.id.text(), "rack",
+                fmt::format("a rack of zone '{}'; rack '{}' is in zone '{}'", host.zone.text(),
+                            host.rack.text(), zone.text()),
+                host.rack.text());
+        }
+    }
+}
+
+// Addresses are compared as one sorted list, which is faster than a hash table at 4,500 hosts.
+void checkAddresses(const Configuration &configuration, ConfigFaults &faults)
+{
+    struct Use
+    {
+        Address address;
+        const HostConfig *host;
+        bool isWorker;
+    };
+    std::vector<Use> uses;
+    uses.reserve(3 * configuration.hosts.size());
+    for (const HostConfig &host : configuration.hosts) {
+        // Address 0 stands for one that could not be read and is reported already.
+        if (host.worker != Address{}) {
+            uses.push_back({host.worker, &host, true});
+        }
+        for (const Address &minion : host.minions) {
+            uses.push_back({minion, &host, false});
+        }
+    }
+    std::stable_sort(uses.begin(), uses.end(),
+                     [](const Use &a, const Use &b) { return a.address < b.address; });
+    for (std::size_t i = 1; i < uses.size(); ++i) {
+        if (uses[i].address == uses[i - 1].address) {
+            add(faults, "host", uses[i].host->id.text(), uses[i].isWorker ? "worker" : "minions",
+                fmt::format("an address of its own; host '{}' has the same",
+                            uses[i - 1].host->id.text()),
+                addressText(uses[i].address));
+        }
+    }
+}
+
+void checkRacks(const Configuration &configuration, ConfigFaults &faults)
+{
+    for (const RackConfig &rack : configuration.racks) {
+        if (!configuration.zones.contains(rack.zone)) {
+            add(faults, "rack", rack.id.text(), "zone",
+                knownName("zone", configuration.zones, rack.zone.text()), rack.zone.text());
+        }
+    }
+}
+
+void checkTenants(const Configuration &configuration, ConfigFaults &faults)
+{
+    std::unordered_map<std::string_view, std::string_view> owners;
+    for (const TenantConfig &tenant : configuration.tenants) {
+        const auto [owner, isNew] = owners.emplace(tenant.token, tenant.id.text());
+        if (!isNew && !tenant.token.empty()) {
+            add(faults, "tenant", tenant.id.text(), "token",
+                fmt::format("a token of its own; tenant '{}' has the same", owner->second));
+        }
+    }
+}
+
+void checkWaves(const Configuration &configuration, ConfigFaults &faults)
+{
+    for (const WaveConfig &wave : configuration.waves) {
+        for (const PoolId &pool : wave.pools) {
+            if (!configuration.pools.contains(pool)) {
+                add(faults, "wave", wave.id.text(), "pools",
+                    knownName("pool", configuration.pools, pool.text()), pool.text());
+            }
+        }
+        if (wave.action == AbsenceKind::Reboot) {
+            continue;
+        }
+        if (!configuration.pools.contains(wave.target)) {
+            add(faults, "wave", wave.id.text(), "target",
+                knownName("pool", configuration.pools, wave.target.text()), wave.target.text());
+        } else if (std::find(wave.pools.begin(), wave.pools.end(), wave.target)
+                   != wave.pools.end()) {
+            add(faults, "wave", wave.id.text(), "target", "a pool that the wave does not empty",
+                wave.target.text());
+        }
+    }
+}
+
+}  // namespace
+
+void checkReferences(const Configuration &configuration, ConfigFaults &faults)
+{
+    checkRacks(configuration, faults);
+    checkPools(configuration, faults);
+    checkBudgets(configuration, faults);
+    checkTenants(configuration, faults);
+    checkHostReferences(configuration, faults);
+    checkAddresses(configuration, faults);
+    checkWaves(configuration, faults);
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/config/edits.cpp
@@ -0,0 +1,110 @@
+#include "poplarstream/config/edits.hpp"
+
+#include <string>  // for string
+#include <utility>  // for move
+
+namespace poplarstream {
+namespace {
+
+void appendRemovals(std::vector<ConfigEdit> &edits, const ConfigSection &from,
+                    const ConfigSection &to)
+{
+    for (const ConfigEntry &entry : from.entries) {
+        if (!valueOf(to, entry.key)) {
+            edits.push_back({from.id.text(), entry.key, std::nullopt});
+        }
+    }
+}
+
+void appendSettings(std::vector<ConfigEdit> &edits, const ConfigSection *from,
+                    const ConfigSection &to)
+{
+    for (const ConfigEntry &entry : to.entries) {
+        const std::string *before = from ? valueOf(*from, entry.key) : nullptr;
+        if (!before || *before != entry.value) {
+            edits.push_back({to.id.text(), entry.key, entry.value});
+        }
+    }
+}
+
+ConfigFault editFault(const ConfigEdit &edit, std::string expected)
+{
+    return {edit.section, edit.key.value_or(""), std::move(expected), ""};
+}
+
+std::string editProblem(const ConfigEdit &edit)
+{
+    if (std::string problem = headingProblem(edit.section); !problem.empty()) {
+        return "as heading " + problem;
+    }
+    if (!edit.key) {
+        return edit.value ? "a key for the new value" : "";
+    }
+    if (std::string problem = keyProblem(*edit.key); !problem.empty()) {
+        return "as key " + problem;
+    }
+    return edit.value ? valueProblem(*edit.value) : "";
+}
+
+// Returns what was expected instead, or nothing.
+std::string applyEdit(ConfigDocument &document, const ConfigEdit &edit)
+{
+    if (std::string problem = editProblem(edit); !problem.empty()) {
+        return problem;
+    }
+    const SectionId id(edit.section);
+    if (!edit.key) {
+        return document.remove(id) ? "" : "a section that exists, to remove it";
+    }
+    const ConfigSection *present = document.find(id);
+    ConfigSection section = present ? *present : ConfigSection{id, {}};
+    if (edit.value) {
+        setEntry(section, *edit.key, *edit.value);
+    } else if (!removeEntry(section, *edit.key)) {
+        return "a key that exists, to remove it";
+    }
+    if (section.entries.empty()) {
+        document.remove(id);
+    } else {
+        document.set(std::move(section));
+    }
+    return "";
+}
+
+}  // namespace
+
+std::vector<ConfigEdit> difference(const ConfigDocument &from, const ConfigDocument &to)
+{
+    std::vector<ConfigEdit> edits;
+    for (const ConfigSection &section : from) {
+        const ConfigSection *kept = to.find(section.id);
+        if (!kept) {
+            edits.push_back({section.id.text(), std::nullopt, std::nullopt});
+        }
+    }
+    for (const ConfigSection &section : to) {
+        const ConfigSection *before = from.find(section.id);
+        if (before == &section) {
+            continue;
+        }
+        // Settings come first, so that a section whose keys all change is never left empty.
+        appendSettings(edits, before, section);
+        if (before) {
+            appendRemovals(edits, *before, section);
+        }
+    }
+    return edits;
+}
+
+ParsedDocument applyEdits(const ConfigDocument &document, std::span<const ConfigEdit> edits)
+{
+    ParsedDocument result{document, {}};
+    for (const ConfigEdit &edit : edits) {
+        if (std::string expected = applyEdit(result.document, edit); !expected.empty()) {
+            result.faults.push_back(editFault(edit, std::move(expected)));
+        }
+    }
+    return result;
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/config/section_reader.cpp
@@ -0,0 +1,190 @@
+#include "poplarstream/config/section_reader.hpp"
+
+#include <algorithm>  // for all_of, sort
+#include <charconv>  // for from_chars
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/config/suggest.hpp"  // for nearestWord
+
+namespace poplarstream {
+namespace {
+
+constexpr std::string_view nameRule = "a name of 1 to 64 letters, digits, '.', '_' or '-'";
+constexpr std::string_view addressRule = "a numeric address ip:port";
+
+bool isNameCharacter(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.'
+           || c == '_' || c == '-';
+}
+
+template <class Number>
+std::optional<Number> numberFrom(const std::string &text)
+{
+    Number number{};
+    const char *end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, number);
+    return read.ec == std::errc{} && read.ptr == end ? std::optional(number) : std::nullopt;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t begin = text.find_first_not_of(' ');
+    const std::size_t end = text.find_last_not_of(' ');
+    return begin == std::string_view::npos ? std::string_view{}
+                                           : text.substr(begin, end + 1 - begin);
+}
+
+}  // namespace
+
+bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= 64
+           && std::all_of(text.begin(), text.end(), isNameCharacter);
+}
+
+std::vector<std::string> splitList(std::string_view text)
+{
+    std::vector<std::string> items;
+    if (trimmed(text).empty()) {
+        return items;
+    }
+    for (std::size_t begin = 0; begin <= text.size();) {
+        const std::size_t end = std::min(text.find(',', begin), text.size());
+        items.emplace_back(trimmed(text.substr(begin, end - begin)));
+        begin = end + 1;
+    }
+    return items;
+}
+
+void SectionReader::fault(std::string_view key, std::string expected, std::string found)
+{
+    faults_.push_back(
+            {section_.id.text(), std::string(key), std::move(expected), std::move(found)});
+}
+
+const std::string *SectionReader::find(std::string_view key, bool required,
+                                       std::string_view expected)
+{
+    const std::string *value = valueOf(section_, key);
+    if (!value && required) {
+        fault(key, fmt::format("{}; the key is missing", expected));
+    }
+    return value;
+}
+
+std::string SectionReader::text(std::string_view key)
+{
+    const std::string *value = find(key, true, "text");
+    if (value && value->empty()) {
+        fault(key, "text that is not empty");
+    }
+    return value ? *value : std::string{};
+}
+
+std::string SectionReader::nameText(std::string_view key)
+{
+    const std::string *value = find(key, true, nameRule);
+    if (value && !isName(*value)) {
+        fault(key, std::string(nameRule), *value);
+    }
+    return value ? *value : std::string{};
+}
+
+std::vector<std::string> SectionReader::nameTexts(std::string_view key, bool required)
+{
+    const std::string *value = find(key, required, "a list of names separated by commas");
+    std::vector<std::string> items = value ? splitList(*value) : std::vector<std::string>{};
+    for (const std::string &item : items) {
+        if (!isName(item)) {
+            fault(key, std::string(nameRule), item);
+        }
+    }
+    std::vector<std::string> sorted = items;
+    std::sort(sorted.begin(), sorted.end());
+    if (const auto twice = std::adjacent_find(sorted.begin(), sorted.end());
+        twice != sorted.end()) {
+        fault(key, "each name once", *twice);
+    }
+    if (required && value && items.empty()) {
+        fault(key, "at least one name");
+    }
+    return items;
+}
+
+bool SectionReader::yesNo(std::string_view key, bool fallback)
+{
+    static constexpr std::pair<std::string_view, bool> choices[] = {{"yes", true}, {"no", false}};
+    return choice(key, choices, std::optional(fallback));
+}
+
+std::uint64_t SectionReader::whole(std::string_view key, std::uint64_t least, std::uint64_t most,
+                                   std::optional<std::uint64_t> fallback)
+{
+    const std::string expected = fmt::format("a whole number from {} to {}", least, most);
+    const std::string *value = find(key, !fallback, expected);
+    if (!value) {
+        return fallback.value_or(least);
+    }
+    const auto number = numberFrom<std::uint64_t>(*value);
+    if (!number || *number < least || *number > most) {
+        fault(key, expected, *value);
+        return fallback.value_or(least);
+    }
+    return *number;
+}
+
+double SectionReader::number(std::string_view key, double least, double most,
+                             std::optional<double> fallback)
+{
+    const std::string expected = fmt::format("a number from {} to {}", least, most);
+    const std::string *value = find(key, !fallback, expected);
+    if (!value) {
+        return fallback.value_or(least);
+    }
+    const auto number = numberFrom<double>(*value);
+    // The comparison is false for "nan", which from_chars accepts.
+    if (!number || !(*number >= least && *number <= most)) {
+        fault(key, expected, *value);
+        return fallback.value_or(least);
+    }
+    return *number;
+}
+
+Address SectionReader::address(std::string_view key)
+{
+    const std::string *value = find(key, true, addressRule);
+    const auto read = value ? addressFromText(*value) : std::nullopt;
+    if (value && !read) {
+        fault(key, std::string(addressRule), *value);
+    }
+    return read.value_or(Address{});
+}
+
+std::vector<Address> SectionReader::addresses(std::string_view key)
+{
+    std::vector<Address> read;
+    const std::string *value = valueOf(section_, key);
+    for (const std::string &item : value ? splitList(*value) : std::vector<std::string>{}) {
+        if (const auto one = addressFromText(item)) {
+            read.push_back(*one);
+        } else {
+            fault(key, std::string(addressRule), item);
+        }
+    }
+    return read;
+}
+
+void SectionReader::reportUnknownKeys(SectionKind kind)
+{
+    const auto known = keysOf(kind);
+    for (const ConfigEntry &entry : section_.entries) {
+        if (std::find(known.begin(), known.end(), entry.key) == known.end()) {
+            fault(entry.key, fmt::format("a key of [{}]; the nearest is '{}'",
+                                         sectionKindText(kind), nearestWord(entry.key, known)));
+        }
+    }
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/config/settings.cpp
@@ -0,0 +1,127 @@
+#include "poplarstream/config/settings.hpp"
+
+#include <algorithm>  // for sort
+#include <array>  // for array
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/config/schema.hpp"  // for sectionKind, SectionKind
+#include "poplarstream/config/section_reader.hpp"  // for SectionReader
+#include "poplarstream/config/suggest.hpp"  // for nearestWord
+
+namespace poplarstream {
+namespace {
+
+constexpr std::array<std::string_view, 6> settingsKinds = {"entry-host", "listen", "platform",
+                                                           "peers",      "limits", "tokens"};
+
+std::uint32_t wholeOr(SectionReader &reader, std::string_view key, std::uint32_t fallback)
+{
+    return static_cast<std::uint32_t>(reader.whole(key, 1, 1'000'000, fallback));
+}
+
+ProcessLimits readLimits(SectionReader &reader)
+{
+    ProcessLimits limits;
+    limits.connections = wholeOr(reader, "connections", limits.connections);
+    limits.queue = wholeOr(reader, "queue", limits.queue);
+    limits.bodyBytes = reader.whole("body_bytes", 1, 1024 * 1024 * 1024, limits.bodyBytes);
+    limits.drain = Milliseconds{reader.whole("drain_ms", 0, 3'600'000,
+                                             static_cast<std::uint64_t>(limits.drain.count()))};
+    return limits;
+}
+
+std::string optionalText(SectionReader &reader, std::string_view key)
+{
+    return reader.has(key) ? reader.text(key) : std::string{};
+}
+
+void readPeers(const ConfigSection &section, SectionReader &reader, ProcessSettings &settings)
+{
+    for (const ConfigEntry &entry : section.entries) {
+        if (!isName(entry.key)) {
+            reader.fault(entry.key, "as key the id of an entry host");
+        }
+        settings.peers[EntryHostId(entry.key)] = reader.address(entry.key);
+    }
+}
+
+void readSettingsSection(const ConfigSection &section, ReadSettings &read)
+{
+    SectionReader reader(section, read.faults);
+    ProcessSettings &settings = read.settings;
+    const auto kind = sectionKind(section.id.text());
+    if (!kind || *kind < SectionKind::EntryHost) {
+        reader.fault("", fmt::format("a section of the settings; the nearest is '{}'",
+                                     nearestWord(section.id.text(), settingsKinds)));
+        return;
+    }
+    switch (*kind) {
+    case SectionKind::EntryHost:
+        settings.id = reader.name<EntryHostId>("id");
+        settings.zone = reader.name<ZoneId>("zone");
+        settings.region = reader.name<RegionId>("region");
+        break;
+    case SectionKind::Listen:
+        settings.callers = reader.address("callers");
+        settings.operators = reader.address("operators");
+        settings.peersListen = reader.address("peers");
+        break;
+    case SectionKind::Platform:
+        settings.platform = reader.address("address");
+        break;
+    case SectionKind::Peers:
+        readPeers(section, reader, settings);
+        return;
+    case SectionKind::Limits:
+        settings.limits = readLimits(reader);
+        break;
+    default:
+        settings.tokens = {optionalText(reader, "operators"), optionalText(reader, "platform"),
+                           optionalText(reader, "peers")};
+    }
+    reader.reportUnknownKeys(*kind);
+}
+
+void checkSettings(ReadSettings &read)
+{
+    const ProcessSettings &settings = read.settings;
+    if (settings.peers.contains(settings.id)) {
+        read.faults.push_back({"peers", settings.id.text(), "other entry hosts than this one", ""});
+    }
+    std::map<Address, std::string> used;
+    const auto use = [&](const std::string &section, const std::string &key, Address address) {
+        const auto [first, isNew] = used.emplace(address, "[" + section + "] " + key);
+        if (!isNew && address != Address{}) {
+            read.faults.push_back({section, key,
+                                   "an address of its own; " + first->second + " has the same",
+                                   addressText(address)});
+        }
+    };
+    use("listen", "callers", settings.callers);
+    use("listen", "operators", settings.operators);
+    use("listen", "peers", settings.peersListen);
+    for (const auto &[id, address] : settings.peers) {
+        use("peers", id.text(), address);
+    }
+}
+
+}  // namespace
+
+ReadSettings readSettings(const ConfigDocument &document)
+{
+    ReadSettings read;
+    for (const ConfigSection &section : document) {
+        readSettingsSection(section, read);
+    }
+    for (const char *required : {"entry-host", "listen", "platform"}) {
+        if (!document.contains(SectionId(required))) {
+            read.faults.push_back({required, "", fmt::format("the section [{}]", required), ""});
+        }
+    }
+    checkSettings(read);
+    std::sort(read.faults.begin(), read.faults.end());
+    return read;
+}
+
+}  // namespace poplarstream
