--- /dev/null
+++ b/include/poplarstream/adapters/http_message.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <compare>  // for strong_ordering
+#include <cstdint>  // for uint16_t
+#include <optional>  // for optional
+#include <string>  // for string
+#include <string_view>  // for string_view
+#include <vector>  // for vector
+
+namespace poplarstream {
+
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+// A whole request. `remote` is the sender's "ip:port" on the server's side and unused on the
+// client's.
+struct HttpRequest
+{
+    std::string method = "GET";
+    std::string target = "/";
+    HttpHeaders headers;
+    std::string body;
+    std::string remote;
+};
+
+// A whole answer. Framing headers (Content-Length, Connection) are set by the server.
+struct HttpResponse
+{
+    unsigned status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+// The numeric IP address and port of a server.
+struct HttpEndpoint
+{
+    std::string address;
+    std::uint16_t port = 0;
+
+    friend auto operator<=>(const HttpEndpoint &, const HttpEndpoint &) = default;
+    friend bool operator==(const HttpEndpoint &, const HttpEndpoint &) = default;
+};
+
+// The value of the first header of that name (ASCII case is ignored); empty if there is none.
+std::optional<std::string_view> headerValue(const HttpHeaders &headers, std::string_view name);
+
+// The value of `name` in the query part of a request target, without percent-decoding.
+std::optional<std::string_view> queryValue(std::string_view target, std::string_view name);
+
+// The target without its query part.
+std::string_view targetPath(std::string_view target);
+
+// Reads "ip:port" (IPv6 as "[ip]:port"). Empty for other texts and for port 0.
+std::optional<HttpEndpoint> endpointFromText(std::string_view text);
+
+// The inverse of endpointFromText.
+std::string endpointText(const HttpEndpoint &endpoint);
+
+// Whether the header can be written without changing the framing of the message: a token as the
+// name, and no control characters in the value.
+bool isWritableHeader(const HttpHeader &header);
+
+// An answer with a JSON body.
+HttpResponse jsonResponse(unsigned status, std::string body);
+
+}  // namespace poplarstream
