Add the wave stepper, budget check, duty lease and peer table

The stepper is a free function over plain views: it carries on granted absences, proposes new ones that its own budget tally allows, and lends spare hosts where the sustained demand limits a pool. The duty lease is claimed with a delay that grows with the rendezvous rank. The peer table keeps heartbeats and digests.

--- /dev/null
+++ b/include/poplarstream/maintenance/duty_lease.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>  // for uint32_t
+#include <optional>  // for optional
+
+#include "poplarstream/base/id.hpp"  // for DutyId, EntryHostId
+#include "poplarstream/base/time.hpp"  // for Milliseconds, TimePoint
+#include "poplarstream/records/control_record.hpp"  // for DutyLease
+
+namespace poplarstream::maintenance {
+
+// The replayed lease of one duty; `until` is log time.
+struct LeaseView
+{
+    EntryHostId holder;  // empty if nobody ever held it
+    TimePoint until;
+};
+
+struct LeasePolicy
+{
+    Milliseconds duration{15'000};
+    // Renewing three times in a lease survives two lost renewals in a row.
+    Milliseconds renewAfter{5'000};
+    // Between the first proposals of neighbouring ranks; longer than an append and its read-back.
+    Milliseconds rankDelay{1'500};
+    // Added on the far side of `until` before a claim and taken off on the near side before an
+    // act; covers the error of the estimate of the log's time.
+    Milliseconds margin{1'000};
+};
+
+struct LeaseInput
+{
+    DutyId duty;
+    EntryHostId self;
+    LeaseView lease;
+    // Position of this process in the rendezvous order of the live entry hosts for the duty.
+    std::uint32_t rank = 0;
+    bool isLeaving = false;
+    bool isInFlight = false;  // an earlier proposal for the duty has no known outcome yet
+    TimePoint now;  // estimate of the log's time
+};
+
+// The record to propose now, if any: a claim of a free or lapsed lease after a delay that grows
+// with the rank, a renewal by the holder, or a release by a holder that is leaving.
+std::optional<DutyLease> decideDutyLease(const LeaseInput &input, const LeasePolicy &policy);
+
+// Whether the process may act for the duty at `now`. Checked again before each act, because a
+// process can be paused between the decision and the act.
+bool mayAct(const LeaseView &lease, const EntryHostId &self, TimePoint now,
+            const LeasePolicy &policy);
+
+}  // namespace poplarstream::maintenance
--- /dev/null
+++ b/src/poplarstream/maintenance/candidates.cpp
@@ -0,0 +1,133 @@
+#include "poplarstream/maintenance/candidates.hpp"
+
+#include <algorithm>  // for sort, find
+#include <tuple>  // for tuple
+
+namespace poplarstream::maintenance {
+
+Selector::Selector(const FleetView &view, const BudgetTally &tally,
+                   const std::vector<std::optional<Need>> &needs)
+    : view_(view)
+    , tally_(tally)
+    , needs_(needs)
+    , queues_(view.pools.size())
+    , sourcesOf_(view.pools.size())
+{
+    // (group, target, wave): the hosts of a bucket share their refusal and their window.
+    std::map<std::tuple<std::size_t, std::size_t, std::size_t>, std::size_t> positions;
+    for (std::size_t i = 0; i < needs.size(); ++i) {
+        if (!needs[i] || tally.isAway(i)) {
+            continue;
+        }
+        ++remaining_;
+        const std::size_t pool = tally.poolOf(i);
+        std::vector<Bucket> &buckets = queues_[pool].buckets;
+        const std::size_t target = needs[i]->target;
+        const auto [it, isNew] =
+                positions.try_emplace({tally.groupOf(i), target, needs[i]->wave}, buckets.size());
+        if (isNew) {
+            buckets.push_back({tally.groupOf(i), target, {}});
+        }
+        buckets[it->second].hosts.push_back(i);
+        if (target != BudgetTally::noPool) {
+            std::vector<std::size_t> &sources = sourcesOf_[target];
+            if (std::find(sources.begin(), sources.end(), pool) == sources.end()) {
+                sources.push_back(pool);
+            }
+        }
+    }
+    for (PoolQueue &queue : queues_) {
+        for (Bucket &bucket : queue.buckets) {
+            std::sort(bucket.hosts.begin(), bucket.hosts.end(), [&](std::size_t a, std::size_t b) {
+                return std::tuple(needs[a]->duration, b) < std::tuple(needs[b]->duration, a);
+            });
+        }
+    }
+}
+
+bool Selector::isBetter(std::size_t host, std::size_t other) const
+{
+    const auto key = [&](std::size_t i) {
+        const std::size_t group = tally_.groupOf(i);
+        const std::uint32_t level = view_.hasRackHeadroom ? tally_.inServiceInGroup(group) : 0;
+        return std::tuple(level, needs_[i]->duration, tally_.awayInGroup(group) > 0);
+    };
+    const auto mine = key(host);
+    const auto theirs = key(other);
+    return mine != theirs ? mine > theirs : host < other;
+}
+
+std::optional<std::size_t> Selector::bestOf(const Bucket &bucket, TimePoint now) const
+{
+    if (bucket.hosts.empty()
+        || tally_.refusal(bucket.hosts.back(), bucket.target) != Refusal::None) {
+        return std::nullopt;
+    }
+    for (auto it = bucket.hosts.rbegin(); it != bucket.hosts.rend(); ++it) {
+        const Need &need = *needs_[*it];
+        if (need.isLoanReturn || isInWindow(view_.waves[need.wave].window, now, need.duration)) {
+            return *it;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> Selector::bestOf(std::size_t pool, TimePoint now) const
+{
+    std::optional<std::size_t> best;
+    if (tally_.poolRefusal(pool) != Refusal::None) {
+        return best;
+    }
+    for (const Bucket &bucket : queues_[pool].buckets) {
+        const auto host = bestOf(bucket, now);
+        if (host && (!best || isBetter(*host, *best))) {
+            best = host;
+        }
+    }
+    return best;
+}
+
+std::optional<std::size_t> Selector::next(TimePoint now)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t pool = 0; pool < queues_.size(); ++pool) {
+        PoolQueue &queue = queues_[pool];
+        if (!queue.isCurrent) {
+            queue.best = bestOf(pool, now);
+            queue.isCurrent = true;
+        }
+        if (queue.best && (!best || isBetter(*queue.best, *best))) {
+            best = queue.best;
+        }
+    }
+    return best;
+}
+
+void Selector::take(std::size_t host)
+{
+    for (Bucket &bucket : queues_[tally_.poolOf(host)].buckets) {
+        const auto it = std::find(bucket.hosts.begin(), bucket.hosts.end(), host);
+        if (it != bucket.hosts.end()) {
+            bucket.hosts.erase(it);
+            --remaining_;
+            break;
+        }
+    }
+}
+
+void Selector::changed(std::size_t pool)
+{
+    queues_[pool].isCurrent = false;
+    for (const std::size_t source : sourcesOf_[pool]) {
+        queues_[source].isCurrent = false;
+    }
+}
+
+void Selector::changedAll()
+{
+    for (PoolQueue &queue : queues_) {
+        queue.isCurrent = false;
+    }
+}
+
+}  // namespace poplarstream::maintenance
--- /dev/null
+++ b/src/poplarstream/maintenance/duty_lease.cpp
@@ -0,0 +1,35 @@
+#include "poplarstream/maintenance/duty_lease.hpp"
+
+namespace poplarstream::maintenance {
+
+std::optional<DutyLease> decideDutyLease(const LeaseInput &input, const LeasePolicy &policy)
+{
+    if (input.isInFlight) {
+        return std::nullopt;
+    }
+    const bool isHeld = !input.lease.holder.isEmpty() && input.now < input.lease.until;
+    if (isHeld && input.lease.holder == input.self) {
+        if (input.isLeaving) {
+            return DutyLease{input.duty, input.self, Milliseconds{0}};
+        }
+        const bool isDue = input.now >= input.lease.until - policy.duration + policy.renewAfter;
+        return isDue ? std::optional(DutyLease{input.duty, input.self, policy.duration})
+                     : std::nullopt;
+    }
+    if (isHeld || input.isLeaving) {
+        return std::nullopt;
+    }
+    const TimePoint claimAt = input.lease.until + policy.margin + input.rank * policy.rankDelay;
+    if (input.now < claimAt) {
+        return std::nullopt;
+    }
+    return DutyLease{input.duty, input.self, policy.duration};
+}
+
+bool mayAct(const LeaseView &lease, const EntryHostId &self, TimePoint now,
+            const LeasePolicy &policy)
+{
+    return lease.holder == self && now < lease.until - policy.margin;
+}
+
+}  // namespace poplarstream::maintenance
--- /dev/null
+++ b/src/poplarstream/maintenance/loans.cpp
@@ -0,0 +1,104 @@
+#include "loans.hpp"
+
+#include <algorithm>  // for min
+#include <cmath>  // for ceil
+
+namespace poplarstream::maintenance {
+namespace {
+
+// The open work of the waves in one pool.
+struct PoolWork
+{
+    std::uint32_t hosts = 0;
+    Milliseconds total{0};
+    std::size_t wave = 0;
+    std::uint32_t loansUnderWay = 0;
+};
+
+std::vector<PoolWork> workOfPools(const FleetView &view, const BudgetTally &tally,
+                                  const std::vector<std::optional<Need>> &needs)
+{
+    std::vector<PoolWork> work(view.pools.size());
+    for (std::size_t i = 0; i < needs.size(); ++i) {
+        const HostView &host = view.hosts[i];
+        if (needs[i] && !needs[i]->isLoanReturn && host.state != HostState::Failed) {
+            PoolWork &pool = work[tally.poolOf(i)];
+            ++pool.hosts;
+            pool.total += needs[i]->duration;
+            pool.wave = needs[i]->wave;
+        }
+        const std::size_t from = tally.poolOf(i);
+        if (host.grant && hasMove(host.grant->kind) && from != BudgetTally::noPool
+            && view.pools[from].isSpare && host.pool != host.grant->target) {
+            if (const std::size_t to = tally.poolIndex(host.grant->target);
+                to != BudgetTally::noPool) {
+                ++work[to].loansUnderWay;
+            }
+        }
+    }
+    return work;
+}
+
+std::uint32_t worthwhileLoans(const FleetView &view, const PoolWork &work, std::uint32_t width,
+                              std::uint32_t budget)
+{
+    if (work.hosts <= width || width >= budget || width == 0) {
+        return 0;
+    }
+    const double mean = static_cast<double>(work.total.count()) / work.hosts;
+    const auto rollout = [&](std::uint32_t w) {
+        return std::ceil(static_cast<double>(work.hosts) / w) * mean;
+    };
+    const double before = rollout(width);
+    const auto moveTime = static_cast<double>(view.policy.moveTime.count());
+    std::uint32_t best = 0;
+    double bestGain = 0;
+    for (std::uint32_t k = 1; k <= budget - width; ++k) {
+        const double saved = (before - rollout(width + k) - 2 * moveTime) / before;
+        const double gain =
+                view.weights.rollout * saved - view.weights.moves * 2.0 * k / work.hosts;
+        if (gain > bestGain) {
+            bestGain = gain;
+            best = k;
+        }
+    }
+    return best;
+}
+
+}  // namespace
+
+std::vector<LoanChoice> chooseLoans(const FleetView &view, const BudgetTally &tally,
+                                    const std::vector<std::optional<Need>> &needs)
+{
+    std::vector<LoanChoice> choices;
+    const std::vector<PoolWork> work = workOfPools(view, tally, needs);
+    std::vector<std::size_t> spares;
+    for (std::size_t i = 0; i < view.hosts.size(); ++i) {
+        const std::size_t pool = tally.poolOf(i);
+        if (pool != BudgetTally::noPool && view.pools[pool].isSpare && !tally.isAway(i)
+            && !(needs[i] && hasMove(needs[i]->kind))) {
+            spares.push_back(i);
+        }
+    }
+    BudgetTally after = tally;
+    for (std::size_t pool = 0; pool < work.size() && !spares.empty(); ++pool) {
+        if (view.pools[pool].isSpare || work[pool].hosts == 0) {
+            continue;
+        }
+        const std::uint32_t width = after.demandWidth(pool);
+        std::uint32_t wanted = worthwhileLoans(view, work[pool], width, view.pools[pool].maxAway);
+        wanted -= std::min(wanted, work[pool].loansUnderWay);
+        while (wanted > 0 && !spares.empty()
+               && after.refusal(spares.back(), pool) == Refusal::None) {
+            const std::size_t host = spares.back();
+            spares.pop_back();
+            choices.push_back({host, pool, work[pool].wave,
+                               needs[host] ? AbsenceKind::RebootAndMove : AbsenceKind::Move});
+            after.leave(host, pool);
+            --wanted;
+        }
+    }
+    return choices;
+}
+
+}  // namespace poplarstream::maintenance
--- /dev/null
+++ b/src/poplarstream/membership/messages.cpp
@@ -0,0 +1,152 @@
+#include "poplarstream/membership/messages.hpp"
+
+#include <nlohmann/json.hpp>  // for json
+
+#include "poplarstream/base/rendezvous.hpp"  // for stableHash
+
+namespace poplarstream::membership {
+namespace {
+
+using Json = nlohmann::json;
+
+Json toJson(const std::vector<Rumour> &rumours)
+{
+    Json list = Json::array();
+    for (const Rumour &rumour : rumours) {
+        list.push_back(Json::array({rumour.subject, static_cast<unsigned>(rumour.claim), rumour.age,
+                                    rumour.observer}));
+    }
+    return list;
+}
+
+struct BadMessage
+{
+    std::string message;
+};
+
+const Json &item(const Json &list, std::size_t index)
+{
+    if (!list.is_array() || index >= list.size()) {
+        throw BadMessage{"item " + std::to_string(index) + " is missing"};
+    }
+    return list[index];
+}
+
+template <class Number>
+Number number(const Json &value)
+{
+    if (!value.is_number_unsigned()
+        || value.get<std::uint64_t>() > std::numeric_limits<Number>::max()) {
+        throw BadMessage{"a number is out of range"};
+    }
+    return value.get<Number>();
+}
+
+std::string name(const Json &value)
+{
+    constexpr std::size_t maxNameLength = 256;
+    if (!value.is_string() || value.get_ref<const std::string &>().empty()
+        || value.get_ref<const std::string &>().size() > maxNameLength) {
+        throw BadMessage{"a name is missing or too long"};
+    }
+    return value.get<std::string>();
+}
+
+const Json &list(const Json &value)
+{
+    if (!value.is_array() || value.size() > maxListLength) {
+        throw BadMessage{"a list is missing or too long"};
+    }
+    return value;
+}
+
+std::vector<ShortName> shortNames(const Json &value)
+{
+    std::vector<ShortName> names;
+    for (const Json &entry : list(value)) {
+        names.push_back(number<ShortName>(entry));
+    }
+    return names;
+}
+
+std::vector<Rumour> rumours(const Json &value)
+{
+    std::vector<Rumour> result;
+    for (const Json &entry : list(value)) {
+        const auto claim = number<std::uint8_t>(item(entry, 1));
+        if (claim > static_cast<std::uint8_t>(Claim::ProbeFailed)) {
+            throw BadMessage{"an unknown claim"};
+        }
+        result.push_back({name(item(entry, 0)), static_cast<Claim>(claim),
+                          number<std::uint16_t>(item(entry, 2)), name(item(entry, 3))});
+    }
+    return result;
+}
+
+template <class Message, class Read>
+Result<Message> decode(std::span<const std::uint8_t> bytes, Read read)
+{
+    const Json json = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+    if (json.is_discarded()) {
+        return Failure{"not MessagePack", ""};
+    }
+    try {
+        return read(json);
+    } catch (const BadMessage &fault) {
+        return Failure{fault.message, ""};
+    }
+}
+
+}  // namespace
+
+ShortName shortName(std::string_view name)
+{
+    return static_cast<ShortName>(stableHash(name));
+}
+
+std::vector<std::uint8_t> encode(const Heartbeat &heartbeat)
+{
+    const unsigned flags = (heartbeat.isLeaving ? 1U : 0U) | (heartbeat.isLogReachable ? 2U : 0U);
+    return Json::to_msgpack(Json::array({heartbeat.from.text(), heartbeat.incarnation,
+                                         heartbeat.sequence, flags, Json(heartbeat.heard),
+                                         Json(heartbeat.heardZones), toJson(heartbeat.rumours)}));
+}
+
+std::vector<std::uint8_t> encode(const Digest &digest)
+{
+    return Json::to_msgpack(
+            Json::array({digest.from.text(), digest.zone.text(), digest.incarnation,
+                         digest.sequence, digest.isLogReachable ? 2U : 0U, Json(digest.live),
+                         Json(digest.heardZones), toJson(digest.rumours)}));
+}
+
+Result<Heartbeat> decodeHeartbeat(std::span<const std::uint8_t> bytes)
+{
+    return decode<Heartbeat>(bytes, [](const Json &json) {
+        const auto flags = number<std::uint8_t>(item(json, 3));
+        return Heartbeat{EntryHostId(name(item(json, 0))),
+                         number<std::uint32_t>(item(json, 1)),
+                         number<std::uint32_t>(item(json, 2)),
+                         (flags & 1U) != 0,
+                         (flags & 2U) != 0,
+                         shortNames(item(json, 4)),
+                         shortNames(item(json, 5)),
+                         rumours(item(json, 6))};
+    });
+}
+
+Result<Digest> decodeDigest(std::span<const std::uint8_t> bytes)
+{
+    return decode<Digest>(bytes, [](const Json &json) {
+        return Digest{EntryHostId(name(item(json, 0))),
+                      ZoneId(name(item(json, 1))),
+                      number<std::uint32_t>(item(json, 2)),
+                      number<std::uint32_t>(item(json, 3)),
+                      (number<std::uint8_t>(item(json, 4)) & 2U) != 0,
+                      shortNames(item(json, 5)),
+                      shortNames(item(json, 6)),
+                      rumours(item(json, 7))};
+    });
+}
+
+}  // namespace poplarstream::membership
--- /dev/null
+++ b/src/poplarstream/membership/peer_queries.cpp
@@ -0,0 +1,127 @@
+#include "poplarstream/membership/peer_queries.hpp"
+
+#include <algorithm>  // for sort, find, max
+#include <utility>  // for pair
+
+#include "poplarstream/base/rendezvous.hpp"  // for rendezvousScore
+
+namespace poplarstream::membership {
+namespace {
+
+bool isWithin(const std::optional<TimePoint> &time, Milliseconds bound, TimePoint now)
+{
+    return time && now - *time <= bound;
+}
+
+}  // namespace
+
+PeerState stateOf(const PeerTable &table, const EntryHostId &peer, TimePoint now)
+{
+    const auto it = table.peers.find(peer);
+    if (it == table.peers.end()) {
+        return PeerState::Dead;
+    }
+    const PeerEntry &entry = it->second;
+    const PeerPolicy &policy = table.policy;
+    const Milliseconds freshFor =
+            entry.zone == table.zone ? policy.suspectAfter : policy.digestFreshFor;
+    if (isWithin(entry.heardAt, freshFor, now)) {
+        return entry.hearsUs ? PeerState::Live : PeerState::Deaf;
+    }
+    // A process is vouched for by others that heard it up to `suspectAfter` ago themselves.
+    if (isWithin(entry.vouchedAt, freshFor, now)) {
+        return PeerState::Mute;
+    }
+    // A peer that was never heard is given the time of a dead one from the start on.
+    TimePoint last = std::max(table.startedAt, entry.heardAt.value_or(table.startedAt));
+    last = std::max(last, entry.vouchedAt.value_or(last));
+    return now - last <= policy.deadAfter && entry.heardAt ? PeerState::Suspect : PeerState::Dead;
+}
+
+std::vector<EntryHostId> livePeers(const PeerTable &table, const ZoneId &zone, TimePoint now)
+{
+    std::vector<EntryHostId> live;
+    if (zone.isEmpty() || zone == table.zone) {
+        live.push_back(table.self);
+    }
+    for (const auto &[id, peer] : table.peers) {
+        if ((!zone.isEmpty() && peer.zone != zone) || peer.isLeaving) {
+            continue;
+        }
+        const PeerState state = stateOf(table, id, now);
+        if (state == PeerState::Live || state == PeerState::Deaf || state == PeerState::Mute) {
+            live.push_back(id);
+        }
+    }
+    std::sort(live.begin(), live.end());
+    return live;
+}
+
+std::vector<EntryHostId> dutyOrder(std::string_view duty, std::span<const EntryHostId> peers)
+{
+    std::vector<std::pair<std::uint64_t, EntryHostId>> scored;
+    scored.reserve(peers.size());
+    for (const EntryHostId &peer : peers) {
+        scored.emplace_back(rendezvousScore(duty, peer.text()), peer);
+    }
+    std::sort(scored.begin(), scored.end(), [](const auto &a, const auto &b) {
+        return a.first != b.first ? a.first > b.first : a.second < b.second;
+    });
+    std::vector<EntryHostId> order;
+    order.reserve(scored.size());
+    for (auto &[score, peer] : scored) {
+        order.push_back(std::move(peer));
+    }
+    return order;
+}
+
+std::uint32_t dutyRank(std::string_view duty, std::span<const EntryHostId> peers,
+                       const EntryHostId &self)
+{
+    const std::vector<EntryHostId> order = dutyOrder(duty, peers);
+    return static_cast<std::uint32_t>(std::find(order.begin(), order.end(), self) - order.begin());
+}
+
+std::vector<EntryHostId> digestTargets(const PeerTable &table, TimePoint now)
+{
+    std::vector<EntryHostId> targets;
+    const std::vector<EntryHostId> own = livePeers(table, table.zone, now);
+    const auto second = static_cast<std::size_t>(
+            std::max<std::int64_t>(0, now.time_since_epoch() / table.policy.period));
+    for (const auto &[zone, entry] : table.zones) {
+        const std::string duty = "digest:" + zone.text();
+        const std::uint32_t rank = dutyRank(duty, own, table.self);
+        if (rank >= table.policy.digestSenders) {
+            continue;
+        }
+        // All known peers, not only the live ones: a zone that was lost is found again this way.
+        std::vector<EntryHostId> known;
+        for (const auto &[id, peer] : table.peers) {
+            if (peer.zone == zone) {
+                known.push_back(id);
+            }
+        }
+        // The senders address different peers, so that each peer hears the zone more often.
+        const std::size_t offset = rank * known.size() / table.policy.digestSenders;
+        targets.push_back(known[(second + offset) % known.size()]);
+    }
+    return targets;
+}
+
+ZoneSight sightOf(const PeerTable &table, const ZoneId &zone, TimePoint now)
+{
+    ZoneSight sight;
+    const auto it = table.zones.find(zone);
+    if (it == table.zones.end()) {
+        return sight;
+    }
+    const Milliseconds bound = table.policy.digestFreshFor;
+    const ZoneEntry &entry = it->second;
+    sight.isHeard = isWithin(entry.heardAt, bound, now) || isWithin(entry.vouchedAt, bound, now);
+    sight.isHeardElsewhere = isWithin(entry.vouchedFromOutsideAt, bound, now);
+    sight.hearsUs = isWithin(entry.hearsUsAt, bound, now);
+    sight.reachesLog = isWithin(entry.logReachableAt, bound, now);
+    return sight;
+}
+
+}  // namespace poplarstream::membership
--- /dev/null
+++ b/src/poplarstream/membership/peer_table.cpp
@@ -0,0 +1,210 @@
+#include "poplarstream/membership/peer_table.hpp"
+
+#include <algorithm>  // for find
+
+#include "poplarstream/membership/peer_queries.hpp"  // for stateOf, livePeers, sightOf
+
+namespace poplarstream::membership {
+namespace {
+
+bool contains(const std::vector<ShortName> &names, ShortName name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+// Checks the number of a message and takes it. An earlier incarnation is believed only once the
+// later one has fallen silent.
+bool takeNumber(const PeerTable &table, PeerEntry &peer, std::uint32_t incarnation,
+                std::uint32_t sequence, TimePoint now)
+{
+    const bool isSilent = !peer.heardAt || now - *peer.heardAt > table.policy.suspectAfter;
+    if (incarnation == peer.incarnation ? sequence <= peer.sequence && peer.heardAt
+                                        : incarnation < peer.incarnation && !isSilent) {
+        return false;
+    }
+    if (incarnation != peer.incarnation) {
+        const ZoneId zone = peer.zone;
+        peer = PeerEntry{};
+        peer.zone = zone;
+    }
+    peer.incarnation = incarnation;
+    peer.sequence = sequence;
+    peer.heardAt = now;
+    return true;
+}
+
+void shift(std::optional<TimePoint> &time, Milliseconds by)
+{
+    if (time) {
+        *time += by;
+    }
+}
+
+void shiftAll(PeerTable &table, Milliseconds by)
+{
+    for (auto &[id, peer] : table.peers) {
+        shift(peer.heardAt, by);
+        shift(peer.vouchedAt, by);
+    }
+    for (auto &[id, zone] : table.zones) {
+        shift(zone.heardAt, by);
+        shift(zone.vouchedAt, by);
+        shift(zone.vouchedFromOutsideAt, by);
+        shift(zone.hearsUsAt, by);
+        shift(zone.logReachableAt, by);
+        zone.knownSince += by;
+    }
+    table.startedAt += by;
+}
+
+std::vector<ShortName> heardZones(const PeerTable &table, TimePoint now)
+{
+    std::vector<ShortName> names;
+    for (const auto &[id, zone] : table.zones) {
+        if (zone.heardAt && now - *zone.heardAt <= table.policy.suspectAfter) {
+            names.push_back(shortName(id.text()));
+        }
+    }
+    return names;
+}
+
+}  // namespace
+
+PeerTable makePeerTable(const PeerPolicy &policy, const KnownPeer &self, std::uint32_t incarnation,
+                        std::span<const KnownPeer> known, TimePoint now)
+{
+    PeerTable table;
+    table.policy = policy;
+    table.self = self.id;
+    table.zone = self.zone;
+    table.incarnation = incarnation;
+    table.startedAt = now;
+    table.lastTick = now;
+    setKnownPeers(table, known);
+    return table;
+}
+
+void setKnownPeers(PeerTable &table, std::span<const KnownPeer> known)
+{
+    std::map<EntryHostId, PeerEntry> peers;
+    std::map<ZoneId, ZoneEntry> zones;
+    for (const KnownPeer &peer : known) {
+        if (peer.id == table.self) {
+            continue;
+        }
+        const auto old = table.peers.find(peer.id);
+        PeerEntry &entry = peers[peer.id];
+        if (old != table.peers.end()) {
+            entry = old->second;
+        }
+        entry.zone = peer.zone;
+        if (peer.zone != table.zone) {
+            const auto oldZone = table.zones.find(peer.zone);
+            ZoneEntry fresh;
+            fresh.knownSince = table.lastTick;
+            zones.try_emplace(peer.zone, oldZone != table.zones.end() ? oldZone->second : fresh);
+        }
+    }
+    table.peers = std::move(peers);
+    table.zones = std::move(zones);
+}
+
+bool receive(PeerTable &table, const Heartbeat &heartbeat, TimePoint now)
+{
+    const auto it = table.peers.find(heartbeat.from);
+    if (it == table.peers.end() || it->second.zone != table.zone
+        || !takeNumber(table, it->second, heartbeat.incarnation, heartbeat.sequence, now)) {
+        return false;
+    }
+    it->second.isLeaving = heartbeat.isLeaving;
+    it->second.isLogReachable = heartbeat.isLogReachable;
+    it->second.hearsUs = contains(heartbeat.heard, shortName(table.self.text()));
+    for (auto &[id, peer] : table.peers) {
+        if (peer.zone == table.zone && contains(heartbeat.heard, shortName(id.text()))) {
+            peer.vouchedAt = now;
+        }
+    }
+    for (auto &[id, zone] : table.zones) {
+        if (contains(heartbeat.heardZones, shortName(id.text()))) {
+            zone.vouchedAt = now;
+        }
+    }
+    return true;
+}
+
+bool receive(PeerTable &table, const Digest &digest, TimePoint now)
+{
+    const auto it = table.peers.find(digest.from);
+    const auto zone = table.zones.find(digest.zone);
+    if (it == table.peers.end() || zone == table.zones.end() || it->second.zone != digest.zone
+        || !takeNumber(table, it->second, digest.incarnation, digest.sequence, now)) {
+        return false;
+    }
+    it->second.isLogReachable = digest.isLogReachable;
+    zone->second.heardAt = now;
+    if (digest.isLogReachable) {
+        zone->second.logReachableAt = now;
+    }
+    if (contains(digest.heardZones, shortName(table.zone.text()))) {
+        zone->second.hearsUsAt = now;
+        it->second.hearsUs = true;
+    }
+    for (auto &[id, peer] : table.peers) {
+        if (peer.zone == digest.zone && contains(digest.live, shortName(id.text()))) {
+            peer.vouchedAt = now;
+        }
+    }
+    for (auto &[id, other] : table.zones) {
+        if (id != digest.zone && contains(digest.heardZones, shortName(id.text()))) {
+            other.vouchedFromOutsideAt = now;
+        }
+    }
+    return true;
+}
+
+void advance(PeerTable &table, TimePoint now)
+{
+    const Milliseconds gap = now - table.lastTick;
+    if (gap > table.policy.longestTick) {
+        shiftAll(table, gap - table.policy.period);
+    } else if (gap < Milliseconds{0}) {
+        shiftAll(table, gap);
+    }
+    table.lastTick = now;
+}
+
+Heartbeat nextHeartbeat(PeerTable &table, TimePoint now, bool isLeaving, bool isLogReachable)
+{
+    Heartbeat heartbeat{table.self,
+                        table.incarnation,
+                        ++table.sequence,
+                        isLeaving,
+                        isLogReachable,
+                        {},
+                        heardZones(table, now),
+                        {}};
+    for (const auto &[id, peer] : table.peers) {
+        const bool isHeard = peer.heardAt && now - *peer.heardAt <= table.policy.suspectAfter;
+        if (peer.zone == table.zone && isHeard) {
+            heartbeat.heard.push_back(shortName(id.text()));
+        }
+    }
+    return heartbeat;
+}
+
+Digest nextDigest(PeerTable &table, TimePoint now, bool isLogReachable)
+{
+    Digest digest{table.self, table.zone, table.incarnation, ++table.sequence, isLogReachable, {},
+                  {},         {}};
+    for (const EntryHostId &peer : livePeers(table, table.zone, now)) {
+        digest.live.push_back(shortName(peer.text()));
+    }
+    for (const auto &[id, zone] : table.zones) {
+        if (sightOf(table, id, now).isHeard) {
+            digest.heardZones.push_back(shortName(id.text()));
+        }
+    }
+    return digest;
+}
+
+}  // namespace poplarstream::membership
