Add the replay of a zone's run stream

Each entry of a batch is granted or refused on its own, and the refusals are kept for explain. The run entries gain what a reader needs to judge them: the cause of a release, the boot and the usable capacity of the claimed worker, the measured size of a finished run, and the confirmation of a hand-over.

--- a/include/poplarstream/records/run_record.hpp
+++ b/include/poplarstream/records/run_record.hpp
@@ -52,13 +52,19 @@
     friend bool operator==(const RunAccepted &, const RunAccepted &) = default;
 };
 
-// Claims a run for `owner`, to be started at `worker`. Granted if the run is waiting.
+// Claims a run for `owner`, to be started at `worker`. Granted if the run is waiting and the
+// owner's lease is valid by the log's time. `workerBoot` numbers the boot of the worker that the
+// owner saw: a worker that rebooted has forgotten what it started, so its later "never started"
+// proves nothing. `workerCapacity` is what the owner took as usable on the worker; the claim is
+// refused when the reservations granted before it leave too little of it. All zero: not checked.
 struct RunClaimed
 {
     RunId run;
     EntryHostId owner;
     HostId worker;
     Resources reserved;
+    std::uint64_t workerBoot = 0;
+    Resources workerCapacity = {};
 
     friend bool operator==(const RunClaimed &, const RunClaimed &) = default;
 };
@@ -84,26 +90,35 @@
 
 enum class RunOutcome { Succeeded, Failed, MayHaveRun };
 
-// The end of a run under `token`. The first valid one wins.
+// The end of a run under `token`. The first valid one wins. `peak` is the largest usage that the
+// worker reported and `ran` the time that the task took (0: not known); later estimates use both.
 struct RunFinished
 {
     RunId run;
     FencingToken token;
     RunOutcome outcome = RunOutcome::Succeeded;
     std::string result;
+    Resources peak = {};
+    Milliseconds ran{0};
 
     friend bool operator==(const RunFinished &, const RunFinished &) = default;
 };
 
-// The claim is over and the run has not run under it: the worker confirmed the revocation before a
-// start, or the run is idempotent. The run waits for another claim. `workerFault` counts the
-// attempt against the worker and the run.
+// Why a claim is over. `Lost` means that nothing is known of the attempt; the worker may still
+// start it.
+enum class ReleaseCause { NeverStarted, Checkpointed, Stopped, Failed, Lost };
+
+// The claim is over and the run waits for another one. A non-idempotent run is released only when
+// the worker confirmed that it never started it, or stopped it at a checkpoint, from which the next
+// attempt continues. `workerFault` counts the attempt against the worker and the run.
 struct RunReleased
 {
     RunId run;
     FencingToken token;
     bool workerFault = false;
     std::string reason;
+    ReleaseCause cause = ReleaseCause::NeverStarted;
+    std::string checkpoint = {};
 
     friend bool operator==(const RunReleased &, const RunReleased &) = default;
 };
@@ -145,6 +160,14 @@
     friend bool operator==(const RunReceived &, const RunReceived &) = default;
 };
 
+// The stream of the zone that the run was handed to holds its arrival; this zone may forget it.
+struct HandOverConfirmed
+{
+    RunId run;
+
+    friend bool operator==(const HandOverConfirmed &, const HandOverConfirmed &) = default;
+};
+
 // Renews (or with duration 0 ends) the lease of an entry host on all of its claims.
 struct OwnerLease
 {
@@ -156,7 +179,7 @@
 
 using RunEntry = std::variant<RunAccepted, RunClaimed, RunTakenOver, RunStarted, RunFinished,
                               RunReleased, RunsCancelled, RunSetAside, RunHandedOver, RunReceived,
-                              OwnerLease, SnapshotPart>;
+                              HandOverConfirmed, OwnerLease, SnapshotPart>;
 
 // A record of a `runs-<zone>` stream: a batch of entries, each granted or refused on its own.
 struct RunRecord
--- /dev/null
+++ b/include/poplarstream/runs/run.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>  // for uint32_t, uint64_t
+#include <optional>  // for optional
+#include <string>  // for string
+#include <vector>  // for vector
+
+#include "poplarstream/base/id.hpp"  // for RunId, HostId, EntryHostId
+#include "poplarstream/base/time.hpp"  // for TimePoint
+#include "poplarstream/records/run_record.hpp"  // for RunAccepted, FencingToken, Resources
+#include "poplarstream/runs/run_life_cycle.hpp"  // for RunStage
+
+namespace poplarstream {
+
+// A run that failed this often is set aside; each attempt goes to another worker.
+inline constexpr std::size_t maxFaults = 3;
+// A run whose worker was lost this often is set aside too, since it may be what takes them down.
+// The bound is higher, because racks fail without any fault of the run.
+inline constexpr std::uint32_t maxLosses = 6;
+
+// The granted claim of a run. `startedAt` is the log's time of the confirmed start.
+struct Claim
+{
+    FencingToken token;
+    EntryHostId owner;
+    HostId worker;
+    std::uint64_t workerBoot = 0;
+    Resources reserved;
+    TimePoint since;
+    std::optional<TimePoint> startedAt;
+
+    friend bool operator==(const Claim &, const Claim &) = default;
+};
+
+// An attempt of an idempotent run that was given up without an answer of the worker.
+struct LostAttempt
+{
+    FencingToken token;
+    HostId worker;
+    std::uint64_t workerBoot = 0;
+
+    friend bool operator==(const LostAttempt &, const LostAttempt &) = default;
+};
+
+// A run as replayed. `ordinal` numbers the accepted runs of a stream in the order of acceptance.
+// The payload is empty once the stage is final.
+struct Run
+{
+    RunAccepted accepted;
+    std::uint64_t ordinal = 0;
+    RunStage stage = RunStage::Accepted;
+    TimePoint acceptedAt;
+    TimePoint waitingSince;
+    TimePoint endedAt;
+    std::optional<Claim> claim;
+    std::vector<LostAttempt> lost;
+    std::vector<HostId> failedOn;
+    std::uint32_t losses = 0;
+    // Whether a worker may have started it, under any claim.
+    bool mayHaveStarted = false;
+    // Where the next attempt continues; empty to start anew.
+    std::string checkpoint;
+    std::string result;
+    std::string reason;
+    ZoneId handedTo;
+    Offset handedOverAt = 0;
+    bool isArrivalConfirmed = false;
+
+    const RunId &id() const { return accepted.run; }
+
+    friend bool operator==(const Run &, const Run &) = default;
+};
+
+}  // namespace poplarstream
--- a/src/poplarstream/records/codec.cpp
+++ b/src/poplarstream/records/codec.cpp
@@ -73,6 +73,13 @@
                                           {RunOutcome::Succeeded, "succeeded"},
                                           {RunOutcome::Failed, "failed"}})
 
+// An unknown cause must not read as a proof that the run never started.
+NLOHMANN_JSON_SERIALIZE_ENUM(ReleaseCause, {{ReleaseCause::Lost, "lost"},
+                                            {ReleaseCause::NeverStarted, "never-started"},
+                                            {ReleaseCause::Checkpointed, "checkpointed"},
+                                            {ReleaseCause::Stopped, "stopped"},
+                                            {ReleaseCause::Failed, "failed"}})
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordHeader, id, writer)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigEdit, section, key, value)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigChange, baseVersion, author, edits)
@@ -89,15 +96,17 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Resources, cpus, memoryMegabytes, accelerators)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunAccepted, run, tenant, service, idempotencyKey, payloadHash,
                                    payload, declared, declaredDuration, idempotent, deadline)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunClaimed, run, owner, worker, reserved)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunClaimed, run, owner, worker, reserved, workerBoot,
+                                   workerCapacity)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunTakenOver, run, token, owner)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunStarted, run, token)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunFinished, run, token, outcome, result)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReleased, run, token, workerFault, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunFinished, run, token, outcome, result, peak, ran)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReleased, run, token, workerFault, reason, cause, checkpoint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunsCancelled, runs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunSetAside, run, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunHandedOver, run, to)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReceived, accepted, from, handedOverAt)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HandOverConfirmed, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OwnerLease, owner, duration)
 
 namespace {
@@ -108,9 +117,10 @@
         "zone-reachability", "duty-lease",      "worker-quarantine", "snapshot-part",
 };
 constexpr std::array runTypes = {
-        "run-accepted",    "run-claimed",  "run-taken-over", "run-started",
-        "run-finished",    "run-released", "runs-cancelled", "run-set-aside",
-        "run-handed-over", "run-received", "owner-lease",    "snapshot-part",
+        "run-accepted",    "run-claimed",  "run-taken-over",      "run-started",
+        "run-finished",    "run-released", "runs-cancelled",      "run-set-aside",
+        "run-handed-over", "run-received", "hand-over-confirmed", "owner-lease",
+        "snapshot-part",
 };
 static_assert(controlTypes.size() == std::variant_size_v<ControlBody>);
 static_assert(runTypes.size() == std::variant_size_v<RunEntry>);
--- /dev/null
+++ b/src/poplarstream/runs/run_index.cpp
@@ -0,0 +1,198 @@
+#include "run_index.hpp"
+
+#include <algorithm>  // for min_element
+#include <cmath>  // for llround
+
+#include "poplarstream/base/rendezvous.hpp"  // for stableHash
+#include "poplarstream/runs/queries.hpp"  // for keyOf
+
+namespace poplarstream {
+namespace {
+
+bool isActive(RunStage stage)
+{
+    return stage == RunStage::Claimed || stage == RunStage::Started
+           || stage == RunStage::Cancelling;
+}
+
+void enterStage(RunsState &state, Run &run)
+{
+    if (run.stage == RunStage::Accepted) {
+        state.waiting[run.accepted.tenant].insert(run.ordinal);
+    } else if (isActive(run.stage)) {
+        state.active.insert(run.ordinal);
+    } else if (run.stage == RunStage::HandedOver && !run.isArrivalConfirmed) {
+        state.leaving.insert(run.ordinal);
+    }
+}
+
+void leaveStage(RunsState &state, const Run &run)
+{
+    if (run.stage == RunStage::Accepted) {
+        const auto queue = state.waiting.find(run.accepted.tenant);
+        queue->second.erase(run.ordinal);
+        if (queue->second.empty()) {
+            state.waiting.erase(queue);
+        }
+    } else if (isActive(run.stage)) {
+        state.active.erase(run.ordinal);
+    }
+}
+
+void reserve(RunsState &state, const Claim &claim, int sign)
+{
+    Reservation &reservation = state.reserved[claim.worker];
+    reservation.milliCpus += sign * std::llround(claim.reserved.cpus * 1000);
+    reservation.memoryMegabytes += sign * static_cast<std::int64_t>(claim.reserved.memoryMegabytes);
+    reservation.accelerators += sign * static_cast<std::int64_t>(claim.reserved.accelerators);
+    reservation.runs += static_cast<std::uint32_t>(sign);
+    if (reservation.runs == 0) {
+        state.reserved.erase(claim.worker);
+    }
+}
+
+void dropContent(Run &run)
+{
+    run.accepted.payload = std::string();
+    run.checkpoint = std::string();
+    run.lost = {};
+}
+
+void forgetRun(RunsState &state, std::uint64_t ordinal)
+{
+    const auto found = state.runs.find(ordinal);
+    const RunAccepted &accepted = found->second.accepted;
+    state.byId.erase(accepted.run);
+    if (!accepted.idempotencyKey.empty()) {
+        const auto key = state.byKey.find(keyOf(accepted.tenant, accepted.idempotencyKey));
+        if (key != state.byKey.end() && key->second == ordinal) {
+            state.byKey.erase(key);
+        }
+    }
+    state.runs.erase(found);
+}
+
+}  // namespace
+
+Run *mutableRun(RunsState &state, const RunId &run)
+{
+    const auto found = state.byId.find(run);
+    return found == state.byId.end() ? nullptr : &state.runs.find(found->second)->second;
+}
+
+Run &insertRun(RunsState &state, Run run)
+{
+    const std::uint64_t ordinal = run.ordinal;
+    Run &entered = state.runs.emplace_hint(state.runs.end(), ordinal, std::move(run))->second;
+    state.byId.emplace(entered.id(), ordinal);
+    if (!entered.accepted.idempotencyKey.empty()) {
+        state.byKey.emplace(keyOf(entered.accepted.tenant, entered.accepted.idempotencyKey),
+                            ordinal);
+    }
+    enterStage(state, entered);
+    if (entered.claim) {
+        reserve(state, *entered.claim, 1);
+    }
+    return entered;
+}
+
+void setStage(RunsState &state, Run &run, RunStage stage)
+{
+    if (run.stage == stage) {
+        return;
+    }
+    leaveStage(state, run);
+    run.stage = stage;
+    enterStage(state, run);
+    if (stage == RunStage::Accepted) {
+        run.waitingSince = state.now;
+    } else if (isFinal(stage)) {
+        setClaim(state, run, std::nullopt);
+        run.endedAt = state.now;
+        if (state.leaving.contains(run.ordinal)) {
+            return;
+        }
+        dropContent(run);
+        state.ended.push_back(run.ordinal);
+    }
+}
+
+void setClaim(RunsState &state, Run &run, std::optional<Claim> claim)
+{
+    if (run.claim) {
+        reserve(state, *run.claim, -1);
+    }
+    run.claim = std::move(claim);
+    if (run.claim) {
+        reserve(state, *run.claim, 1);
+    }
+}
+
+void confirmHandOver(RunsState &state, Run &run)
+{
+    state.leaving.erase(run.ordinal);
+    run.isArrivalConfirmed = true;
+    run.endedAt = state.now;
+    dropContent(run);
+    state.ended.push_back(run.ordinal);
+}
+
+void forgetOld(RunsState &state)
+{
+    while (!state.ended.empty()) {
+        const std::uint64_t oldest = state.ended.front();
+        if (state.ended.size() <= maxEndedRuns
+            && state.runs.find(oldest)->second.endedAt + resultRetention > state.now) {
+            break;
+        }
+        forgetRun(state, oldest);
+        state.ended.pop_front();
+    }
+    while (!state.arrivals.empty() && state.arrivals.front().first + arrivalRetention < state.now) {
+        state.arrivalSet.erase(state.arrivals.front().second);
+        state.arrivals.pop_front();
+    }
+}
+
+bool rememberRecord(RunsState &state, const RecordId &record)
+{
+    const std::uint64_t hash = stableHash(record.text());
+    if (!state.recentRecordSet.insert(hash).second) {
+        return false;
+    }
+    state.recentRecords.push_back(hash);
+    if (state.recentRecords.size() > maxRecentRecords) {
+        state.recentRecordSet.erase(state.recentRecords.front());
+        state.recentRecords.pop_front();
+    }
+    return true;
+}
+
+bool rememberArrival(RunsState &state, std::uint64_t arrival)
+{
+    if (!state.arrivalSet.insert(arrival).second) {
+        return false;
+    }
+    state.arrivals.emplace_back(state.now, arrival);
+    return true;
+}
+
+void rememberOutcome(RunsState &state, const Run &run, const HostId &worker, bool isFault)
+{
+    WorkerRecord &record = state.workers[worker];
+    record.outcomes.push_back({state.now, stableHash(run.accepted.tenant.text()),
+                               stableHash(run.id().text()), isFault});
+    if (record.outcomes.size() > maxOutcomesPerWorker) {
+        record.outcomes.pop_front();
+    }
+    record.consecutiveFaults = isFault ? record.consecutiveFaults + 1 : 0;
+    record.lastOutcome = state.now;
+    if (state.workers.size() > maxWorkerRecords) {
+        state.workers.erase(std::min_element(state.workers.begin(), state.workers.end(),
+                                             [](const auto &a, const auto &b) {
+                                                 return a.second.lastOutcome < b.second.lastOutcome;
+                                             }));
+    }
+}
+
+}  // namespace poplarstream
