--- /dev/null
+++ b/include/poplarstream/traffic/settings.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <array>  // for array
+#include <cstdint>  // for uint32_t, uint64_t
+#include <string>  // for string
+#include <vector>  // for vector
+
+#include "poplarstream/base/id.hpp"  // for ServiceId, TenantId, MinionId, PoolId, ZoneId
+#include "poplarstream/base/time.hpp"  // for Milliseconds
+
+namespace poplarstream::traffic {
+
+// Urgency levels inside a service; 0 is the most urgent.
+inline constexpr std::size_t urgencyLevels = 4;
+
+struct ServiceSettings
+{
+    ServiceId id;
+    bool idempotent = false;
+    double weight = 1;  // share of a pool that serves several services
+    Milliseconds expectedTime{50};  // service time assumed before the first measurement
+};
+
+struct TenantSettings
+{
+    TenantId id;
+    double weight = 1;
+    double quota = 0;  // requests per second over all entry hosts; 0 means no quota
+};
+
+struct PoolSettings
+{
+    PoolId id;
+    std::vector<ServiceId> services;
+};
+
+struct ZoneSettings
+{
+    ZoneId id;
+    Milliseconds distance{0};  // round trip from the entry host's own zone
+};
+
+struct MinionSettings
+{
+    MinionId id;
+    PoolId pool;
+    ZoneId zone;
+    std::uint32_t slots = 8;
+    std::uint32_t connections = 64;
+};
+
+// Constants of the policies. The defaults are the measured choices of docs/decisions/traffic-*.md.
+struct PolicySettings
+{
+    std::array<double, urgencyLevels> urgencyWeights{8, 4, 2, 1};
+    std::uint32_t maxQueued = 20000;  // requests queued in one entry host
+    std::uint64_t maxQueuedBytes = 32ULL << 20;
+    double quotaBurstSeconds = 1;
+    double retryShare = 0.09;  // retries and hedges per arriving request; target is below 0.1
+    double retryBurst = 10;
+    double maxEjectedShare = 0.34;  // of the minions of one service
+    Milliseconds probeInterval{500};  // between in-band probes of an idle connection
+    Milliseconds probeDeadline{500};
+    Milliseconds connectDeadline{400};
+    Milliseconds ejectionTime{1000};  // doubled for each ejection in a row, up to 32 times
+    Milliseconds reportAge{1000};  // older load reports are not used
+};
+
+// Everything that configuration and membership decide. `ownZone` and `entryHost` come from the
+// settings of the process, `livePeers` (entry hosts that share the load, this one included) from
+// the membership view.
+struct TrafficSettings
+{
+    EntryHostId entryHost;
+    ZoneId ownZone;
+    std::uint32_t livePeers = 1;
+    std::vector<ServiceSettings> services;
+    std::vector<TenantSettings> tenants;
+    std::vector<PoolSettings> pools;
+    std::vector<ZoneSettings> zones;
+    std::vector<MinionSettings> minions;
+    PolicySettings policy;
+};
+
+}  // namespace poplarstream::traffic
--- /dev/null
+++ b/include/poplarstream/traffic/state.hpp
@@ -0,0 +1,192 @@
+#pragma once
+
+#include <cstdint>  // for uint8_t, uint32_t, uint64_t
+#include <queue>  // for priority_queue
+#include <string>  // for string
+#include <unordered_map>  // for unordered_map
+#include <vector>  // for vector
+
+#include "poplarstream/base/random.hpp"  // for Random
+#include "poplarstream/traffic/connection_cycle.hpp"  // for ConnectionState
+#include "poplarstream/traffic/estimates.hpp"  // for TimeEstimate, TokenBucket
+#include "poplarstream/traffic/fair_queue.hpp"  // for FairQueue, FlowKey
+#include "poplarstream/traffic/messages.hpp"  // for RequestNumber, AttemptNumber, LoadReport
+#include "poplarstream/traffic/settings.hpp"  // for TrafficSettings
+#include "poplarstream/traffic/slab.hpp"  // for Slab
+
+namespace poplarstream::traffic {
+
+// Indices into the vectors of TrafficState. They stay the same while the process lives, so that
+// requests in progress survive a change of the configuration.
+using ServiceIndex = std::uint32_t;
+using TenantIndex = std::uint32_t;
+using PoolIndex = std::uint32_t;
+using MinionIndex = std::uint32_t;
+
+struct PendingRequest
+{
+    ServiceIndex service = 0;
+    FlowKey key;
+    std::uint64_t bytes = 0;
+    TimePoint admittedAt{};
+    TimePoint deadline{};
+    bool queued = true;
+    bool mayHaveRun = false;  // an attempt was sent and neither answered nor refused
+    bool hedged = false;
+    std::uint8_t liveAttempts = 0;
+    std::uint8_t attempts = 0;
+    MinionIndex lastMinion = ~0U;
+    Reason lastReason = Reason::DeadlinePassed;
+};
+
+// One try of a request at a minion. `request` may have ended already; the answer is then dropped.
+struct Attempt
+{
+    RequestNumber request{};
+    ServiceIndex service = 0;
+    FlowKey key;
+    MinionIndex minion = 0;
+    ConnectionNumber connection{};  // none once the pairing of answers on it is in doubt
+    TimePoint sentAt{};
+    bool sent = false;  // false while the connection is being opened
+    bool overdue = false;
+    double charged = 0;
+};
+
+struct Connection
+{
+    MinionIndex minion = 0;
+    ConnectionState state = ConnectionState::Connecting;
+    AttemptNumber attempt{};  // in flight, or bound and waiting for the connection to open
+    bool probeInFlight = false;
+    TimePoint since{};  // of the present state
+    TimePoint lastHeard{};
+    TimePoint openedAt{};
+};
+
+// What this entry host knows of a minion. Lives on when the minion is removed from the settings.
+struct Minion
+{
+    MinionSettings settings;
+    PoolIndex pool = 0;
+    Milliseconds distance{0};
+    bool listed = true;
+    bool leaving = false;
+    TimePoint leavingSince{};
+
+    std::vector<ConnectionNumber> connections;  // all that are not closed
+    std::vector<ConnectionNumber> idle;  // the last one was heard most recently
+    TimePoint suspectSince{};  // connections not heard since then are not used before a probe
+    TimePoint reopenAt{};
+    std::uint32_t connectFailures = 0;
+
+    std::uint32_t inFlight = 0;  // overdue attempts are not counted
+    double limit = 1;
+    LoadReport report;
+    TimePoint reportedAt{};
+    std::uint32_t sentSinceReport = 0;
+    TimeEstimate latency;
+    TimePoint lastCut{};
+
+    double failureRate = 0;
+    std::uint32_t failuresInARow = 0;
+    bool ejected = false;
+    bool trial = false;  // readmitted by a probe, not yet by a request
+    TimePoint ejectedUntil{};
+    std::uint32_t ejections = 0;
+};
+
+struct Service
+{
+    ServiceSettings settings;
+    bool listed = true;
+    FairQueue queue;
+    TimeEstimate time;
+    std::vector<PoolIndex> pools;
+    std::vector<MinionIndex> own;  // usable candidates of the own zone
+    std::vector<MinionIndex> remote;  // of other zones, nearest first
+    double capacity = 0;  // requests in flight that this service may hold now; see refreshCapacity
+    TimePoint lastReachable{};
+    std::vector<TokenBucket> retryBudgets;  // by tenant index
+    std::uint32_t inFlight = 0;
+};
+
+struct Pool
+{
+    PoolId id;
+    std::vector<ServiceIndex> services;
+    double virtualTime = 0;
+};
+
+struct Tenant
+{
+    TenantSettings settings;
+    bool listed = true;
+    TokenBucket quota;
+};
+
+enum class TimerKind : std::uint8_t { Deadline, Hedge, Overdue, Connect };
+
+struct Timer
+{
+    TimePoint at;
+    TimerKind kind;
+    std::uint64_t number = 0;  // of the request, attempt or connection
+
+    friend bool operator>(const Timer &a, const Timer &b)
+    {
+        return a.at != b.at ? a.at > b.at : a.number > b.number;
+    }
+};
+
+// Counts since the process started.
+struct TrafficCounters
+{
+    std::uint64_t arrived = 0;
+    std::uint64_t dispatched = 0;  // all attempts with bytes sent
+    std::uint64_t retried = 0;
+    std::uint64_t hedged = 0;
+    std::uint64_t delivered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t lateAnswers = 0;
+    std::uint64_t silentConnections = 0;
+    std::uint64_t ejections = 0;
+};
+
+struct TrafficState
+{
+    // `incarnation` must differ between processes and between starts of the same entry host; it is
+    // part of every request id. `seed` drives the random choices.
+    TrafficState(std::uint64_t incarnationId, std::uint64_t seed)
+        : incarnation(incarnationId)
+        , random(seed)
+    {}
+
+    std::uint64_t incarnation;
+    Random random;
+    PolicySettings policy;
+    std::uint32_t livePeers = 1;
+    bool stopping = false;
+
+    std::unordered_map<std::string, ServiceIndex> serviceIndex;
+    std::unordered_map<std::string, TenantIndex> tenantIndex;
+    std::unordered_map<std::string, MinionIndex> minionIndex;
+    std::unordered_map<std::string, PoolIndex> poolIndex;
+    std::vector<Service> services;
+    std::vector<Tenant> tenants;
+    std::vector<double> tenantWeights;
+    std::vector<Minion> minions;
+    std::vector<Pool> pools;
+
+    Slab<RequestNumber, PendingRequest> requests;
+    Slab<AttemptNumber, Attempt> attempts;
+    Slab<ConnectionNumber, Connection> connections;
+    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
+
+    std::uint32_t queued = 0;
+    std::uint64_t queuedBytes = 0;
+    TimePoint refreshedAt{};
+    TrafficCounters counters;
+};
+
+}  // namespace poplarstream::traffic
