--- a/cmake/compiler.cmake
+++ b/cmake/compiler.cmake
@@ -26,6 +26,8 @@
 string(REPLACE "-DNDEBUG" "" CMAKE_CXX_FLAGS_RELEASE "${CMAKE_CXX_FLAGS_RELEASE}")
 
 add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror)
+# A designated initializer that leaves a field out means its default member initializer.
+add_compile_options(-Wno-missing-field-initializers)
 # GCC 12 reports false positives for these inside Boost and std::variant at -O2 and above.
 add_compile_options(-Wno-maybe-uninitialized -Wno-restrict -Wno-array-bounds
                     -Wno-stringop-overflow -Wno-stringop-overread -Wno-dangling-pointer)
--- /dev/null
+++ b/include/poplarstream/node/run_interface.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <functional>  // for function
+#include <string>  // for string
+#include <variant>  // for variant
+
+#include "poplarstream/adapters/http_message.hpp"  // for HttpResponse
+#include "poplarstream/base/id.hpp"  // for RunId, ServiceId, TenantId
+#include "poplarstream/base/time.hpp"  // for TimePoint
+
+namespace poplarstream {
+
+// Answers a caller. May be called from any thread, once.
+using Reply = std::function<void(HttpResponse)>;
+
+// A slow request that passed the checks of the callers' interface, to be accepted as a run.
+struct RunSubmission
+{
+    ServiceId service;
+    TenantId tenant;
+    std::string idempotencyKey;
+    std::string payload;
+    TimePoint deadline;  // of the run
+    TimePoint answerBy;  // of the acceptance
+    Reply reply;
+};
+
+// Asks for the state and result of a tenant's run.
+struct RunQuestion
+{
+    RunId run;
+    TenantId tenant;
+    Reply reply;
+};
+
+// Asks that a tenant's run is cancelled.
+struct RunCancellation
+{
+    RunId run;
+    TenantId tenant;
+    Reply reply;
+};
+
+using RunCall = std::variant<RunSubmission, RunQuestion, RunCancellation>;
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/node/callers_duty.cpp
@@ -0,0 +1,527 @@
+#include "poplarstream/node/callers_duty.hpp"
+
+#include <deque>  // for deque
+#include <map>  // for map
+#include <optional>  // for optional
+#include <unordered_map>  // for unordered_map
+
+#include <boost/asio/steady_timer.hpp>  // for steady_timer
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/adapters/http_link.hpp"  // for HttpLink
+#include "poplarstream/node/caller_request.hpp"  // for readCallerRequest
+#include "poplarstream/node/minion_protocol.hpp"  // for workRequest, readMinionAnswer
+#include "poplarstream/node/process_clock.hpp"  // for ProcessClock
+#include "poplarstream/node/request_log.hpp"  // for RequestLog
+#include "poplarstream/telemetry/event.hpp"  // for logEvent
+#include "poplarstream/telemetry/event_kinds.hpp"  // for requestRefused
+#include "poplarstream/traffic/urgent_path.hpp"  // for admit, tick
+
+namespace poplarstream {
+
+namespace {
+
+using traffic::Actions;
+using traffic::ConnectionNumber;
+using traffic::RequestNumber;
+
+constexpr Milliseconds tickPeriod{10};
+// How long a caller waits for the acceptance of a run before it is told that it may have been
+// accepted. The log answers within milliseconds; an outage shows within this time.
+constexpr Milliseconds acceptanceTimeout{5'000};
+
+// A request in progress, until its Deliver or Finish.
+struct PendingCall
+{
+    HttpRespond respond;
+    std::string payload;
+    ServiceId service;
+    TenantId tenant;
+    TimePoint arrived;
+    TimePoint deadline;
+};
+
+unsigned statusOf(const traffic::Finish &finish)
+{
+    using traffic::Reason;
+    switch (finish.reason) {
+    case Reason::UnknownService:
+    case Reason::UnknownTenant:
+        return 400;
+    case Reason::Quota:
+        return 429;
+    case Reason::DeadlinePassed:
+        return 504;
+    case Reason::MinionFailed:
+        return 502;
+    case Reason::DeadlineTooClose:
+    case Reason::QueueFull:
+    case Reason::NoMinion:
+    case Reason::MinionRefused:
+    case Reason::Leaving:
+        break;
+    }
+    return 503;
+}
+
+// The urgency level that the urgent path uses for shares: work with a shorter deadline is more
+// urgent. The bounds separate a caller at a counter, a caller on hold, and work due within minutes.
+std::uint8_t urgencyOf(Milliseconds deadline)
+{
+    constexpr Milliseconds bounds[] = {Milliseconds{5'000}, Milliseconds{30'000},
+                                       Milliseconds{300'000}};
+    std::uint8_t level = 0;
+    for (const Milliseconds bound : bounds) {
+        level += deadline > bound ? 1 : 0;
+    }
+    return level;
+}
+
+}  // namespace
+
+struct CallersDuty::State : std::enable_shared_from_this<CallersDuty::State>
+{
+    State(DutyThread &dutyThread, CallersSettings callersSettings, Mailbox<RunCall> &runCalls,
+          std::function<void(MinionEvidence)> onEvidence)
+        : thread(dutyThread)
+        , settings(std::move(callersSettings))
+        , runs(runCalls)
+        , evidence(std::move(onEvidence))
+        , traffic(settings.incarnation, settings.incarnation)
+        , timer(dutyThread.context())
+        , view(std::make_shared<const ServingView>(
+                  ServingView{.configuration = std::make_shared<const Configuration>()}))
+    {}
+
+    // -- requests of callers --
+
+    void onRequest(HttpRequest request, const HttpRespond &respond)
+    {
+        const std::string_view path = targetPath(request.target);
+        constexpr std::string_view runPrefix = "/v1/runs/";
+        if (path == "/v1/requests" && request.method == "POST") {
+            onSubmission(request, respond);
+        } else if (path.starts_with(runPrefix)
+                   && (request.method == "GET" || request.method == "DELETE")) {
+            onRunCall(request, RunId(std::string(path.substr(runPrefix.size()))), respond);
+        } else if (path == "/health" && request.method == "GET") {
+            respond(jsonResponse(200, "{}"));
+        } else {
+            respond(errorResponse(404, Verdict::NotRun, "unknown method or path", "target"));
+        }
+    }
+
+    void onSubmission(HttpRequest &request, const HttpRespond &respond)
+    {
+        if (view->version == 0) {
+            respond(errorResponse(503, Verdict::NotRun, "no configuration yet", {},
+                                  Milliseconds{1'000}));
+            return;
+        }
+        auto read = readCallerRequest(request, *view->configuration);
+        if (const auto *rejected = std::get_if<CallerRejection>(&read)) {
+            respond(errorResponse(*rejected));
+            return;
+        }
+        CallerRequest &call = std::get<CallerRequest>(read);
+        if (call.service->serviceClass == ServiceClass::Slow) {
+            submitRun(call, respond);
+        } else {
+            admitUrgent(call, respond);
+        }
+    }
+
+    void admitUrgent(CallerRequest &call, const HttpRespond &respond)
+    {
+        const TimePoint now = clock.now();
+        const traffic::Request request{.service = call.service->id,
+                                       .tenant = call.tenant->id,
+                                       .urgency = urgencyOf(call.service->deadline),
+                                       .deadline = now + call.deadline,
+                                       .bytes = call.payload.size()};
+        Actions actions;
+        const RequestNumber number = traffic::admit(traffic, request, now, actions);
+        pending[number] = {.respond = respond,
+                           .payload = std::move(call.payload),
+                           .service = call.service->id,
+                           .tenant = call.tenant->id,
+                           .arrived = now,
+                           .deadline = now + call.deadline};
+        perform(actions);
+    }
+
+    // Sends a run call to the control duty, which replies from its own thread.
+    void sendRunCall(RunCall call, const HttpRespond &respond)
+    {
+        if (!runs.trySend(std::move(call))) {
+            respond(errorResponse(503, Verdict::NotRun, "too many requests wait", {},
+                                  Milliseconds{1'000}));
+        }
+    }
+
+    Reply replyOnThisThread(const HttpRespond &respond, const TenantId &tenant)
+    {
+        ++runCallsInProgress;
+        return [self = shared_from_this(), respond, tenant,
+                arrived = clock.now()](HttpResponse response) {
+            self->thread.post(
+                    [self, respond, tenant, arrived, response = std::move(response)]() mutable {
+                        --self->runCallsInProgress;
+                        const auto outcome = response.status < 300   ? RequestOutcome::OnTime
+                                             : response.status < 500 ? RequestOutcome::Refused
+                                                                     : RequestOutcome::Failed;
+                        self->histograms.record(tenant, WorkClass::Slow, outcome,
+                                                self->clock.now() - arrived);
+                        respond(std::move(response));
+                    });
+        };
+    }
+
+    void submitRun(CallerRequest &call, const HttpRespond &respond)
+    {
+        const TimePoint now = clock.now();
+        sendRunCall(RunSubmission{.service = call.service->id,
+                                  .tenant = call.tenant->id,
+                                  .idempotencyKey = std::move(call.idempotencyKey),
+                                  .payload = std::move(call.payload),
+                                  .deadline = now + call.deadline,
+                                  .answerBy = now + std::min(call.deadline, acceptanceTimeout),
+                                  .reply = replyOnThisThread(respond, call.tenant->id)},
+                    respond);
+    }
+
+    void onRunCall(const HttpRequest &request, const RunId &run, const HttpRespond &respond)
+    {
+        const auto tenant = authenticateTenant(request, *view->configuration);
+        if (const auto *rejected = std::get_if<CallerRejection>(&tenant)) {
+            respond(errorResponse(*rejected));
+            return;
+        }
+        const TenantId id = std::get<const TenantConfig *>(tenant)->id;
+        const Reply reply = replyOnThisThread(respond, id);
+        if (request.method == "GET") {
+            sendRunCall(RunQuestion{run, id, reply}, respond);
+        } else {
+            sendRunCall(RunCancellation{run, id, reply}, respond);
+        }
+    }
+
+    // -- actions of the urgent path --
+
+    // Performs the actions in order. `answer` is the minion's answer that caused them, if any; a
+    // Deliver hands it over.
+    void perform(const Actions &actions, HttpResponse *answer = nullptr)
+    {
+        for (const traffic::Action &action : actions) {
+            std::visit([&](const auto &step) { act(step, answer); }, action);
+        }
+    }
+
+    void act(const traffic::OpenConnection &open, HttpResponse *)
+    {
+        const auto endpoint = endpointFromText(open.minion.text());
+        const ConnectionNumber number = open.connection;
+        HttpLinkEvents events{
+                .connected = [this, number] { onConnected(number); },
+                .lost = [this, number] { onLost(number, false); },
+        };
+        links[number] = {std::make_unique<HttpLink>(thread.context(), endpoint.value(),
+                                                    clientLimits, std::move(events)),
+                         open.minion, false};
+    }
+
+    void act(const traffic::Dispatch &dispatch, HttpResponse *)
+    {
+        const auto call = pending.find(dispatch.request);
+        const auto link = links.find(dispatch.connection);
+        if (call == pending.end() || link == links.end()) {
+            return;
+        }
+        const ConnectionNumber number = dispatch.connection;
+        const MinionWork work{.requestId = traffic::attemptText(traffic, dispatch.attempt),
+                              .service = call->second.service,
+                              .deadline = dispatch.deadline - clock.now(),
+                              .payload = call->second.payload};
+        link->second.link->send(workRequest(work), [this, number](HttpOutcome outcome) {
+            onOutcome(number, std::move(outcome), false);
+        });
+    }
+
+    void act(const traffic::SendProbe &probe, HttpResponse *)
+    {
+        const auto link = links.find(probe.connection);
+        if (link == links.end()) {
+            return;
+        }
+        const ConnectionNumber number = probe.connection;
+        link->second.link->send(probeRequest(), [this, number](HttpOutcome outcome) {
+            onOutcome(number, std::move(outcome), true);
+        });
+    }
+
+    void act(const traffic::CloseConnection &close, HttpResponse *) { closeLink(close.connection); }
+
+    void act(const traffic::Deliver &deliver, HttpResponse *answer)
+    {
+        const auto call = pending.find(deliver.request);
+        if (call == pending.end() || answer == nullptr) {
+            return;
+        }
+        const TimePoint now = clock.now();
+        const auto outcome =
+                now <= call->second.deadline ? RequestOutcome::OnTime : RequestOutcome::Late;
+        HttpResponse response = callerResponse(std::move(*answer));
+        const std::string id = traffic::requestText(traffic, deliver.request);
+        addVerdict(response, Verdict::Ran, id);
+        finish(call, response.status < 500 ? outcome : RequestOutcome::Failed, now,
+               std::move(response));
+    }
+
+    void act(const traffic::Finish &end, HttpResponse *)
+    {
+        const auto call = pending.find(end.request);
+        if (call == pending.end()) {
+            return;
+        }
+        const std::string id = traffic::requestText(traffic, end.request);
+        const std::string_view reason = traffic::reasonText(end.reason);
+        HttpResponse response =
+                errorResponse(statusOf(end), end.verdict, reason, {}, end.retryAfter);
+        addVerdict(response, end.verdict, id);
+        addOutcome(requestLog, {.request = id,
+                                .service = call->second.service,
+                                .tenant = call->second.tenant,
+                                .verdict = end.verdict,
+                                .reason = std::string(reason),
+                                .at = clock.now()});
+        ++refusals[{call->second.service, std::string(reason)}];
+        const auto outcome = end.verdict == Verdict::NotRun ? RequestOutcome::Refused
+                                                            : RequestOutcome::MayHaveRun;
+        finish(call, outcome, clock.now(), std::move(response));
+    }
+
+    void finish(std::map<RequestNumber, PendingCall>::iterator call, RequestOutcome outcome,
+                TimePoint now, HttpResponse response)
+    {
+        const PendingCall ended = std::move(call->second);
+        pending.erase(call);
+        histograms.record(ended.tenant, WorkClass::Urgent, outcome, now - ended.arrived);
+        ended.respond(std::move(response));
+    }
+
+    // -- events of the connections to minions --
+
+    void onConnected(ConnectionNumber number)
+    {
+        Actions actions;
+        traffic::onConnected(traffic, number, clock.now(), actions);
+        links.at(number).isConnected = true;
+        perform(actions);
+    }
+
+    void onLost(ConnectionNumber number, bool bytesSent)
+    {
+        const auto link = links.find(number);
+        if (link == links.end()) {
+            return;
+        }
+        if (!link->second.isConnected) {
+            evidence({.minion = link->second.minion, .isRefused = true});
+        }
+        closeLink(number);
+        Actions actions;
+        traffic::onConnectionFailure(traffic, number, bytesSent, clock.now(), actions);
+        perform(actions);
+    }
+
+    void onOutcome(ConnectionNumber number, HttpOutcome outcome, bool isProbe)
+    {
+        const auto link = links.find(number);
+        if (link == links.end()) {
+            return;
+        }
+        if (outcome.delivery != HttpDelivery::Answered) {
+            onLost(number, outcome.delivery == HttpDelivery::MayHaveBeenSent);
+            return;
+        }
+        const MinionAnswer answer = readMinionAnswer(outcome.response);
+        if (answer.load.leaving) {
+            evidence({.minion = link->second.minion, .isLeaving = true});
+        }
+        Actions actions;
+        if (isProbe) {
+            traffic::onProbeAnswer(traffic, number, outcome.response.status == 200, answer.load,
+                                   clock.now(), actions);
+        } else {
+            const traffic::Answer heard{answer.requestId, answer.kind, answer.load};
+            traffic::onAnswer(traffic, number, heard, clock.now(), actions);
+        }
+        perform(actions, &outcome.response);
+    }
+
+    // The link is destroyed after the code that runs on it has returned.
+    void closeLink(ConnectionNumber number)
+    {
+        const auto link = links.find(number);
+        if (link == links.end()) {
+            return;
+        }
+        link->second.link->close();
+        thread.post([owned = std::shared_ptr<HttpLink>(std::move(link->second.link))] {});
+        links.erase(link);
+    }
+
+    // -- time and views --
+
+    void scheduleTick()
+    {
+        timer.expires_after(tickPeriod);
+        timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (error) {
+                return;
+            }
+            self->scheduleTick();
+            self->onTick();
+        });
+    }
+
+    void onTick()
+    {
+        const TimePoint now = clock.now();
+        Actions actions;
+        traffic::tick(traffic, now, actions);
+        perform(actions);
+        if (now >= nextRefusalLog) {
+            nextRefusalLog = now + Milliseconds{1'000};
+            logRefusals();
+        }
+        if (isLeaving && traffic::isIdle(traffic) && pending.empty() && runCallsInProgress == 0) {
+            finishShutdown();
+        }
+    }
+
+    void logRefusals()
+    {
+        for (const auto &[key, count] : refusals) {
+            logEvent(events::requestRefused, {{"service", key.first.text()},
+                                              {"reason", key.second},
+                                              {"count", fmt::format("{}", count)}});
+        }
+        refusals.clear();
+    }
+
+    void apply(std::shared_ptr<const ServingView> next)
+    {
+        view = std::move(next);
+        Actions actions;
+        traffic::configure(traffic, view->traffic, clock.now(), actions);
+        for (const MinionId &minion : view->leaving) {
+            traffic::onLeaving(traffic, minion);
+        }
+        perform(actions);
+    }
+
+    CallersReport makeReport(const std::string &request) const
+    {
+        return {.services = traffic::serviceViews(traffic),
+                .minions = traffic::minionViews(traffic),
+                .counters = traffic.counters,
+                .histograms = histograms,
+                .connections = server ? server->counts() : HttpServerCounts{},
+                .explanation = explainRequest(requestLog, request)};
+    }
+
+    // Stops the server first: requests that have begun to arrive are still admitted, since a caller
+    // that was accepted must get an answer.
+    void beginShutdown(std::function<void()> drained)
+    {
+        whenDrained = std::move(drained);
+        const auto onServerDrained = [self = shared_from_this()] { self->isLeaving = true; };
+        if (server) {
+            server->shutdown(onServerDrained);
+        } else {
+            onServerDrained();
+        }
+    }
+
+    void finishShutdown()
+    {
+        timer.cancel();
+        links.clear();
+        if (const auto done = std::exchange(whenDrained, nullptr)) {
+            done();
+        }
+    }
+
+    struct Link
+    {
+        std::unique_ptr<HttpLink> link;
+        MinionId minion;
+        bool isConnected = false;
+    };
+
+    DutyThread &thread;
+    CallersSettings settings;
+    Mailbox<RunCall> &runs;
+    std::function<void(MinionEvidence)> evidence;
+    ProcessClock clock;
+    traffic::TrafficState traffic;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<const ServingView> view;
+    HttpClientLimits clientLimits;
+    std::optional<HttpServer> server;
+    std::map<RequestNumber, PendingCall> pending;
+    std::map<ConnectionNumber, Link> links;
+    RequestHistograms histograms;
+    RequestLog requestLog;
+    std::map<std::pair<ServiceId, std::string>, std::uint64_t> refusals;
+    TimePoint nextRefusalLog;
+    std::size_t runCallsInProgress = 0;
+    bool isLeaving = false;
+    std::function<void()> whenDrained;
+};
+
+CallersDuty::CallersDuty(DutyThread &thread, CallersSettings settings, Mailbox<RunCall> &runs,
+                         std::function<void(MinionEvidence)> evidence)
+    : state_(std::make_shared<State>(thread, std::move(settings), runs, std::move(evidence)))
+{}
+
+CallersDuty::~CallersDuty() = default;
+
+Result<std::uint16_t> CallersDuty::listen()
+{
+    auto server = HttpServer::listen(
+            state_->thread.context(), state_->settings.listen,
+            [state = state_.get()](HttpRequest request, const HttpRespond &respond) {
+                state->onRequest(std::move(request), respond);
+            },
+            state_->settings.limits);
+    if (!server) {
+        return server.failure();
+    }
+    state_->server.emplace(std::move(server).value());
+    state_->scheduleTick();
+    return state_->server->port();
+}
+
+void CallersDuty::publish(std::shared_ptr<const ServingView> view)
+{
+    state_->thread.post(
+            [state = state_, view = std::move(view)]() mutable { state->apply(std::move(view)); });
+}
+
+void CallersDuty::report(std::string request, std::function<void(CallersReport)> done)
+{
+    state_->thread.post([state = state_, request = std::move(request), done = std::move(done)] {
+        done(state->makeReport(request));
+    });
+}
+
+void CallersDuty::shutdown(std::function<void()> drained)
+{
+    state_->thread.post([state = state_, drained = std::move(drained)]() mutable {
+        state->beginShutdown(std::move(drained));
+    });
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/node/serving_view.cpp
@@ -0,0 +1,64 @@
+#include "poplarstream/node/serving_view.hpp"
+
+namespace poplarstream {
+
+namespace {
+
+// Expected round trips, used only to prefer nearer zones before anything was measured.
+constexpr Milliseconds sameRegionDistance{1};
+constexpr Milliseconds otherRegionDistance{40};
+
+Milliseconds zoneDistance(const Configuration &configuration, const ZoneConfig &zone,
+                          const ZoneId &ownZone)
+{
+    if (zone.id == ownZone) {
+        return Milliseconds{0};
+    }
+    const ZoneConfig *own = configuration.zones.find(ownZone);
+    return own != nullptr && own->region == zone.region ? sameRegionDistance : otherRegionDistance;
+}
+
+}  // namespace
+
+MinionId minionId(Address address)
+{
+    return MinionId(addressText(address));
+}
+
+ServingView makeServingView(std::uint64_t version,
+                            std::shared_ptr<const Configuration> configuration,
+                            std::span<const ServingHost> hosts, const EntryHostId &self,
+                            const ZoneId &ownZone, std::uint32_t livePeers)
+{
+    ServingView view{.version = version, .configuration = std::move(configuration)};
+    view.traffic.entryHost = self;
+    view.traffic.ownZone = ownZone;
+    view.traffic.livePeers = livePeers;
+    for (const ServiceConfig &service : view.configuration->services) {
+        if (service.serviceClass == ServiceClass::Urgent) {
+            view.traffic.services.push_back({.id = service.id, .idempotent = service.idempotent});
+        }
+    }
+    for (const TenantConfig &tenant : view.configuration->tenants) {
+        view.traffic.tenants.push_back({tenant.id, tenant.weight, tenant.quota});
+    }
+    for (const PoolConfig &pool : view.configuration->pools) {
+        view.traffic.pools.push_back({pool.id, pool.services});
+    }
+    for (const ZoneConfig &zone : view.configuration->zones) {
+        view.traffic.zones.push_back({zone.id, zoneDistance(*view.configuration, zone, ownZone)});
+    }
+    for (const ServingHost &host : hosts) {
+        for (const Address address : host.config->minions) {
+            const MinionId id = minionId(address);
+            view.traffic.minions.push_back({id, host.pool, host.config->zone, host.config->slots,
+                                            host.config->connections});
+            if (!host.isInService) {
+                view.leaving.insert(id);
+            }
+        }
+    }
+    return view;
+}
+
+}  // namespace poplarstream
