--- a/src/poplarstream/adapters/platform_client.cpp
+++ b/src/poplarstream/adapters/platform_client.cpp
@@ -1,7 +1,6 @@
 #include "poplarstream/adapters/platform_client.hpp"
 
-#include <nlohmann/json.hpp>  // for json
-
+#include "poplarstream/adapters/bounded_json.hpp"  // for parseBoundedJson
 #include "poplarstream/adapters/http_client.hpp"  // for HttpClient, HttpOutcome
 
 namespace poplarstream {
@@ -30,7 +29,7 @@
     if (status >= 400 && status < 500 && status != 408 && status != 429) {
         return AppendRefused{describe(outcome)};
     }
-    const json body = json::parse(outcome.response.body, nullptr, false);
+    const json body = parseBoundedJson(outcome.response.body).value_or(json());
     if (status == 200 && body.is_object() && body.contains("offset")
         && body["offset"].is_number_unsigned()) {
         return Appended{body["offset"].get<Offset>()};
@@ -42,7 +41,11 @@
 {
     try {
         std::vector<PlatformHost> hosts;
-        for (const json &item : json::parse(text)) {
+        const json list = parseBoundedJson(text).value_or(json());
+        if (!list.is_array()) {
+            return Failure{"the host list is not an array", ""};
+        }
+        for (const json &item : list) {
             hosts.push_back({HostId(item.at("host").get<std::string>()),
                              item.at("state").get<std::string>()});
         }
@@ -54,7 +57,7 @@
 
 LogPage parsePage(std::string_view text)
 {
-    const json body = json::parse(text);
+    const json body = parseBoundedJson(text).value_or(json());
     LogPage page{body.at("first").get<Offset>(), body.at("next").get<Offset>(), {}};
     for (const json &item : body.at("records")) {
         page.entries.push_back({item.at("offset").get<Offset>(),
@@ -93,7 +96,7 @@
                                           const std::function<void(AppendOutcome)> &done) {
         // The record is embedded as it is: it is a JSON value already, and parsing it on the way
         // would cost more than checking it.
-        if (!json::accept(data)) {
+        if (!parseBoundedJson(data)) {
             done(AppendRefused{"the record is not JSON"});
             return;
         }
