Add the peer transport and the end of a drain

Peer messages use nng push/pull one way and req/rep with contexts. A move without a reboot needs a way to end the drain: POST /resume.

--- a/include/poplarstream/adapters/worker_client.hpp
+++ b/include/poplarstream/adapters/worker_client.hpp
@@ -34,8 +34,9 @@
     Milliseconds lease{0};
 };
 
-// What a worker says about a task. Running, Throttled and Checkpointed tasks hold resources; the
-// others have ended. Lapsed and Stopped tasks had started and did not finish.
+// What a worker says about a task. Running and Throttled tasks hold resources; the others have
+// ended on this worker. Checkpointed, Lapsed and Stopped tasks had started and did not finish; a
+// checkpointed one continues from its saved progress when the run is started again.
 enum class TaskState { Running, Throttled, Checkpointed, Finished, Failed, Lapsed, Stopped };
 
 struct TaskReport
@@ -102,6 +103,7 @@
     Call<const TaskKey &, Done<RevokeOutcome>> revoke;
     Call<TaskAction, const TaskKey &, Done<WorkerOutcome>> act;
     Call<Done<WorkerOutcome>> drain;
+    Call<Done<WorkerOutcome>> resume;  // ends a drain, for an absence without a reboot
     Call<Done<WorkerOutcome>> reboot;
     Call<Done<Result<WorkerHealth>>> health;
 };
--- /dev/null
+++ b/src/poplarstream/adapters/peer_transport.cpp
@@ -0,0 +1,419 @@
+#include "poplarstream/adapters/peer_transport.hpp"
+
+#include <atomic>  // for atomic
+#include <condition_variable>  // for condition_variable
+#include <vector>  // for vector
+
+#include <nlohmann/json.hpp>  // for json
+#include <nng/nng.h>  // for nng_aio, nng_ctx
+
+// The headers of the protocols need nng.h before them.
+#include <nng/protocol/pipeline0/pull.h>  // for nng_pull0_open
+#include <nng/protocol/pipeline0/push.h>  // for nng_push0_open
+#include <nng/protocol/reqrep0/rep.h>  // for nng_rep0_open
+#include <nng/protocol/reqrep0/req.h>  // for nng_req0_open
+#include <nng/supplemental/util/platform.h>  // for nng_clock
+
+#include "poplarstream/adapters/peer_socket.hpp"  // for PeerSocket, NngMessage
+
+namespace poplarstream {
+
+namespace {
+
+struct Counters
+{
+    std::atomic<std::uint64_t> received{0};
+    std::atomic<std::uint64_t> malformed{0};
+    std::atomic<std::uint64_t> posted{0};
+    std::atomic<std::uint64_t> refusedPosts{0};
+    std::atomic<std::uint64_t> asked{0};
+    std::atomic<std::uint64_t> unanswered{0};
+};
+
+nng_aio *allocateAio(void (*callback)(void *), void *argument)
+{
+    nng_aio *aio = nullptr;
+    if (nng_aio_alloc(&aio, callback, argument) != 0) {
+        throw std::bad_alloc();
+    }
+    return aio;
+}
+
+// Takes the received message out of a completed operation.
+NngMessage takeMessage(nng_aio *aio)
+{
+    NngMessage message(nng_aio_get_msg(aio));
+    nng_aio_set_msg(aio, nullptr);
+    return message;
+}
+
+}  // namespace
+
+class PeerTransport::State : public std::enable_shared_from_this<PeerTransport::State>
+{
+public:
+    State(const PeerSettings &settings, PeerHandlers handlers)
+        : settings_(settings)
+        , handlers_(std::move(handlers))
+        , address_(settings.listen)
+    {}
+    State(const State &) = delete;
+    State &operator=(const State &) = delete;
+    ~State()
+    {
+        if (pullAio_ != nullptr) {
+            nng_aio_free(pullAio_);
+        }
+        for (const auto &answerer : answerers_) {
+            nng_aio_free(answerer->aio);
+        }
+    }
+
+    std::optional<Failure> start()
+    {
+        auto pull = listenPeerSocket(nng_pull0_open, address_.oneWay, settings_.oneWayBytes);
+        if (!pull) {
+            return pull.failure();
+        }
+        auto rep = listenPeerSocket(nng_rep0_open, address_.requests, settings_.requestBytes);
+        if (!rep) {
+            return rep.failure();
+        }
+        pull_.emplace(std::move(pull).value());
+        rep_.emplace(std::move(rep).value());
+        pullAio_ = allocateAio([](void *self) { static_cast<State *>(self)->onPulled(); }, this);
+        nng_recv_aio(pull_->handle(), pullAio_);
+        for (std::size_t i = 0; i < settings_.replyContexts; ++i) {
+            startAnswerer();
+        }
+        return std::nullopt;
+    }
+
+    // Ends all operations and waits for their callbacks.
+    void close()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            isClosed_ = true;
+        }
+        pull_->close();
+        rep_->close();
+        nng_aio_stop(pullAio_);
+        for (const auto &answerer : answerers_) {
+            nng_aio_stop(answerer->aio);
+        }
+        for (const auto &[url, socket] : std::exchange(peers_, {})) {
+            nng_close(socket->handle());
+        }
+        std::unique_lock lock(mutex_);
+        noAsks_.wait(lock, [this] { return pendingAsks_ == 0; });
+    }
+
+    bool post(const std::string &url, const nlohmann::json &value)
+    {
+        const auto socket = peerSocket(nng_push0_open, url, settings_.oneWayBytes);
+        NngMessage message = encodePeerMessage(value);
+        if (!socket || nng_msg_len(message.get()) > settings_.oneWayBytes
+            || nng_sendmsg(socket->handle(), message.get(), NNG_FLAG_NONBLOCK) != 0) {
+            ++counters.refusedPosts;
+            return false;
+        }
+        (void)message.release();  // owned by nng after a successful send
+        ++counters.posted;
+        return true;
+    }
+
+    bool ask(const std::string &url, const nlohmann::json &value, Milliseconds timeout,
+             std::function<void(const nlohmann::json *)> done)
+    {
+        NngMessage message = encodePeerMessage(value);
+        const auto socket = peerSocket(nng_req0_open, url, settings_.requestBytes);
+        auto asking = std::make_unique<Ask>();
+        {
+            const std::lock_guard lock(mutex_);
+            if (!socket || isClosed_ || pendingAsks_ >= settings_.pendingAsks
+                || nng_ctx_open(&asking->context, socket->handle()) != 0) {
+                return false;
+            }
+            ++pendingAsks_;
+        }
+        ++counters.asked;
+        asking->state = this;
+        asking->socket = socket;
+        asking->done = std::move(done);
+        asking->deadline = nng_clock() + static_cast<nng_time>(timeout.count());
+        Ask *ask = asking.release();  // owned by its operation until onAsked ends it
+        ask->aio = allocateAio([](void *self) { onAsked(static_cast<Ask *>(self)); }, ask);
+        nng_aio_set_timeout(ask->aio, static_cast<nng_duration>(timeout.count()));
+        nng_aio_set_msg(ask->aio, message.release());
+        nng_ctx_send(ask->context, ask->aio);
+        return true;
+    }
+
+    void forget(const std::string &url)
+    {
+        std::shared_ptr<PeerSocket> socket;
+        {
+            const std::lock_guard lock(mutex_);
+            const auto place = peers_.find(url);
+            if (place == peers_.end()) {
+                return;
+            }
+            socket = std::move(place->second);
+            peers_.erase(place);
+        }
+        socket->close();  // ends the pending asks without a reply
+    }
+
+    const PeerAddress &address() const { return address_; }
+
+    Counters counters;
+
+private:
+    struct Ask
+    {
+        State *state = nullptr;
+        std::shared_ptr<PeerSocket> socket;
+        nng_ctx context = NNG_CTX_INITIALIZER;
+        nng_aio *aio = nullptr;
+        nng_time deadline = 0;
+        bool isSent = false;
+        std::function<void(const nlohmann::json *)> done;
+    };
+
+    // One context of the reply socket: receives a request, waits for its reply, sends it.
+    struct Answerer
+    {
+        State *state = nullptr;
+        nng_ctx context = NNG_CTX_INITIALIZER;
+        nng_aio *aio = nullptr;
+        bool isSending = false;
+    };
+
+    // Owned by the copies of one reply function.
+    struct ReplySlot
+    {
+        ReplySlot(std::weak_ptr<State> owner, Answerer *context)
+            : state(std::move(owner))
+            , answerer(context)
+        {}
+        ReplySlot(const ReplySlot &) = delete;
+        ReplySlot &operator=(const ReplySlot &) = delete;
+        ~ReplySlot() { end(nullptr); }
+
+        void end(const nlohmann::json *reply)
+        {
+            const auto owner = state.lock();
+            if (!isEnded.exchange(true) && owner) {
+                owner->proceed(*answerer, reply);
+            }
+        }
+
+        std::weak_ptr<State> state;
+        Answerer *answerer;
+        std::atomic<bool> isEnded{false};
+    };
+
+    void startAnswerer()
+    {
+        auto answerer = std::make_unique<Answerer>();
+        answerer->state = this;
+        if (nng_ctx_open(&answerer->context, rep_->handle()) != 0) {
+            throw std::bad_alloc();
+        }
+        answerer->aio = allocateAio(
+                [](void *self) {
+                    auto *item = static_cast<Answerer *>(self);
+                    item->state->onAnswerer(*item);
+                },
+                answerer.get());
+        nng_ctx_recv(answerer->context, answerer->aio);
+        answerers_.push_back(std::move(answerer));
+    }
+
+    void onPulled()
+    {
+        if (nng_aio_result(pullAio_) == 0) {
+            handle(takeMessage(pullAio_), handlers_.message);
+        }
+        if (!isClosed_) {
+            nng_recv_aio(pull_->handle(), pullAio_);
+        }
+    }
+
+    void onAnswerer(Answerer &answerer)
+    {
+        const bool isFailed = nng_aio_result(answerer.aio) != 0;
+        if (answerer.isSending) {
+            answerer.isSending = false;
+            if (isFailed) {
+                nng_msg_free(nng_aio_get_msg(answerer.aio));
+                nng_aio_set_msg(answerer.aio, nullptr);
+            }
+        } else if (!isFailed) {
+            const auto slot = std::make_shared<ReplySlot>(weak_from_this(), &answerer);
+            handle(takeMessage(answerer.aio), [&](const nlohmann::json &value) {
+                handlers_.request(value,
+                                  [slot](const nlohmann::json &reply) { slot->end(&reply); });
+            });
+            return;  // the end of the slot lets the context proceed
+        }
+        proceed(answerer, nullptr);
+    }
+
+    // Sends the reply, or receives the next request if there is none.
+    void proceed(Answerer &answerer, const nlohmann::json *reply)
+    {
+        if (isClosed_) {
+            return;
+        }
+        if (reply == nullptr) {
+            nng_ctx_recv(answerer.context, answerer.aio);
+            return;
+        }
+        answerer.isSending = true;
+        nng_aio_set_msg(answerer.aio, encodePeerMessage(*reply).release());
+        nng_ctx_send(answerer.context, answerer.aio);
+    }
+
+    static void onAsked(Ask *ask)
+    {
+        const int error = nng_aio_result(ask->aio);
+        const nng_time now = nng_clock();
+        if (error == 0 && !ask->isSent && now < ask->deadline) {
+            ask->isSent = true;
+            nng_aio_set_timeout(ask->aio, static_cast<nng_duration>(ask->deadline - now));
+            nng_ctx_recv(ask->context, ask->aio);
+            return;
+        }
+        std::optional<nlohmann::json> reply;
+        if (error == 0 && ask->isSent) {
+            reply = ask->state->decode(takeMessage(ask->aio));
+        } else if (error != 0 && !ask->isSent) {
+            nng_msg_free(nng_aio_get_msg(ask->aio));
+        }
+        ask->state->endAsk(std::unique_ptr<Ask>(ask), reply);
+    }
+
+    void endAsk(std::unique_ptr<Ask> ask, const std::optional<nlohmann::json> &reply)
+    {
+        counters.unanswered += reply ? 0 : 1;
+        ask->done(reply ? &*reply : nullptr);
+        nng_ctx_close(ask->context);
+        nng_aio_reap(ask->aio);
+        ask.reset();
+        const std::lock_guard lock(mutex_);
+        --pendingAsks_;
+        noAsks_.notify_all();
+    }
+
+    // Hands a message over. A handler throws when the message lacks a field that it needs; that
+    // must not end the process.
+    template <class Handler>
+    void handle(const NngMessage &message, const Handler &handler)
+    {
+        if (const auto value = decode(message)) {
+            try {
+                handler(*value);
+            } catch (const std::exception &) {
+                ++counters.malformed;
+            }
+        }
+    }
+
+    std::optional<nlohmann::json> decode(const NngMessage &message)
+    {
+        auto value = decodePeerMessage(message);
+        ++(value ? counters.received : counters.malformed);
+        return value;
+    }
+
+    // The socket to a peer, opened at the first use; null for a bad address.
+    std::shared_ptr<PeerSocket> peerSocket(int (*open)(nng_socket *), const std::string &url,
+                                           std::size_t maxBytes)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto place = peers_.find(url);
+        if (place != peers_.end() || isClosed_) {
+            return isClosed_ ? nullptr : place->second;
+        }
+        auto socket = dialPeerSocket(open, url, settings_, maxBytes);
+        if (!socket) {
+            return nullptr;
+        }
+        return peers_.emplace(url, std::make_shared<PeerSocket>(std::move(socket).value()))
+                .first->second;
+    }
+
+    PeerSettings settings_;
+    PeerHandlers handlers_;
+    PeerAddress address_;
+    std::optional<PeerSocket> pull_;
+    std::optional<PeerSocket> rep_;
+    nng_aio *pullAio_ = nullptr;
+    std::vector<std::unique_ptr<Answerer>> answerers_;
+    std::mutex mutex_;
+    std::condition_variable noAsks_;
+    std::map<std::string, std::shared_ptr<PeerSocket>> peers_;  // by url
+    std::size_t pendingAsks_ = 0;
+    std::atomic<bool> isClosed_{false};
+};
+
+Result<PeerTransport> PeerTransport::open(const PeerSettings &settings, PeerHandlers handlers)
+{
+    auto state = std::make_shared<State>(settings, std::move(handlers));
+    if (const auto failure = state->start()) {
+        return *failure;
+    }
+    return PeerTransport(std::move(state));
+}
+
+PeerTransport::PeerTransport(std::shared_ptr<State> state)
+    : state_(std::move(state))
+{}
+
+PeerTransport::PeerTransport(PeerTransport &&other) noexcept = default;
+
+PeerTransport &PeerTransport::operator=(PeerTransport &&other) noexcept
+{
+    std::swap(state_, other.state_);
+    return *this;
+}
+
+PeerTransport::~PeerTransport()
+{
+    if (state_) {
+        state_->close();
+    }
+}
+
+const PeerAddress &PeerTransport::address() const
+{
+    return state_->address();
+}
+
+bool PeerTransport::post(const PeerAddress &peer, const nlohmann::json &message)
+{
+    return state_->post(peer.oneWay, message);
+}
+
+bool PeerTransport::ask(const PeerAddress &peer, const nlohmann::json &request,
+                        Milliseconds timeout, std::function<void(const nlohmann::json *)> done)
+{
+    return state_->ask(peer.requests, request, timeout, std::move(done));
+}
+
+void PeerTransport::forget(const PeerAddress &peer)
+{
+    state_->forget(peer.oneWay);
+    state_->forget(peer.requests);
+}
+
+PeerCounts PeerTransport::counts() const
+{
+    const Counters &counters = state_->counters;
+    return {counters.received,     counters.malformed, counters.posted,
+            counters.refusedPosts, counters.asked,     counters.unanswered};
+}
+
+}  // namespace poplarstream
--- a/src/poplarstream/adapters/worker_client.cpp
+++ b/src/poplarstream/adapters/worker_client.cpp
@@ -205,6 +205,9 @@
     workers.drain = [call](const HttpEndpoint &endpoint, const auto &done) {
         call(endpoint, "POST", "/drain", "", workerOutcomeOf, done);
     };
+    workers.resume = [call](const HttpEndpoint &endpoint, const auto &done) {
+        call(endpoint, "POST", "/resume", "", workerOutcomeOf, done);
+    };
     workers.reboot = [call](const HttpEndpoint &endpoint, const auto &done) {
         call(endpoint, "POST", "/reboot", "", workerOutcomeOf, done);
     };
