--- a/include/poplarstream/membership/messages.hpp
+++ b/include/poplarstream/membership/messages.hpp
@@ -73,7 +73,8 @@
 Result<Digest> decodeDigest(std::span<const std::uint8_t> bytes);
 
 inline constexpr std::size_t maxListLength = 256;
-// Rumours in one message; keeps a heartbeat below 200 bytes during a wave of leaving endpoints.
-inline constexpr std::size_t maxRumours = 4;
+// Rumours in one message. A lost rack is 4 hosts and about 12 endpoints, so that its rumours are
+// out within two heartbeats.
+inline constexpr std::size_t maxRumours = 8;
 
 }  // namespace poplarstream::membership
