Add the run deciders: ownership, placement, supervision, quarantine

An owner acts only on claims that it read back as granted and only while its own lease, counted from before the lease was sent, is valid. A non-idempotent start is sent once, by the process that read its own claim back; every other owner revokes first. Not tested yet.

--- /dev/null
+++ b/include/poplarstream/runs/decide.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <utility>  // for pair
+#include <vector>  // for vector
+
+#include "poplarstream/base/random.hpp"  // for Random
+#include "poplarstream/runs/owner_memory.hpp"  // for OwnerMemory
+#include "poplarstream/runs/quarantine.hpp"  // for QuarantineProposal
+#include "poplarstream/runs/run_policy.hpp"  // for RunPolicy
+#include "poplarstream/runs/worker_command.hpp"  // for WorkerCommand
+#include "poplarstream/runs/worker_view.hpp"  // for FleetView
+
+namespace poplarstream {
+
+// An arrival to append to the stream of another zone. When that append is answered, or the other
+// zone tells that it holds the run, call noteArrived().
+struct ArrivalProposal
+{
+    ZoneId to;
+    RunReceived received;
+};
+
+// What an owner should do now. `entries` go to the zone's run stream, in few records
+// (batchEntries), each passed to noteAppend() before it is sent. `commands` go to workers, and to
+// noteCommands(); none may be sent after `validUntil`, which the sender checks against its clock
+// right before each command, since it may have been paused in between.
+struct RunDecision
+{
+    std::vector<RunEntry> entries;
+    std::vector<WorkerCommand> commands;
+    std::vector<ArrivalProposal> arrivals;
+    std::vector<QuarantineProposal> quarantines;
+    TimePoint validUntil;
+    bool isSweep = false;
+};
+
+// One step of an owner. `now` is the owner's own clock. Nothing is changed; the caller passes what
+// it carries out to the note functions of owner_memory.hpp, and noteDecision().
+RunDecision decideRuns(const RunsState &state, const FleetView &fleet, const OwnerMemory &memory,
+                       const RunPolicy &policy, TimePoint now, Random &random);
+
+// Keeps what decideRuns() needs to know of its own last step.
+void noteDecision(OwnerMemory &memory, const RunsState &state, const RunDecision &decision,
+                  TimePoint now);
+
+// The entry with which a process that stops gives up its lease, so that others take over at once.
+// The process must send no command afterwards.
+OwnerLease endOfLease(const EntryHostId &owner);
+
+}  // namespace poplarstream
--- /dev/null
+++ b/include/poplarstream/runs/placement.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <span>  // for span
+#include <vector>  // for vector
+
+#include "poplarstream/base/random.hpp"  // for Random
+#include "poplarstream/runs/owner_memory.hpp"  // for OwnerMemory
+#include "poplarstream/runs/run_policy.hpp"  // for RunPolicy
+#include "poplarstream/runs/worker_view.hpp"  // for FleetView
+
+namespace poplarstream {
+
+// The claims that this owner proposes now. Tenants take turns by the share of the zone that their
+// open claims hold over their weight; within a tenant the oldest run that fits goes first. A run
+// goes to the least filled worker that serves it and has room for its estimated size, away from
+// workers where it failed and from racks that hold many runs of the same service.
+//
+// Of the live owners, the one that wins the rendezvous hash of the run claims it; the others only
+// when it has waited for `ownerDelay` longer.
+std::vector<RunEntry> proposeClaims(const RunsState &state, const FleetView &fleet,
+                                    const OwnerMemory &memory, const RunPolicy &policy,
+                                    TimePoint now, Random &random);
+
+// Whether this owner is the one to act for `run` after it has waited for `waited`.
+bool isMine(std::span<const EntryHostId> owners, const EntryHostId &self, const RunId &run,
+            Milliseconds waited, Milliseconds ownerDelay);
+
+}  // namespace poplarstream
--- a/include/poplarstream/runs/queries.hpp
+++ b/include/poplarstream/runs/queries.hpp
@@ -29,6 +29,9 @@
 // Why the run is where it is, one sentence a line. Contains neither payload nor key nor result.
 std::vector<std::string> explainRun(const RunsState &state, const RunId &run);
 
+// Whether a record with this id was applied, as far back as record ids are remembered.
+bool isRecorded(const RunsState &state, const RecordId &record);
+
 // The index key of (tenant, idempotency key).
 std::string keyOf(const TenantId &tenant, std::string_view key);
 
--- /dev/null
+++ b/include/poplarstream/runs/worker_command.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>  // for uint64_t
+#include <string>  // for string
+#include <variant>  // for variant
+#include <vector>  // for vector
+
+#include "poplarstream/base/id.hpp"  // for RunId, HostId, ServiceId
+#include "poplarstream/base/time.hpp"  // for Milliseconds
+#include "poplarstream/records/run_record.hpp"  // for FencingToken, Resources
+
+namespace poplarstream {
+
+// One claimed run at its worker.
+struct TaskRef
+{
+    RunId run;
+    FencingToken token;
+    HostId worker;
+
+    friend bool operator==(const TaskRef &, const TaskRef &) = default;
+};
+
+// Starts the run, from `checkpoint` when that is not empty. `workerBoot` is the boot that the claim
+// was made for; a worker with another boot must not start it (0: not checked).
+struct StartTask
+{
+    TaskRef task;
+    std::uint64_t workerBoot = 0;
+    ServiceId service;
+    std::string payload;
+    std::string checkpoint;
+    Resources size;
+    Milliseconds lease{0};
+};
+
+// Extends the leases of tasks at one worker.
+struct RenewLeases
+{
+    HostId worker;
+    std::vector<FencingToken> tokens;
+    Milliseconds lease{0};
+};
+
+// Asks that a task that has not started never will. A running one is not touched; the answer tells
+// which it is.
+struct RevokeTask
+{
+    TaskRef task;
+};
+
+struct StopTask
+{
+    TaskRef task;
+};
+
+// Limits the processors of a task to `cpus`.
+struct ThrottleTask
+{
+    TaskRef task;
+    double cpus = 0;
+};
+
+// Asks that the task stops at its next checkpoint.
+struct CheckpointTask
+{
+    TaskRef task;
+};
+
+using WorkerCommand =
+        std::variant<StartTask, RenewLeases, RevokeTask, StopTask, ThrottleTask, CheckpointTask>;
+
+// What a worker says of a task. `Refused` is a refused start (409), which alone does not prove that
+// the task never ran; `NeverStarted` is the answer to a revocation.
+enum class TaskState : std::uint8_t {
+    Refused,
+    NeverStarted,
+    Running,
+    Succeeded,
+    Failed,
+    Stopped,
+    Checkpointed,
+};
+
+// An answer of a worker about one task, or an element of its task list.
+struct TaskObservation
+{
+    TaskRef task;
+    std::uint64_t workerBoot = 0;
+    TaskState state = TaskState::Running;
+    std::string result;
+    std::string checkpoint;
+    Resources peak;
+    Milliseconds ran{0};
+};
+
+}  // namespace poplarstream
--- a/src/poplarstream/runs/queries.cpp
+++ b/src/poplarstream/runs/queries.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/base/rendezvous.hpp"  // for stableHash
+
 namespace poplarstream {
 
 const Run *findRun(const RunsState &state, const RunId &run)
@@ -88,6 +90,11 @@
     return lines;
 }
 
+bool isRecorded(const RunsState &state, const RecordId &record)
+{
+    return state.recentRecordSet.contains(stableHash(record.text()));
+}
+
 std::string keyOf(const TenantId &tenant, std::string_view key)
 {
     // The length keeps ("ab", "c") apart from ("a", "bc").
--- /dev/null
+++ b/src/poplarstream/runs/relieve.cpp
@@ -0,0 +1,166 @@
+#include <algorithm>  // for sort, max
+#include <map>  // for map
+
+#include "poplarstream/runs/estimate.hpp"  // for estimatedDuration
+#include "supervise.hpp"  // for DecisionStep
+
+namespace poplarstream {
+namespace {
+
+struct RunningTask
+{
+    const Run *run = nullptr;
+    Resources usage;
+};
+
+using TasksByWorker = std::map<HostId, std::vector<RunningTask>>;
+
+TaskRef refOf(const Run &run)
+{
+    return {run.id(), run.claim->token, run.claim->worker};
+}
+
+Resources usageOf(const WorkerView &worker, const Claim &claim)
+{
+    for (const TaskUsage &task : worker.usage ? worker.usage->tasks : std::vector<TaskUsage>{}) {
+        if (task.token == claim.token) {
+            return task.usage;
+        }
+    }
+    return claim.reserved;
+}
+
+// All started tasks, of all owners, so that all owners choose the same ones.
+TasksByWorker startedTasks(const DecisionStep &step)
+{
+    TasksByWorker tasks;
+    for (const std::uint64_t ordinal : step.state.active) {
+        const Run &run = step.state.runs.find(ordinal)->second;
+        if (run.claim && run.claim->startedAt) {
+            if (const WorkerView *worker = findWorker(step.fleet, run.claim->worker)) {
+                tasks[worker->host].push_back({&run, usageOf(*worker, *run.claim)});
+            }
+        }
+    }
+    return tasks;
+}
+
+// Memory use expected at the time when a command sent now takes effect: the last report, and its
+// growth carried on over the age of the report and one more report interval.
+double projectedMemory(const WorkerView &worker, TimePoint now)
+{
+    const auto current = static_cast<double>(worker.usage->total.memoryMegabytes);
+    if (!worker.previousUsage || worker.usage->at <= worker.previousUsage->at) {
+        return current;
+    }
+    const auto before = static_cast<double>(worker.previousUsage->total.memoryMegabytes);
+    const auto interval =
+            static_cast<double>((worker.usage->at - worker.previousUsage->at).count());
+    const double growth = std::max(0.0, (current - before) / interval);
+    const auto age =
+            static_cast<double>(std::max<std::int64_t>(0, (now - worker.usage->at).count()));
+    return current + growth * (age + interval);
+}
+
+bool isOwnAndFree(const DecisionStep &step, const Run &run)
+{
+    return run.claim->owner == step.memory.self && run.stage == RunStage::Started
+           && !isPending(step.memory.proposals, run.id());
+}
+
+bool checkpoint(DecisionStep &step, const Run &run)
+{
+    const TaskMemory *task = step.findTask(run.claim->token);
+    if (isOwnAndFree(step, run) && step.isDue(task ? task->checkpointSentAt : std::nullopt)) {
+        step.decision.commands.emplace_back(CheckpointTask{refOf(run)});
+        return true;
+    }
+    return false;
+}
+
+// The youngest have the least work to lose.
+void sortYoungestFirst(std::vector<RunningTask> &tasks)
+{
+    std::sort(tasks.begin(), tasks.end(), [](const RunningTask &a, const RunningTask &b) {
+        const Claim &left = *a.run->claim;
+        const Claim &right = *b.run->claim;
+        return left.startedAt != right.startedAt ? left.startedAt > right.startedAt
+                                                 : left.token > right.token;
+    });
+}
+
+void relieveMemory(DecisionStep &step, const WorkerView &worker, std::vector<RunningTask> &tasks)
+{
+    const auto capacity = static_cast<double>(worker.capacity.memoryMegabytes);
+    const double projected = projectedMemory(worker, step.now);
+    double excess = projected - capacity * step.policy.checkpointAt;
+    const bool isUrgent = projected > capacity * step.policy.stopAt;
+    for (const RunningTask &task : tasks) {
+        if (excess <= 0) {
+            return;
+        }
+        excess -= static_cast<double>(task.usage.memoryMegabytes);
+        if (!isUrgent || !task.run->accepted.idempotent) {
+            checkpoint(step, *task.run);
+            continue;
+        }
+        const TaskMemory *known = step.findTask(task.run->claim->token);
+        if (isOwnAndFree(step, *task.run) && step.isDue(known ? known->stopSentAt : std::nullopt)) {
+            step.decision.commands.emplace_back(StopTask{refOf(*task.run)});
+        }
+    }
+}
+
+void relieveProcessors(DecisionStep &step, const WorkerView &worker,
+                       std::vector<RunningTask> &tasks)
+{
+    double excess = worker.usage->total.cpus - worker.capacity.cpus * step.policy.checkpointAt;
+    for (const RunningTask &task : tasks) {
+        if (excess <= 0) {
+            return;
+        }
+        // A throttled task keeps a quarter, so that it still makes progress.
+        const double kept = std::max(task.usage.cpus - excess, task.usage.cpus / 4);
+        excess -= task.usage.cpus - kept;
+        const TaskMemory *known = step.findTask(task.run->claim->token);
+        if (isOwnAndFree(step, *task.run)
+            && step.isDue(known ? known->throttleSentAt : std::nullopt)) {
+            step.decision.commands.emplace_back(ThrottleTask{refOf(*task.run), kept});
+        }
+    }
+}
+
+// A run that will not end before the drain has to be over is checkpointed now, which also leaves
+// time to repeat the request.
+void emptyDraining(DecisionStep &step, const WorkerView &worker,
+                   const std::vector<RunningTask> &tasks)
+{
+    for (const RunningTask &task : tasks) {
+        const RunAccepted &accepted = task.run->accepted;
+        const Milliseconds left =
+                estimatedDuration(step.state, accepted.service, accepted.declaredDuration)
+                - (step.state.now - *task.run->claim->startedAt);
+        if (step.now + std::max(left, Milliseconds{0}) > *worker.drainBy) {
+            checkpoint(step, *task.run);
+        }
+    }
+}
+
+}  // namespace
+
+void relieveWorkers(DecisionStep &step)
+{
+    for (auto &[host, tasks] : startedTasks(step)) {
+        const WorkerView &worker = *findWorker(step.fleet, host);
+        sortYoungestFirst(tasks);
+        if (worker.condition == WorkerCondition::Draining && worker.drainBy) {
+            emptyDraining(step, worker, tasks);
+        }
+        if (worker.usage) {
+            relieveMemory(step, worker, tasks);
+            relieveProcessors(step, worker, tasks);
+        }
+    }
+}
+
+}  // namespace poplarstream
