--- a/src/poplarstream/runs/run_index.cpp
+++ b/src/poplarstream/runs/run_index.cpp
@@ -108,10 +108,10 @@
         run.waitingSince = state.now;
     } else if (isFinal(stage)) {
         setClaim(state, run, std::nullopt);
-        run.endedAt = state.now;
         if (state.leaving.contains(run.ordinal)) {
             return;
         }
+        run.endedAt = state.now;
         dropContent(run);
         state.ended.push_back(run.ordinal);
     }
--- /dev/null
+++ b/src/poplarstream/runs/snapshot.cpp
@@ -0,0 +1,214 @@
+#include "poplarstream/runs/snapshot.hpp"
+
+#include <algorithm>  // for min_element
+
+#include "poplarstream/base/rendezvous.hpp"  // for stableHash
+#include "run_index.hpp"  // for insertRun
+#include "state_text.hpp"  // for TextWriter, TextReader, field
+
+namespace poplarstream {
+
+// Found by field() through the namespace of their arguments.
+template <class Archive, class... T>
+void fields(Archive &archive, T &...values)
+{
+    (field(archive, values), ...);
+}
+
+// clang-format off
+template <class Archive> void field(Archive &a, FencingToken &v) { fields(a, v.offset, v.index); }
+template <class Archive> void field(Archive &a, Resources &v) { fields(a, v.cpus, v.memoryMegabytes, v.accelerators); }
+template <class Archive> void field(Archive &a, LostAttempt &v) { fields(a, v.token, v.worker, v.workerBoot); }
+template <class Archive> void field(Archive &a, Refusal &v) { fields(a, v.offset, v.index, v.run, v.reason); }
+template <class Archive> void field(Archive &a, AttemptOutcome &v) { fields(a, v.at, v.tenant, v.run, v.isFault); }
+template <class Archive> void field(Archive &a, WorkerRecord &v) { fields(a, v.outcomes, v.consecutiveFaults, v.lastOutcome); }
+template <class Archive> void field(Archive &a, SizeSample &v) { fields(a, v.cpus, v.memory, v.duration); }
+// clang-format on
+
+template <class Archive>
+void field(Archive &a, Claim &v)
+{
+    fields(a, v.token, v.owner, v.worker, v.workerBoot, v.reserved, v.since, v.startedAt);
+}
+
+template <class Archive>
+void field(Archive &a, RunAccepted &v)
+{
+    fields(a, v.run, v.tenant, v.service, v.idempotencyKey, v.payloadHash, v.payload, v.declared,
+           v.declaredDuration, v.idempotent, v.deadline);
+}
+
+template <class Archive>
+void field(Archive &a, Run &v)
+{
+    fields(a, v.accepted, v.ordinal, v.stage, v.acceptedAt, v.waitingSince, v.endedAt, v.claim,
+           v.lost, v.failedOn, v.losses, v.mayHaveStarted, v.checkpoint, v.result, v.reason,
+           v.handedTo, v.handedOverAt, v.isArrivalConfirmed);
+}
+
+namespace {
+
+constexpr int formatVersion = 1;
+// Room for the JSON around the data of a part, whose ids are far shorter.
+constexpr std::size_t partOverhead = 1024;
+
+// Everything but the runs and what follows from them.
+template <class Archive>
+void headFields(Archive &a, RunsState &v)
+{
+    fields(a, v.nextOffset, v.now, v.nextOrdinal, v.ended, v.leases, v.workers, v.sizes,
+           v.recentRecords, v.arrivals, v.refusals);
+}
+
+std::size_t encodedSize(char c)
+{
+    // JSON writes control characters as \u00XX and escapes quotes and backslashes.
+    return static_cast<unsigned char>(c) < 0x20 ? 6 : c == '"' || c == '\\' ? 2 : 1;
+}
+
+bool isContinuation(char c)
+{
+    return (static_cast<unsigned char>(c) & 0xc0) == 0x80;
+}
+
+// The text in pieces whose JSON form fits into a record, cut between UTF-8 characters.
+std::vector<std::string> cut(const std::string &text)
+{
+    std::vector<std::string> pieces;
+    std::size_t begin = 0;
+    while (begin < text.size()) {
+        std::size_t end = begin;
+        std::size_t size = 0;
+        while (end < text.size() && size + 6 <= maxRecordBytes - partOverhead) {
+            size += encodedSize(text[end++]);
+        }
+        while (end < text.size() && end > begin + 1 && isContinuation(text[end])) {
+            --end;
+        }
+        pieces.push_back(text.substr(begin, end - begin));
+        begin = end;
+    }
+    return pieces;
+}
+
+// The writers of this many snapshots can have stopped half way before the oldest is dropped.
+constexpr std::size_t maxOpenSnapshots = 4;
+
+void dropOldest(SnapshotCollector &collector)
+{
+    collector.open.erase(std::min_element(
+            collector.open.begin(), collector.open.end(), [](const auto &a, const auto &b) {
+                return a.second.begin()->second.through < b.second.begin()->second.through;
+            }));
+}
+
+RunsState parseState(std::string_view text)
+{
+    TextReader reader(text);
+    int version = 0;
+    reader.number(version);
+    if (version != formatVersion) {
+        throw std::runtime_error("the snapshot has another format");
+    }
+    RunsState state;
+    std::size_t count = 0;
+    reader.number(count);
+    state.byId.reserve(std::min(count, text.size() / 32));
+    state.byKey.reserve(std::min(count, text.size() / 32));
+    for (std::size_t i = 0; i < count; ++i) {
+        Run run;
+        field(reader, run);
+        if (static_cast<std::size_t>(run.stage) >= runStageCount
+            || !(state.runs.empty() || state.runs.rbegin()->first < run.ordinal)) {
+            throw std::runtime_error("a run is malformed");
+        }
+        insertRun(state, std::move(run));
+    }
+    headFields(reader, state);
+    for (const std::uint64_t ordinal : state.ended) {
+        if (!state.runs.contains(ordinal)) {
+            throw std::runtime_error("an ended run is missing");
+        }
+    }
+    state.recentRecordSet.insert(state.recentRecords.begin(), state.recentRecords.end());
+    for (const auto &[at, arrival] : state.arrivals) {
+        state.arrivalSet.insert(arrival);
+    }
+    if (!reader.isAtEnd()) {
+        throw std::runtime_error("the snapshot is too long");
+    }
+    return state;
+}
+
+}  // namespace
+
+std::string writeState(const RunsState &state)
+{
+    TextWriter writer;
+    // The writer changes nothing; the field descriptions serve both directions and so take
+    // references to variables.
+    auto &source = const_cast<RunsState &>(state);
+    writer.number(formatVersion);
+    writer.number(source.runs.size());
+    for (auto &[ordinal, run] : source.runs) {
+        field(writer, run);
+    }
+    headFields(writer, source);
+    return writer.take();
+}
+
+Result<RunsState> readState(std::string_view text)
+{
+    try {
+        return parseState(text);
+    } catch (const std::exception &error) {
+        return Failure{error.what(), "snapshot"};
+    }
+}
+
+std::vector<SnapshotPart> snapshotParts(const RunsState &state, const RecordId &snapshot)
+{
+    std::vector<std::string> pieces = cut(writeState(state));
+    std::vector<SnapshotPart> parts;
+    for (std::string &piece : pieces) {
+        const std::uint64_t checksum = stableHash(piece);
+        parts.push_back({snapshot, state.nextOffset == 0 ? 0 : state.nextOffset - 1,
+                         static_cast<std::uint32_t>(parts.size()),
+                         static_cast<std::uint32_t>(pieces.size()), checksum, std::move(piece)});
+    }
+    return parts;
+}
+
+std::optional<RunsState> collect(SnapshotCollector &collector, const RunRecord &record,
+                                 Offset newest)
+{
+    for (const RunEntry &entry : record.entries) {
+        const auto *part = std::get_if<SnapshotPart>(&entry);
+        if (!part || part->checksum != stableHash(part->data) || part->through < newest) {
+            continue;
+        }
+        if (collector.open.size() >= maxOpenSnapshots && !collector.open.contains(part->snapshot)) {
+            dropOldest(collector);
+        }
+        auto &parts = collector.open[part->snapshot];
+        parts[part->index] = *part;
+        if (parts.size() < part->count) {
+            continue;
+        }
+        std::string text;
+        for (const auto &[index, piece] : parts) {
+            text += piece.data;
+        }
+        collector.open.erase(part->snapshot);
+        Result<RunsState> state = readState(text);
+        if (state && state.value().nextOffset == part->through + 1) {
+            std::erase_if(collector.open, [&](const auto &open) {
+                return open.second.begin()->second.through < part->through;
+            });
+            return std::move(state).value();
+        }
+    }
+    return std::nullopt;
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/runs/snapshot_test.cpp
@@ -0,0 +1,122 @@
+#include "poplarstream/runs/snapshot.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+#include <rapidcheck.h>  // for rc::check
+
+#include "poplarstream/records/codec.hpp"  // for encode, decodeRunRecord
+#include "poplarstream/runs/replay.hpp"  // for apply
+#include "random_records.hpp"  // for RandomRecords
+
+namespace poplarstream {
+namespace {
+
+// The parts as they come back from the log.
+std::optional<RunsState> throughLog(const std::vector<SnapshotPart> &parts,
+                                    SnapshotCollector &collector)
+{
+    std::optional<RunsState> state;
+    for (const SnapshotPart &part : parts) {
+        const std::string text = encode(RunRecord{{RecordId("s"), EntryHostId("e")}, {part}});
+        EXPECT_LE(text.size(), maxRecordBytes);
+        if (auto read = collect(collector, decodeRunRecord(text).value(), 0)) {
+            state = std::move(read);
+        }
+    }
+    return state;
+}
+
+// Guards against state that a snapshot loses: a process that starts from it would then decide
+// differently from one that read the whole log.
+TEST(Snapshot, TailAfterAnyCutGivesTheFullState)
+{
+    EXPECT_TRUE(rc::check("snapshot and tail equal the full log", [](std::uint64_t seed) {
+        constexpr int count = 60;
+        std::vector<Logged<RunRecord>> log;
+        test::RandomRecords records(seed);
+        RunsState full;
+        for (int i = 0; i < count; ++i) {
+            log.push_back(records.next());
+            apply(full, log.back());
+        }
+        RunsState head;
+        for (int cut = 0; cut < count; ++cut) {
+            apply(head, log[static_cast<std::size_t>(cut)]);
+            SnapshotCollector collector;
+            auto state = throughLog(snapshotParts(head, RecordId("s")), collector);
+            RC_ASSERT(state.has_value());
+            RC_ASSERT(*state == head);
+            for (const Logged<RunRecord> &logged : log) {
+                apply(*state, logged);
+            }
+            RC_ASSERT(*state == full);
+        }
+    }));
+}
+
+RunsState largeState()
+{
+    RunsState state;
+    for (Offset i = 0; i < 300; ++i) {
+        RunAccepted accepted;
+        accepted.run = RunId("a-" + std::to_string(i));
+        accepted.tenant = TenantId("t");
+        accepted.payload = std::string(500, '\x01') + "ü\"";
+        apply(state,
+              {i, timePoint(1), {{RecordId(std::to_string(i)), EntryHostId("e")}, {accepted}}});
+    }
+    return state;
+}
+
+// Guards against a broken snapshot that is taken for a whole one.
+TEST(Snapshot, BrokenOnesAreSkipped)
+{
+    SCOPED_TRACE("given a snapshot of several parts with payloads that JSON escapes");
+    const RunsState state = largeState();
+    const std::vector<SnapshotPart> parts = snapshotParts(state, RecordId("s"));
+    ASSERT_GT(parts.size(), 4U);
+    {
+        SCOPED_TRACE("when it is whole, then it is read");
+        SnapshotCollector collector;
+        const auto read = throughLog(parts, collector);
+        ASSERT_TRUE(read.has_value());
+        EXPECT_EQ(*read, state);
+    }
+    {
+        SCOPED_TRACE("when a part is missing, then it is skipped and its parts are kept bounded");
+        SnapshotCollector collector;
+        for (int i = 0; i < 20; ++i) {
+            std::vector<SnapshotPart> open = parts;
+            open.pop_back();
+            for (SnapshotPart &part : open) {
+                part.snapshot = RecordId("s" + std::to_string(i));
+            }
+            EXPECT_FALSE(throughLog(open, collector).has_value());
+        }
+        EXPECT_LE(collector.open.size(), 4U);
+    }
+    {
+        SCOPED_TRACE("when a part is damaged, then it is skipped");
+        SnapshotCollector collector;
+        std::vector<SnapshotPart> damaged = parts;
+        damaged[1].data[100] ^= 1;
+        EXPECT_FALSE(throughLog(damaged, collector).has_value());
+    }
+    {
+        SCOPED_TRACE("when the text is cut or changed, then it is refused without a crash");
+        const std::string text = writeState(state);
+        Random random(1);
+        for (int i = 0; i < 300; ++i) {
+            std::string changed =
+                    text.substr(0, i % 3 == 0 ? random.below(text.size()) : text.size());
+            if (!changed.empty()) {
+                changed[random.below(changed.size())] = static_cast<char>(random.below(256));
+            }
+            (void)readState(changed);
+        }
+        EXPECT_FALSE(readState(text.substr(0, text.size() - 1)));
+        EXPECT_FALSE(readState(""));
+    }
+}
+
+}  // namespace
+}  // namespace poplarstream
