Add the policies of the urgent path

Fair queues feed minions chosen by two random choices; limits adapt to load reports, latency and refusals; silent connections are found by probes and by overdue answers.

--- a/include/poplarstream/traffic/fair_queue.hpp
+++ b/include/poplarstream/traffic/fair_queue.hpp
@@ -27,10 +27,15 @@
     double debt = 0;
 };
 
+// Charges `cost` from the tag's start; the debt is charged with it. The finish never precedes the
+// start: a credit must not let a child overtake the past.
+void chargeTag(FairTag &tag, double cost, double weight);
+
 struct TenantFlow
 {
     FairTag tag;
     boost::container::deque<RequestNumber> waiting;
+    std::uint64_t bytes = 0;  // kept by the admission
     bool inHeap = false;
     std::uint32_t picks = 0;  // since the flow became backlogged
     double gap = 0;  // mean milliseconds between picks while backlogged
@@ -89,6 +94,9 @@
 std::optional<Picked> pickRequest(FairQueue &queue, double cost, const FairWeights &weights,
                                   TimePoint now);
 
+// The request that pickRequest() would take, or none.
+RequestNumber peekRequest(FairQueue &queue);
+
 // Charges or credits the difference between the measured and the charged cost of a request.
 void settleCost(FairQueue &queue, FlowKey key, double difference);
 
--- a/include/poplarstream/traffic/state.hpp
+++ b/include/poplarstream/traffic/state.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <array>  // for array
 #include <cstdint>  // for uint8_t, uint32_t, uint64_t
 #include <queue>  // for priority_queue
 #include <string>  // for string
 #include <unordered_map>  // for unordered_map
 #include <vector>  // for vector
 
+#include "poplarstream/base/id.hpp"  // for EntryHostId, ZoneId, PoolId
 #include "poplarstream/base/random.hpp"  // for Random
 #include "poplarstream/traffic/connection_cycle.hpp"  // for ConnectionState
 #include "poplarstream/traffic/estimates.hpp"  // for TimeEstimate, TokenBucket
@@ -23,6 +25,10 @@
 using PoolIndex = std::uint32_t;
 using MinionIndex = std::uint32_t;
 
+// Attempts of one request, whatever ended them, hedges included.
+inline constexpr std::uint8_t maxAttempts = 4;
+using AttemptList = std::array<AttemptNumber, maxAttempts>;
+
 struct PendingRequest
 {
     ServiceIndex service = 0;
@@ -35,6 +41,7 @@
     bool hedged = false;
     std::uint8_t liveAttempts = 0;
     std::uint8_t attempts = 0;
+    AttemptList tries{};
     MinionIndex lastMinion = ~0U;
     Reason lastReason = Reason::DeadlinePassed;
 };
@@ -70,12 +77,16 @@
     MinionSettings settings;
     PoolIndex pool = 0;
     Milliseconds distance{0};
+    bool own = false;  // in the zone of the entry host
     bool listed = true;
     bool leaving = false;
     TimePoint leavingSince{};
 
     std::vector<ConnectionNumber> connections;  // all that are not closed
-    std::vector<ConnectionNumber> idle;  // the last one was heard most recently
+    std::vector<ConnectionNumber> idle;  // usable ones; the last one was heard most recently
+    std::uint32_t doubtful = 0;  // connections whose request is overdue
+    bool wanted = false;  // a candidate of some service
+    bool reachable = false;  // some connection was heard since `suspectSince`
     TimePoint suspectSince{};  // connections not heard since then are not used before a probe
     TimePoint reopenAt{};
     std::uint32_t connectFailures = 0;
@@ -85,9 +96,10 @@
     LoadReport report;
     TimePoint reportedAt{};
     std::uint32_t sentSinceReport = 0;
-    TimeEstimate latency;
+    TimeEstimate slowness{1, 0.5, 0};  // measured time over the mean of the service
     TimePoint lastCut{};
 
+    TimePoint pausedUntil{};  // after a refusal or a failure
     double failureRate = 0;
     std::uint32_t failuresInARow = 0;
     bool ejected = false;
@@ -165,6 +177,8 @@
     std::uint64_t incarnation;
     Random random;
     PolicySettings policy;
+    EntryHostId entryHost;
+    ZoneId ownZone;
     std::uint32_t livePeers = 1;
     bool stopping = false;
 
--- a/include/poplarstream/traffic/urgent_path.hpp
+++ b/include/poplarstream/traffic/urgent_path.hpp
@@ -39,11 +39,11 @@
                    const LoadReport &load, TimePoint now, Actions &out);
 
 // Evidence from membership that a minion leaves. It gets nothing new from now on.
-void onLeaving(TrafficState &state, const MinionId &minion);
+void onLeaving(TrafficState &state, const MinionId &minion, TimePoint now);
 
 // The caller has gone away. A queued request is forgotten; one in flight runs on and its answer is
 // dropped.
-void onCallerGone(TrafficState &state, RequestNumber request, TimePoint now);
+void onCallerGone(TrafficState &state, RequestNumber request, Actions &out);
 
 // Time passes: expiries, probes, hedges, spill, reopened connections. Call it every 10 ms.
 void tick(TrafficState &state, TimePoint now, Actions &out);
--- /dev/null
+++ b/src/poplarstream/traffic/admission.cpp
@@ -0,0 +1,168 @@
+#include "admission.hpp"
+
+#include <algorithm>  // for min, max
+#include <cmath>  // for ceil
+
+namespace poplarstream::traffic {
+
+namespace {
+
+// Picks after which the measured rate of a flow replaces the guaranteed one.
+constexpr double picksToTrust = 16;
+// While no minion is reachable, requests wait this long for a reconnection before they are refused.
+constexpr Milliseconds reconnectTime{2000};
+
+const TenantFlow *findFlow(const Service &service, FlowKey key)
+{
+    const auto &flows = service.queue.levels[key.urgency].flows;
+    return key.tenant < flows.size() ? &flows[key.tenant] : nullptr;
+}
+
+// The part of the service's capacity that the flow is guaranteed among the flows with requests.
+double guaranteedShare(const TrafficState &state, const Service &service, FlowKey key,
+                       bool isActive)
+{
+    const auto &weights = state.policy.urgencyWeights;
+    double levels = 0;
+    for (std::size_t i = 0; i < urgencyLevels; ++i) {
+        levels += service.queue.levels[i].count > 0 || i == key.urgency ? weights[i] : 0;
+    }
+    const double weight = state.tenantWeights[key.tenant];
+    const double active = std::max(0.0, service.queue.levels[key.urgency].activeWeight);
+    return weights[key.urgency] / levels * weight / (active + (isActive ? 0 : weight));
+}
+
+// Retry-After varies by a quarter so that refused callers do not come back at the same moment.
+Milliseconds spread(TrafficState &state, double milliseconds)
+{
+    const double varied = milliseconds * (0.75 + 0.5 * state.random.unit());
+    return Milliseconds{static_cast<std::int64_t>(std::ceil(std::clamp(varied, 50.0, 60000.0)))};
+}
+
+double quotaRate(const TrafficState &state, const Tenant &tenant)
+{
+    return tenant.settings.quota / std::max(1U, state.livePeers);
+}
+
+// Dynamic thresholds (Choudhury and Hahne, 1998): a flow may hold as much as is still free, so that
+// one flooding flow takes at most half of the room and a newcomer always finds some.
+bool hasQueueRoom(const TrafficState &state, const TenantFlow *flow, std::uint64_t bytes)
+{
+    const PolicySettings &policy = state.policy;
+    if (state.queued >= policy.maxQueued || state.requests.isFull()
+        || state.queuedBytes + bytes > policy.maxQueuedBytes) {
+        return false;
+    }
+    const std::size_t held = flow == nullptr ? 0 : flow->waiting.size();
+    const std::uint64_t heldBytes = flow == nullptr ? 0 : flow->bytes;
+    return held < policy.maxQueued - state.queued
+           && heldBytes + bytes <= policy.maxQueuedBytes - state.queuedBytes;
+}
+
+}  // namespace
+
+FairWeights fairWeights(const TrafficState &state)
+{
+    return {state.policy.urgencyWeights, state.tenantWeights};
+}
+
+double expectedWait(const TrafficState &state, const Service &service, FlowKey key, TimePoint now)
+{
+    const TenantFlow *flow = findFlow(service, key);
+    const bool isActive = flow != nullptr && !flow->waiting.empty();
+    if (service.queue.count == 0) {
+        return 0;
+    }
+    const double ahead = isActive ? static_cast<double>(flow->waiting.size()) : 0;
+    const double share = guaranteedShare(state, service, key, isActive);
+    const double guaranteed =
+            (ahead + 1) * service.time.mean / std::max(1e-6, service.capacity * share);
+    if (!isActive || flow->picks == 0) {
+        return guaranteed;
+    }
+    // A flow that has not been picked for long is slower than its mean says.
+    const auto silence = static_cast<double>((now - flow->lastPick).count());
+    const double measured = (ahead + 1) * std::max(flow->gap, silence / 4);
+    const double trust = std::min(1.0, flow->picks / picksToTrust);
+    return trust * measured + (1 - trust) * guaranteed;
+}
+
+bool isTooLate(const Service &service, TimePoint deadline, TimePoint now)
+{
+    return static_cast<double>((deadline - now).count()) < service.time.mean;
+}
+
+std::optional<Refusal> checkAdmission(TrafficState &state, const Request &request,
+                                      ServiceIndex index, FlowKey key, TimePoint now)
+{
+    const Service &service = state.services[index];
+    Tenant &tenant = state.tenants[key.tenant];
+    if (state.stopping) {
+        return Refusal{Reason::Leaving, spread(state, 100)};
+    }
+    const double rate = quotaRate(state, tenant);
+    if (rate > 0) {
+        const double burst = std::max(3.0, rate * state.policy.quotaBurstSeconds);
+        tenant.quota.refill(rate, burst, now);
+        if (tenant.quota.tokens < 1) {
+            return Refusal{Reason::Quota, spread(state, 1000 * (1 - tenant.quota.tokens) / rate)};
+        }
+    }
+    if (service.own.empty() && service.remote.empty()) {
+        return Refusal{Reason::NoMinion, spread(state, 5000)};
+    }
+    if (service.capacity <= 0 && now - service.lastReachable > reconnectTime) {
+        return Refusal{Reason::NoMinion, spread(state, 1000)};
+    }
+    if (!hasQueueRoom(state, findFlow(service, key), request.bytes)) {
+        return Refusal{Reason::QueueFull, spread(state, service.time.mean * 4)};
+    }
+    const double wait = service.capacity <= 0 ? 0 : expectedWait(state, service, key, now);
+    const double work = service.time.mean + (wait > 0 ? 2 * service.time.deviation : 0);
+    const auto slack = static_cast<double>((request.deadline - now).count());
+    if (slack < wait + work) {
+        return Refusal{Reason::DeadlineTooClose, spread(state, wait + work - slack)};
+    }
+    if (rate > 0) {
+        tenant.quota.tryTake();
+    }
+    return std::nullopt;
+}
+
+void enqueue(TrafficState &state, RequestNumber number, bool front, TimePoint now)
+{
+    PendingRequest &request = *state.requests.find(number);
+    Service &service = state.services[request.service];
+    if (service.queue.count == 0) {
+        double virtualTime = service.queue.tag.finish;
+        for (const PoolIndex pool : service.pools) {
+            virtualTime = std::max(virtualTime, state.pools[pool].virtualTime);
+        }
+        service.queue.tag.start = virtualTime;
+    }
+    pushRequest(service.queue, request.key, number, front, fairWeights(state), now);
+    service.queue.levels[request.key.urgency].flows[request.key.tenant].bytes += request.bytes;
+    request.queued = true;
+    ++state.queued;
+    state.queuedBytes += request.bytes;
+}
+
+void notePicked(TrafficState &state, PendingRequest &request)
+{
+    Service &service = state.services[request.service];
+    service.queue.levels[request.key.urgency].flows[request.key.tenant].bytes -= request.bytes;
+    request.queued = false;
+    --state.queued;
+    state.queuedBytes -= request.bytes;
+}
+
+void dequeue(TrafficState &state, RequestNumber number)
+{
+    PendingRequest &request = *state.requests.find(number);
+    Service &service = state.services[request.service];
+    if (removeRequest(service.queue, request.key, number, fairWeights(state))) {
+        notePicked(state, request);
+    }
+}
+
+}  // namespace poplarstream::traffic
--- /dev/null
+++ b/src/poplarstream/traffic/attempts.cpp
@@ -0,0 +1,237 @@
+#include "attempts.hpp"
+
+#include <algorithm>  // for any_of, max
+#include <cmath>  // for ceil
+
+#include "admission.hpp"  // for enqueue, dequeue, isTooLate
+#include "connections.hpp"  // for takeConnection, applyEvent, dropConnection, suspectSilence
+#include "minion_health.hpp"  // for noteOverdue
+#include "routing.hpp"  // for selectOwn, selectRemote
+
+namespace poplarstream::traffic {
+
+namespace {
+
+// Deviations over the mean after which a hedge is worth a retry token, and after which silence of
+// the connection is more likely than a slow answer.
+constexpr double hedgeDeviations = 4;
+constexpr double overdueDeviations = 8;
+constexpr double leastOverdue = 100;
+
+TimePoint afterDeviations(const Service &service, Milliseconds distance, double deviations,
+                          double least, TimePoint now)
+{
+    const double time = std::max(least, service.time.mean + deviations * service.time.deviation);
+    return now + distance + Milliseconds{static_cast<std::int64_t>(std::ceil(time))};
+}
+
+TokenBucket &retryBudget(TrafficState &state, const PendingRequest &request)
+{
+    auto &budgets = state.services[request.service].retryBudgets;
+    if (budgets.size() < state.tenants.size()) {
+        budgets.resize(state.tenants.size());
+    }
+    return budgets[request.key.tenant];
+}
+
+// Whether an attempt was sent and is still waited for.
+bool hasSentAttempt(const TrafficState &state, const PendingRequest &request)
+{
+    return std::any_of(request.tries.begin(), request.tries.end(), [&](AttemptNumber number) {
+        const Attempt *attempt = state.attempts.find(number);
+        return attempt != nullptr && attempt->sent;
+    });
+}
+
+}  // namespace
+
+void startAttempt(TrafficState &state, RequestNumber number, MinionIndex index, double charged,
+                  TimePoint now, Actions &out)
+{
+    PendingRequest &request = *state.requests.find(number);
+    Minion &minion = state.minions[index];
+    const ConnectionNumber connection = takeConnection(state, index, now, out);
+    const AttemptNumber attempt = state.attempts.insert(
+            {number, request.service, request.key, index, connection, now, false, false, charged});
+    state.connections.find(connection)->attempt = attempt;
+    ++minion.inFlight;
+    ++minion.sentSinceReport;
+    ++state.services[request.service].inFlight;
+    ++request.liveAttempts;
+    request.tries[request.attempts++] = attempt;
+    request.lastMinion = index;
+    if (state.connections.find(connection)->state == ConnectionState::Idle) {
+        sendAttempt(state, attempt, now, out);
+    }
+}
+
+void sendAttempt(TrafficState &state, AttemptNumber number, TimePoint now, Actions &out)
+{
+    Attempt &attempt = *state.attempts.find(number);
+    const PendingRequest &request = *state.requests.find(attempt.request);
+    const Service &service = state.services[attempt.service];
+    const Minion &minion = state.minions[attempt.minion];
+    applyEvent(state, attempt.connection, ConnectionEvent::RequestSent, now);
+    attempt.sent = true;
+    attempt.sentAt = now;
+    ++state.counters.dispatched;
+    if (request.attempts == 1) {
+        retryBudget(state, request).deposit(state.policy.retryShare, state.policy.retryBurst);
+    }
+    const auto raw = static_cast<std::uint64_t>(number);
+    if (service.settings.idempotent) {
+        state.timers.push({afterDeviations(service, minion.distance, hedgeDeviations, 0, now),
+                           TimerKind::Hedge, raw});
+    }
+    state.timers.push(
+            {afterDeviations(service, minion.distance, overdueDeviations, leastOverdue, now),
+             TimerKind::Overdue, raw});
+    out.emplace_back(Dispatch{attempt.request, number, attempt.connection, minion.settings.id,
+                              request.deadline});
+}
+
+void releaseAttempt(TrafficState &state, AttemptNumber number)
+{
+    const Attempt &attempt = *state.attempts.find(number);
+    if (!attempt.overdue) {
+        --state.minions[attempt.minion].inFlight;
+    }
+    --state.services[attempt.service].inFlight;
+    if (PendingRequest *request = state.requests.find(attempt.request); request != nullptr) {
+        --request->liveAttempts;
+    }
+    state.attempts.erase(number);
+}
+
+bool takeRetry(TrafficState &state, const PendingRequest &request, AttemptEnd end, TimePoint now)
+{
+    const Service &service = state.services[request.service];
+    if (request.attempts >= maxAttempts || isTooLate(service, request.deadline, now)
+        || state.stopping) {
+        return false;
+    }
+    if (end == AttemptEnd::NotSent) {
+        return true;
+    }
+    // Once an attempt may have run, only idempotent work may be sent again.
+    if (!service.settings.idempotent && (end == AttemptEnd::Lost || request.mayHaveRun)) {
+        return false;
+    }
+    return retryBudget(state, request).tryTake();
+}
+
+void endAttempt(TrafficState &state, AttemptNumber number, AttemptEnd end, TimePoint now,
+                Actions &out)
+{
+    const RequestNumber requestNumber = state.attempts.find(number)->request;
+    releaseAttempt(state, number);
+    PendingRequest *request = state.requests.find(requestNumber);
+    if (request == nullptr) {
+        return;
+    }
+    request->mayHaveRun = request->mayHaveRun || end == AttemptEnd::Lost;
+    if (end != AttemptEnd::NotSent) {
+        request->lastReason =
+                end == AttemptEnd::Refused ? Reason::MinionRefused : Reason::MinionFailed;
+    }
+    if (request->liveAttempts > 0) {
+        return;
+    }
+    if (takeRetry(state, *request, end, now)) {
+        state.counters.retried += end == AttemptEnd::NotSent ? 0 : 1;
+        enqueue(state, requestNumber, true, now);
+    } else {
+        const bool sent = request->lastReason != Reason::DeadlinePassed;
+        finishRequest(state, requestNumber, sent ? request->lastReason : Reason::NoMinion,
+                      Milliseconds{100}, out);
+    }
+}
+
+void finishRequest(TrafficState &state, RequestNumber number, Reason reason,
+                   Milliseconds retryAfter, Actions &out)
+{
+    const PendingRequest &request = *state.requests.find(number);
+    const Verdict verdict = request.mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun;
+    if (request.queued) {
+        dequeue(state, number);
+    }
+    state.requests.erase(number);
+    ++state.counters.refused;
+    out.emplace_back(Finish{number, verdict, reason, retryAfter});
+}
+
+void onDeadline(TrafficState &state, RequestNumber number, TimePoint, Actions &out)
+{
+    PendingRequest *request = state.requests.find(number);
+    if (request == nullptr) {
+        return;
+    }
+    if (!request->queued && hasSentAttempt(state, *request)) {
+        request->mayHaveRun = true;
+        request->lastReason = Reason::MinionFailed;
+    }
+    const auto tries = request->tries;
+    finishRequest(state, number, Reason::DeadlinePassed, Milliseconds{0}, out);
+    dropOverdue(state, tries, out);
+}
+
+void dropOverdue(TrafficState &state, const AttemptList &tries, Actions &out)
+{
+    for (const AttemptNumber number : tries) {
+        const Attempt *attempt = state.attempts.find(number);
+        if (attempt != nullptr && attempt->overdue) {
+            dropConnection(state, attempt->connection, true, out);
+            releaseAttempt(state, number);
+        }
+    }
+}
+
+void onHedgeTime(TrafficState &state, AttemptNumber number, TimePoint now, Actions &out)
+{
+    const Attempt *attempt = state.attempts.find(number);
+    PendingRequest *request = attempt == nullptr ? nullptr : state.requests.find(attempt->request);
+    if (request == nullptr || request->hedged || request->attempts >= maxAttempts) {
+        return;
+    }
+    const Service &service = state.services[attempt->service];
+    // A hedge takes a place from queued work when there is a backlog.
+    if (service.queue.count > 0 || isTooLate(service, request->deadline, now)) {
+        return;
+    }
+    auto minion = selectOwn(state, service, attempt->minion, now);
+    if (!minion) {
+        minion = selectRemote(state, service, attempt->minion, now);
+    }
+    if (!minion || !retryBudget(state, *request).tryTake()) {
+        return;
+    }
+    request->hedged = true;
+    ++state.counters.hedged;
+    startAttempt(state, attempt->request, *minion, 0, now, out);
+}
+
+void onOverdue(TrafficState &state, AttemptNumber number, TimePoint now, Actions &out)
+{
+    Attempt *attempt = state.attempts.find(number);
+    if (attempt == nullptr || attempt->overdue) {
+        return;
+    }
+    Minion &minion = state.minions[attempt->minion];
+    const MinionIndex index = attempt->minion;
+    const ConnectionNumber connection = attempt->connection;
+    attempt->overdue = true;
+    --minion.inFlight;
+    noteOverdue(minion, now);
+    if (const Connection *found = state.connections.find(connection);
+        found != nullptr && found->state == ConnectionState::Busy) {
+        applyEvent(state, connection, ConnectionEvent::Overdue, now);
+        ++minion.doubtful;
+    }
+    suspectSilence(state, index, now, out);
+    if (state.requests.find(attempt->request) == nullptr) {
+        dropConnection(state, connection, true, out);
+        releaseAttempt(state, number);
+    }
+}
+
+}  // namespace poplarstream::traffic
--- /dev/null
+++ b/src/poplarstream/traffic/configure.cpp
@@ -0,0 +1,145 @@
+#include <algorithm>  // for find, max
+#include <map>  // for map
+
+#include "admission.hpp"  // for fairWeights
+#include "connections.hpp"  // for maintainConnections
+#include "poplarstream/traffic/urgent_path.hpp"
+#include "pump.hpp"  // for pumpAll
+#include "routing.hpp"  // for refreshCandidates, refreshCapacity
+
+namespace poplarstream::traffic {
+
+namespace {
+
+// A weight of 0 would stop a tenant for ever and divide by zero.
+constexpr double leastWeight = 1e-3;
+
+// The index of `id`, new or known.
+template <class Element, class Key>
+std::uint32_t indexOf(std::unordered_map<std::string, std::uint32_t> &index,
+                      std::vector<Element> &elements, const Key &id)
+{
+    const auto [found, isNew] =
+            index.try_emplace(id.text(), static_cast<std::uint32_t>(elements.size()));
+    if (isNew) {
+        elements.emplace_back();
+    }
+    return found->second;
+}
+
+void takeServices(TrafficState &state, const TrafficSettings &settings, TimePoint now)
+{
+    for (Service &service : state.services) {
+        service.listed = false;
+        service.pools.clear();
+    }
+    for (const ServiceSettings &given : settings.services) {
+        const bool isNew = !state.serviceIndex.contains(given.id.text());
+        Service &service = state.services[indexOf(state.serviceIndex, state.services, given.id)];
+        service.settings = given;
+        service.settings.weight = std::max(leastWeight, given.weight);
+        service.listed = true;
+        if (isNew) {
+            const auto guess = static_cast<double>(given.expectedTime.count());
+            service.time = TimeEstimate{guess, guess / 2, 0};
+            service.lastReachable = now;
+        }
+    }
+}
+
+void takeTenants(TrafficState &state, const TrafficSettings &settings)
+{
+    for (Tenant &tenant : state.tenants) {
+        tenant.listed = false;
+    }
+    for (const TenantSettings &given : settings.tenants) {
+        const bool isNew = !state.tenantIndex.contains(given.id.text());
+        Tenant &tenant = state.tenants[indexOf(state.tenantIndex, state.tenants, given.id)];
+        tenant.settings = given;
+        tenant.listed = true;
+        if (isNew) {
+            tenant.quota.tokens = 3;
+        }
+    }
+    state.tenantWeights.resize(state.tenants.size());
+    for (std::size_t i = 0; i < state.tenants.size(); ++i) {
+        state.tenantWeights[i] = std::max(leastWeight, state.tenants[i].settings.weight);
+    }
+}
+
+// The sums of active weights follow the new weights.
+void recountWeights(TrafficState &state)
+{
+    for (Service &service : state.services) {
+        for (UrgencyQueue &level : service.queue.levels) {
+            level.activeWeight = 0;
+            for (std::size_t i = 0; i < level.flows.size(); ++i) {
+                level.activeWeight += level.flows[i].waiting.empty() ? 0 : state.tenantWeights[i];
+            }
+        }
+    }
+}
+
+void takePools(TrafficState &state, const TrafficSettings &settings)
+{
+    for (Pool &pool : state.pools) {
+        pool.services.clear();
+    }
+    for (const PoolSettings &given : settings.pools) {
+        const PoolIndex index = indexOf(state.poolIndex, state.pools, given.id);
+        state.pools[index].id = given.id;
+        for (const ServiceId &id : given.services) {
+            const auto service = state.serviceIndex.find(id.text());
+            if (service != state.serviceIndex.end() && state.services[service->second].listed) {
+                state.pools[index].services.push_back(service->second);
+                state.services[service->second].pools.push_back(index);
+            }
+        }
+    }
+}
+
+void takeMinions(TrafficState &state, const TrafficSettings &settings)
+{
+    std::map<ZoneId, Milliseconds> distances;
+    for (const ZoneSettings &zone : settings.zones) {
+        distances[zone.id] = zone.distance;
+    }
+    for (Minion &minion : state.minions) {
+        minion.listed = false;
+    }
+    for (const MinionSettings &given : settings.minions) {
+        const bool isNew = !state.minionIndex.contains(given.id.text());
+        const MinionIndex index = indexOf(state.minionIndex, state.minions, given.id);
+        Minion &minion = state.minions[index];
+        minion.settings = given;
+        minion.pool = indexOf(state.poolIndex, state.pools, given.pool);
+        minion.listed = true;
+        minion.own = given.zone == settings.ownZone;
+        minion.distance = minion.own ? Milliseconds{0} : distances[given.zone];
+        if (isNew) {
+            const double part = static_cast<double>(given.slots) / std::max(1U, state.livePeers);
+            minion.limit = std::max(1.0, part);
+        }
+    }
+}
+
+}  // namespace
+
+void configure(TrafficState &state, const TrafficSettings &settings, TimePoint now, Actions &out)
+{
+    state.policy = settings.policy;
+    state.livePeers = std::max(1U, settings.livePeers);
+    state.entryHost = settings.entryHost;
+    state.ownZone = settings.ownZone;
+    takeServices(state, settings, now);
+    takeTenants(state, settings);
+    recountWeights(state);
+    takePools(state, settings);
+    takeMinions(state, settings);
+    refreshCandidates(state);
+    maintainConnections(state, now, out);
+    refreshCapacity(state, now);
+    pumpAll(state, now, out);
+}
+
+}  // namespace poplarstream::traffic
--- /dev/null
+++ b/src/poplarstream/traffic/connections.cpp
@@ -0,0 +1,162 @@
+#include "connections.hpp"
+
+#include <algorithm>  // for min, any_of
+#include <stdexcept>  // for logic_error
+
+#include "minion_health.hpp"  // for maxConnections
+
+namespace poplarstream::traffic {
+
+namespace {
+
+void refreshReachable(const TrafficState &state, Minion &minion)
+{
+    minion.reachable = std::any_of(
+            minion.connections.begin(), minion.connections.end(), [&](ConnectionNumber number) {
+                const Connection &connection = *state.connections.find(number);
+                return connection.state != ConnectionState::Connecting
+                       && connection.lastHeard >= minion.suspectSince;
+            });
+}
+
+void maintainMinion(TrafficState &state, MinionIndex index, TimePoint now, Actions &out)
+{
+    Minion &minion = state.minions[index];
+    const auto numbers = minion.connections;
+    for (const ConnectionNumber number : numbers) {
+        Connection *connection = state.connections.find(number);
+        if (connection == nullptr) {
+            continue;
+        }
+        if (connection->state == ConnectionState::Idle) {
+            if (!minion.wanted) {
+                dropConnection(state, number, true, out);
+            } else if (now - connection->lastHeard >= state.policy.probeInterval) {
+                sendProbe(state, number, now, out);
+            }
+        } else if (connection->probeInFlight
+                   && now - connection->since >= state.policy.probeDeadline) {
+            ++state.counters.silentConnections;
+            dropConnection(state, number, true, out);
+            suspectSilence(state, index, now, out);
+        }
+    }
+    if (minion.wanted && minion.connections.size() == minion.doubtful && now >= minion.reopenAt) {
+        openConnection(state, index, now, out);
+    }
+}
+
+}  // namespace
+
+void applyEvent(TrafficState &state, ConnectionNumber number, ConnectionEvent event, TimePoint now)
+{
+    Connection &connection = *state.connections.find(number);
+    const auto after = next(connection.state, event);
+    if (!after) {
+        throw std::logic_error("event not valid in the state of the connection");
+    }
+    connection.state = *after;
+    connection.since = now;
+}
+
+ConnectionNumber openConnection(TrafficState &state, MinionIndex minion, TimePoint now,
+                                Actions &out)
+{
+    Connection connection;
+    connection.minion = minion;
+    connection.since = now;
+    connection.openedAt = now;
+    const ConnectionNumber number = state.connections.insert(connection);
+    state.minions[minion].connections.push_back(number);
+    state.timers.push({now + state.policy.connectDeadline, TimerKind::Connect,
+                       static_cast<std::uint64_t>(number)});
+    out.emplace_back(OpenConnection{number, state.minions[minion].settings.id});
+    return number;
+}
+
+ConnectionNumber takeConnection(TrafficState &state, MinionIndex index, TimePoint now, Actions &out)
+{
+    Minion &minion = state.minions[index];
+    if (minion.idle.empty()) {
+        return openConnection(state, index, now, out);
+    }
+    const ConnectionNumber number = minion.idle.back();
+    minion.idle.pop_back();
+    return number;
+}
+
+void dropConnection(TrafficState &state, ConnectionNumber number, bool tell, Actions &out)
+{
+    const Connection *connection = state.connections.find(number);
+    if (connection == nullptr) {
+        return;
+    }
+    Minion &minion = state.minions[connection->minion];
+    if (connection->state == ConnectionState::Probing && !connection->probeInFlight) {
+        --minion.doubtful;
+    }
+    std::erase(minion.connections, number);
+    std::erase(minion.idle, number);
+    state.connections.erase(number);
+    refreshReachable(state, minion);
+    if (tell) {
+        out.emplace_back(CloseConnection{number});
+    }
+}
+
+void becomeIdle(TrafficState &state, ConnectionNumber number, ConnectionEvent event, TimePoint now)
+{
+    Connection &connection = *state.connections.find(number);
+    Minion &minion = state.minions[connection.minion];
+    if (connection.state == ConnectionState::Probing && !connection.probeInFlight) {
+        --minion.doubtful;
+    }
+    applyEvent(state, number, event, now);
+    connection.attempt = {};
+    connection.probeInFlight = false;
+    connection.lastHeard = now;
+    minion.idle.push_back(number);
+    minion.reachable = true;
+    minion.connectFailures = 0;
+}
+
+void sendProbe(TrafficState &state, ConnectionNumber number, TimePoint now, Actions &out)
+{
+    Connection &connection = *state.connections.find(number);
+    std::erase(state.minions[connection.minion].idle, number);
+    applyEvent(state, number, ConnectionEvent::ProbeSent, now);
+    connection.probeInFlight = true;
+    out.emplace_back(SendProbe{number});
+}
+
+void suspectSilence(TrafficState &state, MinionIndex index, TimePoint now, Actions &out)
+{
+    Minion &minion = state.minions[index];
+    minion.suspectSince = now;
+    const auto idle = minion.idle;
+    for (const ConnectionNumber number : idle) {
+        if (state.connections.find(number)->lastHeard < now) {
+            sendProbe(state, number, now, out);
+        }
+    }
+    refreshReachable(state, minion);
+    const bool opening = std::any_of(
+            minion.connections.begin(), minion.connections.end(), [&](ConnectionNumber number) {
+                return state.connections.find(number)->state == ConnectionState::Connecting;
+            });
+    if (minion.wanted && !opening && now >= minion.reopenAt
+        && minion.connections.size() < 2 * maxConnections(state, minion)) {
+        openConnection(state, index, now, out);
+    }
+}
+
+void maintainConnections(TrafficState &state, TimePoint now, Actions &out)
+{
+    for (MinionIndex index = 0; index < state.minions.size(); ++index) {
+        if (state.minions[index].wanted || !state.minions[index].connections.empty()) {
+            maintainMinion(state, index, now, out);
+        }
+    }
+}
+
+}  // namespace poplarstream::traffic
--- a/src/poplarstream/traffic/fair_queue.cpp
+++ b/src/poplarstream/traffic/fair_queue.cpp
@@ -28,13 +28,6 @@
     return item;
 }
 
-// The finish tag never precedes the start: a credit must not let a child overtake the past.
-void charge(FairTag &tag, double cost, double weight)
-{
-    tag.finish = tag.start + std::max(0.0, cost + tag.debt) / weight;
-    tag.debt = std::min(0.0, cost + tag.debt);
-}
-
 UrgencyQueue *leastLevel(FairQueue &queue)
 {
     UrgencyQueue *best = nullptr;
@@ -87,6 +80,12 @@
 
 }  // namespace
 
+void chargeTag(FairTag &tag, double cost, double weight)
+{
+    tag.finish = tag.start + std::max(0.0, cost + tag.debt) / weight;
+    tag.debt = std::min(0.0, cost + tag.debt);
+}
+
 void pushRequest(FairQueue &queue, FlowKey key, RequestNumber request, bool front,
                  const FairWeights &weights, TimePoint now)
 {
@@ -128,9 +127,9 @@
     --queue.count;
 
     level->virtualTime = std::max(level->virtualTime, flow.tag.start);
-    charge(flow.tag, cost, weights.tenant[tenant]);
+    chargeTag(flow.tag, cost, weights.tenant[tenant]);
     queue.virtualTime = std::max(queue.virtualTime, level->tag.start);
-    charge(level->tag, cost, weights.urgency[urgency]);
+    chargeTag(level->tag, cost, weights.urgency[urgency]);
     level->tag.start = level->tag.finish;
     if (flow.waiting.empty()) {
         deactivateFlow(*level, weights.tenant[tenant]);
@@ -141,6 +140,16 @@
     return picked;
 }
 
+RequestNumber peekRequest(FairQueue &queue)
+{
+    UrgencyQueue *level = leastLevel(queue);
+    if (level == nullptr) {
+        return {};
+    }
+    dropEmptyFlows(*level);
+    return level->flows[level->heap.front().tenant].waiting.front();
+}
+
 void settleCost(FairQueue &queue, FlowKey key, double difference)
 {
     UrgencyQueue &level = queue.levels[key.urgency];
--- /dev/null
+++ b/src/poplarstream/traffic/state_view.cpp
@@ -0,0 +1,53 @@
+#include "poplarstream/traffic/state_view.hpp"
+
+#include <fmt/format.h>  // for format
+
+namespace poplarstream::traffic {
+
+std::string requestText(const TrafficState &state, RequestNumber request)
+{
+    return fmt::format("{:x}-{:x}", state.incarnation, static_cast<std::uint64_t>(request));
+}
+
+std::string attemptText(const TrafficState &state, AttemptNumber attempt)
+{
+    return fmt::format("{:x}-{:x}", state.incarnation, static_cast<std::uint64_t>(attempt));
+}
+
+bool isIdle(const TrafficState &state)
+{
+    return state.requests.size() == 0;
+}
+
+std::vector<MinionView> minionViews(const TrafficState &state)
+{
+    std::vector<MinionView> views;
+    for (const Minion &minion : state.minions) {
+        if (minion.listed) {
+            views.push_back({minion.settings.id, minion.inFlight, minion.limit,
+                             static_cast<std::uint32_t>(minion.connections.size()),
+                             minion.reachable, minion.leaving, minion.ejected});
+        }
+    }
+    return views;
+}
+
+std::vector<ServiceView> serviceViews(const TrafficState &state)
+{
+    std::vector<ServiceView> views;
+    for (const Service &service : state.services) {
+        std::uint32_t reachable = 0;
+        for (const auto *group : {&service.own, &service.remote}) {
+            for (const MinionIndex index : *group) {
+                reachable += state.minions[index].reachable ? 1 : 0;
+            }
+        }
+        if (service.listed) {
+            views.push_back({service.settings.id, service.queue.count, service.inFlight,
+                             service.time.mean, reachable});
+        }
+    }
+    return views;
+}
+
+}  // namespace poplarstream::traffic
