--- /dev/null
+++ b/src/poplarstream/fleet/absence_rules.cpp
@@ -0,0 +1,123 @@
+#include <algorithm>  // for max
+#include <map>  // for map
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/fleet/queries.hpp"  // for absenceProblem, budgetOf
+
+namespace poplarstream {
+namespace {
+
+constexpr std::int64_t dayMilliseconds = 24 * 3600 * 1000;
+
+bool isInWindow(const WaveWindow &window, TimePoint time)
+{
+    const std::int64_t inDay =
+            (millisecondsSinceEpoch(time) % dayMilliseconds + dayMilliseconds) % dayMilliseconds;
+    const auto second = static_cast<std::uint32_t>(inDay / 1000);
+    if (window.start < window.end) {
+        return second >= window.start && second < window.end;
+    }
+    return second >= window.start || second < window.end;
+}
+
+std::string waveProblem(const FleetState &state, const WaveId &id, TimePoint time)
+{
+    if (id.isEmpty()) {
+        return {};
+    }
+    const WaveConfig *wave = state.configuration->waves.find(id);
+    if (!wave) {
+        return fmt::format("wave {} is not configured", id.text());
+    }
+    if (wave->state != WaveState::Running) {
+        return fmt::format("wave {} is {}", id.text(),
+                           wave->state == WaveState::Stopped ? "stopped" : "withdrawn");
+    }
+    if (wave->window && !isInWindow(*wave->window, time)) {
+        return fmt::format("the time is outside the window of wave {}", id.text());
+    }
+    return {};
+}
+
+std::string targetProblem(const FleetState &state, const AbsenceRequest &request,
+                          const PoolId &present)
+{
+    if (request.kind == AbsenceKind::Reboot) {
+        return request.target.isEmpty() ? "" : "a reboot has no target pool";
+    }
+    if (!state.configuration->pools.contains(request.target)) {
+        return fmt::format("target pool '{}' is not configured", request.target.text());
+    }
+    return request.target == present ? fmt::format("the host is in pool {} already", present.text())
+                                     : "";
+}
+
+// The largest number of hosts of the pool in one rack that are still in service without `leaving`.
+std::pair<std::uint32_t, RackId> largestRack(const FleetState &state, const PoolId &pool,
+                                             const FleetHost &leaving)
+{
+    std::map<RackId, std::uint32_t> racks;
+    std::pair<std::uint32_t, RackId> largest;
+    for (const auto &[id, host] : state.hosts) {
+        if (&host != &leaving && host.config->pool == pool && !isAway(state, host)) {
+            const std::uint32_t size = ++racks[host.config->rack];
+            if (size > largest.first) {
+                largest = {size, host.config->rack};
+            }
+        }
+    }
+    return largest;
+}
+
+// Whether the pool allows one more host away: `leaving` itself, or its arrival by a move.
+std::string budgetProblem(const FleetState &state, const PoolId &pool, const FleetHost &leaving)
+{
+    const auto budget = budgetOf(state, pool);
+    if (!budget) {
+        return fmt::format("pool '{}' is not configured", pool.text());
+    }
+    if (budget->left == 0) {
+        return fmt::format("{} hosts of pool {} are away and {} are moving in; {} may be away",
+                           budget->away, pool.text(), budget->incoming, budget->maxAway);
+    }
+    if (!state.configuration->fleet.rackHeadroom) {
+        return {};
+    }
+    const auto [size, rack] = largestRack(state, pool, leaving);
+    if (size > budget->left - 1) {
+        return fmt::format("the loss of rack {} would take {} more hosts of pool {}, and room for "
+                           "{} would remain",
+                           rack.text(), size, pool.text(), budget->left - 1);
+    }
+    return {};
+}
+
+}  // namespace
+
+std::string absenceProblem(const FleetState &state, const AbsenceRequest &request, TimePoint time)
+{
+    const auto at = state.hosts.find(request.host);
+    if (at == state.hosts.end()) {
+        return "the host is not configured";
+    }
+    const FleetHost &host = at->second;
+    if (host.absence || !next(host.state, HostEvent::Granted)) {
+        return fmt::format("the host is {}", hostStateText(host.state));
+    }
+    if (state.lostZones.contains(host.config->zone)) {
+        return fmt::format("zone {} is lost", host.config->zone.text());
+    }
+    if (std::string problem = waveProblem(state, request.wave, time); !problem.empty()) {
+        return problem;
+    }
+    if (std::string problem = targetProblem(state, request, host.config->pool); !problem.empty()) {
+        return problem;
+    }
+    if (std::string problem = budgetProblem(state, host.config->pool, host); !problem.empty()) {
+        return problem;
+    }
+    return request.kind == AbsenceKind::Reboot ? "" : budgetProblem(state, request.target, host);
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/fleet/change_step.cpp
@@ -0,0 +1,115 @@
+#include <algorithm>  // for any_of
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/config/edits.hpp"  // for applyEdits
+#include "poplarstream/config/validation.hpp"  // for readChanged
+#include "poplarstream/fleet/steps.hpp"  // for applyStep, hostsProblem
+#include "poplarstream/fleet/tally.hpp"  // for recount
+
+namespace poplarstream {
+namespace {
+
+std::string versionProblem(const FleetState &state, const ConfigChange &change)
+{
+    if (change.baseVersion == state.version) {
+        return {};
+    }
+    const auto winner =
+            std::find_if(state.changes.rbegin(), state.changes.rend(),
+                         [](const ChangeDecision &decision) { return decision.granted; });
+    const std::string by =
+            winner == state.changes.rend()
+                    ? std::string{}
+                    : fmt::format(" since change {} by {}", winner->id.text(), winner->author);
+    return fmt::format("version {} is in force{}; the change was written for version {}",
+                       state.version, by, change.baseVersion);
+}
+
+// Moves can make a pool smaller than its budget. Such a fault is in the document in force already
+// and must not block changes that have nothing to do with it.
+void dropStandingFaults(const FleetState &state, ConfigFaults &faults)
+{
+    if (faults.empty()) {
+        return;
+    }
+    const ConfigFaults standing = readChanged(*state.configuration, state.document, {}).faults;
+    std::erase_if(faults, [&](const ConfigFault &fault) {
+        return std::any_of(standing.begin(), standing.end(), [&](const ConfigFault &old) {
+            return old.section == fault.section && old.key == fault.key && old.found == fault.found
+                   && !old.key.empty();
+        });
+    });
+}
+
+// Brings the hosts, waves and zones in line with the configuration in force.
+void follow(FleetState &state, TimePoint time)
+{
+    const Configuration &configuration = *state.configuration;
+    std::erase_if(state.hosts,
+                  [&](const auto &host) { return !configuration.hosts.contains(host.first); });
+    std::erase_if(state.waves,
+                  [&](const auto &wave) { return !configuration.waves.contains(wave.first); });
+    std::erase_if(state.lostZones,
+                  [&](const ZoneId &zone) { return !configuration.zones.contains(zone); });
+    for (const HostConfig &config : configuration.hosts) {
+        const auto [at, isNew] = state.hosts.try_emplace(config.id);
+        at->second.config = configuration.hosts.findShared(config.id);
+        if (isNew) {
+            at->second.since = time;
+        }
+    }
+    for (const WaveConfig &wave : configuration.waves) {
+        state.waves.try_emplace(wave.id);
+    }
+    for (auto &[id, wave] : state.waves) {
+        std::erase_if(wave.done, [&](const HostId &host) { return !state.hosts.contains(host); });
+    }
+    recount(state);
+}
+
+// Brings the change into force, or says why it can not be.
+std::string tryChange(FleetState &state, const Position &at, const ConfigChange &change)
+{
+    if (std::string problem = versionProblem(state, change); !problem.empty()) {
+        return problem;
+    }
+    ParsedDocument edited = applyEdits(state.document, change.edits);
+    if (!edited.faults.empty()) {
+        return describe(edited.faults);
+    }
+    if (edited.document == state.document) {
+        return "the change alters nothing";
+    }
+    std::vector<SectionId> changed;
+    for (const ConfigEdit &edit : change.edits) {
+        changed.emplace_back(edit.section);
+    }
+    ReadConfiguration read = readChanged(*state.configuration, edited.document, changed);
+    dropStandingFaults(state, read.faults);
+    if (!read.faults.empty()) {
+        return describe(read.faults);
+    }
+    if (std::string problem = hostsProblem(state, read.configuration); !problem.empty()) {
+        return problem;
+    }
+    state.document = std::move(edited.document);
+    state.configuration = std::make_shared<const Configuration>(std::move(read.configuration));
+    ++state.version;
+    follow(state, at.time);
+    return {};
+}
+
+}  // namespace
+
+Applied applyStep(FleetState &state, const Position &at, const ConfigChange &change)
+{
+    const std::string problem = tryChange(state, at, change);
+    keep(state.changes,
+         ChangeDecision{at.offset, at.time, at.header.id, change.author, problem.empty(),
+                        state.version, problem},
+         changeDecisions);
+    return {problem.empty(), problem};
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/fleet/host_steps.cpp
@@ -0,0 +1,228 @@
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/config/document.hpp"  // for setEntry, SectionId
+#include "poplarstream/fleet/queries.hpp"  // for absenceProblem
+#include "poplarstream/fleet/steps.hpp"  // for applyStep
+#include "poplarstream/fleet/tally.hpp"  // for TallyScope
+
+namespace poplarstream {
+namespace {
+
+FleetHost *findHost(FleetState &state, const HostId &id)
+{
+    const auto at = state.hosts.find(id);
+    return at == state.hosts.end() ? nullptr : &at->second;
+}
+
+// Keeps the decision in the histories of the host and of the wave, and returns it as the outcome.
+// A granted record gives its own reason in `reason`.
+Applied decide(FleetState &state, const Position &at, DecisionKind kind, const HostId &id,
+               const WaveId &wave, bool granted, std::string reason)
+{
+    const Decision decision{at.offset, at.time, kind, granted, id, wave, reason};
+    FleetHost *host = findHost(state, id);
+    if (host) {
+        keep(host->decisions, decision, decisionsPerHost);
+    } else {
+        keep(state.strays, decision, strayDecisions);
+    }
+    if (!wave.isEmpty()) {
+        if (const auto record = state.waves.find(wave); record != state.waves.end()) {
+            keep(record->second.decisions, decision, decisionsPerWave);
+        }
+    }
+    return {granted, granted ? std::string{} : std::move(reason)};
+}
+
+WaveId waveOf(const FleetHost *host)
+{
+    return host && host->absence ? host->absence->wave : WaveId{};
+}
+
+// The wave counts a host as done when everything that was granted has happened.
+void finishAbsence(FleetState &state, const HostId &id, FleetHost &host)
+{
+    const Absence &absence = *host.absence;
+    const bool isComplete = absence.left && (absence.kind == AbsenceKind::Reboot || absence.moved);
+    if (const auto wave = state.waves.find(absence.wave); isComplete && wave != state.waves.end()) {
+        wave->second.done.insert(id);
+    }
+    host.absence.reset();
+}
+
+void enter(FleetHost &host, HostState entered, TimePoint time)
+{
+    if (host.state != entered) {
+        host.state = entered;
+        host.since = time;
+    }
+}
+
+struct PhaseRow
+{
+    HostEvent event;
+    DecisionKind kind;
+};
+
+PhaseRow rowOf(AbsencePhase phase)
+{
+    switch (phase) {
+    case AbsencePhase::Drained:
+        return {HostEvent::Drained, DecisionKind::Drained};
+    case AbsencePhase::Away:
+        return {HostEvent::Left, DecisionKind::Left};
+    case AbsencePhase::Returning:
+        return {HostEvent::CameBack, DecisionKind::CameBack};
+    case AbsencePhase::Returned:
+        return {HostEvent::Returned, DecisionKind::Returned};
+    case AbsencePhase::Abandoned:
+        break;
+    }
+    return {HostEvent::Abandoned, DecisionKind::Abandoned};
+}
+
+std::string progressProblem(const FleetHost *host, const AbsenceProgress &progress)
+{
+    if (!host) {
+        return "the host is not configured";
+    }
+    if (!host->absence) {
+        return fmt::format("the absence granted at offset {} has ended", progress.grant);
+    }
+    if (host->absence->grant != progress.grant) {
+        return fmt::format("the report is about the absence granted at offset {}, and the present "
+                           "one was granted at offset {}",
+                           progress.grant, host->absence->grant);
+    }
+    if (!next(host->state, rowOf(progress.phase).event)) {
+        return fmt::format("the host is {}", hostStateText(host->state));
+    }
+    return {};
+}
+
+std::string moveProblem(const FleetHost *host, const HostMove &move)
+{
+    if (!host) {
+        return "the host is not configured";
+    }
+    if (host->config->pool != move.from) {
+        return fmt::format("the host is in pool {}", host->config->pool.text());
+    }
+    if (!host->absence || host->absence->kind == AbsenceKind::Reboot) {
+        return "no move of the host was granted";
+    }
+    if (host->absence->target != move.to) {
+        return fmt::format("a move to pool {} was granted", host->absence->target.text());
+    }
+    if (host->state != HostState::Away) {
+        return fmt::format("the host is {}, not away", hostStateText(host->state));
+    }
+    return {};
+}
+
+// The document in force shows the present pool, so a move is written into it.
+void writePool(FleetState &state, FleetHost &host, const PoolId &pool)
+{
+    HostConfig moved = *host.config;
+    moved.pool = pool;
+    const HostId id = moved.id;
+    auto configuration = std::make_shared<Configuration>(*state.configuration);
+    configuration->hosts.set(std::move(moved));
+    host.config = configuration->hosts.findShared(id);
+    state.configuration = std::move(configuration);
+    ConfigSection section = *state.document.find(SectionId("host " + id.text()));
+    setEntry(section, "pool", pool.text());
+    state.document.set(std::move(section));
+}
+
+}  // namespace
+
+Applied applyStep(FleetState &state, const Position &at, const AbsenceRequest &request)
+{
+    std::string problem = absenceProblem(state, request, at.time);
+    const bool granted = problem.empty();
+    if (granted) {
+        FleetHost &host = *findHost(state, request.host);
+        const TallyScope scope(state, host);
+        enter(host, *next(host.state, HostEvent::Granted), at.time);
+        host.absence = Absence{at.offset, request.kind, request.target, request.wave,
+                               at.time,   false,        false};
+    }
+    return decide(state, at, DecisionKind::Absence, request.host, request.wave, granted,
+                  granted ? request.reason : std::move(problem));
+}
+
+Applied applyStep(FleetState &state, const Position &at, const AbsenceProgress &progress)
+{
+    FleetHost *host = findHost(state, progress.host);
+    const WaveId wave = waveOf(host);
+    const PhaseRow row = rowOf(progress.phase);
+    std::string problem = progressProblem(host, progress);
+    if (problem.empty()) {
+        const TallyScope scope(state, *host);
+        enter(*host, *next(host->state, row.event), at.time);
+        host->absence->left = host->absence->left || row.event == HostEvent::Left;
+        if (host->state == HostState::InService) {
+            finishAbsence(state, progress.host, *host);
+        }
+    }
+    const bool granted = problem.empty();
+    return decide(state, at, row.kind, progress.host, wave, granted, std::move(problem));
+}
+
+Applied applyStep(FleetState &state, const Position &at, const HostMove &move)
+{
+    FleetHost *host = findHost(state, move.host);
+    std::string problem = moveProblem(host, move);
+    if (problem.empty()) {
+        const TallyScope scope(state, *host);
+        writePool(state, *host, move.to);
+        host->absence->moved = true;
+        host->absence->left = true;
+    }
+    const bool granted = problem.empty();
+    return decide(state, at, DecisionKind::Move, move.host, waveOf(host), granted,
+                  std::move(problem));
+}
+
+Applied applyStep(FleetState &state, const Position &at, const HostHealth &health)
+{
+    const DecisionKind kind = health.failed ? DecisionKind::Failed : DecisionKind::Recovered;
+    FleetHost *host = findHost(state, health.host);
+    if (!host) {
+        return decide(state, at, kind, health.host, WaveId{}, false, "the host is not configured");
+    }
+    const HostEvent event = health.failed   ? HostEvent::Failed
+                            : host->absence ? HostEvent::RecoveredAway
+                                            : HostEvent::Recovered;
+    const auto entered = next(host->state, event);
+    if (!entered) {
+        return decide(state, at, kind, health.host, waveOf(host), false,
+                      fmt::format("the host is {}", hostStateText(host->state)));
+    }
+    {
+        const TallyScope scope(state, *host);
+        enter(*host, *entered, at.time);
+    }
+    return decide(state, at, kind, health.host, waveOf(host), true, health.evidence);
+}
+
+Applied applyStep(FleetState &state, const Position &at, const WorkerQuarantine &quarantine)
+{
+    const DecisionKind kind =
+            quarantine.quarantined ? DecisionKind::Quarantine : DecisionKind::QuarantineEnd;
+    FleetHost *host = findHost(state, quarantine.host);
+    if (!host) {
+        return decide(state, at, kind, quarantine.host, WaveId{}, false,
+                      "the host is not configured");
+    }
+    if (host->quarantined == quarantine.quarantined) {
+        return decide(state, at, kind, quarantine.host, WaveId{}, false,
+                      quarantine.quarantined ? "the worker is in quarantine already"
+                                             : "the worker is not in quarantine");
+    }
+    host->quarantined = quarantine.quarantined;
+    return decide(state, at, kind, quarantine.host, WaveId{}, true, quarantine.evidence);
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/fleet/queries.cpp
@@ -0,0 +1,83 @@
+#include "poplarstream/fleet/queries.hpp"
+
+#include <algorithm>  // for find_if
+
+namespace poplarstream {
+
+bool isAway(const FleetState &state, const FleetHost &host)
+{
+    return host.state != HostState::InService
+           || (!state.lostZones.empty() && state.lostZones.contains(host.config->zone));
+}
+
+std::vector<HostId> hostsOf(const FleetState &state, const PoolId &pool)
+{
+    std::vector<HostId> ids;
+    for (const auto &[id, host] : state.hosts) {
+        if (host.config->pool == pool) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::vector<AwayHost> awayHosts(const FleetState &state)
+{
+    std::vector<AwayHost> away;
+    for (const auto &[id, host] : state.hosts) {
+        if (isAway(state, host)) {
+            away.push_back({id, host.config->pool, host.state,
+                            state.lostZones.contains(host.config->zone),
+                            host.absence ? host.absence->wave : WaveId{}, host.since});
+        }
+    }
+    return away;
+}
+
+std::vector<AwayHost> awayHosts(const FleetState &state, const PoolId &pool)
+{
+    std::vector<AwayHost> away = awayHosts(state);
+    std::erase_if(away, [&](const AwayHost &host) { return host.pool != pool; });
+    return away;
+}
+
+std::optional<PoolBudget> budgetOf(const FleetState &state, const PoolId &pool)
+{
+    const PoolConfig *config = state.configuration->pools.find(pool);
+    const auto tally = state.tallies.find(pool);
+    if (!config || tally == state.tallies.end()) {
+        return std::nullopt;
+    }
+    const PoolTally &counts = tally->second;
+    const std::uint32_t used = counts.away + counts.incoming;
+    return PoolBudget{counts.hosts, config->maxAway, counts.away, counts.incoming,
+                      config->maxAway > used ? config->maxAway - used : 0};
+}
+
+std::optional<DutyHolder> dutyHolder(const FleetState &state, const DutyId &duty, TimePoint time)
+{
+    const auto at = state.duties.find(duty);
+    return at != state.duties.end() && at->second.expires > time ? std::optional(at->second)
+                                                                 : std::nullopt;
+}
+
+std::span<const Decision> decisionsOf(const FleetState &state, const HostId &host)
+{
+    const auto at = state.hosts.find(host);
+    return at == state.hosts.end() ? std::span<const Decision>{} : at->second.decisions;
+}
+
+std::span<const Decision> decisionsOf(const FleetState &state, const WaveId &wave)
+{
+    const auto at = state.waves.find(wave);
+    return at == state.waves.end() ? std::span<const Decision>{} : at->second.decisions;
+}
+
+std::optional<ChangeDecision> changeOutcome(const FleetState &state, const RecordId &id)
+{
+    const auto at = std::find_if(state.changes.begin(), state.changes.end(),
+                                 [&](const ChangeDecision &change) { return change.id == id; });
+    return at == state.changes.end() ? std::nullopt : std::optional(*at);
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/fleet/shared_steps.cpp
@@ -0,0 +1,71 @@
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/fleet/queries.hpp"  // for dutyHolder
+#include "poplarstream/fleet/steps.hpp"  // for applyStep
+#include "poplarstream/fleet/tally.hpp"  // for recount
+
+namespace poplarstream {
+namespace {
+
+// A longer lease would keep a duty from everybody for as long after its holder has died.
+constexpr Milliseconds longestLease{10 * 60 * 1000};
+
+// Lapsed leases are forgotten beyond this number, and no more than this many are held at a time.
+constexpr std::size_t mostDuties = 256;
+
+void forgetLapsed(FleetState &state)
+{
+    std::erase_if(state.duties,
+                  [&](const auto &duty) { return duty.second.expires <= state.time; });
+}
+
+}  // namespace
+
+Applied applyStep(FleetState &state, const Position &at, const DutyLease &lease)
+{
+    if (lease.duration < Milliseconds{0} || lease.duration > longestLease) {
+        return {false, fmt::format("a lease lasts at most {} ms", longestLease.count())};
+    }
+    const auto current = dutyHolder(state, lease.duty, at.time);
+    if (current && current->holder != lease.holder) {
+        return {false, fmt::format("{} holds the duty for another {} ms", current->holder.text(),
+                                   (current->expires - at.time).count())};
+    }
+    if (lease.duration == Milliseconds{0}) {
+        state.duties.erase(lease.duty);
+        return {current.has_value(), current ? "" : "nobody holds the duty"};
+    }
+    if (!current && state.duties.size() >= mostDuties) {
+        forgetLapsed(state);
+        if (state.duties.size() >= mostDuties) {
+            return {false, fmt::format("{} duties are held already", mostDuties)};
+        }
+    }
+    state.duties[lease.duty] = {lease.holder, current ? current->token : at.offset,
+                                at.time + lease.duration};
+    return {true, ""};
+}
+
+Applied applyStep(FleetState &state, const Position & /*at*/, const ZoneReachability &zone)
+{
+    if (!state.configuration->zones.contains(zone.zone)) {
+        return {false, fmt::format("zone '{}' is not configured", zone.zone.text())};
+    }
+    if (state.lostZones.contains(zone.zone) == zone.lost) {
+        return {false, zone.lost ? "the zone is lost already" : "the zone is not lost"};
+    }
+    if (zone.lost) {
+        state.lostZones.insert(zone.zone);
+    } else {
+        state.lostZones.erase(zone.zone);
+    }
+    recount(state);
+    return {true, ""};
+}
+
+Applied applyStep(FleetState & /*state*/, const Position & /*at*/, const SnapshotPart & /*part*/)
+{
+    return {true, ""};
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/fleet/steps.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "poplarstream/fleet/replay.hpp"  // for Applied, FleetState
+
+namespace poplarstream {
+
+// Where and when a record was logged, and its header.
+struct Position
+{
+    Offset offset;
+    TimePoint time;  // the state's time, which never goes back
+    const RecordHeader &header;
+};
+
+// One step of replay for each kind of record.
+Applied applyStep(FleetState &state, const Position &at, const ConfigChange &change);
+Applied applyStep(FleetState &state, const Position &at, const AbsenceRequest &request);
+Applied applyStep(FleetState &state, const Position &at, const AbsenceProgress &progress);
+Applied applyStep(FleetState &state, const Position &at, const HostMove &move);
+Applied applyStep(FleetState &state, const Position &at, const HostHealth &health);
+Applied applyStep(FleetState &state, const Position &at, const ZoneReachability &zone);
+Applied applyStep(FleetState &state, const Position &at, const DutyLease &lease);
+Applied applyStep(FleetState &state, const Position &at, const WorkerQuarantine &quarantine);
+Applied applyStep(FleetState &state, const Position &at, const SnapshotPart &part);
+
+// Why the configuration must not come into force with the hosts as they are: it would move a host,
+// remove one that is away, or break a budget. Empty if it may.
+std::string hostsProblem(const FleetState &state, const Configuration &after);
+
+// Appends to a history and drops the oldest entry of a full one.
+template <class Entry>
+void keep(std::vector<Entry> &history, Entry entry, std::size_t most)
+{
+    if (history.size() >= most) {
+        history.erase(history.begin());
+    }
+    history.push_back(std::move(entry));
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/fleet/tally.cpp
@@ -0,0 +1,58 @@
+#include "poplarstream/fleet/tally.hpp"
+
+#include "poplarstream/fleet/queries.hpp"  // for isAway
+
+namespace poplarstream {
+namespace {
+
+// `sign` is 1 to count the host and -1 (wrapping) to take it out.
+void count(FleetState &state, const FleetHost &host, std::uint32_t sign)
+{
+    const auto own = state.tallies.find(host.config->pool);
+    if (own != state.tallies.end()) {
+        own->second.hosts += sign;
+        own->second.away += isAway(state, host) ? sign : 0;
+        own->second.granted += host.absence ? sign : 0;
+    }
+    if (isMovePending(host)) {
+        const auto target = state.tallies.find(host.absence->target);
+        if (target != state.tallies.end()) {
+            target->second.incoming += sign;
+        }
+    }
+}
+
+constexpr std::uint32_t takeOut = ~std::uint32_t{0};
+
+}  // namespace
+
+bool isMovePending(const FleetHost &host)
+{
+    return host.absence && host.absence->kind != AbsenceKind::Reboot && !host.absence->moved
+           && (host.state == HostState::Draining || host.state == HostState::Away);
+}
+
+void recount(FleetState &state)
+{
+    state.tallies.clear();
+    for (const PoolConfig &pool : state.configuration->pools) {
+        state.tallies.emplace_hint(state.tallies.end(), pool.id, PoolTally{});
+    }
+    for (const auto &[id, host] : state.hosts) {
+        count(state, host, 1);
+    }
+}
+
+TallyScope::TallyScope(FleetState &state, const FleetHost &host)
+    : state_(state)
+    , host_(host)
+{
+    count(state_, host_, takeOut);
+}
+
+TallyScope::~TallyScope()
+{
+    count(state_, host_, 1);
+}
+
+}  // namespace poplarstream
