--- a/src/poplarstream/fleet/change_step.cpp
+++ b/src/poplarstream/fleet/change_step.cpp
@@ -106,8 +106,9 @@
 {
     const std::string problem = tryChange(state, at, change);
     keep(state.changes,
-         ChangeDecision{at.offset, at.time, at.header.id, change.author, problem.empty(),
-                        state.version, problem},
+         ChangeDecision{at.offset, at.time, RecordId(shortened(at.header.id.text())),
+                        shortened(change.author), problem.empty(), state.version,
+                        shortened(problem)},
          changeDecisions);
     return {problem.empty(), problem};
 }
--- a/src/poplarstream/fleet/host_steps.cpp
+++ b/src/poplarstream/fleet/host_steps.cpp
@@ -19,7 +19,13 @@
 Applied decide(FleetState &state, const Position &at, DecisionKind kind, const HostId &id,
                const WaveId &wave, bool granted, std::string reason)
 {
-    const Decision decision{at.offset, at.time, kind, granted, id, wave, reason};
+    const Decision decision{at.offset,
+                            at.time,
+                            kind,
+                            granted,
+                            HostId(shortened(id.text())),
+                            WaveId(shortened(wave.text())),
+                            shortened(reason)};
     FleetHost *host = findHost(state, id);
     if (host) {
         keep(host->decisions, decision, decisionsPerHost);
@@ -111,6 +117,9 @@
     if (!host->absence || host->absence->kind == AbsenceKind::Reboot) {
         return "no move of the host was granted";
     }
+    if (host->absence->moved) {
+        return "the host has moved already";
+    }
     if (host->absence->target != move.to) {
         return fmt::format("a move to pool {} was granted", host->absence->target.text());
     }
--- /dev/null
+++ b/src/poplarstream/fleet/random_log.hpp
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <vector>  // for vector
+
+#include "poplarstream/base/random.hpp"  // for Random
+#include "poplarstream/fleet/naive_fleet.hpp"  // for naive::Fleet
+
+namespace poplarstream {
+
+// Three pools over two zones and four racks, small enough that records of a random log often
+// concern the same host. `q` is the spare pool.
+inline std::vector<ConfigEdit> smallFleet()
+{
+    std::vector<ConfigEdit> edits = {
+            {"fleet", "name", "small"},     {"zone a", "region", "r"},
+            {"zone b", "region", "r"},      {"pool p", "max_away", "2"},
+            {"pool q", "max_away", "1"},    {"pool q", "spare", "yes"},
+            {"pool o", "max_away", "1"},    {"wave w", "pools", "p,o"},
+            {"wave w", "action", "move"},   {"wave w", "target", "q"},
+            {"wave w", "state", "running"}, {"wave v", "pools", "p"},
+            {"wave v", "action", "reboot"}, {"wave v", "state", "stopped"},
+    };
+    const char *pools[] = {"p", "p", "p", "p", "o", "o", "q", "q"};
+    for (int i = 0; i < 8; ++i) {
+        const std::string section = "host h" + std::to_string(i);
+        const std::string rack = std::to_string(i / 2);
+        edits.push_back({section, "zone", i < 4 ? "a" : "b"});
+        edits.push_back({section, "rack", "k" + rack});
+        edits.push_back({section, "pool", pools[i]});
+        edits.push_back({section, "cpus", "4"});
+        edits.push_back({section, "memory_mb", "64"});
+        edits.push_back({section, "worker", "127.0.1." + std::to_string(i + 1) + ":7000"});
+    }
+    return edits;
+}
+
+// Writes a random log whose records are often, but not always, valid in the state that they meet.
+class RandomLog
+{
+public:
+    explicit RandomLog(std::uint64_t seed)
+        : random_(seed)
+    {}
+
+    std::vector<Logged<ControlRecord>> write(std::size_t length)
+    {
+        append(ConfigChange{0, "ann", smallFleet()});
+        while (log_.size() < length) {
+            if (chance(10)) {
+                log_.push_back(log_[random_.below(log_.size())]);  // a retried append
+                log_.back().offset = log_.size() - 1;
+                fleet_.apply(log_.back());
+            } else {
+                append(randomBody());
+            }
+        }
+        return log_;
+    }
+
+private:
+    bool chance(std::uint64_t percent) { return random_.below(100) < percent; }
+
+    template <std::size_t Count>
+    std::string any(const char *const (&words)[Count])
+    {
+        return words[random_.below(Count)];
+    }
+
+    HostId anyHost() { return HostId("h" + std::to_string(random_.below(9))); }
+
+    void append(ControlBody body)
+    {
+        // The log's clock may jump back.
+        time_ += chance(5) ? -400 : static_cast<std::int64_t>(random_.below(100));
+        const RecordHeader header{RecordId("r" + std::to_string(log_.size())),
+                                  EntryHostId(any({"e1", "e2"}))};
+        log_.push_back({log_.size(), timePoint(time_), {header, std::move(body)}});
+        fleet_.apply(log_.back());
+    }
+
+    AbsenceProgress randomProgress()
+    {
+        AbsenceProgress progress{anyHost(), random_.below(log_.size() + 1),
+                                 static_cast<AbsencePhase>(random_.below(5))};
+        // Mostly about an absence that is open.
+        for (const auto &[id, host] : fleet_.hosts) {
+            if (host.open && chance(50)) {
+                progress.host = HostId(id);
+                progress.grant = chance(90) ? host.grant : progress.grant;
+            }
+        }
+        return progress;
+    }
+
+    HostMove randomMove()
+    {
+        HostMove move{anyHost(), PoolId(any({"p", "q", "o"})), PoolId(any({"p", "q", "o"}))};
+        for (const auto &[id, host] : fleet_.hosts) {
+            if (host.open && chance(60)) {
+                move = {HostId(id), fleet_.row(id).pool, PoolId(host.target)};
+            }
+        }
+        return move;
+    }
+
+    ConfigChange randomChange()
+    {
+        const std::string host = "host " + anyHost().text();
+        std::vector<ConfigEdit> edits;
+        switch (random_.below(7)) {
+        case 0:
+            edits = {{"pool " + any({"p", "q", "o"}), "max_away", any({"0", "1", "2", "3"})}};
+            break;
+        case 1:
+            edits = {{host, std::nullopt, std::nullopt}};
+            break;
+        case 2:
+            edits = {{host, "pool", any({"p", "q", "o"})}};
+            break;
+        case 3:
+            edits = {{"fleet", "rack_headroom", any({"yes", "no"})}};
+            break;
+        case 4:
+            edits = {{"wave " + any({"w", "v"}), "state", any({"running", "withdrawn"})}};
+            break;
+        case 5:
+            edits = {{"pool " + any({"p", "q", "o"}), std::nullopt, std::nullopt}};
+            break;
+        default:
+            edits = smallFleet();
+            edits.erase(edits.begin(), edits.begin() + 14);
+            edits.erase(edits.begin(), edits.begin() + 6 * random_.below(7));
+            edits.resize(6);
+        }
+        return {chance(85) ? fleet_.version : random_.below(5), "ann", edits};
+    }
+
+    ControlBody randomBody()
+    {
+        const std::uint64_t kind = random_.below(100);
+        if (kind < 25) {
+            const bool isMove = chance(50);
+            return AbsenceRequest{anyHost(),
+                                  isMove ? AbsenceKind::RebootAndMove : AbsenceKind::Reboot,
+                                  PoolId(isMove ? any({"p", "q", "o"}) : any({"", "", "", "q"})),
+                                  WaveId(any({"w", "w", "v", "", "u"})), "test"};
+        }
+        if (kind < 60) {
+            return randomProgress();
+        }
+        if (kind < 70) {
+            return randomMove();
+        }
+        if (kind < 82) {
+            return randomChange();
+        }
+        if (kind < 90) {
+            return HostHealth{anyHost(), chance(40), "test"};
+        }
+        if (kind < 94) {
+            return ZoneReachability{ZoneId(any({"a", "b", "c"})), chance(30)};
+        }
+        if (kind < 97) {
+            return WorkerQuarantine{anyHost(), chance(50), "test"};
+        }
+        return DutyLease{DutyId(any({"plan", "snapshot"})), EntryHostId(any({"e1", "e2"})),
+                         Milliseconds{random_.below(3) * 150}};
+    }
+
+    Random random_;
+    naive::Fleet fleet_;
+    std::int64_t time_ = 1000;
+    std::vector<Logged<ControlRecord>> log_;
+};
+
+}  // namespace poplarstream
--- a/src/poplarstream/fleet/replay.cpp
+++ b/src/poplarstream/fleet/replay.cpp
@@ -7,6 +7,19 @@
 
 namespace poplarstream {
 
+std::string shortened(std::string text)
+{
+    if (text.size() <= keptText) {
+        return text;
+    }
+    std::size_t end = keptText;
+    while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xc0) == 0x80) {
+        --end;
+    }
+    text.resize(end);
+    return text;
+}
+
 Applied apply(FleetState &state, const Logged<ControlRecord> &logged)
 {
     if (logged.offset < state.next) {
--- /dev/null
+++ b/src/poplarstream/fleet/replay_test.cpp
@@ -0,0 +1,126 @@
+#include "poplarstream/fleet/replay.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+#include <rapidcheck.h>  // for rc::check
+
+#include "poplarstream/fleet/queries.hpp"  // for budgetOf, hostsOf
+#include "poplarstream/fleet/random_log.hpp"  // for RandomLog
+#include "poplarstream/fleet/snapshot.hpp"  // for encodeState, snapshotParts
+#include "poplarstream/records/codec.hpp"  // for encode
+
+namespace poplarstream {
+namespace {
+
+using Log = std::vector<Logged<ControlRecord>>;
+
+void compare(const FleetState &state, const naive::Fleet &fleet)
+{
+    RC_ASSERT(state.version == fleet.version);
+    RC_ASSERT(state.document == fleet.document);
+    RC_ASSERT(*state.configuration == fleet.config);
+    RC_ASSERT(state.hosts.size() == fleet.hosts.size());
+    for (const auto &[id, host] : state.hosts) {
+        const naive::Host &other = fleet.hosts.at(id.text());
+        RC_ASSERT(hostStateText(host.state) == other.state);
+        RC_ASSERT(host.absence.has_value() == other.open);
+        RC_ASSERT(host.quarantined == other.quarantined);
+        RC_ASSERT(host.config->pool == fleet.row(id.text()).pool);
+    }
+    for (const auto &[pool, tally] : state.tallies) {
+        RC_ASSERT(tally.away + tally.incoming == fleet.against(pool.text(), false).size());
+    }
+    for (const auto &[duty, held] : fleet.duties) {
+        const auto holder = dutyHolder(state, DutyId(duty), state.time);
+        RC_ASSERT(holder.has_value() == (held.second > fleet.time));
+        RC_ASSERT(!holder || holder->holder.text() == held.first);
+    }
+}
+
+// Guards against entry hosts that act on a grant which the rules do not allow: the fast replay with
+// its counters and tables must agree with the plain one after every record.
+TEST(Replay, AgreesWithNaiveFold)
+{
+    EXPECT_TRUE(rc::check("replay agrees with the naive fold", [](std::uint64_t seed) {
+        FleetState state;
+        naive::Fleet fleet;
+        for (const auto &logged : RandomLog(seed).write(150)) {
+            const Applied applied = apply(state, logged);
+            RC_LOG(std::to_string(logged.offset) + " " + encode(logged.record) + " "
+                   + applied.reason + "\n");
+            RC_ASSERT(applied.granted == fleet.apply(logged));
+            RC_ASSERT(applied.granted == applied.reason.empty());
+            compare(state, fleet);
+        }
+    }));
+}
+
+// Counts from the hosts alone, so that a wrong tally does not hide a broken budget.
+void checkGuarantees(const FleetState &state)
+{
+    std::map<PoolId, std::uint32_t> caused;
+    std::size_t members = 0;
+    for (const PoolConfig &pool : state.configuration->pools) {
+        members += hostsOf(state, pool.id).size();
+    }
+    RC_ASSERT(members == state.hosts.size());
+    for (const auto &[id, host] : state.hosts) {
+        const std::string *written =
+                valueOf(*state.document.find(SectionId("host " + id.text())), "pool");
+        RC_ASSERT(written && *written == host.config->pool.text());
+        caused[host.config->pool] += host.absence ? 1 : 0;
+    }
+    for (const auto &[pool, count] : caused) {
+        RC_ASSERT(count <= state.configuration->pools.find(pool)->maxAway);
+    }
+}
+
+// Guards guarantees 1 and 2 against records that arrive late, twice or in another order than their
+// writers expected.
+TEST(Replay, NoOrderOfRecordsBreaksABudget)
+{
+    EXPECT_TRUE(rc::check("budgets hold in any order", [](std::uint64_t seed) {
+        Log log = RandomLog(seed).write(200);
+        Random random(seed + 1);
+        for (std::size_t i = 0; i < 100; ++i) {
+            // The first record stays, since nothing is granted without a configuration.
+            std::swap(log[1 + random.below(log.size() - 1)], log[1 + random.below(log.size() - 1)]);
+        }
+        FleetState state;
+        for (std::size_t i = 0; i < log.size(); ++i) {
+            log[i].offset = i;
+            apply(state, log[i]);
+            checkGuarantees(state);
+        }
+    }));
+}
+
+// Guards against a replaced entry host that decides differently from those that read the whole log.
+TEST(Snapshot, WithTailEqualsFullLogAtEveryCut)
+{
+    EXPECT_TRUE(rc::check("snapshot and tail equal the full log", [](std::uint64_t seed) {
+        const Log log = RandomLog(seed).write(60);
+        FleetState full;
+        for (const auto &logged : log) {
+            apply(full, logged);
+        }
+        const std::string expected = encodeState(full);
+        FleetState head;
+        for (std::size_t cut = 0; cut < log.size(); ++cut) {
+            apply(head, log[cut]);
+            SnapshotCollector collector;
+            for (const SnapshotPart &part : snapshotParts(head, RecordId("s"))) {
+                collector.add(part);
+            }
+            auto restored = collector.newest();
+            RC_ASSERT(restored.has_value());
+            RC_ASSERT(restored->next == cut + 1);
+            for (std::size_t i = restored->next; i < log.size(); ++i) {
+                apply(*restored, log[i]);
+            }
+            RC_ASSERT(encodeState(*restored) == expected);
+        }
+    }));
+}
+
+}  // namespace
+}  // namespace poplarstream
--- a/src/poplarstream/fleet/shared_steps.cpp
+++ b/src/poplarstream/fleet/shared_steps.cpp
@@ -26,6 +26,10 @@
     if (lease.duration < Milliseconds{0} || lease.duration > longestLease) {
         return {false, fmt::format("a lease lasts at most {} ms", longestLease.count())};
     }
+    if (lease.duty.text().size() > keptText || lease.holder.text().size() > keptText) {
+        return {false,
+                fmt::format("the names of a duty and its holder have at most {} bytes", keptText)};
+    }
     const auto current = dutyHolder(state, lease.duty, at.time);
     if (current && current->holder != lease.holder) {
         return {false, fmt::format("{} holds the duty for another {} ms", current->holder.text(),
--- /dev/null
+++ b/src/poplarstream/fleet/snapshot.cpp
@@ -0,0 +1,145 @@
+#include "poplarstream/fleet/snapshot.hpp"
+
+#include <algorithm>  // for sort
+
+#include "poplarstream/base/rendezvous.hpp"  // for stableHash
+
+namespace poplarstream {
+namespace {
+
+// Leaves 4 KiB of a record for its other fields.
+constexpr std::size_t partBytes = maxRecordBytes - 4 * 1024;
+
+// 64 MB of text, far above the size of a state at design size; a larger count is a broken part.
+constexpr std::uint32_t mostParts = 1024;
+
+// Two complete snapshots are kept, since the newest may turn out not to decode, and two incomplete
+// ones, since two holders of the duty may write at once.
+constexpr std::size_t keptComplete = 2;
+constexpr std::size_t keptIncomplete = 2;
+
+// The bytes of a character inside a JSON string. The text is JSON itself and holds no control
+// characters.
+std::size_t escapedSize(char c)
+{
+    return c == '"' || c == '\\' ? 2 : 1;
+}
+
+bool isInsideCharacter(char c)
+{
+    return (static_cast<unsigned char>(c) & 0xc0) == 0x80;
+}
+
+// Where the part that begins at `begin` ends: at most partBytes later when escaped, and between
+// UTF-8 characters, since a record holds only whole ones.
+std::size_t partEnd(std::string_view text, std::size_t begin)
+{
+    std::size_t end = begin;
+    std::size_t size = 0;
+    while (end < text.size() && size + escapedSize(text[end]) <= partBytes) {
+        size += escapedSize(text[end]);
+        ++end;
+    }
+    while (end < text.size() && end > begin + 1 && isInsideCharacter(text[end])) {
+        --end;
+    }
+    return end;
+}
+
+}  // namespace
+
+std::vector<SnapshotPart> snapshotParts(const FleetState &state, const RecordId &snapshot)
+{
+    std::vector<SnapshotPart> parts;
+    if (state.next == 0) {
+        return parts;
+    }
+    const std::string text = encodeState(state);
+    for (std::size_t begin = 0; begin < text.size();) {
+        const std::size_t end = partEnd(text, begin);
+        SnapshotPart part{snapshot,
+                          state.next - 1,
+                          static_cast<std::uint32_t>(parts.size()),
+                          0,
+                          0,
+                          text.substr(begin, end - begin)};
+        part.checksum = stableHash(part.data);
+        parts.push_back(std::move(part));
+        begin = end;
+    }
+    for (SnapshotPart &part : parts) {
+        part.count = static_cast<std::uint32_t>(parts.size());
+    }
+    return parts;
+}
+
+void SnapshotCollector::add(const SnapshotPart &part)
+{
+    if (part.count > mostParts || part.index >= part.count
+        || stableHash(part.data) != part.checksum) {
+        return;
+    }
+    const auto [at, isNew] = snapshots_.try_emplace(part.snapshot);
+    Snapshot &snapshot = at->second;
+    if (isNew) {
+        snapshot.through = part.through;
+        snapshot.count = part.count;
+    }
+    if (snapshot.through != part.through || snapshot.count != part.count) {
+        return;
+    }
+    snapshot.lastPart = ++added_;
+    snapshot.parts.emplace(part.index, part.data);
+    if (isNew || snapshot.isComplete()) {
+        dropOld();
+    }
+}
+
+void SnapshotCollector::dropOld()
+{
+    // Incomplete ones are kept by age and not by offset, so that a broken part with a high offset
+    // does not hold a place for ever.
+    using Entry = std::pair<std::uint64_t, RecordId>;
+    std::vector<Entry> complete;
+    std::vector<Entry> incomplete;
+    for (const auto &[id, snapshot] : snapshots_) {
+        if (snapshot.isComplete()) {
+            complete.emplace_back(snapshot.through, id);
+        } else {
+            incomplete.emplace_back(snapshot.lastPart, id);
+        }
+    }
+    const auto dropBeyond = [this](std::vector<Entry> &entries, std::size_t kept) {
+        std::sort(entries.rbegin(), entries.rend());
+        for (std::size_t i = kept; i < entries.size(); ++i) {
+            snapshots_.erase(entries[i].second);
+        }
+    };
+    dropBeyond(complete, keptComplete);
+    dropBeyond(incomplete, keptIncomplete);
+}
+
+std::optional<FleetState> SnapshotCollector::newest() const
+{
+    std::vector<const Snapshot *> complete;
+    for (const auto &[id, snapshot] : snapshots_) {
+        if (snapshot.isComplete()) {
+            complete.push_back(&snapshot);
+        }
+    }
+    std::sort(complete.begin(), complete.end(),
+              [](const Snapshot *a, const Snapshot *b) { return a->through > b->through; });
+    for (const Snapshot *snapshot : complete) {
+        std::string text;
+        for (const auto &[index, data] : snapshot->parts) {
+            text += data;
+        }
+        Result<FleetState> state = decodeState(text);
+        if (state && state.value().next == snapshot->through + 1) {
+            return std::move(state).value();
+        }
+    }
+    return std::nullopt;
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/fleet/state_codec.cpp
@@ -0,0 +1,275 @@
+#include <charconv>  // for from_chars
+#include <stdexcept>  // for runtime_error
+
+#include <fmt/format.h>  // for format_to
+#include <nlohmann/json.hpp>  // for json
+
+#include "poplarstream/config/ini.hpp"  // for parseDocument, formatDocument
+#include "poplarstream/config/validation.hpp"  // for readConfiguration
+#include "poplarstream/fleet/snapshot.hpp"  // for encodeState, decodeState
+#include "poplarstream/fleet/tally.hpp"  // for recount
+
+namespace poplarstream {
+namespace {
+
+using nlohmann::json;
+
+// A state of another format is not read; the tail of the log or an older snapshot is.
+constexpr int stateFormat = 1;
+
+std::int64_t number(TimePoint time)
+{
+    return millisecondsSinceEpoch(time);
+}
+
+// Reads an enum that is stored as a number.
+template <class Enum>
+Enum enumAt(const json &j, std::size_t index, int count)
+{
+    const int value = j.at(index).get<int>();
+    if (value < 0 || value >= count) {
+        throw std::runtime_error("a number is out of range");
+    }
+    return static_cast<Enum>(value);
+}
+
+template <class Id>
+Id idAt(const json &j, std::size_t index)
+{
+    return Id(j.at(index).get<std::string>());
+}
+
+TimePoint timeAt(const json &j, std::size_t index)
+{
+    return timePoint(j.at(index).get<std::int64_t>());
+}
+
+// The rows of the state are JSON arrays with a fixed order of fields, which halves the size of a
+// snapshot against named fields.
+json toJson(const Decision &d)
+{
+    return json::array({d.offset, number(d.time), static_cast<int>(d.kind), d.granted,
+                        d.host.text(), d.wave.text(), d.reason});
+}
+
+Decision decisionFrom(const json &j)
+{
+    return {j.at(0).get<Offset>(),
+            timeAt(j, 1),
+            enumAt<DecisionKind>(j, 2, decisionKindCount),
+            j.at(3).get<bool>(),
+            idAt<HostId>(j, 4),
+            idAt<WaveId>(j, 5),
+            j.at(6).get<std::string>()};
+}
+
+json toJson(const ChangeDecision &d)
+{
+    return json::array(
+            {d.offset, number(d.time), d.id.text(), d.author, d.granted, d.version, d.reason});
+}
+
+ChangeDecision changeFrom(const json &j)
+{
+    return {j.at(0).get<Offset>(),      timeAt(j, 1),        idAt<RecordId>(j, 2),
+            j.at(3).get<std::string>(), j.at(4).get<bool>(), j.at(5).get<std::uint64_t>(),
+            j.at(6).get<std::string>()};
+}
+
+template <class Row>
+json listJson(const std::vector<Row> &rows)
+{
+    json list = json::array();
+    for (const Row &row : rows) {
+        list.push_back(toJson(row));
+    }
+    return list;
+}
+
+template <class Read>
+auto listFrom(const json &j, Read read)
+{
+    std::vector<decltype(read(j))> rows;
+    rows.reserve(j.size());
+    for (const json &row : j) {
+        rows.push_back(read(row));
+    }
+    return rows;
+}
+
+json toJson(const Absence &a)
+{
+    return json::array({a.grant, static_cast<int>(a.kind), a.target.text(), a.wave.text(),
+                        number(a.granted), a.left, a.moved});
+}
+
+Absence absenceFrom(const json &j)
+{
+    return {j.at(0).get<Offset>(), enumAt<AbsenceKind>(j, 1, 3),
+            idAt<PoolId>(j, 2),    idAt<WaveId>(j, 3),
+            timeAt(j, 4),          j.at(5).get<bool>(),
+            j.at(6).get<bool>()};
+}
+
+json toJson(const FleetHost &host)
+{
+    return json::array({static_cast<int>(host.state), number(host.since), host.quarantined,
+                        host.absence ? toJson(*host.absence) : json(nullptr),
+                        listJson(host.decisions)});
+}
+
+FleetHost hostFrom(const json &j)
+{
+    FleetHost host;
+    host.state = enumAt<HostState>(j, 0, hostStateCount);
+    host.since = timeAt(j, 1);
+    host.quarantined = j.at(2).get<bool>();
+    if (!j.at(3).is_null()) {
+        host.absence = absenceFrom(j.at(3));
+    }
+    host.decisions = listFrom(j.at(4), decisionFrom);
+    return host;
+}
+
+json toJson(const WaveRecord &wave)
+{
+    json done = json::array();
+    for (const HostId &host : wave.done) {
+        done.push_back(host.text());
+    }
+    return json::array({std::move(done), listJson(wave.decisions)});
+}
+
+WaveRecord waveFrom(const json &j)
+{
+    WaveRecord wave;
+    for (const json &host : j.at(0)) {
+        wave.done.emplace_hint(wave.done.end(), host.get<std::string>());
+    }
+    wave.decisions = listFrom(j.at(1), decisionFrom);
+    return wave;
+}
+
+// Sixteen hexadecimal digits for each remembered id.
+std::string idsText(const RecentIds &ids)
+{
+    std::string text;
+    for (const std::uint64_t hash : ids.hashes()) {
+        fmt::format_to(std::back_inserter(text), "{:016x}", hash);
+    }
+    return text;
+}
+
+void restoreIds(RecentIds &ids, const std::string &text)
+{
+    std::vector<std::uint64_t> hashes;
+    for (std::size_t i = 0; i + 16 <= text.size(); i += 16) {
+        std::uint64_t hash = 0;
+        const char *end = text.data() + i + 16;
+        if (std::from_chars(text.data() + i, end, hash, 16).ptr != end) {
+            throw std::runtime_error("a remembered id is not hexadecimal");
+        }
+        hashes.push_back(hash);
+    }
+    ids.restore(hashes);
+}
+
+// A document that came into force stays in force, so the checks are not repeated here: a newer
+// program may have stricter ones.
+void restoreDocument(FleetState &state, const std::string &text)
+{
+    ParsedDocument parsed = parseDocument(text);
+    if (!parsed.faults.empty()) {
+        throw std::runtime_error(describe(parsed.faults));
+    }
+    state.document = std::move(parsed.document);
+    state.configuration =
+            std::make_shared<const Configuration>(readConfiguration(state.document).configuration);
+}
+
+void restoreHosts(FleetState &state, const json &hosts)
+{
+    for (const auto &[name, row] : hosts.items()) {
+        const HostId id(name);
+        FleetHost host = hostFrom(row);
+        host.config = state.configuration->hosts.findShared(id);
+        if (!host.config) {
+            throw std::runtime_error("a host is not in the document");
+        }
+        state.hosts.emplace_hint(state.hosts.end(), id, std::move(host));
+    }
+    if (state.hosts.size() != state.configuration->hosts.size()) {
+        throw std::runtime_error("a host of the document is missing");
+    }
+}
+
+FleetState stateFrom(const json &j)
+{
+    if (j.at("format").get<int>() != stateFormat) {
+        throw std::runtime_error("the state has another format");
+    }
+    FleetState state;
+    state.next = j.at("next").get<Offset>();
+    state.time = timePoint(j.at("time").get<std::int64_t>());
+    state.version = j.at("version").get<std::uint64_t>();
+    restoreDocument(state, j.at("document").get<std::string>());
+    restoreHosts(state, j.at("hosts"));
+    for (const json &zone : j.at("lost")) {
+        state.lostZones.emplace(zone.get<std::string>());
+    }
+    for (const auto &[duty, row] : j.at("duties").items()) {
+        state.duties[DutyId(duty)] = {idAt<EntryHostId>(row, 0), row.at(1).get<Offset>(),
+                                      timeAt(row, 2)};
+    }
+    for (const auto &[wave, row] : j.at("waves").items()) {
+        state.waves[WaveId(wave)] = waveFrom(row);
+    }
+    state.changes = listFrom(j.at("changes"), changeFrom);
+    state.strays = listFrom(j.at("strays"), decisionFrom);
+    restoreIds(state.recentIds, j.at("ids").get<std::string>());
+    recount(state);
+    return state;
+}
+
+}  // namespace
+
+std::string encodeState(const FleetState &state)
+{
+    json j = {{"format", stateFormat},
+              {"next", state.next},
+              {"time", number(state.time)},
+              {"version", state.version},
+              {"document", formatDocument(state.document)},
+              {"hosts", json::object()},
+              {"lost", json::array()},
+              {"duties", json::object()},
+              {"waves", json::object()},
+              {"changes", listJson(state.changes)},
+              {"strays", listJson(state.strays)},
+              {"ids", idsText(state.recentIds)}};
+    for (const auto &[id, host] : state.hosts) {
+        j["hosts"][id.text()] = toJson(host);
+    }
+    for (const ZoneId &zone : state.lostZones) {
+        j["lost"].push_back(zone.text());
+    }
+    for (const auto &[duty, holder] : state.duties) {
+        j["duties"][duty.text()] =
+                json::array({holder.holder.text(), holder.token, number(holder.expires)});
+    }
+    for (const auto &[id, wave] : state.waves) {
+        j["waves"][id.text()] = toJson(wave);
+    }
+    return j.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<FleetState> decodeState(std::string_view text)
+{
+    try {
+        return stateFrom(json::parse(text));
+    } catch (const std::exception &error) {
+        return Failure{error.what(), "state"};
+    }
+}
+
+}  // namespace poplarstream
--- a/src/poplarstream/fleet/steps.hpp
+++ b/src/poplarstream/fleet/steps.hpp
@@ -27,6 +27,13 @@
 // remove one that is away, or break a budget. Empty if it may.
 std::string hostsProblem(const FleetState &state, const Configuration &after);
 
+// The longest text that a history keeps, in bytes. Records can carry up to 64 KiB of text, which
+// in the histories of 4,500 hosts would break the limit of 64 MB.
+inline constexpr std::size_t keptText = 240;
+
+// The beginning of a text, cut between UTF-8 characters.
+std::string shortened(std::string text);
+
 // Appends to a history and drops the oldest entry of a full one.
 template <class Entry>
 void keep(std::vector<Entry> &history, Entry entry, std::size_t most)
