Add the fleet stand-in

Plays all workers and minions of a document, with the token rules, leases, drains, reboots and faults, and records each execution.

--- /dev/null
+++ b/standins/fleet/host.cpp
@@ -0,0 +1,156 @@
+#include "fleet/host.hpp"
+
+#include <stdexcept>  // for runtime_error
+
+#include <nlohmann/json.hpp>  // for json
+
+#include "common/service.hpp"  // for after, systemMilliseconds
+
+namespace poplarstream::standins {
+
+namespace {
+
+// Leaves time for the answer to the request for the reboot.
+constexpr Milliseconds rebootDelay{100};
+
+}  // namespace
+
+Host::Host(boost::asio::io_context &io, FleetContext &context, const Section &section,
+           Milliseconds rebootTime, std::function<void(const std::string &)> announce)
+    : io_(io)
+    , context_(context)
+    , name_(section.name)
+    , rebootTime_(rebootTime)
+    , announce_(std::move(announce))
+{
+    const auto worker = section.endpoints("worker");
+    if (worker.size() != 1) {
+        throw std::runtime_error("[host " + name_ + "] needs one worker = ip:port");
+    }
+    worker_ = std::make_unique<Worker>(
+            io, context,
+            WorkerOptions{name_, worker.front(), section.number("cpus", 0),
+                          section.number("memory_mb", 0)},
+            WorkerEvents{[this] { drain(); }, [this] { resume(); }, [this] { reboot(); }});
+    for (const HttpEndpoint &endpoint : section.endpoints("minions")) {
+        const MinionOptions options{name_ + "/" + std::to_string(minions_.size()), endpoint,
+                                    static_cast<std::size_t>(section.number("slots", 8)),
+                                    static_cast<std::size_t>(section.number("connections", 64))};
+        minions_.push_back(std::make_unique<Minion>(io, context, options));
+    }
+}
+
+void Host::open()
+{
+    if (isDead_ || isRebooting_ || worker_->isOpen()) {
+        return;
+    }
+    worker_->open();
+    for (const auto &minion : minions_) {
+        minion->open();
+    }
+    announce_("live");
+}
+
+void Host::close()
+{
+    worker_->close();
+    for (const auto &minion : minions_) {
+        minion->close();
+    }
+}
+
+void Host::drain()
+{
+    isDraining_ = true;
+    worker_->setDraining(true);
+    for (const auto &minion : minions_) {
+        minion->setLeaving(true);
+    }
+    context_.history.write({{"kind", "drain"}, {"host", name_}, {"time_ms", systemMilliseconds()}});
+    announce_("leaving");
+}
+
+void Host::resume()
+{
+    isDraining_ = false;
+    worker_->setDraining(false);
+    for (const auto &minion : minions_) {
+        minion->setLeaving(false);
+    }
+    context_.history.write(
+            {{"kind", "resume"}, {"host", name_}, {"time_ms", systemMilliseconds()}});
+    announce_("live");
+}
+
+void Host::reboot()
+{
+    if (isRebooting_) {
+        return;
+    }
+    isRebooting_ = true;
+    context_.history.write(
+            {{"kind", "reboot"}, {"host", name_}, {"time_ms", systemMilliseconds()}});
+    after(io_, rebootDelay, [this] {
+        close();
+        announce_("gone");
+        after(io_, rebootTime_, [this] {
+            isRebooting_ = false;
+            resume();
+            open();
+        });
+    });
+}
+
+void Host::setFault(Fault fault, double factor)
+{
+    context_.history.write({{"kind", "fault"},
+                            {"host", name_},
+                            {"fault", static_cast<int>(fault)},
+                            {"time_ms", systemMilliseconds()}});
+    isDead_ = fault == Fault::Dead;
+    worker_->setFault(fault, factor);
+    for (const auto &minion : minions_) {
+        minion->setFault(fault, factor);
+    }
+    if (isDead_) {
+        close();
+    } else {
+        open();
+    }
+}
+
+bool Host::setMinionFault(const HttpEndpoint &endpoint, Fault fault, double factor)
+{
+    for (const auto &minion : minions_) {
+        if (minion->options().endpoint != endpoint) {
+            continue;
+        }
+        if (fault == Fault::Dead) {
+            minion->close();
+        } else {
+            minion->setFault(fault, factor);
+            if (!minion->isOpen() && worker_->isOpen()) {
+                minion->open();
+            }
+        }
+        return true;
+    }
+    return false;
+}
+
+nlohmann::json Host::state() const
+{
+    std::size_t busy = 0;
+    for (const auto &minion : minions_) {
+        busy += minion->busy();
+    }
+    return {{"state", isDead_        ? "dead"
+                      : isRebooting_ ? "rebooting"
+                      : isDraining_  ? "draining"
+                                     : "in-service"},
+            {"tasks", worker_->runningTasks()},
+            {"busy", busy}};
+}
+
+}  // namespace poplarstream::standins
