--- a/src/poplarstream/adapters/worker_client.cpp
+++ b/src/poplarstream/adapters/worker_client.cpp
@@ -91,8 +91,8 @@
         return result;
     }
     try {
-        const auto body = parseBoundedJson(outcome.response.body);
-        for (const json &item : body.value_or(json()).at("lost")) {
+        const json body = parseBoundedJson(outcome.response.body).value_or(json());
+        for (const json &item : body.at("lost")) {
             result.lost.push_back(keyFrom(item));
         }
     } catch (const json::exception &) {
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -68,7 +68,8 @@
     {
         try {
             if (request.method == "POST") {
-                for (const json &item : json::parse(request.body).at("faults")) {
+                const json body = json::parse(request.body);
+                for (const json &item : body.at("faults")) {
                     apply(item);
                 }
             }
