--- a/include/poplarstream/fleet/replay.hpp
+++ b/include/poplarstream/fleet/replay.hpp
@@ -9,7 +9,7 @@
 namespace poplarstream {
 
 // The outcome of one record. `reason` says in plain English why a record was not granted.
-struct Applied
+struct ControlOutcome
 {
     bool granted = false;
     std::string reason;
@@ -18,6 +18,6 @@
 // Applies the next record of the control stream. The result depends only on the state and the
 // record. A record that is not granted changes nothing but the time, the remembered ids and the
 // histories. A record below `state.next`, and one whose id is remembered, is ignored.
-Applied apply(FleetState &state, const Logged<ControlRecord> &logged);
+ControlOutcome apply(FleetState &state, const Logged<ControlRecord> &logged);
 
 }  // namespace poplarstream
--- /dev/null
+++ b/include/poplarstream/node/platform_duty.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <functional>  // for function
+#include <memory>  // for shared_ptr
+#include <string>  // for string
+#include <variant>  // for variant
+#include <vector>  // for vector
+
+#include "poplarstream/adapters/platform_client.hpp"  // for LogPage, AppendOutcome, PlatformHost
+#include "poplarstream/base/id.hpp"  // for RecordId
+#include "poplarstream/base/time.hpp"  // for TimePoint
+#include "poplarstream/node/duty_thread.hpp"  // for DutyThread
+
+namespace poplarstream {
+
+// A page of a followed stream. `asked` is the local time before the read was sent: the log held
+// nothing else at that time.
+struct StreamPage
+{
+    std::string stream;
+    LogPage page;
+    TimePoint asked;
+    bool isAtEnd = false;  // the log had no further record when it answered
+};
+
+// A read failed; it is repeated.
+struct StreamFault
+{
+    std::string stream;
+    std::string fault;
+};
+
+struct AppendAnswer
+{
+    RecordId record;
+    AppendOutcome outcome;
+};
+
+struct HostsListed
+{
+    std::vector<PlatformHost> hosts;
+};
+
+using PlatformEvent = std::variant<StreamPage, StreamFault, AppendAnswer, HostsListed>;
+
+// The duty that talks to the platform. It follows streams, appends records and reads the list of
+// hosts; what they mean is decided elsewhere. Its functions may be called from any thread; `report`
+// is called on the duty's thread and returns false when the event could not be taken, in which case
+// a page is read again later.
+class PlatformDuty
+{
+public:
+    PlatformDuty(DutyThread &thread, const HttpEndpoint &platform,
+                 std::function<bool(PlatformEvent &&)> report);
+    ~PlatformDuty();
+    PlatformDuty(const PlatformDuty &) = delete;
+    PlatformDuty &operator=(const PlatformDuty &) = delete;
+
+    // Reads the stream from `from` on, page after page. A second call for a stream restarts it
+    // there; pages of the earlier reading are dropped.
+    void follow(std::string stream, Offset from);
+    void stopFollowing(std::string stream);
+
+    void append(RecordId record, std::string stream, std::string text);
+
+    // Reads the list of hosts every `period`.
+    void listHosts(Milliseconds period);
+
+private:
+    struct State;
+    std::shared_ptr<State> state_;
+};
+
+}  // namespace poplarstream
--- a/include/poplarstream/node/serving_view.hpp
+++ b/include/poplarstream/node/serving_view.hpp
@@ -19,7 +19,7 @@
     std::uint64_t version = 0;  // of the configuration; 0 means that there is none
     std::shared_ptr<const Configuration> configuration;
     traffic::TrafficSettings traffic;
-    std::set<MinionId> leaving;  // on hosts that drain, are away, or leave
+    std::set<MinionId> leaving;  // by evidence that is newer than the replayed state
 };
 
 // The name of a minion is the text of its address, which is unique in a configuration.
@@ -33,7 +33,7 @@
     bool isInService = true;
 };
 
-// `hosts` holds all hosts of the configuration.
+// Lists the minions of the hosts in service. `hosts` holds all hosts of the configuration.
 ServingView makeServingView(std::uint64_t version,
                             std::shared_ptr<const Configuration> configuration,
                             std::span<const ServingHost> hosts, const EntryHostId &self,
--- a/src/poplarstream/fleet/change_step.cpp
+++ b/src/poplarstream/fleet/change_step.cpp
@@ -102,7 +102,7 @@
 
 }  // namespace
 
-Applied applyStep(FleetState &state, const Position &at, const ConfigChange &change)
+ControlOutcome applyStep(FleetState &state, const Position &at, const ConfigChange &change)
 {
     const std::string problem = tryChange(state, at, change);
     keep(state.changes,
--- a/src/poplarstream/fleet/host_steps.cpp
+++ b/src/poplarstream/fleet/host_steps.cpp
@@ -16,8 +16,8 @@
 
 // Keeps the decision in the histories of the host and of the wave, and returns it as the outcome.
 // A granted record gives its own reason in `reason`.
-Applied decide(FleetState &state, const Position &at, DecisionKind kind, const HostId &id,
-               const WaveId &wave, bool granted, std::string reason)
+ControlOutcome decide(FleetState &state, const Position &at, DecisionKind kind, const HostId &id,
+                      const WaveId &wave, bool granted, std::string reason)
 {
     const Decision decision{at.offset,
                             at.time,
@@ -146,7 +146,7 @@
 
 }  // namespace
 
-Applied applyStep(FleetState &state, const Position &at, const AbsenceRequest &request)
+ControlOutcome applyStep(FleetState &state, const Position &at, const AbsenceRequest &request)
 {
     std::string problem = absenceProblem(state, request, at.time);
     const bool granted = problem.empty();
@@ -161,7 +161,7 @@
                   granted ? request.reason : std::move(problem));
 }
 
-Applied applyStep(FleetState &state, const Position &at, const AbsenceProgress &progress)
+ControlOutcome applyStep(FleetState &state, const Position &at, const AbsenceProgress &progress)
 {
     FleetHost *host = findHost(state, progress.host);
     const WaveId wave = waveOf(host);
@@ -179,7 +179,7 @@
     return decide(state, at, row.kind, progress.host, wave, granted, std::move(problem));
 }
 
-Applied applyStep(FleetState &state, const Position &at, const HostMove &move)
+ControlOutcome applyStep(FleetState &state, const Position &at, const HostMove &move)
 {
     FleetHost *host = findHost(state, move.host);
     std::string problem = moveProblem(host, move);
@@ -194,7 +194,7 @@
                   std::move(problem));
 }
 
-Applied applyStep(FleetState &state, const Position &at, const HostHealth &health)
+ControlOutcome applyStep(FleetState &state, const Position &at, const HostHealth &health)
 {
     const DecisionKind kind = health.failed ? DecisionKind::Failed : DecisionKind::Recovered;
     FleetHost *host = findHost(state, health.host);
@@ -216,7 +216,7 @@
     return decide(state, at, kind, health.host, waveOf(host), true, health.evidence);
 }
 
-Applied applyStep(FleetState &state, const Position &at, const WorkerQuarantine &quarantine)
+ControlOutcome applyStep(FleetState &state, const Position &at, const WorkerQuarantine &quarantine)
 {
     const DecisionKind kind =
             quarantine.quarantined ? DecisionKind::Quarantine : DecisionKind::QuarantineEnd;
--- a/src/poplarstream/fleet/replay.cpp
+++ b/src/poplarstream/fleet/replay.cpp
@@ -20,7 +20,7 @@
     return text;
 }
 
-Applied apply(FleetState &state, const Logged<ControlRecord> &logged)
+ControlOutcome apply(FleetState &state, const Logged<ControlRecord> &logged)
 {
     if (logged.offset < state.next) {
         return {false, "the offset was applied already"};
--- a/src/poplarstream/fleet/replay_test.cpp
+++ b/src/poplarstream/fleet/replay_test.cpp
@@ -44,7 +44,7 @@
         FleetState state;
         naive::Fleet fleet;
         for (const auto &logged : RandomLog(seed).write(150)) {
-            const Applied applied = apply(state, logged);
+            const ControlOutcome applied = apply(state, logged);
             RC_LOG(std::to_string(logged.offset) + " " + encode(logged.record) + " "
                    + applied.reason + "\n");
             RC_ASSERT(applied.granted == fleet.apply(logged));
--- a/src/poplarstream/fleet/shared_steps.cpp
+++ b/src/poplarstream/fleet/shared_steps.cpp
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-Applied applyStep(FleetState &state, const Position &at, const DutyLease &lease)
+ControlOutcome applyStep(FleetState &state, const Position &at, const DutyLease &lease)
 {
     if (lease.duration < Milliseconds{0} || lease.duration > longestLease) {
         return {false, fmt::format("a lease lasts at most {} ms", longestLease.count())};
@@ -50,7 +50,7 @@
     return {true, ""};
 }
 
-Applied applyStep(FleetState &state, const Position & /*at*/, const ZoneReachability &zone)
+ControlOutcome applyStep(FleetState &state, const Position & /*at*/, const ZoneReachability &zone)
 {
     if (!state.configuration->zones.contains(zone.zone)) {
         return {false, fmt::format("zone '{}' is not configured", zone.zone.text())};
@@ -67,7 +67,8 @@
     return {true, ""};
 }
 
-Applied applyStep(FleetState & /*state*/, const Position & /*at*/, const SnapshotPart & /*part*/)
+ControlOutcome applyStep(FleetState & /*state*/, const Position & /*at*/,
+                         const SnapshotPart & /*part*/)
 {
     return {true, ""};
 }
--- a/src/poplarstream/fleet/steps.hpp
+++ b/src/poplarstream/fleet/steps.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "poplarstream/fleet/replay.hpp"  // for Applied, FleetState
+#include "poplarstream/fleet/replay.hpp"  // for ControlOutcome, FleetState
 
 namespace poplarstream {
 
@@ -13,15 +13,15 @@
 };
 
 // One step of replay for each kind of record.
-Applied applyStep(FleetState &state, const Position &at, const ConfigChange &change);
-Applied applyStep(FleetState &state, const Position &at, const AbsenceRequest &request);
-Applied applyStep(FleetState &state, const Position &at, const AbsenceProgress &progress);
-Applied applyStep(FleetState &state, const Position &at, const HostMove &move);
-Applied applyStep(FleetState &state, const Position &at, const HostHealth &health);
-Applied applyStep(FleetState &state, const Position &at, const ZoneReachability &zone);
-Applied applyStep(FleetState &state, const Position &at, const DutyLease &lease);
-Applied applyStep(FleetState &state, const Position &at, const WorkerQuarantine &quarantine);
-Applied applyStep(FleetState &state, const Position &at, const SnapshotPart &part);
+ControlOutcome applyStep(FleetState &state, const Position &at, const ConfigChange &change);
+ControlOutcome applyStep(FleetState &state, const Position &at, const AbsenceRequest &request);
+ControlOutcome applyStep(FleetState &state, const Position &at, const AbsenceProgress &progress);
+ControlOutcome applyStep(FleetState &state, const Position &at, const HostMove &move);
+ControlOutcome applyStep(FleetState &state, const Position &at, const HostHealth &health);
+ControlOutcome applyStep(FleetState &state, const Position &at, const ZoneReachability &zone);
+ControlOutcome applyStep(FleetState &state, const Position &at, const DutyLease &lease);
+ControlOutcome applyStep(FleetState &state, const Position &at, const WorkerQuarantine &quarantine);
+ControlOutcome applyStep(FleetState &state, const Position &at, const SnapshotPart &part);
 
 // Why the configuration must not come into force with the hosts as they are: it would move a host,
 // remove one that is away, or break a budget. Empty if it may.
--- a/src/poplarstream/node/callers_duty.cpp
+++ b/src/poplarstream/node/callers_duty.cpp
@@ -416,7 +416,7 @@
         Actions actions;
         traffic::configure(traffic, view->traffic, clock.now(), actions);
         for (const MinionId &minion : view->leaving) {
-            traffic::onLeaving(traffic, minion);
+            traffic::onLeaving(traffic, minion, clock.now());
         }
         perform(actions);
     }
--- /dev/null
+++ b/src/poplarstream/node/platform_duty.cpp
@@ -0,0 +1,181 @@
+#include "poplarstream/node/platform_duty.hpp"
+
+#include <map>  // for map
+
+#include <boost/asio/steady_timer.hpp>  // for steady_timer
+
+#include "poplarstream/adapters/http_client.hpp"  // for HttpClient
+#include "poplarstream/node/process_clock.hpp"  // for ProcessClock
+
+namespace poplarstream {
+
+namespace {
+
+constexpr Milliseconds readRetryDelay{300};
+// A long poll that stays silent is noticed after readDeadline, and a read on a new connection
+// follows; both together stay below the 9 s within which a configuration has to be in force.
+constexpr Milliseconds readWait{4'000};
+constexpr Milliseconds readDeadline{5'500};
+constexpr Milliseconds appendDeadline{2'000};
+constexpr std::size_t pageRecords = 1'000;
+// Two long polls, the host list and the appends in flight.
+constexpr std::size_t platformConnections = 16;
+
+PlatformSettings platformSettings(const HttpEndpoint &endpoint)
+{
+    return {.endpoint = endpoint,
+            .appendDeadline = appendDeadline,
+            .readWait = readWait,
+            .readDeadline = readDeadline,
+            .pageRecords = pageRecords};
+}
+
+}  // namespace
+
+struct PlatformDuty::State : std::enable_shared_from_this<PlatformDuty::State>
+{
+    // One reading of a stream. `generation` tells pages of an earlier reading.
+    struct Following
+    {
+        Offset from = 0;
+        std::uint64_t generation = 0;
+    };
+
+    State(DutyThread &dutyThread, const HttpEndpoint &platform,
+          std::function<bool(PlatformEvent &&)> onEvent)
+        : thread(dutyThread)
+        , http(dutyThread.context(), {.connectionsPerEndpoint = platformConnections})
+        , client(makePlatformClient(http, platformSettings(platform)))
+        , report(std::move(onEvent))
+        , hostsTimer(dutyThread.context())
+    {}
+
+    void follow(const std::string &stream, Offset from)
+    {
+        following[stream] = {from, ++lastGeneration};
+        read(stream, lastGeneration);
+    }
+
+    void read(const std::string &stream, std::uint64_t generation)
+    {
+        const auto found = following.find(stream);
+        if (found == following.end() || found->second.generation != generation) {
+            return;
+        }
+        const TimePoint asked = clock.now();
+        client.read(stream, found->second.from,
+                    [weak = weak_from_this(), stream, generation, asked](Result<LogPage> page) {
+                        if (const auto self = weak.lock()) {
+                            self->onPage(stream, generation, asked, std::move(page));
+                        }
+                    });
+    }
+
+    void onPage(const std::string &stream, std::uint64_t generation, TimePoint asked,
+                Result<LogPage> page)
+    {
+        const auto found = following.find(stream);
+        if (found == following.end() || found->second.generation != generation) {
+            return;
+        }
+        if (!page) {
+            report(StreamFault{stream, page.failure().message});
+            readLater(stream, generation);
+            return;
+        }
+        const Offset next = page.value().next;
+        const bool isAtEnd = page.value().entries.size() < pageRecords;
+        StreamPage event{stream, std::move(page).value(), asked, isAtEnd};
+        if (report(std::move(event))) {
+            // The receiver may have restarted the stream meanwhile.
+            const auto still = following.find(stream);
+            if (still != following.end() && still->second.generation == generation) {
+                still->second.from = next;
+                read(stream, generation);
+            }
+        } else {
+            readLater(stream, generation);
+        }
+    }
+
+    void readLater(const std::string &stream, std::uint64_t generation)
+    {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(thread.context());
+        timer->expires_after(readRetryDelay);
+        timer->async_wait([weak = weak_from_this(), timer, stream,
+                           generation](boost::system::error_code error) {
+            if (const auto self = weak.lock(); self && !error) {
+                self->read(stream, generation);
+            }
+        });
+    }
+
+    void append(const RecordId &record, const std::string &stream, const std::string &text)
+    {
+        client.append(stream, text, [weak = weak_from_this(), record](AppendOutcome outcome) {
+            if (const auto self = weak.lock()) {
+                self->report(AppendAnswer{record, std::move(outcome)});
+            }
+        });
+    }
+
+    void listHosts(Milliseconds period)
+    {
+        client.hosts([weak = weak_from_this(), period](Result<std::vector<PlatformHost>> hosts) {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            if (hosts) {
+                self->report(HostsListed{std::move(hosts).value()});
+            }
+            self->hostsTimer.expires_after(period);
+            self->hostsTimer.async_wait([weak, period](boost::system::error_code error) {
+                if (const auto state = weak.lock(); state && !error) {
+                    state->listHosts(period);
+                }
+            });
+        });
+    }
+
+    DutyThread &thread;
+    ProcessClock clock;
+    HttpClient http;
+    PlatformClient client;
+    std::function<bool(PlatformEvent &&)> report;
+    boost::asio::steady_timer hostsTimer;
+    std::map<std::string, Following> following;
+    std::uint64_t lastGeneration = 0;
+};
+
+PlatformDuty::PlatformDuty(DutyThread &thread, const HttpEndpoint &platform,
+                           std::function<bool(PlatformEvent &&)> report)
+    : state_(std::make_shared<State>(thread, platform, std::move(report)))
+{}
+
+PlatformDuty::~PlatformDuty() = default;
+
+void PlatformDuty::follow(std::string stream, Offset from)
+{
+    state_->thread.post(
+            [state = state_, stream = std::move(stream), from] { state->follow(stream, from); });
+}
+
+void PlatformDuty::stopFollowing(std::string stream)
+{
+    state_->thread.post(
+            [state = state_, stream = std::move(stream)] { state->following.erase(stream); });
+}
+
+void PlatformDuty::append(RecordId record, std::string stream, std::string text)
+{
+    state_->thread.post([state = state_, record = std::move(record), stream = std::move(stream),
+                         text = std::move(text)] { state->append(record, stream, text); });
+}
+
+void PlatformDuty::listHosts(Milliseconds period)
+{
+    state_->thread.post([state = state_, period] { state->listHosts(period); });
+}
+
+}  // namespace poplarstream
--- a/src/poplarstream/node/serving_view.cpp
+++ b/src/poplarstream/node/serving_view.cpp
@@ -49,13 +49,13 @@
         view.traffic.zones.push_back({zone.id, zoneDistance(*view.configuration, zone, ownZone)});
     }
     for (const ServingHost &host : hosts) {
+        if (!host.isInService) {
+            continue;
+        }
         for (const Address address : host.config->minions) {
             const MinionId id = minionId(address);
             view.traffic.minions.push_back({id, host.pool, host.config->zone, host.config->slots,
                                             host.config->connections});
-            if (!host.isInService) {
-                view.leaving.insert(id);
-            }
         }
     }
     return view;
--- /dev/null
+++ b/src/poplarstream/node/worker_table.cpp
@@ -0,0 +1,207 @@
+#include "poplarstream/node/worker_table.hpp"
+
+#include <algorithm>  // for sort, binary_search
+
+#include "poplarstream/base/rendezvous.hpp"  // for rendezvousOwner
+
+namespace poplarstream {
+
+namespace {
+
+WorkerCondition conditionOf(const FleetState &fleet, const FleetHost &host)
+{
+    if (fleet.lostZones.contains(host.config->zone)) {
+        return WorkerCondition::Away;
+    }
+    switch (host.state) {
+    case HostState::InService:
+        return host.quarantined ? WorkerCondition::Quarantined : WorkerCondition::Usable;
+    case HostState::Draining:
+        return WorkerCondition::Draining;
+    case HostState::Away:
+    case HostState::Returning:
+    case HostState::Failed:
+        break;
+    }
+    return WorkerCondition::Away;
+}
+
+std::vector<ServiceId> servicesOf(const Configuration &configuration, const PoolId &pool)
+{
+    const PoolConfig *found = configuration.pools.find(pool);
+    std::vector<ServiceId> services = found != nullptr ? found->services : std::vector<ServiceId>{};
+    std::sort(services.begin(), services.end());
+    return services;
+}
+
+Resources capacityOf(const HostConfig &host)
+{
+    return {host.cpus, host.memoryMegabytes, host.accelerators};
+}
+
+// A claimed or absent host is polled more often than one that is only watched; no period means
+// that this entry host does not poll it.
+std::optional<Milliseconds> pollPeriod(const PollInput &input, const PollPolicy &policy,
+                                       const HostId &id, const FleetHost &host)
+{
+    const bool isAbsent = host.absence || host.state != HostState::InService;
+    if (input.drivesWaves && isAbsent) {
+        return policy.absencePeriod;
+    }
+    if (std::binary_search(input.claimed.begin(), input.claimed.end(), id)) {
+        return policy.claimPeriod;
+    }
+    const bool isOfZone = host.config->zone == input.zone;
+    if (isOfZone && (input.zoneWorkers <= policy.watchAllUpTo || watches(input, id, input.zone))) {
+        return policy.sharePeriod;
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+void noteStatus(WorkerTable &table, const WorkerStatus &status, TimePoint now)
+{
+    WorkerEntry &entry = table.entries[status.host];
+    if (!status.hasAnswered) {
+        if (!entry.unansweredSince) {
+            entry.unansweredSince = now;
+        }
+        entry.areMinionsHealthy = false;
+        return;
+    }
+    if (entry.last && entry.last->usage && status.usage
+        && entry.last->usage->at != status.usage->at) {
+        entry.previousUsage = entry.last->usage;
+    }
+    if (entry.last && entry.last->boot != status.boot) {
+        entry.previousUsage.reset();
+    }
+    entry.unansweredSince.reset();
+    entry.lastHeard = now;
+    if (status.areMinionsHealthy) {
+        entry.areMinionsHealthy = *status.areMinionsHealthy;
+    }
+    entry.last = status;
+}
+
+void forgetUnknown(WorkerTable &table, const FleetState &fleet)
+{
+    std::erase_if(table.entries,
+                  [&](const auto &entry) { return !fleet.hosts.contains(entry.first); });
+}
+
+bool watches(const PollInput &input, const HostId &host, const ZoneId &hostZone)
+{
+    if (hostZone != input.zone || input.zonePeers.empty()) {
+        return false;
+    }
+    const std::span<const EntryHostId> peers(input.zonePeers);
+    return input.zonePeers[rendezvousOwner(host.text(), peers)] == input.self;
+}
+
+std::vector<WorkerPoll> takePolls(WorkerTable &table, const PollInput &input,
+                                  const PollPolicy &policy, TimePoint now)
+{
+    std::vector<std::pair<TimePoint, HostId>> due;
+    for (const auto &[id, host] : input.fleet.hosts) {
+        const std::optional<Milliseconds> period = pollPeriod(input, policy, id, host);
+        if (!period) {
+            continue;
+        }
+        const WorkerEntry &entry = table.entries[id];
+        const TimePoint last = entry.lastPolled.value_or(TimePoint{});
+        if (now - last >= *period) {
+            due.emplace_back(last, id);
+        }
+    }
+    std::sort(due.begin(), due.end());
+    std::vector<WorkerPoll> polls;
+    for (const auto &[last, id] : due) {
+        if (polls.size() == policy.perTick) {
+            break;
+        }
+        table.entries[id].lastPolled = now;
+        const FleetHost &host = input.fleet.hosts.at(id);
+        polls.push_back({id, host.state != HostState::InService || host.absence.has_value()});
+    }
+    return polls;
+}
+
+FleetView makeRunsView(const WorkerTable &table, const FleetState &fleet, const ZoneId &zone)
+{
+    FleetView view;
+    view.isComplete = fleet.version > 0;
+    const Configuration &configuration = *fleet.configuration;
+    std::map<std::pair<ZoneId, ServiceId>, Resources> offers;
+    for (const auto &[id, host] : fleet.hosts) {
+        std::vector<ServiceId> services = servicesOf(configuration, host.config->pool);
+        if (host.config->zone != zone) {
+            for (const ServiceId &service : services) {
+                Resources &largest = offers[{host.config->zone, service}];
+                const Resources capacity = capacityOf(*host.config);
+                if (capacity.memoryMegabytes >= largest.memoryMegabytes) {
+                    largest = capacity;
+                }
+            }
+            continue;
+        }
+        WorkerView worker;
+        worker.host = id;
+        worker.rack = host.config->rack;
+        worker.services = std::move(services);
+        worker.capacity = capacityOf(*host.config);
+        worker.condition = conditionOf(fleet, host);
+        if (const auto entry = table.entries.find(id); entry != table.entries.end()) {
+            worker.lastHeard = entry->second.lastHeard;
+            if (entry->second.last) {
+                worker.boot = entry->second.last->boot;
+                worker.usage = entry->second.last->usage;
+            }
+            worker.previousUsage = entry->second.previousUsage;
+        }
+        view.workers.push_back(std::move(worker));
+    }
+    for (const auto &[key, largest] : offers) {
+        if (!fleet.lostZones.contains(key.first)) {
+            view.otherZones.push_back({key.first, key.second, largest});
+        }
+    }
+    for (const TenantConfig &tenant : configuration.tenants) {
+        view.weights[tenant.id] = tenant.weight;
+    }
+    return view;
+}
+
+std::vector<maintenance::HostObservation>
+makeObservations(const WorkerTable &table, const FleetState &fleet, Milliseconds toLogTime)
+{
+    std::vector<maintenance::HostObservation> observations;
+    for (const auto &[id, entry] : table.entries) {
+        const auto host = fleet.hosts.find(id);
+        if (host == fleet.hosts.end() || (!entry.last && !entry.unansweredSince)) {
+            continue;
+        }
+        maintenance::HostObservation seen;
+        seen.host = id;
+        const Offset wanted = host->second.absence ? host->second.absence->grant : 0;
+        if (entry.last) {
+            const WorkerStatus &status = *entry.last;
+            seen.grant = status.rebootedFor == wanted ? wanted : status.grant;
+            seen.isDraining = status.mode != WorkerMode::InService;
+            seen.isDrained = status.mode == WorkerMode::Drained && !entry.unansweredSince;
+            seen.hasRebooted = wanted != 0 && status.rebootedFor == wanted;
+            seen.hasProbeSucceeded = status.mode == WorkerMode::InService && entry.areMinionsHealthy
+                                     && !entry.unansweredSince;
+        }
+        if (entry.unansweredSince) {
+            // Silence is a fact about the host under whatever grant.
+            seen.unansweredSince = *entry.unansweredSince + toLogTime;
+            seen.grant = wanted;
+        }
+        observations.push_back(std::move(seen));
+    }
+    return observations;
+}
+
+}  // namespace poplarstream
