Read and check only what a change of the configuration concerns

A change of one key repeated all checks between sections and went through all hosts. It now repeats the checks of the kinds of sections that it touches, and follows the hosts only if hosts, pools or zones differ.

--- a/bench/fleet_benchmark.cpp
+++ b/bench/fleet_benchmark.cpp
@@ -117,9 +117,10 @@
     Log log(1);
     for (auto _ : state) {
         log.resize(fleet.next);
-        append(log, ConfigChange{fleet.version,
-                                 "operator",
-                                 {{"tenant t001", "weight", std::to_string(fleet.version + 1)}}});
+        append(log,
+               ConfigChange{fleet.version,
+                            "operator",
+                            {{"tenant t001", "weight", std::to_string(1 + fleet.version % 500)}}});
         if (!apply(fleet, log.back()).granted) {
             state.SkipWithError("refused");
         }
--- a/include/poplarstream/config/address.hpp
+++ b/include/poplarstream/config/address.hpp
@@ -14,6 +14,8 @@
     std::uint32_t ip = 0;
     std::uint16_t port = 0;
 
+    // clang-tidy 14 takes the 0 in a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const Address &, const Address &) = default;
 };
 
--- a/include/poplarstream/config/document.hpp
+++ b/include/poplarstream/config/document.hpp
@@ -23,6 +23,8 @@
     // The part after the first blank; empty for a section without a name.
     std::string_view name() const;
 
+    // clang-tidy 14 takes the 0 in a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const SectionId &, const SectionId &) = default;
 
 private:
--- a/include/poplarstream/config/fault.hpp
+++ b/include/poplarstream/config/fault.hpp
@@ -16,6 +16,8 @@
     std::string expected;
     std::string found;
 
+    // clang-tidy 14 takes the 0 in a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const ConfigFault &, const ConfigFault &) = default;
 };
 
--- a/include/poplarstream/config/validation.hpp
+++ b/include/poplarstream/config/validation.hpp
@@ -20,8 +20,9 @@
 ReadConfiguration readConfiguration(const ConfigDocument &document);
 
 // The same result as readConfiguration(document), for a document that differs from the one that
-// `before` was read from without faults only in the `changed` sections. Reads only those sections;
-// the checks between sections are repeated in full.
+// `before` was read from without faults only in the `changed` sections. Reads only those sections
+// and repeats only the checks between sections that they can affect. A budget that moves have made
+// larger than its pool may stand in `before`, and is reported again.
 ReadConfiguration readChanged(const Configuration &before, const ConfigDocument &document,
                               std::span<const SectionId> changed);
 
--- a/src/poplarstream/config/cross_checks.cpp
+++ b/src/poplarstream/config/cross_checks.cpp
@@ -1,7 +1,7 @@
 #include "poplarstream/config/cross_checks.hpp"
 
 #include <algorithm>  // for find, sort
-#include <map>  // for map
+#include <initializer_list>  // for initializer_list
 #include <string_view>  // for string_view
 #include <unordered_map>  // for unordered_map
 
@@ -170,17 +170,37 @@
     }
 }
 
+using Check = void (*)(const Configuration &, ConfigFaults &);
+
+struct CheckRow
+{
+    Check check;
+    std::initializer_list<SectionKind> kinds;
+};
+
+KindSet setOf(std::initializer_list<SectionKind> kinds)
+{
+    KindSet set;
+    for (const SectionKind kind : kinds) {
+        set.set(static_cast<std::size_t>(kind));
+    }
+    return set;
+}
+
 }  // namespace
 
-void checkReferences(const Configuration &configuration, ConfigFaults &faults)
+void checkReferences(const Configuration &configuration, KindSet touched, ConfigFaults &faults)
 {
-    checkRacks(configuration, faults);
-    checkPools(configuration, faults);
+    using enum SectionKind;
     checkBudgets(configuration, faults);
-    checkTenants(configuration, faults);
-    checkHostReferences(configuration, faults);
-    checkAddresses(configuration, faults);
-    checkWaves(configuration, faults);
+    for (const auto &[check, kinds] :
+         {CheckRow{checkRacks, {Rack, Zone}}, CheckRow{checkPools, {Pool, Service}},
+          CheckRow{checkTenants, {Tenant}}, CheckRow{checkHostReferences, {Host, Zone, Pool, Rack}},
+          CheckRow{checkAddresses, {Host}}, CheckRow{checkWaves, {Wave, Pool}}}) {
+        if ((setOf(kinds) & touched).any()) {
+            check(configuration, faults);
+        }
+    }
 }
 
 }  // namespace poplarstream
--- a/src/poplarstream/config/validation.cpp
+++ b/src/poplarstream/config/validation.cpp
@@ -9,12 +9,12 @@
 namespace poplarstream {
 namespace {
 
-void finish(const ConfigDocument &document, ReadConfiguration &read)
+void finish(const ConfigDocument &document, KindSet touched, ReadConfiguration &read)
 {
     if (!document.contains(SectionId("fleet"))) {
         read.faults.push_back({"fleet", "", "the section [fleet]", ""});
     }
-    checkReferences(read.configuration, read.faults);
+    checkReferences(read.configuration, touched, read.faults);
     std::sort(read.faults.begin(), read.faults.end());
 }
 
@@ -26,7 +26,7 @@
     for (const ConfigSection &section : document) {
         readSection(section, read.configuration, read.faults);
     }
-    finish(document, read);
+    finish(document, KindSet{}.set(), read);
     return read;
 }
 
@@ -36,14 +36,18 @@
     ReadConfiguration read{before, {}};
     // A section may be listed once for each of its keys, but its faults count once.
     const std::set<SectionId> distinct(changed.begin(), changed.end());
+    KindSet touched;
     for (const SectionId &id : distinct) {
+        if (const auto kind = sectionKind(id.kind())) {
+            touched.set(static_cast<std::size_t>(*kind));
+        }
         if (const ConfigSection *section = document.find(id)) {
             readSection(*section, read.configuration, read.faults);
         } else {
             forgetSection(id, read.configuration);
         }
     }
-    finish(document, read);
+    finish(document, touched, read);
     return read;
 }
 
--- a/src/poplarstream/fleet/change_step.cpp
+++ b/src/poplarstream/fleet/change_step.cpp
@@ -33,7 +33,7 @@
     if (faults.empty()) {
         return;
     }
-    const ConfigFaults standing = readChanged(*state.configuration, state.document, {}).faults;
+    const ConfigFaults standing = readConfiguration(state.document).faults;
     std::erase_if(faults, [&](const ConfigFault &fault) {
         return std::any_of(standing.begin(), standing.end(), [&](const ConfigFault &old) {
             return old.section == fault.section && old.key == fault.key && old.found == fault.found
@@ -42,14 +42,20 @@
     });
 }
 
-// Brings the hosts, waves and zones in line with the configuration in force.
-void follow(FleetState &state, TimePoint time)
+// Whether the change concerns hosts or budgets; most of 3,400 changes a day do not, and going
+// through 4,500 hosts takes longer than the rest of the change. Rows that did not change are shared
+// with the configuration before, so the comparison is cheap.
+bool concernsHosts(const Configuration &before, const Configuration &after)
+{
+    return !(before.hosts == after.hosts && before.pools == after.pools
+             && before.zones == after.zones);
+}
+
+void followHosts(FleetState &state, TimePoint time)
 {
     const Configuration &configuration = *state.configuration;
     std::erase_if(state.hosts,
                   [&](const auto &host) { return !configuration.hosts.contains(host.first); });
-    std::erase_if(state.waves,
-                  [&](const auto &wave) { return !configuration.waves.contains(wave.first); });
     std::erase_if(state.lostZones,
                   [&](const ZoneId &zone) { return !configuration.zones.contains(zone); });
     for (const HostConfig &config : configuration.hosts) {
@@ -59,15 +65,22 @@
             at->second.since = time;
         }
     }
-    for (const WaveConfig &wave : configuration.waves) {
-        state.waves.try_emplace(wave.id);
-    }
     for (auto &[id, wave] : state.waves) {
         std::erase_if(wave.done, [&](const HostId &host) { return !state.hosts.contains(host); });
     }
     recount(state);
 }
 
+void followWaves(FleetState &state)
+{
+    const Configuration &configuration = *state.configuration;
+    std::erase_if(state.waves,
+                  [&](const auto &wave) { return !configuration.waves.contains(wave.first); });
+    for (const WaveConfig &wave : configuration.waves) {
+        state.waves.try_emplace(wave.id);
+    }
+}
+
 // Brings the change into force, or says why it can not be.
 std::string tryChange(FleetState &state, const Position &at, const ConfigChange &change)
 {
@@ -90,13 +103,19 @@
     if (!read.faults.empty()) {
         return describe(read.faults);
     }
-    if (std::string problem = hostsProblem(state, read.configuration); !problem.empty()) {
-        return problem;
+    const bool hostsChange = concernsHosts(*state.configuration, read.configuration);
+    if (hostsChange) {
+        if (std::string problem = hostsProblem(state, read.configuration); !problem.empty()) {
+            return problem;
+        }
     }
     state.document = std::move(edited.document);
     state.configuration = std::make_shared<const Configuration>(std::move(read.configuration));
     ++state.version;
-    follow(state, at.time);
+    followWaves(state);
+    if (hostsChange) {
+        followHosts(state, at.time);
+    }
     return {};
 }
 
--- a/src/poplarstream/fleet/host_life.cpp
+++ b/src/poplarstream/fleet/host_life.cpp
@@ -40,7 +40,8 @@
     using Returning = In<HostState::Returning>;
     using Failed = In<HostState::Failed>;
 
-    struct transition_table
+    // Boost.MSM demands the names transition_table and no_transition.
+    struct transition_table  // NOLINT(readability-identifier-naming)
         : boost::mpl::vector<
                   Row<Service, HostEvent::Granted, Draining>,
                   Row<Service, HostEvent::Failed, Failed>, Row<Draining, HostEvent::Drained, Away>,
@@ -56,6 +57,7 @@
     {};
 
     template <class Event, class Machine>
+    // NOLINTNEXTLINE(readability-identifier-naming)
     void no_transition(const Event & /*event*/, Machine & /*machine*/, int /*state*/)
     {
         isRefused = true;
--- a/src/poplarstream/fleet/host_steps.cpp
+++ b/src/poplarstream/fleet/host_steps.cpp
@@ -148,7 +148,7 @@
 
 Applied applyStep(FleetState &state, const Position &at, const AbsenceRequest &request)
 {
-    std::string problem = absenceProblem(state, request, at.time);
+    const std::string problem = absenceProblem(state, request, at.time);
     const bool granted = problem.empty();
     if (granted) {
         FleetHost &host = *findHost(state, request.host);
@@ -158,7 +158,7 @@
                                at.time,   false,        false};
     }
     return decide(state, at, DecisionKind::Absence, request.host, request.wave, granted,
-                  granted ? request.reason : std::move(problem));
+                  granted ? request.reason : problem);
 }
 
 Applied applyStep(FleetState &state, const Position &at, const AbsenceProgress &progress)
