--- /dev/null
+++ b/src/poplarstream/history/check_test.cpp
@@ -0,0 +1,109 @@
+#include "poplarstream/history/check.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+
+namespace poplarstream::history {
+namespace {
+
+Event at(std::int64_t ms, EventBody body)
+{
+    return {timePoint(ms), std::move(body)};
+}
+
+const RunId order("a-1");
+const RunId invoice("a-2");
+const HostId host("h");
+const PoolId pool("p");
+
+// A history without a fault that touches every check.
+std::vector<Event> goodHistory()
+{
+    return {at(0, RunAcceptedAnswer{order, true}),
+            at(1, RunAcceptedAnswer{invoice, false}),
+            at(2, RunExecuted{order, host, {1, 0}, false}),
+            at(3, RunExecuted{order, host, {2, 0}, false}),
+            at(4, RunExecuted{invoice, host, {3, 0}, false}),
+            at(5, RunExecuted{invoice, host, {4, 0}, true}),
+            at(6, RunEndAnswer{order, Verdict::Ran, false}),
+            at(7, RunKnownAtEnd{invoice}),
+            at(8, PoolJoined{host, pool}),
+            at(9, PoolLeft{host, pool}),
+            at(9, PoolJoined{host, PoolId("q")}),
+            at(10, BudgetSet{pool, 1}),
+            at(11, AbsenceBegan{host, pool, true}),
+            at(12, AbsenceBegan{HostId("failed"), pool, false}),
+            at(13, AbsenceEnded{host}),
+            at(14, RequestSent{RequestId("q1"), 7}),
+            at(15, AnswerReceived{RequestId("q1"), 7, true}),
+            at(16, EndpointLeaving{"m"}),
+            at(2016, WorkSent{"m"}),
+            at(2017, ConfigInForce{"e", 4}),
+            at(2018, ConfigInForce{"e", 4}),
+            at(2019, PlannedStop{"m"}),
+            at(2020, RequestCut{RequestId("q2"), "crashed"})};
+}
+
+std::uint64_t violations(const std::vector<Event> &history, const std::string &promise)
+{
+    std::uint64_t count = 0;
+    for (const CheckResult &result : checkAll(history)) {
+        if (result.promise == promise) {
+            count += result.violations.size();
+        } else {
+            EXPECT_TRUE(result.violations.empty()) << result.promise;
+        }
+    }
+    return count;
+}
+
+// Guards against a checker that calls allowed behaviour a fault, or that checks nothing.
+TEST(HistoryCheck, AcceptsGoodHistory)
+{
+    for (const CheckResult &result : checkAll(goodHistory())) {
+        EXPECT_TRUE(result.violations.empty()) << result.promise;
+        EXPECT_GT(result.checked + (result.promise == "cancelled-never-starts" ? 1 : 0), 0U)
+                << result.promise;
+    }
+}
+
+// Guards against a checker that does not see a fault: each case plants one into the good history,
+// and exactly the check of that promise has to report it.
+TEST(HistoryCheck, SeesEachPlantedFault)
+{
+    struct Fault
+    {
+        std::string promise;
+        std::vector<Event> events;
+    };
+    const RunId other("a-3");
+    const std::vector<Fault> faults = {
+            {"no-accepted-run-lost", {at(3000, RunAcceptedAnswer{other, false})}},
+            {"non-idempotent-once", {at(3000, RunExecuted{invoice, HostId("g"), {9, 0}, false})}},
+            {"cancelled-never-starts",
+             {at(3000, RunEndAnswer{other, Verdict::MayHaveRun, true}),
+              at(3001, RunExecuted{other, host, {9, 0}, false})}},
+            {"verdicts-true", {at(3000, RunEndAnswer{invoice, Verdict::NotRun, false})}},
+            {"verdicts-true", {at(3000, RunEndAnswer{other, Verdict::Ran, false})}},
+            {"verdicts-true",
+             {at(3000, RunEndAnswer{other, Verdict::NotRun, false}),
+              at(3001, RunExecuted{other, host, {9, 0}, false})}},
+            {"one-pool", {at(3000, PoolJoined{host, PoolId("r")})}},
+            {"one-pool", {at(3000, PoolLeft{host, pool})}},
+            {"availability-budget", {at(3000, AbsenceBegan{host, pool, true})}},
+            {"right-answer", {at(3000, AnswerReceived{RequestId("q1"), 8, true})}},
+            {"right-answer", {at(3000, AnswerReceived{RequestId("q1"), 7, false})}},
+            {"right-answer", {at(3000, AnswerReceived{RequestId("q9"), 7, true})}},
+            {"no-work-for-leaving", {at(3000, WorkSent{"m"})}},
+            {"config-never-reverts", {at(3000, ConfigInForce{"e", 3})}},
+            {"no-request-cut", {at(3000, RequestCut{RequestId("q3"), "m"})}},
+    };
+    for (const Fault &fault : faults) {
+        SCOPED_TRACE("planted: " + fault.promise);
+        std::vector<Event> history = goodHistory();
+        history.insert(history.end(), fault.events.begin(), fault.events.end());
+        EXPECT_EQ(violations(history, fault.promise), 1U);
+    }
+}
+
+}  // namespace
+}  // namespace poplarstream::history
