--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -31,7 +31,9 @@
     target_include_directories(${target}_test PRIVATE "${CMAKE_SOURCE_DIR}/src")
     target_compile_definitions(${target}_test PRIVATE
                                POPLAR_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+    # The history checker may be defined after the module whose tests use it.
     target_link_libraries(${target}_test PRIVATE ${target} ${RAPIDCHECK_LIBRARY}
+                          $<TARGET_NAME_IF_EXISTS:poplar_history>
                           GTest::gtest_main)
     add_test(NAME ${name} COMMAND ${target}_test)
   endif()
--- a/include/poplarstream/runs/run_policy.hpp
+++ b/include/poplarstream/runs/run_policy.hpp
@@ -38,6 +38,8 @@
     // A worker without a finished run gets at most this many at once.
     std::uint32_t unprovenLimit = 2;
     Milliseconds suspectDelay{5'000};
+    // A worker without evidence for a quarantine is tried at least this often.
+    Milliseconds maxSuspectDelay{5 * 60 * 1000};
     Milliseconds probeDelay{30'000};
     Milliseconds maxProbeDelay{60 * 60 * 1000};
     // Quarantine needs this many faults in a row, of different runs and several tenants.
--- a/src/poplarstream/runs/placement.cpp
+++ b/src/poplarstream/runs/placement.cpp
@@ -144,11 +144,16 @@
     return result;
 }
 
-bool isAllowed(const Candidate &candidate, const Run &run)
+// A non-idempotent run avoids suspect workers, but not for ever: when every worker is suspect, only
+// another run can clear one of them.
+bool isAllowed(const Placement &placement, const Candidate &candidate, const Run &run)
 {
     const auto &failedOn = run.failedOn;
-    return candidate.room.runs < candidate.limit
-           && !(candidate.isSuspect && !run.accepted.idempotent)
+    const bool isRisky =
+            candidate.isSuspect && !run.accepted.idempotent
+            && (candidate.worker->condition == WorkerCondition::Quarantined
+                || placement.state.now - run.waitingSince < placement.policy.unplaceableAfter);
+    return candidate.room.runs < candidate.limit && !isRisky
            && std::find(failedOn.begin(), failedOn.end(), candidate.worker->host) == failedOn.end();
 }
 
@@ -180,7 +185,7 @@
             && !fitsInto(estimate, candidate.worker->capacity)) {
             continue;
         }
-        if (!isAllowed(candidate, run) || !fitsInto(size, candidate.room.left)) {
+        if (!isAllowed(placement, candidate, run) || !fitsInto(size, candidate.room.left)) {
             continue;
         }
         // The random part keeps several owners from choosing the same worker.
--- a/src/poplarstream/runs/quarantine.cpp
+++ b/src/poplarstream/runs/quarantine.cpp
@@ -78,7 +78,7 @@
             isQuarantined ? doubled(policy.probeDelay,
                                     times - std::min(times, policy.quarantineFaults - 1),
                                     policy.maxProbeDelay)
-                          : doubled(policy.suspectDelay, times, policy.maxProbeDelay);
+                          : doubled(policy.suspectDelay, times, policy.maxSuspectDelay);
     return {record.lastOutcome + delay <= state.now ? 1U : 0U, true};
 }
 
--- a/src/poplarstream/runs/supervise.cpp
+++ b/src/poplarstream/runs/supervise.cpp
@@ -219,10 +219,6 @@
                                     task->seen->result, task->seen->peak, task->seen->ran});
                 return;
             case TaskState::Running:
-                if (step.isDue(task->stopSentAt)) {
-                    step.decision.commands.emplace_back(StopTask{ref});
-                }
-                continue;
             case TaskState::Refused:
                 break;
             }
@@ -234,7 +230,11 @@
                     run.id(), attempt.token, RunOutcome::MayHaveRun, {}, {}, Milliseconds{0}});
             return;
         }
-        if (step.isDue(task ? task->revokeSentAt : std::nullopt)) {
+        if (task && task->seen && task->seen->state == TaskState::Running) {
+            if (step.isDue(task->stopSentAt)) {
+                step.decision.commands.emplace_back(StopTask{ref});
+            }
+        } else if (step.isDue(task ? task->revokeSentAt : std::nullopt)) {
             step.decision.commands.emplace_back(RevokeTask{ref});
         }
     }
