Let long-waiting requests compete in other zones

Zones with three entry hosts and a third of the minions gave each entry host less than zones with two, and no zone reports room during a flood, so nothing spilled.

A request that has waited a quarter of its time may now take one place at a minion of another zone. Also adds the cases bad-minions, wrong-slots and leaving-minions.

--- a/bench/traffic_cases.cpp
+++ b/bench/traffic_cases.cpp
@@ -177,7 +177,7 @@
 
 void nothing(World &) {}
 
-// Three services share a pool. Other work takes 60% of it, below each service's guaranteed third.
+// Three services share a pool. Each takes 28% of it, close below its guaranteed third.
 std::vector<MeasureLine> flood(const std::string &name, bool mostUrgent, std::uint64_t seed)
 {
     WorldSetup setup = makeSetup(3, {0, 1, 2, 0, 1, 2, 0, 1});
@@ -190,9 +190,9 @@
     const std::size_t flooding = addTenants(setup, 5);
     const double all = capacity(setup, time);
     setup.end = 20 * oneSecond;
-    setup.work = {{tickets, 0, regular, 30, oneSecond, false, constantRate(0.25 * all), {}},
-                  {proofs, 1, regular, 30, oneSecond, false, constantRate(0.25 * all), {}},
-                  {archive, 3, regular, 30, oneSecond, false, constantRate(0.1 * all), {}}};
+    setup.work = {{tickets, 0, regular, 30, oneSecond, false, constantRate(0.28 * all), {}},
+                  {proofs, 1, regular, 30, oneSecond, false, constantRate(0.28 * all), {}},
+                  {archive, 3, regular, 30, oneSecond, false, constantRate(0.28 * all), {}}};
     const WorldSetup alone = setup;
     const Micros from = 8 * oneSecond;
     const Micros to = 18 * oneSecond;
@@ -388,6 +388,54 @@
     return lines;
 }
 
+// Three of 24 minions fail everything at once, two take eight times as long, at 60% load.
+std::vector<MeasureLine> badMinions(std::uint64_t seed)
+{
+    WorldSetup setup = plainSetup(3, {0, 1, 2, 0, 1, 2, 0, 1}, 24, 0.6);
+    setup.end = 30 * oneSecond;
+    setup.slowness.assign(24, 1);
+    setup.slowness[3] = setup.slowness[4] = 8;
+    const auto prepare = [](World &world) {
+        world.at(10 * oneSecond, [&world] {
+            for (const std::size_t minion : {0, 7, 14}) {
+                world.setFailing(minion, true);
+            }
+        });
+    };
+    return onTime("bad-minions", "on-time", setup, 10 * oneSecond, setup.end, seed, prepare);
+}
+
+// A quarter of the minions run 2 slots where 8 are declared, at 70% of what really runs.
+std::vector<MeasureLine> wrongSlots(std::uint64_t seed)
+{
+    constexpr double real = (18 * 8 + 6 * 2) / (24 * 8.0);
+    WorldSetup setup = plainSetup(3, {0, 1, 2, 0, 1, 2, 0, 1}, 24, 0.7 * real);
+    for (std::size_t minion = 0; minion < 24; minion += 4) {
+        setup.realSlots[minion] = 2;
+    }
+    setup.end = 30 * oneSecond;
+    return onTime("wrong-slots", "on-time", setup, warmUp, setup.end, seed, nothing);
+}
+
+// One minion after the other leaves, every 2 s, until a third has left.
+std::vector<MeasureLine> leavingMinions(std::uint64_t seed)
+{
+    WorldSetup setup = plainSetup(3, {0, 1, 2, 0, 1, 2, 0, 1}, 24, 0.5);
+    setup.end = 30 * oneSecond;
+    const auto prepare = [](World &world) {
+        for (std::size_t minion = 0; minion < 8; ++minion) {
+            world.at(static_cast<Micros>(10 + 2 * minion) * oneSecond,
+                     [&world, minion] { world.setLeaving(minion); });
+        }
+    };
+    auto lines =
+            onTime("leaving-minions", "on-time", setup, 10 * oneSecond, setup.end, seed, prepare);
+    const World world = runWorld(setup, presentEntryHost, seed, prepare);
+    lines.push_back(promise("leaving-minions", "nothing-new-2s-after-leaving",
+                            world.requests().size(), world.startedWhileLeaving(), seed));
+    return lines;
+}
+
 std::span<const TrafficCase> trafficCases()
 {
     static const std::vector<TrafficCase> cases{{"flood-least-urgent", floodLeastUrgent},
@@ -395,7 +443,10 @@
                                                 {"bursts-in-turn", burstsInTurn},
                                                 {"silent-connections", silentConnections},
                                                 {"zone-cut", zoneCut},
-                                                {"region-apart", regionApart}};
+                                                {"region-apart", regionApart},
+                                                {"bad-minions", badMinions},
+                                                {"wrong-slots", wrongSlots},
+                                                {"leaving-minions", leavingMinions}};
     return cases;
 }
 
--- a/bench/traffic_entry_hosts.cpp
+++ b/bench/traffic_entry_hosts.cpp
@@ -67,7 +67,7 @@
                                world.close(entry, static_cast<std::uint64_t>(a.connection));
                            },
                            [&](const traffic::Deliver &a) {
-                               world.finish(callers[a.request], Outcome::Answered, answerOf);
+                               world.finish(callers[a.request], answerOutcome, answerOf);
                                callers.erase(a.request);
                            },
                            [&](const traffic::Finish &a) {
@@ -84,6 +84,7 @@
 
     World &world;
     std::size_t entry;
+    Outcome answerOutcome = Outcome::Answered;
     traffic::TrafficState state;
     std::unordered_map<std::string, std::size_t> minionIndex;
     std::unordered_map<RequestNumber, std::size_t> callers;
@@ -191,11 +192,11 @@
         const std::size_t request = found->second.request;
         tries.erase(found);
         --inFlight;
-        if (kind == traffic::AnswerKind::Refused && ++retries[request] <= 3) {
+        if (kind != traffic::AnswerKind::Ok && ++retries[request] <= 3) {
             sendTo(request, pick(request));
         } else {
             world.finish(request,
-                         kind == traffic::AnswerKind::Ok ? Outcome::Answered : Outcome::NotRun,
+                         kind == traffic::AnswerKind::Ok ? Outcome::Answered : Outcome::Failed,
                          answerOf);
         }
         pump();
@@ -253,9 +254,10 @@
                                          now, out);
         });
     };
-    functions.answered = [act](std::uint64_t connection, const std::string &id,
-                               std::size_t answerOf, traffic::AnswerKind kind,
-                               const traffic::LoadReport &load) {
+    functions.answered = [act, host](std::uint64_t connection, const std::string &id,
+                                     std::size_t answerOf, traffic::AnswerKind kind,
+                                     const traffic::LoadReport &load) {
+        host->answerOutcome = kind == traffic::AnswerKind::Ok ? Outcome::Answered : Outcome::Failed;
         act(answerOf, [&](auto &state, TimePoint now, Actions &out) {
             traffic::onAnswer(state, static_cast<ConnectionNumber>(connection), {id, kind, load},
                               now, out);
--- a/bench/traffic_world.cpp
+++ b/bench/traffic_world.cpp
@@ -113,7 +113,7 @@
 {
     const MinionModel &model = minions_[minion];
     return {model.busy + static_cast<std::uint32_t>(model.waiting.size()),
-            setup_.settings.minions[minion].slots, false};
+            setup_.settings.minions[minion].slots, model.leavingSince > 0};
 }
 
 void World::open(std::size_t entry, std::uint64_t connection, std::size_t minion)
@@ -158,6 +158,14 @@
     at(now_ + oneWay(entry, minion), [=, this] {
         MinionModel &model = minions_[minion];
         const Job job{entry, connection, id, request};
+        if (model.failing) {
+            ++requests_[request].started;
+            answer(minion, job, traffic::AnswerKind::Failed);
+            return;
+        }
+        if (model.leavingSince > 0 && now_ >= model.leavingSince + 2 * oneSecond) {
+            ++startedWhileLeaving_;
+        }
         if (model.busy + model.waiting.size() >= setup_.settings.minions[minion].connections) {
             answer(minion, job, traffic::AnswerKind::Refused);
             return;
@@ -176,8 +184,10 @@
         ++model.busy;
         ++requests_[job.request].started;
         const std::size_t service = setup_.work[requests_[job.request].kind].service;
-        at(now_ + drawTime(random_, setup_.serviceTime[service]),
-           [=, this] { endJob(minion, job); });
+        const double factor = setup_.slowness.empty() ? 1 : setup_.slowness[minion];
+        const auto mean =
+                static_cast<Micros>(factor * static_cast<double>(setup_.serviceTime[service]));
+        at(now_ + drawTime(random_, mean), [=, this] { endJob(minion, job); });
     }
 }
 
@@ -220,6 +230,16 @@
     }
 }
 
+void World::setFailing(std::size_t minion, bool failing)
+{
+    minions_[minion].failing = failing;
+}
+
+void World::setLeaving(std::size_t minion)
+{
+    minions_[minion].leavingSince = now_;
+}
+
 void World::setCut(std::size_t fromZone, std::size_t toZone, bool cut)
 {
     cut_[fromZone][toZone] = cut;
--- a/bench/traffic_world.hpp
+++ b/bench/traffic_world.hpp
@@ -40,11 +40,12 @@
     traffic::TrafficSettings settings;  // without entry host, own zone and distances
     std::vector<Micros> serviceTime;  // mean, by service
     std::vector<std::uint32_t> realSlots;  // by minion
+    std::vector<double> slowness;  // factor of the service time, by minion; empty means 1
     std::vector<KindOfWork> work;
     Micros end = 30 * oneSecond;
 };
 
-enum class Outcome : std::uint8_t { Open, Answered, NotRun, MayHaveRun };
+enum class Outcome : std::uint8_t { Open, Answered, Failed, NotRun, MayHaveRun };
 
 struct CallerRequest
 {
@@ -96,6 +97,11 @@
     void at(Micros time, std::function<void()> action);
     void silenceOpenConnections();
     void setCut(std::size_t fromZone, std::size_t toZone, bool cut);
+    // A failing minion answers everything at once with a failure. A leaving one finishes its work
+    // and marks its answers; the work that it starts 2 s or more after the mark is counted.
+    void setFailing(std::size_t minion, bool failing);
+    void setLeaving(std::size_t minion);
+    std::uint64_t startedWhileLeaving() const { return startedWhileLeaving_; }
 
     TimePoint now() const { return timePoint(now_ / 1000); }
     Micros nowMicros() const { return now_; }
@@ -130,6 +136,8 @@
     {
         std::uint32_t busy = 0;
         std::deque<Job> waiting;
+        bool failing = false;
+        Micros leavingSince = 0;
     };
 
     void scheduleArrival(std::size_t kind, Micros from);
@@ -153,6 +161,7 @@
     std::vector<std::size_t> minionZones_;
     std::vector<std::vector<bool>> cut_;
     std::vector<CallerRequest> requests_;
+    std::uint64_t startedWhileLeaving_ = 0;
 };
 
 // The present version, driven through the module's commands, and the naive one: a first-come queue,
--- a/src/poplarstream/traffic/attempts.cpp
+++ b/src/poplarstream/traffic/attempts.cpp
@@ -200,7 +200,7 @@
     }
     auto minion = selectOwn(state, service, attempt->minion, now);
     if (!minion) {
-        minion = selectRemote(state, service, attempt->minion, now);
+        minion = selectRemote(state, service, *request, attempt->minion, now);
     }
     if (!minion || !retryBudget(state, *request).tryTake()) {
         return;
--- a/src/poplarstream/traffic/pump.cpp
+++ b/src/poplarstream/traffic/pump.cpp
@@ -6,7 +6,7 @@
 #include "admission.hpp"  // for fairWeights, isTooLate, notePicked
 #include "attempts.hpp"  // for startAttempt, finishRequest
 #include "minion_health.hpp"  // for hasRoom
-#include "routing.hpp"  // for selectOwn, selectRemote, hasSpareRoom, maySpill
+#include "routing.hpp"  // for selectOwn, selectRemote, fitsRemote
 
 namespace poplarstream::traffic {
 
@@ -39,7 +39,7 @@
             continue;
         }
         const PendingRequest *head = headInTime(state, service, now, out);
-        if (head != nullptr && (minion.own || maySpill(state, *head, minion.distance, now))) {
+        if (head != nullptr && (minion.own || fitsRemote(state, *head, minion, now))) {
             best = index;
         }
     }
@@ -49,7 +49,7 @@
 bool pumpOne(TrafficState &state, MinionIndex index, TimePoint now, Actions &out)
 {
     const Minion &minion = state.minions[index];
-    if (minion.own ? !hasRoom(state, minion, now) : !hasSpareRoom(state, minion, now)) {
+    if (!hasRoom(state, minion, now)) {
         return false;
     }
     const auto chosen = nextService(state, minion, now, out);
@@ -83,7 +83,7 @@
         const MinionIndex except = head->attempts > 0 ? head->lastMinion : none;
         auto minion = selectOwn(state, service, except, now);
         if (!minion) {
-            minion = selectRemote(state, service, except, now);
+            minion = selectRemote(state, service, *head, except, now);
         }
         if (!minion && except != none) {
             minion = selectOwn(state, service, none, now);
--- a/src/poplarstream/traffic/routing.cpp
+++ b/src/poplarstream/traffic/routing.cpp
@@ -16,6 +16,10 @@
 constexpr double remoteLoad = 0.9;
 // A request with less time left than this many service times leaves the zone at once.
 constexpr double closeDeadline = 3;
+// A request that has waited for this part of its time competes for a place in other zones even
+// though their minions report no room. Otherwise zones with more entry hosts than minions give each
+// request a smaller share than the others, since no zone reports room during a flood.
+constexpr double pressedPart = 0.25;
 
 // How many of `count` minions one entry host uses, so that `peers` of them cover each minion about
 // four times; fewer than 16 would leave too little choice.
@@ -127,19 +131,26 @@
     return std::nullopt;
 }
 
-bool hasSpareRoom(const TrafficState &state, const Minion &minion, TimePoint now)
+bool fitsRemote(const TrafficState &state, const PendingRequest &request, const Minion &minion,
+                TimePoint now)
 {
-    if (!hasRoom(state, minion, now)) {
+    if (!hasRoom(state, minion, now) || !maySpill(state, request, minion.distance, now)) {
         return false;
     }
-    if (!hasFreshReport(state, minion, now)) {
-        return minion.inFlight == 0;
+    if (hasFreshReport(state, minion, now)
+        && minion.report.busy + minion.sentSinceReport < remoteLoad * minion.report.slots) {
+        return true;
     }
-    return minion.report.busy + minion.sentSinceReport < remoteLoad * minion.report.slots;
+    const bool isPressed =
+            now - request.admittedAt >= pressedPart
+                                                * std::chrono::duration<double, std::milli>(
+                                                        request.deadline - request.admittedAt);
+    return minion.inFlight == 0 && (isPressed || !hasFreshReport(state, minion, now));
 }
 
 std::optional<MinionIndex> selectRemote(TrafficState &state, const Service &service,
-                                        MinionIndex except, TimePoint now)
+                                        const PendingRequest &request, MinionIndex except,
+                                        TimePoint now)
 {
     // Two candidates are drawn by reservoir sampling from the nearest zones that have any.
     std::size_t seen = 0;
@@ -150,7 +161,7 @@
         if (seen > 0 && minion.distance > state.minions[best].distance) {
             break;
         }
-        if (index == except || !hasSpareRoom(state, minion, now)) {
+        if (index == except || !fitsRemote(state, request, minion, now)) {
             continue;
         }
         ++seen;
--- a/src/poplarstream/traffic/routing.hpp
+++ b/src/poplarstream/traffic/routing.hpp
@@ -12,12 +12,15 @@
 std::optional<MinionIndex> selectOwn(TrafficState &state, const Service &service,
                                      MinionIndex except, TimePoint now);
 
-// A minion of another zone that reports room, in the nearest zones first; the better of two.
+// A minion of another zone that fits the request, in the nearest zones first; the better of two.
 std::optional<MinionIndex> selectRemote(TrafficState &state, const Service &service,
-                                        MinionIndex except, TimePoint now);
+                                        const PendingRequest &request, MinionIndex except,
+                                        TimePoint now);
 
-// Whether `minion` of another zone may take work from here now.
-bool hasSpareRoom(const TrafficState &state, const Minion &minion, TimePoint now);
+// Whether `minion` of another zone may take the request: it reports room, or the request has waited
+// for long and nothing from here is in flight at the minion.
+bool fitsRemote(const TrafficState &state, const PendingRequest &request, const Minion &minion,
+                TimePoint now);
 
 // Whether a queued request may leave the own zone at the cost of `distance`: once it has waited as
 // long as the way takes, once its deadline is close, or when the own zone has no minion.
