--- a/src/poplarstream/traffic/admission.cpp
+++ b/src/poplarstream/traffic/admission.cpp
@@ -76,13 +76,13 @@
     const double ahead = isActive ? static_cast<double>(flow->waiting.size()) : 0;
     const double share = guaranteedShare(state, service, key, isActive);
     const double guaranteed =
-            (ahead + 1) * service.time.mean / std::max(1e-6, service.capacity * share);
+            (ahead + 0.5) * service.time.mean / std::max(1e-6, service.capacity * share);
     if (!isActive || flow->picks == 0) {
         return guaranteed;
     }
     // A flow that has not been picked for long is slower than its mean says.
     const auto silence = static_cast<double>((now - flow->lastPick).count());
-    const double measured = (ahead + 1) * std::max(flow->gap, silence / 4);
+    const double measured = (ahead + 0.5) * std::max(flow->gap, silence / 4);
     const double trust = std::min(1.0, flow->picks / picksToTrust);
     return trust * measured + (1 - trust) * guaranteed;
 }
