--- a/bench/traffic_cases.cpp
+++ b/bench/traffic_cases.cpp
@@ -177,7 +177,7 @@
 
 void nothing(World &) {}
 
-// Three services share a pool. Other work takes 60% of it, below each service's guaranteed third.
+// Three services share a pool. Each takes 28% of it, close below its guaranteed third.
 std::vector<MeasureLine> flood(const std::string &name, bool mostUrgent, std::uint64_t seed)
 {
     WorldSetup setup = makeSetup(3, {0, 1, 2, 0, 1, 2, 0, 1});
@@ -190,10 +190,10 @@
     const std::size_t flooding = addTenants(setup, 5);
     const double all = capacity(setup, time);
     setup.end = 20 * oneSecond;
-    setup.work = {{tickets, 0, regular, 30, oneSecond, false, constantRate(0.25 * all), {}},
-                  {proofs, 1, regular, 30, oneSecond, false, constantRate(0.25 * all), {}},
-                  {archive, 3, regular, 30, oneSecond, false, constantRate(0.1 * all), {}}};
-    const WorldSetup alone = setup;
+    setup.work = {{tickets, 0, regular, 30, oneSecond, false, constantRate(0.28 * all), {}},
+                  {proofs, 1, regular, 30, oneSecond, false, constantRate(0.28 * all), {}},
+                  {archive, 3, regular, 30, oneSecond, false, constantRate(0.28 * all), {}}};
+    const WorldSetup undisturbed = setup;
     const Micros from = 8 * oneSecond;
     const Micros to = 18 * oneSecond;
     setup.work.push_back({mostUrgent ? tickets : archive,
@@ -205,22 +205,37 @@
                           rateBetween(20 * all, from, to),
                           {}});
 
+    // "others" are all that do not flood; "other kinds" leave out the tenants of the flooded kind,
+    // who share its part of the pool with the flood.
+    const std::size_t floodedKind = mostUrgent ? 0 : 2;
     const auto isOther = [&](const CallerRequest &r) { return !setup.work[r.kind].flood; };
+    const auto isOtherKind = [&](const CallerRequest &r) {
+        return !setup.work[r.kind].flood && r.kind != floodedKind;
+    };
+    struct Figures
+    {
+        double others = 0;
+        double otherKinds = 0;
+        double fits = 0;
+    };
     const auto measure = [&](const EntryFactory &factory, const World &flooded) {
-        const World undisturbed = runWorld(alone, factory, seed, nothing);
-        const double others = count(flooded, from, to, isOther).share();
-        const double fits =
-                endedOnTime(flooded, from, to) / (all * static_cast<double>(to - from) / 1e6);
-        const double aloneShare = count(undisturbed, from, to, isOther).share();
-        return std::pair{aloneShare > 0 ? others / aloneShare : 0, fits};
+        const World alone = runWorld(undisturbed, factory, seed, nothing);
+        const auto ratio = [&](const auto &filter) {
+            const double before = count(alone, from, to, filter).share();
+            return before > 0 ? count(flooded, from, to, filter).share() / before : 0;
+        };
+        const double seconds = static_cast<double>(to - from) / oneSecond;
+        return Figures{ratio(isOther), ratio(isOtherKind),
+                       endedOnTime(flooded, from, to) / (all * seconds)};
     };
     const World present = runWorld(setup, presentEntryHost, seed, nothing);
     const World naive = runWorld(setup, naiveEntryHost, seed, nothing);
-    const auto [others, fits] = measure(presentEntryHost, present);
-    const auto [naiveOthers, naiveFits] = measure(naiveEntryHost, naive);
+    const Figures now = measure(presentEntryHost, present);
+    const Figures before = measure(naiveEntryHost, naive);
     std::vector<MeasureLine> lines{
-            line(name, "others-on-time", naiveOthers, others, 0.99, seed),
-            line(name, "on-time-of-all-that-fits", naiveFits, fits, 0.95, seed)};
+            line(name, "others-on-time", before.others, now.others, 0.99, seed),
+            line(name, "other-kinds-on-time", before.otherKinds, now.otherKinds, 0.99, seed),
+            line(name, "on-time-of-all-that-fits", before.fits, now.fits, 0.95, seed)};
     addPromises(lines, name, present, seed);
     return lines;
 }
@@ -388,6 +403,54 @@
     return lines;
 }
 
+// Three of 24 minions fail everything at once, two take eight times as long, at 60% load.
+std::vector<MeasureLine> badMinions(std::uint64_t seed)
+{
+    WorldSetup setup = plainSetup(3, {0, 1, 2, 0, 1, 2, 0, 1}, 24, 0.6);
+    setup.end = 30 * oneSecond;
+    setup.slowness.assign(24, 1);
+    setup.slowness[3] = setup.slowness[4] = 8;
+    const auto prepare = [](World &world) {
+        world.at(10 * oneSecond, [&world] {
+            for (const std::size_t minion : {0, 7, 14}) {
+                world.setFailing(minion, true);
+            }
+        });
+    };
+    return onTime("bad-minions", "on-time", setup, 10 * oneSecond, setup.end, seed, prepare);
+}
+
+// A quarter of the minions run 2 slots where 8 are declared, at 70% of what really runs.
+std::vector<MeasureLine> wrongSlots(std::uint64_t seed)
+{
+    constexpr double real = (18 * 8 + 6 * 2) / (24 * 8.0);
+    WorldSetup setup = plainSetup(3, {0, 1, 2, 0, 1, 2, 0, 1}, 24, 0.7 * real);
+    for (std::size_t minion = 0; minion < 24; minion += 4) {
+        setup.realSlots[minion] = 2;
+    }
+    setup.end = 30 * oneSecond;
+    return onTime("wrong-slots", "on-time", setup, warmUp, setup.end, seed, nothing);
+}
+
+// One minion after the other leaves, every 2 s, until a third has left.
+std::vector<MeasureLine> leavingMinions(std::uint64_t seed)
+{
+    WorldSetup setup = plainSetup(3, {0, 1, 2, 0, 1, 2, 0, 1}, 24, 0.5);
+    setup.end = 30 * oneSecond;
+    const auto prepare = [](World &world) {
+        for (std::size_t minion = 0; minion < 8; ++minion) {
+            world.at(static_cast<Micros>(10 + 2 * minion) * oneSecond,
+                     [&world, minion] { world.setLeaving(minion); });
+        }
+    };
+    auto lines =
+            onTime("leaving-minions", "on-time", setup, 10 * oneSecond, setup.end, seed, prepare);
+    const World world = runWorld(setup, presentEntryHost, seed, prepare);
+    lines.push_back(promise("leaving-minions", "nothing-new-2s-after-leaving",
+                            world.requests().size(), world.startedWhileLeaving(), seed));
+    return lines;
+}
+
 std::span<const TrafficCase> trafficCases()
 {
     static const std::vector<TrafficCase> cases{{"flood-least-urgent", floodLeastUrgent},
@@ -395,7 +458,10 @@
                                                 {"bursts-in-turn", burstsInTurn},
                                                 {"silent-connections", silentConnections},
                                                 {"zone-cut", zoneCut},
-                                                {"region-apart", regionApart}};
+                                                {"region-apart", regionApart},
+                                                {"bad-minions", badMinions},
+                                                {"wrong-slots", wrongSlots},
+                                                {"leaving-minions", leavingMinions}};
     return cases;
 }
 
