End absences only when the host refuses late commands

Change: an absence ends only when the host confirms the undrain of its grant, and a failed host counts as back only after no command of the old grant can be under way.

--- a/include/poplarstream/maintenance/fleet_view.hpp
+++ b/include/poplarstream/maintenance/fleet_view.hpp
@@ -73,7 +73,9 @@
 };
 
 // A wave of the configuration and how far it has come. `done` holds, sorted, the hosts that
-// returned since the wave started from an absence that completes() accepts for the wave.
+// returned from an absence with a reboot, of this or another wave, since the wave started; it is
+// not used for a wave that only moves, where the present pool tells. A withdrawn wave stays in the
+// view until its loans are back.
 struct WaveView
 {
     WaveId id;
@@ -109,6 +111,9 @@
     Milliseconds returnBound{1'200'000};
     // A host that is in service and does not answer for this long has failed.
     Milliseconds failAfter{30'000};
+    // No command is under way for longer, with the lag of the replay. A host that failed is not
+    // counted as back before, since a crash makes it forget the fence against old commands.
+    Milliseconds commandBound{15'000};
     // Bounds the burst of records of one step; the log takes several hundred appends a second.
     std::uint32_t maxRequestsPerStep = 64;
 };
@@ -132,13 +137,6 @@
     PoolId target;
 };
 
-// Whether a returned absence of `kind` completes an action of `action` on a host. The pool that a
-// host was moved to is checked by its present pool, not here.
-constexpr bool completes(AbsenceKind kind, AbsenceKind action)
-{
-    return kind == action || kind == AbsenceKind::RebootAndMove;
-}
-
 constexpr bool hasReboot(AbsenceKind kind)
 {
     return kind != AbsenceKind::Move;
--- a/include/poplarstream/maintenance/wave_step.hpp
+++ b/include/poplarstream/maintenance/wave_step.hpp
@@ -13,14 +13,19 @@
 
 namespace poplarstream::maintenance {
 
-// The newest facts about a host. Those about a command hold only for the grant they were made
-// under. `hasRebooted`: the host's boot is later than the grant. `isDrained`: it reported no work
-// in progress while it accepts none. `hasProbeSucceeded`: the worker and all minions answered their
-// probe after the command or, without a grant, after `unansweredSince`.
+// The newest answer of a host. `grant` is the grant in the view under which the host was asked (0
+// without one); an answer that belongs to another grant than the present one is not used.
+// `hostGrant` is the newest grant that the host itself knows, and `undrainedGrant` that of the last
+// undrain that it confirmed since its boot; from then on it refuses late drains and reboots of that
+// grant. `isDrained`: it accepts no work and
+// has none in progress. `hasRebooted`: its boot is later than the grant. `hasProbeSucceeded`: the
+// worker and all minions answered this time. `unansweredSince` is empty if the host answered.
 struct HostObservation
 {
     HostId host;
     Offset grant = 0;
+    Offset hostGrant = 0;
+    std::optional<Offset> undrainedGrant;
     bool isDraining = false;
     bool isDrained = false;
     bool hasRebooted = false;
@@ -31,9 +36,9 @@
 enum class CommandKind { Drain, Reboot, Probe, Undrain };
 
 // A call to make to a host. Commands are repeated by each step until an observation shows their
-// effect, so they must be idempotent. `grant` fences them: a worker refuses a command with an older
-// grant than the newest it has seen, and a reboot while it is not drained. They must not be sent
-// once the sender's lease does not allow it any more (see mayAct), except probes.
+// effect, so they must be idempotent. `grant` fences them: a host refuses a command with an older
+// grant than the newest it knows, and a drain or reboot of a grant that was undrained. The sender
+// checks mayAct() again before each drain and reboot.
 struct HostCommand
 {
     CommandKind kind = CommandKind::Probe;
--- a/src/poplarstream/maintenance/absence_step.cpp
+++ b/src/poplarstream/maintenance/absence_step.cpp
@@ -25,7 +25,7 @@
     if (!scene.input.mayAct && !isFinishing) {
         return;
     }
-    const Offset grant = scene.host.grant ? scene.host.grant->offset : 0;
+    const Offset grant = scene.host.grant ? scene.host.grant->offset : scene.seen.hostGrant;
     scene.output.commands.push_back({kind, scene.host.id, grant});
 }
 
@@ -67,18 +67,24 @@
     return isMoveOfWave && grant.target != it->target ? Standing::Stale : Standing::Wanted;
 }
 
-// Lets a host that has not gone yet back to work. The absence ends only when the host is seen to
-// accept work, so that it is not counted as in service before.
+// Whether the host is fit for work and a late drain or reboot of this grant can no longer take it
+// away: an absence ends in the log only then, or the host could be away uncounted.
+bool isBackForGood(const Scene &scene)
+{
+    return scene.seen.undrainedGrant == scene.host.grant->offset && scene.seen.hasProbeSucceeded
+           && !scene.seen.isDraining && !scene.seen.unansweredSince;
+}
+
+// Lets a host that has not gone yet back to work.
 void giveUpDrain(const Scene &scene, std::string reason)
 {
     note(scene, std::move(reason));
-    if (scene.input.mayAct) {
+    if (isBackForGood(scene)) {
+        if (scene.mayPropose) {
+            report(scene, AbsencePhase::Abandoned);
+        }
+    } else if (scene.input.mayAct) {
         command(scene, CommandKind::Undrain);
-    }
-    if (scene.mayPropose && !scene.seen.isDraining && !scene.seen.isDrained
-        && scene.seen.hasProbeSucceeded) {
-        report(scene, AbsencePhase::Abandoned);
-    } else {
         command(scene, CommandKind::Probe);
     }
 }
@@ -181,8 +187,7 @@
 
 void stepReturning(const Scene &scene)
 {
-    // A host that reports a drain again cannot serve although its probe may succeed.
-    if (scene.seen.hasProbeSucceeded && !scene.seen.isDraining && !scene.seen.unansweredSince) {
+    if (isBackForGood(scene)) {
         if (scene.mayPropose) {
             report(scene, AbsencePhase::Returned);
         }
@@ -198,7 +203,8 @@
 void stepFailed(const Scene &scene)
 {
     if (scene.seen.hasProbeSucceeded && !scene.seen.isDraining && !scene.seen.unansweredSince) {
-        if (scene.mayPropose) {
+        const Milliseconds failedFor = scene.input.now - scene.host.stateSince;
+        if (scene.mayPropose && failedFor >= scene.input.fleet.policy.commandBound) {
             scene.output.proposals.emplace_back(
                     HostHealth{scene.host.id, false, "the probe succeeded"});
         }
--- /dev/null
+++ b/src/poplarstream/maintenance/fake_fleet.hpp
@@ -0,0 +1,348 @@
+#pragma once
+
+#include <algorithm>  // for find, count_if
+#include <map>  // for map
+#include <set>  // for set
+#include <string>  // for string
+#include <vector>  // for vector
+
+#include "poplarstream/maintenance/fleet_view.hpp"  // for FleetView
+#include "poplarstream/maintenance/wave_step.hpp"  // for HostCommand, HostObservation
+
+// For tests and measured cases only.
+namespace poplarstream::maintenance::fake {
+
+// A host that obeys commands under the fence of grants, but neither checks that it is drained
+// before a reboot nor anything else that the stepper must take care of.
+struct Machine
+{
+    enum class State { Serving, Draining, Rebooting, Booted, Dead };
+
+    State state = State::Serving;
+    Milliseconds drainTime{0};
+    Milliseconds rebootTime{0};
+    TimePoint until;  // end of the drain or the reboot
+    TimePoint bootedAt;
+    Offset newestGrant = 0;
+    Offset undrainedGrant = 0;
+    bool staysAwayOnReboot = false;
+    std::optional<TimePoint> unansweredSince;
+};
+
+// The control stream with a referee that counts everything anew for each record, and the machines.
+class Fleet
+{
+public:
+    FleetView view;
+    std::vector<Machine> machines;  // as view.hosts
+    TimePoint now = timePoint(0);
+    std::vector<std::string> violations;
+    std::uint64_t checks = 0;
+    std::uint32_t moves = 0;
+
+    std::size_t indexOf(const HostId &host) const
+    {
+        const auto it = std::lower_bound(
+                view.hosts.begin(), view.hosts.end(), host,
+                [](const HostView &entry, const HostId &id) { return entry.id < id; });
+        return static_cast<std::size_t>(it - view.hosts.begin());
+    }
+
+    // Grants or refuses a record.
+    bool apply(const ControlBody &body)
+    {
+        ++offset_;
+        const auto visitor = [this](const auto &record) { return applyOne(record); };
+        return std::visit(visitor, body);
+    }
+
+    void obey(const HostCommand &command)
+    {
+        Machine &machine = machines[indexOf(command.host)];
+        using State = Machine::State;
+        const bool isUp = machine.state != State::Dead && machine.state != State::Rebooting;
+        if (!isUp || command.kind == CommandKind::Probe || command.grant < machine.newestGrant) {
+            return;
+        }
+        const bool isFenced = command.grant <= machine.undrainedGrant;
+        if (command.kind == CommandKind::Drain && !isFenced) {
+            if (machine.state != State::Draining) {
+                machine.until = machine.state == State::Serving ? now + machine.drainTime : now;
+                machine.state = State::Draining;
+            }
+        } else if (command.kind == CommandKind::Reboot && !isFenced) {
+            ++checks;
+            if (hasWork(machine)) {
+                violations.push_back("a reboot cut off work on " + command.host.text());
+            }
+            machine.state = machine.staysAwayOnReboot ? State::Dead : State::Rebooting;
+            machine.until = now + machine.rebootTime;
+        } else if (command.kind == CommandKind::Undrain) {
+            machine.undrainedGrant = std::max(machine.undrainedGrant, command.grant);
+            if (machine.state == State::Draining || machine.state == State::Booted) {
+                machine.state = State::Serving;
+            }
+        }
+        machine.newestGrant = std::max(machine.newestGrant, command.grant);
+    }
+
+    bool hasWork(const Machine &machine) const
+    {
+        return machine.state == Machine::State::Serving
+               || (machine.state == Machine::State::Draining && now < machine.until);
+    }
+
+    // Loses everything that the machine had in memory.
+    void crash(std::size_t host)
+    {
+        machines[host].state = Machine::State::Dead;
+        machines[host].newestGrant = 0;
+        machines[host].undrainedGrant = 0;
+    }
+
+    void boot(std::size_t host)
+    {
+        machines[host].state = Machine::State::Booted;
+        machines[host].bootedAt = now;
+        machines[host].newestGrant = 0;
+        machines[host].undrainedGrant = 0;
+    }
+
+    void advance(Milliseconds by)
+    {
+        now += by;
+        for (std::size_t i = 0; i < machines.size(); ++i) {
+            Machine &machine = machines[i];
+            if (machine.state == Machine::State::Rebooting && now >= machine.until) {
+                boot(i);
+            }
+            if (machine.state == Machine::State::Booted
+                && view.hosts[i].state == HostState::InService) {
+                machine.state = Machine::State::Serving;
+            }
+            const bool isUp = machine.state != Machine::State::Dead
+                              && machine.state != Machine::State::Rebooting;
+            if (isUp) {
+                machine.unansweredSince.reset();
+            } else if (!machine.unansweredSince) {
+                machine.unansweredSince = now;
+            }
+            // What we sent away must be counted as away.
+            ++checks;
+            const bool isSentAway = machine.state == Machine::State::Draining
+                                    || machine.state == Machine::State::Rebooting;
+            if (isSentAway && view.hosts[i].state == HostState::InService) {
+                violations.push_back("an uncounted absence of " + view.hosts[i].id.text());
+            }
+        }
+    }
+
+    // What a process that replayed `seen` would know of the machines.
+    std::vector<HostObservation> observe(const FleetView &seen) const
+    {
+        std::vector<HostObservation> observations;
+        for (std::size_t i = 0; i < machines.size(); ++i) {
+            const Machine &machine = machines[i];
+            const auto &grant = seen.hosts[i].grant;
+            HostObservation entry;
+            entry.host = seen.hosts[i].id;
+            entry.grant = grant ? grant->offset : 0;
+            entry.unansweredSince = machine.unansweredSince;
+            if (!entry.unansweredSince) {
+                entry.hostGrant = machine.newestGrant;
+                entry.undrainedGrant = machine.undrainedGrant;
+                entry.isDraining = machine.state == Machine::State::Draining;
+                entry.isDrained = entry.isDraining && now >= machine.until;
+                entry.hasRebooted = grant && machine.bootedAt > grant->since;
+                entry.hasProbeSucceeded = !entry.isDraining;
+            }
+            observations.push_back(entry);
+        }
+        return observations;
+    }
+
+    // Hosts of the pool that are not in service, and those that will move into it.
+    std::uint32_t awayOf(const PoolId &pool) const
+    {
+        std::uint32_t away = 0;
+        for (const HostView &host : view.hosts) {
+            const bool isAway = host.state != HostState::InService || host.isUnseen;
+            const bool isComing =
+                    host.grant && hasMove(host.grant->kind) && host.grant->target == pool;
+            away += isAway && (host.pool == pool || isComing) ? 1 : 0;
+        }
+        return away;
+    }
+
+    // Whether all running waves have come to their end: what can be done is done, nothing is away
+    // but failed hosts, and no loan is out.
+    bool isComplete() const
+    {
+        for (const HostView &host : view.hosts) {
+            if (host.state != HostState::InService && host.state != HostState::Failed) {
+                return false;
+            }
+        }
+        for (const WaveView &wave : view.waves) {
+            if (!wave.loans.empty()) {
+                return false;
+            }
+            if (wave.state != WaveState::Running) {
+                continue;
+            }
+            for (const HostView &host : view.hosts) {
+                const bool isOpen = host.state == HostState::InService && isNamed(wave, host.pool)
+                                    && ((hasReboot(wave.action) && !isDone(wave, host.id))
+                                        || (hasMove(wave.action) && host.pool != wave.target));
+                if (isOpen) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+private:
+    static bool isNamed(const WaveView &wave, const PoolId &pool)
+    {
+        return std::find(wave.pools.begin(), wave.pools.end(), pool) != wave.pools.end();
+    }
+
+    static bool isDone(const WaveView &wave, const HostId &host)
+    {
+        return std::find(wave.done.begin(), wave.done.end(), host) != wave.done.end();
+    }
+
+    const PoolView *poolOf(const PoolId &pool) const
+    {
+        for (const PoolView &entry : view.pools) {
+            if (entry.id == pool) {
+                return &entry;
+            }
+        }
+        return nullptr;
+    }
+
+    // Naive: counts racks from scratch with `leaving` away already.
+    bool hasRoom(const PoolId &pool, const HostView &leaving) const
+    {
+        const PoolView *entry = poolOf(pool);
+        const std::uint32_t away = awayOf(pool) + 1;
+        if (entry == nullptr || away > entry->maxAway) {
+            return false;
+        }
+        std::map<RackId, std::uint32_t> racks;
+        for (const HostView &host : view.hosts) {
+            if (host.pool == pool && host.state == HostState::InService && !host.isUnseen
+                && host.id != leaving.id) {
+                const RackId rack = host.rack.isEmpty() ? RackId(host.id.text()) : host.rack;
+                if (++racks[rack] + away > entry->maxAway && view.hasRackHeadroom) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    void enter(HostView &host, HostState state)
+    {
+        host.state = state;
+        host.stateSince = now;
+    }
+
+    bool applyOne(const AbsenceRequest &request)
+    {
+        HostView &host = view.hosts[indexOf(request.host)];
+        if (host.state != HostState::InService || host.isUnseen || !hasRoom(host.pool, host)
+            || (hasMove(request.kind) && !hasRoom(request.target, host))) {
+            return false;
+        }
+        host.grant = Grant{offset_, request.kind, request.target, request.wave, now};
+        enter(host, HostState::Draining);
+        ++checks;
+        for (const PoolView &pool : view.pools) {
+            if (pool.id == host.pool && awayOf(pool.id) > pool.maxAway) {
+                violations.push_back("the budget of " + pool.id.text() + " is exceeded");
+            }
+        }
+        return true;
+    }
+
+    bool applyOne(const AbsenceProgress &progress)
+    {
+        HostView &host = view.hosts[indexOf(progress.host)];
+        if (!host.grant || host.grant->offset != progress.grant) {
+            return false;
+        }
+        const HostState state = host.state;
+        switch (progress.phase) {
+        case AbsencePhase::Drained:
+            return state == HostState::Draining && (enter(host, HostState::Drained), true);
+        case AbsencePhase::Away:
+            return state == HostState::Drained && (enter(host, HostState::Away), true);
+        case AbsencePhase::Returning:
+            return state == HostState::Away && (enter(host, HostState::Returning), true);
+        case AbsencePhase::Returned:
+            return state == HostState::Returning && (finish(host), true);
+        case AbsencePhase::Abandoned:
+            break;
+        }
+        const bool hadLeft = state == HostState::Away || state == HostState::Returning;
+        host.grant.reset();
+        host.lastAbandoned = now;
+        enter(host, hadLeft ? HostState::Failed : HostState::InService);
+        return true;
+    }
+
+    void finish(HostView &host)
+    {
+        for (WaveView &wave : view.waves) {
+            if (hasReboot(host.grant->kind) && !isDone(wave, host.id)) {
+                wave.done.insert(std::lower_bound(wave.done.begin(), wave.done.end(), host.id),
+                                 host.id);
+            }
+        }
+        host.grant.reset();
+        enter(host, HostState::InService);
+    }
+
+    bool applyOne(const HostMove &move)
+    {
+        HostView &host = view.hosts[indexOf(move.host)];
+        if (host.state != HostState::Away || host.pool != move.from || !host.grant
+            || host.grant->target != move.to) {
+            return false;
+        }
+        host.pool = move.to;
+        ++moves;
+        for (WaveView &wave : view.waves) {
+            const auto isThis = [&](const Loan &loan) { return loan.host == move.host; };
+            if (std::erase_if(wave.loans, isThis) == 0 && wave.id == host.grant->wave
+                && poolOf(move.from)->isSpare && move.to != wave.target) {
+                wave.loans.push_back({move.host, move.from, move.to});
+            }
+        }
+        return true;
+    }
+
+    bool applyOne(const HostHealth &health)
+    {
+        HostView &host = view.hosts[indexOf(health.host)];
+        if (health.failed == (host.state == HostState::Failed)) {
+            return false;
+        }
+        host.grant.reset();
+        enter(host, health.failed ? HostState::Failed : HostState::InService);
+        return true;
+    }
+
+    template <class Other>
+    bool applyOne(const Other &)
+    {
+        return false;
+    }
+
+    Offset offset_ = 0;
+};
+
+}  // namespace poplarstream::maintenance::fake
--- a/src/poplarstream/maintenance/wave_step.cpp
+++ b/src/poplarstream/maintenance/wave_step.cpp
@@ -63,9 +63,9 @@
                 HostHealth{host.id, true,
                            fmt::format("no answer for {} s",
                                        (input.now - *seen->unansweredSince).count() / 1000)});
-    } else if (seen->isDraining && input.mayAct) {
+    } else if (seen->isDraining && seen->grant == 0 && input.mayAct) {
         // A delayed or repeated drain of an absence that has ended.
-        output.commands.push_back({CommandKind::Undrain, host.id, seen->grant});
+        output.commands.push_back({CommandKind::Undrain, host.id, seen->hostGrant});
     }
 }
 
--- /dev/null
+++ b/src/poplarstream/maintenance/wave_step_test.cpp
@@ -0,0 +1,391 @@
+#include "poplarstream/maintenance/wave_step.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+
+#include <deque>  // for deque
+
+#include "fake_fleet.hpp"  // for Fleet
+#include "poplarstream/base/random.hpp"  // for Random
+
+namespace poplarstream::maintenance {
+namespace {
+
+using std::chrono::seconds;
+
+std::string numbered(const std::string &prefix, std::size_t i)
+{
+    return prefix + (i < 10 ? "0" : "") + std::to_string(i);
+}
+
+// Two pools of 6 hosts in racks of 3, and 2 spare hosts. Times are short against the bounds.
+fake::Fleet smallFleet(AbsenceKind action)
+{
+    fake::Fleet fleet;
+    fleet.view.pools = {{PoolId("p"), 3}, {PoolId("q"), 4}, {PoolId("spare"), 2, true}};
+    for (std::size_t i = 0; i < 14; ++i) {
+        HostView host;
+        host.id = HostId(numbered("h", i));
+        host.pool = PoolId(i < 6 ? "p" : i < 12 ? "q" : "spare");
+        host.zone = ZoneId("a");
+        host.rack = RackId(numbered("r", i / 3));
+        fleet.view.hosts.push_back(host);
+    }
+    Policy &policy = fleet.view.policy;
+    policy.rebootTime = seconds(30);
+    policy.moveTime = seconds(5);
+    policy.drainBound = seconds(60);
+    policy.drainExtensions = 1;
+    policy.drainRetryAfter = seconds(120);
+    policy.returnBound = seconds(150);
+    policy.failAfter = seconds(20);
+    WaveView wave;
+    wave.id = WaveId("w1");
+    wave.pools = {PoolId("p")};
+    wave.action = action;
+    wave.target = PoolId(hasMove(action) ? "q" : "");
+    fleet.view.waves = {wave};
+    fleet.machines.resize(fleet.view.hosts.size());
+    for (fake::Machine &machine : fleet.machines) {
+        machine.drainTime = seconds(20);
+        machine.rebootTime = seconds(30);
+    }
+    return fleet;
+}
+
+// Drives the stepper through lost, delayed, repeated and reordered records and commands, stale
+// views, log outages, new holders, crashes, hosts that stay away, and changes of the waves.
+class Interleaving
+{
+public:
+    explicit Interleaving(std::uint64_t seed)
+        : random_(seed)
+        , fleet_(smallFleet(static_cast<AbsenceKind>(seed % 3)))
+    {
+        fleet_.view.hasRackHeadroom = random_.below(4) == 0;
+        if (fleet_.view.hasRackHeadroom) {
+            for (PoolView &pool : fleet_.view.pools) {
+                pool.maxAway += 4;
+            }
+        }
+        if (random_.below(2) == 0) {
+            WaveView second = fleet_.view.waves[0];
+            second.id = WaveId("w2");
+            second.action = AbsenceKind::Reboot;
+            second.pools = {PoolId("p"), PoolId("q"), PoolId("spare")};
+            fleet_.view.waves.push_back(second);
+        }
+        for (fake::Machine &machine : fleet_.machines) {
+            // Some drains outlast the bound and its extension.
+            machine.drainTime = seconds(random_.below(10) == 0 ? 150 : random_.below(40));
+        }
+        fleet_.view.pools[0].sustainedDemand = static_cast<double>(random_.below(5));
+        fleet_.view.pools[0].demand = static_cast<double>(random_.below(8));
+    }
+
+    void run(int ticks, bool hasFaults)
+    {
+        hasFaults_ = hasFaults;
+        for (int i = 0; i < ticks && (hasFaults || !fleet_.isComplete()); ++i) {
+            tick();
+        }
+    }
+
+    // Faults end: the dead machines boot, the log answers, the drains become short.
+    void heal()
+    {
+        for (std::size_t i = 0; i < fleet_.machines.size(); ++i) {
+            fleet_.machines[i].staysAwayOnReboot = false;
+            fleet_.machines[i].drainTime = seconds(20);
+            if (fleet_.machines[i].state == fake::Machine::State::Dead) {
+                fleet_.boot(i);
+            }
+        }
+        for (WaveView &wave : fleet_.view.waves) {
+            wave.state = wave.state == WaveState::Stopped ? WaveState::Running : wave.state;
+        }
+        logAwayFor_ = 0;
+        lag_ = 0;
+    }
+
+    const fake::Fleet &fleet() const { return fleet_; }
+    const std::set<std::string> &pageKeys() const { return pageKeys_; }
+
+private:
+    bool chance(std::uint64_t oneIn) { return hasFaults_ && random_.below(oneIn) == 0; }
+
+    void tick()
+    {
+        fleet_.advance(seconds(1));
+        ++tick_;
+        injectFaults();
+        land();
+        views_.push_back(fleet_.view);
+        if (views_.size() > 5) {
+            views_.pop_front();
+        }
+        if (chance(40)) {
+            // Another holder: it knows nothing of what is in flight.
+            inFlight_.clear();
+            lag_ = random_.below(4);
+        }
+        if (!chance(6)) {
+            step();
+        }
+    }
+
+    void injectFaults()
+    {
+        const std::size_t host = random_.below(fleet_.machines.size());
+        fake::Machine &machine = fleet_.machines[host];
+        if (chance(150)) {
+            fleet_.crash(host);
+        } else if (chance(20) && machine.state == fake::Machine::State::Dead) {
+            fleet_.boot(host);
+        }
+        if (chance(100)) {
+            machine.staysAwayOnReboot = !machine.staysAwayOnReboot;
+        }
+        if (chance(120)) {
+            logAwayFor_ = random_.below(60);
+        }
+        if (chance(100)) {
+            WaveView &wave = fleet_.view.waves[random_.below(fleet_.view.waves.size())];
+            wave.state = static_cast<WaveState>(random_.below(3));
+        }
+        if (chance(200)) {
+            fleet_.view.waves[0].target = PoolId(random_.below(2) == 0 ? "q" : "spare");
+        }
+        logAwayFor_ -= logAwayFor_ > 0 ? 1 : 0;
+    }
+
+    // Records and commands arrive after their delay, in any order where delays differ.
+    void land()
+    {
+        for (std::size_t i = 0; i < records_.size();) {
+            if (records_[i].first <= tick_ && logAwayFor_ == 0) {
+                fleet_.apply(records_[i].second);
+                records_.erase(records_.begin() + static_cast<std::ptrdiff_t>(i));
+            } else {
+                ++i;
+            }
+        }
+        for (std::size_t i = 0; i < commands_.size();) {
+            if (commands_[i].first <= tick_) {
+                fleet_.obey(commands_[i].second);
+                commands_.erase(commands_.begin() + static_cast<std::ptrdiff_t>(i));
+            } else {
+                ++i;
+            }
+        }
+        std::erase_if(inFlight_, [&](const auto &entry) { return entry.first <= tick_; });
+    }
+
+    void step()
+    {
+        const FleetView &seen = views_[views_.size() - 1 - std::min(lag_, views_.size() - 1)];
+        std::vector<InFlight> inFlight;
+        for (const auto &entry : inFlight_) {
+            inFlight.push_back(entry.second);
+        }
+        const std::vector<HostObservation> observations = fleet_.observe(seen);
+        const bool mayAct = !chance(10);
+        const StepOutput output =
+                stepWaves({seen, observations, inFlight, mayAct, logAwayFor_ == 0, fleet_.now});
+        for (const ControlBody &body : output.proposals) {
+            propose(body);
+        }
+        for (const HostCommand &command : output.commands) {
+            if (!chance(5)) {
+                commands_.emplace_back(tick_ + (chance(4) ? random_.below(5) : 0), command);
+            }
+            if (chance(10)) {
+                commands_.emplace_back(tick_ + random_.below(5), command);
+            }
+        }
+        for (const Page &page : output.pages) {
+            pageKeys_.insert(page.key);
+        }
+    }
+
+    void propose(const ControlBody &body)
+    {
+        const std::size_t landing = tick_ + (chance(3) ? random_.below(6) : 0);
+        if (!chance(8)) {
+            records_.emplace_back(landing, body);
+        }
+        if (chance(10)) {
+            records_.emplace_back(landing + random_.below(6), body);
+        }
+        InFlight entry;
+        if (const auto *request = std::get_if<AbsenceRequest>(&body)) {
+            entry = {request->host, request->target};
+        } else if (const auto *progress = std::get_if<AbsenceProgress>(&body)) {
+            entry = {progress->host, {}};
+        }
+        if (!entry.host.isEmpty()) {
+            inFlight_.emplace_back(landing + lag_ + 1, entry);
+        }
+    }
+
+    Random random_;
+    fake::Fleet fleet_;
+    std::deque<FleetView> views_;
+    std::vector<std::pair<std::size_t, ControlBody>> records_;
+    std::vector<std::pair<std::size_t, HostCommand>> commands_;
+    std::vector<std::pair<std::size_t, InFlight>> inFlight_;
+    std::set<std::string> pageKeys_;
+    std::size_t tick_ = 0;
+    std::size_t lag_ = 0;
+    std::uint64_t logAwayFor_ = 0;
+    bool hasFaults_ = false;
+};
+
+// Guards against a wave that breaks the budget, cuts off work, leaves a host away without a count,
+// or hangs, when records, commands, hosts and holders fail in any order.
+TEST(WaveStep, RandomInterleavings)
+{
+    constexpr std::uint64_t interleavings = 3'000;
+    for (std::uint64_t seed = 1; seed <= interleavings; ++seed) {
+        SCOPED_TRACE("given faults with seed " + std::to_string(seed));
+        Interleaving interleaving(seed);
+        interleaving.run(400, true);
+        {
+            SCOPED_TRACE("when the faults end");
+            interleaving.heal();
+            interleaving.run(1'500, false);
+        }
+        SCOPED_TRACE("then no guarantee was broken and the waves are complete");
+        ASSERT_EQ(interleaving.fleet().violations, std::vector<std::string>());
+        ASSERT_TRUE(interleaving.fleet().isComplete());
+    }
+}
+
+// Runs without faults until complete; returns the seconds, or nothing.
+std::optional<int> runUndisturbed(fake::Fleet &fleet, int bound)
+{
+    for (int second = 0; second < bound; ++second) {
+        fleet.advance(seconds(1));
+        const auto observations = fleet.observe(fleet.view);
+        const StepOutput output = stepWaves({fleet.view, observations, {}, true, true, fleet.now});
+        for (const ControlBody &body : output.proposals) {
+            fleet.apply(body);
+        }
+        for (const HostCommand &command : output.commands) {
+            fleet.obey(command);
+        }
+        if (fleet.isComplete()) {
+            return second;
+        }
+    }
+    return std::nullopt;
+}
+
+// Guards against two absences for a host that two waves name, which doubles the roll-out.
+TEST(WaveStep, OneAbsenceForRebootAndMove)
+{
+    SCOPED_TRACE("given a reboot wave and a move wave of the same pool");
+    fake::Fleet fleet = smallFleet(AbsenceKind::Move);
+    WaveView second = fleet.view.waves[0];
+    second.id = WaveId("w2");
+    second.action = AbsenceKind::Reboot;
+    fleet.view.waves.push_back(second);
+    SCOPED_TRACE("when they run, then each host leaves once and moves once");
+    ASSERT_TRUE(runUndisturbed(fleet, 2'000).has_value());
+    EXPECT_EQ(fleet.moves, 6);
+    EXPECT_EQ(fleet.view.waves[1].done.size(), 6);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
+// Guards against a drain that cuts off work because its bound has passed.
+TEST(WaveStep, EndlessDrainIsGivenUp)
+{
+    SCOPED_TRACE("given a host whose work never ends");
+    fake::Fleet fleet = smallFleet(AbsenceKind::Reboot);
+    fleet.machines[0].drainTime = seconds(100'000);
+    SCOPED_TRACE("when the wave runs");
+    EXPECT_FALSE(runUndisturbed(fleet, 1'000).has_value());
+    SCOPED_TRACE("then the others are done and that host still serves or drains");
+    EXPECT_EQ(fleet.view.waves[0].done.size(), 5);
+    EXPECT_TRUE(fleet.view.hosts[0].lastAbandoned.has_value());
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
+// Guards against a budget slot that is blocked in silence by a host that never comes back.
+TEST(WaveStep, HostThatStaysAwayFailsWithOnePage)
+{
+    SCOPED_TRACE("given a host that does not come back from its reboot");
+    fake::Fleet fleet = smallFleet(AbsenceKind::Reboot);
+    fleet.machines[0].staysAwayOnReboot = true;
+    std::vector<Page> pages;
+    for (int second = 0; second < 1'000; ++second) {
+        fleet.advance(seconds(1));
+        const auto observations = fleet.observe(fleet.view);
+        StepOutput output = stepWaves({fleet.view, observations, {}, true, true, fleet.now});
+        for (const ControlBody &body : output.proposals) {
+            fleet.apply(body);
+        }
+        for (const HostCommand &command : output.commands) {
+            fleet.obey(command);
+        }
+        pages.insert(pages.end(), output.pages.begin(), output.pages.end());
+    }
+    SCOPED_TRACE("then it counts as failed, one page is sent and the others are done");
+    EXPECT_EQ(fleet.view.hosts[0].state, HostState::Failed);
+    EXPECT_EQ(pages.size(), 1);
+    EXPECT_EQ(fleet.view.waves[0].done.size(), 5);
+}
+
+// Guards against acts of a holder whose lease has lapsed, while hosts that are through are not left
+// out of service for as long as the log is away.
+TEST(WaveStep, WithoutLeaseOnlyFinishes)
+{
+    fake::Fleet fleet = smallFleet(AbsenceKind::Reboot);
+    fleet.view.hosts[0].grant = Grant{1, AbsenceKind::Reboot, {}, WaveId("w1"), fleet.now};
+    fleet.view.hosts[0].state = HostState::Away;
+    HostObservation seen;
+    seen.host = fleet.view.hosts[0].id;
+    seen.grant = 1;
+    seen.isDraining = seen.isDrained = true;
+    {
+        SCOPED_TRACE("given a drained host, no lease and no log, then it is not rebooted");
+        const auto output =
+                stepWaves({fleet.view, std::span(&seen, 1), {}, false, false, fleet.now});
+        EXPECT_TRUE(output.proposals.empty());
+        for (const HostCommand &command : output.commands) {
+            EXPECT_EQ(command.kind, CommandKind::Probe);
+        }
+    }
+    {
+        SCOPED_TRACE("given a rebooted host, then it is let back to work");
+        seen.hasRebooted = true;
+        const auto output =
+                stepWaves({fleet.view, std::span(&seen, 1), {}, false, false, fleet.now});
+        ASSERT_EQ(output.commands.size(), 2);
+        EXPECT_EQ(output.commands[0].kind, CommandKind::Undrain);
+    }
+    {
+        SCOPED_TRACE("given the log but no lease, then nothing is done");
+        const auto output =
+                stepWaves({fleet.view, std::span(&seen, 1), {}, false, true, fleet.now});
+        EXPECT_TRUE(output.commands.empty());
+    }
+}
+
+// Guards against a loss of the view of one observer being recorded as the failure of a zone.
+TEST(WaveStep, SilentZoneIsNotFailed)
+{
+    fake::Fleet fleet = smallFleet(AbsenceKind::Reboot);
+    SCOPED_TRACE("given no answer from 8 of 14 hosts of a zone, then none is reported as failed");
+    for (std::size_t i = 0; i < 8; ++i) {
+        fleet.machines[i].unansweredSince = timePoint(0);
+    }
+    fleet.now = timePoint(100'000);
+    const auto observations = fleet.observe(fleet.view);
+    const auto output = stepWaves({fleet.view, observations, {}, true, true, fleet.now});
+    for (const ControlBody &body : output.proposals) {
+        EXPECT_FALSE(std::holds_alternative<HostHealth>(body));
+    }
+}
+
+}  // namespace
+}  // namespace poplarstream::maintenance
