--- a/include/poplarstream/maintenance/budget_tally.hpp
+++ b/include/poplarstream/maintenance/budget_tally.hpp
@@ -59,8 +59,8 @@
     Refusal refusal(std::size_t host, std::size_t target) const;
     // The rules that do not depend on the rack of the host, for skipping a pool at once.
     Refusal poolRefusal(std::size_t pool) const;
-    // How many hosts of the pool may be away at once under its demand.
-    std::uint32_t demandWidth(std::size_t pool) const;
+    // How many hosts of the pool may be away at once under its demand if it had `extra` more hosts.
+    std::uint32_t demandWidth(std::size_t pool, std::uint32_t extra) const;
 
     // Takes a host away, with a slot in `target` unless it is noPool.
     void leave(std::size_t host, std::size_t target);
--- a/src/poplarstream/maintenance/budget_tally.cpp
+++ b/src/poplarstream/maintenance/budget_tally.cpp
@@ -119,7 +119,7 @@
     return isOnlyLargest && entry.largestGroup > 0 ? entry.largestGroup - 1 : entry.largestGroup;
 }
 
-std::uint32_t BudgetTally::demandWidth(std::size_t pool) const
+std::uint32_t BudgetTally::demandWidth(std::size_t pool, std::uint32_t extra) const
 {
     const PoolView &view = view_.pools[pool];
     const PoolEntry &entry = pools_[pool];
@@ -134,7 +134,7 @@
     const double perHost = entry.capacity / inService;
     const double demand = sustainedDemand_ ? view.sustainedDemand : view.demand;
     const double needed = demand * (1 + floodShare_) / perHost;
-    const double spare = static_cast<double>(entry.hostCount) - needed;
+    const double spare = static_cast<double>(entry.hostCount + extra) - needed;
     const auto fitting = spare > 0 ? static_cast<std::uint32_t>(spare) : 0;
     return std::min(view.maxAway, std::max(floor, fitting));
 }
--- /dev/null
+++ b/src/poplarstream/maintenance/duty_lease_test.cpp
@@ -0,0 +1,77 @@
+#include "poplarstream/maintenance/duty_lease.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+
+#include "poplarstream/base/random.hpp"  // for Random
+
+namespace poplarstream::maintenance {
+namespace {
+
+// Guards against two holders at once, or a lease that nobody takes over, when hosts pause, records
+// are lost or late, and ranks differ from host to host.
+TEST(DutyLease, OneHolderUnderRandomFaults)
+{
+    for (std::uint64_t seed = 1; seed <= 1'000; ++seed) {
+        SCOPED_TRACE("given seed " + std::to_string(seed));
+        Random random(seed);
+        const LeasePolicy policy;
+        LeaseView lease;
+        struct Pending
+        {
+            TimePoint at;
+            DutyLease record;
+        };
+        std::vector<Pending> pending;
+        std::vector<TimePoint> pausedUntil(4);
+        TimePoint lastHeld = timePoint(0);
+        for (TimePoint now = timePoint(0); now < timePoint(200'000); now += Milliseconds{500}) {
+            const bool isCalm = now > timePoint(150'000);
+            std::erase_if(pending, [&](const Pending &entry) {
+                const bool isFree = lease.holder.isEmpty() || now >= lease.until
+                                    || lease.holder == entry.record.holder;
+                if (entry.at <= now && isFree) {
+                    lease = {entry.record.holder, now + entry.record.duration};
+                }
+                return entry.at <= now;
+            });
+            int acting = 0;
+            for (std::size_t i = 0; i < pausedUntil.size(); ++i) {
+                if (!isCalm && random.below(100) == 0) {
+                    pausedUntil[i] = now + Milliseconds{random.below(40'000)};
+                }
+                if (now < pausedUntil[i]) {
+                    continue;
+                }
+                const EntryHostId self("e" + std::to_string(i));
+                acting += mayAct(lease, self, now, policy) ? 1 : 0;
+                const auto rank = static_cast<std::uint32_t>(isCalm ? i : random.below(4));
+                const auto record = decideDutyLease(
+                        {DutyId("waves"), self, lease, rank, false, false, now}, policy);
+                if (record && (isCalm || random.below(4) != 0)) {
+                    pending.push_back(
+                            {now + Milliseconds{isCalm ? 0 : random.below(3'000)}, *record});
+                }
+            }
+            ASSERT_LE(acting, 1);
+            if (acting == 1) {
+                lastHeld = now;
+            }
+        }
+        SCOPED_TRACE("then one host acts once the faults have ended");
+        ASSERT_GT(lastHeld, timePoint(195'000));
+    }
+}
+
+// Guards against a planned stop that leaves the duty without a holder for a whole lease.
+TEST(DutyLease, LeavingHolderReleases)
+{
+    const LeasePolicy policy;
+    const LeaseView lease{EntryHostId("e0"), timePoint(10'000)};
+    LeaseInput input{DutyId("d"), EntryHostId("e0"), lease, 0, true, false, timePoint(1'000)};
+    EXPECT_EQ(decideDutyLease(input, policy)->duration, Milliseconds{0});
+    input.self = EntryHostId("e1");
+    EXPECT_FALSE(decideDutyLease(input, policy).has_value());
+}
+
+}  // namespace
+}  // namespace poplarstream::maintenance
--- a/src/poplarstream/maintenance/loans.cpp
+++ b/src/poplarstream/maintenance/loans.cpp
@@ -39,9 +39,11 @@
     return work;
 }
 
-std::uint32_t worthwhileLoans(const FleetView &view, const PoolWork &work, std::uint32_t width,
-                              std::uint32_t budget)
+std::uint32_t worthwhileLoans(const FleetView &view, const BudgetTally &tally, std::size_t pool,
+                              const PoolWork &work)
 {
+    const std::uint32_t budget = view.pools[pool].maxAway;
+    const std::uint32_t width = tally.demandWidth(pool, 0);
     if (work.hosts <= width || width >= budget || width == 0) {
         return 0;
     }
@@ -53,14 +55,19 @@
     const auto moveTime = static_cast<double>(view.policy.moveTime.count());
     std::uint32_t best = 0;
     double bestGain = 0;
-    for (std::uint32_t k = 1; k <= budget - width; ++k) {
-        const double saved = (before - rollout(width + k) - 2 * moveTime) / before;
+    // More loans than hosts to do never pay.
+    for (std::uint32_t k = 1; k <= work.hosts; ++k) {
+        const std::uint32_t widened = tally.demandWidth(pool, k);
+        const double saved = (before - rollout(widened) - 2 * moveTime) / before;
         const double gain =
                 view.weights.rollout * saved - view.weights.moves * 2.0 * k / work.hosts;
         if (gain > bestGain) {
             bestGain = gain;
             best = k;
         }
+        if (widened >= budget) {
+            break;
+        }
     }
     return best;
 }
@@ -85,8 +92,7 @@
         if (view.pools[pool].isSpare || work[pool].hosts == 0) {
             continue;
         }
-        const std::uint32_t width = after.demandWidth(pool);
-        std::uint32_t wanted = worthwhileLoans(view, work[pool], width, view.pools[pool].maxAway);
+        std::uint32_t wanted = worthwhileLoans(view, after, pool, work[pool]);
         wanted -= std::min(wanted, work[pool].loansUnderWay);
         while (wanted > 0 && !spares.empty()
                && after.refusal(spares.back(), pool) == Refusal::None) {
