Follow the life cycle of the replayed fleet state

A failed host keeps its grant and returns through a probe; an abandoned drain ends through Returning. A host that does not come back is reported by one HostHealth record. Loans are made only where they are replayed, and their returns name no wave.

--- a/include/poplarstream/maintenance/fleet_view.hpp
+++ b/include/poplarstream/maintenance/fleet_view.hpp
@@ -12,11 +12,12 @@
 
 namespace poplarstream::maintenance {
 
-// The replayed life-cycle state of a host. `Drained` is the phase between the reports Drained and
-// Away; a replay that enters Away directly on Drained never shows it.
+// The replayed life-cycle state of a host. `Drained` is the part of Away before the report that the
+// host has left, in which the absence can still be given up.
 enum class HostState { InService, Draining, Drained, Away, Returning, Failed };
 
-// A granted absence that has not ended. `offset` is the offset of the granted request.
+// A granted absence that has not ended; a host that fails keeps it. `offset` is the offset of the
+// granted request.
 struct Grant
 {
     Offset offset = 0;
@@ -126,6 +127,8 @@
     std::vector<WaveView> waves;
     Weights weights;
     bool hasRackHeadroom = false;
+    // Loans are made only where the views of the waves report them, since they must be returned.
+    bool mayLend = false;
     Policy policy;
 };
 
--- a/src/poplarstream/maintenance/absence_step.cpp
+++ b/src/poplarstream/maintenance/absence_step.cpp
@@ -43,11 +43,14 @@
 enum class Standing { Wanted, Stale, Withdrawn };
 
 // Whether the wave still wants what was granted. A request of no wave of the view (the wave was
-// removed from the configuration) counts as withdrawn. Loans are wanted as long as their wave is
-// there: their target is not that of the wave.
+// removed from the configuration) counts as withdrawn; one without a wave returns a loan. Loans are
+// wanted as long as their wave is there: their target is not that of the wave.
 Standing standingOf(const Scene &scene)
 {
     const Grant &grant = *scene.host.grant;
+    if (grant.wave.isEmpty()) {
+        return Standing::Wanted;
+    }
     const auto &waves = scene.input.fleet.waves;
     const auto it = std::find_if(waves.begin(), waves.end(),
                                  [&](const WaveView &wave) { return wave.id == grant.wave; });
@@ -75,7 +78,7 @@
            && !scene.seen.isDraining && !scene.seen.unansweredSince;
 }
 
-// Lets a host that has not gone yet back to work.
+// Lets a host that has not gone yet back to work; once reported, its absence ends like any other.
 void giveUpDrain(const Scene &scene, std::string reason)
 {
     note(scene, std::move(reason));
@@ -141,7 +144,6 @@
         return false;
     }
     if (scene.mayPropose) {
-        report(scene, AbsencePhase::Abandoned);
         scene.output.proposals.emplace_back(
                 HostHealth{scene.host.id, true, "did not come back from an absence"});
         scene.output.pages.push_back(
--- a/src/poplarstream/maintenance/fake_fleet.hpp
+++ b/src/poplarstream/maintenance/fake_fleet.hpp
@@ -210,7 +210,7 @@
 
     static bool isDone(const WaveView &wave, const HostId &host)
     {
-        return std::find(wave.done.begin(), wave.done.end(), host) != wave.done.end();
+        return std::binary_search(wave.done.begin(), wave.done.end(), host);
     }
 
     const PoolView *poolOf(const PoolId &pool) const
@@ -279,7 +279,8 @@
         case AbsencePhase::Drained:
             return state == HostState::Draining && (enter(host, HostState::Drained), true);
         case AbsencePhase::Away:
-            return state == HostState::Drained && (enter(host, HostState::Away), true);
+            return state == HostState::Drained
+                   && (enter(host, HostState::Away), left_.insert(host.id), true);
         case AbsencePhase::Returning:
             return state == HostState::Away && (enter(host, HostState::Returning), true);
         case AbsencePhase::Returned:
@@ -287,22 +288,25 @@
         case AbsencePhase::Abandoned:
             break;
         }
-        const bool hadLeft = state == HostState::Away || state == HostState::Returning;
-        host.grant.reset();
+        if (state == HostState::Returning || state == HostState::Failed) {
+            return false;
+        }
         host.lastAbandoned = now;
-        enter(host, hadLeft ? HostState::Failed : HostState::InService);
+        enter(host, HostState::Returning);
         return true;
     }
 
     void finish(HostView &host)
     {
+        const bool hasLeft = left_.contains(host.id);
         for (WaveView &wave : view.waves) {
-            if (hasReboot(host.grant->kind) && !isDone(wave, host.id)) {
+            if (hasLeft && hasReboot(host.grant->kind) && !isDone(wave, host.id)) {
                 wave.done.insert(std::lower_bound(wave.done.begin(), wave.done.end(), host.id),
                                  host.id);
             }
         }
         host.grant.reset();
+        left_.erase(host.id);
         enter(host, HostState::InService);
     }
 
@@ -331,8 +335,9 @@
         if (health.failed == (host.state == HostState::Failed)) {
             return false;
         }
-        host.grant.reset();
-        enter(host, health.failed ? HostState::Failed : HostState::InService);
+        enter(host, health.failed ? HostState::Failed
+                    : host.grant  ? HostState::Returning
+                                  : HostState::InService);
         return true;
     }
 
@@ -343,6 +348,7 @@
     }
 
     Offset offset_ = 0;
+    std::set<HostId> left_;  // reported as left in their present absence
 };
 
 }  // namespace poplarstream::maintenance::fake
--- a/src/poplarstream/maintenance/loans.cpp
+++ b/src/poplarstream/maintenance/loans.cpp
@@ -78,6 +78,9 @@
                                     const std::vector<std::optional<Need>> &needs)
 {
     std::vector<LoanChoice> choices;
+    if (!view.mayLend) {
+        return choices;
+    }
     const std::vector<PoolWork> work = workOfPools(view, tally, needs);
     std::vector<std::size_t> spares;
     for (std::size_t i = 0; i < view.hosts.size(); ++i) {
--- a/src/poplarstream/maintenance/wave_plan_test.cpp
+++ b/src/poplarstream/maintenance/wave_plan_test.cpp
@@ -149,6 +149,7 @@
     }
     SCOPED_TRACE("when the roll-out has weight, then loans shorten it and each is returned");
     view.weights = {4, 1, 5};
+    view.mayLend = true;
     const WavePlan withLoans = planWaves(view, timePoint(0));
     EXPECT_GT(withLoans.moves, 0);
     EXPECT_EQ(withLoans.moves % 2, 0);
--- a/src/poplarstream/maintenance/wave_step_test.cpp
+++ b/src/poplarstream/maintenance/wave_step_test.cpp
@@ -44,6 +44,7 @@
     wave.action = action;
     wave.target = PoolId(hasMove(action) ? "q" : "");
     fleet.view.waves = {wave};
+    fleet.view.mayLend = true;
     fleet.machines.resize(fleet.view.hosts.size());
     for (fake::Machine &machine : fleet.machines) {
         machine.drainTime = seconds(20);
