Add the control duty, operators duty, entry host and command line

Cause: the modules had no process that joins them. Change: the control duty replays both streams and drives runs and waves; the operators duty serves status, explain, metrics and publishing; the entry host wires the duties; the program has its subcommands. Peers of the settings carry their zone. Conclusion: none yet.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -26,6 +26,8 @@
   target_link_libraries(${target} PUBLIC ${used} ${ARG_LIBRARIES} fmt::fmt
                         nlohmann_json::nlohmann_json Threads::Threads ${XXHASH_LIBRARY})
 
+  target_compile_definitions(${target} PRIVATE POPLAR_VERSION="${PROJECT_VERSION}")
+
   if(tests)
     add_executable(${target}_test ${tests})
     target_include_directories(${target}_test PRIVATE "${CMAKE_SOURCE_DIR}/src")
--- a/include/poplarstream/config/settings.hpp
+++ b/include/poplarstream/config/settings.hpp
@@ -29,6 +29,13 @@
     std::string peers;
 };
 
+// Another entry host. Its one-way messages go to `address`, its requests to the next port.
+struct PeerSetting
+{
+    ZoneId zone;
+    Address address;
+};
+
 // The settings of one process: what it must know before it has read the configuration.
 struct ProcessSettings
 {
@@ -39,7 +46,7 @@
     Address operators;
     Address peersListen;
     Address platform;
-    std::map<EntryHostId, Address> peers;
+    std::map<EntryHostId, PeerSetting> peers;
     ProcessLimits limits;
     TokenFiles tokens;
 };
@@ -52,7 +59,8 @@
 };
 
 // Reads the sections [entry-host], [listen], [platform], [peers], [limits] and [tokens]. The first
-// three are required. `[peers]` has one entry id=ip:port for each other entry host.
+// three are required. `[peers]` has one entry `id = zone ip:port` for each other
+// entry host.
 ReadSettings readSettings(const ConfigDocument &document);
 
 }  // namespace poplarstream
--- a/include/poplarstream/runs/snapshot.hpp
+++ b/include/poplarstream/runs/snapshot.hpp
@@ -22,7 +22,7 @@
 
 // Collects the parts of snapshots while a stream is read. Parts of an unfinished snapshot are kept
 // until a newer one is complete.
-struct SnapshotCollector
+struct RunsSnapshotCollector
 {
     std::map<RecordId, std::map<std::uint32_t, SnapshotPart>> open;
 };
@@ -30,7 +30,7 @@
 // Takes the parts of a record. Returns the state when a record completes a snapshot that is newer
 // than `newest` (the offset after the last record in it); a part with a wrong checksum is skipped,
 // and so is a snapshot that cannot be read.
-std::optional<RunsState> collect(SnapshotCollector &collector, const RunRecord &record,
+std::optional<RunsState> collect(RunsSnapshotCollector &collector, const RunRecord &record,
                                  Offset newest);
 
 }  // namespace poplarstream
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -11,10 +11,11 @@
 inline constexpr EventKind entryHostReady{101, EventLevel::Info, "entry-host-ready",
                                           "config offset", "None."};
 inline constexpr EventKind entryHostLeaving{
-        102, EventLevel::Info, "entry-host-leaving", "requests",
+        102, EventLevel::Info, "entry-host-leaving", "",
         "None; the process ends when the requests in progress have been answered."};
-inline constexpr EventKind entryHostStopped{103, EventLevel::Info, "entry-host-stopped", "seconds",
-                                            "None."};
+inline constexpr EventKind entryHostStopped{
+        103, EventLevel::Info, "entry-host-stopped", "seconds drained left",
+        "None, unless drained is no: then requests were cut off at the drain limit."};
 inline constexpr EventKind settingsFault{104, EventLevel::Error, "settings-fault",
                                          "file section key fault",
                                          "Correct the key and start the process again."};
--- a/src/poplarstream/config/config_test.cpp
+++ b/src/poplarstream/config/config_test.cpp
@@ -208,19 +208,20 @@
     const std::string text = "[entry-host]\nid=e1\nzone=a\nregion=r1\n"
                              "[listen]\ncallers=127.0.0.1:8000\noperators=127.0.0.1:8001\n"
                              "peers=127.0.0.1:8002\n[platform]\naddress=127.0.0.1:9000\n"
-                             "[peers]\ne2=127.0.0.2:8002\n[limits]\nqueue=7\n";
+                             "[peers]\ne2=b 127.0.0.2:8002\n[limits]\nqueue=7\n";
     {
         SCOPED_TRACE("given valid settings, then all values are read");
         const ReadSettings read = readSettings(documentOf(text));
         EXPECT_TRUE(read.faults.empty()) << describe(read.faults);
-        EXPECT_EQ(addressText(read.settings.peers.at(EntryHostId("e2"))), "127.0.0.2:8002");
+        EXPECT_EQ(addressText(read.settings.peers.at(EntryHostId("e2")).address), "127.0.0.2:8002");
         EXPECT_EQ(read.settings.limits.queue, 7u);
     }
     {
         SCOPED_TRACE("given faults of several kinds, then each is listed");
-        const ReadSettings read = readSettings(documentOf(
-                "[entry-host]\nid=e1\nzone=a\n[listen]\ncallers=127.0.0.1:1\n"
-                "operators=127.0.0.1:1\npeers=here\n[limit]\nqueue=1\n[peers]\ne1=127.0.0.9:1\n"));
+        const ReadSettings read = readSettings(
+                documentOf("[entry-host]\nid=e1\nzone=a\n[listen]\ncallers=127.0.0.1:1\n"
+                           "operators=127.0.0.1:1\npeers=here\n[limit]\nqueue=1\n[peers]\ne1=a "
+                           "127.0.0.9:1\n"));
         EXPECT_EQ(read.faults.size(), 6u) << describe(read.faults, 10);
     }
 }
--- a/src/poplarstream/config/settings.cpp
+++ b/src/poplarstream/config/settings.cpp
@@ -42,7 +42,16 @@
         if (!isName(entry.key)) {
             reader.fault(entry.key, "as key the id of an entry host");
         }
-        settings.peers[EntryHostId(entry.key)] = reader.address(entry.key);
+        const std::size_t blank = entry.value.find(' ');
+        const std::string zone = entry.value.substr(0, blank);
+        const auto address = blank == std::string::npos
+                                     ? std::nullopt
+                                     : addressFromText(entry.value.substr(blank + 1));
+        if (!isName(zone) || !address) {
+            reader.fault(entry.key, "its zone and ip:port, separated by one blank", entry.value);
+            continue;
+        }
+        settings.peers[EntryHostId(entry.key)] = {ZoneId(zone), *address};
     }
 }
 
@@ -101,8 +110,8 @@
     use("listen", "callers", settings.callers);
     use("listen", "operators", settings.operators);
     use("listen", "peers", settings.peersListen);
-    for (const auto &[id, address] : settings.peers) {
-        use("peers", id.text(), address);
+    for (const auto &[id, peer] : settings.peers) {
+        use("peers", id.text(), peer.address);
     }
 }
 
--- /dev/null
+++ b/src/poplarstream/node/control_core.cpp
@@ -0,0 +1,62 @@
+#include "control_core.hpp"
+
+#include "poplarstream/runs/batch.hpp"  // for batchEntries
+
+namespace poplarstream {
+
+namespace {
+
+// Renewals lose their worth quickly; everything else is repeated for longer.
+Milliseconds retryTime(const ControlBody &body)
+{
+    const auto *lease = std::get_if<DutyLease>(&body);
+    return lease != nullptr ? lease->duration : appendRetry;
+}
+
+}  // namespace
+
+ControlCore::ControlCore(ControlSettings controlSettings, ControlPorts controlPorts)
+    : settings(std::move(controlSettings))
+    , ports(std::move(controlPorts))
+    , outbox{.writer = settings.self, .incarnation = settings.incarnation}
+    , random(settings.incarnation)
+{
+    fleet.name = controlStreamName;
+    runs.name = "runs-" + settings.zone.text();
+    memory.self = settings.self;
+    memory.zone = settings.zone;
+}
+
+RecordId ControlCore::propose(ControlBody body)
+{
+    const RecordId id = nextRecordId(outbox);
+    const TimePoint now = clock.now();
+    const TimePoint retryUntil = now + retryTime(body);
+    const std::string text = encode(ControlRecord{{id, settings.self}, std::move(body)});
+    addProposal(outbox, id, fleet.name, text, now, retryUntil);
+    ports.append(id, fleet.name, text);
+    return id;
+}
+
+std::vector<RunRecord> ControlCore::proposeEntries(std::span<const RunEntry> entries)
+{
+    const TimePoint now = clock.now();
+    std::vector<RunRecord> records =
+            batchEntries(entries, settings.self, [this] { return nextRecordId(outbox); });
+    for (const RunRecord &record : records) {
+        const std::string text = encode(record);
+        noteAppend(memory, record, now);
+        addProposal(outbox, record.header.id, runs.name, text, now, now + appendRetry);
+        ports.append(record.header.id, runs.name, text);
+    }
+    return records;
+}
+
+void ControlCore::resend()
+{
+    for (const Resend &again : takeResends(outbox, clock.now())) {
+        ports.append(again.id, again.stream, again.text);
+    }
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/node/wave_driver.cpp
@@ -0,0 +1,265 @@
+#include "wave_driver.hpp"
+
+#include <algorithm>  // for any_of, sort
+
+#include "poplarstream/fleet/queries.hpp"  // for dutyHolder
+#include "poplarstream/maintenance/wave_step.hpp"  // for stepWaves
+#include "poplarstream/membership/peer_queries.hpp"  // for dutyRank
+
+namespace poplarstream {
+
+namespace {
+
+constexpr Milliseconds stepPeriod{500};
+constexpr Milliseconds healthPeriod{2'000};
+// A snapshot of the control stream is written after so many records or so much time. A starting
+// process then replays seconds of log, and the snapshot is far younger than any retention.
+constexpr Offset snapshotRecords = 5'000;
+constexpr Milliseconds snapshotPeriod{15 * 60 * 1000};
+constexpr std::size_t maxPages = 64;
+
+maintenance::LeaseView leaseView(const ControlCore &core)
+{
+    const auto found = core.fleetState().duties.find(DutyId(fleetDuty));
+    if (found == core.fleetState().duties.end()) {
+        return {};
+    }
+    return {found->second.holder, found->second.expires};
+}
+
+HostId hostOf(const ControlBody &body)
+{
+    if (const auto *request = std::get_if<AbsenceRequest>(&body)) {
+        return request->host;
+    }
+    if (const auto *progress = std::get_if<AbsenceProgress>(&body)) {
+        return progress->host;
+    }
+    if (const auto *move = std::get_if<HostMove>(&body)) {
+        return move->host;
+    }
+    if (const auto *health = std::get_if<HostHealth>(&body)) {
+        return health->host;
+    }
+    return {};
+}
+
+PoolId targetOf(const ControlBody &body)
+{
+    if (const auto *request = std::get_if<AbsenceRequest>(&body)) {
+        return request->target;
+    }
+    if (const auto *move = std::get_if<HostMove>(&body)) {
+        return move->to;
+    }
+    return {};
+}
+
+void stepLease(WaveDriver &driver, ControlCore &core)
+{
+    const std::vector<EntryHostId> &live = core.peers.allLive;
+    const maintenance::LeaseInput input{
+            .duty = DutyId(fleetDuty),
+            .self = core.settings.self,
+            .lease = leaseView(core),
+            .rank = membership::dutyRank(fleetDuty, live, core.settings.self),
+            .isLeaving = core.isLeaving,
+            .isInFlight = driver.leaseProposal.has_value(),
+            .now = core.latestLogTimeNow()};
+    if (const auto lease = maintenance::decideDutyLease(input, driver.leasePolicy)) {
+        driver.leaseProposal = core.propose(*lease);
+    }
+}
+
+// The local time after which a command of the present lease must not be sent.
+TimePoint commandDeadline(const WaveDriver &driver, const ControlCore &core)
+{
+    const maintenance::LeaseView lease = leaseView(core);
+    const Milliseconds left = lease.until - driver.leasePolicy.margin - core.latestLogTimeNow();
+    return core.clock.now() + left;
+}
+
+void proposeForHosts(WaveDriver &driver, ControlCore &core, std::vector<ControlBody> bodies)
+{
+    for (ControlBody &body : bodies) {
+        const maintenance::InFlight entry{hostOf(body), targetOf(body)};
+        driver.inFlight[core.propose(std::move(body))] = entry;
+    }
+}
+
+struct StepFacts
+{
+    maintenance::FleetView view;
+    std::vector<maintenance::HostObservation> observations;
+    std::vector<maintenance::InFlight> inFlight;
+    TimePoint now;
+};
+
+StepFacts stepFacts(const WaveDriver &driver, const ControlCore &core)
+{
+    StepFacts facts;
+    facts.now = core.latestLogTimeNow();
+    facts.view = makeWaveView(core.fleetState(), driver.demands, core.settings.wavePolicy);
+    facts.observations =
+            makeObservations(core.workers, core.fleetState(), facts.now - core.clock.now());
+    for (const auto &[record, entry] : driver.inFlight) {
+        facts.inFlight.push_back(entry);
+    }
+    return facts;
+}
+
+void sendCommands(const WaveDriver &driver, ControlCore &core,
+                  std::span<const maintenance::HostCommand> commands)
+{
+    std::vector<WorkerOrder> orders;
+    const TimePoint validUntil = commandDeadline(driver, core);
+    for (const maintenance::HostCommand &command : commands) {
+        // Probes are polls, which the worker table makes at its own pace.
+        if (command.kind != maintenance::CommandKind::Probe) {
+            orders.push_back({command, validUntil});
+        }
+    }
+    if (!orders.empty()) {
+        core.ports.order(std::move(orders));
+    }
+}
+
+void stepFleet(WaveDriver &driver, ControlCore &core)
+{
+    const StepFacts facts = stepFacts(driver, core);
+    const bool mayAct = mayActNow(driver, core);
+    maintenance::StepOutput output = maintenance::stepWaves({.fleet = facts.view,
+                                                             .observations = facts.observations,
+                                                             .inFlight = facts.inFlight,
+                                                             .mayAct = mayAct,
+                                                             .isLogAvailable = core.isLogReachable,
+                                                             .now = facts.now});
+    if (!mayAct) {
+        return;
+    }
+    proposeForHosts(driver, core, std::move(output.proposals));
+    sendCommands(driver, core, output.commands);
+    driver.notes = std::move(output.notes);
+    for (maintenance::Page &page : output.pages) {
+        const bool isKnown = std::any_of(driver.pages.begin(), driver.pages.end(),
+                                         [&](const auto &known) { return known.key == page.key; });
+        if (!isKnown && driver.pages.size() < maxPages) {
+            driver.pages.push_back(std::move(page));
+        }
+    }
+}
+
+// Failed hosts are reported by the entry hosts that poll them, whoever drives the waves.
+void stepHealth(WaveDriver &driver, ControlCore &core)
+{
+    const StepFacts facts = stepFacts(driver, core);
+    maintenance::StepOutput output = maintenance::stepWaves({.fleet = facts.view,
+                                                             .observations = facts.observations,
+                                                             .inFlight = facts.inFlight,
+                                                             .mayAct = true,
+                                                             .isLogAvailable = true,
+                                                             .now = facts.now});
+    const PollInput watch{.fleet = core.fleetState(),
+                          .zone = core.settings.zone,
+                          .self = core.settings.self,
+                          .zonePeers = core.peers.zoneLive};
+    std::erase_if(output.proposals, [&](const ControlBody &body) {
+        const auto *health = std::get_if<HostHealth>(&body);
+        if (health == nullptr) {
+            return true;
+        }
+        const FleetHost &host = core.fleetState().hosts.at(health->host);
+        return !watches(watch, health->host, host.config->zone);
+    });
+    proposeForHosts(driver, core, std::move(output.proposals));
+}
+
+void stepZones(WaveDriver &driver, ControlCore &core)
+{
+    for (const membership::ZoneChange &change : core.peers.zoneChanges) {
+        const bool isProposed =
+                std::any_of(driver.zoneProposals.begin(), driver.zoneProposals.end(),
+                            [&](const auto &entry) { return entry.second == change.zone; });
+        const bool isLost = core.fleetState().lostZones.contains(change.zone);
+        if (!isProposed && isLost != change.isLost) {
+            driver.zoneProposals[core.propose(ZoneReachability{change.zone, change.isLost})] =
+                    change.zone;
+        }
+    }
+}
+
+void stepSnapshot(WaveDriver &driver, ControlCore &core)
+{
+    const FleetState &state = core.fleetState();
+    if (driver.snapshotAt == TimePoint{}) {
+        driver.snapshotAt = state.time;
+        driver.snapshotThrough = state.next;
+    }
+    const bool isDue = state.next >= driver.snapshotThrough + snapshotRecords
+                       || (state.time - driver.snapshotAt >= snapshotPeriod
+                           && state.next > driver.snapshotThrough);
+    if (!isDue || !driver.snapshotProposals.empty()) {
+        return;
+    }
+    const RecordId snapshot = nextRecordId(core.outbox);
+    const std::vector<SnapshotPart> parts = snapshotParts(state, snapshot);
+    for (const SnapshotPart &part : parts) {
+        driver.snapshotProposals.push_back(core.propose(part));
+    }
+    logEvent(events::snapshotWritten, {{"stream", core.fleet.name},
+                                       {"through", fmt::format("{}", state.next)},
+                                       {"parts", fmt::format("{}", parts.size())}});
+    driver.snapshotThrough = state.next;
+    driver.snapshotAt = state.time;
+}
+
+}  // namespace
+
+bool mayActNow(const WaveDriver &driver, const ControlCore &core)
+{
+    return !core.isLeaving
+           && maintenance::mayAct(leaseView(core), core.settings.self, core.latestLogTimeNow(),
+                                  driver.leasePolicy);
+}
+
+void step(WaveDriver &driver, ControlCore &core)
+{
+    const TimePoint now = core.clock.now();
+    if (!core.fleet.isReplaying() || !core.fleet.readUntil || now < driver.nextStep) {
+        return;
+    }
+    driver.nextStep = now + stepPeriod;
+    stepLease(driver, core);
+    if (core.fleetState().version == 0) {
+        return;
+    }
+    stepZones(driver, core);
+    if (mayActNow(driver, core)) {
+        stepFleet(driver, core);
+        stepSnapshot(driver, core);
+    } else if (now >= driver.nextHealthStep && !core.isLeaving && core.isLogReachable) {
+        driver.nextHealthStep = now + healthPeriod;
+        stepHealth(driver, core);
+    }
+}
+
+void forgetProposal(WaveDriver &driver, const RecordId &record)
+{
+    driver.inFlight.erase(record);
+    driver.zoneProposals.erase(record);
+    std::erase(driver.snapshotProposals, record);
+    if (driver.leaseProposal == record) {
+        driver.leaseProposal.reset();
+    }
+}
+
+void releaseDuty(WaveDriver &driver, ControlCore &core)
+{
+    const maintenance::LeaseView lease = leaseView(core);
+    if (lease.holder == core.settings.self && lease.until > core.latestLogTimeNow()) {
+        driver.leaseProposal =
+                core.propose(DutyLease{DutyId(fleetDuty), core.settings.self, Milliseconds{0}});
+    }
+}
+
+}  // namespace poplarstream
--- a/src/poplarstream/runs/snapshot.cpp
+++ b/src/poplarstream/runs/snapshot.cpp
@@ -94,7 +94,7 @@
 // The writers of this many snapshots can have stopped half way before the oldest is dropped.
 constexpr std::size_t maxOpenSnapshots = 4;
 
-void dropOldest(SnapshotCollector &collector)
+void dropOldest(RunsSnapshotCollector &collector)
 {
     collector.open.erase(std::min_element(
             collector.open.begin(), collector.open.end(), [](const auto &a, const auto &b) {
@@ -179,7 +179,7 @@
     return parts;
 }
 
-std::optional<RunsState> collect(SnapshotCollector &collector, const RunRecord &record,
+std::optional<RunsState> collect(RunsSnapshotCollector &collector, const RunRecord &record,
                                  Offset newest)
 {
     for (const RunEntry &entry : record.entries) {
--- a/src/poplarstream/runs/snapshot_test.cpp
+++ b/src/poplarstream/runs/snapshot_test.cpp
@@ -12,7 +12,7 @@
 
 // The parts as they come back from the log.
 std::optional<RunsState> throughLog(const std::vector<SnapshotPart> &parts,
-                                    SnapshotCollector &collector)
+                                    RunsSnapshotCollector &collector)
 {
     std::optional<RunsState> state;
     for (const SnapshotPart &part : parts) {
@@ -41,7 +41,7 @@
         RunsState head;
         for (int cut = 0; cut < count; ++cut) {
             apply(head, log[static_cast<std::size_t>(cut)]);
-            SnapshotCollector collector;
+            RunsSnapshotCollector collector;
             auto state = throughLog(snapshotParts(head, RecordId("s")), collector);
             RC_ASSERT(state.has_value());
             RC_ASSERT(*state == head);
@@ -76,14 +76,14 @@
     ASSERT_GT(parts.size(), 4U);
     {
         SCOPED_TRACE("when it is whole, then it is read");
-        SnapshotCollector collector;
+        RunsSnapshotCollector collector;
         const auto read = throughLog(parts, collector);
         ASSERT_TRUE(read.has_value());
         EXPECT_EQ(*read, state);
     }
     {
         SCOPED_TRACE("when a part is missing, then it is skipped and its parts are kept bounded");
-        SnapshotCollector collector;
+        RunsSnapshotCollector collector;
         for (int i = 0; i < 20; ++i) {
             std::vector<SnapshotPart> open = parts;
             open.pop_back();
@@ -96,7 +96,7 @@
     }
     {
         SCOPED_TRACE("when a part is damaged, then it is skipped");
-        SnapshotCollector collector;
+        RunsSnapshotCollector collector;
         std::vector<SnapshotPart> damaged = parts;
         damaged[1].data[100] ^= 1;
         EXPECT_FALSE(throughLog(damaged, collector).has_value());
