Add the workers duty and the worker protocol

The duty sends commands over one connection for each worker and polls over another. A command's validity is checked when the connection is open, right before it is written: a process that was paused while it connected must not send it afterwards, which the pooled client cannot guarantee.

--- /dev/null
+++ b/src/poplarstream/adapters/worker_protocol.cpp
@@ -0,0 +1,281 @@
+#include "poplarstream/adapters/worker_protocol.hpp"
+
+#include <array>  // for array
+#include <limits>  // for numeric_limits
+#include <stdexcept>  // for invalid_argument
+
+#include "poplarstream/adapters/bounded_json.hpp"  // for parseBoundedJson
+
+namespace poplarstream {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::string_view, 7> taskStateTexts{
+        "", "never-started", "running", "succeeded", "failed", "stopped", "checkpointed"};
+
+// A year. Larger times would overflow when they are added to others.
+constexpr std::uint64_t maxMilliseconds = 366ULL * 24 * 3600 * 1000;
+constexpr double maxAmount = 1e12;
+
+json jsonOf(const FencingToken &token)
+{
+    return {{"offset", token.offset}, {"index", token.index}};
+}
+
+json jsonOf(const TaskRef &task)
+{
+    return {{"run", task.run.text()}, {"token", jsonOf(task.token)}};
+}
+
+HttpRequest post(std::string_view target, const json &body)
+{
+    HttpRequest request{"POST", std::string(target), {}, {}, {}};
+    request.headers.push_back({"Content-Type", "application/json"});
+    request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    return request;
+}
+
+struct RequestWriter
+{
+    HttpRequest operator()(const StartTask &start) const
+    {
+        json body = jsonOf(start.task);
+        body.update({{"boot", start.workerBoot},
+                     {"service", start.service.text()},
+                     {"payload", start.payload},
+                     {"checkpoint", start.checkpoint},
+                     {"cpus", start.size.cpus},
+                     {"memory_mb", start.size.memoryMegabytes},
+                     {"accelerators", start.size.accelerators},
+                     {"lease_ms", start.lease.count()}});
+        return post("/tasks", body);
+    }
+    HttpRequest operator()(const RenewLeases &renewal) const
+    {
+        json body{{"tokens", json::array()}, {"lease_ms", renewal.lease.count()}};
+        for (const FencingToken &token : renewal.tokens) {
+            body["tokens"].push_back(jsonOf(token));
+        }
+        return post("/tasks/renew", body);
+    }
+    HttpRequest operator()(const RevokeTask &revocation) const
+    {
+        return post("/tasks/revoke", jsonOf(revocation.task));
+    }
+    HttpRequest operator()(const StopTask &stop) const
+    {
+        return post("/tasks/stop", jsonOf(stop.task));
+    }
+    HttpRequest operator()(const ThrottleTask &throttle) const
+    {
+        json body = jsonOf(throttle.task);
+        body["cpus"] = throttle.cpus;
+        return post("/tasks/throttle", body);
+    }
+    HttpRequest operator()(const CheckpointTask &checkpoint) const
+    {
+        return post("/tasks/checkpoint", jsonOf(checkpoint.task));
+    }
+};
+
+// A whole number that the type can hold; 0 when it is absent.
+template <class Number>
+Number wholeFrom(const json &object, const char *key,
+                 std::uint64_t most = std::numeric_limits<Number>::max())
+{
+    const auto place = object.find(key);
+    if (place == object.end()) {
+        return 0;
+    }
+    if (!place->is_number_unsigned() || place->get<std::uint64_t>() > most) {
+        throw std::invalid_argument(std::string(key) + " is out of range");
+    }
+    return static_cast<Number>(place->get<std::uint64_t>());
+}
+
+// Workers may give fractions of any resource, since usage is an average.
+double amountFrom(const json &object, const char *key)
+{
+    const auto place = object.find(key);
+    if (place == object.end()) {
+        return 0;
+    }
+    const double amount = place->is_number() ? place->get<double>() : -1;
+    if (!(amount >= 0 && amount <= maxAmount)) {
+        throw std::invalid_argument(std::string(key) + " is out of range");
+    }
+    return amount;
+}
+
+Milliseconds durationFrom(const json &object, const char *key)
+{
+    return Milliseconds{wholeFrom<std::int64_t>(object, key, maxMilliseconds)};
+}
+
+Resources resourcesFrom(const json &object)
+{
+    if (!object.is_object()) {
+        throw std::invalid_argument("resources are not an object");
+    }
+    return {amountFrom(object, "cpus"),
+            static_cast<std::uint64_t>(amountFrom(object, "memory_mb")),
+            wholeFrom<std::uint32_t>(object, "accelerators")};
+}
+
+FencingToken tokenFrom(const json &object)
+{
+    const json &token = object.at("token");
+    if (!token.is_object() || !token.contains("offset") || !token.contains("index")) {
+        throw std::invalid_argument("token is not an offset and an index");
+    }
+    return {wholeFrom<Offset>(token, "offset"), wholeFrom<std::uint32_t>(token, "index")};
+}
+
+// The fields of an element of the task list that answers to commands have too.
+TaskObservation observationFrom(const TaskRef &task, std::uint64_t boot, const json &item)
+{
+    const auto state = taskStateFromText(item.at("state").get<std::string>());
+    if (!state) {
+        throw std::invalid_argument("unknown task state");
+    }
+    TaskObservation seen{task, boot, *state, {}, {}, {}, {}};
+    seen.result = item.value("result", "");
+    seen.checkpoint = item.value("checkpoint", "");
+    if (const auto peak = item.find("peak"); peak != item.end()) {
+        seen.peak = resourcesFrom(*peak);
+    }
+    seen.ran = durationFrom(item, "ran_ms");
+    return seen;
+}
+
+void readMode(TaskList &list, const std::string &mode)
+{
+    if (mode != "in-service" && mode != "draining" && mode != "drained") {
+        throw std::invalid_argument("unknown mode");
+    }
+    list.isDraining = mode != "in-service";
+    list.isDrained = mode == "drained";
+}
+
+TaskList listFrom(const HostId &host, const json &body, TimePoint asked)
+{
+    TaskList list;
+    list.place = {wholeFrom<std::uint64_t>(body, "boot"), wholeFrom<std::uint64_t>(body, "change")};
+    if (list.place.boot == 0) {
+        throw std::invalid_argument("no boot");
+    }
+    list.grant = wholeFrom<Offset>(body, "grant");
+    list.rebootedFor = wholeFrom<Offset>(body, "rebooted_for");
+    readMode(list, body.at("mode").get<std::string>());
+    if (const auto usage = body.find("usage"); usage != body.end()) {
+        list.usage = {asked - durationFrom(*usage, "age_ms"), resourcesFrom(*usage), {}};
+    }
+    for (const json &item : body.at("tasks")) {
+        const TaskRef task{RunId(item.at("run").get<std::string>()), tokenFrom(item), host};
+        list.tasks.push_back(observationFrom(task, list.place.boot, item));
+        if (const auto usage = item.find("usage"); list.usage && usage != item.end()) {
+            list.usage->tasks.push_back({task.token, resourcesFrom(*usage)});
+        }
+    }
+    return list;
+}
+
+const TaskRef *taskOf(const WorkerCommand &command)
+{
+    return std::visit(
+            [](const auto &content) -> const TaskRef * {
+                if constexpr (requires { content.task; }) {
+                    return &content.task;
+                } else {
+                    return nullptr;
+                }
+            },
+            command);
+}
+
+}  // namespace
+
+std::string_view taskStateText(TaskState state)
+{
+    return taskStateTexts.at(static_cast<std::size_t>(state));
+}
+
+std::optional<TaskState> taskStateFromText(std::string_view text)
+{
+    for (std::size_t i = 1; i < taskStateTexts.size(); ++i) {
+        if (taskStateTexts.at(i) == text) {
+            return static_cast<TaskState>(i);
+        }
+    }
+    return std::nullopt;
+}
+
+const HostId &workerOf(const WorkerCommand &command)
+{
+    const TaskRef *const task = taskOf(command);
+    return task != nullptr ? task->worker : std::get<RenewLeases>(command).worker;
+}
+
+HttpRequest requestOf(const WorkerCommand &command)
+{
+    return std::visit(RequestWriter{}, command);
+}
+
+HttpRequest grantRequest(std::string_view target, Offset grant)
+{
+    return post(target, {{"grant", grant}});
+}
+
+HttpRequest taskListRequest(const TaskListPlace &place)
+{
+    HttpRequest request;
+    request.target = "/tasks?boot=" + std::to_string(place.boot)
+                     + "&since=" + std::to_string(place.change);
+    return request;
+}
+
+std::optional<TaskObservation> observationOf(const WorkerCommand &command,
+                                             const HttpOutcome &outcome)
+{
+    const TaskRef *const task = taskOf(command);
+    if (task == nullptr || outcome.delivery != HttpDelivery::Answered) {
+        return std::nullopt;
+    }
+    const unsigned status = outcome.response.status;
+    if (status == 409 && std::holds_alternative<StartTask>(command)) {
+        TaskObservation refused;
+        refused.task = *task;
+        refused.state = TaskState::Refused;
+        return refused;
+    }
+    if (status < 200 || status >= 300) {
+        return std::nullopt;
+    }
+    try {
+        const json body = parseBoundedJson(outcome.response.body).value_or(json());
+        TaskObservation seen =
+                observationFrom(*task, wholeFrom<std::uint64_t>(body, "boot"), body);
+        const bool isRevocation = std::holds_alternative<RevokeTask>(command);
+        // Only a revocation makes the worker promise that it will not start the task, and only with
+        // its boot can the promise be compared to that of the claim.
+        if (seen.state == TaskState::NeverStarted && (!isRevocation || seen.workerBoot == 0)) {
+            return std::nullopt;
+        }
+        return seen;
+    } catch (const std::exception &) {
+        return std::nullopt;  // not an answer of this protocol
+    }
+}
+
+Result<TaskList> taskListFromJson(const HostId &host, std::string_view text, TimePoint asked)
+{
+    try {
+        return listFrom(host, parseBoundedJson(text).value_or(json()), asked);
+    } catch (const std::exception &fault) {
+        return Failure{std::string("invalid list of tasks: ") + fault.what(), "tasks"};
+    }
+}
+
+}  // namespace poplarstream
--- /dev/null
+++ b/src/poplarstream/node/workers_duty.cpp
@@ -0,0 +1,300 @@
+#include "poplarstream/node/workers_duty.hpp"
+
+#include <string_view>  // for string_view
+
+#include "poplarstream/adapters/http_client.hpp"  // for HttpClient
+#include "poplarstream/adapters/worker_protocol.hpp"  // for requestOf, taskListFromJson
+#include "poplarstream/node/process_clock.hpp"  // for ProcessClock
+#include "worker_channel.hpp"  // for WorkerChannel
+
+namespace poplarstream {
+
+namespace {
+
+using maintenance::CommandKind;
+using maintenance::HostCommand;
+
+constexpr Milliseconds callDeadline{2'000};
+
+// The calls to one host. Polls and commands have a connection each, so that a slow task list does
+// not hold up a command.
+struct HostCalls
+{
+    HostCalls(boost::asio::io_context &io, HostAddresses hostAddresses)
+        : addresses(std::move(hostAddresses))
+        , commands(io, addresses.worker, callDeadline)
+        , polls(io, addresses.worker, callDeadline)
+    {}
+
+    HostAddresses addresses;
+    WorkerChannel commands;
+    WorkerChannel polls;
+    TaskListPlace place;
+    bool isPolling = false;
+    bool asksMinions = false;  // the poll in progress does
+    bool needsMinionPoll = false;  // asked for during a poll without minions
+};
+
+// A poll in progress: the parts that have not come yet, and what the others told.
+struct PollProgress
+{
+    std::weak_ptr<HostCalls> calls;
+    WorkerStatus status;
+    std::size_t missing = 0;
+    bool areMinionsHealthy = true;
+    bool withMinions = false;
+};
+
+std::string_view targetOf(CommandKind kind)
+{
+    switch (kind) {
+    case CommandKind::Drain:
+        return "/drain";
+    case CommandKind::Reboot:
+        return "/reboot";
+    case CommandKind::Undrain:
+        return "/undrain";
+    case CommandKind::Probe:
+        break;
+    }
+    return "/health";
+}
+
+std::string describe(const HttpOutcome &outcome)
+{
+    return outcome.delivery == HttpDelivery::Answered
+                   ? "status " + std::to_string(outcome.response.status)
+                   : std::string(faultText(outcome.fault));
+}
+
+bool isOk(const HttpOutcome &outcome)
+{
+    return outcome.delivery == HttpDelivery::Answered && outcome.response.status == 200;
+}
+
+void fill(WorkerStatus &status, TaskList list)
+{
+    status.hasAnswered = true;
+    status.boot = list.place.boot;
+    status.grant = list.grant;
+    status.rebootedFor = list.rebootedFor;
+    status.mode = list.isDrained    ? WorkerMode::Drained
+                  : list.isDraining ? WorkerMode::Draining
+                                    : WorkerMode::InService;
+    status.usage = std::move(list.usage);
+    status.tasks = std::move(list.tasks);
+}
+
+}  // namespace
+
+struct WorkersDuty::State : std::enable_shared_from_this<WorkersDuty::State>
+{
+    State(DutyThread &dutyThread, std::function<void(WorkerEvent)> onEvent)
+        : thread(dutyThread)
+        , minions(dutyThread.context(), {.connectionsPerEndpoint = 1})
+        , report(std::move(onEvent))
+    {}
+
+    void setDirectory(std::shared_ptr<const HostDirectory> newDirectory)
+    {
+        directory = std::move(newDirectory);
+        std::erase_if(hosts, [this](const auto &entry) {
+            const auto place = directory->find(entry.first);
+            return place == directory->end() || place->second != entry.second->addresses;
+        });
+    }
+
+    // Null for an unknown host.
+    std::shared_ptr<HostCalls> callsOf(const HostId &host)
+    {
+        if (const auto place = hosts.find(host); place != hosts.end()) {
+            return place->second;
+        }
+        const auto place = directory ? directory->find(host) : HostDirectory::const_iterator{};
+        if (!directory || place == directory->end()) {
+            return nullptr;
+        }
+        return hosts[host] = std::make_shared<HostCalls>(thread.context(), place->second);
+    }
+
+    void send(const WorkerOrder &order)
+    {
+        if (const auto *const command = std::get_if<HostCommand>(&order.command)) {
+            if (command->kind == CommandKind::Probe) {
+                poll({command->host, true});
+                return;
+            }
+            call(command->host, grantRequest(targetOf(command->kind), command->grant),
+                 order.validUntil, [](State &, const HttpOutcome &) {});
+            return;
+        }
+        const auto &command = std::get<WorkerCommand>(order.command);
+        call(workerOf(command), requestOf(command), order.validUntil,
+             [command](State &self, const HttpOutcome &outcome) {
+                 if (auto seen = observationOf(command, outcome)) {
+                     self.report(std::move(*seen));
+                 }
+             });
+    }
+
+    template <class Done>
+    void call(const HostId &host, HttpRequest request, TimePoint validUntil, Done done)
+    {
+        const auto calls = callsOf(host);
+        if (!calls || clock.now() > validUntil) {
+            return;
+        }
+        calls->commands.call({std::move(request),
+                              [weak = weak_from_this(), validUntil] {
+                                  const auto self = weak.lock();
+                                  return self && self->clock.now() <= validUntil;
+                              },
+                              [weak = weak_from_this(), done](const HttpOutcome &outcome) {
+                                  if (const auto self = weak.lock()) {
+                                      done(*self, outcome);
+                                  }
+                              }});
+    }
+
+    void poll(const WorkerPoll &wanted)
+    {
+        const auto calls = callsOf(wanted.host);
+        if (!calls) {
+            WorkerStatus status;
+            status.host = wanted.host;
+            status.fault = "the host is not configured";
+            report(std::move(status));
+            return;
+        }
+        if (calls->isPolling) {
+            calls->needsMinionPoll |= wanted.withMinions && !calls->asksMinions;
+            return;
+        }
+        calls->isPolling = true;
+        calls->asksMinions = wanted.withMinions;
+        const auto progress = std::make_shared<PollProgress>();
+        progress->calls = calls;
+        progress->status.host = wanted.host;
+        progress->withMinions = wanted.withMinions;
+        progress->missing = 1 + (wanted.withMinions ? calls->addresses.minions.size() : 0);
+        askWorker(*calls, progress);
+        if (wanted.withMinions) {
+            for (const HttpEndpoint &minion : calls->addresses.minions) {
+                askMinion(minion, progress);
+            }
+        }
+    }
+
+    void askWorker(HostCalls &calls, const std::shared_ptr<PollProgress> &progress)
+    {
+        // The age of the usage counts from the moment of sending, not from that of queueing.
+        const auto asked = std::make_shared<TimePoint>(clock.now());
+        calls.polls.call({taskListRequest(calls.place),
+                          [weak = weak_from_this(), asked] {
+                              const auto self = weak.lock();
+                              if (self) {
+                                  *asked = self->clock.now();
+                              }
+                              return self != nullptr;
+                          },
+                          [weak = weak_from_this(), asked, progress](const HttpOutcome &outcome) {
+                              if (const auto self = weak.lock()) {
+                                  self->onTaskList(*progress, outcome, *asked);
+                              }
+                          }});
+    }
+
+    void onTaskList(PollProgress &progress, const HttpOutcome &outcome, TimePoint asked)
+    {
+        WorkerStatus &status = progress.status;
+        if (isOk(outcome)) {
+            auto list = taskListFromJson(status.host, outcome.response.body, asked);
+            if (list) {
+                if (const auto calls = progress.calls.lock()) {
+                    calls->place = list.value().place;
+                }
+                fill(status, std::move(list).value());
+            } else {
+                status.fault = list.failure().message;
+            }
+        } else {
+            status.fault = describe(outcome);
+        }
+        endPart(progress);
+    }
+
+    void askMinion(const HttpEndpoint &minion, const std::shared_ptr<PollProgress> &progress)
+    {
+        minions.send(minion, {"GET", "/health", {}, {}, {}}, {callDeadline, {}},
+                     [weak = weak_from_this(), minion, progress](const HttpOutcome &outcome) {
+                         const auto self = weak.lock();
+                         if (!self) {
+                             return;
+                         }
+                         // Minions take few connections, which are for requests.
+                         self->minions.retire(minion);
+                         progress->areMinionsHealthy &= isOk(outcome);
+                         self->endPart(*progress);
+                     });
+    }
+
+    void endPart(PollProgress &progress)
+    {
+        if (--progress.missing > 0) {
+            return;
+        }
+        if (progress.withMinions && progress.status.hasAnswered) {
+            progress.status.areMinionsHealthy = progress.areMinionsHealthy;
+        }
+        const auto calls = progress.calls.lock();
+        if (!calls) {
+            return;  // the host was removed or got other addresses
+        }
+        calls->isPolling = false;
+        const HostId host = progress.status.host;
+        if (std::exchange(calls->needsMinionPoll, false)) {
+            poll({host, true});
+        }
+        report(std::move(progress.status));
+    }
+
+    DutyThread &thread;
+    ProcessClock clock;
+    HttpClient minions;
+    std::function<void(WorkerEvent)> report;
+    std::shared_ptr<const HostDirectory> directory;
+    std::map<HostId, std::shared_ptr<HostCalls>> hosts;
+};
+
+WorkersDuty::WorkersDuty(DutyThread &thread, std::function<void(WorkerEvent)> report)
+    : state_(std::make_shared<State>(thread, std::move(report)))
+{}
+
+WorkersDuty::~WorkersDuty() = default;
+
+void WorkersDuty::setDirectory(std::shared_ptr<const HostDirectory> directory)
+{
+    state_->thread.post([state = state_, directory = std::move(directory)]() mutable {
+        state->setDirectory(std::move(directory));
+    });
+}
+
+void WorkersDuty::send(std::vector<WorkerOrder> orders)
+{
+    state_->thread.post([state = state_, orders = std::move(orders)] {
+        for (const WorkerOrder &order : orders) {
+            state->send(order);
+        }
+    });
+}
+
+void WorkersDuty::poll(std::vector<WorkerPoll> polls)
+{
+    state_->thread.post([state = state_, polls = std::move(polls)] {
+        for (const WorkerPoll &wanted : polls) {
+            state->poll(wanted);
+        }
+    });
+}
+
+}  // namespace poplarstream
