--- a/src/poplarstream/config/config_test.cpp
+++ b/src/poplarstream/config/config_test.cpp
@@ -4,7 +4,9 @@
 #include "poplarstream/config/edits.hpp"  // for difference, applyEdits
 #include "poplarstream/config/ini.hpp"  // for parseDocument, formatDocument
 #include "poplarstream/config/settings.hpp"  // for readSettings
+#include "poplarstream/config/stages.hpp"  // for stagedEdits
 #include "poplarstream/config/validation.hpp"  // for readConfiguration, readChanged
+#include "poplarstream/records/codec.hpp"  // for encode
 
 namespace poplarstream {
 namespace {
@@ -202,6 +204,36 @@
     }
 }
 
+// Guards against a first publication of a large fleet that the log or replay refuses on the way.
+TEST(Stages, EachFitsAndIsValid)
+{
+    std::string text = "[fleet]\nname=large\n[zone a]\nregion=r\n[pool p]\nmax_away=9\n"
+                       "[wave w]\npools=p\naction=reboot\n";
+    for (int i = 0; i < 1500; ++i) {
+        text += "[host h" + std::to_string(i) + "]\nzone=a\nrack=k\npool=p\ncpus=1\n"
+                + "memory_mb=1\nworker=127.1." + std::to_string(i / 250) + "."
+                + std::to_string(i % 250) + ":7000\n";
+    }
+    const ConfigDocument large = documentOf(text);
+    const ConfigDocument small = documentOf(smallDocument);
+    for (const auto &[from, to] :
+         {std::pair(ConfigDocument{}, large), std::pair(large, small), std::pair(small, large)}) {
+        const auto stages = stagedEdits(from, to);
+        ASSERT_TRUE(stages) << stages.failure().message;
+        EXPECT_GT(stages.value().size(), 1u);
+        ConfigDocument document = from;
+        for (const auto &edits : stages.value()) {
+            const ControlRecord record{{RecordId("r"), EntryHostId("e")},
+                                       ConfigChange{0, "ann", edits}};
+            EXPECT_LT(encode(record).size(), maxRecordBytes);
+            document = applyEdits(document, edits).document;
+            EXPECT_EQ(describe(readConfiguration(document).faults), "");
+        }
+        EXPECT_EQ(document, to);
+    }
+    EXPECT_EQ(stagedEdits({}, small).value().size(), 1u);
+}
+
 // Guards against a process that starts with half of its settings.
 TEST(Settings, FaultsAndValues)
 {
--- a/src/poplarstream/config/section_reader.cpp
+++ b/src/poplarstream/config/section_reader.cpp
@@ -44,6 +44,11 @@
            && std::all_of(text.begin(), text.end(), isNameCharacter);
 }
 
+std::optional<std::uint64_t> wholeNumber(const std::string &text)
+{
+    return numberFrom<std::uint64_t>(text);
+}
+
 std::vector<std::string> splitList(std::string_view text)
 {
     std::vector<std::string> items;
@@ -127,7 +132,7 @@
     if (!value) {
         return fallback.value_or(least);
     }
-    const auto number = numberFrom<std::uint64_t>(*value);
+    const auto number = wholeNumber(*value);
     if (!number || *number < least || *number > most) {
         fault(key, expected, *value);
         return fallback.value_or(least);
--- a/src/poplarstream/config/section_reader.hpp
+++ b/src/poplarstream/config/section_reader.hpp
@@ -97,6 +97,9 @@
     ConfigFaults &faults_;
 };
 
+// The number that the whole text spells in decimal digits, or nothing.
+std::optional<std::uint64_t> wholeNumber(const std::string &text);
+
 // The items of a list, separated by commas, without the blanks around them.
 std::vector<std::string> splitList(std::string_view text);
 
