--- a/include/poplarstream/traffic/state.hpp
+++ b/include/poplarstream/traffic/state.hpp
@@ -79,8 +79,9 @@
     Milliseconds distance{0};
     bool own = false;  // in the zone of the entry host
     bool listed = true;
-    bool leaving = false;
-    TimePoint leavingSince{};
+    bool leaving = false;  // marked by the minion or listed as leaving by membership
+    bool listedLeaving = false;
+    TimePoint markedAt{};  // when the minion's leaving mark was last seen
 
     std::vector<ConnectionNumber> connections;  // all that are not closed
     std::vector<ConnectionNumber> idle;  // usable ones; the last one was heard most recently
@@ -117,7 +118,8 @@
     std::vector<PoolIndex> pools;
     std::vector<MinionIndex> own;  // usable candidates of the own zone
     std::vector<MinionIndex> remote;  // of other zones, nearest first
-    double capacity = 0;  // requests in flight that this service may hold now; see refreshCapacity
+    double capacity = 0;  // requests in flight that this service may hold; see refreshCapacity
+    bool usable = false;  // some candidate can take requests
     TimePoint lastReachable{};
     std::vector<TokenBucket> retryBudgets;  // by tenant index
     std::uint32_t inFlight = 0;
--- a/include/poplarstream/traffic/urgent_path.hpp
+++ b/include/poplarstream/traffic/urgent_path.hpp
@@ -38,8 +38,9 @@
 void onProbeAnswer(TrafficState &state, ConnectionNumber connection, bool healthy,
                    const LoadReport &load, TimePoint now, Actions &out);
 
-// Evidence from membership that a minion leaves. It gets nothing new from now on.
-void onLeaving(TrafficState &state, const MinionId &minion, TimePoint now);
+// Membership has evidence that a minion leaves, or that it stays. A leaving one gets nothing new
+// from now on; one that stays still gets nothing while its own answers carry the mark.
+void onLeaving(TrafficState &state, const MinionId &minion, bool isLeaving);
 
 // The caller has gone away. A queued request is forgotten; one in flight runs on and its answer is
 // dropped.
--- a/src/poplarstream/traffic/admission.cpp
+++ b/src/poplarstream/traffic/admission.cpp
@@ -111,13 +111,13 @@
     if (service.own.empty() && service.remote.empty()) {
         return Refusal{Reason::NoMinion, spread(state, 5000)};
     }
-    if (service.capacity <= 0 && now - service.lastReachable > reconnectTime) {
+    if (!service.usable && now - service.lastReachable > reconnectTime) {
         return Refusal{Reason::NoMinion, spread(state, 1000)};
     }
     if (!hasQueueRoom(state, findFlow(service, key), request.bytes)) {
         return Refusal{Reason::QueueFull, spread(state, service.time.mean * 4)};
     }
-    const double wait = service.capacity <= 0 ? 0 : expectedWait(state, service, key, now);
+    const double wait = expectedWait(state, service, key, now);
     const double work = service.time.mean + (wait > 0 ? 2 * service.time.deviation : 0);
     const auto slack = static_cast<double>((request.deadline - now).count());
     if (slack < wait + work) {
--- a/src/poplarstream/traffic/minion_health.cpp
+++ b/src/poplarstream/traffic/minion_health.cpp
@@ -10,6 +10,9 @@
 constexpr double slowFactor = 4;
 // Beyond this factor the limit shrinks: the minion runs fewer slots than it declares.
 constexpr double crowdedFactor = 2;
+// A process that leaves marks every answer until it ends, so an unmarked one that comes this long
+// after the last mark is from its successor and not an older answer that was overtaken.
+constexpr Milliseconds markLifetime{3000};
 constexpr std::uint32_t failuresToEject = 5;
 constexpr double failureRateToEject = 0.5;
 constexpr std::uint32_t samplesForSlowness = 20;
@@ -128,11 +131,10 @@
 void noteReport(Minion &minion, const LoadReport &report, TimePoint openedAt, TimePoint now)
 {
     if (report.leaving) {
-        if (!minion.leaving) {
-            minion.leaving = true;
-        }
-        minion.leavingSince = now;
-    } else if (minion.leaving && openedAt > minion.leavingSince) {
+        minion.leaving = true;
+        minion.markedAt = now;
+    } else if (minion.leaving && !minion.listedLeaving
+               && (openedAt >= minion.markedAt || now - minion.markedAt > markLifetime)) {
         minion.leaving = false;
     }
     if (report.slots > 0) {
--- a/src/poplarstream/traffic/minion_health.hpp
+++ b/src/poplarstream/traffic/minion_health.hpp
@@ -19,7 +19,7 @@
 double loadScore(const TrafficState &state, const Minion &minion, TimePoint now);
 
 // A load report arrived on a connection that was opened at `openedAt`. A report without the leaving
-// mark clears the mark only if the connection is newer than the mark.
+// mark clears the mark only if the connection is newer than the mark or the mark is old.
 void noteReport(Minion &minion, const LoadReport &report, TimePoint openedAt, TimePoint now);
 
 // An answer came `milliseconds` after the request was sent; `mean` is the service's mean time.
--- a/src/poplarstream/traffic/routing.cpp
+++ b/src/poplarstream/traffic/routing.cpp
@@ -222,11 +222,15 @@
                         activeWeight[minion.pool] + (service.queue.count > 0 ? 0 : weight);
                 service.capacity +=
                         usableRoom(state, minion, group == &service.own, now) * weight / active;
-                if (minion.reachable && !minion.leaving) {
-                    service.lastReachable = now;
-                }
             }
         }
+        service.usable = service.capacity > 0;
+        if (service.usable) {
+            service.lastReachable = now;
+        } else {
+            // While connections are being opened again, one place at each candidate is assumed.
+            service.capacity = static_cast<double>(service.own.size() + service.remote.size());
+        }
     }
 }
 
--- /dev/null
+++ b/src/poplarstream/traffic/test_network.hpp
@@ -0,0 +1,209 @@
+#pragma once
+
+#include <algorithm>  // for none_of
+#include <map>  // for map
+#include <set>  // for set
+#include <string>  // for to_string
+#include <vector>  // for vector
+
+#include "poplarstream/traffic/state_view.hpp"  // for attemptText
+#include "poplarstream/traffic/urgent_path.hpp"  // for configure, admit, tick
+
+namespace poplarstream::traffic {
+
+// One entry host whose network is moved by the test. It records what was asked of it and counts
+// every breach of the guarantees that hold whatever happens.
+struct TestNetwork
+{
+    struct Sent
+    {
+        RequestNumber request{};
+        ConnectionNumber connection{};
+        MinionId minion;
+    };
+
+    // Minions m0, m1, ... in zone a (and from `others` on in zone b), services "once" (not
+    // idempotent) and "again" (idempotent), tenants t0 ... t3.
+    explicit TestNetwork(std::size_t minions, std::size_t others = ~std::size_t{0})
+        : state(0xabc, 7)
+    {
+        settings.entryHost = EntryHostId("e");
+        settings.ownZone = ZoneId("a");
+        settings.services = {{ServiceId("once"), false, 1, Milliseconds{20}},
+                             {ServiceId("again"), true, 1, Milliseconds{20}}};
+        settings.pools = {{PoolId("p"), {ServiceId("once"), ServiceId("again")}}};
+        settings.zones = {{ZoneId("a"), Milliseconds{0}}, {ZoneId("b"), Milliseconds{1}}};
+        for (std::size_t i = 0; i < 4; ++i) {
+            settings.tenants.push_back({TenantId("t" + std::to_string(i)), 1, 0});
+        }
+        for (std::size_t i = 0; i < minions; ++i) {
+            settings.minions.push_back({MinionId("m" + std::to_string(i)), PoolId("p"),
+                                        ZoneId(i < others ? "a" : "b"), 8, 64});
+        }
+    }
+
+    void start()
+    {
+        configure(state, settings, now, actions);
+        take();
+        connectAll();
+        pass(20);
+    }
+
+    // Opens all pending connections and answers all pending probes.
+    void connectAll()
+    {
+        for (int i = 0; i < 3; ++i) {
+            for (const ConnectionNumber connection : std::set(connecting)) {
+                connecting.erase(connection);
+                onConnected(state, connection, now, actions);
+                take();
+            }
+            answerProbes();
+        }
+    }
+
+    void answerProbes()
+    {
+        for (const ConnectionNumber connection : std::set(probing)) {
+            probing.erase(connection);
+            onProbeAnswer(state, connection, true, {1, 8, leaving.contains(open[connection])}, now,
+                          actions);
+            take();
+        }
+    }
+
+    RequestNumber ask(const std::string &service, std::size_t tenant, int deadline)
+    {
+        const bool isOnce = service == "once";
+        const RequestNumber number =
+                admit(state,
+                      {ServiceId(service), TenantId("t" + std::to_string(tenant)), 0,
+                       now + Milliseconds{deadline}, 10},
+                      now, actions);
+        deadlines[number] = now + Milliseconds{deadline};
+        if (isOnce) {
+            once.insert(number);
+        }
+        take();
+        return number;
+    }
+
+    // Answers `attempt` on `connection` with the text of `attempt`.
+    void answer(AttemptNumber attempt, ConnectionNumber connection,
+                AnswerKind kind = AnswerKind::Ok, const LoadReport &load = {})
+    {
+        const std::string text = attemptText(state, attempt);
+        const Sent was = sent.contains(attempt) ? sent[attempt] : Sent{};
+        answered = was.request;
+        onAnswer(state, connection, {text, kind, load}, now, actions);
+        if (kind == AnswerKind::Refused) {
+            unsettled[was.request].erase(attempt);
+        }
+        sent.erase(attempt);
+        take();
+        answered = {};
+    }
+
+    void answerOwn(AttemptNumber attempt, AnswerKind kind = AnswerKind::Ok,
+                   const LoadReport &load = {})
+    {
+        answer(attempt, sent[attempt].connection, kind, load);
+    }
+
+    void fail(ConnectionNumber connection, bool bytesSent)
+    {
+        connecting.erase(connection);
+        probing.erase(connection);
+        open.erase(connection);
+        // What was answered elsewhere had been sent.
+        bytesSent = bytesSent || std::none_of(sent.begin(), sent.end(), [&](const auto &entry) {
+                        return entry.second.connection == connection;
+                    });
+        for (auto it = sent.begin(); it != sent.end();) {
+            if (it->second.connection == connection) {
+                if (!bytesSent) {
+                    unsettled[it->second.request].erase(it->first);
+                }
+                it = sent.erase(it);
+            } else {
+                ++it;
+            }
+        }
+        onConnectionFailure(state, connection, bytesSent, now, actions);
+        take();
+    }
+
+    void pass(int milliseconds)
+    {
+        now += Milliseconds{milliseconds};
+        tick(state, now, actions);
+        take();
+    }
+
+    // Carries out what the module asked for, in order.
+    void take()
+    {
+        for (const Action &action : std::exchange(actions, {})) {
+            if (const auto *a = std::get_if<OpenConnection>(&action)) {
+                connecting.insert(a->connection);
+                open[a->connection] = a->minion;
+            } else if (const auto *b = std::get_if<Dispatch>(&action)) {
+                noteDispatch(*b);
+            } else if (const auto *c = std::get_if<SendProbe>(&action)) {
+                probing.insert(c->connection);
+            } else if (const auto *d = std::get_if<CloseConnection>(&action)) {
+                connecting.erase(d->connection);
+                probing.erase(d->connection);
+                open.erase(d->connection);
+            } else if (const auto *e = std::get_if<Deliver>(&action)) {
+                breaches += ends[e->request]++ > 0 ? "two ends; " : "";
+                breaches += e->request != answered ? "answer of another request; " : "";
+            } else if (const auto *f = std::get_if<Finish>(&action)) {
+                breaches += ends[f->request]++ > 0 ? "two ends; " : "";
+                const bool mayHaveRun = !unsettled[f->request].empty();
+                breaches += f->verdict == Verdict::NotRun && mayHaveRun ? "not-run untrue; " : "";
+                finished.push_back(*f);
+            }
+        }
+    }
+
+    void noteDispatch(const Dispatch &dispatch)
+    {
+        ++dispatched;
+        auto &owed = unsettled[dispatch.request];
+        breaches += once.contains(dispatch.request) && !owed.empty() ? "may run twice; " : "";
+        breaches += leaving.contains(dispatch.minion) ? "sent to a leaving minion; " : "";
+        breaches += ends[dispatch.request] > 0 ? "sent after its end; " : "";
+        // admit() returns the number after the dispatch, so the first one has no deadline here.
+        breaches += deadlines.contains(dispatch.request) && now > deadlines[dispatch.request]
+                            ? "sent after its deadline; "
+                            : "";
+        breaches += !open.contains(dispatch.connection) ? "sent on a closed connection; " : "";
+        for (const auto &[attempt, other] : sent) {
+            breaches += other.connection == dispatch.connection ? "connection in use; " : "";
+        }
+        owed.insert(dispatch.attempt);
+        sent[dispatch.attempt] = {dispatch.request, dispatch.connection, dispatch.minion};
+    }
+
+    TrafficState state;
+    TrafficSettings settings;
+    TimePoint now = timePoint(1000);
+    Actions actions;
+    std::set<ConnectionNumber> connecting;
+    std::set<ConnectionNumber> probing;
+    std::map<ConnectionNumber, MinionId> open;
+    std::map<AttemptNumber, Sent> sent;
+    std::map<RequestNumber, std::set<AttemptNumber>> unsettled;  // sent and not proven unstarted
+    std::map<RequestNumber, int> ends;
+    std::map<RequestNumber, TimePoint> deadlines;
+    std::set<RequestNumber> once;
+    std::set<MinionId> leaving;
+    std::vector<Finish> finished;
+    RequestNumber answered{};
+    std::uint64_t dispatched = 0;
+    std::string breaches;
+};
+
+}  // namespace poplarstream::traffic
--- a/src/poplarstream/traffic/urgent_path.cpp
+++ b/src/poplarstream/traffic/urgent_path.cpp
@@ -162,7 +162,8 @@
         return false;
     }
     const PendingRequest *request = state.requests.find(attempt->request);
-    if (request == nullptr || request->deadline <= now) {
+    const bool isLeaving = state.minions[attempt->minion].leaving;
+    if (request == nullptr || request->deadline <= now || isLeaving) {
         endAttempt(state, number, AttemptEnd::NotSent, now, out);
         return false;
     }
@@ -305,12 +306,13 @@
     pumpMinion(state, index, now, out);
 }
 
-void onLeaving(TrafficState &state, const MinionId &minion, TimePoint now)
+void onLeaving(TrafficState &state, const MinionId &minion, bool isLeaving)
 {
     const auto found = state.minionIndex.find(minion.text());
     if (found != state.minionIndex.end()) {
-        state.minions[found->second].leaving = true;
-        state.minions[found->second].leavingSince = now;
+        Minion &known = state.minions[found->second];
+        known.leaving = isLeaving || (known.leaving && !known.listedLeaving);
+        known.listedLeaving = isLeaving;
     }
 }
 
--- /dev/null
+++ b/src/poplarstream/traffic/urgent_path_test.cpp
@@ -0,0 +1,314 @@
+#include "poplarstream/traffic/urgent_path.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+#include <rapidcheck.h>  // for rc::check
+
+#include "test_network.hpp"  // for TestNetwork
+
+namespace poplarstream::traffic {
+namespace {
+
+template <class Map>
+auto anyOf(const Map &map, Random &random)
+{
+    return std::next(map.begin(), static_cast<std::ptrdiff_t>(random.below(map.size())));
+}
+
+// One random event of the network: an arrival, an answer (own, exchanged or of any kind), a broken
+// connection, a probe, a leaving mark, or time.
+void disturb(TestNetwork &network, Random &random)
+{
+    const auto kind = [&] {
+        const std::uint64_t draw = random.below(10);
+        return draw < 7 ? AnswerKind::Ok : draw < 9 ? AnswerKind::Refused : AnswerKind::Failed;
+    };
+    switch (random.below(12)) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+        network.ask(random.below(2) == 0 ? "once" : "again", random.below(4),
+                    static_cast<int>(10 + random.below(400)));
+        break;
+    case 4:
+    case 5:
+        if (!network.sent.empty()) {
+            network.answerOwn(anyOf(network.sent, random)->first, kind());
+        }
+        break;
+    case 6:
+        if (!network.sent.empty()) {
+            const auto attempt = anyOf(network.sent, random)->first;
+            network.answer(attempt, anyOf(network.sent, random)->second.connection, kind());
+        }
+        break;
+    case 7:
+        if (!network.open.empty()) {
+            network.fail(anyOf(network.open, random)->first, random.below(2) == 0);
+        }
+        break;
+    case 8:
+    case 9:
+        network.connectAll();
+        break;
+    case 10:
+        if (random.below(40) == 0) {
+            const MinionId minion("m" + std::to_string(random.below(6)));
+            onLeaving(network.state, minion, true);
+            network.leaving.insert(minion);
+        }
+        break;
+    default:
+        network.pass(static_cast<int>(random.below(60)));
+    }
+}
+
+// Guards against a second answer to a caller, an answer to another caller, a false "not run", work
+// that may run twice, and work for leaving minions or after the deadline, under any order of lost,
+// exchanged, late and repeated answers and broken connections.
+TEST(UrgentPath, GuaranteesUnderRandomEvents)
+{
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Random random(seed);
+        TestNetwork network(6, 4);
+        network.start();
+        for (int step = 0; step < 600; ++step) {
+            disturb(network, random);
+        }
+        for (int i = 0; i < 200; ++i) {
+            network.pass(10);
+        }
+        ASSERT_EQ(network.breaches, "");
+        for (const auto &[request, deadline] : network.deadlines) {
+            ASSERT_EQ(network.ends[request], 1);
+        }
+        ASSERT_TRUE(isIdle(network.state));
+        for (const MinionView &view : minionViews(network.state)) {
+            ASSERT_EQ(view.inFlight, 0U);
+        }
+    }
+}
+
+// Guards against an answer of an earlier incarnation, or any other text, that ends a request.
+TEST(UrgentPath, UnknownAnswersAreDropped)
+{
+    TestNetwork network(1);
+    network.start();
+    const RequestNumber request = network.ask("once", 0, 500);
+    ASSERT_EQ(network.sent.size(), 1U);
+    const auto [attempt, sent] = *network.sent.begin();
+    for (const std::string &text :
+         {std::string{}, std::string{"abd-100001"}, attemptText(network.state, attempt) + "0",
+          std::string{"abc-"}, std::string{"-"}}) {
+        onAnswer(network.state, sent.connection, {text, AnswerKind::Ok, {}}, network.now,
+                 network.actions);
+        network.take();
+    }
+    EXPECT_EQ(network.ends[request], 0);
+    SCOPED_TRACE("then the deadline ends it with the verdict that is true");
+    network.pass(500);
+    ASSERT_EQ(network.finished.size(), 1U);
+    EXPECT_EQ(network.finished[0].verdict, Verdict::MayHaveRun);
+}
+
+// Guards against a queue that hides overload: a request that cannot be in time must be refused
+// before it waits, with a time to come back.
+TEST(UrgentPath, RefusesWhatCannotBeInTime)
+{
+    TestNetwork network(1);
+    network.start();
+    for (int i = 0; i < 400; ++i) {
+        network.ask("once", 0, 200);
+    }
+    ASSERT_FALSE(network.finished.empty());
+    EXPECT_EQ(network.finished[0].verdict, Verdict::NotRun);
+    EXPECT_EQ(network.finished[0].reason, Reason::DeadlineTooClose);
+    EXPECT_GT(network.finished[0].retryAfter, Milliseconds{0});
+    network.connectAll();
+    EXPECT_EQ(network.dispatched, 8U) << "the limit of a new minion is its slots over the peers";
+}
+
+// Guards against a tenant above its quota, and against a quota that is multiplied by the number of
+// entry hosts.
+TEST(UrgentPath, QuotaIsDividedByPeers)
+{
+    TestNetwork network(4);
+    network.settings.tenants[0].quota = 40;
+    network.settings.livePeers = 4;
+    network.start();
+    std::uint64_t passed = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const auto before = network.finished.size();
+        network.ask("once", 0, 5000);
+        passed += network.finished.size() == before ? 1 : 0;
+        while (!network.sent.empty()) {
+            network.answerOwn(network.sent.begin()->first);
+        }
+        network.pass(10);
+        network.connectAll();
+    }
+    EXPECT_GE(passed, 98U);
+    EXPECT_LE(passed, 100U + 13U) << "10 s at 10 requests per second, and the burst";
+}
+
+// Guards against retries that multiply the load when a zone fails: every attempt fails after its
+// bytes were sent.
+TEST(UrgentPath, RetryBudgetHoldsUnderTotalFailure)
+{
+    TestNetwork network(6);
+    network.start();
+    std::uint64_t arrived = 0;
+    for (int step = 0; step < 3000; ++step) {
+        network.ask("again", static_cast<std::size_t>(step % 4), 400);
+        ++arrived;
+        if (step % 3 == 0 && !network.sent.empty()) {
+            network.fail(network.sent.begin()->second.connection, true);
+        } else if (!network.sent.empty()) {
+            network.answerOwn(network.sent.begin()->first, AnswerKind::Refused);
+        }
+        network.connectAll();
+        network.pass(5);
+    }
+    EXPECT_EQ(network.breaches, "");
+    EXPECT_GT(network.state.counters.retried, 0U);
+    EXPECT_LE(static_cast<double>(network.dispatched), 1.1 * static_cast<double>(arrived));
+}
+
+// Guards against silent connections that keep swallowing requests: new ones must be opened, probed
+// and used within 2 s while the old ones stay silent.
+TEST(UrgentPath, AllConnectionsGoSilent)
+{
+    TestNetwork network(3);
+    network.start();
+    for (int i = 0; i < 6; ++i) {
+        network.ask("once", 0, 3000);
+    }
+    SCOPED_TRACE("when every open connection is silent from now on");
+    std::set<ConnectionNumber> silent;
+    for (const auto &[connection, minion] : network.open) {
+        silent.insert(connection);
+    }
+    const auto answerFresh = [&] {
+        for (const auto &[attempt, sent] : std::map(network.sent)) {
+            if (!silent.contains(sent.connection)) {
+                network.answerOwn(attempt);
+            }
+        }
+    };
+    for (int step = 0; step < 200; ++step) {
+        network.ask("once", 1, 3000);
+        network.pass(10);
+        for (const ConnectionNumber connection : silent) {
+            network.probing.erase(connection);
+        }
+        network.connectAll();
+        answerFresh();
+    }
+    SCOPED_TRACE("then after 2 s nothing is sent on them");
+    std::size_t onSilent = 0;
+    const auto countSilent = [&] {
+        onSilent = 0;
+        for (const auto &[attempt, sent] : network.sent) {
+            onSilent += silent.contains(sent.connection) ? 1 : 0;
+        }
+    };
+    countSilent();
+    const std::size_t before = onSilent;
+    for (int i = 0; i < 20; ++i) {
+        network.ask("once", 1, 3000);
+        answerFresh();
+    }
+    countSilent();
+    EXPECT_EQ(onSilent, before);
+    EXPECT_EQ(network.ends.size(), network.deadlines.size());
+    EXPECT_EQ(network.breaches, "");
+}
+
+// Guards against a minion that fails at once and therefore always looks idle, and against ejecting
+// more minions than the cap allows.
+TEST(UrgentPath, FailingMinionsAttractNoWork)
+{
+    TestNetwork network(9);
+    network.start();
+    std::map<MinionId, std::uint64_t> received;
+    const auto isBad = [](const MinionId &id) { return id.text() < "m5"; };
+    for (int step = 0; step < 4000; ++step) {
+        network.ask("once", 0, 1000);
+        for (const auto &[attempt, sent] : std::map(network.sent)) {
+            const bool isNew = received[sent.minion]++ == 0 || isBad(sent.minion);
+            if (isNew || step % 3 == 0) {
+                network.answerOwn(attempt,
+                                  isBad(sent.minion) ? AnswerKind::Failed : AnswerKind::Ok);
+            }
+        }
+        network.pass(5);
+        network.answerProbes();
+        std::size_t ejected = 0;
+        for (const MinionView &view : minionViews(network.state)) {
+            ejected += view.ejected ? 1 : 0;
+        }
+        ASSERT_LE(ejected, 3U) << "a third of nine";
+    }
+    std::uint64_t bad = 0;
+    for (const auto &[minion, count] : received) {
+        bad += isBad(minion) ? count : 0;
+    }
+    EXPECT_LT(static_cast<double>(bad), 0.1 * static_cast<double>(network.dispatched));
+    EXPECT_GT(network.state.counters.ejections, 0U);
+    SCOPED_TRACE("when they recover, then probes readmit them and they get work again");
+    received.clear();
+    for (int step = 0; step < 12000; ++step) {
+        network.ask("once", 0, 1000);
+        for (const auto &[attempt, sent] : std::map(network.sent)) {
+            ++received[sent.minion];
+            network.answerOwn(attempt);
+        }
+        network.pass(5);
+        network.answerProbes();
+    }
+    EXPECT_EQ(received.size(), 9U);
+}
+
+// Guards against work that is sent to a leaving minion after its mark, and against a mark that is
+// never cleared when the minion is back.
+TEST(UrgentPath, LeavingMinionGetsNothing)
+{
+    TestNetwork network(2);
+    network.start();
+    network.ask("once", 0, 500);
+    const auto [attempt, sent] = *network.sent.begin();
+    network.answerOwn(attempt, AnswerKind::Ok, {1, 8, true});
+    network.leaving.insert(sent.minion);
+    for (int i = 0; i < 200; ++i) {
+        network.ask("once", 0, 500);
+        if (!network.sent.empty()) {
+            network.answerOwn(network.sent.begin()->first);
+        }
+        network.pass(10);
+        network.answerProbes();
+    }
+    EXPECT_EQ(network.breaches, "");
+    SCOPED_TRACE("when a new connection reports without the mark, then it gets work again");
+    for (const auto &[connection, minion] : std::map(network.open)) {
+        if (minion == sent.minion) {
+            network.fail(connection, true);
+        }
+    }
+    network.leaving.clear();
+    for (int i = 0; i < 100; ++i) {
+        network.pass(10);
+        network.connectAll();
+    }
+    bool isBack = false;
+    for (int i = 0; i < 16; ++i) {
+        network.ask("once", 0, 500);
+    }
+    for (const auto &[number, other] : network.sent) {
+        isBack = isBack || other.minion == sent.minion;
+    }
+    EXPECT_TRUE(isBack);
+}
+
+}  // namespace
+}  // namespace poplarstream::traffic
