--- a/include/poplarstream/maintenance/budget_tally.hpp
+++ b/include/poplarstream/maintenance/budget_tally.hpp
@@ -42,6 +42,9 @@
 public:
     BudgetTally(const FleetView &view, std::span<const InFlight> inFlight, bool sustainedDemand);
 
+    // Which demand the rules look at from now on.
+    void useSustainedDemand(bool sustained) { sustainedDemand_ = sustained; }
+
     static constexpr std::size_t noPool = static_cast<std::size_t>(-1);
 
     // The position of a pool, or noPool.
--- a/src/poplarstream/maintenance/candidates.cpp
+++ b/src/poplarstream/maintenance/candidates.cpp
@@ -1,7 +1,9 @@
 #include "poplarstream/maintenance/candidates.hpp"
 
 #include <algorithm>  // for sort, find
+#include <map>  // for map
 #include <tuple>  // for tuple
+#include <utility>  // for swap
 
 namespace poplarstream::maintenance {
 
@@ -45,16 +47,11 @@
     }
 }
 
-bool Selector::isBetter(std::size_t host, std::size_t other) const
+Selector::Key Selector::keyOf(std::size_t host) const
 {
-    const auto key = [&](std::size_t i) {
-        const std::size_t group = tally_.groupOf(i);
-        const std::uint32_t level = view_.hasRackHeadroom ? tally_.inServiceInGroup(group) : 0;
-        return std::tuple(level, needs_[i]->duration, tally_.awayInGroup(group) > 0);
-    };
-    const auto mine = key(host);
-    const auto theirs = key(other);
-    return mine != theirs ? mine > theirs : host < other;
+    const std::size_t group = tally_.groupOf(host);
+    return {view_.hasRackHeadroom ? tally_.inServiceInGroup(group) : 0, needs_[host]->duration,
+            tally_.awayInGroup(group) > 0, ~host};
 }
 
 std::optional<std::size_t> Selector::bestOf(const Bucket &bucket, TimePoint now) const
@@ -78,10 +75,16 @@
     if (tally_.poolRefusal(pool) != Refusal::None) {
         return best;
     }
+    Key bestKey;
     for (const Bucket &bucket : queues_[pool].buckets) {
         const auto host = bestOf(bucket, now);
-        if (host && (!best || isBetter(*host, *best))) {
+        if (!host) {
+            continue;
+        }
+        const Key key = keyOf(*host);
+        if (!best || key > bestKey) {
             best = host;
+            bestKey = key;
         }
     }
     return best;
@@ -96,7 +99,7 @@
             queue.best = bestOf(pool, now);
             queue.isCurrent = true;
         }
-        if (queue.best && (!best || isBetter(*queue.best, *best))) {
+        if (queue.best && (!best || keyOf(*queue.best) > keyOf(*best))) {
             best = queue.best;
         }
     }
@@ -105,13 +108,20 @@
 
 void Selector::take(std::size_t host)
 {
-    for (Bucket &bucket : queues_[tally_.poolOf(host)].buckets) {
+    std::vector<Bucket> &buckets = queues_[tally_.poolOf(host)].buckets;
+    for (Bucket &bucket : buckets) {
         const auto it = std::find(bucket.hosts.begin(), bucket.hosts.end(), host);
-        if (it != bucket.hosts.end()) {
-            bucket.hosts.erase(it);
-            --remaining_;
-            break;
+        if (it == bucket.hosts.end()) {
+            continue;
+        }
+        bucket.hosts.erase(it);
+        --remaining_;
+        if (bucket.hosts.empty()) {
+            // The order of the buckets does not matter, since no two keys are equal.
+            std::swap(bucket, buckets.back());
+            buckets.pop_back();
         }
+        break;
     }
 }
 
--- a/src/poplarstream/maintenance/candidates.hpp
+++ b/src/poplarstream/maintenance/candidates.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <map>  // for map
+#include <cstdint>  // for uint32_t
 #include <optional>  // for optional
+#include <tuple>  // for tuple
 #include <vector>  // for vector
 
 #include "poplarstream/base/time.hpp"  // for Milliseconds, TimePoint
@@ -71,7 +72,9 @@
 
     std::optional<std::size_t> bestOf(std::size_t pool, TimePoint now) const;
     std::optional<std::size_t> bestOf(const Bucket &bucket, TimePoint now) const;
-    bool isBetter(std::size_t host, std::size_t other) const;
+    // The greatest key leaves first.
+    using Key = std::tuple<std::uint32_t, Milliseconds, bool, std::size_t>;
+    Key keyOf(std::size_t host) const;
 
     const FleetView &view_;
     const BudgetTally &tally_;
--- a/src/poplarstream/maintenance/wave_plan.cpp
+++ b/src/poplarstream/maintenance/wave_plan.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>  // for format
 
-#include <algorithm>  // for max, min, count_if
+#include <algorithm>  // for any_of, lower_bound, max, min
 #include <functional>  // for greater
 #include <queue>  // for priority_queue
 
@@ -166,14 +166,25 @@
             comeBack(host);
             lastChange_ = now_;
         }
-        selector_.changedAll();
+        // Time alone changes nothing but the windows.
+        if (hasWindow()) {
+            selector_.changedAll();
+        }
         return true;
     }
 
+    bool hasWindow() const
+    {
+        return std::any_of(view_.waves.begin(), view_.waves.end(),
+                           [](const WaveView &wave) { return wave.window.has_value(); });
+    }
+
     void comeBack(std::size_t host)
     {
         closeWork(host);
+        selector_.changed(tally_.poolOf(host));
         tally_.comeBack(host);
+        selector_.changed(tally_.poolOf(host));
         --away_;
     }
 
--- a/src/poplarstream/maintenance/wave_step.cpp
+++ b/src/poplarstream/maintenance/wave_step.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>  // for format
 
-#include <algorithm>  // for lower_bound, max
+#include <algorithm>  // for any_of, lower_bound, max
 #include <map>  // for map
 #include <set>  // for set
 
@@ -107,8 +107,13 @@
                   BudgetTally &tally, StepOutput &output)
 {
     const FleetView &view = input.fleet;
-    const BudgetTally sustained(view, input.inFlight, true);
-    for (const LoanChoice &loan : chooseLoans(view, sustained, needs)) {
+    if (!view.mayLend) {
+        return;
+    }
+    tally.useSustainedDemand(true);
+    const std::vector<LoanChoice> loans = chooseLoans(view, tally, needs);
+    tally.useSustainedDemand(false);
+    for (const LoanChoice &loan : loans) {
         if (tally.refusal(loan.host, loan.target) != Refusal::None) {
             continue;
         }
@@ -168,6 +173,14 @@
     noteHeldBack(view, tally, needs, output);
 }
 
+// Between waves a step costs no more than a look at each host.
+bool hasWork(const FleetView &view)
+{
+    return std::any_of(view.waves.begin(), view.waves.end(), [](const WaveView &wave) {
+        return wave.state == WaveState::Running || !wave.loans.empty();
+    });
+}
+
 }  // namespace
 
 StepOutput stepWaves(const StepInput &input)
@@ -194,7 +207,7 @@
             stepAbsence(input, host, seen, isInFlight, output);
         }
     }
-    if (mayPropose) {
+    if (mayPropose && hasWork(input.fleet)) {
         requestAbsences(input, output);
     }
     return output;
