--- /dev/null
+++ b/scripts/demo_report.py
@@ -0,0 +1,147 @@
+"""Turns the histories of the stand-ins into the report of the demo."""
+
+import collections
+import json
+
+
+def read_lines(path):
+    if not path.exists():
+        return []
+    return [json.loads(line) for line in path.read_text().splitlines() if line.strip()]
+
+
+def urgent_rows(callers):
+    rows = collections.defaultdict(collections.Counter)
+    for line in callers:
+        if line["kind"] != "request" or line["class"] != "urgent":
+            continue
+        row = rows[line["service"]]
+        row["sent"] += 1
+        if line["verdict"] == "not-run":
+            row["refused"] += 1
+        elif line["verdict"] == "ran" and line["status"] == 200:
+            if line["answer_nonce"] != line["nonce"]:
+                row["wrong"] += 1
+            elif line["elapsed_ms"] <= line["deadline_ms"]:
+                row["on_time"] += 1
+            else:
+                row["late"] += 1
+        else:
+            row["failed"] += 1
+    return rows
+
+
+def false_refusals(callers, fleet):
+    """Requests that were refused as not run although a minion worked on them."""
+    worked = {line["nonce"] for line in fleet
+              if line["kind"] == "execution" and line.get("outcome") == "done" and "nonce" in line}
+    return sum(1 for line in callers if line["kind"] == "request" and line["class"] == "urgent"
+               and line["verdict"] == "not-run" and line["nonce"] in worked)
+
+
+def run_facts(document, callers, fleet):
+    services = {s.split(" ", 1)[1]: document[s] for s in document.sections()
+                if s.startswith("service ")}
+    accepted = {line["run"]: line["service"] for line in callers
+                if line["kind"] == "request" and line["class"] == "slow" and line["status"] == 202}
+    ended = {line["run"]: line["state"] for line in callers if line["kind"] == "run"}
+    starts = collections.Counter(line["run"] for line in fleet if line["kind"] == "run-started")
+    done = collections.Counter(line["run"] for line in fleet
+                               if line["kind"] == "run-execution" and line["outcome"] == "done")
+    facts = collections.Counter()
+    for run, service in accepted.items():
+        state = ended.get(run, "open")
+        facts["accepted"] += 1
+        facts[f"state {state}"] += 1
+        idempotent = services[service].get("idempotent", "no") == "yes"
+        if not idempotent and starts[run] > 1:
+            facts["doubled"] += 1
+        if done[run] > 1 and not idempotent:
+            facts["finished twice"] += 1
+        if state == "open" or (state == "finished" and done[run] == 0):
+            facts["lost"] += 1
+    return facts
+
+
+def away_by_pool(document, fleet):
+    """The most hosts of each pool that drained or did not answer at the same time."""
+    pool_of = {s.split(" ", 1)[1]: document[s]["pool"] for s in document.sections()
+               if s.startswith("host ")}
+    draining, silent = set(), set()
+    most = collections.Counter()
+    started = False
+    for line in sorted((l for l in fleet if l["kind"] in
+                        ("drain", "undrain", "answering", "not-answering")),
+                       key=lambda l: l["time_ms"]):
+        host = line["host"]
+        if line["kind"] == "drain":
+            draining.add(host)
+            started = True
+        elif line["kind"] == "undrain":
+            draining.discard(host)
+        elif line["kind"] == "answering":
+            silent.discard(host)
+            draining.discard(host)
+        else:
+            silent.add(host)
+        if started:
+            now = collections.Counter(pool_of[h] for h in draining | silent)
+            for pool, count in now.items():
+                most[pool] = max(most[pool], count)
+    budgets = {s.split(" ", 1)[1]: int(document[s]["max_away"]) for s in document.sections()
+               if s.startswith("pool ")}
+    return {pool: (most[pool], budget) for pool, budget in budgets.items()}
+
+
+def reboots(fleet):
+    return collections.Counter(line["host"] for line in fleet if line["kind"] == "reboot")
+
+
+def print_report(document, folder, facts):
+    callers = read_lines(folder / "callers.jsonl")
+    fleet = read_lines(folder / "fleet.jsonl")
+    broken = []
+
+    print("urgent requests     sent  on-time  late  refused  failed  wrong")
+    for service, row in sorted(urgent_rows(callers).items()):
+        print(f"  {service:18}{row['sent']:5}  {row['on_time']:7}  {row['late']:4}  "
+              f"{row['refused']:7}  {row['failed']:6}  {row['wrong']:5}")
+        if row["wrong"]:
+            broken.append(f"{row['wrong']} callers of {service} got another caller's answer")
+    false = false_refusals(callers, fleet)
+    if false:
+        broken.append(f"{false} requests were refused as not run but had run")
+
+    runs = run_facts(document, callers, fleet)
+    print(f"runs                accepted {runs['accepted']}, doubled {runs['doubled']}, "
+          f"lost {runs['lost']}")
+    for key in sorted(k for k in runs if k.startswith("state ")):
+        print(f"  {key[6:]:18}{runs[key]:5}")
+    if runs["accepted"] == 0:
+        broken.append("no run was accepted")
+    for fault in ("doubled", "lost", "finished twice"):
+        if runs[fault]:
+            broken.append(f"{runs[fault]} runs {fault}")
+
+    print("pool                most away  budget")
+    for pool, (most, budget) in sorted(away_by_pool(document, fleet).items()):
+        print(f"  {pool:18}{most:9}  {budget:6}")
+        if most > budget:
+            broken.append(f"pool {pool} had {most} hosts away, its budget is {budget}")
+
+    wave = facts["wave"]
+    counts = reboots(fleet)
+    roll_out = facts["roll_out_seconds"]
+    print(f"wave                {wave['done']} of {wave['hosts']} hosts, "
+          + (f"roll-out {roll_out:.1f} s" if roll_out else "not finished")
+          + f", moves 0, reboots {sum(counts.values())}")
+    if roll_out is None:
+        broken.append("the wave did not finish")
+    if any(count > 1 for count in counts.values()):
+        broken.append("a host was rebooted twice")
+    print(f"configuration       in force everywhere in {facts['in_force_seconds']:.1f} s")
+    print(f"killed              {facts['killed']}")
+    for fault in broken:
+        print(f"BROKEN: {fault}")
+    print("all guarantees held" if not broken else f"{len(broken)} guarantees broken")
+    return 1 if broken else 0
--- a/src/poplarstream/node/callers_duty.cpp
+++ b/src/poplarstream/node/callers_duty.cpp
@@ -412,11 +412,16 @@
 
     void apply(std::shared_ptr<const ServingView> next)
     {
-        view = std::move(next);
+        const std::shared_ptr<const ServingView> before = std::exchange(view, std::move(next));
         Actions actions;
         traffic::configure(traffic, view->traffic, clock.now(), actions);
+        for (const MinionId &minion : before->leaving) {
+            if (!view->leaving.contains(minion)) {
+                traffic::onLeaving(traffic, minion, false);
+            }
+        }
         for (const MinionId &minion : view->leaving) {
-            traffic::onLeaving(traffic, minion, clock.now());
+            traffic::onLeaving(traffic, minion, true);
         }
         perform(actions);
     }
--- a/src/poplarstream/node/platform_duty.cpp
+++ b/src/poplarstream/node/platform_duty.cpp
@@ -21,11 +21,11 @@
 // Two long polls, the host list and the appends in flight.
 constexpr std::size_t platformConnections = 16;
 
-PlatformSettings platformSettings(const HttpEndpoint &endpoint)
+PlatformSettings platformSettings(const HttpEndpoint &endpoint, Milliseconds wait)
 {
     return {.endpoint = endpoint,
             .appendDeadline = appendDeadline,
-            .readWait = readWait,
+            .readWait = wait,
             .readDeadline = readDeadline,
             .pageRecords = pageRecords};
 }
@@ -39,20 +39,24 @@
     {
         Offset from = 0;
         std::uint64_t generation = 0;
+        // The first read does not wait for a record, so that a process is up to date at once also
+        // when a stream is quiet.
+        bool isFirst = true;
     };
 
     State(DutyThread &dutyThread, const HttpEndpoint &platform,
           std::function<bool(PlatformEvent &&)> onEvent)
         : thread(dutyThread)
         , http(dutyThread.context(), {.connectionsPerEndpoint = platformConnections})
-        , client(makePlatformClient(http, platformSettings(platform)))
+        , client(makePlatformClient(http, platformSettings(platform, readWait)))
+        , promptClient(makePlatformClient(http, platformSettings(platform, Milliseconds{0})))
         , report(std::move(onEvent))
         , hostsTimer(dutyThread.context())
     {}
 
     void follow(const std::string &stream, Offset from)
     {
-        following[stream] = {from, ++lastGeneration};
+        following[stream] = {from, ++lastGeneration, true};
         read(stream, lastGeneration);
     }
 
@@ -63,7 +67,8 @@
             return;
         }
         const TimePoint asked = clock.now();
-        client.read(stream, found->second.from,
+        const PlatformClient &reader = found->second.isFirst ? promptClient : client;
+        reader.read(stream, found->second.from,
                     [weak = weak_from_this(), stream, generation, asked](Result<LogPage> page) {
                         if (const auto self = weak.lock()) {
                             self->onPage(stream, generation, asked, std::move(page));
@@ -91,6 +96,7 @@
             const auto still = following.find(stream);
             if (still != following.end() && still->second.generation == generation) {
                 still->second.from = next;
+                still->second.isFirst = false;
                 read(stream, generation);
             }
         } else {
@@ -142,6 +148,7 @@
     ProcessClock clock;
     HttpClient http;
     PlatformClient client;
+    PlatformClient promptClient;
     std::function<bool(PlatformEvent &&)> report;
     boost::asio::steady_timer hostsTimer;
     std::map<std::string, Following> following;
