--- a/src/poplarstream/fleet/change_step.cpp
+++ b/src/poplarstream/fleet/change_step.cpp
@@ -125,7 +125,7 @@
 {
     const std::string problem = tryChange(state, at, change);
     keep(state.changes,
-         ChangeDecision{at.offset, at.time, RecordId(shortened(at.header.id.text())),
+         ChangeDecision{at.offset, at.logTime, RecordId(shortened(at.header.id.text())),
                         shortened(change.author), problem.empty(), state.version,
                         shortened(problem)},
          changeDecisions);
