Tighten the tests that survived a planted fault

Seen to fail with the fault planted: dispatch without the retry budget, an answer of another incarnation accepted, no probe deadline, no ejection, no pause after a failure, no limit, no stop. The former retry test passed without a budget, because few attempts failed; now all fail and offered work is held against the requests that were sent at all.

--- a/src/poplarstream/traffic/test_network.hpp
+++ b/src/poplarstream/traffic/test_network.hpp
@@ -171,6 +171,7 @@
     void noteDispatch(const Dispatch &dispatch)
     {
         ++dispatched;
+        offered.insert(dispatch.request);
         auto &owed = unsettled[dispatch.request];
         breaches += once.contains(dispatch.request) && !owed.empty() ? "may run twice; " : "";
         breaches += leaving.contains(dispatch.minion) ? "sent to a leaving minion; " : "";
@@ -199,6 +200,7 @@
     std::map<RequestNumber, int> ends;
     std::map<RequestNumber, TimePoint> deadlines;
     std::set<RequestNumber> once;
+    std::set<RequestNumber> offered;  // sent at least once
     std::set<MinionId> leaving;
     std::vector<Finish> finished;
     RequestNumber answered{};
--- a/src/poplarstream/traffic/urgent_path_test.cpp
+++ b/src/poplarstream/traffic/urgent_path_test.cpp
@@ -72,9 +72,13 @@
         SCOPED_TRACE("seed " + std::to_string(seed));
         Random random(seed);
         TestNetwork network(6, 4);
+        network.settings.livePeers = 8;
         network.start();
         for (int step = 0; step < 600; ++step) {
             disturb(network, random);
+            for (const MinionView &view : minionViews(network.state)) {
+                ASSERT_LE(view.inFlight, 8U) << "a part of 64 connections for one of eight peers";
+            }
         }
         for (int i = 0; i < 200; ++i) {
             network.pass(10);
@@ -93,23 +97,27 @@
 // Guards against an answer of an earlier incarnation, or any other text, that ends a request.
 TEST(UrgentPath, UnknownAnswersAreDropped)
 {
-    TestNetwork network(1);
-    network.start();
-    const RequestNumber request = network.ask("once", 0, 500);
-    ASSERT_EQ(network.sent.size(), 1U);
-    const auto [attempt, sent] = *network.sent.begin();
-    for (const std::string &text :
-         {std::string{}, std::string{"abd-100001"}, attemptText(network.state, attempt) + "0",
-          std::string{"abc-"}, std::string{"-"}}) {
+    const auto texts = [](const std::string &own) {
+        return std::vector<std::string>{"",        "-",      "abc-", "abd" + own.substr(3),
+                                        own + "0", own + " "};
+    };
+    for (std::size_t i = 0; i < 6; ++i) {
+        TestNetwork network(1);
+        network.start();
+        const RequestNumber request = network.ask("once", 0, 500);
+        ASSERT_EQ(network.sent.size(), 1U);
+        const auto [attempt, sent] = *network.sent.begin();
+        const std::string text = texts(attemptText(network.state, attempt))[i];
+        SCOPED_TRACE("given an answer to \"" + text + "\"");
         onAnswer(network.state, sent.connection, {text, AnswerKind::Ok, {}}, network.now,
                  network.actions);
         network.take();
+        EXPECT_EQ(network.ends[request], 0);
+        SCOPED_TRACE("then the deadline ends the request with the verdict that is true");
+        network.pass(500);
+        ASSERT_EQ(network.finished.size(), 1U);
+        EXPECT_EQ(network.finished[0].verdict, Verdict::MayHaveRun);
     }
-    EXPECT_EQ(network.ends[request], 0);
-    SCOPED_TRACE("then the deadline ends it with the verdict that is true");
-    network.pass(500);
-    ASSERT_EQ(network.finished.size(), 1U);
-    EXPECT_EQ(network.finished[0].verdict, Verdict::MayHaveRun);
 }
 
 // Guards against a queue that hides overload: a request that cannot be in time must be refused
@@ -129,6 +137,27 @@
     EXPECT_EQ(network.dispatched, 8U) << "the limit of a new minion is its slots over the peers";
 }
 
+// Guards against a planned stop that interrupts requests in progress or keeps queued ones waiting.
+TEST(UrgentPath, StopFinishesWhatIsInFlight)
+{
+    TestNetwork network(1);
+    network.settings.livePeers = 8;
+    network.start();
+    const RequestNumber running = network.ask("once", 0, 500);
+    const RequestNumber queued = network.ask("once", 0, 500);
+    stopAdmitting(network.state, network.now, network.actions);
+    network.take();
+    EXPECT_EQ(network.ends[queued], 1);
+    EXPECT_EQ(network.ends[running], 0);
+    const RequestNumber late = network.ask("once", 0, 500);
+    EXPECT_EQ(network.ends[late], 1);
+    EXPECT_FALSE(isIdle(network.state));
+    network.answerOwn(network.sent.begin()->first);
+    EXPECT_EQ(network.ends[running], 1);
+    EXPECT_TRUE(isIdle(network.state));
+    EXPECT_EQ(network.breaches, "");
+}
+
 // Guards against a tenant above its quota, and against a quota that is multiplied by the number of
 // entry hosts.
 TEST(UrgentPath, QuotaIsDividedByPeers)
@@ -158,21 +187,23 @@
 {
     TestNetwork network(6);
     network.start();
-    std::uint64_t arrived = 0;
     for (int step = 0; step < 3000; ++step) {
-        network.ask("again", static_cast<std::size_t>(step % 4), 400);
-        ++arrived;
-        if (step % 3 == 0 && !network.sent.empty()) {
-            network.fail(network.sent.begin()->second.connection, true);
-        } else if (!network.sent.empty()) {
-            network.answerOwn(network.sent.begin()->first, AnswerKind::Refused);
+        network.ask("again", static_cast<std::size_t>(step % 4), 2000);
+        for (const auto &[attempt, sent] : std::map(network.sent)) {
+            if (step % 2 == 0 && network.sent.contains(attempt)) {
+                network.fail(sent.connection, true);
+            } else if (network.sent.contains(attempt)) {
+                network.answerOwn(attempt, AnswerKind::Refused);
+            }
         }
         network.connectAll();
-        network.pass(5);
+        network.pass(50);
     }
     EXPECT_EQ(network.breaches, "");
-    EXPECT_GT(network.state.counters.retried, 0U);
-    EXPECT_LE(static_cast<double>(network.dispatched), 1.1 * static_cast<double>(arrived));
+    EXPECT_GT(network.state.counters.retried, 20U);
+    EXPECT_GT(network.offered.size(), 500U) << "most of the time the minions must have been tried";
+    EXPECT_LE(static_cast<double>(network.dispatched),
+              1.1 * static_cast<double>(network.offered.size()));
 }
 
 // Guards against silent connections that keep swallowing requests: new ones must be opened, probed
@@ -225,6 +256,29 @@
     EXPECT_EQ(network.breaches, "");
 }
 
+// Guards against a whole set of idle connections that is silent when the next request comes: probes
+// must find out before and new connections must be there.
+TEST(UrgentPath, IdleConnectionsGoSilent)
+{
+    TestNetwork network(3);
+    network.start();
+    const auto silent = network.open;
+    for (int step = 0; step < 200; ++step) {
+        network.pass(10);
+        for (const auto &[connection, minion] : silent) {
+            network.probing.erase(connection);
+        }
+        network.connectAll();
+    }
+    for (int i = 0; i < 3; ++i) {
+        network.ask("once", 0, 500);
+    }
+    EXPECT_EQ(network.sent.size(), 3U);
+    for (const auto &[attempt, sent] : network.sent) {
+        EXPECT_FALSE(silent.contains(sent.connection));
+    }
+}
+
 // Guards against a minion that fails at once and therefore always looks idle, and against ejecting
 // more minions than the cap allows.
 TEST(UrgentPath, FailingMinionsAttractNoWork)
