Compete in other zones after a twentieth of the time

Requests now compete for places in other zones after a twentieth of their time instead of a quarter.

--- a/src/poplarstream/traffic/routing.cpp
+++ b/src/poplarstream/traffic/routing.cpp
@@ -19,7 +19,7 @@
 // A request that has waited for this part of its time competes for a place in other zones even
 // though their minions report no room. Otherwise zones with more entry hosts than minions give each
 // request a smaller share than the others, since no zone reports room during a flood.
-constexpr double pressedPart = 0.25;
+constexpr double pressedPart = 0.05;
 
 // How many of `count` minions one entry host uses, so that `peers` of them cover each minion about
 // four times; fewer than 16 would leave too little choice.
