--- a/bench/traffic_cases.cpp
+++ b/bench/traffic_cases.cpp
@@ -451,6 +451,30 @@
     return lines;
 }
 
+// One service uses the whole pool for 10 s, then another one comes back to its guaranteed share.
+std::vector<MeasureLine> shareReclaimed(std::uint64_t seed)
+{
+    WorldSetup setup = plainSetup(3, {0, 1, 2, 0, 1, 2, 0, 1}, 12, 0.9);
+    const double all = capacity(setup, 50'000);
+    const Micros back = 15 * oneSecond;
+    setup.end = 25 * oneSecond;
+    setup.work[0].rate = rateBetween(0.45 * all, back, setup.end);
+    setup.work[1].rate = constantRate(3 * all);
+    setup.work[1].flood = true;
+    const World present = runWorld(setup, presentEntryHost, seed, nothing);
+    const World naive = runWorld(setup, naiveEntryHost, seed, nothing);
+    const auto isBack = [](const CallerRequest &request) { return request.kind == 0; };
+    const auto figure = [&](const std::string &quantity, Micros from, Micros to) {
+        return line("share-reclaimed", quantity, count(naive, from, to, isBack).share(),
+                    count(present, from, to, isBack).share(), 0.99, seed);
+    };
+    std::vector<MeasureLine> lines{figure("on-time-first-1s", back, back + oneSecond),
+                                   figure("on-time-after-1s", back + oneSecond, setup.end)};
+    lines.front().target.reset();
+    addPromises(lines, "share-reclaimed", present, seed);
+    return lines;
+}
+
 std::span<const TrafficCase> trafficCases()
 {
     static const std::vector<TrafficCase> cases{{"flood-least-urgent", floodLeastUrgent},
@@ -461,7 +485,8 @@
                                                 {"region-apart", regionApart},
                                                 {"bad-minions", badMinions},
                                                 {"wrong-slots", wrongSlots},
-                                                {"leaving-minions", leavingMinions}};
+                                                {"leaving-minions", leavingMinions},
+                                                {"share-reclaimed", shareReclaimed}};
     return cases;
 }
 
--- a/bench/traffic_cases.hpp
+++ b/bench/traffic_cases.hpp
@@ -22,6 +22,7 @@
 std::vector<MeasureLine> badMinions(std::uint64_t seed);
 std::vector<MeasureLine> wrongSlots(std::uint64_t seed);
 std::vector<MeasureLine> leavingMinions(std::uint64_t seed);
+std::vector<MeasureLine> shareReclaimed(std::uint64_t seed);
 
 struct TrafficCase
 {
