--- a/include/poplarstream/maintenance/duty_lease.hpp
+++ b/include/poplarstream/maintenance/duty_lease.hpp
@@ -23,6 +23,8 @@
     Milliseconds renewAfter{5'000};
     // Between the first proposals of neighbouring ranks; longer than an append and its read-back.
     Milliseconds rankDelay{1'500};
+    // Added to the delay of an unfit process: longer than the delays of 8 ranks.
+    Milliseconds unfitDelay{15'000};
     // Added on the far side of `until` before a claim and taken off on the near side before an
     // act; covers the error of the estimate of the log's time.
     Milliseconds margin{1'000};
@@ -38,10 +40,13 @@
     bool isLeaving = false;
     bool isInFlight = false;  // an earlier proposal for the duty has no known outcome yet
     TimePoint now;  // estimate of the log's time
+    // It has paused a short time ago. A process that pauses again and again but renews in between
+    // would keep the duty and do a part of it.
+    bool isUnfit = false;
 };
 
 // The record to propose now, if any: a claim of a free or lapsed lease after a delay that grows
-// with the rank, a renewal by the holder, or a release by a holder that is leaving.
+// with the rank, a renewal by the holder, or a release by a holder that is leaving or unfit.
 std::optional<DutyLease> decideDutyLease(const LeaseInput &input, const LeasePolicy &policy);
 
 // Whether the process may act for the duty at `now`. Checked again before each act, because a
--- a/include/poplarstream/membership/peer_queries.hpp
+++ b/include/poplarstream/membership/peer_queries.hpp
@@ -29,6 +29,9 @@
 std::uint32_t dutyRank(std::string_view duty, std::span<const EntryHostId> peers,
                        const EntryHostId &self);
 
+// Whether this process paused, or its clock jumped, within PeerPolicy::unfitFor.
+bool hasPausedLately(const PeerTable &table, TimePoint now);
+
 // The peers to send a digest to now: one of each other zone that this process is responsible for,
 // another one each second.
 std::vector<EntryHostId> digestTargets(const PeerTable &table, TimePoint now);
--- a/include/poplarstream/membership/peer_table.hpp
+++ b/include/poplarstream/membership/peer_table.hpp
@@ -22,6 +22,8 @@
     // A gap between two calls of advance() above this is a pause of this process or a jump of its
     // clock, and no evidence against peers.
     Milliseconds longestTick{3'000};
+    // How long a pause counts against the process for duties that one at a time should do.
+    Milliseconds unfitFor{60'000};
     // How many entry hosts of a zone send digests to one other zone. With two, a link that fails in
     // one direction does not silence the zone.
     std::uint32_t digestSenders = 2;
@@ -69,6 +71,7 @@
     std::uint32_t sequence = 0;
     TimePoint startedAt;
     TimePoint lastTick;
+    std::optional<TimePoint> pausedAt;  // end of the last pause or jump of the clock
     std::map<EntryHostId, PeerEntry> peers;  // without self
     std::map<ZoneId, ZoneEntry> zones;  // without the own zone
 };
--- a/src/poplarstream/maintenance/duty_lease.cpp
+++ b/src/poplarstream/maintenance/duty_lease.cpp
@@ -9,7 +9,7 @@
     }
     const bool isHeld = !input.lease.holder.isEmpty() && input.now < input.lease.until;
     if (isHeld && input.lease.holder == input.self) {
-        if (input.isLeaving) {
+        if (input.isLeaving || input.isUnfit) {
             return DutyLease{input.duty, input.self, Milliseconds{0}};
         }
         const bool isDue = input.now >= input.lease.until - policy.duration + policy.renewAfter;
@@ -19,7 +19,9 @@
     if (isHeld || input.isLeaving) {
         return std::nullopt;
     }
-    const TimePoint claimAt = input.lease.until + policy.margin + input.rank * policy.rankDelay;
+    const Milliseconds delay =
+            input.rank * policy.rankDelay + (input.isUnfit ? policy.unfitDelay : Milliseconds{0});
+    const TimePoint claimAt = input.lease.until + policy.margin + delay;
     if (input.now < claimAt) {
         return std::nullopt;
     }
--- a/src/poplarstream/maintenance/duty_lease_test.cpp
+++ b/src/poplarstream/maintenance/duty_lease_test.cpp
@@ -73,5 +73,21 @@
     EXPECT_FALSE(decideDutyLease(input, policy).has_value());
 }
 
+// Guards against a holder that pauses again and again, renews in between and does half of the duty.
+TEST(DutyLease, UnfitHolderReleasesAndClaimsLast)
+{
+    const LeasePolicy policy;
+    const LeaseView lease{EntryHostId("e0"), timePoint(10'000)};
+    LeaseInput input{DutyId("d"), EntryHostId("e0"), lease, 0, false, false, timePoint(1'000)};
+    EXPECT_FALSE(decideDutyLease(input, policy).has_value());
+    input.isUnfit = true;
+    EXPECT_EQ(decideDutyLease(input, policy)->duration, Milliseconds{0});
+    input.lease.holder = EntryHostId("e1");
+    input.now = input.lease.until + policy.margin + 7 * policy.rankDelay;
+    EXPECT_FALSE(decideDutyLease(input, policy).has_value());
+    input.now = input.lease.until + policy.margin + policy.unfitDelay;
+    EXPECT_EQ(decideDutyLease(input, policy)->duration, policy.duration);
+}
+
 }  // namespace
 }  // namespace poplarstream::maintenance
--- a/src/poplarstream/membership/peer_queries.cpp
+++ b/src/poplarstream/membership/peer_queries.cpp
@@ -82,6 +82,11 @@
     return static_cast<std::uint32_t>(std::find(order.begin(), order.end(), self) - order.begin());
 }
 
+bool hasPausedLately(const PeerTable &table, TimePoint now)
+{
+    return isWithin(table.pausedAt, table.policy.unfitFor, now);
+}
+
 std::vector<EntryHostId> digestTargets(const PeerTable &table, TimePoint now)
 {
     std::vector<EntryHostId> targets;
--- a/src/poplarstream/membership/peer_table.cpp
+++ b/src/poplarstream/membership/peer_table.cpp
@@ -167,8 +167,10 @@
     const Milliseconds gap = now - table.lastTick;
     if (gap > table.policy.longestTick) {
         shiftAll(table, gap - table.policy.period);
+        table.pausedAt = now;
     } else if (gap < Milliseconds{0}) {
         shiftAll(table, gap);
+        table.pausedAt = now;
     }
     table.lastTick = now;
 }
