Give the unfit-holder test a lease that is not due

The test took a lease until 10 s at 1 s for fresh, but one of 15 s that ends then was granted 6 s before and is due for renewal. The lease now ends at 16 s; the checks are the same.

--- a/src/poplarstream/maintenance/duty_lease_test.cpp
+++ b/src/poplarstream/maintenance/duty_lease_test.cpp
@@ -77,7 +77,7 @@
 TEST(DutyLease, UnfitHolderReleasesAndClaimsLast)
 {
     const LeasePolicy policy;
-    const LeaseView lease{EntryHostId("e0"), timePoint(10'000)};
+    const LeaseView lease{EntryHostId("e0"), timePoint(16'000)};
     LeaseInput input{DutyId("d"), EntryHostId("e0"), lease, 0, false, false, timePoint(1'000)};
     EXPECT_FALSE(decideDutyLease(input, policy).has_value());
     input.isUnfit = true;
