--- a/include/poplarstream/maintenance/fleet_view.hpp
+++ b/include/poplarstream/maintenance/fleet_view.hpp
@@ -112,9 +112,6 @@
     Milliseconds returnBound{1'200'000};
     // A host that is in service and does not answer for this long has failed.
     Milliseconds failAfter{30'000};
-    // No command is under way for longer, with the lag of the replay. A host that failed is not
-    // counted as back before, since a crash makes it forget the fence against old commands.
-    Milliseconds commandBound{15'000};
     // Bounds the burst of records of one step; the log takes several hundred appends a second.
     std::uint32_t maxRequestsPerStep = 64;
 };
--- a/src/poplarstream/maintenance/absence_step.cpp
+++ b/src/poplarstream/maintenance/absence_step.cpp
@@ -205,8 +205,7 @@
 void stepFailed(const Scene &scene)
 {
     if (scene.seen.hasProbeSucceeded && !scene.seen.isDraining && !scene.seen.unansweredSince) {
-        const Milliseconds failedFor = scene.input.now - scene.host.stateSince;
-        if (scene.mayPropose && failedFor >= scene.input.fleet.policy.commandBound) {
+        if (scene.mayPropose) {
             scene.output.proposals.emplace_back(
                     HostHealth{scene.host.id, false, "the probe succeeded"});
         }
--- a/src/poplarstream/maintenance/wave_step_test.cpp
+++ b/src/poplarstream/maintenance/wave_step_test.cpp
@@ -372,6 +372,27 @@
     }
 }
 
+// Guards against a reboot on the word of an answer from an earlier absence, or of a host that
+// accepts work again: either cuts off work.
+TEST(WaveStep, RebootNeedsDrainedHostOfThisGrant)
+{
+    fake::Fleet fleet = smallFleet(AbsenceKind::Reboot);
+    fleet.view.hosts[0].grant = Grant{7, AbsenceKind::Reboot, {}, WaveId("w1"), fleet.now};
+    fleet.view.hosts[0].state = HostState::Away;
+    const auto reboots = [&](Offset grant, bool isDrained) {
+        HostObservation seen;
+        seen.host = fleet.view.hosts[0].id;
+        seen.grant = grant;
+        seen.isDraining = seen.isDrained = isDrained;
+        const auto output = stepWaves({fleet.view, std::span(&seen, 1), {}, true, true, fleet.now});
+        return std::any_of(output.commands.begin(), output.commands.end(),
+                           [](const auto &command) { return command.kind == CommandKind::Reboot; });
+    };
+    EXPECT_TRUE(reboots(7, true));
+    EXPECT_FALSE(reboots(7, false));
+    EXPECT_FALSE(reboots(6, true));
+}
+
 // Guards against a loss of the view of one observer being recorded as the failure of a zone.
 TEST(WaveStep, SilentZoneIsNotFailed)
 {
