--- a/src/poplarstream/maintenance/duty_lease_test.cpp
+++ b/src/poplarstream/maintenance/duty_lease_test.cpp
@@ -23,6 +23,7 @@
         };
         std::vector<Pending> pending;
         std::vector<TimePoint> pausedUntil(4);
+        std::vector<LeaseView> seen(4);
         TimePoint lastHeld = timePoint(0);
         for (TimePoint now = timePoint(0); now < timePoint(200'000); now += Milliseconds{500}) {
             const bool isCalm = now > timePoint(150'000);
@@ -43,7 +44,9 @@
                     continue;
                 }
                 const EntryHostId self("e" + std::to_string(i));
-                acting += mayAct(lease, self, now, policy) ? 1 : 0;
+                // After a pause a host acts on what it saw before, until it has read on.
+                acting += mayAct(seen[i], self, now, policy) ? 1 : 0;
+                seen[i] = lease;
                 const auto rank = static_cast<std::uint32_t>(isCalm ? i : random.below(4));
                 const auto record = decideDutyLease(
                         {DutyId("waves"), self, lease, rank, false, false, now}, policy);
@@ -73,5 +76,21 @@
     EXPECT_FALSE(decideDutyLease(input, policy).has_value());
 }
 
+// Guards against a holder that pauses again and again, renews in between and does half of the duty.
+TEST(DutyLease, UnfitHolderReleasesAndClaimsLast)
+{
+    const LeasePolicy policy;
+    const LeaseView lease{EntryHostId("e0"), timePoint(16'000)};
+    LeaseInput input{DutyId("d"), EntryHostId("e0"), lease, 0, false, false, timePoint(1'000)};
+    EXPECT_FALSE(decideDutyLease(input, policy).has_value());
+    input.isUnfit = true;
+    EXPECT_EQ(decideDutyLease(input, policy)->duration, Milliseconds{0});
+    input.lease.holder = EntryHostId("e1");
+    input.now = input.lease.until + policy.margin + 7 * policy.rankDelay;
+    EXPECT_FALSE(decideDutyLease(input, policy).has_value());
+    input.now = input.lease.until + policy.margin + policy.unfitDelay;
+    EXPECT_EQ(decideDutyLease(input, policy)->duration, policy.duration);
+}
+
 }  // namespace
 }  // namespace poplarstream::maintenance
