--- a/bench/fleet_benchmark.cpp
+++ b/bench/fleet_benchmark.cpp
@@ -155,7 +155,7 @@
         stages = staged ? staged.value().size() : 0;
         for (std::size_t i = 0; i < stages; ++i) {
             append(log, ConfigChange{fleet.version, "operator", staged.value()[i]});
-            const Applied applied = apply(fleet, log.back());
+            const ControlOutcome applied = apply(fleet, log.back());
             if (!applied.granted) {
                 state.SkipWithError(applied.reason.c_str());
             }
