--- a/src/poplarstream/adapters/worker_protocol.cpp
+++ b/src/poplarstream/adapters/worker_protocol.cpp
@@ -119,8 +119,7 @@
     if (!object.is_object()) {
         throw std::invalid_argument("resources are not an object");
     }
-    return {amountFrom(object, "cpus"),
-            static_cast<std::uint64_t>(amountFrom(object, "memory_mb")),
+    return {amountFrom(object, "cpus"), static_cast<std::uint64_t>(amountFrom(object, "memory_mb")),
             wholeFrom<std::uint32_t>(object, "accelerators")};
 }
 
@@ -231,8 +230,8 @@
 HttpRequest taskListRequest(const TaskListPlace &place)
 {
     HttpRequest request;
-    request.target = "/tasks?boot=" + std::to_string(place.boot)
-                     + "&since=" + std::to_string(place.change);
+    request.target =
+            "/tasks?boot=" + std::to_string(place.boot) + "&since=" + std::to_string(place.change);
     return request;
 }
 
@@ -255,8 +254,7 @@
     }
     try {
         const json body = parseBoundedJson(outcome.response.body).value_or(json());
-        TaskObservation seen =
-                observationFrom(*task, wholeFrom<std::uint64_t>(body, "boot"), body);
+        TaskObservation seen = observationFrom(*task, wholeFrom<std::uint64_t>(body, "boot"), body);
         const bool isRevocation = std::holds_alternative<RevokeTask>(command);
         // Only a revocation makes the worker promise that it will not start the task, and only with
         // its boot can the promise be compared to that of the claim.
--- a/src/poplarstream/node/workers_duty.cpp
+++ b/src/poplarstream/node/workers_duty.cpp
@@ -16,6 +16,10 @@
 
 constexpr Milliseconds callDeadline{2'000};
 
+// Orders are timed by the ProcessClock of another duty. Two of them differ by less than this,
+// since each rounds its start and the elapsed time down to whole milliseconds.
+constexpr Milliseconds clockSkew{2};
+
 // The calls to one host. Polls and commands have a connection each, so that a slow task list does
 // not hold up a command.
 struct HostCalls
@@ -104,6 +108,8 @@
         });
     }
 
+    bool isValid(TimePoint until) const { return clock.now() + clockSkew <= until; }
+
     // Null for an unknown host.
     std::shared_ptr<HostCalls> callsOf(const HostId &host)
     {
@@ -141,13 +147,13 @@
     void call(const HostId &host, HttpRequest request, TimePoint validUntil, Done done)
     {
         const auto calls = callsOf(host);
-        if (!calls || clock.now() > validUntil) {
+        if (!calls || !isValid(validUntil)) {
             return;
         }
         calls->commands.call({std::move(request),
                               [weak = weak_from_this(), validUntil] {
                                   const auto self = weak.lock();
-                                  return self && self->clock.now() <= validUntil;
+                                  return self && self->isValid(validUntil);
                               },
                               [weak = weak_from_this(), done](const HttpOutcome &outcome) {
                                   if (const auto self = weak.lock()) {
