Let the fleet stand-in speak the worker protocol

Workers get boots, grants of drains and reboots that outlive a boot, sampled usage with an age, throttling to a number of processors, and checkpoints that are handed to the next start. A minion queues as many requests as it has slots and refuses the rest as not-run; 64 waiting requests hid that it was full.

--- a/standins/fleet/host.cpp
+++ b/standins/fleet/host.cpp
@@ -1,5 +1,6 @@
 #include "fleet/host.hpp"
 
+#include <algorithm>  // for all_of
 #include <stdexcept>  // for runtime_error
 
 #include <nlohmann/json.hpp>  // for json
@@ -28,14 +29,14 @@
         throw std::runtime_error("[host " + name_ + "] needs one worker = ip:port");
     }
     worker_ = std::make_unique<Worker>(
-            io, context,
-            WorkerOptions{name_, worker.front(), section.number("cpus", 0),
-                          section.number("memory_mb", 0)},
-            WorkerEvents{[this] { drain(); }, [this] { resume(); }, [this] { reboot(); }});
+            io, context, WorkerOptions{name_, worker.front(), section.number("memory_mb", 0)},
+            WorkerEvents{[this](bool isDraining) { setDraining(isDraining); },
+                         [this](Offset grant) { reboot(grant); },
+                         [this] { return areMinionsIdle(); }});
     for (const HttpEndpoint &endpoint : section.endpoints("minions")) {
-        const MinionOptions options{name_ + "/" + std::to_string(minions_.size()), endpoint,
-                                    static_cast<std::size_t>(section.number("slots", 8)),
-                                    static_cast<std::size_t>(section.number("connections", 64))};
+        const auto slots = static_cast<std::size_t>(section.number("slots", 8));
+        const MinionOptions options{name_ + "/" + std::to_string(minions_.size()), endpoint, slots,
+                                    slots};
         minions_.push_back(std::make_unique<Minion>(io, context, options));
     }
 }
@@ -47,8 +48,11 @@
     }
     worker_->open();
     for (const auto &minion : minions_) {
+        minion->setLeaving(false);
         minion->open();
     }
+    note("boot");
+    noteAnswering();
     announce_("live");
 }
 
@@ -58,45 +62,55 @@
     for (const auto &minion : minions_) {
         minion->close();
     }
+    noteAnswering();
 }
 
-void Host::drain()
+void Host::note(const std::string &kind)
 {
-    isDraining_ = true;
-    worker_->setDraining(true);
-    for (const auto &minion : minions_) {
-        minion->setLeaving(true);
+    context_.history.write({{"kind", kind}, {"host", name_}, {"time_ms", systemMilliseconds()}});
+}
+
+// Records when the worker starts and stops to answer.
+void Host::noteAnswering()
+{
+    const bool isAnswering = worker_->isOpen() && fault_ != Fault::Silent;
+    if (isAnswering != isAnswering_) {
+        isAnswering_ = isAnswering;
+        note(isAnswering ? "answering" : "not-answering");
     }
-    context_.history.write({{"kind", "drain"}, {"host", name_}, {"time_ms", systemMilliseconds()}});
-    announce_("leaving");
 }
 
-void Host::resume()
+void Host::setDraining(bool isDraining)
 {
-    isDraining_ = false;
-    worker_->setDraining(false);
     for (const auto &minion : minions_) {
-        minion->setLeaving(false);
+        minion->setLeaving(isDraining);
     }
-    context_.history.write(
-            {{"kind", "resume"}, {"host", name_}, {"time_ms", systemMilliseconds()}});
-    announce_("live");
+    note(isDraining ? "drain" : "undrain");
+    announce_(isDraining ? "leaving" : "live");
+}
+
+bool Host::areMinionsIdle() const
+{
+    return std::all_of(minions_.begin(), minions_.end(),
+                       [](const auto &minion) { return minion->isIdle(); });
 }
 
-void Host::reboot()
+void Host::reboot(Offset grant)
 {
     if (isRebooting_) {
         return;
     }
     isRebooting_ = true;
-    context_.history.write(
-            {{"kind", "reboot"}, {"host", name_}, {"time_ms", systemMilliseconds()}});
-    after(io_, rebootDelay, [this] {
+    context_.history.write({{"kind", "reboot"},
+                            {"host", name_},
+                            {"grant", grant},
+                            {"time_ms", systemMilliseconds()}});
+    after(io_, rebootDelay, [this, grant] {
         close();
+        worker_->noteReboot(grant);
         announce_("gone");
         after(io_, rebootTime_, [this] {
             isRebooting_ = false;
-            resume();
             open();
         });
     });
@@ -108,6 +122,7 @@
                             {"host", name_},
                             {"fault", static_cast<int>(fault)},
                             {"time_ms", systemMilliseconds()}});
+    fault_ = fault;
     isDead_ = fault == Fault::Dead;
     worker_->setFault(fault, factor);
     for (const auto &minion : minions_) {
@@ -118,6 +133,7 @@
     } else {
         open();
     }
+    noteAnswering();
 }
 
 bool Host::setMinionFault(const HttpEndpoint &endpoint, Fault fault, double factor)
@@ -145,10 +161,11 @@
     for (const auto &minion : minions_) {
         busy += minion->busy();
     }
-    return {{"state", isDead_        ? "dead"
-                      : isRebooting_ ? "rebooting"
-                      : isDraining_  ? "draining"
-                                     : "in-service"},
+    return {{"state", isDead_                 ? "dead"
+                      : isRebooting_          ? "rebooting"
+                      : worker_->isDrained()  ? "drained"
+                      : worker_->isDraining() ? "draining"
+                                              : "in-service"},
             {"tasks", worker_->runningTasks()},
             {"busy", busy}};
 }
--- a/standins/fleet/host.hpp
+++ b/standins/fleet/host.hpp
@@ -21,10 +21,6 @@
 
     void open();
     void close();
-    void drain();
-    void resume();
-    // Closes everything shortly after, and opens it again after the reboot time.
-    void reboot();
     void setFault(Fault fault, double factor);
     // Sets a fault of one minion. Returns false if the host has no such minion.
     bool setMinionFault(const HttpEndpoint &endpoint, Fault fault, double factor);
@@ -34,6 +30,13 @@
     nlohmann::json state() const;
 
 private:
+    void setDraining(bool isDraining);
+    bool areMinionsIdle() const;
+    // Closes everything shortly after, and opens it again after the reboot time.
+    void reboot(Offset grant);
+    void note(const std::string &kind);
+    void noteAnswering();
+
     boost::asio::io_context &io_;
     FleetContext &context_;
     std::string name_;
@@ -41,7 +44,8 @@
     std::function<void(const std::string &)> announce_;
     std::unique_ptr<Worker> worker_;
     std::vector<std::unique_ptr<Minion>> minions_;
-    bool isDraining_ = false;
+    Fault fault_ = Fault::None;
+    bool isAnswering_ = false;
     bool isRebooting_ = false;
     bool isDead_ = false;
 };
--- a/standins/fleet/minion.hpp
+++ b/standins/fleet/minion.hpp
@@ -17,7 +17,7 @@
     std::string name;
     HttpEndpoint endpoint;
     std::size_t slots = 8;
-    std::size_t queue = 64;  // requests that wait for a slot
+    std::size_t queue = 8;  // requests that wait for a slot
 };
 
 // One endpoint that answers urgent requests, at most `slots` at a time.
@@ -34,6 +34,7 @@
 
     bool isOpen() const { return server_.has_value(); }
     std::size_t busy() const { return busy_; }
+    bool isIdle() const { return busy_ == 0 && waiting_.empty(); }
     const MinionOptions &options() const { return options_; }
 
 private:
--- a/standins/fleet/work.hpp
+++ b/standins/fleet/work.hpp
@@ -37,7 +37,6 @@
     std::map<std::string, double> serviceMs;  // mean time by service
     double defaultMs = 50;
     std::int64_t usageLagMs = 1000;
-    std::map<std::string, double> checkpoints;  // remaining ms by run
     Random random{1};
     JsonLines history{""};
 };
--- a/standins/fleet/worker.cpp
+++ b/standins/fleet/worker.cpp
@@ -1,11 +1,12 @@
 #include "fleet/worker.hpp"
 
 #include <algorithm>  // for max
-#include <stdexcept>  // for invalid_argument
+#include <charconv>  // for from_chars
 
 #include <nlohmann/json.hpp>  // for json
 
 #include "common/service.hpp"  // for serve, systemMilliseconds, steadyMilliseconds
+#include "poplarstream/adapters/worker_protocol.hpp"  // for taskStateText
 
 namespace poplarstream::standins {
 
@@ -13,9 +14,11 @@
 
 using nlohmann::json;
 
-FencingToken tokenFrom(const json &body)
+// Ended tasks in one answer; the reader asks for the rest with its next poll.
+constexpr std::size_t maxListedEnded = 128;
+
+FencingToken tokenFrom(const json &token)
 {
-    const json &token = body.at("token");
     return {token.at("offset").get<Offset>(), token.at("index").get<std::uint32_t>()};
 }
 
@@ -24,9 +27,11 @@
     return {{"offset", token.offset}, {"index", token.index}};
 }
 
-std::string runOf(const json &body)
+json jsonOf(const Resources &resources)
 {
-    return body.at("run").get<std::string>();
+    return {{"cpus", resources.cpus},
+            {"memory_mb", resources.memoryMegabytes},
+            {"accelerators", resources.accelerators}};
 }
 
 HttpResponse fault(unsigned status, const std::string &text)
@@ -34,6 +39,35 @@
     return jsonResponse(status, json{{"error", text}}.dump());
 }
 
+std::uint64_t queryNumber(const std::string &target, std::string_view name)
+{
+    std::uint64_t number = 0;
+    if (const auto text = queryValue(target, name)) {
+        std::from_chars(text->data(), text->data() + text->size(), number);
+    }
+    return number;
+}
+
+Task taskFrom(FleetContext &context, const json &body)
+{
+    Task task;
+    task.run = body.at("run").get<std::string>();
+    task.token = tokenFrom(body.at("token"));
+    task.service = body.value("service", "");
+    task.work = readWork(context, body.value("payload", ""), task.service);
+    task.remainingMs = task.work.milliseconds;
+    if (const std::string checkpoint = body.value("checkpoint", ""); !checkpoint.empty()) {
+        task.remainingMs = json::parse(checkpoint).at("remaining_ms").get<double>();
+    }
+    task.declared = {body.value("cpus", 0.0), body.value("memory_mb", std::uint64_t{0}),
+                     body.value("accelerators", 0U)};
+    task.cpuLimit = task.declared.cpus * task.work.sizeFactor;
+    task.startedMs = steadyMilliseconds();
+    task.startedWallMs = systemMilliseconds();
+    task.leaseUntilMs = task.startedMs + body.at("lease_ms").get<std::int64_t>();
+    return task;
+}
+
 }  // namespace
 
 Worker::Worker(boost::asio::io_context &io, FleetContext &context, const WorkerOptions &options,
@@ -42,10 +76,14 @@
     , context_(context)
     , options_(options)
     , events_(std::move(events))
+    , book_(context, options.name)
 {}
 
 void Worker::open()
 {
+    // The time keeps boots apart over a restart of this program too.
+    boot_ = std::max(boot_ + 1, static_cast<std::uint64_t>(systemMilliseconds()));
+    isDraining_ = false;
     server_.emplace(serve(io_, "worker " + options_.name, options_.endpoint,
                           [this](const HttpRequest &request, HttpRespond respond) {
                               handle(request, std::move(respond));
@@ -56,12 +94,8 @@
 {
     server_.reset();
     unanswered_.clear();
-    for (auto &[id, run] : runs_) {
-        if (run.task && run.task->isActive()) {
-            note("run-lost", id, *run.task);
-            run.task->state = TaskState::Stopped;
-        }
-    }
+    book_.forget();
+    isOverfull_ = false;
 }
 
 void Worker::setFault(Fault fault, double factor)
@@ -70,67 +104,25 @@
     factor_ = fault == Fault::Slow ? factor : 1;
 }
 
-std::size_t Worker::runningTasks() const
-{
-    std::size_t count = 0;
-    for (const auto &[id, run] : runs_) {
-        count += run.task && run.task->isActive() ? 1 : 0;
-    }
-    return count;
-}
-
-void Worker::note(const std::string &event, const std::string &run, const Task &task)
+bool Worker::isDrained() const
 {
-    context_.history.write({{"kind", event},
-                            {"run", run},
-                            {"token", jsonOf(task.token)},
-                            {"service", task.service},
-                            {"worker", options_.name},
-                            {"time_ms", systemMilliseconds()}});
-}
-
-void Worker::end(const std::string &run, Task &task, TaskState state)
-{
-    task.state = state;
-    if (state == TaskState::Finished) {
-        task.result = json{{"nonce", task.work.nonce}, {"worker", options_.name}}.dump();
-    }
-    note("run-" + std::string(taskStateText(state)), run, task);
+    return isDraining_ && runningTasks() == 0 && events_.areMinionsIdle();
 }
 
 void Worker::tick(std::int64_t nowMs, std::int64_t elapsedMs)
 {
-    for (auto &[id, run] : runs_) {
-        if (!run.task || !run.task->isActive()) {
-            continue;
-        }
-        Task &task = *run.task;
-        const double speed = (task.state == TaskState::Throttled ? 0.5 : 1) / factor_;
-        task.remainingMs -= static_cast<double>(elapsedMs) * speed;
-        if (task.leaseUntilMs < nowMs) {
-            end(id, task, TaskState::Lapsed);
-        } else if (fault_ == Fault::FailsAll) {
-            end(id, task, TaskState::Failed);
-        } else if (task.remainingMs <= 0) {
-            end(id, task, TaskState::Finished);
-        }
-    }
+    book_.tick(nowMs, elapsedMs, fault_, factor_);
     noteOverfull();
 }
 
 // Records the start of a time in which tasks use more memory than the worker has.
 void Worker::noteOverfull()
 {
-    double memoryMb = 0;
-    for (const auto &[id, run] : runs_) {
-        if (run.task && run.task->isActive()) {
-            memoryMb += run.task->declaredMemoryMb * run.task->work.sizeFactor;
-        }
-    }
+    const auto memoryMb = static_cast<double>(book_.usage().memoryMegabytes);
     const bool isOverfull = options_.memoryMb > 0 && memoryMb > options_.memoryMb;
     if (isOverfull && !isOverfull_) {
         context_.history.write({{"kind", "overfull"},
-                                {"worker", options_.name},
+                                {"host", options_.name},
                                 {"memory_mb", memoryMb},
                                 {"time_ms", systemMilliseconds()}});
     }
@@ -144,18 +136,21 @@
         return;
     }
     try {
-        const json body = request.body.empty() ? json::object() : json::parse(request.body);
-        respond(route(request.method, std::string(targetPath(request.target)), body));
+        respond(route(request));
     } catch (const std::exception &error) {
         respond(fault(400, error.what()));
     }
 }
 
-HttpResponse Worker::route(const std::string &method, const std::string &path, const json &body)
+HttpResponse Worker::route(const HttpRequest &request)
 {
-    if (method == "GET") {
-        return path == "/tasks" ? list() : path == "/health" ? health() : fault(404, "unknown");
+    const std::string path(targetPath(request.target));
+    if (request.method == "GET") {
+        return path == "/tasks"    ? list(request.target)
+               : path == "/health" ? jsonResponse(200, "{}")
+                                   : fault(404, "unknown");
     }
+    const json body = json::parse(request.body);
     if (path == "/tasks") {
         return start(body);
     }
@@ -168,59 +163,35 @@
     if (path.starts_with("/tasks/")) {
         return act(path.substr(7), body);
     }
-    if (path == "/drain" || path == "/resume" || path == "/reboot") {
-        (path == "/drain" ? events_.drain : path == "/resume" ? events_.resume : events_.reboot)();
-        return jsonResponse(202, "{}");
-    }
-    return fault(404, "unknown");
+    return obey(path, body.at("grant").get<Offset>());
 }
 
 HttpResponse Worker::start(const json &body)
 {
-    const FencingToken token = tokenFrom(body);
-    const std::string id = runOf(body);
-    Run &run = runs_[id];
-    if (token < run.newest || (run.revoked && token <= *run.revoked)) {
-        return fault(409, "fenced");
+    Task task = taskFrom(context_, body);
+    if (book_.isFenced(task.run, task.token)) {
+        return fault(409, "the token is lower than the newest, or revoked");
     }
-    if (run.task && run.task->token == token) {
-        return jsonResponse(200, "{}");  // a repeated start
+    const auto boot = body.value("boot", std::uint64_t{0});
+    if (boot != 0 && boot != boot_) {
+        return fault(409, "the claim was made for another boot");
+    }
+    if (const Task *known = book_.find(task.token)) {
+        return stateOf(*known, 200);
     }
     if (isDraining_) {
         return fault(503, "draining");
     }
-    run.newest = token;
-    if (run.task && run.task->isActive()) {
-        end(id, *run.task, TaskState::Stopped);
-    }
-    Task task;
-    task.token = token;
-    task.service = body.value("service", "");
-    task.work = readWork(context_, body.value("payload", ""), task.service);
-    task.remainingMs = task.work.milliseconds;
-    if (const auto saved = context_.checkpoints.find(id); saved != context_.checkpoints.end()) {
-        task.remainingMs = saved->second;
-        context_.checkpoints.erase(saved);
-    }
-    task.declaredCpus = body.value("cpus", 0.0);
-    task.declaredMemoryMb = body.value("memory_mb", 0.0);
-    task.startedMs = steadyMilliseconds();
-    task.leaseUntilMs = task.startedMs + body.at("lease_ms").get<std::int64_t>();
-    run.task = std::move(task);
-    run.started.insert(token);
-    note("run-started", id, *run.task);
-    return jsonResponse(201, "{}");
+    return stateOf(book_.start(std::move(task)), 201);
 }
 
 HttpResponse Worker::renew(const json &body)
 {
     const std::int64_t until = steadyMilliseconds() + body.at("lease_ms").get<std::int64_t>();
     json lost = json::array();
-    for (const json &item : body.at("tokens")) {
-        if (Task *task = activeTask(item)) {
-            task->leaseUntilMs = std::max(task->leaseUntilMs, until);
-        } else {
-            lost.push_back(item);
+    for (const json &token : body.at("tokens")) {
+        if (!book_.renew(tokenFrom(token), until)) {
+            lost.push_back(token);
         }
     }
     return jsonResponse(200, json{{"lost", lost}}.dump());
@@ -229,76 +200,122 @@
 // Fences the token if its task has not started; otherwise only tells the state.
 HttpResponse Worker::revoke(const json &body)
 {
-    const FencingToken token = tokenFrom(body);
-    Run &run = runs_[runOf(body)];
-    if (run.started.contains(token)) {
-        const bool isRunning = run.task->token == token && run.task->isActive();
-        const char *state = isRunning ? "running" : "finished";
-        return jsonResponse(200, json{{"state", state}}.dump());
+    const FencingToken token = tokenFrom(body.at("token"));
+    if (book_.revoke(body.at("run").get<std::string>(), token)) {
+        return jsonResponse(200, json{{"state", "never-started"}, {"boot", boot_}}.dump());
     }
-    run.revoked = run.revoked ? std::max(*run.revoked, token) : token;
-    return jsonResponse(200, R"({"state":"never-started"})");
+    const Task *const task = book_.find(token);
+    return task != nullptr ? stateOf(*task, 200) : fault(410, "the result is not kept any more");
 }
 
 HttpResponse Worker::act(const std::string &action, const json &body)
 {
-    Task *task = activeTask(body);
-    if (task == nullptr) {
+    Task *const task = book_.find(tokenFrom(body.at("token")));
+    if (task == nullptr || task->run != body.at("run").get<std::string>()) {
         return fault(409, "no such task");
     }
+    if (!task->isActive()) {
+        return stateOf(*task, 200);
+    }
     if (action == "stop") {
-        end(runOf(body), *task, TaskState::Stopped);
+        book_.stop(*task);
     } else if (action == "throttle") {
-        task->state = TaskState::Throttled;
+        task->cpuLimit = body.at("cpus").get<double>();
     } else if (action == "checkpoint") {
-        context_.checkpoints[runOf(body)] = task->remainingMs;
-        end(runOf(body), *task, TaskState::Checkpointed);
+        book_.checkpoint(*task);
     } else {
         return fault(404, "unknown");
     }
-    return jsonResponse(200, "{}");
+    return stateOf(*task, 200);
 }
 
-HttpResponse Worker::list() const
+HttpResponse Worker::obey(const std::string &command, Offset grant)
 {
-    json tasks = json::array();
-    const std::int64_t seenMs = steadyMilliseconds() - context_.usageLagMs;
-    for (const auto &[id, run] : runs_) {
-        if (!run.task) {
-            continue;
+    if (command != "/drain" && command != "/undrain" && command != "/reboot") {
+        return fault(404, "unknown");
+    }
+    if (grant < grant_) {
+        return fault(409, "the grant is older than the newest");
+    }
+    if (command == "/reboot") {
+        if (grant != 0 && rebootedFor_ == grant) {
+            return jsonResponse(200, "{}");  // a repeated command
+        }
+        if (!isDrained()) {
+            return fault(409, "not drained");
         }
-        const Task &task = *run.task;
-        // The use of a task is unknown, and given as declared, until the lag has passed.
-        const double factor = task.startedMs <= seenMs ? task.work.sizeFactor : 1;
-        json item{{"run", id},
-                  {"token", jsonOf(task.token)},
-                  {"state", taskStateText(task.state)},
-                  {"result", task.result}};
-        if (task.isActive()) {
-            item["usage"] = {{"cpus", task.declaredCpus * factor},
-                             {"memory_mb", task.declaredMemoryMb * factor}};
+    }
+    grant_ = grant;
+    if (command == "/reboot") {
+        events_.reboot(grant);
+    } else {
+        setDraining(command == "/drain");
+    }
+    return jsonResponse(200, "{}");
+}
+
+void Worker::setDraining(bool isDraining)
+{
+    if (isDraining_ != isDraining) {
+        isDraining_ = isDraining;
+        events_.setDraining(isDraining);
+    }
+}
+
+json Worker::describe(const Task &task) const
+{
+    const std::int64_t nowMs = steadyMilliseconds();
+    json item{{"run", task.run},
+              {"token", jsonOf(task.token)},
+              {"state", taskStateText(task.state)},
+              {"ran_ms", (task.isActive() ? nowMs : task.endedMs) - task.startedMs}};
+    if (task.isActive()) {
+        const UsageSample *const sample = book_.visibleUsage(nowMs);
+        if (sample != nullptr && sample->tasks.contains(task.token)) {
+            item["usage"] = jsonOf(sample->tasks.at(task.token));
         }
-        tasks.push_back(std::move(item));
+        return item;
+    }
+    item["peak"] = jsonOf(task.usage());
+    if (!task.result.empty()) {
+        item["result"] = task.result;
     }
-    return jsonResponse(200, json{{"tasks", tasks}}.dump());
+    if (!task.checkpoint.empty()) {
+        item["checkpoint"] = task.checkpoint;
+    }
+    return item;
 }
 
-HttpResponse Worker::health() const
+HttpResponse Worker::stateOf(const Task &task, unsigned status) const
 {
-    const std::size_t tasks = runningTasks();
-    const char *state = !isDraining_ ? "in-service" : tasks > 0 ? "draining" : "drained";
-    return jsonResponse(200, json{{"state", state}, {"tasks", tasks}}.dump());
+    json body = describe(task);
+    body["boot"] = boot_;
+    return jsonResponse(status, body.dump());
 }
 
-// The running task of that run and token; null if it has ended or was never started.
-Worker::Task *Worker::activeTask(const json &body)
+HttpResponse Worker::list(const std::string &target) const
 {
-    const auto place = runs_.find(runOf(body));
-    if (place == runs_.end() || !place->second.task || !place->second.task->isActive()
-        || place->second.task->token != tokenFrom(body)) {
-        return nullptr;
+    const bool isSameBoot = queryNumber(target, "boot") == boot_;
+    std::uint64_t place = 0;
+    json tasks = json::array();
+    const std::uint64_t since = isSameBoot ? queryNumber(target, "since") : 0;
+    for (const Task *const task : book_.list(since, maxListedEnded, place)) {
+        tasks.push_back(describe(*task));
+    }
+    json body{{"boot", boot_},
+              {"change", place},
+              {"grant", grant_},
+              {"rebooted_for", rebootedFor_},
+              {"mode", !isDraining_  ? "in-service"
+                       : isDrained() ? "drained"
+                                     : "draining"},
+              {"tasks", tasks}};
+    const std::int64_t nowMs = steadyMilliseconds();
+    if (const UsageSample *const sample = book_.visibleUsage(nowMs)) {
+        body["usage"] = jsonOf(sample->total);
+        body["usage"]["age_ms"] = nowMs - sample->atMs;
     }
-    return &*place->second.task;
+    return jsonResponse(200, body.dump());
 }
 
 }  // namespace poplarstream::standins
