--- a/src/poplarstream/membership/evidence_queries.cpp
+++ b/src/poplarstream/membership/evidence_queries.cpp
@@ -115,6 +115,7 @@
                              TimePoint now)
 {
     std::vector<Opinion> opinions;
+    opinions.reserve(subjects.size());
     std::map<std::string_view, std::vector<std::size_t>> bySole;
     for (std::size_t i = 0; i < subjects.size(); ++i) {
         opinions.push_back(opinionOf(table, subjects[i], now));
@@ -136,6 +137,7 @@
         }
     }
     std::vector<Usability> result;
+    result.reserve(opinions.size());
     for (const Opinion &opinion : opinions) {
         result.push_back(opinion.usability);
     }
