--- a/src/poplarstream/node/workers_duty.cpp
+++ b/src/poplarstream/node/workers_duty.cpp
@@ -34,6 +34,7 @@
     WorkerChannel commands;
     WorkerChannel polls;
     TaskListPlace place;
+    std::optional<UsageReport> usage;  // of the last answer of this boot
     bool isPolling = false;
     bool asksMinions = false;  // the poll in progress does
     bool needsMinionPoll = false;  // asked for during a poll without minions
@@ -76,6 +77,18 @@
     return outcome.delivery == HttpDelivery::Answered && outcome.response.status == 200;
 }
 
+// Keeps the time of a measurement that a second poll tells of. It is reckoned from the time of the
+// poll, so that it varies by the delay of the call, and would look like a new measurement; the
+// growth between that and the first one would then always be zero.
+void keepMeasurementTime(const HostCalls &calls, TaskList &list)
+{
+    if (calls.usage && list.usage && calls.place.boot == list.place.boot
+        && calls.usage->total == list.usage->total
+        && std::chrono::abs(list.usage->at - calls.usage->at) <= callDeadline) {
+        list.usage->at = calls.usage->at;
+    }
+}
+
 void fill(WorkerStatus &status, TaskList list)
 {
     status.hasAnswered = true;
@@ -217,7 +230,9 @@
             auto list = taskListFromJson(status.host, outcome.response.body, asked);
             if (list) {
                 if (const auto calls = progress.calls.lock()) {
+                    keepMeasurementTime(*calls, list.value());
                     calls->place = list.value().place;
+                    calls->usage = list.value().usage;
                 }
                 fill(status, std::move(list).value());
             } else {
--- a/src/poplarstream/node/workers_duty_test.cpp
+++ b/src/poplarstream/node/workers_duty_test.cpp
@@ -165,6 +165,27 @@
               (std::vector<std::string>{"/tasks?boot=0&since=0", "/tasks?boot=5&since=9"}));
 }
 
+// Guards against one measurement that is taken for two, between which usage does not grow, so that
+// a worker that fills up looks steady.
+TEST_F(WorkersDutyTest, TellsMeasurementsApart)
+{
+    const auto poll = [&](int ageMs, int memoryMb) {
+        std::string list = idleList;
+        list.pop_back();
+        list += R"(,"usage":{"memory_mb":)" + std::to_string(memoryMb) + R"(,"age_ms":)"
+                + std::to_string(ageMs) + "}}";
+        first.answers["/tasks"] = jsonResponse(200, list);
+        events.clear();
+        duty.poll({{HostId("w1"), false}});
+        runUntilEvents(1);
+        return std::get<WorkerStatus>(events.at(0)).usage->at;
+    };
+    const TimePoint measured = poll(5'000, 10);
+    EXPECT_EQ(poll(4'900, 10), measured);
+    EXPECT_GT(poll(4'900, 11), measured);
+    EXPECT_GT(poll(1'000, 11), measured + Milliseconds{2'000});
+}
+
 // Guards against an answer that comes after its deadline and is taken for that of the next call.
 TEST_F(WorkersDutyTest, DropsLateAnswers)
 {
