--- /dev/null
+++ b/src/poplarstream/adapters/http_server_test.cpp
@@ -0,0 +1,259 @@
+#include "poplarstream/adapters/http_server.hpp"
+
+#include <stdexcept>  // for runtime_error
+
+#include <gtest/gtest.h>  // for TEST_F, EXPECT_EQ
+#include <rapidcheck.h>  // for rc::check
+
+#include "poplarstream/adapters/http_test_support.hpp"  // for drive, RawPeer
+
+namespace poplarstream {
+namespace {
+
+std::string post(const std::string &target, const std::string &body)
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: h\r\nContent-Length: "
+           + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::size_t count(const std::string &text, const std::string &part)
+{
+    std::size_t found = 0;
+    for (std::size_t at = 0; (at = text.find(part, at)) != text.npos; at += part.size()) {
+        ++found;
+    }
+    return found;
+}
+
+struct Received
+{
+    HttpRequest request;
+    HttpRespond respond;
+};
+
+// Holds each request until the test answers it.
+class HttpServerTest : public testing::Test
+{
+protected:
+    void start(const HttpServerLimits &limits = {})
+    {
+        auto result = HttpServer::listen(
+                io, {"127.0.0.1", 0},
+                [this](HttpRequest request, HttpRespond respond) {
+                    received.push_back({std::move(request), std::move(respond)});
+                },
+                limits);
+        server.emplace(std::move(result).value());
+    }
+
+    std::shared_ptr<RawPeer> connect() { return RawPeer::connect(io, server->port()); }
+    bool driveUntilReceived(std::size_t requests)
+    {
+        return drive(io, [&] { return received.size() >= requests; });
+    }
+    bool driveUntilClosed(const RawPeer &peer)
+    {
+        return drive(io, [&] { return peer.isClosed; });
+    }
+
+    boost::asio::io_context io{1};
+    std::optional<HttpServer> server;
+    std::vector<Received> received;
+};
+
+// Guards against a request that runs with a part of its payload.
+TEST_F(HttpServerTest, TruncatedBodyIsNotHandedOver)
+{
+    start();
+    SCOPED_TRACE("given a request whose sender ends in the middle of the body");
+    const auto peer = connect();
+    peer->send("POST /w HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabcd");
+    peer->endSending();
+    ASSERT_TRUE(driveUntilClosed(*peer));
+    EXPECT_TRUE(received.empty());
+    EXPECT_TRUE(peer->has("HTTP/1.1 400"));
+    EXPECT_TRUE(peer->has("Poplar-Verdict: not-run"));
+    EXPECT_EQ(server->counts().truncated, 1U);
+}
+
+// Guards against memory that a caller can claim without limit.
+TEST_F(HttpServerTest, OversizedHeaderAndBodyAreRejected)
+{
+    HttpServerLimits limits;
+    limits.headerBytes = 512;
+    limits.bodyBytes = 1000;
+    start(limits);
+    const std::string chunk = "1f4\r\n" + std::string(500, 'x') + "\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases{
+            {"GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string(1000, 'x') + "\r\n\r\n", " 431 "},
+            {post("/w", std::string(1001, 'x')), " 413 "},
+            {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk
+                     + chunk + "0\r\n\r\n",
+             " 413 "}};
+    for (const auto &[bytes, status] : cases) {
+        SCOPED_TRACE(status);
+        const auto peer = connect();
+        peer->send(bytes);
+        peer->endSending();
+        ASSERT_TRUE(driveUntilClosed(*peer));
+        EXPECT_TRUE(peer->has(status)) << peer->received;
+        EXPECT_TRUE(received.empty());
+    }
+}
+
+// Guards against connections that are held by senders who never finish.
+TEST_F(HttpServerTest, SlowSendersAreCutOff)
+{
+    HttpServerLimits limits;
+    limits.headerTimeout = limits.bodyTimeout = Milliseconds{10};
+    start(limits);
+    for (const std::string bytes :
+         {"GET / HT", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab"}) {
+        SCOPED_TRACE(bytes);
+        const auto peer = connect();
+        peer->send(bytes);
+        ASSERT_TRUE(drive(io, [&] { return peer->has("HTTP/1.1 408"); }));
+        peer->endSending();
+        ASSERT_TRUE(driveUntilClosed(*peer));
+    }
+    EXPECT_TRUE(received.empty());
+    EXPECT_EQ(server->counts().timedOut, 2U);
+}
+
+// Guards against idle connections that use up the limit of connections.
+TEST_F(HttpServerTest, IdleConnectionIsClosed)
+{
+    HttpServerLimits limits;
+    limits.idleTimeout = Milliseconds{10};
+    start(limits);
+    const auto peer = connect();
+    ASSERT_TRUE(driveUntilClosed(*peer));
+    EXPECT_EQ(peer->received, "");
+}
+
+// Guards against answers that change places on a pipelined connection.
+TEST_F(HttpServerTest, PipelinedRequestsAreAnsweredInOrder)
+{
+    start();
+    SCOPED_TRACE("given three requests sent at once");
+    const auto peer = connect();
+    peer->send(post("/1", "a") + post("/2", "bb") + post("/3", ""));
+    for (std::size_t i = 0; i < 3; ++i) {
+        ASSERT_TRUE(driveUntilReceived(i + 1));
+        io.poll();
+        SCOPED_TRACE("then the next one is handed over only after the answer to the one before");
+        ASSERT_EQ(received.size(), i + 1);
+        received[i].respond({200, {}, "answer" + received[i].request.target});
+        received[i].respond({200, {}, "second answer"});
+    }
+    ASSERT_TRUE(drive(io, [&] { return peer->has("answer/3"); }));
+    EXPECT_LT(peer->received.find("answer/1"), peer->received.find("answer/2"));
+    EXPECT_LT(peer->received.find("answer/2"), peer->received.find("answer/3"));
+    EXPECT_FALSE(peer->has("second answer"));
+}
+
+// Guards against a fault in one request that ends the process or leaves its caller waiting.
+TEST_F(HttpServerTest, HandlerFaultsAreAnswered)
+{
+    auto result = HttpServer::listen(io, {"127.0.0.1", 0},
+                                     [](const HttpRequest &request, const HttpRespond &respond) {
+                                         if (request.target == "/throw") {
+                                             throw std::runtime_error("fault");
+                                         }
+                                         if (request.target != "/drop") {
+                                             respond({200, {}, "fine"});
+                                         }
+                                     });
+    server.emplace(std::move(result).value());
+    const auto peer = connect();
+    peer->send(post("/throw", "") + post("/drop", "") + post("/ok", ""));
+    ASSERT_TRUE(drive(io, [&] { return peer->has("fine"); }));
+    EXPECT_EQ(count(peer->received, "HTTP/1.1 500"), 2U);
+    EXPECT_EQ(count(peer->received, "may-have-run"), 4U) << "in the header and in the body";
+    EXPECT_EQ(server->counts().handlerFaults, 2U);
+}
+
+// Guards against a flood of connections that takes all file descriptors.
+TEST_F(HttpServerTest, ConnectionsOverTheLimitAreRefused)
+{
+    HttpServerLimits limits;
+    limits.connections = 1;
+    start(limits);
+    const auto first = connect();
+    ASSERT_TRUE(drive(io, [&] { return server->connectionCount() == 1; }));
+    const auto second = connect();
+    ASSERT_TRUE(driveUntilClosed(*second));
+    EXPECT_TRUE(second->has("HTTP/1.1 503"));
+    first->send(post("/w", ""));
+    EXPECT_TRUE(driveUntilReceived(1));
+}
+
+// Guards against a planned stop that cuts a request: one in progress, one that waits behind it on
+// its connection, and one that arrives on an idle connection just after the stop began.
+TEST_F(HttpServerTest, GracefulShutdownCutsNothing)
+{
+    start();
+    const auto busy = connect();
+    const auto idle = connect();
+    busy->send(post("/1", "") + post("/2", ""));
+    ASSERT_TRUE(driveUntilReceived(1));
+    ASSERT_TRUE(drive(io, [&] { return server->connectionCount() == 2; }));
+    bool isDrained = false;
+    SCOPED_TRACE("when the server leaves");
+    server->shutdown([&] { isDrained = true; });
+    idle->send(post("/3", ""));
+    ASSERT_TRUE(driveUntilReceived(2));
+    EXPECT_EQ(received[1].request.target, "/3");
+    EXPECT_FALSE(isDrained);
+    received[0].respond({200, {}, "one"});
+    received[1].respond({200, {}, "three"});
+    ASSERT_TRUE(driveUntilReceived(3));
+    received[2].respond({200, {}, "two"});
+    ASSERT_TRUE(drive(io, [&] { return busy->has("two") && idle->has("three"); }));
+    SCOPED_TRACE("then each last answer says so, and the end is reported");
+    EXPECT_EQ(count(busy->received, "Connection: close"), 1U);
+    EXPECT_EQ(count(idle->received, "Connection: close"), 1U);
+    busy->endSending();
+    idle->endSending();
+    ASSERT_TRUE(drive(io, [&] { return isDrained; }));
+    boost::asio::ip::tcp::socket late(io);
+    boost::system::error_code error;
+    late.connect({boost::asio::ip::address_v4::loopback(), server->port()}, error);
+    EXPECT_EQ(error, boost::asio::error::connection_refused);
+}
+
+// Guards against bytes that crash the server, or that reach the handler as a request that was not
+// sent.
+TEST_F(HttpServerTest, ArbitraryBytes)
+{
+    start();
+    const std::string valid = post("/work", "payload");
+    const auto answersNext = [&] {
+        const std::size_t before = received.size();
+        const auto peer = connect();
+        peer->send(valid);
+        RC_ASSERT(driveUntilReceived(before + 1));
+        received.back().respond({200, {}, "fine"});
+        RC_ASSERT(drive(io, [&] { return peer->has("fine"); }));
+    };
+    EXPECT_TRUE(rc::check("the server answers the next request", [&](const std::string &noise) {
+        const auto cut = *rc::gen::inRange<std::size_t>(0, valid.size() + 1);
+        const auto skip = *rc::gen::inRange<std::size_t>(0, 3);
+        const auto peer = connect();
+        peer->send(valid.substr(0, cut) + noise + valid.substr(std::min(valid.size(), cut + skip)));
+        peer->endSending();
+        const std::size_t before = received.size();
+        RC_ASSERT(drive(io, [&] { return peer->isClosed || received.size() > before; }));
+        if (received.size() > before) {
+            const HttpRequest &request = received.back().request;
+            const auto length = headerValue(request.headers, "Content-Length");
+            RC_ASSERT(!length || std::to_string(request.body.size()) == *length
+                      || std::stoul(std::string(*length)) == request.body.size());
+        }
+        answersNext();
+        received.clear();
+    }));
+}
+
+}  // namespace
+}  // namespace poplarstream
--- a/src/poplarstream/adapters/peer_transport.cpp
+++ b/src/poplarstream/adapters/peer_transport.cpp
@@ -102,7 +102,7 @@
         for (const auto &answerer : answerers_) {
             nng_aio_stop(answerer->aio);
         }
-        for (const auto &[url, socket] : std::exchange(peers_, {})) {
+        for (const auto &[key, socket] : std::exchange(peers_, {})) {
             nng_close(socket->handle());
         }
         std::unique_lock lock(mutex_);
@@ -111,7 +111,7 @@
 
     bool post(const std::string &url, const nlohmann::json &value)
     {
-        const auto socket = peerSocket(nng_push0_open, url, settings_.oneWayBytes);
+        const auto socket = peerSocket(Kind::OneWay, url);
         NngMessage message = encodePeerMessage(value);
         if (!socket || nng_msg_len(message.get()) > settings_.oneWayBytes
             || nng_sendmsg(socket->handle(), message.get(), NNG_FLAG_NONBLOCK) != 0) {
@@ -127,7 +127,7 @@
              std::function<void(const nlohmann::json *)> done)
     {
         NngMessage message = encodePeerMessage(value);
-        const auto socket = peerSocket(nng_req0_open, url, settings_.requestBytes);
+        const auto socket = peerSocket(Kind::Request, url);
         auto asking = std::make_unique<Ask>();
         {
             const std::lock_guard lock(mutex_);
@@ -150,12 +150,14 @@
         return true;
     }
 
-    void forget(const std::string &url)
+    enum class Kind { OneWay, Request };
+
+    void forget(Kind kind, const std::string &url)
     {
         std::shared_ptr<PeerSocket> socket;
         {
             const std::lock_guard lock(mutex_);
-            const auto place = peers_.find(url);
+            const auto place = peers_.find({kind, url});
             if (place == peers_.end()) {
                 return;
             }
@@ -329,20 +331,26 @@
     }
 
     // The socket to a peer, opened at the first use; null for a bad address.
-    std::shared_ptr<PeerSocket> peerSocket(int (*open)(nng_socket *), const std::string &url,
-                                           std::size_t maxBytes)
+    std::shared_ptr<PeerSocket> peerSocket(Kind kind, const std::string &url)
     {
         const std::lock_guard lock(mutex_);
-        const auto place = peers_.find(url);
-        if (place != peers_.end() || isClosed_) {
-            return isClosed_ ? nullptr : place->second;
+        if (isClosed_) {
+            return nullptr;
+        }
+        const auto place = peers_.find({kind, url});
+        if (place != peers_.end()) {
+            return place->second;
         }
-        auto socket = dialPeerSocket(open, url, settings_, maxBytes);
+        auto socket =
+                kind == Kind::OneWay
+                        ? dialPeerSocket(nng_push0_open, url, settings_, settings_.oneWayBytes)
+                        : dialPeerSocket(nng_req0_open, url, settings_, settings_.requestBytes);
         if (!socket) {
             return nullptr;
         }
-        return peers_.emplace(url, std::make_shared<PeerSocket>(std::move(socket).value()))
-                .first->second;
+        auto shared = std::make_shared<PeerSocket>(std::move(socket).value());
+        peers_.emplace(std::pair(kind, url), shared);
+        return shared;
     }
 
     PeerSettings settings_;
@@ -354,7 +362,7 @@
     std::vector<std::unique_ptr<Answerer>> answerers_;
     std::mutex mutex_;
     std::condition_variable noAsks_;
-    std::map<std::string, std::shared_ptr<PeerSocket>> peers_;  // by url
+    std::map<std::pair<Kind, std::string>, std::shared_ptr<PeerSocket>> peers_;
     std::size_t pendingAsks_ = 0;
     std::atomic<bool> isClosed_{false};
 };
@@ -405,8 +413,8 @@
 
 void PeerTransport::forget(const PeerAddress &peer)
 {
-    state_->forget(peer.oneWay);
-    state_->forget(peer.requests);
+    state_->forget(State::Kind::OneWay, peer.oneWay);
+    state_->forget(State::Kind::Request, peer.requests);
 }
 
 PeerCounts PeerTransport::counts() const
