--- a/src/poplarstream/traffic/connection_cycle.cpp
+++ b/src/poplarstream/traffic/connection_cycle.cpp
@@ -30,6 +30,7 @@
 {
     using initial_state = In<S::Connecting>;
     // clang-format off
+    // MSM demands the name. NOLINTNEXTLINE(readability-identifier-naming)
     struct transition_table : mpl::vector<
         Row<In<S::Connecting>, On<E::Connected>,   In<S::Idle>,    none, none>,
         Row<In<S::Connecting>, On<E::Failed>,      In<S::Closed>,  none, none>,
--- /dev/null
+++ b/src/poplarstream/traffic/connection_events.cpp
@@ -0,0 +1,224 @@
+#include <algorithm>  // for max, min
+#include <charconv>  // for from_chars
+
+#include "attempts.hpp"  // for endAttempt, sendAttempt, releaseAttempt, dropOverdue
+#include "connections.hpp"  // for becomeIdle, dropConnection, applyEvent, suspectSilence
+#include "minion_health.hpp"  // for noteReport, noteSuccess, noteRefusal, noteFailure
+#include "poplarstream/traffic/urgent_path.hpp"
+#include "pump.hpp"  // for pumpMinion, pumpAll
+
+namespace poplarstream::traffic {
+
+namespace {
+
+// How long a connection whose answer arrived elsewhere is kept for the answer that may still come.
+constexpr Milliseconds strayTime{1000};
+
+// The attempt that the text names, or none for another incarnation or any other text.
+AttemptNumber parseAttempt(const TrafficState &state, std::string_view text)
+{
+    const auto dash = text.find('-');
+    if (dash == std::string_view::npos) {
+        return {};
+    }
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+    const char *const first = text.data();
+    const char *const last = first + text.size();
+    const auto head = std::from_chars(first, first + dash, incarnation, 16);
+    const auto tail = std::from_chars(first + dash + 1, last, number, 16);
+    const bool whole = head.ec == std::errc{} && head.ptr == first + dash && tail.ec == std::errc{}
+                       && tail.ptr == last;
+    return whole && incarnation == state.incarnation ? static_cast<AttemptNumber>(number)
+                                                     : AttemptNumber{};
+}
+
+// Learns from an attempt that got its answer, and forgets it. Returns its request.
+RequestNumber settleAttempt(TrafficState &state, AttemptNumber number, AnswerKind kind,
+                            TimePoint now)
+{
+    const Attempt attempt = *state.attempts.find(number);
+    releaseAttempt(state, number);
+    Service &service = state.services[attempt.service];
+    const Minion &minion = state.minions[attempt.minion];
+    const auto elapsed = static_cast<double>((now - attempt.sentAt - minion.distance).count());
+    const double time = std::max(0.25, elapsed);
+    if (kind == AnswerKind::Ok) {
+        noteSuccess(state, attempt.minion, time, service.time.mean, now);
+        service.time.add(time);
+    } else if (kind == AnswerKind::Refused) {
+        noteRefusal(state, attempt.minion, now);
+    } else {
+        noteFailure(state, attempt.minion, now);
+    }
+    const double used = kind == AnswerKind::Refused ? 0 : time;
+    settleCost(service.queue, attempt.key, used - attempt.charged);
+    return attempt.request;
+}
+
+void deliver(TrafficState &state, RequestNumber number, Actions &out)
+{
+    const AttemptList tries = state.requests.find(number)->tries;
+    state.requests.erase(number);
+    ++state.counters.delivered;
+    out.emplace_back(Deliver{number});
+    dropOverdue(state, tries, out);
+}
+
+// The answer of a live attempt, on whichever connection it came.
+void takeAnswer(TrafficState &state, AttemptNumber number, AnswerKind kind, TimePoint now,
+                Actions &out)
+{
+    const RequestNumber requestNumber = state.attempts.find(number)->request;
+    PendingRequest *request = state.requests.find(requestNumber);
+    if (request == nullptr) {
+        ++state.counters.lateAnswers;
+        settleAttempt(state, number, kind, now);
+        return;
+    }
+    const bool retryable =
+            kind == AnswerKind::Refused
+            || (kind == AnswerKind::Failed && state.services[request->service].settings.idempotent);
+    if (!retryable) {
+        settleAttempt(state, number, kind, now);
+        deliver(state, requestNumber, out);
+        return;
+    }
+    const AttemptEnd end = kind == AnswerKind::Refused ? AttemptEnd::Refused : AttemptEnd::Lost;
+    const Attempt attempt = *state.attempts.find(number);
+    settleCost(state.services[attempt.service].queue, attempt.key, -attempt.charged);
+    if (kind == AnswerKind::Refused) {
+        noteRefusal(state, attempt.minion, now);
+    } else {
+        noteFailure(state, attempt.minion, now);
+    }
+    endAttempt(state, number, end, now, out);
+}
+
+// A connection that carried another answer than the one it owes is not used again. Its attempt
+// waits on, since the two answers may have been exchanged.
+void detachAttempt(TrafficState &state, ConnectionNumber connection, Actions &out)
+{
+    const AttemptNumber owed = state.connections.find(connection)->attempt;
+    if (Attempt *attempt = state.attempts.find(owed); attempt != nullptr) {
+        attempt->connection = {};
+    }
+    dropConnection(state, connection, true, out);
+}
+
+// Gives a bound request to the connection that was opened for it. False when there is none left.
+bool sendBound(TrafficState &state, ConnectionNumber connection, TimePoint now, Actions &out)
+{
+    const AttemptNumber number = state.connections.find(connection)->attempt;
+    const Attempt *attempt = state.attempts.find(number);
+    if (attempt == nullptr) {
+        return false;
+    }
+    const PendingRequest *request = state.requests.find(attempt->request);
+    const bool isLeaving = state.minions[attempt->minion].leaving;
+    if (request == nullptr || request->deadline <= now || isLeaving) {
+        endAttempt(state, number, AttemptEnd::NotSent, now, out);
+        return false;
+    }
+    sendAttempt(state, number, now, out);
+    return true;
+}
+
+}  // namespace
+
+void onConnected(TrafficState &state, ConnectionNumber number, TimePoint now, Actions &out)
+{
+    Connection *connection = state.connections.find(number);
+    if (connection == nullptr || connection->state != ConnectionState::Connecting) {
+        return;
+    }
+    const MinionIndex index = connection->minion;
+    applyEvent(state, number, ConnectionEvent::Connected, now);
+    state.minions[index].connectFailures = 0;
+    if (sendBound(state, number, now, out)) {
+        return;
+    }
+    connection->attempt = {};
+    // An accepted connection is no proof: the listen queue of a silent minion accepts as well.
+    sendProbe(state, number, now, out);
+}
+
+void onConnectionFailure(TrafficState &state, ConnectionNumber number, bool bytesSent,
+                         TimePoint now, Actions &out)
+{
+    const Connection *found = state.connections.find(number);
+    if (found == nullptr) {
+        return;
+    }
+    const Connection connection = *found;
+    Minion &minion = state.minions[connection.minion];
+    dropConnection(state, number, false, out);
+    if (connection.state == ConnectionState::Connecting) {
+        const std::uint32_t doublings = std::min(minion.connectFailures++, 4U);
+        minion.reopenAt = now + Milliseconds{100} * (1U << doublings);
+    }
+    const Attempt *attempt = state.attempts.find(connection.attempt);
+    if (attempt != nullptr && attempt->connection == number) {
+        const bool lost = attempt->sent && bytesSent;
+        if (lost) {
+            noteFailure(state, connection.minion, now);
+        }
+        endAttempt(state, connection.attempt, lost ? AttemptEnd::Lost : AttemptEnd::NotSent, now,
+                   out);
+    }
+    suspectSilence(state, connection.minion, now, out);
+    pumpAll(state, now, out);
+}
+
+void onAnswer(TrafficState &state, ConnectionNumber number, const Answer &answer, TimePoint now,
+              Actions &out)
+{
+    const Connection *connection = state.connections.find(number);
+    if (connection == nullptr || connection->state == ConnectionState::Connecting) {
+        ++state.counters.lateAnswers;
+        return;
+    }
+    const MinionIndex index = connection->minion;
+    noteReport(state.minions[index], answer.load, connection->openedAt, now);
+    const AttemptNumber attempt = parseAttempt(state, answer.requestId);
+    const AttemptNumber owed = connection->attempt;
+    if (attempt != AttemptNumber{} && attempt == owed) {
+        becomeIdle(state, number, ConnectionEvent::Answered, now);
+    } else {
+        detachAttempt(state, number, out);
+    }
+    const Attempt *found = state.attempts.find(attempt);
+    if (found == nullptr || !found->sent) {
+        ++state.counters.lateAnswers;
+    } else {
+        if (found->connection != number && found->connection != ConnectionNumber{}) {
+            state.timers.push({now + strayTime, TimerKind::Connect,
+                               static_cast<std::uint64_t>(found->connection)});
+        }
+        takeAnswer(state, attempt, answer.kind, now, out);
+    }
+    pumpMinion(state, index, now, out);
+    if (answer.kind != AnswerKind::Ok) {
+        pumpAll(state, now, out);
+    }
+}
+
+void onProbeAnswer(TrafficState &state, ConnectionNumber number, bool healthy,
+                   const LoadReport &load, TimePoint now, Actions &out)
+{
+    const Connection *connection = state.connections.find(number);
+    if (connection == nullptr || !connection->probeInFlight) {
+        return;
+    }
+    const MinionIndex index = connection->minion;
+    noteReport(state.minions[index], load, connection->openedAt, now);
+    becomeIdle(state, number, ConnectionEvent::Answered, now);
+    if (healthy) {
+        noteHealthyProbe(state.minions[index], now);
+    } else {
+        noteFailure(state, index, now);
+    }
+    pumpMinion(state, index, now, out);
+}
+
+}  // namespace poplarstream::traffic
--- a/src/poplarstream/traffic/routing.cpp
+++ b/src/poplarstream/traffic/routing.cpp
@@ -35,6 +35,7 @@
         return minions;
     }
     std::vector<std::pair<std::uint64_t, MinionIndex>> scored;
+    scored.reserve(minions.size());
     for (const MinionIndex index : minions) {
         scored.emplace_back(rendezvousScore(entryHost, state.minions[index].settings.id.text()),
                             index);
