--- a/src/poplarstream/traffic/connection_events.cpp
+++ b/src/poplarstream/traffic/connection_events.cpp
@@ -115,8 +115,8 @@
         return false;
     }
     const PendingRequest *request = state.requests.find(attempt->request);
-    const bool isLeaving = state.minions[attempt->minion].leaving;
-    if (request == nullptr || request->deadline <= now || isLeaving) {
+    const Minion &minion = state.minions[attempt->minion];
+    if (request == nullptr || request->deadline <= now || minion.leaving || !minion.listed) {
         endAttempt(state, number, AttemptEnd::NotSent, now, out);
         return false;
     }
--- a/src/poplarstream/traffic/urgent_path_test.cpp
+++ b/src/poplarstream/traffic/urgent_path_test.cpp
@@ -14,6 +14,23 @@
     return std::next(map.begin(), static_cast<std::ptrdiff_t>(random.below(map.size())));
 }
 
+// New settings: another number of peers and other weights, now and then a minion less or in another
+// zone.
+void reconfigure(TestNetwork &network, Random &random)
+{
+    auto &settings = network.settings;
+    settings.livePeers = static_cast<std::uint32_t>(8 + random.below(3));
+    settings.tenants[random.below(4)].weight = static_cast<double>(random.below(5));
+    if (settings.minions.size() > 3 && random.below(3) == 0) {
+        network.leaving.insert(settings.minions.back().id);
+        settings.minions.pop_back();
+    }
+    settings.minions[random.below(settings.minions.size())].zone =
+            ZoneId(random.below(2) == 0 ? "a" : "b");
+    configure(network.state, settings, network.now, network.actions);
+    network.take();
+}
+
 // One random event of the network: an arrival, an answer (own, exchanged or of any kind), a broken
 // connection, a probe, a leaving mark, or time.
 void disturb(TestNetwork &network, Random &random)
@@ -56,6 +73,8 @@
             const MinionId minion("m" + std::to_string(random.below(6)));
             onLeaving(network.state, minion, true);
             network.leaving.insert(minion);
+        } else if (random.below(20) == 0) {
+            reconfigure(network, random);
         }
         break;
     default:
