Estimate by mean and deviation, and give each waiting run one owner at a time

Estimates take the mean of measured over declared and a margin of 2.5 standard deviations over all unsettled tasks of a worker instead of a high quantile for each; usage counts as the size only when it stopped growing.

--- a/bench/naive_runs.cpp
+++ b/bench/naive_runs.cpp
@@ -93,9 +93,9 @@
 
     void place(TimePoint now)
     {
-        // The naive dispatcher waits for its first call; the clairvoyant one looks further.
+        // The naive dispatcher waits for its first call; the clairvoyant one tries all.
         std::size_t misses = 0;
-        const std::size_t allowed = isClairvoyant_ ? 256 : 1;
+        const std::size_t allowed = isClairvoyant_ ? queue_.size() : 1;
         for (auto next = queue_.begin(); next != queue_.end() && misses < allowed;) {
             const FakeCall &call = calls_[next->call];
             const auto worker = choose(sizeOf(call));
--- a/include/poplarstream/runs/owner_memory.hpp
+++ b/include/poplarstream/runs/owner_memory.hpp
@@ -26,6 +26,7 @@
     std::optional<TimePoint> checkpointSentAt;
     std::optional<TimePoint> throttleSentAt;
     std::optional<TimePoint> renewedAt;
+    bool isThrottled = false;
     std::optional<TaskObservation> seen;
 };
 
--- a/include/poplarstream/runs/placement.hpp
+++ b/include/poplarstream/runs/placement.hpp
@@ -15,8 +15,9 @@
 // goes to the least filled worker that serves it and has room for its estimated size, away from
 // workers where it failed and from racks that hold many runs of the same service.
 //
-// Of the live owners, the one that wins the rendezvous hash of the run claims it; the others only
-// when it has waited for `ownerDelay` longer.
+// Of the live owners, the one that wins the rendezvous hash of the run claims it; after each
+// `ownerDelay` of waiting the turn goes to the winner of another hash, so that a run whose owner
+// cannot reach the workers gets another one, and two owners do not claim the same run.
 std::vector<RunEntry> proposeClaims(const RunsState &state, const FleetView &fleet,
                                     const OwnerMemory &memory, const RunPolicy &policy,
                                     TimePoint now, Random &random);
--- a/include/poplarstream/runs/quarantine.hpp
+++ b/include/poplarstream/runs/quarantine.hpp
@@ -19,9 +19,10 @@
 
 // A worker whose latest attempt failed gets one run at a time, after a delay that doubles with each
 // further failure, so that a worker that fails fast attracts no more work than others. The delay of
-// a quarantined worker is the longer probe delay.
+// a quarantined worker is the longer probe delay. A worker without any record may hold more once
+// the usage of some of its tasks, `settledRuns`, has settled.
 Concurrency concurrencyLimit(const RunsState &state, const WorkerView &worker,
-                             const RunPolicy &policy);
+                             const RunPolicy &policy, std::uint32_t settledRuns);
 
 // A proposal for the control stream (record WorkerQuarantine). `evidence` names no tenant.
 struct QuarantineProposal
--- a/include/poplarstream/runs/run_policy.hpp
+++ b/include/poplarstream/runs/run_policy.hpp
@@ -30,12 +30,17 @@
     std::size_t claimsPerRound = 64;
     // How many runs of a tenant are tried when its oldest do not fit at the moment.
     std::size_t lookAhead = 16;
-    // The share of a worker that is filled by estimates and measured usage.
-    double fillLimit = 0.92;
+    // The shares of a worker that are filled by estimates and measured usage.
+    double cpuFill = 1.0;
+    double memoryFill = 0.94;
     // Projected memory use, as a share of the worker, at which tasks are checkpointed, or stopped.
-    double checkpointAt = 0.94;
-    double stopAt = 0.98;
-    // A worker without a finished run gets at most this many at once.
+    double checkpointAt = 0.96;
+    double stopAt = 0.99;
+    // Processor use at which the youngest tasks are throttled, and below which they are let go.
+    double throttleAt = 0.99;
+    double unthrottleAt = 0.9;
+    // A worker without a finished run gets at most this many at once, and as many more for each
+    // task whose usage has settled, so that it fills up gradually.
     std::uint32_t unprovenLimit = 2;
     Milliseconds suspectDelay{5'000};
     // A worker without evidence for a quarantine is tried at least this often.
--- a/include/poplarstream/runs/worker_command.hpp
+++ b/include/poplarstream/runs/worker_command.hpp
@@ -54,11 +54,13 @@
     TaskRef task;
 };
 
-// Limits the processors of a task to `cpus`.
+// Limits the processors of a task to `cpus`; `isLifted`: to those of the whole worker, that is, not
+// at all.
 struct ThrottleTask
 {
     TaskRef task;
     double cpus = 0;
+    bool isLifted = false;
 };
 
 // Asks that the task stops at its next checkpoint.
--- /dev/null
+++ b/src/poplarstream/runs/candidates.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <map>  // for map
+#include <vector>  // for vector
+
+#include "poplarstream/runs/estimate.hpp"  // for Room, ServiceBias
+#include "poplarstream/runs/owner_memory.hpp"  // for OwnerMemory
+#include "poplarstream/runs/worker_view.hpp"  // for FleetView
+
+namespace poplarstream {
+
+// A worker as it fills up while claims are proposed.
+struct Candidate
+{
+    const WorkerView *worker = nullptr;
+    Room room;
+    std::uint32_t limit = 0;
+    bool isSuspect = false;
+};
+
+// What the placement of one round works on.
+struct Candidates
+{
+    std::vector<Candidate> workers;
+    std::map<ServiceId, std::vector<std::size_t>> byService;
+    std::map<ServiceId, ServiceBias> biases;
+    std::map<RackId, std::map<ServiceId, std::uint32_t>> rackRuns;
+    // The dominant share of the zone that each tenant's open claims hold.
+    std::map<TenantId, double> shares;
+    Resources total;
+};
+
+Candidates collectCandidates(const RunsState &state, const FleetView &fleet,
+                             const OwnerMemory &memory, const RunPolicy &policy, TimePoint now);
+
+// The largest of the shares of each resource (dominant resource fairness, Ghodsi et al. 2011).
+double dominantShare(const Resources &size, const Resources &total);
+
+// The bias of a service from finished and running tasks, worked out once.
+const ServiceBias &biasOf(Candidates &candidates, const RunsState &state, const ServiceId &service);
+
+}  // namespace poplarstream
--- a/src/poplarstream/runs/estimate.cpp
+++ b/src/poplarstream/runs/estimate.cpp
@@ -1,114 +1,200 @@
 #include "poplarstream/runs/estimate.hpp"
 
 #include <algorithm>  // for nth_element, max, find_if
-#include <cmath>  // for ceil, llround
+#include <cmath>  // for ceil, sqrt, llround
+#include <vector>  // for vector
 
 namespace poplarstream {
 namespace {
 
 constexpr std::size_t enoughSamples = 4;
-constexpr double sizeQuantile = 0.9;
-// The newest runs can be somewhat larger than any of the sampled ones.
-constexpr double sizeMargin = 1.1;
-// Without history a run may be larger than declared; half more is kept free for the first ones.
-constexpr double unknownFactor = 1.5;
-// Usage of a task counts instead of its reservation from this age on; a younger task may still
-// grow.
-constexpr Milliseconds settledAfter{20'000};
-constexpr double usageMargin = 1.1;
-
-// The quantile of a ratio among the samples that have it, or `fallback` when there are too few.
-double ratioQuantile(const RunsState &state, const ServiceId &service, double SizeSample::*ratio,
-                     double quantile, double fallback)
+// Without history, half more than declared is expected, with an error as large as the declared
+// size.
+constexpr double unknownMean = 1.5;
+constexpr double unknownDeviation = 1.0;
+// Standard deviations kept free. With 2.5, one worker in 160 would pass its limit if the errors
+// were normal, and the checkpoints act before that.
+constexpr double safetyDeviations = 2.5;
+// A measured need can still vary by some percent.
+constexpr double measuredMargin = 1.05;
+// Usage that grows by less than this share between two reports has reached its peak.
+constexpr double settledGrowth = 0.002;
+// A started task that a report does not list has ended; the log only does not know yet.
+constexpr Milliseconds listedAfter{3'000};
+
+struct Moments
+{
+    double mean = unknownMean;
+    double deviation = unknownDeviation;
+};
+
+std::vector<double> ratiosOf(const RunsState &state, const ServiceId &service,
+                             std::span<const SizeSample> running, double SizeSample::*ratio)
 {
-    const auto samples = state.sizes.find(service);
-    if (samples == state.sizes.end()) {
-        return fallback;
-    }
     std::vector<double> ratios;
-    for (const SizeSample &sample : samples->second) {
+    const auto add = [&](const SizeSample &sample) {
         if (sample.*ratio > 0) {
             ratios.push_back(sample.*ratio);
         }
+    };
+    if (const auto samples = state.sizes.find(service); samples != state.sizes.end()) {
+        std::for_each(samples->second.begin(), samples->second.end(), add);
     }
+    std::for_each(running.begin(), running.end(), add);
+    return ratios;
+}
+
+Moments momentsOf(std::span<const double> ratios)
+{
     if (ratios.size() < enoughSamples) {
-        return fallback;
+        return {};
+    }
+    const auto count = static_cast<double>(ratios.size());
+    double sum = 0;
+    for (const double ratio : ratios) {
+        sum += ratio;
+    }
+    const double mean = sum / count;
+    double squares = 0;
+    for (const double ratio : ratios) {
+        squares += (ratio - mean) * (ratio - mean);
     }
-    const auto position = static_cast<std::ptrdiff_t>(
-            std::min(static_cast<double>(ratios.size() - 1),
-                     std::floor(quantile * static_cast<double>(ratios.size()))));
-    std::nth_element(ratios.begin(), ratios.begin() + position, ratios.end());
-    return ratios[static_cast<std::size_t>(position)];
+    // The mean itself is uncertain by the deviation over the root of the count.
+    return {mean, std::sqrt(squares / (count - 1) * (1 + 1 / count))};
 }
 
-std::uint64_t wholeMegabytes(double megabytes)
+double medianOf(std::vector<double> ratios)
 {
-    return static_cast<std::uint64_t>(std::ceil(std::max(0.0, megabytes)));
+    if (ratios.size() < enoughSamples) {
+        return 1;
+    }
+    const auto middle = ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
+    std::nth_element(ratios.begin(), middle, ratios.end());
+    return *middle;
+}
+
+const TaskUsage *findUsage(const std::optional<UsageReport> &report, const FencingToken &token)
+{
+    if (!report) {
+        return nullptr;
+    }
+    const auto found = std::find_if(report->tasks.begin(), report->tasks.end(),
+                                    [&](const TaskUsage &task) { return task.token == token; });
+    return found == report->tasks.end() ? nullptr : &*found;
+}
+
+void addClaim(Room &room, const WorkerView &worker, const OpenClaim &claim)
+{
+    room.reservedCpus += claim.reserved.cpus;
+    room.reservedMemory += static_cast<double>(claim.reserved.memoryMegabytes);
+    const auto measured = measuredUsage(worker, claim.token);
+    if (!measured && worker.usage && claim.age >= listedAfter) {
+        return;
+    }
+    if (!measured) {
+        addTo(room, claim.size);
+        return;
+    }
+    ++room.runs;
+    room.accelerators += claim.reserved.accelerators;
+    const auto memory = static_cast<double>(measured->usage.memoryMegabytes);
+    const auto expected = static_cast<double>(claim.size.mean.memoryMegabytes);
+    room.cpus += measured->usage.cpus;
+    if (measured->isSettled) {
+        ++room.settledRuns;
+        room.memory += memory * measuredMargin;
+    } else {
+        room.memory += std::max(memory, expected);
+        room.memoryVariance += claim.size.memoryDeviation * claim.size.memoryDeviation;
+    }
 }
 
 }  // namespace
 
-Resources estimatedSize(const RunsState &state, const ServiceId &service, const Resources &declared)
+ServiceBias serviceBias(const RunsState &state, const ServiceId &service,
+                        std::span<const SizeSample> running)
 {
-    const double unknown = unknownFactor / sizeMargin;
-    const double cpus =
-            ratioQuantile(state, service, &SizeSample::cpus, sizeQuantile, unknown) * sizeMargin;
-    const double memory =
-            ratioQuantile(state, service, &SizeSample::memory, sizeQuantile, unknown) * sizeMargin;
-    return {declared.cpus * cpus,
-            wholeMegabytes(static_cast<double>(declared.memoryMegabytes) * memory),
-            declared.accelerators};
+    const Moments cpus = momentsOf(ratiosOf(state, service, running, &SizeSample::cpus));
+    const Moments memory = momentsOf(ratiosOf(state, service, running, &SizeSample::memory));
+    return {cpus.mean, cpus.deviation, memory.mean, memory.deviation,
+            medianOf(ratiosOf(state, service, running, &SizeSample::duration))};
+}
+
+SizeEstimate estimatedSize(const ServiceBias &bias, const Resources &declared)
+{
+    const auto memory = static_cast<double>(declared.memoryMegabytes);
+    return {{declared.cpus * bias.cpus, static_cast<std::uint64_t>(std::ceil(memory * bias.memory)),
+             declared.accelerators},
+            declared.cpus * bias.cpuDeviation,
+            memory * bias.memoryDeviation};
 }
 
-Milliseconds estimatedDuration(const RunsState &state, const ServiceId &service,
-                               Milliseconds declared)
+Milliseconds estimatedDuration(const ServiceBias &bias, Milliseconds declared)
 {
-    const double ratio = ratioQuantile(state, service, &SizeSample::duration, 0.5, 1.0);
-    return Milliseconds{std::llround(static_cast<double>(declared.count()) * ratio)};
+    return Milliseconds{std::llround(static_cast<double>(declared.count()) * bias.duration)};
 }
 
-Room roomOf(const WorkerView &worker, std::span<const OpenClaim> claims, double fillLimit)
+Room roomOf(const WorkerView &worker, std::span<const OpenClaim> claims, const RunPolicy &policy)
 {
-    double cpus = 0;
-    double memory = 0;
-    std::uint32_t accelerators = 0;
-    double reservedCpus = 0;
-    double reservedMemory = 0;
+    Room room;
+    room.limit = {worker.capacity.cpus * policy.cpuFill,
+                  static_cast<std::uint64_t>(static_cast<double>(worker.capacity.memoryMegabytes)
+                                             * policy.memoryFill),
+                  worker.capacity.accelerators};
     for (const OpenClaim &claim : claims) {
-        Resources used = claim.reserved;
-        if (worker.usage && claim.age >= settledAfter) {
-            const auto &tasks = worker.usage->tasks;
-            const auto task = std::find_if(tasks.begin(), tasks.end(), [&](const TaskUsage &t) {
-                return t.token == claim.token;
-            });
-            if (task != tasks.end()) {
-                used.cpus = task->usage.cpus * usageMargin;
-                used.memoryMegabytes = wholeMegabytes(
-                        static_cast<double>(task->usage.memoryMegabytes) * usageMargin);
-            }
-        }
-        cpus += used.cpus;
-        memory += static_cast<double>(used.memoryMegabytes);
-        accelerators += claim.reserved.accelerators;
-        reservedCpus += claim.reserved.cpus;
-        reservedMemory += static_cast<double>(claim.reserved.memoryMegabytes);
+        addClaim(room, worker, claim);
     }
     if (worker.usage) {
         // Usage that no claim explains counts too.
-        memory = std::max(memory, static_cast<double>(worker.usage->total.memoryMegabytes));
+        room.memory =
+                std::max(room.memory, static_cast<double>(worker.usage->total.memoryMegabytes));
     }
-    const double limitMemory = static_cast<double>(worker.capacity.memoryMegabytes) * fillLimit;
-    Room room;
-    room.left.cpus = std::max(0.0, worker.capacity.cpus * fillLimit - cpus);
-    room.left.memoryMegabytes =
-            static_cast<std::uint64_t>(std::max(0.0, std::floor(limitMemory - memory)));
-    room.left.accelerators =
-            worker.capacity.accelerators - std::min(worker.capacity.accelerators, accelerators);
-    room.statedCapacity = {room.left.cpus + reservedCpus,
-                           room.left.memoryMegabytes + wholeMegabytes(reservedMemory),
-                           worker.capacity.accelerators};
-    room.runs = static_cast<std::uint32_t>(claims.size());
     return room;
 }
 
+bool hasRoom(const Room &room, const SizeEstimate &size)
+{
+    Room filled = room;
+    addTo(filled, size);
+    // Processors need no margin: tasks that want more for a while share them.
+    return filled.cpus <= room.limit.cpus
+           && filled.memory + safetyDeviations * std::sqrt(filled.memoryVariance)
+                      <= static_cast<double>(room.limit.memoryMegabytes)
+           && filled.accelerators <= room.limit.accelerators;
+}
+
+void addTo(Room &room, const SizeEstimate &size)
+{
+    room.cpus += size.mean.cpus;
+    room.cpuVariance += size.cpuDeviation * size.cpuDeviation;
+    room.memory += static_cast<double>(size.mean.memoryMegabytes);
+    room.memoryVariance += size.memoryDeviation * size.memoryDeviation;
+    room.accelerators += size.mean.accelerators;
+    ++room.runs;
+}
+
+Resources statedCapacity(const Room &room)
+{
+    const double safety = safetyDeviations * std::sqrt(room.memoryVariance);
+    const double memory =
+            std::max(0.0, static_cast<double>(room.limit.memoryMegabytes) - room.memory - safety);
+    return {room.reservedCpus + std::max(0.0, room.limit.cpus - room.cpus),
+            static_cast<std::uint64_t>(std::ceil(room.reservedMemory + memory)),
+            room.limit.accelerators};
+}
+
+std::optional<MeasuredUsage> measuredUsage(const WorkerView &worker, const FencingToken &token)
+{
+    const TaskUsage *current = findUsage(worker.usage, token);
+    if (!current) {
+        return std::nullopt;
+    }
+    const TaskUsage *before = findUsage(worker.previousUsage, token);
+    const auto memory = static_cast<double>(current->usage.memoryMegabytes);
+    const bool isSettled =
+            before && worker.previousUsage->at < worker.usage->at
+            && memory <= static_cast<double>(before->usage.memoryMegabytes) * (1 + settledGrowth);
+    return MeasuredUsage{current->usage, isSettled};
+}
+
 }  // namespace poplarstream
--- a/src/poplarstream/runs/fakes/zone.hpp
+++ b/src/poplarstream/runs/fakes/zone.hpp
@@ -54,6 +54,7 @@
     std::vector<RunEntry> toAppend;
     std::vector<RunId> toCancel;
     std::vector<std::uint64_t> open;  // ordinals whose end was not answered
+    TimePoint answeredAt;
 };
 
 // One zone in virtual time: a log, a few owners that run the real deciders, a few workers and
@@ -306,6 +307,10 @@
                 answerAccepted(owner.state.runs.find(i)->second);
             }
         }
+        if (timeline.now() - owner.answeredAt < answerInterval) {
+            return;
+        }
+        owner.answeredAt = timeline.now();
         std::erase_if(owner.open, [&](std::uint64_t ordinal) {
             const auto run = owner.state.runs.find(ordinal);
             if (run == owner.state.runs.end() || !isFinal(run->second.stage)) {
@@ -471,6 +476,8 @@
         }
     }
 
+    static constexpr Milliseconds answerInterval{500};
+
     RunPolicy policy_;
     FaultRates rates_;
     Milliseconds step_{100};
--- a/src/poplarstream/runs/owner_memory.cpp
+++ b/src/poplarstream/runs/owner_memory.cpp
@@ -82,7 +82,12 @@
         void operator()(const StartTask &c) const { find(c.task).startSentAt = now; }
         void operator()(const RevokeTask &c) const { find(c.task).revokeSentAt = now; }
         void operator()(const StopTask &c) const { find(c.task).stopSentAt = now; }
-        void operator()(const ThrottleTask &c) const { find(c.task).throttleSentAt = now; }
+        void operator()(const ThrottleTask &c) const
+        {
+            TaskMemory &throttled = find(c.task);
+            throttled.isThrottled = !c.isLifted;
+            throttled.throttleSentAt = now;
+        }
         void operator()(const CheckpointTask &c) const { find(c.task).checkpointSentAt = now; }
         void operator()(const RenewLeases &c) const
         {
--- a/src/poplarstream/runs/placement.cpp
+++ b/src/poplarstream/runs/placement.cpp
@@ -1,25 +1,14 @@
 #include "poplarstream/runs/placement.hpp"
 
 #include <algorithm>  // for max, find, min_element
-#include <map>  // for map
 
+#include "candidates.hpp"  // for Candidates, collectCandidates
 #include "poplarstream/base/rendezvous.hpp"  // for rendezvousOwner
-#include "poplarstream/runs/estimate.hpp"  // for estimatedSize, roomOf
-#include "poplarstream/runs/quarantine.hpp"  // for concurrencyLimit
-#include "poplarstream/runs/queries.hpp"  // for liveOwners, findRun
+#include "poplarstream/runs/queries.hpp"  // for liveOwners
 
 namespace poplarstream {
 namespace {
 
-// A worker as it fills up while claims are proposed.
-struct Candidate
-{
-    const WorkerView *worker = nullptr;
-    Room room;
-    std::uint32_t limit = 0;
-    bool isSuspect = false;
-};
-
 struct TenantTurn
 {
     const std::set<std::uint64_t> *queue = nullptr;
@@ -27,118 +16,35 @@
     double share = 0;
     double weight = 1;
     std::size_t misses = 0;
+    std::size_t seen = 0;
 };
 
 struct Placement
 {
     const RunsState &state;
-    const FleetView &fleet;
     const OwnerMemory &memory;
     const RunPolicy &policy;
     Random &random;
     std::vector<EntryHostId> owners;
-    std::vector<Candidate> candidates;
-    std::map<RackId, std::map<ServiceId, std::uint32_t>> rackRuns;
-    std::map<TenantId, double> shares;
-    Resources total;
-    std::map<ServiceId, std::vector<std::size_t>> byService;
+    Candidates candidates;
 };
 
-double dominantShare(const Resources &size, const Resources &total)
-{
-    double share = 0;
-    if (total.cpus > 0) {
-        share = std::max(share, size.cpus / total.cpus);
-    }
-    if (total.memoryMegabytes > 0) {
-        share = std::max(share, static_cast<double>(size.memoryMegabytes)
-                                        / static_cast<double>(total.memoryMegabytes));
-    }
-    if (total.accelerators > 0) {
-        share = std::max(share, static_cast<double>(size.accelerators) / total.accelerators);
-    }
-    return share;
-}
-
-using ClaimsByWorker = std::map<HostId, std::vector<OpenClaim>>;
-
-// The open claims, and those that this owner has proposed but not read back.
-ClaimsByWorker collectClaims(Placement &placement)
-{
-    ClaimsByWorker claims;
-    const auto add = [&](const Run &run, const HostId &host, const OpenClaim &claim) {
-        claims[host].push_back(claim);
-        placement.shares[run.accepted.tenant] += dominantShare(claim.reserved, placement.total);
-        if (const WorkerView *worker = findWorker(placement.fleet, host)) {
-            ++placement.rackRuns[worker->rack][run.accepted.service];
-        }
-    };
-    const RunsState &state = placement.state;
-    for (const std::uint64_t ordinal : state.active) {
-        const Run &run = state.runs.find(ordinal)->second;
-        if (run.claim) {
-            add(run, run.claim->worker,
-                {run.claim->token, run.claim->reserved,
-                 run.claim->startedAt ? state.now - *run.claim->startedAt : Milliseconds{0}});
-        }
-    }
-    for (const auto &[id, proposal] : placement.memory.proposals.pending) {
-        for (const RunEntry &entry : proposal.record.entries) {
-            const auto *claimed = std::get_if<RunClaimed>(&entry);
-            if (!claimed) {
-                continue;
-            }
-            const Run *run = findRun(state, claimed->run);
-            if (run && run->stage == RunStage::Accepted) {
-                add(*run, claimed->worker, {{}, claimed->reserved, Milliseconds{0}});
-            }
-        }
-    }
-    return claims;
-}
-
-void collectCandidates(Placement &placement, const ClaimsByWorker &claims, TimePoint now)
-{
-    static const std::vector<OpenClaim> none;
-    for (const WorkerView &worker : placement.fleet.workers) {
-        const bool isReachable = now - worker.lastHeard < placement.policy.workerLost;
-        if (!isReachable || worker.condition == WorkerCondition::Draining
-            || worker.condition == WorkerCondition::Away) {
-            continue;
-        }
-        const Concurrency concurrency = concurrencyLimit(placement.state, worker, placement.policy);
-        const auto open = claims.find(worker.host);
-        const Room room = roomOf(worker, open == claims.end() ? none : open->second,
-                                 placement.policy.fillLimit);
-        if (room.runs >= concurrency.limit) {
-            continue;
-        }
-        for (const ServiceId &service : worker.services) {
-            placement.byService[service].push_back(placement.candidates.size());
-        }
-        placement.candidates.push_back({&worker, room, concurrency.limit, concurrency.isSuspect});
-    }
-}
-
 // Lower is better: how full the worker is afterwards, how many runs of the service its rack holds,
 // and whether it wastes an accelerator.
 double score(const Placement &placement, const Candidate &candidate, const Run &run,
-             const Resources &size)
+             const SizeEstimate &size)
 {
-    const Resources &capacity = candidate.worker->capacity;
-    const Resources used{capacity.cpus - candidate.room.left.cpus + size.cpus,
-                         capacity.memoryMegabytes - candidate.room.left.memoryMegabytes
-                                 + size.memoryMegabytes,
-                         0};
-    double result = dominantShare(used, capacity);
-    if (const auto rack = placement.rackRuns.find(candidate.worker->rack);
-        rack != placement.rackRuns.end()) {
+    const Room &room = candidate.room;
+    const double cpus = (room.cpus + size.mean.cpus) / std::max(1e-9, room.limit.cpus);
+    const double memory = (room.memory + static_cast<double>(size.mean.memoryMegabytes))
+                          / std::max(1.0, static_cast<double>(room.limit.memoryMegabytes));
+    double result = std::max(cpus, memory);
+    const auto &racks = placement.candidates.rackRuns;
+    if (const auto rack = racks.find(candidate.worker->rack); rack != racks.end()) {
         const auto runs = rack->second.find(run.accepted.service);
-        if (runs != rack->second.end()) {
-            result += 0.02 * runs->second;
-        }
+        result += runs != rack->second.end() ? 0.02 * runs->second : 0;
     }
-    if (size.accelerators == 0 && capacity.accelerators > 0) {
+    if (size.mean.accelerators == 0 && room.limit.accelerators > 0) {
         result += 1;
     }
     return result;
@@ -157,35 +63,44 @@
            && std::find(failedOn.begin(), failedOn.end(), candidate.worker->host) == failedOn.end();
 }
 
-// A size larger than any worker is cut to a whole worker, since the estimate can be off.
-Resources cutToWorker(const Resources &size, const WorkerView &worker, double fillLimit)
+// A run that is estimated to be larger than any worker gets an empty one for itself, if its
+// declared size fits, since the estimate can be off.
+bool canHold(const Candidate &candidate, const Run &run, const SizeEstimate &size)
+{
+    return hasRoom(candidate.room, size)
+           || (candidate.room.runs == 0
+               && fitsInto(run.accepted.declared, candidate.worker->capacity));
+}
+
+RunClaimed claim(Placement &placement, Candidate &candidate, const Run &run, SizeEstimate size)
 {
-    return {std::min(size.cpus, worker.capacity.cpus * fillLimit),
-            std::min(size.memoryMegabytes,
-                     static_cast<std::uint64_t>(static_cast<double>(worker.capacity.memoryMegabytes)
-                                                * fillLimit)),
-            size.accelerators};
+    Room &room = candidate.room;
+    size.mean.cpus = std::min(size.mean.cpus, room.limit.cpus);
+    size.mean.memoryMegabytes = std::min(size.mean.memoryMegabytes, room.limit.memoryMegabytes);
+    const Resources stated = statedCapacity(room);
+    addTo(room, size);
+    room.reservedCpus += size.mean.cpus;
+    room.reservedMemory += static_cast<double>(size.mean.memoryMegabytes);
+    ++placement.candidates.rackRuns[candidate.worker->rack][run.accepted.service];
+    return {run.id(),  placement.memory.self,  candidate.worker->host,
+            size.mean, candidate.worker->boot, stated};
 }
 
 std::optional<RunClaimed> placeRun(Placement &placement, const Run &run)
 {
-    const auto serving = placement.byService.find(run.accepted.service);
-    if (serving == placement.byService.end()) {
+    const auto &byService = placement.candidates.byService;
+    const auto serving = byService.find(run.accepted.service);
+    if (serving == byService.end()) {
         return std::nullopt;
     }
-    const Resources estimate =
-            estimatedSize(placement.state, run.accepted.service, run.accepted.declared);
+    const SizeEstimate size =
+            estimatedSize(biasOf(placement.candidates, placement.state, run.accepted.service),
+                          run.accepted.declared);
     Candidate *best = nullptr;
-    Resources bestSize;
     double bestScore = 0;
     for (const std::size_t index : serving->second) {
-        Candidate &candidate = placement.candidates[index];
-        const Resources size = cutToWorker(estimate, *candidate.worker, placement.policy.fillLimit);
-        if (!fitsInto(run.accepted.declared, candidate.worker->capacity)
-            && !fitsInto(estimate, candidate.worker->capacity)) {
-            continue;
-        }
-        if (!isAllowed(placement, candidate, run) || !fitsInto(size, candidate.room.left)) {
+        Candidate &candidate = placement.candidates.workers[index];
+        if (!isAllowed(placement, candidate, run) || !canHold(candidate, run, size)) {
             continue;
         }
         // The random part keeps several owners from choosing the same worker.
@@ -193,32 +108,25 @@
                 score(placement, candidate, run, size) + 0.05 * placement.random.unit();
         if (!best || value < bestScore) {
             best = &candidate;
-            bestSize = size;
             bestScore = value;
         }
     }
-    if (!best) {
-        return std::nullopt;
-    }
-    best->room.left.cpus -= bestSize.cpus;
-    best->room.left.memoryMegabytes -= bestSize.memoryMegabytes;
-    best->room.left.accelerators -= bestSize.accelerators;
-    ++best->room.runs;
-    ++placement.rackRuns[best->worker->rack][run.accepted.service];
-    return RunClaimed{run.id(), placement.memory.self, best->worker->host,
-                      bestSize, best->worker->boot,    best->room.statedCapacity};
+    return best ? std::optional(claim(placement, *best, run, size)) : std::nullopt;
 }
 
-std::vector<TenantTurn> collectTurns(const Placement &placement)
+std::vector<TenantTurn> collectTurns(const Placement &placement, const FleetView &fleet)
 {
     std::vector<TenantTurn> turns;
+    const auto &shares = placement.candidates.shares;
     for (const auto &[tenant, queue] : placement.state.waiting) {
-        const auto weight = placement.fleet.weights.find(tenant);
-        const auto share = placement.shares.find(tenant);
-        turns.push_back(
-                {&queue, queue.begin(), share == placement.shares.end() ? 0.0 : share->second,
-                 weight == placement.fleet.weights.end() ? 1.0 : std::max(1e-6, weight->second),
-                 0});
+        const auto weight = fleet.weights.find(tenant);
+        const auto share = shares.find(tenant);
+        TenantTurn turn;
+        turn.queue = &queue;
+        turn.next = queue.begin();
+        turn.share = share == shares.end() ? 0.0 : share->second;
+        turn.weight = weight == fleet.weights.end() ? 1.0 : std::max(1e-6, weight->second);
+        turns.push_back(turn);
     }
     return turns;
 }
@@ -226,7 +134,10 @@
 // The tenant's next run that this owner may claim, or null when none is left to try.
 const Run *nextRun(const Placement &placement, TenantTurn &turn)
 {
-    while (turn.next != turn.queue->end() && turn.misses < placement.policy.lookAhead) {
+    const std::size_t most =
+            placement.policy.lookAhead * std::max<std::size_t>(1, placement.owners.size());
+    while (turn.next != turn.queue->end() && turn.misses < placement.policy.lookAhead
+           && turn.seen++ < most) {
         const Run &run = placement.state.runs.find(*turn.next++)->second;
         if (run.failedOn.size() < maxFaults && run.losses < maxLosses
             && !isPending(placement.memory.proposals, run.id())
@@ -243,8 +154,12 @@
 bool isMine(std::span<const EntryHostId> owners, const EntryHostId &self, const RunId &run,
             Milliseconds waited, Milliseconds ownerDelay)
 {
-    return owners.empty() || waited >= ownerDelay
-           || owners[rendezvousOwner(run.text(), owners)] == self;
+    if (owners.empty()) {
+        return true;
+    }
+    const std::int64_t turn = waited / ownerDelay;
+    const std::string key = turn <= 0 ? run.text() : run.text() + "/" + std::to_string(turn);
+    return owners[rendezvousOwner(key, owners)] == self;
 }
 
 std::vector<RunEntry> proposeClaims(const RunsState &state, const FleetView &fleet,
@@ -255,15 +170,16 @@
     if (state.waiting.empty()) {
         return entries;
     }
-    Placement placement{state, fleet, memory, policy, random, liveOwners(state),
-                        {},    {},    {},     {},     {}};
-    for (const WorkerView &worker : fleet.workers) {
-        placement.total.cpus += worker.capacity.cpus;
-        placement.total.memoryMegabytes += worker.capacity.memoryMegabytes;
-        placement.total.accelerators += worker.capacity.accelerators;
+    Placement placement{state,
+                        memory,
+                        policy,
+                        random,
+                        liveOwners(state),
+                        collectCandidates(state, fleet, memory, policy, now)};
+    if (placement.candidates.workers.empty()) {
+        return entries;
     }
-    collectCandidates(placement, collectClaims(placement), now);
-    std::vector<TenantTurn> turns = collectTurns(placement);
+    std::vector<TenantTurn> turns = collectTurns(placement, fleet);
     while (entries.size() < policy.claimsPerRound && !turns.empty()) {
         const auto turn = std::min_element(turns.begin(), turns.end(),
                                            [](const TenantTurn &a, const TenantTurn &b) {
@@ -272,10 +188,8 @@
         const Run *run = nextRun(placement, *turn);
         if (!run) {
             turns.erase(turn);
-            continue;
-        }
-        if (auto claimed = placeRun(placement, *run)) {
-            turn->share += dominantShare(claimed->reserved, placement.total);
+        } else if (auto claimed = placeRun(placement, *run)) {
+            turn->share += dominantShare(claimed->reserved, placement.candidates.total);
             entries.emplace_back(std::move(*claimed));
         } else {
             ++turn->misses;
--- a/src/poplarstream/runs/quarantine.cpp
+++ b/src/poplarstream/runs/quarantine.cpp
@@ -61,12 +61,12 @@
 }  // namespace
 
 Concurrency concurrencyLimit(const RunsState &state, const WorkerView &worker,
-                             const RunPolicy &policy)
+                             const RunPolicy &policy, std::uint32_t settledRuns)
 {
     const bool isQuarantined = worker.condition == WorkerCondition::Quarantined;
     const auto found = state.workers.find(worker.host);
     if (found == state.workers.end()) {
-        return {isQuarantined ? 1 : policy.unprovenLimit, isQuarantined};
+        return {isQuarantined ? 1 : policy.unprovenLimit + 2 * settledRuns, isQuarantined};
     }
     const WorkerRecord &record = found->second;
     if (record.consecutiveFaults == 0) {
--- a/src/poplarstream/runs/relieve.cpp
+++ b/src/poplarstream/runs/relieve.cpp
@@ -111,10 +111,32 @@
     }
 }
 
+bool throttle(DecisionStep &step, const Run &run, double cpus, bool isLifted)
+{
+    const TaskMemory *known = step.findTask(run.claim->token);
+    if (!isOwnAndFree(step, run) || !step.isDue(known ? known->throttleSentAt : std::nullopt)) {
+        return false;
+    }
+    step.decision.commands.emplace_back(ThrottleTask{refOf(run), cpus, isLifted});
+    return true;
+}
+
 void relieveProcessors(DecisionStep &step, const WorkerView &worker,
                        std::vector<RunningTask> &tasks)
 {
-    double excess = worker.usage->total.cpus - worker.capacity.cpus * step.policy.checkpointAt;
+    const double used = worker.usage->total.cpus;
+    if (used < worker.capacity.cpus * step.policy.unthrottleAt) {
+        // One at a time, the oldest first, so that the worker does not swing.
+        for (auto task = tasks.rbegin(); task != tasks.rend(); ++task) {
+            const TaskMemory *known = step.findTask(task->run->claim->token);
+            if (known && known->isThrottled
+                && throttle(step, *task->run, worker.capacity.cpus, true)) {
+                return;
+            }
+        }
+        return;
+    }
+    double excess = used - worker.capacity.cpus * step.policy.throttleAt;
     for (const RunningTask &task : tasks) {
         if (excess <= 0) {
             return;
@@ -122,11 +144,7 @@
         // A throttled task keeps a quarter, so that it still makes progress.
         const double kept = std::max(task.usage.cpus - excess, task.usage.cpus / 4);
         excess -= task.usage.cpus - kept;
-        const TaskMemory *known = step.findTask(task.run->claim->token);
-        if (isOwnAndFree(step, *task.run)
-            && step.isDue(known ? known->throttleSentAt : std::nullopt)) {
-            step.decision.commands.emplace_back(ThrottleTask{refOf(*task.run), kept});
-        }
+        throttle(step, *task.run, kept, false);
     }
 }
 
@@ -137,9 +155,9 @@
 {
     for (const RunningTask &task : tasks) {
         const RunAccepted &accepted = task.run->accepted;
-        const Milliseconds left =
-                estimatedDuration(step.state, accepted.service, accepted.declaredDuration)
-                - (step.state.now - *task.run->claim->startedAt);
+        const Milliseconds left = estimatedDuration(serviceBias(step.state, accepted.service, {}),
+                                                    accepted.declaredDuration)
+                                  - (step.state.now - *task.run->claim->startedAt);
         if (step.now + std::max(left, Milliseconds{0}) > *worker.drainBy) {
             checkpoint(step, *task.run);
         }
--- a/src/poplarstream/runs/waiting.cpp
+++ b/src/poplarstream/runs/waiting.cpp
@@ -21,7 +21,8 @@
 
 Options optionsFor(const DecisionStep &step, const RunAccepted &accepted)
 {
-    const Resources estimate = estimatedSize(step.state, accepted.service, accepted.declared);
+    const Resources estimate =
+            estimatedSize(serviceBias(step.state, accepted.service, {}), accepted.declared).mean;
     const auto canHold = [&](const Resources &capacity) {
         return fitsInto(accepted.declared, capacity) || fitsInto(estimate, capacity);
     };
