Map worker status to the observations of the wave stepper

Cause: the demo's wave stopped at 'returning': the stepper wants the grant under which a host was asked and the grant of its last undrain, which the worker protocol did not carry. Change: polls carry the grant of the present absence; workers report the grant of their last undrain and refuse drains and reboots of an absence that is over. Conclusion: late drains are refused by the worker itself.

--- a/include/poplarstream/adapters/worker_protocol.hpp
+++ b/include/poplarstream/adapters/worker_protocol.hpp
@@ -34,6 +34,7 @@
     TaskListPlace place;
     Offset grant = 0;
     Offset rebootedFor = 0;
+    std::optional<Offset> undrained;  // grant of the last undrain since the boot
     bool isDraining = false;
     bool isDrained = false;
     std::optional<UsageReport> usage;
--- a/include/poplarstream/node/worker_table.hpp
+++ b/include/poplarstream/node/worker_table.hpp
@@ -19,6 +19,7 @@
     std::optional<WorkerStatus> last;  // the newest that was answered
     TimePoint lastHeard;
     std::optional<TimePoint> unansweredSince;
+    std::optional<Offset> lastFailedUnder;  // grant of the last poll without an answer
     std::optional<UsageReport> previousUsage;
     std::optional<TimePoint> lastPolled;
     bool areMinionsHealthy = false;
--- a/include/poplarstream/node/workers_duty.hpp
+++ b/include/poplarstream/node/workers_duty.hpp
@@ -46,10 +46,12 @@
 struct WorkerStatus
 {
     HostId host;
+    Offset askedUnder = 0;  // the grant of the poll
     bool hasAnswered = false;
     std::uint64_t boot = 0;
     Offset grant = 0;
     Offset rebootedFor = 0;
+    std::optional<Offset> undrained;  // grant of the last undrain since the boot
     WorkerMode mode = WorkerMode::InService;
     std::optional<UsageReport> usage;
     std::vector<TaskObservation> tasks;
@@ -59,11 +61,13 @@
 
 using WorkerEvent = std::variant<TaskObservation, WorkerStatus>;
 
-// One poll. With `withMinions`, every minion of the host is probed as well.
+// One poll. With `withMinions`, every minion of the host is probed as well. `grant` is that of the
+// host's present absence, or 0.
 struct WorkerPoll
 {
     HostId host;
     bool withMinions = false;
+    Offset grant = 0;
 };
 
 // The duty that calls worker agents. It decides nothing: it sends commands while they are valid,
--- a/src/poplarstream/adapters/worker_protocol.cpp
+++ b/src/poplarstream/adapters/worker_protocol.cpp
@@ -167,6 +167,9 @@
     }
     list.grant = wholeFrom<Offset>(body, "grant");
     list.rebootedFor = wholeFrom<Offset>(body, "rebooted_for");
+    if (body.contains("undrained")) {
+        list.undrained = wholeFrom<Offset>(body, "undrained");
+    }
     readMode(list, body.at("mode").get<std::string>());
     if (const auto usage = body.find("usage"); usage != body.end()) {
         list.usage = {asked - durationFrom(*usage, "age_ms"), resourcesFrom(*usage), {}};
--- a/src/poplarstream/node/wave_view.cpp
+++ b/src/poplarstream/node/wave_view.cpp
@@ -42,6 +42,9 @@
     view.zone = host.config->zone;
     view.rack = host.config->rack;
     view.state = hostState(host.state);
+    if (host.state == HostState::Away && host.absence && !host.absence->left) {
+        view.state = maintenance::HostState::Drained;
+    }
     view.stateSince = host.since;
     view.isUnseen = state.lostZones.contains(host.config->zone);
     if (host.absence) {
--- a/src/poplarstream/node/worker_table.cpp
+++ b/src/poplarstream/node/worker_table.cpp
@@ -67,6 +67,7 @@
         if (!entry.unansweredSince) {
             entry.unansweredSince = now;
         }
+        entry.lastFailedUnder = status.askedUnder;
         entry.areMinionsHealthy = false;
         return;
     }
@@ -123,7 +124,8 @@
         }
         table.entries[id].lastPolled = now;
         const FleetHost &host = input.fleet.hosts.at(id);
-        polls.push_back({id, host.state != HostState::InService || host.absence.has_value()});
+        const bool isAbsent = host.state != HostState::InService || host.absence;
+        polls.push_back({id, isAbsent, host.absence ? host.absence->grant : 0});
     }
     return polls;
 }
@@ -184,20 +186,21 @@
         }
         maintenance::HostObservation seen;
         seen.host = id;
-        const Offset wanted = host->second.absence ? host->second.absence->grant : 0;
         if (entry.last) {
             const WorkerStatus &status = *entry.last;
-            seen.grant = status.rebootedFor == wanted ? wanted : status.grant;
+            seen.grant = status.askedUnder;
+            seen.hostGrant = status.grant;
+            seen.undrainedGrant = status.undrained;
             seen.isDraining = status.mode != WorkerMode::InService;
-            seen.isDrained = status.mode == WorkerMode::Drained && !entry.unansweredSince;
-            seen.hasRebooted = wanted != 0 && status.rebootedFor == wanted;
-            seen.hasProbeSucceeded = status.mode == WorkerMode::InService && entry.areMinionsHealthy
-                                     && !entry.unansweredSince;
+            seen.isDrained = status.mode == WorkerMode::Drained;
+            seen.hasRebooted = status.askedUnder != 0 && status.rebootedFor == status.askedUnder;
+            seen.hasProbeSucceeded = entry.areMinionsHealthy && !entry.unansweredSince;
         }
         if (entry.unansweredSince) {
-            // Silence is a fact about the host under whatever grant.
             seen.unansweredSince = *entry.unansweredSince + toLogTime;
-            seen.grant = wanted;
+            if (entry.lastFailedUnder) {
+                seen.grant = *entry.lastFailedUnder;
+            }
         }
         observations.push_back(std::move(seen));
     }
--- a/src/poplarstream/node/workers_duty.cpp
+++ b/src/poplarstream/node/workers_duty.cpp
@@ -95,6 +95,7 @@
     status.boot = list.place.boot;
     status.grant = list.grant;
     status.rebootedFor = list.rebootedFor;
+    status.undrained = list.undrained;
     status.mode = list.isDrained    ? WorkerMode::Drained
                   : list.isDraining ? WorkerMode::Draining
                                     : WorkerMode::InService;
@@ -194,6 +195,7 @@
         const auto progress = std::make_shared<PollProgress>();
         progress->calls = calls;
         progress->status.host = wanted.host;
+        progress->status.askedUnder = wanted.grant;
         progress->withMinions = wanted.withMinions;
         progress->missing = 1 + (wanted.withMinions ? calls->addresses.minions.size() : 0);
         askWorker(*calls, progress);
@@ -274,7 +276,7 @@
         calls->isPolling = false;
         const HostId host = progress.status.host;
         if (std::exchange(calls->needsMinionPoll, false)) {
-            poll({host, true});
+            poll({host, true, progress.status.askedUnder});
         }
         report(std::move(progress.status));
     }
--- a/standins/fleet/worker.cpp
+++ b/standins/fleet/worker.cpp
@@ -237,6 +237,9 @@
     if (grant < grant_) {
         return fault(409, "the grant is older than the newest");
     }
+    if (command != "/undrain" && undrained_ && grant <= *undrained_) {
+        return fault(409, "the absence of this grant is over");
+    }
     if (command == "/reboot") {
         if (grant != 0 && rebootedFor_ == grant) {
             return jsonResponse(200, "{}");  // a repeated command
@@ -249,6 +252,9 @@
     if (command == "/reboot") {
         events_.reboot(grant);
     } else {
+        if (command == "/undrain") {
+            undrained_ = grant;
+        }
         setDraining(command == "/drain");
     }
     return jsonResponse(200, "{}");
@@ -310,6 +316,9 @@
                        : isDrained() ? "drained"
                                      : "draining"},
               {"tasks", tasks}};
+    if (undrained_) {
+        body["undrained"] = *undrained_;
+    }
     const std::int64_t nowMs = steadyMilliseconds();
     if (const UsageSample *const sample = book_.visibleUsage(nowMs)) {
         body["usage"] = jsonOf(sample->total);
--- a/standins/fleet/worker.hpp
+++ b/standins/fleet/worker.hpp
@@ -42,7 +42,11 @@
     // Drops the listener, the connections and all that is known of tasks. The newest grant and that
     // of the last reboot survive, as on a disk.
     void close();
-    void noteReboot(Offset grant) { rebootedFor_ = grant; }
+    void noteReboot(Offset grant)
+    {
+        rebootedFor_ = grant;
+        undrained_.reset();
+    }
     void setFault(Fault fault, double factor);
 
     void tick(std::int64_t nowMs, std::int64_t elapsedMs);
@@ -76,6 +80,7 @@
     std::uint64_t boot_ = 0;
     Offset grant_ = 0;
     Offset rebootedFor_ = 0;
+    std::optional<Offset> undrained_;  // grant of the last undrain since the boot
     Fault fault_ = Fault::None;
     double factor_ = 1;
     bool isDraining_ = false;
