Bound the connections to other zones and the probes

With 15 zones and 4,500 minions each entry host would have connected to all of them, since a zone has fewer minions of a service than the least subset. A service now uses 32 minions of other zones, and probes are bounded to 200 a second.

--- a/include/poplarstream/traffic/settings.hpp
+++ b/include/poplarstream/traffic/settings.hpp
@@ -61,6 +61,7 @@
     double maxEjectedShare = 0.34;  // of the minions of one service
     Milliseconds probeInterval{500};  // between in-band probes of an idle connection
     Milliseconds probeDeadline{500};
+    std::uint32_t probesPerSecond = 200;  // with more connections the interval grows
     Milliseconds connectDeadline{400};
     Milliseconds ejectionTime{1000};  // doubled for each ejection in a row, up to 32 times
     Milliseconds reportAge{1000};  // older load reports are not used
--- a/src/poplarstream/traffic/connections.cpp
+++ b/src/poplarstream/traffic/connections.cpp
@@ -1,6 +1,6 @@
 #include "connections.hpp"
 
-#include <algorithm>  // for min, any_of
+#include <algorithm>  // for any_of, max
 #include <stdexcept>  // for logic_error
 
 #include "minion_health.hpp"  // for maxConnections
@@ -19,9 +19,18 @@
             });
 }
 
+// Bounds the cost of probes on large fleets.
+Milliseconds probeInterval(const TrafficState &state)
+{
+    const std::size_t perSecond = std::max(1U, state.policy.probesPerSecond);
+    return std::max(state.policy.probeInterval,
+                    Milliseconds{1000 * state.connections.size() / perSecond});
+}
+
 void maintainMinion(TrafficState &state, MinionIndex index, TimePoint now, Actions &out)
 {
     Minion &minion = state.minions[index];
+    const Milliseconds interval = probeInterval(state);
     const auto numbers = minion.connections;
     for (const ConnectionNumber number : numbers) {
         Connection *connection = state.connections.find(number);
@@ -31,7 +40,7 @@
         if (connection->state == ConnectionState::Idle) {
             if (!minion.wanted) {
                 dropConnection(state, number, true, out);
-            } else if (now - connection->lastHeard >= state.policy.probeInterval) {
+            } else if (now - connection->lastHeard >= interval) {
                 sendProbe(state, number, now, out);
             }
         } else if (connection->probeInFlight
--- a/src/poplarstream/traffic/routing.cpp
+++ b/src/poplarstream/traffic/routing.cpp
@@ -21,6 +21,10 @@
 // request a smaller share than the others, since no zone reports room during a flood.
 constexpr double pressedPart = 0.05;
 
+// Minions of other zones that one service uses, over all zones: with 15 zones and 4,500 minions all
+// would mean a connection to each of them.
+constexpr std::size_t remoteCandidates = 32;
+
 // How many of `count` minions one entry host uses, so that `peers` of them cover each minion about
 // four times; fewer than 16 would leave too little choice.
 std::size_t subsetSize(std::size_t count, std::uint32_t peers)
@@ -70,7 +74,9 @@
     service.own = stableSubset(state, std::move(own), entryHost, size);
     service.remote.clear();
     for (auto &[zone, minions] : zones) {
-        const std::size_t part = subsetSize(minions.size(), state.livePeers);
+        const std::size_t part =
+                std::min(subsetSize(minions.size(), state.livePeers),
+                         std::max<std::size_t>(1, remoteCandidates / zones.size()));
         const auto subset = stableSubset(state, std::move(minions), entryHost, part);
         service.remote.insert(service.remote.end(), subset.begin(), subset.end());
     }
--- /dev/null
+++ b/src/poplarstream/traffic/routing_test.cpp
@@ -0,0 +1,74 @@
+#include <algorithm>  // for set_difference
+#include <iterator>  // for back_inserter
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_LE
+
+#include "test_network.hpp"  // for TestNetwork
+
+namespace poplarstream::traffic {
+namespace {
+
+std::set<MinionId> usedBy(const std::string &entryHost, std::size_t minions, std::size_t without)
+{
+    TestNetwork network(minions, minions / 2);
+    network.settings.entryHost = EntryHostId(entryHost);
+    network.settings.livePeers = 16;
+    network.settings.minions.erase(network.settings.minions.begin()
+                                   + static_cast<std::ptrdiff_t>(without));
+    network.start();
+    std::set<MinionId> used;
+    for (const auto &[connection, minion] : network.open) {
+        used.insert(minion);
+    }
+    return used;
+}
+
+// Guards against connections from every entry host to every minion of a large fleet, against
+// minions that no entry host uses, and against a subset that changes as a whole when one minion
+// leaves.
+TEST(Routing, StableSubset)
+{
+    constexpr std::size_t minions = 400;
+    std::set<MinionId> covered;
+    for (int entry = 0; entry < 16; ++entry) {
+        const std::string name = "e" + std::to_string(entry);
+        const auto used = usedBy(name, minions, 0);
+        covered.insert(used.begin(), used.end());
+        EXPECT_LE(used.size(), 50U + 32U) << "4 * 200 / 16 of the own zone, 32 of the others";
+        const auto later = usedBy(name, minions, 1);
+        std::vector<MinionId> fresh;
+        std::set_difference(later.begin(), later.end(), used.begin(), used.end(),
+                            std::back_inserter(fresh));
+        EXPECT_LE(fresh.size(), 2U);
+    }
+    EXPECT_GT(covered.size(), minions * 95 / 100);
+}
+
+// Guards against work that leaves the zone while its own minions have room, and against work that
+// stays when they have none.
+TEST(Routing, OwnZoneFirst)
+{
+    TestNetwork network(4, 2);
+    network.settings.livePeers = 8;
+    network.start();
+    const auto isRemote = [](const MinionId &id) { return id.text() > "m1"; };
+    const auto countRemote = [&] {
+        std::size_t remote = 0;
+        for (const auto &[attempt, sent] : network.sent) {
+            remote += isRemote(sent.minion) ? 1 : 0;
+        }
+        return remote;
+    };
+    for (int i = 0; i < 4; ++i) {
+        network.ask("once", 0, 3000);
+    }
+    EXPECT_EQ(network.sent.size(), 2U) << "one for each minion of the own zone";
+    EXPECT_EQ(countRemote(), 0U);
+    SCOPED_TRACE("when they wait for longer than the way takes, then they leave the zone");
+    network.pass(10);
+    network.connectAll();
+    EXPECT_EQ(countRemote(), 2U);
+}
+
+}  // namespace
+}  // namespace poplarstream::traffic
