--- a/include/poplarstream/runs/queries.hpp
+++ b/include/poplarstream/runs/queries.hpp
@@ -32,7 +32,8 @@
 // Whether a record with this id was applied, as far back as record ids are remembered.
 bool isRecorded(const RunsState &state, const RecordId &record);
 
-// The index key of (tenant, idempotency key).
-std::string keyOf(const TenantId &tenant, std::string_view key);
+// The hashes under which RunsState indexes runs.
+std::uint64_t idHash(const RunId &run);
+std::uint64_t keyHash(const TenantId &tenant, std::string_view key);
 
 }  // namespace poplarstream
--- a/include/poplarstream/runs/runs_state.hpp
+++ b/include/poplarstream/runs/runs_state.hpp
@@ -5,7 +5,7 @@
 #include <map>  // for map
 #include <set>  // for set
 #include <string>  // for string
-#include <unordered_map>  // for unordered_map
+#include <unordered_map>  // for unordered_multimap
 #include <unordered_set>  // for unordered_set
 
 #include "poplarstream/base/id.hpp"  // for RunId, TenantId, HostId, ServiceId
@@ -81,6 +81,8 @@
     friend bool operator==(const SizeSample &, const SizeSample &) = default;
 };
 
+using HashIndex = std::unordered_multimap<std::uint64_t, std::uint64_t>;
+
 // The runs of one zone, replayed from its stream. Ordinals refer to `runs`.
 struct RunsState
 {
@@ -90,9 +92,10 @@
     std::uint64_t nextOrdinal = 0;
 
     std::map<std::uint64_t, Run> runs;
-    std::unordered_map<RunId, std::uint64_t> byId;
-    // Keyed by keyOf(tenant, idempotency key).
-    std::unordered_map<std::string, std::uint64_t> byKey;
+    // Keyed by hashes, which take a fraction of the memory and time of the texts; whoever looks up
+    // compares the texts too.
+    HashIndex byId;
+    HashIndex byKey;
     std::map<TenantId, std::set<std::uint64_t>> waiting;
     // Claimed, started or being cancelled.
     std::set<std::uint64_t> active;
--- a/src/poplarstream/runs/queries.cpp
+++ b/src/poplarstream/runs/queries.cpp
@@ -8,14 +8,29 @@
 
 const Run *findRun(const RunsState &state, const RunId &run)
 {
-    const auto found = state.byId.find(run);
-    return found == state.byId.end() ? nullptr : &state.runs.find(found->second)->second;
+    const auto [begin, end] = state.byId.equal_range(idHash(run));
+    for (auto entry = begin; entry != end; ++entry) {
+        const Run &found = state.runs.find(entry->second)->second;
+        if (found.id() == run) {
+            return &found;
+        }
+    }
+    return nullptr;
 }
 
 const Run *findRunByKey(const RunsState &state, const TenantId &tenant, std::string_view key)
 {
-    const auto found = state.byKey.find(keyOf(tenant, key));
-    return found == state.byKey.end() ? nullptr : &state.runs.find(found->second)->second;
+    const auto [begin, end] = state.byKey.equal_range(keyHash(tenant, key));
+    const Run *first = nullptr;
+    for (auto entry = begin; entry != end; ++entry) {
+        const Run &found = state.runs.find(entry->second)->second;
+        const bool isMatch = found.accepted.tenant == tenant && found.accepted.idempotencyKey == key;
+        // A run handed over by another zone can bring a key that is in use; the older run has it.
+        if (isMatch && (!first || found.ordinal < first->ordinal)) {
+            first = &found;
+        }
+    }
+    return first;
 }
 
 std::optional<Verdict> verdictOf(const Run &run)
@@ -95,12 +110,14 @@
     return state.recentRecordSet.contains(stableHash(record.text()));
 }
 
-std::string keyOf(const TenantId &tenant, std::string_view key)
+std::uint64_t idHash(const RunId &run)
+{
+    return stableHash(run.text());
+}
+
+std::uint64_t keyHash(const TenantId &tenant, std::string_view key)
 {
-    // The length keeps ("ab", "c") apart from ("a", "bc").
-    std::string text = std::to_string(tenant.text().size());
-    text.append(1, ':').append(tenant.text()).append(key);
-    return text;
+    return stableHash(key, stableHash(tenant.text()));
 }
 
 }  // namespace poplarstream
--- a/src/poplarstream/runs/replay.cpp
+++ b/src/poplarstream/runs/replay.cpp
@@ -6,7 +6,7 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
-#include "poplarstream/runs/queries.hpp"  // for isLeaseValid, keyOf
+#include "poplarstream/runs/queries.hpp"  // for isLeaseValid, findRun
 #include "run_index.hpp"  // for setStage, setClaim, insertRun
 
 namespace poplarstream {
@@ -87,7 +87,7 @@
 
 Reason Replay::operator()(const RunAccepted &accepted)
 {
-    if (state.byId.contains(accepted.run)) {
+    if (findRun(state, accepted.run)) {
         return "the run id is in use";
     }
     if (!accepted.idempotencyKey.empty()) {
@@ -356,7 +356,7 @@
     if (!rememberArrival(state, arrival)) {
         return "the run has arrived before";
     }
-    if (state.byId.contains(received.accepted.run)) {
+    if (findRun(state, received.accepted.run)) {
         return "the run id is in use";
     }
     // Its key was checked where it was accepted; to refuse it here would lose an accepted run.
--- a/src/poplarstream/runs/run_index.cpp
+++ b/src/poplarstream/runs/run_index.cpp
@@ -4,7 +4,7 @@
 #include <cmath>  // for llround
 
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
-#include "poplarstream/runs/queries.hpp"  // for keyOf
+#include "poplarstream/runs/queries.hpp"  // for findRun, idHash, keyHash
 
 namespace poplarstream {
 namespace {
@@ -18,7 +18,8 @@
 void enterStage(RunsState &state, Run &run)
 {
     if (run.stage == RunStage::Accepted) {
-        state.waiting[run.accepted.tenant].insert(run.ordinal);
+        std::set<std::uint64_t> &queue = state.waiting[run.accepted.tenant];
+        queue.insert(queue.end(), run.ordinal);
     } else if (isActive(run.stage)) {
         state.active.insert(run.ordinal);
     } else if (run.stage == RunStage::HandedOver && !run.isArrivalConfirmed) {
@@ -58,16 +59,24 @@
     run.lost = {};
 }
 
+void eraseEntry(HashIndex &index, std::uint64_t hash, std::uint64_t ordinal)
+{
+    const auto [begin, end] = index.equal_range(hash);
+    for (auto entry = begin; entry != end; ++entry) {
+        if (entry->second == ordinal) {
+            index.erase(entry);
+            return;
+        }
+    }
+}
+
 void forgetRun(RunsState &state, std::uint64_t ordinal)
 {
     const auto found = state.runs.find(ordinal);
     const RunAccepted &accepted = found->second.accepted;
-    state.byId.erase(accepted.run);
+    eraseEntry(state.byId, idHash(accepted.run), ordinal);
     if (!accepted.idempotencyKey.empty()) {
-        const auto key = state.byKey.find(keyOf(accepted.tenant, accepted.idempotencyKey));
-        if (key != state.byKey.end() && key->second == ordinal) {
-            state.byKey.erase(key);
-        }
+        eraseEntry(state.byKey, keyHash(accepted.tenant, accepted.idempotencyKey), ordinal);
     }
     state.runs.erase(found);
 }
@@ -76,24 +85,28 @@
 
 Run *mutableRun(RunsState &state, const RunId &run)
 {
-    const auto found = state.byId.find(run);
-    return found == state.byId.end() ? nullptr : &state.runs.find(found->second)->second;
+    return const_cast<Run *>(findRun(state, run));
 }
 
 Run &insertRun(RunsState &state, Run run)
 {
     const std::uint64_t ordinal = run.ordinal;
     Run &entered = state.runs.emplace_hint(state.runs.end(), ordinal, std::move(run))->second;
-    state.byId.emplace(entered.id(), ordinal);
-    if (!entered.accepted.idempotencyKey.empty()) {
-        state.byKey.emplace(keyOf(entered.accepted.tenant, entered.accepted.idempotencyKey),
-                            ordinal);
+    indexRun(state, entered);
+    return entered;
+}
+
+void indexRun(RunsState &state, Run &run)
+{
+    const RunAccepted &accepted = run.accepted;
+    state.byId.emplace(idHash(accepted.run), run.ordinal);
+    if (!accepted.idempotencyKey.empty()) {
+        state.byKey.emplace(keyHash(accepted.tenant, accepted.idempotencyKey), run.ordinal);
     }
-    enterStage(state, entered);
-    if (entered.claim) {
-        reserve(state, *entered.claim, 1);
+    enterStage(state, run);
+    if (run.claim) {
+        reserve(state, *run.claim, 1);
     }
-    return entered;
 }
 
 void setStage(RunsState &state, Run &run, RunStage stage)
--- a/src/poplarstream/runs/run_index.hpp
+++ b/src/poplarstream/runs/run_index.hpp
@@ -13,6 +13,9 @@
 // Adds a run and enters it in the indexes of its stage. `run.ordinal` must not be in use.
 Run &insertRun(RunsState &state, Run run);
 
+// Enters a run that is in `state.runs` already in the indexes.
+void indexRun(RunsState &state, Run &run);
+
 // Moves a run to another stage. In a final stage the claim ends and the payload is dropped (except
 // while a hand-over is not confirmed).
 void setStage(RunsState &state, Run &run, RunStage stage);
--- a/src/poplarstream/runs/snapshot.cpp
+++ b/src/poplarstream/runs/snapshot.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>  // for min_element
 
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
-#include "run_index.hpp"  // for insertRun
+#include "run_index.hpp"  // for indexRun
 #include "state_text.hpp"  // for TextWriter, TextReader, field
 
 namespace poplarstream {
@@ -41,7 +41,7 @@
 template <class Archive>
 void field(Archive &a, Run &v)
 {
-    fields(a, v.accepted, v.ordinal, v.stage, v.acceptedAt, v.waitingSince, v.endedAt, v.claim,
+    fields(a, v.accepted, v.stage, v.acceptedAt, v.waitingSince, v.endedAt, v.claim,
            v.lost, v.failedOn, v.losses, v.mayHaveStarted, v.checkpoint, v.result, v.reason,
            v.handedTo, v.handedOverAt, v.isArrivalConfirmed);
 }
@@ -116,13 +116,19 @@
     state.byId.reserve(std::min(count, text.size() / 32));
     state.byKey.reserve(std::min(count, text.size() / 32));
     for (std::size_t i = 0; i < count; ++i) {
-        Run run;
+        std::uint64_t ordinal = 0;
+        reader.number(ordinal);
+        if (!state.runs.empty() && state.runs.rbegin()->first >= ordinal) {
+            throw std::runtime_error("the runs are out of order");
+        }
+        // Read in place, since a run is large.
+        Run &run = state.runs.emplace_hint(state.runs.end(), ordinal, Run{})->second;
         field(reader, run);
-        if (static_cast<std::size_t>(run.stage) >= runStageCount
-            || !(state.runs.empty() || state.runs.rbegin()->first < run.ordinal)) {
-            throw std::runtime_error("a run is malformed");
+        run.ordinal = ordinal;
+        if (static_cast<std::size_t>(run.stage) >= runStageCount) {
+            throw std::runtime_error("a run has an unknown stage");
         }
-        insertRun(state, std::move(run));
+        indexRun(state, run);
     }
     headFields(reader, state);
     for (const std::uint64_t ordinal : state.ended) {
@@ -151,6 +157,7 @@
     writer.number(formatVersion);
     writer.number(source.runs.size());
     for (auto &[ordinal, run] : source.runs) {
+        writer.number(ordinal);
         field(writer, run);
     }
     headFields(writer, source);
