Fix the fuzz of the HTTP server and a test of unbounded answers

RC_ASSERT overloads ||, so the length was read from an empty optional. Leftover requests of one case were also taken for the next case's. The expected length now allows a list such as ",7", which Beast accepts as 7.

The unbounded answer was caught by its missing request id only; it now carries one, so that the check of the length is what rejects it.

--- a/include/poplarstream/adapters/http_message.hpp
+++ b/include/poplarstream/adapters/http_message.hpp
@@ -42,6 +42,8 @@
     std::string address;
     std::uint16_t port = 0;
 
+    // clang-tidy 14 takes the 0 inside the generated comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const HttpEndpoint &, const HttpEndpoint &) = default;
     friend bool operator==(const HttpEndpoint &, const HttpEndpoint &) = default;
 };
--- a/src/poplarstream/adapters/http_client.cpp
+++ b/src/poplarstream/adapters/http_client.cpp
@@ -130,7 +130,7 @@
     {
         Pool &pool = pools[endpoint];
         for (std::size_t i = pool.connections.size(); i-- > 0;) {
-            const Connection connection = pool.connections[i];
+            Connection connection = pool.connections[i];
             if (connection->phase() != Phase::Idle) {
                 continue;
             }
@@ -173,7 +173,7 @@
 
     void onChanged(HttpClientConnection &connection)
     {
-        const HttpEndpoint endpoint = connection.endpoint();
+        const HttpEndpoint &endpoint = connection.endpoint();
         if (connection.phase() == Phase::Closed && !drop(connection)) {
             return;  // closed by freshIdle, within pump
         }
--- a/src/poplarstream/adapters/http_client_test.cpp
+++ b/src/poplarstream/adapters/http_client_test.cpp
@@ -168,10 +168,10 @@
 // Guards against answers that are incomplete, not HTTP, or for another request.
 TEST_F(HttpClientTest, BadAnswersAreNotDelivered)
 {
-    const std::vector<std::string> answers{"HTTP/1.1 200 OK\r\n\r\nunbounded", "nonsense\r\n\r\n",
-                                           answer("other", "Poplar-Request-Id: r9\r\n"),
-                                           answer("none"),
-                                           "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"};
+    const std::vector<std::string> answers{
+            "HTTP/1.1 200 OK\r\nPoplar-Request-Id: r0\r\n\r\nunbounded", "nonsense\r\n\r\n",
+            answer("other", "Poplar-Request-Id: r9\r\n"), answer("none"),
+            "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"};
     for (std::size_t i = 0; i < answers.size(); ++i) {
         SCOPED_TRACE(answers[i]);
         send(Milliseconds{5000}, "Poplar-Request-Id");
--- a/src/poplarstream/adapters/http_server_test.cpp
+++ b/src/poplarstream/adapters/http_server_test.cpp
@@ -246,12 +246,23 @@
         RC_ASSERT(drive(io, [&] { return peer->isClosed || received.size() > before; }));
         if (received.size() > before) {
             const HttpRequest &request = received.back().request;
+            // Beast reads a list of equal lengths, also with empty items as in ",7".
             const auto length = headerValue(request.headers, "Content-Length");
-            RC_ASSERT(!length || std::to_string(request.body.size()) == *length
-                      || std::stoul(std::string(*length)) == request.body.size());
+            const std::size_t digits = length ? length->find_first_of("0123456789") : 0;
+            // Outside of the macro, which does not stop at the first true operand.
+            const bool isWhole =
+                    !length
+                    || std::stoul(std::string(length->substr(digits))) == request.body.size();
+            RC_ASSERT(isWhole);
         }
+        // A request that waits behind this one must not be taken for one of the next case.
+        RC_ASSERT(drive(io, [&] {
+            for (const Received &item : std::exchange(received, {})) {
+                item.respond({200, {}, "fine"});
+            }
+            return peer->isClosed;
+        }));
         answersNext();
-        received.clear();
     }));
 }
 
--- a/standins/common/document.cpp
+++ b/standins/common/document.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/property_tree/ini_parser.hpp>  // for read_ini
 #include <boost/property_tree/ptree.hpp>  // for ptree
+#include <fmt/format.h>  // for format
 
 namespace poplarstream::standins {
 
@@ -39,8 +40,8 @@
     for (const std::string &item : list(key)) {
         const auto endpoint = endpointFromText(item);
         if (!endpoint) {
-            throw std::runtime_error("[" + kind + " " + name + "] " + key + ": '" + item
-                                     + "' is not ip:port");
+            throw std::runtime_error(
+                    fmt::format("[{} {}] {}: '{}' is not ip:port", kind, name, key, item));
         }
         endpoints.push_back(*endpoint);
     }
--- a/standins/fleet/minion.cpp
+++ b/standins/fleet/minion.cpp
@@ -1,5 +1,7 @@
 #include "fleet/minion.hpp"
 
+#include <cmath>  // for llround
+
 #include <fmt/format.h>  // for format
 #include <nlohmann/json.hpp>  // for json
 
@@ -122,8 +124,7 @@
         waiting_.pop_front();
         ++busy_;
         const Work work = readWork(context_, job.payload, job.service);
-        const auto duration =
-                Milliseconds{static_cast<std::int64_t>(work.milliseconds * factor_ + 0.5)};
+        const auto duration = Milliseconds{std::llround(work.milliseconds * factor_)};
         after(io_, duration,
               [this, job = std::move(job), work, generation = generation_,
                startedMs = systemMilliseconds()] {
