--- a/include/poplarstream/runs/runs_state.hpp
+++ b/include/poplarstream/runs/runs_state.hpp
@@ -5,9 +5,10 @@
 #include <map>  // for map
 #include <set>  // for set
 #include <string>  // for string
-#include <unordered_map>  // for unordered_multimap
 #include <unordered_set>  // for unordered_set
 
+#include <boost/unordered/unordered_flat_map.hpp>  // for unordered_flat_map
+
 #include "poplarstream/base/id.hpp"  // for RunId, TenantId, HostId, ServiceId
 #include "poplarstream/base/time.hpp"  // for TimePoint, Milliseconds
 #include "poplarstream/runs/run.hpp"  // for Run
@@ -81,7 +82,14 @@
     friend bool operator==(const SizeSample &, const SizeSample &) = default;
 };
 
-using HashIndex = std::unordered_multimap<std::uint64_t, std::uint64_t>;
+// Ordinals by hash. Two texts with one hash are so rare that their entries stand in a second map.
+struct HashIndex
+{
+    boost::unordered_flat_map<std::uint64_t, std::uint64_t> entries;
+    std::multimap<std::uint64_t, std::uint64_t> collisions;
+
+    friend bool operator==(const HashIndex &, const HashIndex &) = default;
+};
 
 // The runs of one zone, replayed from its stream. Ordinals refer to `runs`.
 struct RunsState
--- a/src/poplarstream/runs/queries.cpp
+++ b/src/poplarstream/runs/queries.cpp
@@ -5,32 +5,48 @@
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
 
 namespace poplarstream {
+namespace {
 
-const Run *findRun(const RunsState &state, const RunId &run)
+// The oldest of the runs that match: a run handed over by another zone can bring a key that is in
+// use.
+template <class Matches>
+const Run *findIndexed(const RunsState &state, const HashIndex &index, std::uint64_t hash,
+                       Matches matches)
 {
-    const auto [begin, end] = state.byId.equal_range(idHash(run));
-    for (auto entry = begin; entry != end; ++entry) {
-        const Run &found = state.runs.find(entry->second)->second;
-        if (found.id() == run) {
-            return &found;
+    const auto entry = index.entries.find(hash);
+    if (entry == index.entries.end()) {
+        return nullptr;
+    }
+    const Run *first = nullptr;
+    const auto consider = [&](std::uint64_t ordinal) {
+        const Run &run = state.runs.find(ordinal)->second;
+        if (matches(run) && (!first || run.ordinal < first->ordinal)) {
+            first = &run;
+        }
+    };
+    consider(entry->second);
+    if (!index.collisions.empty()) {
+        const auto [begin, end] = index.collisions.equal_range(hash);
+        for (auto other = begin; other != end; ++other) {
+            consider(other->second);
         }
     }
-    return nullptr;
+    return first;
+}
+
+}  // namespace
+
+const Run *findRun(const RunsState &state, const RunId &run)
+{
+    return findIndexed(state, state.byId, idHash(run),
+                       [&](const Run &found) { return found.id() == run; });
 }
 
 const Run *findRunByKey(const RunsState &state, const TenantId &tenant, std::string_view key)
 {
-    const auto [begin, end] = state.byKey.equal_range(keyHash(tenant, key));
-    const Run *first = nullptr;
-    for (auto entry = begin; entry != end; ++entry) {
-        const Run &found = state.runs.find(entry->second)->second;
-        const bool isMatch = found.accepted.tenant == tenant && found.accepted.idempotencyKey == key;
-        // A run handed over by another zone can bring a key that is in use; the older run has it.
-        if (isMatch && (!first || found.ordinal < first->ordinal)) {
-            first = &found;
-        }
-    }
-    return first;
+    return findIndexed(state, state.byKey, keyHash(tenant, key), [&](const Run &found) {
+        return found.accepted.tenant == tenant && found.accepted.idempotencyKey == key;
+    });
 }
 
 std::optional<Verdict> verdictOf(const Run &run)
--- a/src/poplarstream/runs/replay_test.cpp
+++ b/src/poplarstream/runs/replay_test.cpp
@@ -39,7 +39,7 @@
         ASSERT_EQ(openClaims(state, host), count);
     }
     ASSERT_EQ(state.reserved.size(), claims.size());
-    ASSERT_EQ(state.byId.size(), state.runs.size());
+    ASSERT_EQ(state.byId.entries.size() + state.byId.collisions.size(), state.runs.size());
 }
 
 // Guards against a rule that the indexes, the life cycle table or the forgetting break: each would
@@ -118,8 +118,8 @@
     const std::int64_t later = 40'000 + resultRetention.count();
     apply(state, logged(offset++, later, {}));
     EXPECT_TRUE(state.runs.empty());
-    EXPECT_TRUE(state.byId.empty());
-    EXPECT_TRUE(state.byKey.empty());
+    EXPECT_TRUE(state.byId.entries.empty());
+    EXPECT_TRUE(state.byKey.entries.empty());
     EXPECT_TRUE(state.ended.empty());
 }
 
--- a/src/poplarstream/runs/run_index.cpp
+++ b/src/poplarstream/runs/run_index.cpp
@@ -1,6 +1,6 @@
 #include "run_index.hpp"
 
-#include <algorithm>  // for min_element
+#include <algorithm>  // for min_element, find_if
 #include <cmath>  // for llround
 
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
@@ -59,14 +59,25 @@
     run.lost = {};
 }
 
+void addEntry(HashIndex &index, std::uint64_t hash, std::uint64_t ordinal)
+{
+    if (!index.entries.emplace(hash, ordinal).second) {
+        index.collisions.emplace(hash, ordinal);
+    }
+}
+
 void eraseEntry(HashIndex &index, std::uint64_t hash, std::uint64_t ordinal)
 {
-    const auto [begin, end] = index.equal_range(hash);
-    for (auto entry = begin; entry != end; ++entry) {
-        if (entry->second == ordinal) {
-            index.erase(entry);
-            return;
-        }
+    const auto entry = index.entries.find(hash);
+    const auto [begin, end] = index.collisions.equal_range(hash);
+    if (entry->second == ordinal && begin == end) {
+        index.entries.erase(entry);
+    } else if (entry->second == ordinal) {
+        entry->second = begin->second;
+        index.collisions.erase(begin);
+    } else {
+        index.collisions.erase(std::find_if(
+                begin, end, [&](const auto &other) { return other.second == ordinal; }));
     }
 }
 
@@ -99,9 +110,9 @@
 void indexRun(RunsState &state, Run &run)
 {
     const RunAccepted &accepted = run.accepted;
-    state.byId.emplace(idHash(accepted.run), run.ordinal);
+    addEntry(state.byId, idHash(accepted.run), run.ordinal);
     if (!accepted.idempotencyKey.empty()) {
-        state.byKey.emplace(keyHash(accepted.tenant, accepted.idempotencyKey), run.ordinal);
+        addEntry(state.byKey, keyHash(accepted.tenant, accepted.idempotencyKey), run.ordinal);
     }
     enterStage(state, run);
     if (run.claim) {
--- a/src/poplarstream/runs/snapshot.cpp
+++ b/src/poplarstream/runs/snapshot.cpp
@@ -41,9 +41,9 @@
 template <class Archive>
 void field(Archive &a, Run &v)
 {
-    fields(a, v.accepted, v.stage, v.acceptedAt, v.waitingSince, v.endedAt, v.claim,
-           v.lost, v.failedOn, v.losses, v.mayHaveStarted, v.checkpoint, v.result, v.reason,
-           v.handedTo, v.handedOverAt, v.isArrivalConfirmed);
+    fields(a, v.accepted, v.stage, v.acceptedAt, v.waitingSince, v.endedAt, v.claim, v.lost,
+           v.failedOn, v.losses, v.mayHaveStarted, v.checkpoint, v.result, v.reason, v.handedTo,
+           v.handedOverAt, v.isArrivalConfirmed);
 }
 
 namespace {
@@ -113,8 +113,8 @@
     RunsState state;
     std::size_t count = 0;
     reader.number(count);
-    state.byId.reserve(std::min(count, text.size() / 32));
-    state.byKey.reserve(std::min(count, text.size() / 32));
+    state.byId.entries.reserve(std::min(count, text.size() / 32));
+    state.byKey.entries.reserve(std::min(count, text.size() / 32));
     for (std::size_t i = 0; i < count; ++i) {
         std::uint64_t ordinal = 0;
         reader.number(ordinal);
