Simplify the choice between start and revocation

Breaking the rule of fresh claims, the lease check, the pending check, the tenants of the evidence and the bound of lost workers by hand makes one test of decide_test.cpp each fail.

--- a/src/poplarstream/runs/proposals.cpp
+++ b/src/poplarstream/runs/proposals.cpp
@@ -54,6 +54,7 @@
         }
     }
     std::vector<RunRecord> records;
+    records.reserve(fenced.size());
     for (const RecordId &id : fenced) {
         records.push_back(settle(proposals, id)->record);
     }
--- a/src/poplarstream/runs/supervise.cpp
+++ b/src/poplarstream/runs/supervise.cpp
@@ -105,13 +105,12 @@
     // A start is sent once for a non-idempotent run, and only by the process that read its own
     // claim back: nobody else can know whether it was sent before.
     const bool isFresh = task && task->isFresh;
-    if (!run.accepted.idempotent && !isFresh) {
+    const bool mayStart = run.accepted.idempotent || isFresh;
+    const bool isSent = task && task->startSentAt;
+    const bool isUnanswered = isSent && step.now - task->knownSince >= step.policy.startPatience;
+    if (!mayStart || isUnanswered) {
         revoke(step, run, task);
-    } else if (!task || !task->startSentAt) {
-        start(step, run);
-    } else if (step.now - task->knownSince >= step.policy.startPatience) {
-        revoke(step, run, task);
-    } else if (run.accepted.idempotent && step.isDue(task->startSentAt)) {
+    } else if (!isSent || (run.accepted.idempotent && step.isDue(task->startSentAt))) {
         start(step, run);
     }
 }
