--- a/include/poplarstream/runs/run_policy.hpp
+++ b/include/poplarstream/runs/run_policy.hpp
@@ -29,7 +29,7 @@
     Milliseconds sweepInterval{5'000};
     std::size_t claimsPerRound = 64;
     // How many runs of a tenant are tried when its oldest do not fit at the moment.
-    std::size_t lookAhead = 16;
+    std::size_t lookAhead = 64;
     // The shares of a worker that are filled by estimates and measured usage.
     double cpuFill = 1.0;
     double memoryFill = 0.94;
--- a/src/poplarstream/runs/placement.cpp
+++ b/src/poplarstream/runs/placement.cpp
@@ -63,6 +63,20 @@
            && std::find(failedOn.begin(), failedOn.end(), candidate.worker->host) == failedOn.end();
 }
 
+// Several owners that see the same small room would claim it at once, and all but one be refused.
+// A worker that is more than half full is therefore left to one owner at a time.
+bool isTurnAt(const Placement &placement, const Candidate &candidate)
+{
+    const Room &room = candidate.room;
+    if (room.cpus < room.limit.cpus / 2
+        && room.memory < static_cast<double>(room.limit.memoryMegabytes) / 2) {
+        return true;
+    }
+    const Milliseconds since{millisecondsSinceEpoch(placement.state.now)};
+    return isMine(placement.owners, placement.memory.self, RunId(candidate.worker->host.text()),
+                  since, placement.policy.ownerDelay);
+}
+
 // A run that is estimated to be larger than any worker gets an empty one for itself, if its
 // declared size fits, since the estimate can be off.
 bool canHold(const Candidate &candidate, const Run &run, const SizeEstimate &size)
@@ -176,8 +190,8 @@
                         random,
                         liveOwners(state),
                         collectCandidates(state, fleet, memory, policy, now)};
-    if (placement.candidates.workers.empty()) {
-        return entries;
+    for (Candidate &candidate : placement.candidates.workers) {
+        candidate.limit = isTurnAt(placement, candidate) ? candidate.limit : 0;
     }
     std::vector<TenantTurn> turns = collectTurns(placement, fleet);
     while (entries.size() < policy.claimsPerRound && !turns.empty()) {
--- a/src/poplarstream/runs/relieve.cpp
+++ b/src/poplarstream/runs/relieve.cpp
@@ -94,7 +94,10 @@
     const auto capacity = static_cast<double>(worker.capacity.memoryMegabytes);
     const double projected = projectedMemory(worker, step.now);
     double excess = projected - capacity * step.policy.checkpointAt;
-    const bool isUrgent = projected > capacity * step.policy.stopAt;
+    // A projection can be too high, since growth ends at the peak; only measured usage stops a
+    // task.
+    const bool isUrgent = static_cast<double>(worker.usage->total.memoryMegabytes)
+                          > capacity * step.policy.stopAt;
     for (const RunningTask &task : tasks) {
         if (excess <= 0) {
             return;
