--- a/bench/fleet_benchmark.cpp
+++ b/bench/fleet_benchmark.cpp
@@ -243,4 +243,3 @@
 }  // namespace
 }  // namespace poplarstream
 
-BENCHMARK_MAIN();
--- a/bench/maintenance_benchmark.cpp
+++ b/bench/maintenance_benchmark.cpp
@@ -77,4 +77,3 @@
 }  // namespace
 }  // namespace poplarstream::maintenance
 
-BENCHMARK_MAIN();
