Add the peers duty: heartbeats, peer view, forwarded run calls, state transfer

Cause: the peers duty was a stub that reported only its own process as live.

Change: PeerMembership holds what is known of the peers and of the evidence, without a transport. PeersDuty adds the timer, nng and the mailboxes. Run calls are forwarded by request and reply with at most two hops; a state is asked from one live peer after the other and answered from the control duty's thread. The platform's list goes to the peers duty as well.

--- a/src/poplarstream/node/entry_host.cpp
+++ b/src/poplarstream/node/entry_host.cpp
@@ -72,7 +72,7 @@
         , controlMail(controlThread, "control", controlMailbox,
                       [this](ControlInput &&input) { control.handle(std::move(input)); })
         , platform(platformThread, endpointOf(settings.platform),
-                   [this](PlatformEvent &&event) { return sendToControl(std::move(event)); })
+                   [this](PlatformEvent &&event) { return report(std::move(event)); })
         , workers(workersThread, [this](WorkerEvent event) { sendToControl(std::move(event)); })
         , callers(callersThread, callersSettings(), runMail,
                   [this](MinionEvidence evidence) { peers.note(std::move(evidence)); })
@@ -117,6 +117,14 @@
         return controlMail.trySend(ControlInput(std::forward<Input>(input)));
     }
 
+    bool report(PlatformEvent &&event)
+    {
+        if (const auto *listed = std::get_if<HostsListed>(&event)) {
+            peers.note(listed->hosts);
+        }
+        return sendToControl(std::move(event));
+    }
+
     ControlPorts controlPorts()
     {
         return {
--- /dev/null
+++ b/src/poplarstream/node/peer_membership.cpp
@@ -0,0 +1,139 @@
+#include "poplarstream/node/peer_membership.hpp"
+
+#include "poplarstream/membership/peer_queries.hpp"  // for digestTargets, livePeers
+#include "poplarstream/node/peer_evidence.hpp"  // for judgeSubjects, knownSubjects
+#include "poplarstream/node/peer_view.hpp"  // for makePeerView
+
+namespace poplarstream {
+
+namespace {
+
+using membership::Channel;
+
+constexpr Milliseconds forgetPeriod{10'000};
+
+bool isLeavingPeer(const PeerMembership &membership, const EntryHostId &peer)
+{
+    const auto found = membership.table.peers.find(peer);
+    return found != membership.table.peers.end() && found->second.isLeaving;
+}
+
+bool noteRumours(PeerMembership &membership, std::span<const membership::Rumour> rumours,
+                 Channel channel, TimePoint now)
+{
+    for (const membership::Rumour &rumour : rumours) {
+        noteRumour(membership.evidence, rumour, channel, now);
+    }
+    return !rumours.empty();
+}
+
+bool take(PeerMembership &membership, const membership::Heartbeat &heartbeat, TimePoint now)
+{
+    const bool wasLeaving = isLeavingPeer(membership, heartbeat.from);
+    if (!receive(membership.table, heartbeat, now)) {
+        return false;
+    }
+    const bool hasEvidence = noteRumours(membership, heartbeat.rumours, Channel::Heartbeat, now);
+    return hasEvidence || heartbeat.isLeaving != wasLeaving;
+}
+
+bool take(PeerMembership &membership, const membership::Digest &digest, TimePoint now)
+{
+    return receive(membership.table, digest, now)
+           && noteRumours(membership, digest.rumours, Channel::Digest, now);
+}
+
+}  // namespace
+
+PeerMembership makePeerMembership(const membership::KnownPeer &self, std::uint32_t incarnation,
+                                  std::span<const membership::KnownPeer> known, TimePoint now)
+{
+    PeerMembership result;
+    result.table = membership::makePeerTable({}, self, incarnation, known, now);
+    result.evidence.self = self.id.text();
+    result.subjects = std::make_shared<const ServingView>(
+            ServingView{.configuration = std::make_shared<const Configuration>()});
+    return result;
+}
+
+void advance(PeerMembership &membership, TimePoint now)
+{
+    membership::advance(membership.table, now);
+    if (now - membership.lastForgotten >= forgetPeriod) {
+        membership.lastForgotten = now;
+        forgetOld(membership.evidence, knownSubjects(membership.evidence, *membership.subjects),
+                  now);
+    }
+    observeZones(membership.zoneWatch, membership.table, now);
+}
+
+bool receive(PeerMembership &membership, const PeerMessage &message, TimePoint now)
+{
+    return std::visit([&](const auto &content) { return take(membership, content, now); }, message);
+}
+
+bool note(PeerMembership &membership, const MinionEvidence &seen, TimePoint now)
+{
+    if (!seen.isLeaving && !seen.isRefused) {
+        return false;
+    }
+    membership::EvidenceTable &evidence = membership.evidence;
+    const std::string &subject = seen.minion.text();
+    const membership::Claim claim =
+            seen.isLeaving ? membership::Claim::Leaving : membership::Claim::Refused;
+    const auto &observers = evidence.subjects[subject].byObserver;
+    const auto own = observers.find(evidence.self);
+    const bool isNew = own == observers.end() || own->second.claim != claim;
+    if (seen.isLeaving) {
+        noteAnswer(evidence, subject, true, now);
+    } else {
+        noteFailure(evidence, subject, claim, now);
+    }
+    return isNew;
+}
+
+void noteListed(PeerMembership &membership, std::span<const PlatformHost> hosts, TimePoint now)
+{
+    for (const PlatformHost &host : hosts) {
+        const std::string &subject = host.host.text();
+        const bool isLeaving = host.state == "leaving";
+        if (isLeaving || membership.evidence.subjects.contains(subject)) {
+            noteListed(membership.evidence, subject, isLeaving, now);
+        }
+    }
+}
+
+membership::Heartbeat takeHeartbeat(PeerMembership &membership, TimePoint now)
+{
+    membership::Heartbeat heartbeat =
+            nextHeartbeat(membership.table, now, membership.isLeaving, membership.isLogReachable);
+    heartbeat.rumours = takeRumours(membership.evidence, Channel::Heartbeat, now);
+    return heartbeat;
+}
+
+DigestRound takeDigests(PeerMembership &membership, TimePoint now)
+{
+    DigestRound round;
+    // A digest makes its sender look live, so a leaving process leaves them to its peers. The last
+    // process of a zone goes on, so that the zone does not look lost while it drains.
+    const auto own = livePeers(membership.table, membership.table.zone, now);
+    if (membership.isLeaving && own.size() > 1) {
+        return round;
+    }
+    round.targets = digestTargets(membership.table, now);
+    if (!round.targets.empty()) {
+        round.digest = nextDigest(membership.table, now, membership.isLogReachable);
+        round.digest.rumours = takeRumours(membership.evidence, Channel::Digest, now);
+    }
+    return round;
+}
+
+PeerView viewOf(const PeerMembership &membership, TimePoint now)
+{
+    return makePeerView(membership.table, membership.isLeaving,
+                        decideZones(membership.zoneWatch, membership.table, membership.lostZones,
+                                    membership.isLogReachable, {}, now),
+                        judgeSubjects(membership.evidence, *membership.subjects, now), now);
+}
+
+}  // namespace poplarstream
--- a/src/poplarstream/node/peers_duty.cpp
+++ b/src/poplarstream/node/peers_duty.cpp
@@ -1,70 +1,77 @@
 #include "poplarstream/node/peers_duty.hpp"
 
-#include <boost/asio/steady_timer.hpp>  // for steady_timer
-
-#include "poplarstream/node/caller_request.hpp"  // for errorResponse
-#include "poplarstream/node/process_clock.hpp"  // for ProcessClock
+#include "peers_state.hpp"  // for PeersDuty::State
 
 namespace poplarstream {
 
-struct PeersDuty::State : std::enable_shared_from_this<PeersDuty::State>
-{
-    State(DutyThread &dutyThread, PeersSettings peersSettings,
-          std::function<bool(ControlInput &&)> sendInput)
-        : thread(dutyThread)
-        , settings(std::move(peersSettings))
-        , send(std::move(sendInput))
-    {}
-
-    void publishView()
-    {
-        PeerView view;
-        view.zoneLive = {settings.self};
-        view.allLive = {settings.self};
-        for (const auto &[id, peer] : settings.peers) {
-            view.zones[id] = peer.zone;
-        }
-        view.zones[settings.self] = settings.zone;
-        send(std::move(view));
-    }
-
-    DutyThread &thread;
-    PeersSettings settings;
-    std::function<bool(ControlInput &&)> send;
-};
-
 PeersDuty::PeersDuty(DutyThread &thread, PeersSettings settings,
                      std::function<bool(ControlInput &&)> send)
     : state_(std::make_shared<State>(thread, std::move(settings), std::move(send)))
 {}
 
-PeersDuty::~PeersDuty() = default;
+PeersDuty::~PeersDuty()
+{
+    // Waits for running handlers, which use the other members and the control duty. Posted actions
+    // that never ran may hold the rest of the state a little longer.
+    state_->transport.reset();
+}
 
 Result<Address> PeersDuty::listen()
 {
-    state_->publishView();
-    return state_->settings.listen;
+    return state_->listen();
 }
 
-void PeersDuty::forward(EntryHostId, RunCall call)
+void PeersDuty::setPeers(std::map<EntryHostId, PeerSetting> peers)
 {
-    std::visit(
-            [](const auto &request) {
-                request.reply(errorResponse(503, Verdict::NotRun, "no peer can be reached"));
-            },
-            call);
+    state_->thread.post([state = state_, peers = std::move(peers)]() mutable {
+        state->setPeers(std::move(peers));
+    });
 }
 
-void PeersDuty::askState(std::string) {}
+void PeersDuty::forward(EntryHostId peer, RunCall call)
+{
+    state_->thread.post([state = state_, peer = std::move(peer), call = std::move(call)]() mutable {
+        state->forward(peer, std::move(call));
+    });
+}
+
+void PeersDuty::askState(std::string stream)
+{
+    state_->thread.post([state = state_, stream = std::move(stream)] { state->askState(stream); });
+}
 
-void PeersDuty::tell(std::vector<ZoneId>, bool) {}
+void PeersDuty::tell(std::vector<ZoneId> lostZones, bool isLogReachable)
+{
+    state_->thread.post(
+            [state = state_, lostZones = std::move(lostZones), isLogReachable]() mutable {
+                state->known.lostZones = std::move(lostZones);
+                state->known.isLogReachable = isLogReachable;
+            });
+}
 
-void PeersDuty::note(MinionEvidence) {}
+void PeersDuty::note(MinionEvidence evidence)
+{
+    state_->mailbox.trySend(std::move(evidence));
+}
 
-void PeersDuty::setSubjects(std::shared_ptr<const ServingView>) {}
+void PeersDuty::setSubjects(std::shared_ptr<const ServingView> view)
+{
+    state_->thread.post([state = state_, view = std::move(view)]() mutable {
+        state->known.subjects = std::move(view);
+    });
+}
 
-void PeersDuty::note(std::vector<PlatformHost>) {}
+void PeersDuty::note(std::vector<PlatformHost> hosts)
+{
+    state_->thread.post([state = state_, hosts = std::move(hosts)] {
+        noteListed(state->known, hosts, state->clock.now());
+        state->judgeSoon();
+    });
+}
 
-void PeersDuty::setLeaving() {}
+void PeersDuty::setLeaving()
+{
+    state_->thread.post([state = state_] { state->setLeaving(); });
+}
 
 }  // namespace poplarstream
