--- a/src/poplarstream/node/peer_membership.cpp
+++ b/src/poplarstream/node/peer_membership.cpp
@@ -72,6 +72,8 @@
 
 bool receive(PeerMembership &membership, const PeerMessage &message, TimePoint now)
 {
+    // After a pause of this process, messages come before the next tick.
+    membership::advance(membership.table, now);
     return std::visit([&](const auto &content) { return take(membership, content, now); }, message);
 }
 
--- a/src/poplarstream/node/peer_membership_test.cpp
+++ b/src/poplarstream/node/peer_membership_test.cpp
@@ -122,6 +122,19 @@
     EXPECT_TRUE(takeDigests(fleet.hosts.at(leaver), at(4)).targets.empty());
 }
 
+// Guards against a process that resumes after a pause, takes its peers for dead because the first
+// message comes before the next tick, and takes over all their duties.
+TEST(PeerMembership, Pause)
+{
+    Fleet fleet(1, 3);
+    for (int i = 0; i < 3; ++i) {
+        fleet.runSecond();
+    }
+    PeerMembership &paused = fleet.hosts.at(entryHost(0, 0));
+    receive(paused, takeHeartbeat(fleet.hosts.at(entryHost(0, 1)), at(60)), at(60));
+    EXPECT_EQ(viewOf(paused, at(60)).zoneLive.size(), 3U);
+}
+
 // Guards against new work for a leaving minion at an entry host of its zone that has not seen the
 // mark itself.
 TEST(PeerMembership, EvidenceReachesTheZone)
@@ -141,6 +154,25 @@
     EXPECT_EQ(viewOf(observer, at(2)).leavingMinions, std::set{minion});
 }
 
+// Guards against a service that loses its last minion by the word of one peer, because another
+// service of the same minion has more of them.
+TEST(PeerMembership, LastMinionOfAService)
+{
+    ServingView view = *viewOfHosts(4);
+    view.traffic.pools = {{PoolId("p"), {ServiceId("s")}},
+                          {PoolId("q"), {ServiceId("s"), ServiceId("t")}}};
+    view.traffic.minions.front().pool = PoolId("q");
+    const std::string last = view.traffic.minions.front().id.text();
+    const std::string other = view.traffic.minions.back().id.text();
+    membership::EvidenceTable evidence;
+    evidence.self = "e";
+    for (const std::string &subject : {last, other}) {
+        noteRumour(evidence, {subject, membership::Claim::Leaving, 0, "peer"},
+                   membership::Channel::Heartbeat, at(1));
+    }
+    EXPECT_EQ(judgeSubjects(evidence, view, at(1)).minions, std::set{MinionId(other)});
+}
+
 // Guards against a platform list that takes a pool away, and against memory that grows with
 // rumours about unknown subjects.
 TEST(PeerMembership, ListedHosts)
--- a/src/poplarstream/node/peers_state.hpp
+++ b/src/poplarstream/node/peers_state.hpp
@@ -197,6 +197,8 @@
 
     void publishIfChanged(TimePoint now)
     {
+        // A pause of this process must not look like silence of its peers.
+        membership::advance(known.table, now);
         PeerView next = viewOf(known, now);
         if (published && isSameView(*published, next)) {
             return;
