--- a/src/poplarstream/node/peer_messages.cpp
+++ b/src/poplarstream/node/peer_messages.cpp
@@ -218,7 +218,7 @@
 
 Result<std::string> readStateReply(const json &value)
 {
-    const auto content = guarded<std::string>([&] { return text(item(value, 1)); });
+    auto content = guarded<std::string>([&] { return text(item(value, 1)); });
     if (!content) {
         return content.failure();
     }
--- a/src/poplarstream/node/peer_ports.cpp
+++ b/src/poplarstream/node/peer_ports.cpp
@@ -55,6 +55,7 @@
 std::vector<membership::KnownPeer> knownPeers(const std::map<EntryHostId, PeerSetting> &peers)
 {
     std::vector<membership::KnownPeer> known;
+    known.reserve(peers.size());
     for (const auto &[id, peer] : peers) {
         known.push_back({id, peer.zone});
     }
