Write every event of the catalogue and split the control duty

Change: control_log and publication_table hold their parts of the control duty; duty changes, wave progress, silent workers, ejected minions, full rings and a missing configuration are logged; all clocks of a process share one origin.

--- a/bench/fleet_benchmark.cpp
+++ b/bench/fleet_benchmark.cpp
@@ -242,4 +242,3 @@
 
 }  // namespace
 }  // namespace poplarstream
-
--- a/bench/maintenance_benchmark.cpp
+++ b/bench/maintenance_benchmark.cpp
@@ -76,4 +76,3 @@
 
 }  // namespace
 }  // namespace poplarstream::maintenance
-
--- a/bench/runs_benchmark.cpp
+++ b/bench/runs_benchmark.cpp
@@ -166,4 +166,3 @@
 
 }  // namespace
 }  // namespace poplarstream
-
--- a/bench/runs_cases.cpp
+++ b/bench/runs_cases.cpp
@@ -289,7 +289,7 @@
     }
     std::vector<MeasureLine> lines = guaranteeLines("cancel-wave", zone, naive, seed);
     lines.push_back(quantity("cancel-wave", "cancel-entries", "entries",
-                             static_cast<double>(calls.size() / 2), static_cast<double>(waves),
+                             static_cast<double>(calls.size()) / 2, static_cast<double>(waves),
                              std::nullopt, seed));
     return lines;
 }
--- a/include/poplarstream/node/control_duty.hpp
+++ b/include/poplarstream/node/control_duty.hpp
@@ -95,9 +95,8 @@
     std::string text;
 };
 
-using ControlInput =
-        std::variant<PlatformEvent, RunCall, WorkerEvent, ConfigPublication, ControlQuestion,
-                     PeerView, MinionEvidence, DemandReport, PeerState>;
+using ControlInput = std::variant<PlatformEvent, RunCall, WorkerEvent, ConfigPublication,
+                                  ControlQuestion, PeerView, DemandReport, PeerState>;
 
 // What the control duty does to the others. The functions are called on its thread and must not
 // block.
--- a/include/poplarstream/node/mailbox.hpp
+++ b/include/poplarstream/node/mailbox.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>  // for atomic
+#include <bit>  // for has_single_bit
 #include <functional>  // for function
 #include <memory>  // for shared_ptr
 #include <string>  // for string
@@ -8,6 +9,8 @@
 
 #include "poplarstream/base/bounded_ring.hpp"  // for BoundedRing
 #include "poplarstream/node/duty_thread.hpp"  // for DutyThread
+#include "poplarstream/telemetry/event.hpp"  // for logEvent
+#include "poplarstream/telemetry/event_kinds.hpp"  // for ringFull
 
 namespace poplarstream {
 
@@ -31,6 +34,7 @@
     bool trySend(T &&item)
     {
         if (!ring_.tryPush(std::move(item))) {
+            logFull();
             return false;
         }
         // One wake-up serves all items that arrive before the duty looks.
@@ -44,6 +48,15 @@
     std::uint64_t refusedCount() const { return ring_.refusedCount(); }
 
 private:
+    // Logged at each power of two, so that a flood of refusals does not become a flood of lines.
+    void logFull() const
+    {
+        const std::uint64_t refused = ring_.refusedCount();
+        if (std::has_single_bit(refused)) {
+            logEvent(events::ringFull, {{"ring", name_}, {"refused", std::to_string(refused)}});
+        }
+    }
+
     void drain()
     {
         wakeUpPending_.store(false);
--- a/include/poplarstream/node/process_clock.hpp
+++ b/include/poplarstream/node/process_clock.hpp
@@ -11,21 +11,28 @@
 class ProcessClock
 {
 public:
-    ProcessClock()
-        : startWall_(std::chrono::duration_cast<Milliseconds>(
-                std::chrono::system_clock::now().time_since_epoch()))
-        , startSteady_(std::chrono::steady_clock::now())
-    {}
-
     TimePoint now() const
     {
-        const auto elapsed = std::chrono::steady_clock::now() - startSteady_;
-        return TimePoint{startWall_ + std::chrono::duration_cast<Milliseconds>(elapsed)};
+        const Origin &start = origin();
+        const auto elapsed = std::chrono::steady_clock::now() - start.steady;
+        return TimePoint{start.wall + std::chrono::duration_cast<Milliseconds>(elapsed)};
     }
 
 private:
-    Milliseconds startWall_;
-    std::chrono::steady_clock::time_point startSteady_;
+    struct Origin
+    {
+        Milliseconds wall = std::chrono::duration_cast<Milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch());
+        std::chrono::steady_clock::time_point steady = std::chrono::steady_clock::now();
+    };
+
+    // One for the process: two clocks with origins of their own differed by up to a millisecond,
+    // more when the process was paused between the two readings.
+    static const Origin &origin()
+    {
+        static const Origin start;
+        return start;
+    }
 };
 
 }  // namespace poplarstream
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -69,11 +69,11 @@
         "Repair or replace the host; it counts as away until it is back."};
 inline constexpr EventKind hostRecovered{305, EventLevel::Info, "host-recovered", "host", "None."};
 inline constexpr EventKind hostNotBack{
-        306, EventLevel::Error, "host-not-back", "host",
+        306, EventLevel::Error, "host-not-back", "page",
         "The host did not come back from its reboot. Repair or remove it."};
 inline constexpr EventKind zoneReachability{307, EventLevel::Warning, "zone-reachability",
                                             "zone lost", "Check the network between the zones."};
-inline constexpr EventKind waveProgress{308, EventLevel::Info, "wave-progress", "wave done total",
+inline constexpr EventKind waveProgress{308, EventLevel::Info, "wave-progress", "wave done",
                                         "None."};
 
 inline constexpr EventKind runAccepted{400, EventLevel::Info, "run-accepted", "run service",
@@ -90,9 +90,10 @@
 inline constexpr EventKind workerQuarantined{405, EventLevel::Warning, "worker-quarantined",
                                              "host evidence",
                                              "Inspect the worker; it gets probe runs only."};
-inline constexpr EventKind workerCallFailed{406, EventLevel::Warning, "worker-call-failed",
-                                            "host call fault",
-                                            "None unless it repeats for one host."};
+inline constexpr EventKind workerSilent{406, EventLevel::Warning, "worker-silent", "host fault",
+                                        "None unless it lasts; the host then fails."};
+inline constexpr EventKind workerReleased{407, EventLevel::Info, "worker-released", "host",
+                                          "None."};
 
 inline constexpr EventKind requestRefused{
         500, EventLevel::Info, "request-refused", "service reason count",
@@ -104,8 +105,8 @@
 inline constexpr EventKind minionLeaving{502, EventLevel::Info, "minion-leaving", "minion",
                                          "None."};
 inline constexpr EventKind connectionSilent{
-        503, EventLevel::Warning, "connection-silent", "minion connections",
-        "If many minions are named at once, look at the network between the ends."};
+        503, EventLevel::Warning, "connection-silent", "connections",
+        "If it repeats, look at the network between the entry host and the minions."};
 inline constexpr EventKind peerSuspected{600, EventLevel::Warning, "peer-suspected", "peer",
                                          "None unless it stays away."};
 inline constexpr EventKind peerSeen{601, EventLevel::Info, "peer-seen", "peer incarnation",
--- a/src/poplarstream/node/callers_duty.cpp
+++ b/src/poplarstream/node/callers_duty.cpp
@@ -11,6 +11,7 @@
 #include "poplarstream/adapters/http_link.hpp"  // for HttpLink
 #include "poplarstream/node/caller_request.hpp"  // for readCallerRequest
 #include "poplarstream/node/minion_protocol.hpp"  // for workRequest, readMinionAnswer
+#include "poplarstream/node/minion_watch.hpp"  // for MinionWatch
 #include "poplarstream/node/process_clock.hpp"  // for ProcessClock
 #include "poplarstream/node/request_log.hpp"  // for RequestLog
 #include "poplarstream/telemetry/event.hpp"  // for logEvent
@@ -394,6 +395,8 @@
         if (now >= nextRefusalLog) {
             nextRefusalLog = now + Milliseconds{1'000};
             logRefusals();
+            logMinionChanges(minionWatch, traffic::minionViews(traffic),
+                             traffic.counters.silentConnections);
         }
         if (isLeaving && traffic::isIdle(traffic) && pending.empty() && runCallsInProgress == 0) {
             finishShutdown();
@@ -481,6 +484,7 @@
     RequestLog requestLog;
     std::map<std::pair<ServiceId, std::string>, std::uint64_t> refusals;
     TimePoint nextRefusalLog;
+    MinionWatch minionWatch;
     std::size_t runCallsInProgress = 0;
     bool isLeaving = false;
     std::function<void()> whenDrained;
--- a/src/poplarstream/node/control_duty.cpp
+++ b/src/poplarstream/node/control_duty.cpp
@@ -4,8 +4,10 @@
 #include <fmt/format.h>  // for format
 
 #include "control_core.hpp"  // for ControlCore
+#include "control_log.hpp"  // for logControlRecord
 #include "poplarstream/fleet/queries.hpp"  // for dutyHolder, changeOutcome
 #include "poplarstream/runs/queries.hpp"  // for isLeaseValid
+#include "publication_table.hpp"  // for PublicationTable
 #include "run_driver.hpp"  // for RunDriver
 #include "wave_driver.hpp"  // for WaveDriver
 
@@ -22,12 +24,6 @@
 constexpr Milliseconds logSilence{8'000};
 constexpr Milliseconds askStatePeriod{2'000};
 
-struct Publication
-{
-    std::function<void(PublicationOutcome)> reply;
-    TimePoint answerBy;
-};
-
 }  // namespace
 
 struct ControlDuty::State : std::enable_shared_from_this<ControlDuty::State>
@@ -69,7 +65,7 @@
         step(waves, core);
         core.resend();
         settleFencedProposals();
-        answerOverduePublications(now);
+        answerOverdue(publications, core.fleetState(), now);
         askForState(now);
         finishLeaving(now);
     }
@@ -91,6 +87,7 @@
                         onControlRecord(logged, outcome);
                     });
             publishViews();
+            logMissingConfiguration();
         } else if (event.stream == core.runs.name) {
             restart =
                     receivePage(core.runs, event, [this](const auto &logged, const auto &applied) {
@@ -129,11 +126,7 @@
         }
     }
 
-    void onPlatform(HostsListed &&listed)
-    {
-        noteLogAnswer();
-        listedHosts = std::move(listed.hosts);
-    }
+    void onPlatform(HostsListed &&) { noteLogAnswer(); }
 
     void take(RunCall &&call)
     {
@@ -158,6 +151,7 @@
             return;
         }
         const auto &status = std::get<WorkerStatus>(event);
+        logWorkerSilence(status);
         noteStatus(core.workers, status, now);
         for (const TaskObservation &task : status.tasks) {
             noteTask(core.memory, task, now);
@@ -173,7 +167,8 @@
             return;
         }
         const RecordId id = core.propose(std::move(publication.change));
-        publications[id] = {std::move(publication.reply), core.clock.now() + publicationTimeout};
+        publications.byRecord[id] = {std::move(publication.reply),
+                                     core.clock.now() + publicationTimeout};
     }
 
     void take(ControlQuestion &&question) { question(view()); }
@@ -190,8 +185,6 @@
         }
     }
 
-    void take(MinionEvidence &&) {}
-
     void take(DemandReport &&report) { waves.demands = std::move(report.demands); }
 
     void take(PeerState &&transfer)
@@ -217,6 +210,16 @@
         core.ports.follow(stream, next);
     }
 
+    // Logged once for each silence of a worker.
+    void logWorkerSilence(const WorkerStatus &status) const
+    {
+        const auto entry = core.workers.entries.find(status.host);
+        const bool wasSilent = entry != core.workers.entries.end() && entry->second.unansweredSince;
+        if (!status.hasAnswered && !wasSilent) {
+            logEvent(events::workerSilent, {{"host", status.host.text()}, {"fault", status.fault}});
+        }
+    }
+
     // -- records --
 
     void onControlRecord(const Logged<ControlRecord> &logged, const ControlOutcome &outcome)
@@ -228,9 +231,9 @@
             if (runs.quarantineInFlight == id) {
                 runs.quarantineInFlight.reset();
             }
-            answerPublication(id);
+            answerReadBack(publications, id, core.fleetState());
         }
-        logOutcome(logged, outcome);
+        logControlRecord(core.fleetState(), logged, outcome);
         // Duty leases and snapshot parts change nothing that the views show.
         const bool isInternal = std::holds_alternative<DutyLease>(logged.record.body)
                                 || std::holds_alternative<SnapshotPart>(logged.record.body);
@@ -256,61 +259,6 @@
         }
     }
 
-    void logOutcome(const Logged<ControlRecord> &logged, const ControlOutcome &outcome)
-    {
-        const ControlBody &body = logged.record.body;
-        if (const auto *change = std::get_if<ConfigChange>(&body)) {
-            if (outcome.granted) {
-                logEvent(events::configurationInForce,
-                         {{"config", fmt::format("{}", core.fleetState().version)},
-                          {"offset", fmt::format("{}", logged.offset)},
-                          {"author", change->author}});
-            } else if (!outcome.reason.empty()) {
-                logEvent(events::configurationRefused,
-                         {{"record", logged.record.header.id.text()}, {"reason", outcome.reason}});
-            }
-        } else if (const auto *request = std::get_if<AbsenceRequest>(&body)) {
-            if (outcome.granted) {
-                const FleetHost &host = core.fleetState().hosts.at(request->host);
-                logEvent(events::absenceGranted, {{"host", request->host.text()},
-                                                  {"pool", host.config->pool.text()},
-                                                  {"kind", kindText(request->kind)},
-                                                  {"wave", request->wave.text()}});
-            } else {
-                logEvent(events::absenceRefused,
-                         {{"host", request->host.text()}, {"reason", outcome.reason}});
-            }
-        } else if (const auto *move = std::get_if<HostMove>(&body); move && outcome.granted) {
-            logEvent(events::hostMoved, {{"host", move->host.text()},
-                                         {"from", move->from.text()},
-                                         {"to", move->to.text()}});
-        } else if (const auto *health = std::get_if<HostHealth>(&body); health && outcome.granted) {
-            if (health->failed) {
-                logEvent(events::hostFailed,
-                         {{"host", health->host.text()}, {"evidence", health->evidence}});
-            } else {
-                logEvent(events::hostRecovered, {{"host", health->host.text()}});
-            }
-        } else if (const auto *zone = std::get_if<ZoneReachability>(&body);
-                   zone && outcome.granted) {
-            logEvent(events::zoneReachability,
-                     {{"zone", zone->zone.text()}, {"lost", zone->lost ? "yes" : "no"}});
-        }
-    }
-
-    static std::string kindText(AbsenceKind kind)
-    {
-        switch (kind) {
-        case AbsenceKind::Reboot:
-            return "reboot";
-        case AbsenceKind::Move:
-            return "move";
-        case AbsenceKind::RebootAndMove:
-            break;
-        }
-        return "reboot-move";
-    }
-
     // -- proposals and publications --
 
     std::string streamOf(const RecordId &record) const
@@ -326,13 +274,7 @@
             runs.quarantineInFlight.reset();
         }
         onNeverAppended(runs, core, record, reason);
-        if (const auto found = publications.find(record); found != publications.end()) {
-            found->second.reply({.result = PublicationResult::Refused,
-                                 .version = core.fleetState().version,
-                                 .record = record,
-                                 .reason = std::string(reason)});
-            publications.erase(found);
-        }
+        answerRefused(publications, record, core.fleetState(), reason);
     }
 
     void settleFencedProposals()
@@ -349,37 +291,6 @@
         }
     }
 
-    void answerPublication(const RecordId &record)
-    {
-        const auto found = publications.find(record);
-        if (found == publications.end()) {
-            return;
-        }
-        const auto outcome = changeOutcome(core.fleetState(), record);
-        const bool isGranted = outcome && outcome->granted;
-        found->second.reply(
-                {.result = isGranted ? PublicationResult::InForce : PublicationResult::Refused,
-                 .version = core.fleetState().version,
-                 .record = record,
-                 .reason = outcome ? outcome->reason : std::string()});
-        publications.erase(found);
-    }
-
-    void answerOverduePublications(TimePoint now)
-    {
-        std::erase_if(publications, [&](auto &entry) {
-            if (now < entry.second.answerBy) {
-                return false;
-            }
-            entry.second.reply({.result = PublicationResult::Unknown,
-                                .version = core.fleetState().version,
-                                .record = entry.first,
-                                .reason = "the log did not answer in time; the change may still "
-                                          "take effect"});
-            return true;
-        });
-    }
-
     // -- the log --
 
     void noteLogAnswer()
@@ -501,6 +412,14 @@
         core.ports.setDirectory(std::move(directory));
     }
 
+    void logMissingConfiguration()
+    {
+        if (core.fleet.readUntil && core.fleetState().version == 0 && !hasLoggedMissing) {
+            hasLoggedMissing = true;
+            logEvent(events::noConfiguration, {});
+        }
+    }
+
     // -- leaving --
 
     void beginLeaving(std::function<void()> done)
@@ -526,8 +445,7 @@
     RunDriver runs;
     WaveDriver waves;
     boost::asio::steady_timer timer;
-    std::map<RecordId, Publication> publications;
-    std::vector<PlatformHost> listedHosts;
+    PublicationTable publications;
     TimePoint startedAt;
     TimePoint lastLogAnswer;
     TimePoint nextAsk;
@@ -535,6 +453,7 @@
     bool flushPending = false;
     bool viewsChanged = false;
     bool hasPublished = false;
+    bool hasLoggedMissing = false;
     std::function<void()> whenLeft;
     TimePoint leaveBy;
 };
--- /dev/null
+++ b/src/poplarstream/node/control_log.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "poplarstream/fleet/replay.hpp"  // for ControlOutcome
+#include "poplarstream/fleet/state.hpp"  // for FleetState
+#include "poplarstream/records/control_record.hpp"  // for ControlRecord
+#include "poplarstream/records/record.hpp"  // for Logged
+#include "poplarstream/records/run_record.hpp"  // for RunEntry
+#include "poplarstream/runs/runs_state.hpp"  // for RunsState
+
+namespace poplarstream {
+
+// Writes the event of a record of the control stream that was just applied to `state`. Duty leases
+// and snapshot parts have none.
+void logControlRecord(const FleetState &state, const Logged<ControlRecord> &logged,
+                      const ControlOutcome &outcome);
+
+// Writes the event of a granted entry of a run record that this process proposed.
+void logRunEntry(const RunsState &state, const RunEntry &entry, const FencingToken &token);
+
+}  // namespace poplarstream
--- a/src/poplarstream/node/run_driver.cpp
+++ b/src/poplarstream/node/run_driver.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for sort, unique, find
 
+#include "control_log.hpp"  // for logRunEntry
 #include "poplarstream/node/caller_request.hpp"  // for errorResponse
 #include "poplarstream/runs/batch.hpp"  // for cancelEntries
 #include "poplarstream/runs/decide.hpp"  // for decideRuns
@@ -284,25 +285,6 @@
     driver.snapshotAt = state.now;
 }
 
-void logEntry(const RunsState &state, const RunEntry &entry)
-{
-    if (const auto *accepted = std::get_if<RunAccepted>(&entry)) {
-        logEvent(events::runAccepted,
-                 {{"run", accepted->run.text()}, {"service", accepted->service.text()}});
-    } else if (const auto *finished = std::get_if<RunFinished>(&entry)) {
-        const Run *run = findRun(state, finished->run);
-        const std::string stage =
-                run != nullptr ? std::string(stageText(run->stage)) : std::string("forgotten");
-        if (finished->outcome == RunOutcome::MayHaveRun) {
-            logEvent(events::runMayHaveRun, {{"run", finished->run.text()}});
-        } else {
-            logEvent(events::runFinished, {{"run", finished->run.text()}, {"outcome", stage}});
-        }
-    } else if (const auto *aside = std::get_if<RunSetAside>(&entry)) {
-        logEvent(events::runSetAside, {{"run", aside->run.text()}, {"reason", aside->reason}});
-    }
-}
-
 }  // namespace
 
 void takeCall(RunDriver &driver, ControlCore &core, RunCall &&call)
@@ -351,7 +333,7 @@
     answerReadBack(driver.acceptances, id, core.runs.state, applied);
     for (std::uint32_t i = 0; i < logged.record.entries.size(); ++i) {
         if (applied.isGranted(i)) {
-            logEntry(core.runs.state, logged.record.entries[i]);
+            logRunEntry(core.runs.state, logged.record.entries[i], {logged.offset, i});
         }
     }
 }
--- a/src/poplarstream/node/wave_driver.cpp
+++ b/src/poplarstream/node/wave_driver.cpp
@@ -144,11 +144,31 @@
         const bool isKnown = std::any_of(driver.pages.begin(), driver.pages.end(),
                                          [&](const auto &known) { return known.key == page.key; });
         if (!isKnown && driver.pages.size() < maxPages) {
+            logEvent(events::hostNotBack, {{"page", page.text}});
             driver.pages.push_back(std::move(page));
         }
     }
 }
 
+void logDuty(WaveDriver &driver, bool holdsDuty)
+{
+    if (std::exchange(driver.heldDuty, holdsDuty) != holdsDuty) {
+        logEvent(holdsDuty ? events::dutyAcquired : events::dutyLost, {{"duty", fleetDuty}});
+    }
+}
+
+void logWaves(WaveDriver &driver, const ControlCore &core)
+{
+    for (const auto &[id, record] : core.fleetState().waves) {
+        std::size_t &logged = driver.loggedDone[id];
+        if (record.done.size() != logged) {
+            logged = record.done.size();
+            logEvent(events::waveProgress,
+                     {{"wave", id.text()}, {"done", fmt::format("{}", logged)}});
+        }
+    }
+}
+
 // Failed hosts are reported by the entry hosts that poll them, whoever drives the waves.
 void stepHealth(WaveDriver &driver, ControlCore &core)
 {
@@ -234,8 +254,11 @@
         return;
     }
     stepZones(driver, core);
-    if (mayActNow(driver, core)) {
+    const bool holdsDuty = mayActNow(driver, core);
+    logDuty(driver, holdsDuty);
+    if (holdsDuty) {
         stepFleet(driver, core);
+        logWaves(driver, core);
         stepSnapshot(driver, core);
     } else if (now >= driver.nextHealthStep && !core.isLeaving && core.isLogReachable) {
         driver.nextHealthStep = now + healthPeriod;
--- a/src/poplarstream/node/wave_driver.hpp
+++ b/src/poplarstream/node/wave_driver.hpp
@@ -25,6 +25,8 @@
     PoolDemands demands;
     std::vector<maintenance::Note> notes;
     std::vector<maintenance::Page> pages;
+    std::map<WaveId, std::size_t> loggedDone;  // hosts done when a wave was last logged
+    bool heldDuty = false;
     TimePoint nextStep;
     TimePoint nextHealthStep;
     Offset snapshotThrough = 0;
--- a/src/poplarstream/runs/fakes/zone.hpp
+++ b/src/poplarstream/runs/fakes/zone.hpp
@@ -189,7 +189,7 @@
     bool isPaused(const FakeOwner &owner) const { return timeline.now() < owner.pausedUntil; }
 
     // Carries a message that may be lost, doubled, and overtaken.
-    void carry(std::function<void()> action)
+    void carry(const std::function<void()> &action)
     {
         const int copies = chance(rates_.duplicateMessage) ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -12,20 +12,17 @@
 using namespace events;
 
 constexpr std::array allKinds{
-        entryHostStarting,    entryHostReady,    entryHostLeaving,
-        entryHostStopped,     settingsFault,     noConfiguration,
-        internalFault,        ringFull,          configurationInForce,
-        configurationRefused, recordUnreadable,  snapshotRestored,
-        snapshotWritten,      retentionGap,      stateFromPeer,
-        logUnavailable,       logAvailable,      appendUnknown,
-        dutyAcquired,         dutyLost,          absenceGranted,
-        absenceRefused,       absenceProgress,   hostMoved,
-        hostFailed,           hostRecovered,     hostNotBack,
-        zoneReachability,     waveProgress,      runAccepted,
-        runClaimed,           runFinished,       runSetAside,
-        runMayHaveRun,        workerQuarantined, workerCallFailed,
-        requestRefused,       minionEjected,     minionLeaving,
-        connectionSilent,     peerSuspected,     peerSeen,
+        entryHostStarting,    entryHostReady,       entryHostLeaving,  entryHostStopped,
+        settingsFault,        noConfiguration,      internalFault,     ringFull,
+        configurationInForce, configurationRefused, recordUnreadable,  snapshotRestored,
+        snapshotWritten,      retentionGap,         stateFromPeer,     logUnavailable,
+        logAvailable,         appendUnknown,        dutyAcquired,      dutyLost,
+        absenceGranted,       absenceRefused,       absenceProgress,   hostMoved,
+        hostFailed,           hostRecovered,        hostNotBack,       zoneReachability,
+        waveProgress,         runAccepted,          runClaimed,        runFinished,
+        runSetAside,          runMayHaveRun,        workerQuarantined, workerSilent,
+        workerReleased,       requestRefused,       minionEjected,     minionLeaving,
+        connectionSilent,     peerSuspected,        peerSeen,
 };
 
 }  // namespace
