--- a/src/poplarstream/fleet/scenario_test.cpp
+++ b/src/poplarstream/fleet/scenario_test.cpp
@@ -223,6 +223,21 @@
     EXPECT_NE(story.reboot("h1"), "");
 }
 
+// Guards against a wave that is refused because hosts without a rack count as one large rack.
+TEST(Scenario, HostsWithoutRack)
+{
+    Story story;
+    EXPECT_EQ(story.change({{"host h0", "rack", std::nullopt},
+                            {"host h1", "rack", std::nullopt},
+                            {"host h2", "rack", std::nullopt},
+                            {"host h3", "rack", std::nullopt},
+                            {"fleet", "rack_headroom", "yes"}}),
+              "");
+    EXPECT_EQ(story.reboot("h0"), "");
+    EXPECT_EQ(story.reboot("h1"), "the loss of host h2 would take 1 more hosts of pool p, and room "
+                                  "for 0 would remain");
+}
+
 // Guards against two holders of a duty, also when the log's clock jumps back.
 TEST(Scenario, DutyLeases)
 {
