--- a/src/poplarstream/fleet/random_log.hpp
+++ b/src/poplarstream/fleet/random_log.hpp
@@ -132,7 +132,7 @@
     {
         const std::string host = "host " + anyHost().text();
         std::vector<ConfigEdit> edits;
-        switch (random_.below(8)) {
+        switch (random_.below(7)) {
         case 0:
             edits = {{"pool " + any({"p", "q", "o"}), "max_away", any({"0", "1", "2", "2", "3"})}};
             break;
@@ -151,9 +151,6 @@
         case 5:
             edits = {{"pool " + any({"p", "q", "o"}), std::nullopt, std::nullopt}};
             break;
-        case 6:
-            edits = {{host, "rack", std::nullopt}};
-            break;
         default:
             edits = smallFleet();
             edits.erase(edits.begin(), edits.begin() + 14);
