--- a/src/poplarstream/fleet/host_steps.cpp
+++ b/src/poplarstream/fleet/host_steps.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>  // for any_of
+
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/config/document.hpp"  // for setEntry, SectionId
@@ -45,17 +47,51 @@
     return host && host->absence ? host->absence->wave : WaveId{};
 }
 
-// The wave counts a host as done when everything that was granted has happened.
-void finishAbsence(FleetState &state, const HostId &id, FleetHost &host)
+// Whether the wave names the pool that the host was in at the grant, or the one that it is in now.
+bool namesHost(const WaveConfig &wave, const FleetHost &host)
+{
+    return std::any_of(wave.pools.begin(), wave.pools.end(), [&](const PoolId &pool) {
+        return pool == host.absence->origin || pool == host.config->pool;
+    });
+}
+
+// Whether the ended absence did what the wave asks of the host. A reboot for one wave serves all
+// running waves that name the host, or it would be rebooted once for each of them.
+bool serves(const FleetHost &host, const WaveConfig &wave)
 {
     const Absence &absence = *host.absence;
-    const bool isComplete = absence.left && (absence.kind == AbsenceKind::Reboot || absence.moved);
-    if (const auto wave = state.waves.find(absence.wave); isComplete && wave != state.waves.end()) {
-        wave->second.done.insert(id);
+    const bool isOwn = wave.id == absence.wave;
+    if (wave.action == AbsenceKind::Move) {
+        return isOwn && absence.moved && host.config->pool == wave.target;
+    }
+    const bool isRebooted = absence.left && absence.kind != AbsenceKind::Move;
+    const bool isShared = !absence.wave.isEmpty() && wave.state == WaveState::Running;
+    return isRebooted && (isOwn || (isShared && namesHost(wave, host)));
+}
+
+void finishAbsence(FleetState &state, const HostId &id, FleetHost &host)
+{
+    for (const WaveConfig &wave : state.configuration->waves) {
+        if (serves(host, wave)) {
+            state.waves[wave.id].done.insert(id);
+        }
     }
     host.absence.reset();
 }
 
+// A move out of the spare pool for a wave that does not move its hosts to the target. It is judged
+// at the grant, when the wave is running; it can be changed or removed before the host moves.
+bool isLoan(const FleetState &state, const AbsenceRequest &request, const FleetHost &host)
+{
+    const Configuration &configuration = *state.configuration;
+    const WaveConfig *wave = configuration.waves.find(request.wave);
+    const PoolConfig *pool = configuration.pools.find(host.config->pool);
+    if (request.kind == AbsenceKind::Reboot || !wave || !pool || !pool->spare) {
+        return false;
+    }
+    return wave->action == AbsenceKind::Reboot || wave->target != request.target;
+}
+
 void enter(FleetHost &host, HostState entered, TimePoint time)
 {
     if (host.state != entered) {
@@ -154,8 +190,13 @@
         FleetHost &host = *findHost(state, request.host);
         const TallyScope scope(state, host);
         enter(host, *next(host.state, HostEvent::Granted), at.time);
-        host.absence = Absence{at.offset, request.kind, request.target, request.wave,
-                               at.time,   false,        false};
+        host.absence = Absence{.grant = at.offset,
+                               .kind = request.kind,
+                               .origin = host.config->pool,
+                               .target = request.target,
+                               .wave = request.wave,
+                               .granted = at.time,
+                               .isLoan = isLoan(state, request, host)};
     }
     return decide(state, at, DecisionKind::Absence, request.host, request.wave, granted,
                   granted ? request.reason : problem);
@@ -188,6 +229,11 @@
         writePool(state, *host, move.to);
         host->absence->moved = true;
         host->absence->left = true;
+        // Any other move ends a loan: back to the spare pool, or to a pool chosen for good.
+        host->loan.reset();
+        if (host->absence->isLoan) {
+            host->loan = HostLoan{move.from, move.to, host->absence->wave};
+        }
     }
     const bool granted = problem.empty();
     return decide(state, at, DecisionKind::Move, move.host, waveOf(host), granted,
--- a/src/poplarstream/fleet/naive_fleet.hpp
+++ b/src/poplarstream/fleet/naive_fleet.hpp
@@ -22,6 +22,11 @@
     std::string target;
     bool moved = false;
     bool quarantined = false;
+    std::string origin;  // the pool at the grant
+    std::string wave;
+    bool left = false;
+    std::string loanWave;  // the wave of a granted move that lends the host
+    std::vector<std::string> loan;  // from, to and wave while the host is lent
 };
 
 struct Fleet
@@ -33,6 +38,7 @@
     Configuration config;
     std::map<std::string, Host> hosts;
     std::set<std::string> lost;
+    std::map<std::string, std::set<std::string>> done;  // by wave
     std::map<std::string, std::pair<std::string, TimePoint>> duties;
     std::set<std::string> seen;
 
@@ -71,7 +77,8 @@
             std::set<std::string> lossToo = counted;
             for (const auto &[id, member] : hosts) {
                 if (config.fleet.rackHeadroom && row(id).pool.text() == pool
-                    && row(id).rack == row(other).rack) {
+                    && (id == other
+                        || (!row(id).rack.isEmpty() && row(id).rack == row(other).rack))) {
                     lossToo.insert(id);
                 }
             }
@@ -134,6 +141,14 @@
                 return false;
             }
         }
+        for (auto &[id, host] : next.hosts) {
+            if (!host.loan.empty() && !next.config.pools.contains(PoolId(host.loan[0]))) {
+                host.loan.clear();
+            }
+        }
+        for (auto &[wave, members] : next.done) {
+            std::erase_if(members, [&](const std::string &id) { return !next.hosts.contains(id); });
+        }
         next.version = version + 1;
         *this = std::move(next);
         return true;
@@ -158,16 +173,46 @@
         if (!fits(row(at->first).pool.text(), at->first)) {
             return false;
         }
+        const bool isOfWave =
+                wave && wave->action != AbsenceKind::Reboot && wave->target == request.target;
+        const bool isLoan =
+                isMove && wave && !isOfWave && config.pools.find(row(at->first).pool)->spare;
         at->second = {"draining",
                       true,
                       offset,
                       request.kind,
                       request.target.text(),
                       false,
-                      at->second.quarantined};
+                      at->second.quarantined,
+                      row(at->first).pool.text(),
+                      request.wave.text(),
+                      false,
+                      isLoan ? request.wave.text() : "",
+                      at->second.loan};
         return true;
     }
 
+    void end(const std::string &id, Host &host)
+    {
+        for (const WaveConfig &wave : config.waves) {
+            const bool isOwn = wave.id.text() == host.wave;
+            bool isNamed = false;
+            for (const PoolId &pool : wave.pools) {
+                isNamed = isNamed || pool.text() == host.origin || pool == row(id).pool;
+            }
+            const bool isRebooted = host.left && host.kind != AbsenceKind::Move;
+            const bool isCounted =
+                    isOwn || (!host.wave.empty() && isNamed && wave.state == WaveState::Running);
+            if (wave.action == AbsenceKind::Move
+                        ? isOwn && host.moved && wave.target == row(id).pool
+                        : isRebooted && isCounted) {
+                done[wave.id.text()].insert(id);
+            }
+        }
+        host.state = "in service";
+        host.open = false;
+    }
+
     bool operator()(const AbsenceProgress &progress, Offset /*offset*/)
     {
         const auto at = hosts.find(progress.host.text());
@@ -180,13 +225,13 @@
         case AbsencePhase::Drained:
             return state == "draining" && (state = "away", true);
         case AbsencePhase::Away:
-            return isOut && (state = "away", true);
+            return isOut && (state = "away", at->second.left = true);
         case AbsencePhase::Returning:
             return state == "away" && (state = "returning", true);
         case AbsencePhase::Abandoned:
             return isOut && (state = "returning", true);
         case AbsencePhase::Returned:
-            return state == "returning" && (state = "in service", at->second.open = false, true);
+            return state == "returning" && (end(at->first, at->second), true);
         }
         return false;
     }
@@ -202,6 +247,11 @@
         document = applyEdits(document, std::span(&edit, 1)).document;
         config = readConfiguration(document).configuration;
         at->second.moved = true;
+        at->second.left = true;
+        at->second.loan.clear();
+        if (!at->second.loanWave.empty()) {
+            at->second.loan = {move.from.text(), move.to.text(), at->second.loanWave};
+        }
         return true;
     }
 
--- a/src/poplarstream/fleet/scenario_test.cpp
+++ b/src/poplarstream/fleet/scenario_test.cpp
@@ -179,6 +179,54 @@
     EXPECT_EQ(story.reboot("h1", "v"), "");
 }
 
+// Guards against a host that is rebooted once for each wave that names it, and against one that a
+// wave leaves out because of an absence without a reboot or before the wave ran.
+TEST(Scenario, OneRebootForSeveralWaves)
+{
+    Story story;
+    const auto isDone = [&](const char *wave, const char *host) {
+        return story.state.waves.at(WaveId(wave)).done.contains(HostId(host));
+    };
+    EXPECT_EQ(story.change({{"wave v", "state", "running"},
+                            {"wave u", "pools", "p"},
+                            {"wave u", "action", "reboot"},
+                            {"wave u", "state", "stopped"},
+                            {"wave t", "pools", "q"},
+                            {"wave t", "action", "reboot"},
+                            {"wave t", "state", "running"},
+                            {"wave s", "pools", "o"},
+                            {"wave s", "action", "reboot"},
+                            {"wave s", "state", "running"}}),
+              "");
+    SCOPED_TRACE("when a host is rebooted for v, then u, which is stopped, still needs it");
+    EXPECT_EQ(story.reboot("h0", "v"), "");
+    story.bringBack("h0");
+    EXPECT_TRUE(isDone("v", "h0"));
+    EXPECT_FALSE(isDone("u", "h0"));
+    SCOPED_TRACE(
+            "given u runs, then a reboot for v counts for u, and not for waves of other pools");
+    EXPECT_EQ(story.change({{"wave u", "state", "running"}}), "");
+    EXPECT_EQ(story.reboot("h1", "v"), "");
+    story.bringBack("h1");
+    EXPECT_TRUE(isDone("v", "h1") && isDone("u", "h1"));
+    EXPECT_FALSE(isDone("s", "h1") || isDone("t", "h1") || isDone("w", "h1"));
+    SCOPED_TRACE("when a host is rebooted and moved, then the waves of both pools have it");
+    EXPECT_EQ(story.append(AbsenceRequest{HostId("h2"), AbsenceKind::RebootAndMove, PoolId("q"),
+                                          WaveId("w"), "test"}),
+              "");
+    EXPECT_EQ(story.progress("h2", AbsencePhase::Away), "");
+    EXPECT_EQ(story.append(HostMove{HostId("h2"), PoolId("p"), PoolId("q")}), "");
+    story.bringBack("h2");
+    EXPECT_TRUE(isDone("w", "h2") && isDone("v", "h2") && isDone("u", "h2") && isDone("t", "h2"));
+    SCOPED_TRACE("when a host only moves, then no wave counts it as rebooted");
+    EXPECT_EQ(story.move("h4", "q"), "");
+    EXPECT_EQ(story.progress("h4", AbsencePhase::Away), "");
+    EXPECT_EQ(story.append(HostMove{HostId("h4"), PoolId("o"), PoolId("q")}), "");
+    story.bringBack("h4");
+    EXPECT_TRUE(isDone("w", "h4"));
+    EXPECT_FALSE(isDone("s", "h4") || isDone("t", "h4"));
+}
+
 // Guards guarantee 1 in the pool that a host moves to, and changes that are blocked by a pool that
 // moves have made smaller than its budget.
 TEST(Scenario, Move)
@@ -207,6 +255,42 @@
     EXPECT_EQ(story.change({{"fleet", "name", "renamed"}}), "");
 }
 
+// Guards against spare hosts that are lent and forgotten, and against moves of a wave that are
+// taken for loans.
+TEST(Scenario, Loans)
+{
+    Story story;
+    const auto lent = [&](const char *host) { return story.state.hosts.at(HostId(host)).loan; };
+    const auto request = [&](const char *host, const char *target, const char *wave) {
+        return story.append(AbsenceRequest{HostId(host), AbsenceKind::Move, PoolId(target),
+                                           WaveId(wave), "test"});
+    };
+    const auto moved = [&](const char *host, const char *from, const char *to) {
+        EXPECT_EQ(story.progress(host, AbsencePhase::Away), "");
+        return story.append(HostMove{HostId(host), PoolId(from), PoolId(to)});
+    };
+    EXPECT_EQ(story.change({{"wave v", "state", "running"}}), "");
+    SCOPED_TRACE("when a spare host moves for a reboot wave, then it is lent with its move");
+    EXPECT_EQ(request("h6", "p", "v"), "");
+    EXPECT_FALSE(lent("h6"));
+    SCOPED_TRACE("given that the wave is removed before the move");
+    EXPECT_EQ(story.change({{"wave v", std::nullopt, std::nullopt}}), "");
+    EXPECT_EQ(moved("h6", "q", "p"), "");
+    EXPECT_EQ(lent("h6"), (HostLoan{PoolId("q"), PoolId("p"), WaveId("v")}));
+    story.bringBack("h6");
+    SCOPED_TRACE(
+            "when a host of another pool moves to the target of its wave, then it is not lent");
+    EXPECT_EQ(story.move("h4", "q"), "");
+    EXPECT_EQ(moved("h4", "o", "q"), "");
+    EXPECT_FALSE(lent("h4"));
+    story.bringBack("h4");
+    SCOPED_TRACE("when the lent host moves back without a wave, then the loan has ended");
+    EXPECT_EQ(request("h6", "q", ""), "");
+    EXPECT_TRUE(lent("h6"));
+    EXPECT_EQ(moved("h6", "p", "q"), "");
+    EXPECT_FALSE(lent("h6"));
+}
+
 // Guards against a grant while a lost zone or the loss of one more rack would exceed the budget.
 TEST(Scenario, ZoneAndRack)
 {
@@ -223,6 +307,22 @@
     EXPECT_NE(story.reboot("h1"), "");
 }
 
+// Guards against a wave that is refused because hosts without a rack count as one large rack.
+TEST(Scenario, HostsWithoutRack)
+{
+    Story story;
+    EXPECT_EQ(story.change({{"fleet", "rack_headroom", "yes"}}), "");
+    // The checks of the configuration demand a rack, so it is taken away here.
+    for (auto &[id, host] : story.state.hosts) {
+        HostConfig config = *host.config;
+        config.rack = RackId();
+        host.config = std::make_shared<const HostConfig>(std::move(config));
+    }
+    EXPECT_EQ(story.reboot("h0"), "");
+    EXPECT_EQ(story.reboot("h1"), "the loss of host h2 would take 1 more hosts of pool p, and room "
+                                  "for 0 would remain");
+}
+
 // Guards against two holders of a duty, also when the log's clock jumps back.
 TEST(Scenario, DutyLeases)
 {
