--- a/src/poplarstream/config/examples_test.cpp
+++ b/src/poplarstream/config/examples_test.cpp
@@ -1,3 +1,4 @@
+#include <filesystem>  // for directory_iterator
 #include <fstream>  // for ifstream
 #include <map>  // for map
 #include <set>  // for set
@@ -7,6 +8,7 @@
 
 #include "poplarstream/config/edits.hpp"  // for difference
 #include "poplarstream/config/ini.hpp"  // for parseDocument
+#include "poplarstream/config/settings.hpp"  // for readSettings
 #include "poplarstream/config/validation.hpp"  // for readConfiguration
 #include "poplarstream/records/codec.hpp"  // for encode
 
@@ -24,9 +26,14 @@
 class Example : public testing::TestWithParam<Deployment>
 {};
 
-ConfigDocument loaded(const std::string &name)
+std::filesystem::path folderOf(const std::string &name)
 {
-    std::ifstream file(std::string(POPLAR_SOURCE_DIR) + "/examples/" + name + "/fleet.ini");
+    return std::filesystem::path(POPLAR_SOURCE_DIR) / "examples" / name;
+}
+
+ConfigDocument loaded(const std::filesystem::path &path)
+{
+    std::ifstream file(path);
     std::ostringstream text;
     text << file.rdbuf();
     const ParsedDocument parsed = parseDocument(text.str());
@@ -38,7 +45,8 @@
 // deployment that measurements assume.
 TEST_P(Example, HasTheSizeOfTheDeployment)
 {
-    const ReadConfiguration read = readConfiguration(loaded(GetParam().name));
+    const ReadConfiguration read =
+            readConfiguration(loaded(folderOf(GetParam().name) / "fleet.ini"));
     ASSERT_TRUE(read.faults.empty()) << describe(read.faults);
     const Configuration &fleet = read.configuration;
     EXPECT_EQ(fleet.fleet.name, GetParam().name);
@@ -66,11 +74,58 @@
 // Guards against a first publication that the log refuses for its size.
 TEST_P(Example, FitsIntoOneRecord)
 {
-    const ConfigChange first{0, "operator", difference({}, loaded(GetParam().name))};
+    const ConfigChange first{0, "operator",
+                             difference({}, loaded(folderOf(GetParam().name) / "fleet.ini"))};
     const ControlRecord record{{RecordId("r"), EntryHostId("e")}, first};
     EXPECT_LT(encode(record).size(), maxRecordBytes);
 }
 
+// The settings of all entry hosts of an example.
+std::vector<ProcessSettings> settingsOf(const std::string &name)
+{
+    std::vector<ProcessSettings> all;
+    for (const auto &entry : std::filesystem::directory_iterator(folderOf(name))) {
+        if (entry.path().filename().string().starts_with("entry-")) {
+            const ReadSettings read = readSettings(loaded(entry.path()));
+            EXPECT_TRUE(read.faults.empty()) << entry.path() << ": " << describe(read.faults);
+            all.push_back(read.settings);
+        }
+    }
+    return all;
+}
+
+// Guards against example settings that no longer load, that miss a peer or give it another zone or
+// address than its own settings do, or that name a zone that the document does not have.
+TEST_P(Example, HasSettingsThatAgreeWithEachOther)
+{
+    const std::vector<ProcessSettings> all = settingsOf(GetParam().name);
+    const ReadConfiguration read =
+            readConfiguration(loaded(folderOf(GetParam().name) / "fleet.ini"));
+    EXPECT_EQ(all.size(), 8u);
+    std::set<EntryHostId> ids;
+    std::set<Address> addresses;
+    for (const ProcessSettings &own : all) {
+        SCOPED_TRACE(own.id.text());
+        EXPECT_TRUE(ids.insert(own.id).second);
+        for (const Address address : {own.callers, own.operators, own.peersListen}) {
+            EXPECT_TRUE(addresses.insert(address).second) << addressText(address);
+        }
+        const ZoneConfig *zone = read.configuration.zones.find(own.zone);
+        ASSERT_NE(zone, nullptr);
+        EXPECT_EQ(zone->region, own.region);
+        EXPECT_EQ(own.platform, all.front().platform);
+        EXPECT_EQ(own.peers.size(), all.size() - 1);
+        for (const ProcessSettings &other : all) {
+            if (other.id != own.id) {
+                const auto peer = own.peers.find(other.id);
+                ASSERT_NE(peer, own.peers.end()) << other.id.text();
+                EXPECT_EQ(peer->second.zone, other.zone) << other.id.text();
+                EXPECT_EQ(peer->second.address, other.peersListen) << other.id.text();
+            }
+        }
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Deployments, Example,
                          testing::Values(Deployment{"van-harselaar", 3, "reserve", 131072},
                                          Deployment{"ex-libris", 4, "head-office", 65536}),
