--- a/src/poplarstream/main/main.cpp
+++ b/src/poplarstream/main/main.cpp
@@ -33,6 +33,9 @@
             return result == poplarstream::exitUsage ? usage(line.command) : result;
         }
     }
+    if (!line.command.empty()) {
+        fmt::print(stderr, "unknown command '{}'\n", line.command);
+    }
     return usage({});
 }
 
--- a/src/poplarstream/main/operator_call.cpp
+++ b/src/poplarstream/main/operator_call.cpp
@@ -21,13 +21,16 @@
 {
     const auto endpoint = endpointFromText(line.operatorsAddress);
     if (!endpoint) {
-        throw std::invalid_argument("expected --operators IP:PORT");
+        throw std::invalid_argument(
+                fmt::format("expected --operators IP:PORT, found '{}'", line.operatorsAddress));
     }
     if (!line.tokenFile.empty()) {
         const std::vector<std::string> tokens = readTokenFile(line.tokenFile);
-        if (!tokens.empty()) {
-            request.headers.push_back({"Authorization", "Bearer " + tokens.front()});
+        if (tokens.empty()) {
+            throw std::invalid_argument(
+                    fmt::format("expected a token in {}, the --token-file", line.tokenFile));
         }
+        request.headers.push_back({"Authorization", "Bearer " + tokens.front()});
     }
     boost::asio::io_context io;
     HttpClient client(io);
--- a/src/poplarstream/main/operator_commands.cpp
+++ b/src/poplarstream/main/operator_commands.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>  // for min
+
 #include <fmt/format.h>  // for print
 
 #include "commands.hpp"  // for publish, status, explain
@@ -10,15 +12,22 @@
 
 constexpr std::string_view versionMark = "# version: ";
 
-// The version from the line '# version: N' of a document; empty if there is none.
+constexpr std::string_view digits = "0123456789";
+
+// The version from the line '# version: N' of a document; empty if there is none. A value that
+// contains the mark is no such line.
 std::string versionLine(std::string_view text)
 {
-    const std::size_t begin = text.find(versionMark);
-    if (begin == std::string_view::npos) {
-        return {};
+    for (std::size_t begin = 0; begin < text.size();) {
+        const std::size_t end = std::min(text.find('\n', begin), text.size());
+        const std::string_view line = text.substr(begin, end - begin);
+        if (line.starts_with(versionMark)) {
+            const std::string_view rest = line.substr(versionMark.size());
+            return std::string(rest.substr(0, rest.find_first_not_of(digits)));
+        }
+        begin = end + 1;
     }
-    const std::string_view rest = text.substr(begin + versionMark.size());
-    return std::string(rest.substr(0, rest.find_first_not_of("0123456789")));
+    return {};
 }
 
 }  // namespace
@@ -37,6 +46,10 @@
                    versionMark);
         return exitUsage;
     }
+    if (base.find_first_not_of(digits) != std::string::npos) {
+        fmt::print(stderr, "expected a version number as --base-version, found '{}'\n", base);
+        return exitUsage;
+    }
     request.headers = {{"Content-Type", "text/plain"}, {"Poplar-Base-Version", base}};
     if (!line.author.empty()) {
         request.headers.push_back({"Poplar-Author", line.author});
--- a/src/poplarstream/main/serve.cpp
+++ b/src/poplarstream/main/serve.cpp
@@ -1,5 +1,6 @@
 #include <csignal>  // for sigset_t, sigwait
 #include <optional>  // for optional
+#include <stdexcept>  // for runtime_error
 
 #include <fmt/format.h>  // for print
 
@@ -32,6 +33,30 @@
     return std::move(read.settings);
 }
 
+// Reads the operators' tokens. A file that cannot be read or holds no token is a fault of the
+// settings: every operator would be refused.
+bool readOperatorTokens(const std::string &settingsFile, EntryHostOptions &options)
+{
+    const std::string &path = options.settings.tokens.operators;
+    if (path.empty()) {
+        return true;
+    }
+    std::string fault = "expected a file with at least one token, found " + path;
+    try {
+        options.operatorTokens = readTokenFile(path);
+    } catch (const std::runtime_error &error) {
+        fault = error.what();
+    }
+    if (options.operatorTokens.empty()) {
+        logEvent(events::settingsFault, {{"file", settingsFile},
+                                         {"section", "tokens"},
+                                         {"key", "operators"},
+                                         {"fault", fault}});
+        return false;
+    }
+    return true;
+}
+
 // Blocks the signals in all threads that start later, so that only sigwait() takes them. A broken
 // connection must not end the process.
 sigset_t blockStopSignals()
@@ -58,8 +83,8 @@
     }
     const sigset_t signals = blockStopSignals();
     EntryHostOptions options{.settings = *settings};
-    if (!settings->tokens.operators.empty()) {
-        options.operatorTokens = readTokenFile(settings->tokens.operators);
+    if (!readOperatorTokens(line.settingsFile, options)) {
+        return exitFailed;
     }
     auto host = EntryHost::start(options);
     if (!host) {
