Add the console's pages, forms and drafts as pure functions

Operators had no form to change the configuration: they edited the document by hand. The module makes pages from the replayed state and turns form posts into a draft of edits that the page itself carries, since entry hosts keep nothing.

--- a/include/poplarstream/node/operators_duty.hpp
+++ b/include/poplarstream/node/operators_duty.hpp
@@ -27,10 +27,12 @@
     HttpEndpoint listen;
     std::vector<std::string> tokens;  // of operators; without one, operator calls are refused
     EntryHostId self;
+    maintenance::Policy wavePolicy;  // for the cost that the console shows before publishing
 };
 
 // The duty that serves operators and the balancer: /health and /ready without a token; status,
-// explain, metrics, documents and publishing with one.
+// explain, metrics, documents and publishing with one; the console at / and /console/ with the
+// session of an operator.
 class OperatorsDuty
 {
 public:
--- a/include/poplarstream/telemetry/request_histograms.hpp
+++ b/include/poplarstream/telemetry/request_histograms.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>  // for uint64_t
 #include <memory>  // for unique_ptr
 #include <string>  // for string
+#include <vector>  // for vector
 
 #include "poplarstream/base/id.hpp"  // for TenantId
 #include "poplarstream/base/time.hpp"  // for Milliseconds
@@ -14,6 +15,15 @@
 // How a request ended, as the caller saw it.
 enum class RequestOutcome { OnTime, Late, Refused, Failed, MayHaveRun };
 
+// The requests whose latency lies in one bin, whatever their outcome. The last bin of a histogram
+// has no upper edge: its `toSeconds` equals `fromSeconds`.
+struct LatencyBin
+{
+    double fromSeconds = 0;
+    double toSeconds = 0;
+    std::uint64_t count = 0;
+};
+
 // Latency and outcome histograms for each tenant and class.
 //
 // Memory is bounded: each tenant costs about 2.6 KB, and after `maxTenants` names all further
@@ -37,6 +47,9 @@
     std::uint64_t count(const TenantId &tenant, WorkClass workClass, RequestOutcome outcome) const;
     std::size_t tenantCount() const;
 
+    // All bins from 0 upwards; empty when the tenant has no request of the class.
+    std::vector<LatencyBin> latencies(const TenantId &tenant, WorkClass workClass) const;
+
     // Prometheus text exposition (format 0.0.4): one histogram
     // `poplarstream_request_duration_seconds` and one counter `poplarstream_requests_total`,
     // labelled by tenant, class and, for the counter, outcome. Empty series are left out.
--- a/src/poplarstream/node/entry_host.cpp
+++ b/src/poplarstream/node/entry_host.cpp
@@ -87,7 +87,8 @@
         , operators(operatorsThread,
                     {.listen = endpointOf(settings.operators),
                      .tokens = options.operatorTokens,
-                     .self = settings.id},
+                     .self = settings.id,
+                     .wavePolicy = options.wavePolicy},
                     operatorsPorts())
         , demand(controlThread, callers,
                  [this](DemandReport report) { sendToControl(std::move(report)); })
--- a/src/poplarstream/node/operators_duty.cpp
+++ b/src/poplarstream/node/operators_duty.cpp
@@ -8,10 +8,12 @@
 #include <nlohmann/json.hpp>  // for json
 
 #include "poplarstream/adapters/http_server.hpp"  // for HttpServer
-#include "poplarstream/config/edits.hpp"  // for difference
 #include "poplarstream/config/ini.hpp"  // for parseDocument, formatDocument
+#include "poplarstream/config/stages.hpp"  // for stagedEdits
 #include "poplarstream/config/validation.hpp"  // for readConfiguration
 #include "poplarstream/node/caller_request.hpp"  // for hasBearerToken, errorResponse
+#include "poplarstream/node/console_host.hpp"  // for ConsoleHost
+#include "poplarstream/node/staged_publication.hpp"  // for publishStages
 #include "poplarstream/node/status.hpp"  // for statusOf, explain
 
 namespace poplarstream {
@@ -108,6 +110,7 @@
         : thread(dutyThread)
         , settings(std::move(operatorsSettings))
         , ports(std::move(operatorsPorts))
+        , console(thread, settings, ports)
     {}
 
     void onRequest(HttpRequest request, HttpRespond respond)
@@ -117,6 +120,10 @@
             respond(jsonResponse(200, "{}"));
         } else if (path == "/ready") {
             answerReady(std::move(respond));
+        } else if (ConsoleHost::isConsolePath(path)) {
+            console.handle(request, std::move(respond));
+        } else if (request.method == "GET" && path == "/document" && console.hasSession(request)) {
+            answerGet(path, std::move(respond));
         } else if (!isOperator(request)) {
             respond(fault(401, "expected the bearer token of an operator"));
         } else if (request.method == "POST" && path == "/publish") {
@@ -178,6 +185,9 @@
                 HttpResponse response;
                 response.headers = {
                         {"Content-Type", "text/plain; charset=utf-8"},
+                        {"Content-Disposition", "attachment; filename=\"fleet.ini\""},
+                        {"X-Content-Type-Options", "nosniff"},
+                        {"Cache-Control", "no-store"},
                         {"Poplar-Config-Version", fmt::format("{}", view.fleet.version)}};
                 response.body = formatDocument(view.fleet.document);
                 return response;
@@ -260,28 +270,10 @@
         const auto document = std::make_shared<const ConfigDocument>(std::move(parsed.document));
         const bool isSent = ports.ask([self, respond, document, base = *base,
                                        author](const ControlView &view) {
-            if (view.fleet.version != base) {
-                self->respondLater(
-                        respond,
-                        publicationResponse(
-                                {.result = PublicationResult::Refused,
-                                 .version = view.fleet.version,
-                                 .reason = fmt::format(
-                                         "the document was written from version {}, but version "
-                                         "{} is in force",
-                                         base, view.fleet.version)}));
-                return;
-            }
-            ConfigChange change{base, author, difference(view.fleet.document, *document)};
-            if (change.edits.empty()) {
-                self->respondLater(respond,
-                                   publicationResponse({.result = PublicationResult::InForce,
-                                                        .version = base,
-                                                        .reason = "the document changes nothing"}));
-                return;
-            }
-            self->thread.post([self, respond, change = std::move(change)]() mutable {
-                self->send(std::move(change), respond);
+            // The stages are computed on this duty's thread; copies of a document share its rows.
+            self->thread.post([self, respond, document, base, author, inForce = view.fleet.document,
+                               version = view.fleet.version] {
+                self->publishDocument(inForce, version, *document, base, author, respond);
             });
         });
         if (!isSent) {
@@ -289,6 +281,43 @@
         }
     }
 
+    void publishDocument(const ConfigDocument &inForce, std::uint64_t version,
+                         const ConfigDocument &document, std::uint64_t base,
+                         const std::string &author, const HttpRespond &respond)
+    {
+        if (version != base) {
+            respond(publicationResponse(
+                    {.result = PublicationResult::Refused,
+                     .version = version,
+                     .reason = fmt::format("the document was written from version {}, but version "
+                                           "{} is in force",
+                                           base, version)}));
+            return;
+        }
+        auto stages = stagedEdits(inForce, document);
+        if (!stages) {
+            respond(publicationResponse({.result = PublicationResult::Refused,
+                                         .version = version,
+                                         .reason = stages.failure().message}));
+            return;
+        }
+        publishStages(ports.publish, {base, author, std::move(stages).value()},
+                      [self = shared_from_this(), respond](const StagedOutcome &outcome) {
+                          self->respondLater(respond, publicationResponse(stagedOutcome(outcome)));
+                      });
+    }
+
+    // A series that stopped in the middle says how far it came.
+    static PublicationOutcome stagedOutcome(const StagedOutcome &outcome)
+    {
+        PublicationOutcome last = outcome.last;
+        if (outcome.stages > 1 && last.result != PublicationResult::InForce) {
+            last.reason += fmt::format(" ({} of {} stages are in force)", outcome.stagesDone,
+                                       outcome.stages);
+        }
+        return last;
+    }
+
     void publishEdits(const HttpRequest &request, const std::string &author, HttpRespond respond)
     {
         const json body = json::parse(request.body, nullptr, false);
@@ -328,6 +357,7 @@
     DutyThread &thread;
     OperatorsSettings settings;
     OperatorsPorts ports;
+    ConsoleHost console;
     std::optional<HttpServer> server;
     bool isLeaving = false;
 };
@@ -353,6 +383,7 @@
         return server.failure();
     }
     state_->server.emplace(std::move(server).value());
+    state_->console.start();
     return state_->server->port();
 }
 
--- a/src/poplarstream/telemetry/request_histograms.cpp
+++ b/src/poplarstream/telemetry/request_histograms.cpp
@@ -168,6 +168,29 @@
     return content_->byTenant.size();
 }
 
+std::vector<LatencyBin> RequestHistograms::latencies(const TenantId &tenant,
+                                                     WorkClass workClass) const
+{
+    const auto found = content_->byTenant.find(tenant);
+    if (found == content_->byTenant.end()) {
+        return {};
+    }
+    const auto &axis = found->second.axis(2);
+    std::vector<LatencyBin> bins;
+    std::uint64_t total = 0;
+    for (int bin = -1; bin <= latencyBins; ++bin) {
+        LatencyBin entry;
+        entry.fromSeconds = bin < 0 ? 0 : axis.value(bin);
+        entry.toSeconds = bin < latencyBins ? axis.value(bin + 1) : entry.fromSeconds;
+        for (int outcome = 0; outcome < outcomeCount; ++outcome) {
+            entry.count += found->second.at(static_cast<int>(workClass), outcome, bin);
+        }
+        total += entry.count;
+        bins.push_back(entry);
+    }
+    return total > 0 ? bins : std::vector<LatencyBin>();
+}
+
 std::string RequestHistograms::prometheusText() const
 {
     std::string durations;
