--- a/src/poplarstream/console/console_fixture.hpp
+++ b/src/poplarstream/console/console_fixture.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <map>  // for map
+#include <stdexcept>  // for invalid_argument
 #include <string>  // for string
 #include <utility>  // for pair
 #include <vector>  // for vector
@@ -45,6 +45,13 @@
 cpus=4
 memory_mb=1024
 worker=127.0.0.1:7001
+[host h9]
+zone=a
+rack=r3
+pool=q
+cpus=4
+memory_mb=1024
+worker=127.0.0.1:7002
 [wave w]
 pools=p
 action=reboot
@@ -70,7 +77,9 @@
     for (const DraftEdit &entry : all.edits) {
         edits.push_back(entry.edit);
     }
-    applyChange(fleet, edits, "setup", 0);
+    if (const auto outcome = applyChange(fleet, edits, "setup", 0); !outcome.granted) {
+        throw std::invalid_argument(outcome.reason);
+    }
     return fleet;
 }
 
--- a/src/poplarstream/console/console_test.cpp
+++ b/src/poplarstream/console/console_test.cpp
@@ -123,7 +123,7 @@
     testing::applyChange(pages.fleet, {{"pool p", "max_away", "0"}}, hostile, 1);
     pages.notes = {{"w", hostile}, {"h1", hostile}};
     pages.alerts = {hostile};
-    Run run;
+    poplarstream::Run run;
     run.accepted.run = RunId("a-1");
     run.accepted.tenant = TenantId(hostile);
     run.accepted.service = ServiceId(hostile);
--- a/src/poplarstream/console/draft_page_test.cpp
+++ b/src/poplarstream/console/draft_page_test.cpp
@@ -214,7 +214,7 @@
                             i, i / 4, i / 250, i % 250 + 1);
     }
     const FleetState fleet = fleetOf(text);
-    ASSERT_EQ(fleet.hosts.size(), 4'502U);
+    ASSERT_EQ(fleet.hosts.size(), 4'503U);
     const std::string page = firstPage(fleet).text;
     const std::string last = press(fleet, page, "list host 9999").text;
     EXPECT_LT(last.size(), 60'000U);
