--- a/include/poplarstream/node/console_host.hpp
+++ b/include/poplarstream/node/console_host.hpp
@@ -29,7 +29,7 @@
     // Whether the request has the cookie of a valid session.
     bool hasSession(const HttpRequest &request) const;
 
-    void handle(const HttpRequest &request, HttpRespond respond);
+    void handle(const HttpRequest &request, const HttpRespond &respond);
 
 private:
     struct State;
--- a/src/poplarstream/console/draft_page.cpp
+++ b/src/poplarstream/console/draft_page.cpp
@@ -114,7 +114,7 @@
                 continue;
             }
             if (section.ends_with(' ')) {
-                section = section == "fleet " ? "fleet" : section + name;
+                section = section == "fleet " ? "fleet" : section.append(name);
             }
             sections.insert(section);
             const auto present = draftValue(draft, fleet.document, section, key);
--- a/src/poplarstream/console/run_pages.cpp
+++ b/src/poplarstream/console/run_pages.cpp
@@ -45,6 +45,7 @@
         ++counts[std::string(stageText(run.stage))];
     }
     std::vector<std::vector<std::string>> rows;
+    rows.reserve(counts.size());
     for (const auto &[stage, count] : counts) {
         rows.push_back({escapeHtml(stage), fmt::format("{}", count)});
     }
@@ -183,6 +184,7 @@
         return std::nullopt;
     }
     std::vector<std::vector<std::string>> rows;
+    rows.reserve(outcomes.size());
     for (const auto &[outcome, text] : outcomes) {
         rows.push_back(
                 {std::string(text),
--- a/src/poplarstream/node/console_host.cpp
+++ b/src/poplarstream/node/console_host.cpp
@@ -158,7 +158,7 @@
                 .nonce = randomText()};
     }
 
-    void handle(const HttpRequest &request, HttpRespond respond)
+    void handle(const HttpRequest &request, const HttpRespond &respond)
     {
         const std::string path(targetPath(request.target));
         const bool isPost = request.method == "POST";
@@ -175,9 +175,9 @@
         }
         const console::PageContext context = contextFor(*formToken);
         if (isPost) {
-            handlePost(request, path, context, std::move(respond));
+            handlePost(request, path, context, respond);
         } else if (request.method == "GET") {
-            handleGet(request, path, context, std::move(respond));
+            handleGet(request, path, context, respond);
         } else {
             respond(pageResponse(
                     context, console::messagePage(context, "Unknown method", request.method), 405));
@@ -224,7 +224,7 @@
     }
 
     void handlePost(const HttpRequest &request, const std::string &path,
-                    const console::PageContext &context, HttpRespond respond)
+                    const console::PageContext &context, const HttpRespond &respond)
     {
         const console::Form form = formOf(request);
         if (!console::isSameSecret(form.value("form_token"), context.formToken)) {
@@ -236,29 +236,28 @@
         } else if (path == "/console/logout") {
             respond(redirect(context.nonce, "/", setCookie(sessionCookie, "", Milliseconds{0})));
         } else if (path == "/console/draft") {
-            stepDraft(form, context, std::move(respond));
+            stepDraft(form, context, respond);
         } else {
             respond(notFound(context));
         }
     }
 
     void handleGet(const HttpRequest &request, const std::string &path,
-                   const console::PageContext &context, HttpRespond respond)
+                   const console::PageContext &context, const HttpRespond &respond)
     {
         const std::size_t mark = request.target.find('?');
         const console::Form query = console::formFromQuery(
                 mark == std::string::npos ? std::string() : request.target.substr(mark + 1));
         if (path == "/console/draft") {
-            stepDraft({}, context, std::move(respond));
+            stepDraft({}, context, respond);
         } else if (path == explainPath) {
-            showExplain(query.value("id"), context, std::move(respond));
+            showExplain(query.value("id"), context, respond);
         } else if (path.starts_with(std::string(explainPath) + "/")) {
-            showExplain(console::decodeUrl(path.substr(explainPath.size() + 1)), context,
-                        std::move(respond));
+            showExplain(console::decodeUrl(path.substr(explainPath.size() + 1)), context, respond);
         } else {
             constexpr std::string_view prefix = "/console/";
             showState(path.starts_with(prefix) ? path.substr(prefix.size()) : std::string(), query,
-                      context, std::move(respond));
+                      context, respond);
         }
     }
 
@@ -299,7 +298,7 @@
     }
 
     void showState(const std::string &path, const console::Form &query,
-                   const console::PageContext &context, HttpRespond respond)
+                   const console::PageContext &context, const HttpRespond &respond)
     {
         const auto self = shared_from_this();
         ports.report("", [=](CallersReport report) {
@@ -336,7 +335,7 @@
     }
 
     void showExplain(const std::string &id, const console::PageContext &pageContext,
-                     HttpRespond respond)
+                     const HttpRespond &respond)
     {
         const auto self = shared_from_this();
         ports.report(id, [=](const CallersReport &report) {
@@ -358,7 +357,7 @@
 
     // Passes a copy of the fleet's state to `use` on this thread.
     void withFleet(const console::PageContext &context, const HttpRespond &respond,
-                   std::function<void(const FleetCopy &, const console::PageContext &)> use)
+                   const std::function<void(const FleetCopy &, const console::PageContext &)> &use)
     {
         const auto self = shared_from_this();
         ask(context, respond, [=](const ControlView &view) {
@@ -371,7 +370,7 @@
     }
 
     void stepDraft(const console::Form &form, const console::PageContext &pageContext,
-                   HttpRespond respond)
+                   const HttpRespond &respond)
     {
         const auto self = shared_from_this();
         withFleet(pageContext, respond,
@@ -469,9 +468,9 @@
     return state_->formTokenFor(request).has_value();
 }
 
-void ConsoleHost::handle(const HttpRequest &request, HttpRespond respond)
+void ConsoleHost::handle(const HttpRequest &request, const HttpRespond &respond)
 {
-    state_->handle(request, std::move(respond));
+    state_->handle(request, respond);
 }
 
 }  // namespace poplarstream
--- a/src/poplarstream/node/operators_duty.cpp
+++ b/src/poplarstream/node/operators_duty.cpp
@@ -113,28 +113,32 @@
         , console(thread, settings, ports)
     {}
 
-    void onRequest(HttpRequest request, HttpRespond respond)
+    void onRequest(const HttpRequest &request, const HttpRespond &respond)
     {
         const std::string path(targetPath(request.target));
         if (path == "/health") {
             respond(jsonResponse(200, "{}"));
         } else if (path == "/ready") {
-            answerReady(std::move(respond));
+            answerReady(respond);
         } else if (ConsoleHost::isConsolePath(path)) {
-            console.handle(request, std::move(respond));
-        } else if (request.method == "GET" && path == "/document" && console.hasSession(request)) {
-            answerGet(path, std::move(respond));
-        } else if (!isOperator(request)) {
+            console.handle(request, respond);
+        } else if (!isOperator(request) && !isDownload(request, path)) {
             respond(fault(401, "expected the bearer token of an operator"));
         } else if (request.method == "POST" && path == "/publish") {
-            publish(request, std::move(respond));
+            publish(request, respond);
         } else if (request.method != "GET") {
             respond(fault(405, "unknown method for this path"));
         } else {
-            answerGet(path, std::move(respond));
+            answerGet(path, respond);
         }
     }
 
+    // The console links to the document, so the session of an operator is enough to read it.
+    bool isDownload(const HttpRequest &request, std::string_view path) const
+    {
+        return request.method == "GET" && path == "/document" && console.hasSession(request);
+    }
+
     bool isOperator(const HttpRequest &request) const
     {
         return std::any_of(
@@ -143,8 +147,8 @@
     }
 
     // Asks the control duty and answers on this thread.
-    void answerFromControl(HttpRespond respond,
-                           std::function<HttpResponse(const ControlView &)> answer)
+    void answerFromControl(const HttpRespond &respond,
+                           const std::function<HttpResponse(const ControlView &)> &answer)
     {
         const auto self = shared_from_this();
         const bool isSent = ports.ask([self, respond, answer](const ControlView &view) {
@@ -162,13 +166,13 @@
         });
     }
 
-    void answerReady(HttpRespond respond)
+    void answerReady(const HttpRespond &respond)
     {
         if (isLeaving) {
             respond(fault(503, "leaving"));
             return;
         }
-        answerFromControl(std::move(respond), [](const ControlView &view) {
+        answerFromControl(respond, [](const ControlView &view) {
             if (view.isReady) {
                 return jsonResponse(200, dump({{"version", view.fleet.version}}));
             }
@@ -176,12 +180,12 @@
         });
     }
 
-    void answerGet(const std::string &path, HttpRespond respond)
+    void answerGet(const std::string &path, const HttpRespond &respond)
     {
         constexpr std::string_view statusPrefix = "/status";
         constexpr std::string_view explainPrefix = "/explain/";
         if (path == "/document") {
-            answerFromControl(std::move(respond), [](const ControlView &view) {
+            answerFromControl(respond, [](const ControlView &view) {
                 HttpResponse response;
                 response.headers = {
                         {"Content-Type", "text/plain; charset=utf-8"},
@@ -193,13 +197,13 @@
                 return response;
             });
         } else if (path == "/metrics") {
-            answerMetrics(std::move(respond));
+            answerMetrics(respond);
         } else if (path.starts_with(explainPrefix)) {
-            answerExplain(path.substr(explainPrefix.size()), std::move(respond));
+            answerExplain(path.substr(explainPrefix.size()), respond);
         } else if (path.starts_with(statusPrefix)) {
             std::string topic = path.substr(statusPrefix.size());
             topic.erase(0, topic.starts_with('/') ? 1 : 0);
-            answerFromControl(std::move(respond), [topic](const ControlView &view) {
+            answerFromControl(respond, [topic](const ControlView &view) {
                 const auto status = statusOf(view, topic);
                 return status ? jsonResponse(200, dump(*status)) : fault(404, "unknown topic");
             });
@@ -208,7 +212,7 @@
         }
     }
 
-    void answerMetrics(HttpRespond respond)
+    void answerMetrics(const HttpRespond &respond)
     {
         const auto self = shared_from_this();
         ports.report("", [self, respond](CallersReport report) {
@@ -224,7 +228,7 @@
         });
     }
 
-    void answerExplain(const std::string &id, HttpRespond respond)
+    void answerExplain(const std::string &id, const HttpRespond &respond)
     {
         const auto self = shared_from_this();
         ports.report(id, [self, respond, id](CallersReport report) {
@@ -243,13 +247,13 @@
 
     // Takes an INI document (text/plain) with the version it was written from, or a JSON object
     // with `base_version` and `edits`.
-    void publish(const HttpRequest &request, HttpRespond respond)
+    void publish(const HttpRequest &request, const HttpRespond &respond)
     {
         const auto contentType = headerValue(request.headers, "Content-Type");
         const std::string author(
                 headerValue(request.headers, "Poplar-Author").value_or("operator"));
         if (contentType && contentType->starts_with("application/json")) {
-            publishEdits(request, author, std::move(respond));
+            publishEdits(request, author, respond);
             return;
         }
         const auto base =
@@ -318,7 +322,8 @@
         return last;
     }
 
-    void publishEdits(const HttpRequest &request, const std::string &author, HttpRespond respond)
+    void publishEdits(const HttpRequest &request, const std::string &author,
+                      const HttpRespond &respond)
     {
         const json body = json::parse(request.body, nullptr, false);
         try {
@@ -375,8 +380,8 @@
     limits.bodyBytes = 8 * 1024 * 1024;
     auto server = HttpServer::listen(
             state_->thread.context(), state_->settings.listen,
-            [state = state_.get()](HttpRequest request, HttpRespond respond) {
-                state->onRequest(std::move(request), std::move(respond));
+            [state = state_.get()](const HttpRequest &request, const HttpRespond &respond) {
+                state->onRequest(request, respond);
             },
             limits);
     if (!server) {
