--- a/src/poplarstream/node/operators_duty.cpp
+++ b/src/poplarstream/node/operators_duty.cpp
@@ -8,10 +8,12 @@
 #include <nlohmann/json.hpp>  // for json
 
 #include "poplarstream/adapters/http_server.hpp"  // for HttpServer
-#include "poplarstream/config/edits.hpp"  // for difference
 #include "poplarstream/config/ini.hpp"  // for parseDocument, formatDocument
+#include "poplarstream/config/stages.hpp"  // for stagedEdits
 #include "poplarstream/config/validation.hpp"  // for readConfiguration
 #include "poplarstream/node/caller_request.hpp"  // for hasBearerToken, errorResponse
+#include "poplarstream/node/console_host.hpp"  // for ConsoleHost
+#include "poplarstream/node/staged_publication.hpp"  // for publishStages
 #include "poplarstream/node/status.hpp"  // for statusOf, explain
 
 namespace poplarstream {
@@ -108,26 +110,35 @@
         : thread(dutyThread)
         , settings(std::move(operatorsSettings))
         , ports(std::move(operatorsPorts))
+        , console(thread, settings, ports)
     {}
 
-    void onRequest(HttpRequest request, HttpRespond respond)
+    void onRequest(const HttpRequest &request, const HttpRespond &respond)
     {
         const std::string path(targetPath(request.target));
         if (path == "/health") {
             respond(jsonResponse(200, "{}"));
         } else if (path == "/ready") {
-            answerReady(std::move(respond));
-        } else if (!isOperator(request)) {
+            answerReady(respond);
+        } else if (ConsoleHost::isConsolePath(path)) {
+            console.handle(request, respond);
+        } else if (!isOperator(request) && !isDownload(request, path)) {
             respond(fault(401, "expected the bearer token of an operator"));
         } else if (request.method == "POST" && path == "/publish") {
-            publish(request, std::move(respond));
+            publish(request, respond);
         } else if (request.method != "GET") {
             respond(fault(405, "unknown method for this path"));
         } else {
-            answerGet(path, std::move(respond));
+            answerGet(path, respond);
         }
     }
 
+    // The console links to the document, so the session of an operator is enough to read it.
+    bool isDownload(const HttpRequest &request, std::string_view path) const
+    {
+        return request.method == "GET" && path == "/document" && console.hasSession(request);
+    }
+
     bool isOperator(const HttpRequest &request) const
     {
         return std::any_of(
@@ -136,8 +147,8 @@
     }
 
     // Asks the control duty and answers on this thread.
-    void answerFromControl(HttpRespond respond,
-                           std::function<HttpResponse(const ControlView &)> answer)
+    void answerFromControl(const HttpRespond &respond,
+                           const std::function<HttpResponse(const ControlView &)> &answer)
     {
         const auto self = shared_from_this();
         const bool isSent = ports.ask([self, respond, answer](const ControlView &view) {
@@ -155,13 +166,13 @@
         });
     }
 
-    void answerReady(HttpRespond respond)
+    void answerReady(const HttpRespond &respond)
     {
         if (isLeaving) {
             respond(fault(503, "leaving"));
             return;
         }
-        answerFromControl(std::move(respond), [](const ControlView &view) {
+        answerFromControl(respond, [](const ControlView &view) {
             if (view.isReady) {
                 return jsonResponse(200, dump({{"version", view.fleet.version}}));
             }
@@ -169,27 +180,30 @@
         });
     }
 
-    void answerGet(const std::string &path, HttpRespond respond)
+    void answerGet(const std::string &path, const HttpRespond &respond)
     {
         constexpr std::string_view statusPrefix = "/status";
         constexpr std::string_view explainPrefix = "/explain/";
         if (path == "/document") {
-            answerFromControl(std::move(respond), [](const ControlView &view) {
+            answerFromControl(respond, [](const ControlView &view) {
                 HttpResponse response;
                 response.headers = {
                         {"Content-Type", "text/plain; charset=utf-8"},
+                        {"Content-Disposition", "attachment; filename=\"fleet.ini\""},
+                        {"X-Content-Type-Options", "nosniff"},
+                        {"Cache-Control", "no-store"},
                         {"Poplar-Config-Version", fmt::format("{}", view.fleet.version)}};
                 response.body = formatDocument(view.fleet.document);
                 return response;
             });
         } else if (path == "/metrics") {
-            answerMetrics(std::move(respond));
+            answerMetrics(respond);
         } else if (path.starts_with(explainPrefix)) {
-            answerExplain(path.substr(explainPrefix.size()), std::move(respond));
+            answerExplain(path.substr(explainPrefix.size()), respond);
         } else if (path.starts_with(statusPrefix)) {
             std::string topic = path.substr(statusPrefix.size());
             topic.erase(0, topic.starts_with('/') ? 1 : 0);
-            answerFromControl(std::move(respond), [topic](const ControlView &view) {
+            answerFromControl(respond, [topic](const ControlView &view) {
                 const auto status = statusOf(view, topic);
                 return status ? jsonResponse(200, dump(*status)) : fault(404, "unknown topic");
             });
@@ -198,7 +212,7 @@
         }
     }
 
-    void answerMetrics(HttpRespond respond)
+    void answerMetrics(const HttpRespond &respond)
     {
         const auto self = shared_from_this();
         ports.report("", [self, respond](CallersReport report) {
@@ -214,7 +228,7 @@
         });
     }
 
-    void answerExplain(const std::string &id, HttpRespond respond)
+    void answerExplain(const std::string &id, const HttpRespond &respond)
     {
         const auto self = shared_from_this();
         ports.report(id, [self, respond, id](CallersReport report) {
@@ -233,13 +247,13 @@
 
     // Takes an INI document (text/plain) with the version it was written from, or a JSON object
     // with `base_version` and `edits`.
-    void publish(const HttpRequest &request, HttpRespond respond)
+    void publish(const HttpRequest &request, const HttpRespond &respond)
     {
         const auto contentType = headerValue(request.headers, "Content-Type");
         const std::string author(
                 headerValue(request.headers, "Poplar-Author").value_or("operator"));
         if (contentType && contentType->starts_with("application/json")) {
-            publishEdits(request, author, std::move(respond));
+            publishEdits(request, author, respond);
             return;
         }
         const auto base =
@@ -260,28 +274,10 @@
         const auto document = std::make_shared<const ConfigDocument>(std::move(parsed.document));
         const bool isSent = ports.ask([self, respond, document, base = *base,
                                        author](const ControlView &view) {
-            if (view.fleet.version != base) {
-                self->respondLater(
-                        respond,
-                        publicationResponse(
-                                {.result = PublicationResult::Refused,
-                                 .version = view.fleet.version,
-                                 .reason = fmt::format(
-                                         "the document was written from version {}, but version "
-                                         "{} is in force",
-                                         base, view.fleet.version)}));
-                return;
-            }
-            ConfigChange change{base, author, difference(view.fleet.document, *document)};
-            if (change.edits.empty()) {
-                self->respondLater(respond,
-                                   publicationResponse({.result = PublicationResult::InForce,
-                                                        .version = base,
-                                                        .reason = "the document changes nothing"}));
-                return;
-            }
-            self->thread.post([self, respond, change = std::move(change)]() mutable {
-                self->send(std::move(change), respond);
+            // The stages are computed on this duty's thread; copies of a document share its rows.
+            self->thread.post([self, respond, document, base, author, inForce = view.fleet.document,
+                               version = view.fleet.version] {
+                self->publishDocument(inForce, version, *document, base, author, respond);
             });
         });
         if (!isSent) {
@@ -289,7 +285,45 @@
         }
     }
 
-    void publishEdits(const HttpRequest &request, const std::string &author, HttpRespond respond)
+    void publishDocument(const ConfigDocument &inForce, std::uint64_t version,
+                         const ConfigDocument &document, std::uint64_t base,
+                         const std::string &author, const HttpRespond &respond)
+    {
+        if (version != base) {
+            respond(publicationResponse(
+                    {.result = PublicationResult::Refused,
+                     .version = version,
+                     .reason = fmt::format("the document was written from version {}, but version "
+                                           "{} is in force",
+                                           base, version)}));
+            return;
+        }
+        auto stages = stagedEdits(inForce, document);
+        if (!stages) {
+            respond(publicationResponse({.result = PublicationResult::Refused,
+                                         .version = version,
+                                         .reason = stages.failure().message}));
+            return;
+        }
+        publishStages(ports.publish, {base, author, std::move(stages).value()},
+                      [self = shared_from_this(), respond](const StagedOutcome &outcome) {
+                          self->respondLater(respond, publicationResponse(stagedOutcome(outcome)));
+                      });
+    }
+
+    // A series that stopped in the middle says how far it came.
+    static PublicationOutcome stagedOutcome(const StagedOutcome &outcome)
+    {
+        PublicationOutcome last = outcome.last;
+        if (outcome.stages > 1 && last.result != PublicationResult::InForce) {
+            last.reason += fmt::format(" ({} of {} stages are in force)", outcome.stagesDone,
+                                       outcome.stages);
+        }
+        return last;
+    }
+
+    void publishEdits(const HttpRequest &request, const std::string &author,
+                      const HttpRespond &respond)
     {
         const json body = json::parse(request.body, nullptr, false);
         try {
@@ -328,6 +362,7 @@
     DutyThread &thread;
     OperatorsSettings settings;
     OperatorsPorts ports;
+    ConsoleHost console;
     std::optional<HttpServer> server;
     bool isLeaving = false;
 };
@@ -345,14 +380,15 @@
     limits.bodyBytes = 8 * 1024 * 1024;
     auto server = HttpServer::listen(
             state_->thread.context(), state_->settings.listen,
-            [state = state_.get()](HttpRequest request, HttpRespond respond) {
-                state->onRequest(std::move(request), std::move(respond));
+            [state = state_.get()](const HttpRequest &request, const HttpRespond &respond) {
+                state->onRequest(request, respond);
             },
             limits);
     if (!server) {
         return server.failure();
     }
     state_->server.emplace(std::move(server).value());
+    state_->console.start();
     return state_->server->port();
 }
 
