Write the nonce, new work and cut requests of minions into the history

The executions of minions had no nonce, so a request that was refused as not run but had run could not be found, and a request that a reboot cut left no trace.

--- a/standins/callers/callers.cpp
+++ b/standins/callers/callers.cpp
@@ -22,8 +22,9 @@
 constexpr std::size_t pollsAtOnce = 64;
 
 // States of a run that has not ended.
-constexpr std::array<std::string_view, 7> openStates{
-        "accepted", "waiting", "claimed", "started", "running", "handed-over", "unknown"};
+constexpr std::array<std::string_view, 9> openStates{"accepted",    "waiting", "claimed",
+                                                     "started",     "running", "handed-over",
+                                                     "handed over", "unknown", "being cancelled"};
 
 json parse(const std::string &text)
 {
@@ -130,6 +131,12 @@
         entries_.markRefused(attempt->entry);
     }
     if (shouldTryAgain(*attempt, outcome)) {
+        if (outcome.delivery != HttpDelivery::NotSent) {
+            history_.write({{"kind", "attempt-lost"},
+                            {"number", attempt->order.number},
+                            {"entry", endpointText(attempt->entry)},
+                            {"time_ms", systemMilliseconds()}});
+        }
         send(attempt);
         return;
     }
--- a/standins/fleet/minion.cpp
+++ b/standins/fleet/minion.cpp
@@ -32,6 +32,13 @@
 
 void Minion::close()
 {
+    for (const auto &[request, nonce] : started_) {
+        noteCut(request, nonce, true);
+    }
+    for (const Job &job : waiting_) {
+        noteCut(job.request, job.work.nonce, false);
+    }
+    started_.clear();
     server_.reset();
     ++generation_;
     busy_ = 0;
@@ -41,6 +48,23 @@
     silentRemotes_.clear();
 }
 
+nlohmann::json Minion::historyOf(const std::string &kind, const std::string &request,
+                                 const std::string &nonce) const
+{
+    return {{"kind", kind},
+            {"request", request},
+            {"nonce", nonce},
+            {"minion", options_.name},
+            {"time_ms", systemMilliseconds()}};
+}
+
+void Minion::noteCut(const std::string &request, const std::string &nonce, bool isStarted)
+{
+    nlohmann::json line = historyOf("cut", request, nonce);
+    line["started"] = isStarted;
+    context_.history.write(line);
+}
+
 void Minion::setLeaving(bool isLeaving)
 {
     leavingSinceMs_ = isLeaving ? systemMilliseconds() : 0;
@@ -94,12 +118,17 @@
         respond(answer(400, R"({"error":"expected POST /work with Poplar-Request-Id"})", id));
         return;
     }
+    const std::string service = headerText(request, "Poplar-Service");
+    const Work work = readWork(context_, request.body, service);
+    context_.history.write(historyOf("work", id, work.nonce));
     if (fault_ == Fault::FailsAll) {
         context_.history.write({{"kind", "execution"},
                                 {"request", id},
-                                {"service", headerText(request, "Poplar-Service")},
+                                {"nonce", work.nonce},
+                                {"service", service},
                                 {"minion", options_.name},
                                 {"start_ms", systemMilliseconds()},
+                                {"end_ms", systemMilliseconds()},
                                 {"outcome", "failed"}});
         respond(answer(500, R"({"error":"failed"})", id));
         return;
@@ -110,8 +139,7 @@
         respond(std::move(refusal));
         return;
     }
-    waiting_.push_back(
-            {id, headerText(request, "Poplar-Service"), request.body, std::move(respond)});
+    waiting_.push_back({id, service, work, std::move(respond)});
     startNext();
 }
 
@@ -121,7 +149,8 @@
         Job job = std::move(waiting_.front());
         waiting_.pop_front();
         ++busy_;
-        const Work work = readWork(context_, job.payload, job.service);
+        started_[job.request] = job.work.nonce;
+        const Work work = job.work;
         const auto duration =
                 Milliseconds{static_cast<std::int64_t>(work.milliseconds * factor_ + 0.5)};
         after(io_, duration,
@@ -137,9 +166,11 @@
 void Minion::finish(const Job &job, const Work &work, std::int64_t startedMs)
 {
     --busy_;
+    started_.erase(job.request);
     const std::int64_t nowMs = systemMilliseconds();
     context_.history.write({{"kind", "execution"},
                             {"request", job.request},
+                            {"nonce", job.work.nonce},
                             {"service", job.service},
                             {"minion", options_.name},
                             {"start_ms", startedMs},
--- a/standins/fleet/minion.hpp
+++ b/standins/fleet/minion.hpp
@@ -2,11 +2,14 @@
 
 #include <cstdint>  // for int64_t
 #include <deque>  // for deque
+#include <map>  // for map
 #include <optional>  // for optional
 #include <set>  // for set
 #include <string>  // for string
 #include <vector>  // for vector
 
+#include <nlohmann/json_fwd.hpp>  // for json
+
 #include "fleet/work.hpp"  // for Fault, FleetContext
 #include "poplarstream/adapters/http_server.hpp"  // for HttpServer, HttpRequest, HttpRespond
 
@@ -42,13 +45,16 @@
     {
         std::string request;
         std::string service;
-        std::string payload;
+        Work work;
         HttpRespond respond;
     };
 
     void handle(const HttpRequest &request, HttpRespond respond);
     bool isSilentFor(const std::string &remote) const;
     void startNext();
+    nlohmann::json historyOf(const std::string &kind, const std::string &request,
+                             const std::string &nonce) const;
+    void noteCut(const std::string &request, const std::string &nonce, bool isStarted);
     void finish(const Job &job, const Work &work, std::int64_t startedMs);
     HttpResponse answer(unsigned status, const std::string &body, const std::string &request) const;
 
@@ -57,6 +63,7 @@
     MinionOptions options_;
     std::optional<HttpServer> server_;
     std::deque<Job> waiting_;
+    std::map<std::string, std::string> started_;  // nonces of the work in progress, by request
     std::vector<HttpRespond> unanswered_;  // kept, so that their connections stay silent
     std::set<std::string> remotes_;  // seen since the listener was opened
     std::set<std::string> silentRemotes_;
--- a/standins/fleet/task_book.cpp
+++ b/standins/fleet/task_book.cpp
@@ -25,6 +25,7 @@
             {"token", {{"offset", task.token.offset}, {"index", task.token.index}}},
             {"service", task.service},
             {"host", host},
+            {"continued", task.isContinued},
             {"start_ms", task.startedWallMs}};
 }
 
--- a/standins/fleet/task_book.hpp
+++ b/standins/fleet/task_book.hpp
@@ -29,6 +29,7 @@
     TaskState state = TaskState::Running;
     std::string result;
     std::string checkpoint;
+    bool isContinued = false;  // from a checkpoint of an earlier execution
     std::uint64_t change = 0;  // number of the change that ended it, or told of it again
 
     bool isActive() const { return state == TaskState::Running; }
--- a/standins/fleet/worker.cpp
+++ b/standins/fleet/worker.cpp
@@ -58,6 +58,7 @@
     task.remainingMs = task.work.milliseconds;
     if (const std::string checkpoint = body.value("checkpoint", ""); !checkpoint.empty()) {
         task.remainingMs = json::parse(checkpoint).at("remaining_ms").get<double>();
+        task.isContinued = true;
     }
     task.declared = {body.value("cpus", 0.0), body.value("memory_mb", std::uint64_t{0}),
                      body.value("accelerators", 0U)};
