Decide the guarantees of a demo with the history checker

history-check reads the JSON lines of the callers, the fleet and the platform, the samples of the status pages and the injected faults, and prints one line for each guarantee.

--- /dev/null
+++ b/standins/history/caller_lines.cpp
@@ -0,0 +1,103 @@
+#include "history/caller_lines.hpp"
+
+#include <map>  // for map
+
+#include "history/lines.hpp"  // for readLines, idempotentServices, at
+#include "poplarstream/base/rendezvous.hpp"  // for stableHash
+
+namespace poplarstream::standins {
+
+namespace {
+
+using nlohmann::json;
+using namespace history;
+
+TimePoint endOf(const json &line)
+{
+    return at(line, "sent_ms") + Milliseconds{line.at("elapsed_ms").get<std::int64_t>()};
+}
+
+void addUrgent(Events &events, const json &line)
+{
+    const std::string nonce = line.at("nonce");
+    const RequestId request(nonce);
+    events.push_back({at(line, "sent_ms"), RequestSent{request, stableHash(nonce)}});
+    const std::string verdict = line.at("verdict");
+    if (line.at("answered").get<bool>() && line.at("status") == 200) {
+        const std::string got = line.at("answer_nonce");
+        events.push_back({endOf(line), AnswerReceived{request, stableHash(got), !got.empty()}});
+    }
+    if (verdict == "not-run") {
+        events.push_back({endOf(line), RunEndAnswer{RunId(nonce), Verdict::NotRun, false}});
+    } else if (verdict == "ran") {
+        events.push_back({endOf(line), RunEndAnswer{RunId(nonce), Verdict::Ran, false}});
+    }
+}
+
+// Only a finished or failed run was promised to have run; a cancelled or set-aside one may have
+// begun before.
+void addRunEnd(Events &events, const json &line)
+{
+    const std::string state = line.at("state");
+    if (state == "open") {
+        return;
+    }
+    const bool hasRun = state == "finished" || state == "failed";
+    events.push_back(
+            {at(line, "ended_ms"),
+             RunEndAnswer{RunId(line.at("run").get<std::string>()),
+                          hasRun ? Verdict::Ran : Verdict::MayHaveRun, state == "cancelled"}});
+}
+
+}  // namespace
+
+Events callerEvents(const std::filesystem::path &folder)
+{
+    Events events;
+    const auto idempotent = idempotentServices(folder);
+    for (const json &line : readLines(folder / "callers.jsonl")) {
+        const std::string kind = line.at("kind");
+        if (kind == "run") {
+            addRunEnd(events, line);
+        } else if (kind == "request" && line.at("class") == "urgent") {
+            addUrgent(events, line);
+        } else if (kind == "request" && line.at("status") == 202) {
+            events.push_back(
+                    {endOf(line), RunAcceptedAnswer{RunId(line.at("run").get<std::string>()),
+                                                    idempotent.contains(line.at("service"))}});
+        }
+    }
+    return events;
+}
+
+Events stoppedEntryEvents(const std::filesystem::path &folder)
+{
+    Events events;
+    std::map<std::string, TimePoint> stops;
+    for (const json &line : readLines(folder / "faults.jsonl")) {
+        if (line.at("kind") == "planned-stop") {
+            const std::string entry = line.at("entry");
+            events.push_back({at(line, "time_ms"), PlannedStop{entry}});
+            stops.try_emplace(entry, at(line, "time_ms"));
+        }
+    }
+    for (const json &line : readLines(folder / "callers.jsonl")) {
+        const std::string kind = line.at("kind");
+        const bool isLost = kind == "attempt-lost"
+                            || (kind == "request" && !line.at("answered").get<bool>()
+                                && line.at("verdict") == "may-have-run");
+        const auto stop = isLost ? stops.find(line.at("entry").get<std::string>()) : stops.end();
+        const TimePoint end = kind == "attempt-lost" ? at(line, "time_ms")
+                              : isLost               ? endOf(line)
+                                                     : TimePoint{};
+        if (stop != stops.end() && end >= stop->second) {
+            events.push_back(
+                    {end,
+                     RequestCut{RequestId(std::to_string(line.at("number").get<std::uint64_t>())),
+                                stop->first}});
+        }
+    }
+    return events;
+}
+
+}  // namespace poplarstream::standins
