--- a/standins/fleet/minion.cpp
+++ b/standins/fleet/minion.cpp
@@ -1,5 +1,7 @@
 #include "fleet/minion.hpp"
 
+#include <cmath>  // for llround
+
 #include <fmt/format.h>  // for format
 #include <nlohmann/json.hpp>  // for json
 
@@ -151,8 +153,7 @@
         ++busy_;
         started_[job.request] = job.work.nonce;
         const Work work = job.work;
-        const auto duration =
-                Milliseconds{static_cast<std::int64_t>(work.milliseconds * factor_ + 0.5)};
+        const auto duration = Milliseconds{std::llround(work.milliseconds * factor_)};
         after(io_, duration,
               [this, job = std::move(job), work, generation = generation_,
                startedMs = systemMilliseconds()] {
