--- a/standins/history/log_lines.cpp
+++ b/standins/history/log_lines.cpp
@@ -40,14 +40,19 @@
 void replayControl(const std::filesystem::path &folder, Visit visit)
 {
     FleetState state;
-    for (const StreamLine &line : readStreams(folder)["control"]) {
+    const auto streams = readStreams(folder);
+    const auto control = streams.find("control");
+    if (control == streams.end()) {
+        return;
+    }
+    for (const StreamLine &line : control->second) {
         const auto record = decodeControlRecord(line.data);
         if (!record) {
             continue;
         }
         const FleetState before = state;
-        if (apply(state, {line.offset, line.time, *record}).granted) {
-            visit(before, line, *record, state);
+        if (apply(state, {line.offset, line.time, record.value()}).granted) {
+            visit(before, line, record.value(), state);
         }
     }
 }
@@ -129,7 +134,7 @@
         RunsState state;
         for (const StreamLine &line : lines) {
             if (const auto record = decodeRunRecord(line.data)) {
-                apply(state, {line.offset, line.time, *record});
+                apply(state, {line.offset, line.time, record.value()});
             }
         }
         for (const auto &[ordinal, run] : state.runs) {
