Leave every throttled task a share of its worker

Cause: relieveProcessors() kept a quarter of a task's measured processors. The first report after a start can say 0, so the task was throttled to 0.

Change: a throttled task keeps a quarter of an equal share of its worker, and a task that uses no more than that is not throttled.

--- a/src/poplarstream/runs/decide_test.cpp
+++ b/src/poplarstream/runs/decide_test.cpp
@@ -275,6 +275,34 @@
               1U);
 }
 
+// Guards against a throttle that leaves a task nothing: a report right after a start says 0.
+TEST(Decide, ThrottledTaskKeepsAShare)
+{
+    Scene scene;
+    scene.fleet.workers.pop_back();
+    const Claim old = *scene.startRun("a-1", true).claim;
+    scene.pass(Milliseconds{1'000});
+    const Claim young = *scene.startRun("a-2", true).claim;
+    WorkerView &worker = scene.fleet.workers.front();
+    for (const double measured : {0.0, 0.1, 2.0}) {
+        SCOPED_TRACE("given a young task that uses processors: " + std::to_string(measured));
+        worker.usage = UsageReport{
+                scene.now,
+                {8, 200, 0},
+                {{old.token, {8 - measured, 100, 0}}, {young.token, {measured, 100, 0}}}};
+        std::size_t throttled = 0;
+        for (const WorkerCommand &command : scene.decide().commands) {
+            if (const auto *throttle = std::get_if<ThrottleTask>(&command)) {
+                ++throttled;
+                EXPECT_FALSE(throttle->isLifted);
+                EXPECT_GE(throttle->cpus, 1.0);
+                EXPECT_EQ(throttle->task.token, measured < 1 ? old.token : young.token);
+            }
+        }
+        EXPECT_EQ(throttled, 1U);
+    }
+}
+
 // Guards against a worker or owner whose loss loses or doubles a run.
 TEST(Decide, LostWorkerEndsTheAttempt)
 {
--- a/src/poplarstream/runs/relieve.cpp
+++ b/src/poplarstream/runs/relieve.cpp
@@ -139,13 +139,20 @@
         }
         return;
     }
+    // A throttled task keeps a quarter of an equal share, so that it still makes progress. A share
+    // of its usage would not do: the first report after a start can say 0, and each further
+    // throttle would take a share of the rest.
+    const double least = worker.capacity.cpus
+                         / (4 * static_cast<double>(std::max<std::size_t>(1, tasks.size())));
     double excess = used - worker.capacity.cpus * step.policy.throttleAt;
     for (const RunningTask &task : tasks) {
         if (excess <= 0) {
             return;
         }
-        // A throttled task keeps a quarter, so that it still makes progress.
-        const double kept = std::max(task.usage.cpus - excess, task.usage.cpus / 4);
+        if (task.usage.cpus <= least) {
+            continue;
+        }
+        const double kept = std::max(task.usage.cpus - excess, least);
         excess -= task.usage.cpus - kept;
         throttle(step, *task.run, kept, false);
     }
