Lift throttles that another process may have set

Cause: whether a task is throttled is known only to the process that sent the command. After a restart or a takeover nobody lifted the throttle, and a lost lift was never repeated.

Change: while a worker has processors to spare, an owner lifts the throttle of each of its tasks but those that only it can have throttled and did not, and repeats the lift at the rate of lease renewals.

After: it passes, with 1 lift at once and 4 a minute.

--- a/src/poplarstream/runs/decide_test.cpp
+++ b/src/poplarstream/runs/decide_test.cpp
@@ -303,6 +303,35 @@
     }
 }
 
+// Guards against a task that stays throttled for ever: its throttle was sent by an owner that is
+// gone, or the lift was lost.
+TEST(Decide, ThrottleOfUnknownStateIsLifted)
+{
+    Scene scene;
+    const Claim claim = *scene.startRun("a-1", true).claim;
+    const auto lifts = [&] {
+        for (WorkerView &worker : scene.fleet.workers) {
+            worker.usage = UsageReport{scene.now, {1, 100, 0}, {}};
+        }
+        const RunDecision decision = scene.step();
+        return countOf<ThrottleTask>(decision.commands);
+    };
+    SCOPED_TRACE("given a task that only this process can have throttled");
+    EXPECT_EQ(lifts(), 0U);
+    SCOPED_TRACE("when the owner restarts, then it lifts what its predecessor may have set");
+    scene.memory.tasks.clear();
+    scene.see("a-1", TaskState::Running);
+    EXPECT_EQ(lifts(), 1U);
+    EXPECT_EQ(lifts(), 0U);
+    SCOPED_TRACE("then it repeats the lift at the rate of lease renewals");
+    std::size_t count = 0;
+    for (int second = 0; second < 60; ++second) {
+        scene.pass(Milliseconds{1'000});
+        count += lifts();
+    }
+    EXPECT_EQ(count, 4U);
+}
+
 // Guards against a worker or owner whose loss loses or doubles a run.
 TEST(Decide, LostWorkerEndsTheAttempt)
 {
--- a/src/poplarstream/runs/relieve.cpp
+++ b/src/poplarstream/runs/relieve.cpp
@@ -124,6 +124,20 @@
     return true;
 }
 
+// Whether a task has to be let go (again). A throttle is known only to the process that sent it, so
+// a task that was taken over counts as throttled, and so does that of a restarted owner. A lift is
+// repeated, since it can be lost, or overtaken by the throttle before it.
+bool isLiftDue(const DecisionStep &step, const Run &run)
+{
+    const TaskMemory *known = step.findTask(run.claim->token);
+    if (!known || !known->throttleSentAt) {
+        return !known || !known->isFresh;
+    }
+    const Milliseconds pause =
+            known->isThrottled ? step.policy.commandRetry : step.policy.taskLeaseRenewal;
+    return step.now - *known->throttleSentAt >= pause;
+}
+
 void relieveProcessors(DecisionStep &step, const WorkerView &worker,
                        std::vector<RunningTask> &tasks)
 {
@@ -131,8 +145,7 @@
     if (used < worker.capacity.cpus * step.policy.unthrottleAt) {
         // One at a time, the oldest first, so that the worker does not swing.
         for (auto task = tasks.rbegin(); task != tasks.rend(); ++task) {
-            const TaskMemory *known = step.findTask(task->run->claim->token);
-            if (known && known->isThrottled
+            if (isLiftDue(step, *task->run)
                 && throttle(step, *task->run, worker.capacity.cpus, true)) {
                 return;
             }
