Keep renewing task leases while the log is away

Cause: decideRuns() returns early once the owner's lease has lapsed, so that in an outage of the log the leases of running tasks lapsed too, 60 s after their last renewal.

Change: renewals of task leases go on and carry their own validity, one renewal period (validUntilOf()). The run driver and the fake zone use it. A task that an owner has seen running is renewed before its start is on record.

Nothing relies on the end of a task at workerGivenUp: giving up a non-idempotent run ends it as MayHaveRun, and idempotent runs are released after workerLost, which is shorter than the task lease.

--- a/include/poplarstream/runs/decide.hpp
+++ b/include/poplarstream/runs/decide.hpp
@@ -22,15 +22,17 @@
 
 // What an owner should do now. `entries` go to the zone's run stream, in few records
 // (batchEntries), each passed to noteAppend() before it is sent. `commands` go to workers, and to
-// noteCommands(); none may be sent after `validUntil`, which the sender checks against its clock
-// right before each command, since it may have been paused in between.
+// noteCommands(); none may be sent after its validUntilOf(), which the sender checks against its
+// clock right before each command, since it may have been paused in between.
 struct RunDecision
 {
     std::vector<RunEntry> entries;
     std::vector<WorkerCommand> commands;
     std::vector<ArrivalProposal> arrivals;
     std::vector<QuarantineProposal> quarantines;
+    // Of all commands but renewals: the end of the owner's lease.
     TimePoint validUntil;
+    TimePoint renewalsValidUntil;
     bool isSweep = false;
 };
 
@@ -39,6 +41,10 @@
 RunDecision decideRuns(const RunsState &state, const FleetView &fleet, const OwnerMemory &memory,
                        const RunPolicy &policy, TimePoint now, Random &random);
 
+// When a command of the decision becomes too old to be sent. Renewals of task leases outlive the
+// owner's lease: they start nothing, and the tasks of an owner that cannot reach the log go on.
+TimePoint validUntilOf(const RunDecision &decision, const WorkerCommand &command);
+
 // Keeps what decideRuns() needs to know of its own last step.
 void noteDecision(OwnerMemory &memory, const RunsState &state, const RunDecision &decision,
                   TimePoint now);
--- a/include/poplarstream/runs/run_policy.hpp
+++ b/include/poplarstream/runs/run_policy.hpp
@@ -23,7 +23,9 @@
     Milliseconds startPatience{6'000};
     // A worker that has not answered for this long is lost for idempotent runs.
     Milliseconds workerLost{15'000};
-    // Beyond the task lease, so that the task has ended before its run is given up as MayHaveRun.
+    // Beyond the task lease, so that most tasks have ended before their runs are given up as
+    // MayHaveRun. An owner that is cut off from the log but not from the worker can keep one
+    // running; no decision relies on its end.
     Milliseconds workerGivenUp{120'000};
     Milliseconds unplaceableAfter{20'000};
     Milliseconds sweepInterval{5'000};
--- a/src/poplarstream/node/run_driver.cpp
+++ b/src/poplarstream/node/run_driver.cpp
@@ -212,7 +212,7 @@
     }
     std::vector<WorkerOrder> orders;
     for (const WorkerCommand &command : decision.commands) {
-        orders.push_back({command, decision.validUntil});
+        orders.push_back({command, validUntilOf(decision, command)});
     }
     noteCommands(core.memory, decision.commands, now);
     noteDecision(core.memory, core.runs.state, decision, now);
--- a/src/poplarstream/runs/decide.cpp
+++ b/src/poplarstream/runs/decide.cpp
@@ -43,13 +43,16 @@
 {
     RunDecision decision;
     decision.validUntil = memory.leaseUntil;
+    decision.renewalsValidUntil = now + policy.taskLeaseRenewal;
     if (isLeaseDue(memory, policy, now)) {
         decision.entries.emplace_back(OwnerLease{memory.self, policy.ownerLease});
     }
+    DecisionStep step{state, fleet, memory, policy, now, decision};
     if (now >= memory.leaseUntil || !isLeaseValid(state, memory.self)) {
+        // In an outage of the log nobody can take the tasks over, so their leases are kept up.
+        renewTaskLeases(step);
         return decision;
     }
-    DecisionStep step{state, fleet, memory, policy, now, decision};
     const std::vector<EntryHostId> owners = liveOwners(state);
     takeOver(step, owners);
     superviseRuns(step, owners);
@@ -67,6 +70,12 @@
     return decision;
 }
 
+TimePoint validUntilOf(const RunDecision &decision, const WorkerCommand &command)
+{
+    return std::holds_alternative<RenewLeases>(command) ? decision.renewalsValidUntil
+                                                        : decision.validUntil;
+}
+
 void noteDecision(OwnerMemory &memory, const RunsState &state, const RunDecision &decision,
                   TimePoint now)
 {
--- a/src/poplarstream/runs/fakes/zone.hpp
+++ b/src/poplarstream/runs/fakes/zone.hpp
@@ -234,8 +234,8 @@
         }
         const TimePoint sendAt = std::max(timeline.now(), owner.pausedUntil);
         timeline.at(sendAt, [this, &owner, incarnation, decision] {
-            if (owner.incarnation == incarnation && timeline.now() < decision.validUntil) {
-                send(owner, decision.commands);
+            if (owner.incarnation == incarnation) {
+                send(owner, decision);
             }
         });
     }
@@ -352,9 +352,12 @@
         return found == workers.end() ? nullptr : &*found;
     }
 
-    void send(FakeOwner &owner, const std::vector<WorkerCommand> &commands)
+    void send(FakeOwner &owner, const RunDecision &decision)
     {
-        for (const WorkerCommand &command : commands) {
+        for (const WorkerCommand &command : decision.commands) {
+            if (timeline.now() >= validUntilOf(decision, command)) {
+                continue;
+            }
             carry([this, &owner, command] {
                 const HostId &host = std::visit(
                         [](const auto &c) -> const HostId & {
--- a/src/poplarstream/runs/supervise.cpp
+++ b/src/poplarstream/runs/supervise.cpp
@@ -248,7 +248,8 @@
             continue;
         }
         const TaskMemory *task = step.findTask(run.claim->token);
-        const bool mayRun = run.claim->startedAt || (task && task->startSentAt);
+        const bool isSeen = task && task->seen && task->seen->state == TaskState::Running;
+        const bool mayRun = run.claim->startedAt || (task && task->startSentAt) || isSeen;
         const TimePoint last = task && task->renewedAt ? *task->renewedAt
                                : task                  ? task->knownSince
                                                        : TimePoint{};
