--- a/src/poplarstream/runs/decide_test.cpp
+++ b/src/poplarstream/runs/decide_test.cpp
@@ -275,6 +275,63 @@
               1U);
 }
 
+// Guards against a throttle that leaves a task nothing: a report right after a start says 0.
+TEST(Decide, ThrottledTaskKeepsAShare)
+{
+    Scene scene;
+    scene.fleet.workers.pop_back();
+    const Claim old = *scene.startRun("a-1", true).claim;
+    scene.pass(Milliseconds{1'000});
+    const Claim young = *scene.startRun("a-2", true).claim;
+    WorkerView &worker = scene.fleet.workers.front();
+    for (const double measured : {0.0, 0.1, 2.0}) {
+        SCOPED_TRACE("given a young task that uses processors: " + std::to_string(measured));
+        worker.usage = UsageReport{
+                scene.now,
+                {8, 200, 0},
+                {{old.token, {8 - measured, 100, 0}}, {young.token, {measured, 100, 0}}}};
+        std::size_t throttled = 0;
+        for (const WorkerCommand &command : scene.decide().commands) {
+            if (const auto *throttle = std::get_if<ThrottleTask>(&command)) {
+                ++throttled;
+                EXPECT_FALSE(throttle->isLifted);
+                EXPECT_GE(throttle->cpus, 1.0);
+                EXPECT_EQ(throttle->task.token, measured < 1 ? old.token : young.token);
+            }
+        }
+        EXPECT_EQ(throttled, 1U);
+    }
+}
+
+// Guards against a task that stays throttled for ever: its throttle was sent by an owner that is
+// gone, or the lift was lost.
+TEST(Decide, ThrottleOfUnknownStateIsLifted)
+{
+    Scene scene;
+    const Claim claim = *scene.startRun("a-1", true).claim;
+    const auto lifts = [&] {
+        for (WorkerView &worker : scene.fleet.workers) {
+            worker.usage = UsageReport{scene.now, {1, 100, 0}, {}};
+        }
+        const RunDecision decision = scene.step();
+        return countOf<ThrottleTask>(decision.commands);
+    };
+    SCOPED_TRACE("given a task that only this process can have throttled");
+    EXPECT_EQ(lifts(), 0U);
+    SCOPED_TRACE("when the owner restarts, then it lifts what its predecessor may have set");
+    scene.memory.tasks.clear();
+    scene.see("a-1", TaskState::Running);
+    EXPECT_EQ(lifts(), 1U);
+    EXPECT_EQ(lifts(), 0U);
+    SCOPED_TRACE("then it repeats the lift at the rate of lease renewals");
+    std::size_t count = 0;
+    for (int second = 0; second < 60; ++second) {
+        scene.pass(Milliseconds{1'000});
+        count += lifts();
+    }
+    EXPECT_EQ(count, 4U);
+}
+
 // Guards against a worker or owner whose loss loses or doubles a run.
 TEST(Decide, LostWorkerEndsTheAttempt)
 {
--- a/src/poplarstream/runs/relieve.cpp
+++ b/src/poplarstream/runs/relieve.cpp
@@ -124,6 +124,20 @@
     return true;
 }
 
+// Whether a task has to be let go (again). A throttle is known only to the process that sent it, so
+// a task that was taken over counts as throttled, and so does that of a restarted owner. A lift is
+// repeated, since it can be lost, or overtaken by the throttle before it.
+bool isLiftDue(const DecisionStep &step, const Run &run)
+{
+    const TaskMemory *known = step.findTask(run.claim->token);
+    if (!known || !known->throttleSentAt) {
+        return !known || !known->isFresh;
+    }
+    const Milliseconds pause =
+            known->isThrottled ? step.policy.commandRetry : step.policy.taskLeaseRenewal;
+    return step.now - *known->throttleSentAt >= pause;
+}
+
 void relieveProcessors(DecisionStep &step, const WorkerView &worker,
                        std::vector<RunningTask> &tasks)
 {
@@ -131,21 +145,27 @@
     if (used < worker.capacity.cpus * step.policy.unthrottleAt) {
         // One at a time, the oldest first, so that the worker does not swing.
         for (auto task = tasks.rbegin(); task != tasks.rend(); ++task) {
-            const TaskMemory *known = step.findTask(task->run->claim->token);
-            if (known && known->isThrottled
+            if (isLiftDue(step, *task->run)
                 && throttle(step, *task->run, worker.capacity.cpus, true)) {
                 return;
             }
         }
         return;
     }
+    // A throttled task keeps a quarter of an equal share, so that it still makes progress. A share
+    // of its usage would not do: the first report after a start can say 0, and each further
+    // throttle would take a share of the rest.
+    const double least = worker.capacity.cpus
+                         / (4 * static_cast<double>(std::max<std::size_t>(1, tasks.size())));
     double excess = used - worker.capacity.cpus * step.policy.throttleAt;
     for (const RunningTask &task : tasks) {
         if (excess <= 0) {
             return;
         }
-        // A throttled task keeps a quarter, so that it still makes progress.
-        const double kept = std::max(task.usage.cpus - excess, task.usage.cpus / 4);
+        if (task.usage.cpus <= least) {
+            continue;
+        }
+        const double kept = std::max(task.usage.cpus - excess, least);
         excess -= task.usage.cpus - kept;
         throttle(step, *task.run, kept, false);
     }
