--- a/bench/runs_benchmark.cpp
+++ b/bench/runs_benchmark.cpp
@@ -92,7 +92,7 @@
     }
     for (auto _ : bench) {
         bench.PauseTiming();
-        SnapshotCollector collector;
+        RunsSnapshotCollector collector;
         auto read = std::make_unique<std::optional<RunsState>>();
         bench.ResumeTiming();
         for (const RunRecord &record : records) {
@@ -120,7 +120,7 @@
     }
     for (auto _ : bench) {
         bench.PauseTiming();
-        SnapshotCollector collector;
+        RunsSnapshotCollector collector;
         auto read = std::make_unique<std::optional<RunsState>>();
         bench.ResumeTiming();
         for (const std::string &text : texts) {
