--- a/bench/traffic_benchmark.cpp
+++ b/bench/traffic_benchmark.cpp
@@ -138,3 +138,5 @@
 }  // namespace
 
 }  // namespace poplarstream::bench
+
+BENCHMARK_MAIN();
