Measure config-race, platform-away and the agreement after cuts

Replicas of the control stream run the real outbox, codec and replay in virtual time, over a log that loses messages and goes away; grants are compared with a fold written for the case. The naive version appends each edit alone, repeats it under a new id, and polls.

--- a/bench/measure_main.cpp
+++ b/bench/measure_main.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>  // for print
 #include <nlohmann/json.hpp>  // for ordered_json
 
+#include "agreement_cases.hpp"  // for measureConfigRace
 #include "maintenance_cases.hpp"  // for measureWaveVanHarselaar
 #include "measure_line.hpp"  // for MeasureLine
 #include "runs_cases.hpp"  // for runBadWorkers
@@ -24,6 +25,23 @@
     std::function<std::vector<MeasureLine>(std::uint64_t seed)> run;
 };
 
+// Adds the lines of another part to a case.
+void extend(std::vector<Case> &cases, std::string_view name,
+            const std::function<std::vector<MeasureLine>(std::uint64_t seed)> &part)
+{
+    for (Case &entry : cases) {
+        if (entry.name == name) {
+            entry.run = [first = entry.run, part](std::uint64_t seed) {
+                std::vector<MeasureLine> lines = first(seed);
+                for (MeasureLine &line : part(seed)) {
+                    lines.push_back(std::move(line));
+                }
+                return lines;
+            };
+        }
+    }
+}
+
 std::vector<Case> allCases()
 {
     std::vector<Case> cases;
@@ -31,6 +49,8 @@
         cases.push_back({traffic.name, traffic.run});
     }
     const std::vector<Case> others = {
+            {"platform-away", measurePlatformAway},
+            {"config-race", measureConfigRace},
             {"wave-van-harselaar", measureWaveVanHarselaar},
             {"wave-ex-libris", measureWaveExLibris},
             {"wave-with-rack-loss", measureWaveWithRackLoss},
@@ -44,6 +64,8 @@
             {"two-year-size", measureWaveTwoYearSize},
     };
     cases.insert(cases.end(), others.begin(), others.end());
+    extend(cases, "zone-cut", measureZoneCutAgreement);
+    extend(cases, "region-apart", measureRegionApartAgreement);
     return cases;
 }
 
--- a/bench/runs_cases.cpp
+++ b/bench/runs_cases.cpp
@@ -350,4 +350,32 @@
     return runWithFaults("replaced-all", seed, rates, Milliseconds{11'000});
 }
 
+// The log is away for ten minutes. Meanwhile callers go on, and an entry host is replaced every
+// minute.
+std::vector<MeasureLine> runPlatformAway(std::uint64_t seed)
+{
+    constexpr Milliseconds before{60'000};
+    constexpr Milliseconds away{10 * 60 * 1000};
+    constexpr Milliseconds replaceEach{60'000};
+    constexpr Milliseconds duration{30 * 60 * 1000};
+    Random random(seed);
+    const std::vector<FakeWorker> workers = makeWorkers(20);
+    const std::vector<FakeCall> calls = makeCalls(2'000, random);
+    FaultRates rates;
+    rates.longestDelay = 50;
+    const auto naive = dispatchWithFaults(workers, calls, before + away, duration,
+                                          {rates, replaceEach, std::nullopt}, random);
+    Zone zone(seed, RunPolicy{}, rates);
+    fill(zone, workers, calls, before + away);
+    runFor(zone, before);
+    zone.isLogDown = true;
+    for (std::size_t minute = 0; minute < 10; ++minute) {
+        runFor(zone, replaceEach);
+        zone.restart(*zone.owners[minute % owners]);
+    }
+    zone.heal();
+    runFor(zone, duration - before - away);
+    return guaranteeLines("platform-away", zone, naive, seed);
+}
+
 }  // namespace poplarstream::bench
--- a/bench/runs_cases.hpp
+++ b/bench/runs_cases.hpp
@@ -15,5 +15,6 @@
 std::vector<MeasureLine> runLostAppendAnswers(std::uint64_t seed);
 std::vector<MeasureLine> runPausedHolders(std::uint64_t seed);
 std::vector<MeasureLine> runReplacedAll(std::uint64_t seed);
+std::vector<MeasureLine> runPlatformAway(std::uint64_t seed);
 
 }  // namespace poplarstream::bench
--- a/bench/traffic_cases.cpp
+++ b/bench/traffic_cases.cpp
@@ -235,6 +235,23 @@
     return lines;
 }
 
+// Ten minutes without the platform, so that nothing is told of minions but by their own answers:
+// each minute one of 24 fails everything for half a minute.
+std::vector<MeasureLine> platformAway(std::uint64_t seed)
+{
+    WorldSetup setup = plainSetup(3, {0, 1, 2, 0, 1, 2, 0, 1}, 24, 0.5);
+    constexpr Micros minute = 60 * oneSecond;
+    setup.end = warmUp + 10 * minute;
+    const auto prepare = [](World &world) {
+        for (std::size_t i = 0; i < 10; ++i) {
+            const Micros at = warmUp + static_cast<Micros>(i) * minute;
+            world.at(at, [&world, i] { world.setFailing(2 * i, true); });
+            world.at(at + minute / 2, [&world, i] { world.setFailing(2 * i, false); });
+        }
+    };
+    return onTime("platform-away", "servable-honoured", setup, warmUp, setup.end, seed, prepare);
+}
+
 // Three of 24 minions fail everything at once, two take eight times as long, at 60% load.
 std::vector<MeasureLine> badMinions(std::uint64_t seed)
 {
--- a/bench/traffic_cases.hpp
+++ b/bench/traffic_cases.hpp
@@ -18,6 +18,8 @@
 std::vector<MeasureLine> silentConnections(std::uint64_t seed);
 std::vector<MeasureLine> zoneCut(std::uint64_t seed);
 std::vector<MeasureLine> regionApart(std::uint64_t seed);
+// Called by the case platform-away, which also has runs and configuration.
+std::vector<MeasureLine> platformAway(std::uint64_t seed);
 // Cases beyond the table: the faults that routing and limits are there for.
 std::vector<MeasureLine> badMinions(std::uint64_t seed);
 std::vector<MeasureLine> wrongSlots(std::uint64_t seed);
