Make the view of the run decider anew only when the fleet state changes

Cause: the run driver made the view of all hosts five times a second. Change: the view is kept with the offset it was made at, and only what was heard of the workers of the zone is brought up to date in each step. Measured with scripts/capacity at 4,500 hosts and a load of 20: 0.54 to 0.62 ms a step before, 0.015 ms after, which is 0.3% of a core before and below 0.01% after.

--- a/bench/capacity_fleet.cpp
+++ b/bench/capacity_fleet.cpp
@@ -187,6 +187,15 @@
         const FleetState state = fleetOf(hosts);
         return processorMicroseconds([&] { makeRunsView({}, state, ZoneId("z00")); });
     });
+    add("runs-refresh", "refreshRunsView, us", "us a host", [](std::size_t hosts) {
+        const FleetState state = fleetOf(hosts);
+        FleetView view = makeRunsView({}, state, ZoneId("z00"));
+        WorkerTable heard;
+        for (const WorkerView &worker : view.workers) {
+            heard.entries[worker.host].last = WorkerStatus{.host = worker.host, .boot = 1};
+        }
+        return processorMicroseconds([&] { refreshRunsView(view, heard); });
+    });
     add("host-list", "host list, bytes of the answer", "bytes a host",
         [](std::size_t hosts) { return hostListCall(hosts).received.bytes; });
 }
--- a/bench/capacity_load.cpp
+++ b/bench/capacity_load.cpp
@@ -110,7 +110,8 @@
             + std::min(claimed, watched) * 1e3 / static_cast<double>(policy.claimPeriod.count());
     addCall(load, workerPoll(1), polls);
     load.appends = d.zones * (leases + records);
-    load.core = (at(t, "runs-view", d.hosts) + at(t, "decide", claimed)) / 1e6 / runStepPeriod
+    load.core = (at(t, "runs-refresh", d.hosts) + at(t, "decide", claimed)) / 1e6 / runStepPeriod
+                + (changedRecords(d) + 1 / dutyRenewal) * at(t, "runs-view", d.hosts) / 1e6
                 + runs * t.at("run-replay").line.slope / 1e6;
     return load;
 }
--- a/bench/capacity_parts.cpp
+++ b/bench/capacity_parts.cpp
@@ -233,8 +233,8 @@
                        [](std::size_t runs) { return runBytes(runs, false); });
     table["run-replay"] = makeSeries("decoding and replay of the 4 records of a run, us",
                                      "us a run", few, decodeAndApplyMicroseconds);
-    table["decide"] = makeSeries("decideRuns with 300 workers, us", "us a claimed run", few,
-                                 decideMicroseconds);
+    table["decide"] = makeSeries("decideRuns with 300 workers, us", "us a claimed run",
+                                 {1, 5, 10, 20, 40}, decideMicroseconds);
 }
 
 void measureSmallParts(SeriesTable &table)
--- a/include/poplarstream/node/worker_table.hpp
+++ b/include/poplarstream/node/worker_table.hpp
@@ -69,6 +69,10 @@
 // The workers of `zone` for the run deciders. A worker that was not heard yet has boot 0.
 FleetView makeRunsView(const WorkerTable &table, const FleetState &fleet, const ZoneId &zone);
 
+// Brings what was heard of the workers up to date in a view that makeRunsView() made from the same
+// fleet state. It costs as much as the zone has workers; the whole view, as the fleet has hosts.
+void refreshRunsView(FleetView &view, const WorkerTable &table);
+
 // Observations for the wave stepper, sorted by host. `toLogTime` is added to local times.
 std::vector<maintenance::HostObservation>
 makeObservations(const WorkerTable &table, const FleetState &fleet, Milliseconds toLogTime);
--- a/scripts/capacity_process.py
+++ b/scripts/capacity_process.py
@@ -71,10 +71,13 @@
     kinds = {kind: [s for s in document.sections() if s.split(" ")[0] == kind]
              for kind in SECTION_KINDS}
     first = []
-    for kind in SECTION_KINDS[:6]:
+    for kind in SECTION_KINDS[:5]:
         for section in kinds[kind]:
             first += edits_of(document, section, {"max_away": "0"} if kind == "pool" else None)
     yield first
+    tenants = kinds["tenant"]
+    for begin in range(0, len(tenants), 100):
+        yield [edit for name in tenants[begin:begin + 100] for edit in edits_of(document, name)]
     hosts = kinds["host"]
     for begin in range(0, len(hosts), 60):
         yield [edit for host in hosts[begin:begin + 60] for edit in edits_of(document, host)]
@@ -170,7 +173,7 @@
         while time.monotonic() < until:
             number += 1
             publisher.publish([{"section": f"tenant t{number % 100:03}", "key": "weight",
-                                "value": str(2 + publisher.version % 100)}])
+                                "value": str(2 + number // 100)}])
             time.sleep(max(0, begin + number / rate - time.monotonic()))
         print(json.dumps({"changes": number, "rate": round(number / (time.monotonic() - begin), 2)}))
     return run
--- a/src/poplarstream/node/run_driver.cpp
+++ b/src/poplarstream/node/run_driver.cpp
@@ -197,12 +197,23 @@
     }
 }
 
+void updateView(RunDriver &driver, const ControlCore &core)
+{
+    const FleetState &fleet = core.fleetState();
+    if (driver.viewThrough == fleet.next) {
+        refreshRunsView(driver.view, core.workers);
+        return;
+    }
+    driver.view = makeRunsView(core.workers, fleet, core.settings.zone);
+    driver.viewThrough = fleet.next;
+}
+
 void decide(RunDriver &driver, ControlCore &core)
 {
     const TimePoint now = core.clock.now();
-    const FleetView view = makeRunsView(core.workers, core.fleetState(), core.settings.zone);
+    updateView(driver, core);
     RunDecision decision =
-            decideRuns(core.runs.state, view, core.memory, driver.policy, now, core.random);
+            decideRuns(core.runs.state, driver.view, core.memory, driver.policy, now, core.random);
     if (core.isLogReachable) {
         for (RunEntry &entry : decision.entries) {
             driver.queued.push_back(std::move(entry));
--- a/src/poplarstream/node/run_driver.hpp
+++ b/src/poplarstream/node/run_driver.hpp
@@ -13,6 +13,9 @@
 struct RunDriver
 {
     RunPolicy policy;
+    // The view of the fleet state through `viewThrough`, made anew only when that state changes.
+    FleetView view;
+    std::optional<Offset> viewThrough;
     AcceptanceTable acceptances;
     // Entries that wait for the next append; they travel in one record.
     std::vector<RunEntry> queued;
--- a/src/poplarstream/node/worker_table.cpp
+++ b/src/poplarstream/node/worker_table.cpp
@@ -130,6 +130,22 @@
     return polls;
 }
 
+void refreshRunsView(FleetView &view, const WorkerTable &table)
+{
+    for (WorkerView &worker : view.workers) {
+        const auto entry = table.entries.find(worker.host);
+        if (entry == table.entries.end()) {
+            continue;
+        }
+        worker.lastHeard = entry->second.lastHeard;
+        if (entry->second.last) {
+            worker.boot = entry->second.last->boot;
+            worker.usage = entry->second.last->usage;
+        }
+        worker.previousUsage = entry->second.previousUsage;
+    }
+}
+
 FleetView makeRunsView(const WorkerTable &table, const FleetState &fleet, const ZoneId &zone)
 {
     FleetView view;
@@ -154,14 +170,6 @@
         worker.services = std::move(services);
         worker.capacity = capacityOf(*host.config);
         worker.condition = conditionOf(fleet, host);
-        if (const auto entry = table.entries.find(id); entry != table.entries.end()) {
-            worker.lastHeard = entry->second.lastHeard;
-            if (entry->second.last) {
-                worker.boot = entry->second.last->boot;
-                worker.usage = entry->second.last->usage;
-            }
-            worker.previousUsage = entry->second.previousUsage;
-        }
         view.workers.push_back(std::move(worker));
     }
     for (const auto &[key, largest] : offers) {
@@ -172,6 +180,7 @@
     for (const TenantConfig &tenant : configuration.tenants) {
         view.weights[tenant.id] = tenant.weight;
     }
+    refreshRunsView(view, table);
     return view;
 }
 
