Make the view of the wave stepper anew only when the fleet state changes

Cause: the holder of the duty made the view of all hosts twice a second, the others every 2 s. Change: the view is kept with the offset it was made at; only the demands are replaced each time.

--- a/include/poplarstream/node/wave_view.hpp
+++ b/include/poplarstream/node/wave_view.hpp
@@ -22,4 +22,7 @@
 maintenance::FleetView makeWaveView(const FleetState &state, const PoolDemands &demands,
                                     const maintenance::Policy &policy);
 
+// Replaces the demands in a view; the rest of it follows from the replayed state alone.
+void setDemands(maintenance::FleetView &view, const PoolDemands &demands);
+
 }  // namespace poplarstream
--- a/src/poplarstream/node/wave_driver.cpp
+++ b/src/poplarstream/node/wave_driver.cpp
@@ -87,9 +87,19 @@
     }
 }
 
+void updateView(WaveDriver &driver, const ControlCore &core)
+{
+    const FleetState &fleet = core.fleetState();
+    if (driver.viewThrough == fleet.next) {
+        setDemands(driver.view, driver.demands);
+        return;
+    }
+    driver.view = makeWaveView(fleet, driver.demands, core.settings.wavePolicy);
+    driver.viewThrough = fleet.next;
+}
+
 struct StepFacts
 {
-    maintenance::FleetView view;
     std::vector<maintenance::HostObservation> observations;
     std::vector<maintenance::InFlight> inFlight;
     TimePoint now;
@@ -99,7 +109,6 @@
 {
     StepFacts facts;
     facts.now = core.latestLogTimeNow();
-    facts.view = makeWaveView(core.fleetState(), driver.demands, core.settings.wavePolicy);
     facts.observations =
             makeObservations(core.workers, core.fleetState(), facts.now - core.clock.now());
     for (const auto &[record, entry] : driver.inFlight) {
@@ -126,9 +135,10 @@
 
 void stepFleet(WaveDriver &driver, ControlCore &core)
 {
+    updateView(driver, core);
     const StepFacts facts = stepFacts(driver, core);
     const bool mayAct = mayActNow(driver, core);
-    maintenance::StepOutput output = maintenance::stepWaves({.fleet = facts.view,
+    maintenance::StepOutput output = maintenance::stepWaves({.fleet = driver.view,
                                                              .observations = facts.observations,
                                                              .inFlight = facts.inFlight,
                                                              .mayAct = mayAct,
@@ -152,8 +162,9 @@
 // Failed hosts are reported by the entry hosts that poll them, whoever drives the waves.
 void stepHealth(WaveDriver &driver, ControlCore &core)
 {
+    updateView(driver, core);
     const StepFacts facts = stepFacts(driver, core);
-    maintenance::StepOutput output = maintenance::stepWaves({.fleet = facts.view,
+    maintenance::StepOutput output = maintenance::stepWaves({.fleet = driver.view,
                                                              .observations = facts.observations,
                                                              .inFlight = facts.inFlight,
                                                              .mayAct = true,
--- a/src/poplarstream/node/wave_driver.hpp
+++ b/src/poplarstream/node/wave_driver.hpp
@@ -23,6 +23,9 @@
     std::map<RecordId, ZoneId> zoneProposals;
     std::vector<RecordId> snapshotProposals;
     PoolDemands demands;
+    // The view of the fleet state through `viewThrough`, made anew only when that state changes.
+    maintenance::FleetView view;
+    std::optional<Offset> viewThrough;
     std::vector<maintenance::Note> notes;
     std::vector<maintenance::Page> pages;
     TimePoint nextStep;
--- a/src/poplarstream/node/wave_view.cpp
+++ b/src/poplarstream/node/wave_view.cpp
@@ -90,9 +90,7 @@
         view.hosts.push_back(hostView(state, id, host));
     }
     for (const PoolConfig &pool : configuration.pools) {
-        const auto demand = demands.find(pool.id);
-        const PoolDemand wanted = demand != demands.end() ? demand->second : PoolDemand{};
-        view.pools.push_back({pool.id, pool.maxAway, pool.spare, wanted.now, wanted.sustained});
+        view.pools.push_back({pool.id, pool.maxAway, pool.spare});
     }
     for (const WaveConfig &wave : configuration.waves) {
         view.waves.push_back(waveView(state, wave));
@@ -101,7 +99,18 @@
                     configuration.fleet.weightFlood};
     view.hasRackHeadroom = configuration.fleet.rackHeadroom;
     view.policy = policy;
+    setDemands(view, demands);
     return view;
 }
 
+void setDemands(maintenance::FleetView &view, const PoolDemands &demands)
+{
+    for (maintenance::PoolView &pool : view.pools) {
+        const auto demand = demands.find(pool.id);
+        const PoolDemand wanted = demand != demands.end() ? demand->second : PoolDemand{};
+        pool.demand = wanted.now;
+        pool.sustainedDemand = wanted.sustained;
+    }
+}
+
 }  // namespace poplarstream
