Leave out the health step of a process without anything to report

Cause: an entry host that does not hold the duty stepped over all hosts of the fleet every 2 s. Change: it steps only when a host that it polls did not answer, is absent or has failed, which are the only ones that the step could report. Measured with scripts/capacity at 4,500 hosts: stepWaves takes 3.9 ms, so 0.2% of a core every 2 s before and nothing after, while all hosts answer.

--- a/src/poplarstream/node/wave_driver.cpp
+++ b/src/poplarstream/node/wave_driver.cpp
@@ -159,6 +159,20 @@
     }
 }
 
+// Whether a step could report a host as failed or recovered: some host did not answer, or is
+// not in service. A step over all hosts of the fleet is left out otherwise.
+bool mayReportHealth(const ControlCore &core)
+{
+    const auto &entries = core.workers.entries;
+    const auto &hosts = core.fleetState().hosts;
+    return std::any_of(entries.begin(), entries.end(), [&](const auto &entry) {
+        const auto host = hosts.find(entry.first);
+        return entry.second.unansweredSince
+               || (host != hosts.end()
+                   && (host->second.absence || host->second.state != HostState::InService));
+    });
+}
+
 // Failed hosts are reported by the entry hosts that poll them, whoever drives the waves.
 void stepHealth(WaveDriver &driver, ControlCore &core)
 {
@@ -250,7 +264,9 @@
         stepSnapshot(driver, core);
     } else if (now >= driver.nextHealthStep && !core.isLeaving && core.isLogReachable) {
         driver.nextHealthStep = now + healthPeriod;
-        stepHealth(driver, core);
+        if (mayReportHealth(core)) {
+            stepHealth(driver, core);
+        }
     }
 }
 
