--- a/bench/capacity_load.cpp
+++ b/bench/capacity_load.cpp
@@ -1,6 +1,6 @@
 #include "capacity_load.hpp"
 
-#include <algorithm>  // for max
+#include <algorithm>  // for clamp, min
 #include <cmath>  // for exp
 
 #include "capacity_wire.hpp"  // for CallSize
@@ -19,7 +19,13 @@
 constexpr double ownerRenewal = 3.3;  // run_policy.hpp
 constexpr double waveStepPeriod = 0.5;  // wave_driver.cpp
 constexpr double runStepPeriod = 0.2;  // run_driver.cpp
-constexpr double snapshotPeriod = 900;  // wave_driver.cpp, run_driver.cpp
+// wave_driver.cpp and run_driver.cpp: at most 100 bytes a second, between 15 minutes and 6 hours,
+// or sooner after so many records.
+constexpr double snapshotBytesPerSecond = 100;
+constexpr double shortestSnapshotPeriod = 900;
+constexpr double longestSnapshotPeriod = 6 * 3'600;
+constexpr double controlSnapshotRecords = 5'000;
+constexpr double runSnapshotRecords = 20'000;
 constexpr double tickPeriod = 0.01;  // callers_duty.cpp
 constexpr double probesPerSecond = 200;  // traffic/settings.hpp
 constexpr double absenceRecords = 5;
@@ -165,25 +171,39 @@
     addCall(load, appendCall("control", absenceText()), absences * absenceRecords);
     addCall(load, workerPoll(0), absences * d.absenceSeconds);
     load.appends = 1 / dutyRenewal + absences * absenceRecords + 2 * d.failures / day;
-    load.core = (at(t, "wave-view", d.hosts) + at(t, "wave-step", d.hosts)) / 1e6 / waveStepPeriod
+    load.core = at(t, "wave-step", d.hosts) / 1e6 / waveStepPeriod
+                + (changedRecords(d) + 1 / dutyRenewal) * at(t, "wave-view", d.hosts) / 1e6
                 + absences * at(t, "absence", d.hosts) / 1e6;
     return load;
 }
 
+double snapshotPeriod(double bytes, double records, double recordsPerSecond)
+{
+    const double byBytes = std::clamp(bytes / snapshotBytesPerSecond, shortestSnapshotPeriod,
+                                      longestSnapshotPeriod);
+    return std::min(byBytes, records / recordsPerSecond);
+}
+
 RoleLoad stateRole(const Deployment &d, const SeriesTable &t)
 {
     RoleLoad load{.role = "state and snapshots",
                   .mechanism = "snapshotParts, written by one holder and read by all",
                   .breaksFirst = "bytes of the snapshots that every reader gets"};
     const double ended = d.zoneRuns() * 3'600;
-    const double control = at(t, "snapshot-bytes", d.hosts) / snapshotPeriod;
-    const double runs = at(t, "runs-snapshot", ended) / snapshotPeriod;
+    const double controlBytes = at(t, "snapshot-bytes", d.hosts);
+    const double runsBytes = at(t, "runs-snapshot", ended);
+    const double controlPeriod = snapshotPeriod(controlBytes, controlSnapshotRecords,
+                                                changedRecords(d) + 1 / dutyRenewal);
+    const double runsPeriod = snapshotPeriod(runsBytes, runSnapshotRecords,
+                                             d.zonePeers() / ownerRenewal + 4 * d.zoneRuns());
+    const double control = controlBytes / controlPeriod;
+    const double runs = runsBytes / runsPeriod;
     load.received = control + runs;
     load.sent = control + runs / d.zonePeers();
     load.headers = 2 * 52 * (load.received + load.sent) / 1448;
-    load.megabytes = 4 * (at(t, "snapshot-bytes", d.hosts) + at(t, "runs-snapshot", ended)) / 1e6;
+    load.megabytes = 4 * (controlBytes + runsBytes) / 1e6;
     load.appends = (control + d.zones * runs) / 60'000;
-    load.core = at(t, "snapshot-write", d.hosts) / 1e6 / snapshotPeriod;
+    load.core = at(t, "snapshot-write", d.hosts) / 1e6 / controlPeriod;
     return load;
 }
 
--- a/src/poplarstream/node/run_driver.cpp
+++ b/src/poplarstream/node/run_driver.cpp
@@ -1,6 +1,6 @@
 #include "run_driver.hpp"
 
-#include <algorithm>  // for sort, unique, find
+#include <algorithm>  // for sort, unique, find, clamp
 
 #include "poplarstream/node/caller_request.hpp"  // for errorResponse
 #include "poplarstream/runs/batch.hpp"  // for cancelEntries
@@ -18,7 +18,12 @@
 constexpr std::size_t maxQueuedCalls = 4'096;
 // As for the control stream; run streams carry more records.
 constexpr Offset snapshotRecords = 20'000;
-constexpr Milliseconds snapshotPeriod{15 * 60 * 1000};
+constexpr Milliseconds shortestSnapshotPeriod{15 * 60 * 1000};
+constexpr Milliseconds longestSnapshotPeriod{6 * 60 * 60 * 1000};
+// Bytes of a snapshot for each remembered record id and each run (docs/CAPACITY.md).
+constexpr std::size_t snapshotBytesPerRecord = 20;
+constexpr std::size_t snapshotBytesPerRun = 150;
+constexpr std::size_t snapshotBytesPerSecond = 100;
 
 HttpResponse unavailable(std::string_view reason)
 {
@@ -265,6 +270,14 @@
     }
 }
 
+Milliseconds snapshotPeriod(const RunsState &state)
+{
+    const std::size_t bytes = snapshotBytesPerRecord * state.recentRecords.size()
+                              + snapshotBytesPerRun * state.runs.size();
+    const auto seconds = static_cast<std::int64_t>(bytes / snapshotBytesPerSecond);
+    return std::clamp(Milliseconds{seconds * 1000}, shortestSnapshotPeriod, longestSnapshotPeriod);
+}
+
 void stepSnapshot(RunDriver &driver, ControlCore &core)
 {
     const RunsState &state = core.runs.state;
@@ -273,7 +286,7 @@
         driver.snapshotThrough = state.nextOffset;
     }
     const bool isDue = state.nextOffset >= driver.snapshotThrough + snapshotRecords
-                       || (state.now - driver.snapshotAt >= snapshotPeriod
+                       || (state.now - driver.snapshotAt >= snapshotPeriod(state)
                            && state.nextOffset > driver.snapshotThrough);
     const std::vector<EntryHostId> owners = liveOwners(state);
     if (!isDue || !driver.snapshotProposals.empty() || owners.empty()
--- a/src/poplarstream/node/wave_driver.cpp
+++ b/src/poplarstream/node/wave_driver.cpp
@@ -1,6 +1,6 @@
 #include "wave_driver.hpp"
 
-#include <algorithm>  // for any_of, sort
+#include <algorithm>  // for any_of, clamp
 
 #include "poplarstream/fleet/queries.hpp"  // for dutyHolder
 #include "poplarstream/maintenance/wave_step.hpp"  // for stepWaves
@@ -15,7 +15,13 @@
 // A snapshot of the control stream is written after so many records or so much time. A starting
 // process then replays seconds of log, and the snapshot is far younger than any retention.
 constexpr Offset snapshotRecords = 5'000;
-constexpr Milliseconds snapshotPeriod{15 * 60 * 1000};
+constexpr Milliseconds shortestSnapshotPeriod{15 * 60 * 1000};
+constexpr Milliseconds longestSnapshotPeriod{6 * 60 * 60 * 1000};
+// Every entry host reads every snapshot, which therefore get rarer as they grow: 60 kB and 450
+// bytes a host (docs/CAPACITY.md), at 100 of the 2,000 bytes a second for control.
+constexpr std::int64_t snapshotBaseBytes = 60'000;
+constexpr std::int64_t snapshotBytesPerHost = 450;
+constexpr std::int64_t snapshotBytesPerSecond = 100;
 constexpr std::size_t maxPages = 64;
 
 maintenance::LeaseView leaseView(const ControlCore &core)
@@ -213,6 +219,14 @@
     }
 }
 
+Milliseconds snapshotPeriod(const FleetState &state)
+{
+    const auto hosts = static_cast<std::int64_t>(state.hosts.size());
+    const std::int64_t bytes = snapshotBaseBytes + snapshotBytesPerHost * hosts;
+    return std::clamp(Milliseconds{bytes * 1000 / snapshotBytesPerSecond}, shortestSnapshotPeriod,
+                      longestSnapshotPeriod);
+}
+
 void stepSnapshot(WaveDriver &driver, ControlCore &core)
 {
     const FleetState &state = core.fleetState();
@@ -221,7 +235,7 @@
         driver.snapshotThrough = state.next;
     }
     const bool isDue = state.next >= driver.snapshotThrough + snapshotRecords
-                       || (state.time - driver.snapshotAt >= snapshotPeriod
+                       || (state.time - driver.snapshotAt >= snapshotPeriod(state)
                            && state.next > driver.snapshotThrough);
     if (!isDue || !driver.snapshotProposals.empty()) {
         return;
