--- a/src/poplarstream/node/wave_driver.cpp
+++ b/src/poplarstream/node/wave_driver.cpp
@@ -1,6 +1,6 @@
 #include "wave_driver.hpp"
 
-#include <algorithm>  // for any_of, sort
+#include <algorithm>  // for any_of, clamp
 
 #include "poplarstream/fleet/queries.hpp"  // for dutyHolder
 #include "poplarstream/maintenance/wave_step.hpp"  // for stepWaves
@@ -15,7 +15,13 @@
 // A snapshot of the control stream is written after so many records or so much time. A starting
 // process then replays seconds of log, and the snapshot is far younger than any retention.
 constexpr Offset snapshotRecords = 5'000;
-constexpr Milliseconds snapshotPeriod{15 * 60 * 1000};
+constexpr Milliseconds shortestSnapshotPeriod{15 * 60 * 1000};
+constexpr Milliseconds longestSnapshotPeriod{6 * 60 * 60 * 1000};
+// Every entry host reads every snapshot, which therefore get rarer as they grow: 60 kB and 450
+// bytes a host (docs/CAPACITY.md), at 100 of the 2,000 bytes a second for control.
+constexpr std::int64_t snapshotBaseBytes = 60'000;
+constexpr std::int64_t snapshotBytesPerHost = 450;
+constexpr std::int64_t snapshotBytesPerSecond = 100;
 constexpr std::size_t maxPages = 64;
 
 maintenance::LeaseView leaseView(const ControlCore &core)
@@ -87,9 +93,19 @@
     }
 }
 
+void updateView(WaveDriver &driver, const ControlCore &core)
+{
+    const FleetState &fleet = core.fleetState();
+    if (driver.viewThrough == fleet.next) {
+        setDemands(driver.view, driver.demands);
+        return;
+    }
+    driver.view = makeWaveView(fleet, driver.demands, core.settings.wavePolicy);
+    driver.viewThrough = fleet.next;
+}
+
 struct StepFacts
 {
-    maintenance::FleetView view;
     std::vector<maintenance::HostObservation> observations;
     std::vector<maintenance::InFlight> inFlight;
     TimePoint now;
@@ -99,7 +115,6 @@
 {
     StepFacts facts;
     facts.now = core.latestLogTimeNow();
-    facts.view = makeWaveView(core.fleetState(), driver.demands, core.settings.wavePolicy);
     facts.observations =
             makeObservations(core.workers, core.fleetState(), facts.now - core.clock.now());
     for (const auto &[record, entry] : driver.inFlight) {
@@ -126,9 +141,10 @@
 
 void stepFleet(WaveDriver &driver, ControlCore &core)
 {
+    updateView(driver, core);
     const StepFacts facts = stepFacts(driver, core);
     const bool mayAct = mayActNow(driver, core);
-    maintenance::StepOutput output = maintenance::stepWaves({.fleet = facts.view,
+    maintenance::StepOutput output = maintenance::stepWaves({.fleet = driver.view,
                                                              .observations = facts.observations,
                                                              .inFlight = facts.inFlight,
                                                              .mayAct = mayAct,
@@ -169,11 +185,26 @@
     }
 }
 
+// Whether a step could report a host as failed or recovered: some host did not answer, or is
+// not in service. A step over all hosts of the fleet is left out otherwise.
+bool mayReportHealth(const ControlCore &core)
+{
+    const auto &entries = core.workers.entries;
+    const auto &hosts = core.fleetState().hosts;
+    return std::any_of(entries.begin(), entries.end(), [&](const auto &entry) {
+        const auto host = hosts.find(entry.first);
+        return entry.second.unansweredSince
+               || (host != hosts.end()
+                   && (host->second.absence || host->second.state != HostState::InService));
+    });
+}
+
 // Failed hosts are reported by the entry hosts that poll them, whoever drives the waves.
 void stepHealth(WaveDriver &driver, ControlCore &core)
 {
+    updateView(driver, core);
     const StepFacts facts = stepFacts(driver, core);
-    maintenance::StepOutput output = maintenance::stepWaves({.fleet = facts.view,
+    maintenance::StepOutput output = maintenance::stepWaves({.fleet = driver.view,
                                                              .observations = facts.observations,
                                                              .inFlight = facts.inFlight,
                                                              .mayAct = true,
@@ -208,6 +239,14 @@
     }
 }
 
+Milliseconds snapshotPeriod(const FleetState &state)
+{
+    const auto hosts = static_cast<std::int64_t>(state.hosts.size());
+    const std::int64_t bytes = snapshotBaseBytes + snapshotBytesPerHost * hosts;
+    return std::clamp(Milliseconds{bytes * 1000 / snapshotBytesPerSecond}, shortestSnapshotPeriod,
+                      longestSnapshotPeriod);
+}
+
 void stepSnapshot(WaveDriver &driver, ControlCore &core)
 {
     const FleetState &state = core.fleetState();
@@ -216,7 +255,7 @@
         driver.snapshotThrough = state.next;
     }
     const bool isDue = state.next >= driver.snapshotThrough + snapshotRecords
-                       || (state.time - driver.snapshotAt >= snapshotPeriod
+                       || (state.time - driver.snapshotAt >= snapshotPeriod(state)
                            && state.next > driver.snapshotThrough);
     if (!isDue || !driver.snapshotProposals.empty()) {
         return;
@@ -262,7 +301,9 @@
         stepSnapshot(driver, core);
     } else if (now >= driver.nextHealthStep && !core.isLeaving && core.isLogReachable) {
         driver.nextHealthStep = now + healthPeriod;
-        stepHealth(driver, core);
+        if (mayReportHealth(core)) {
+            stepHealth(driver, core);
+        }
     }
 }
 
