Read a quiet stream at once after a fault, and the host list by its size

The list of 4,500 hosts read every 30 s took 4,950 bytes a second of the 2,000 for control. Change: the read after a fault does not wait; the period of the list grows with its size.

--- a/src/poplarstream/node/platform_duty.cpp
+++ b/src/poplarstream/node/platform_duty.cpp
@@ -1,5 +1,6 @@
 #include "poplarstream/node/platform_duty.hpp"
 
+#include <algorithm>  // for max
 #include <map>  // for map
 
 #include <boost/asio/steady_timer.hpp>  // for steady_timer
@@ -30,6 +31,15 @@
             .pageRecords = pageRecords};
 }
 
+// The list of hosts is the slowest kind of evidence, so it must not use much of the 2 KB a second
+// that an entry host has for control: 4,500 hosts are read every quarter of an hour.
+Milliseconds listPeriod(std::size_t hosts)
+{
+    constexpr std::size_t bytesPerHost = 33;
+    constexpr std::size_t bytesPerSecond = 150;
+    return Milliseconds{static_cast<std::int64_t>(hosts * bytesPerHost * 1'000 / bytesPerSecond)};
+}
+
 }  // namespace
 
 struct PlatformDuty::State : std::enable_shared_from_this<PlatformDuty::State>
@@ -85,6 +95,8 @@
         }
         if (!page) {
             report(StreamFault{stream, page.failure().message});
+            // A second silent long poll in a row would exceed the 9 s for a configuration.
+            found->second.isFirst = true;
             readLater(stream, generation);
             return;
         }
@@ -132,10 +144,12 @@
             if (!self) {
                 return;
             }
+            Milliseconds wait = period;
             if (hosts) {
+                wait = std::max(period, listPeriod(hosts.value().size()));
                 self->report(HostsListed{std::move(hosts).value()});
             }
-            self->hostsTimer.expires_after(period);
+            self->hostsTimer.expires_after(wait);
             self->hostsTimer.async_wait([weak, period](boost::system::error_code error) {
                 if (const auto state = weak.lock(); state && !error) {
                     state->listHosts(period);
--- a/src/poplarstream/node/run_driver.cpp
+++ b/src/poplarstream/node/run_driver.cpp
@@ -313,7 +313,7 @@
 
 void takeCall(RunDriver &driver, ControlCore &core, RunCall &&call)
 {
-    std::visit([&](auto &&request) { take(driver, core, std::move(request)); }, std::move(call));
+    std::visit([&](auto &request) { take(driver, core, std::move(request)); }, call);
 }
 
 void flush(RunDriver &driver, ControlCore &core)
