--- a/src/poplarstream/main/operator_commands.cpp
+++ b/src/poplarstream/main/operator_commands.cpp
@@ -12,6 +12,12 @@
 
 constexpr std::string_view versionMark = "# version: ";
 
+// The head of docs/events.md, which is the output of `poplarstream events`.
+constexpr std::string_view eventsPageHead =
+        "# Events\n\n"
+        "Each line on standard error is one event: time, level, number, name, fields. A number "
+        "never changes its meaning. `poplarstream events` prints this page.\n\n";
+
 constexpr std::string_view digits = "0123456789";
 
 // The version from the line '# version: N' of a document; empty if there is none. A value that
@@ -87,7 +93,7 @@
 
 int printEvents()
 {
-    fmt::print("{}", eventCatalogueMarkdown());
+    fmt::print("{}{}", eventsPageHead, eventCatalogueMarkdown());
     return exitDone;
 }
 
