Shorten the lease of the wave driver from 15 s to 8 s

Cause: after the death of the driver nobody may grant absences until its lease has lapsed. In the control stream of a demo whose driver was killed at second 1, 14.0 s passed without a record of the wave; the other entry hosts were live, and the claim followed 1 s after the lease, so neither the ranks nor the log were the cause.

The lease is 8 s and is renewed every 2 s, which still survives two lost renewals and adds 0.3 appends a second.

--- a/include/poplarstream/maintenance/duty_lease.hpp
+++ b/include/poplarstream/maintenance/duty_lease.hpp
@@ -18,9 +18,12 @@
 
 struct LeasePolicy
 {
-    Milliseconds duration{15'000};
-    // Renewing three times in a lease survives two lost renewals in a row.
-    Milliseconds renewAfter{5'000};
+    // A wave stands still from the death of its driver until the lease lapses. With 15 s that was
+    // a third of the roll-out of 50 hosts.
+    Milliseconds duration{8'000};
+    // Renewing three times in a lease survives two lost renewals in a row, and a log that takes
+    // 2.5 s for an append and for a read.
+    Milliseconds renewAfter{2'000};
     // Between the first proposals of neighbouring ranks; longer than an append and its read-back.
     Milliseconds rankDelay{1'500};
     // Added to the delay of an unfit process: longer than the delays of 8 ranks.
