Count a run that continues from a checkpoint as one execution

The report of ex-libris called an archive reprint doubled: east-08 started and checkpointed it, and east-04 continued it from the checkpoint, which the history checker allows. history-check now sees itself that each continuation has a checkpoint of its own, and the report leaves continued starts out.

--- a/scripts/demo_faults.py
+++ b/scripts/demo_faults.py
@@ -13,7 +13,7 @@
 Fault = collections.namedtuple("Fault", "kind target start seconds")
 
 # Seconds that a fault lasts unless the option says otherwise. A pause is longer than the lease of
-# the wave driver, which is 15 s.
+# the wave driver, which is 8 s, and than those of the owners of runs.
 DURATIONS = {
     "kill": 0, "term": 0, "pause": 18, "platform-away": 8, "platform-silent": 8,
     "platform-errors": 8, "platform-slow": 15, "lose-answers": 15, "host-dead": 20,
@@ -22,7 +22,7 @@
 }
 
 HELP = """KIND[=TARGET]@START[+SECONDS], repeatable. KIND is one of %s. TARGET of kill, term and pause
-is an entry host or "driver" (the default, the entry host that drives the wave); of host-dead and
+is an entry host, its number or "driver" (the default, the entry host that drives the wave); of host-dead and
 host-fails a host; of minion-silent and connections-silent a host whose minions are meant; of
 platform-slow milliseconds; of lose-answers a probability.""" % ", ".join(DURATIONS)
 
@@ -96,7 +96,10 @@
         deployment = self.deployment
         if fault.target in (None, "driver"):
             return deployment.wave_driver()
-        return next(e for e in deployment.entries if e.id == fault.target)
+        for number, entry in enumerate(deployment.entries, 1):
+            if fault.target in (entry.id, str(number)):
+                return entry
+        raise ValueError(f"no entry host {fault.target}")
 
     def kill(self, fault):
         victim = self.entry(fault)
--- a/scripts/demo_report.py
+++ b/scripts/demo_report.py
@@ -39,7 +39,10 @@
     accepted = {line["run"]: line["service"] for line in callers
                 if line["kind"] == "request" and line["class"] == "slow" and line["status"] == 202}
     ended = {line["run"]: line["state"] for line in callers if line["kind"] == "run"}
-    starts = collections.Counter(line["run"] for line in fleet if line["kind"] == "run-started")
+    # Continuing from a checkpoint is not another execution; history-check decides whether there was
+    # a checkpoint.
+    starts = collections.Counter(line["run"] for line in fleet
+                                 if line["kind"] == "run-started" and not line["continued"])
     done = collections.Counter(line["run"] for line in fleet
                                if line["kind"] == "run-execution" and line["outcome"] == "succeeded")
     facts = collections.Counter()
--- a/standins/history/fleet_lines.cpp
+++ b/standins/history/fleet_lines.cpp
@@ -34,6 +34,13 @@
             addUrgent(line);
         } else if (kind == "run-started") {
             addRun(line);
+        } else if (kind == "run-execution") {
+            const std::string run = line.at("run");
+            if (line.at("outcome") == "checkpointed") {
+                checkpointed_.insert(run);
+            } else {
+                checkpointed_.erase(run);
+            }
         } else if (kind == "drain") {
             push(line, EndpointLeaving{line.at("host")});
         } else if (kind == "undrain" || kind == "boot") {
@@ -72,10 +79,13 @@
     void addRun(const json &line)
     {
         const json &token = line.at("token");
+        // A continuation uses up the checkpoint: a second one from it would be another execution.
+        const bool isContinued = checkpointed_.erase(line.at("run").get<std::string>()) > 0
+                                 && line.value("continued", false);
         push(line, RunExecuted{RunId(line.at("run").get<std::string>()),
                                HostId(line.at("host").get<std::string>()),
                                {token.at("offset"), token.at("index")},
-                               line.value("continued", false)});
+                               isContinued});
         push(line, WorkSent{line.at("host")});
     }
 
@@ -89,6 +99,7 @@
     std::set<std::string> idempotent_;
     std::set<std::string> seen_;
     std::set<std::string> rebooting_;
+    std::set<std::string> checkpointed_;  // runs whose last execution ended in a checkpoint
     Events events_;
 };
 
--- a/standins/history/history_check_test.py
+++ b/standins/history/history_check_test.py
@@ -147,6 +147,25 @@
         self.fleet.append(started(2_000, 9))
         self.assertEqual(self.broken(), ["non-idempotent-once"])
 
+    def end_run(self, at, outcome):
+        self.fleet.append({**started(at, 5), "kind": "run-execution", "outcome": outcome})
+
+    def test_non_idempotent_run_continued(self):
+        self.end_run(1_900, "checkpointed")
+        self.fleet.append({**started(2_000, 9), "continued": True})
+        self.assertEqual(self.broken(), [])
+
+    def test_non_idempotent_run_continued_twice(self):
+        self.end_run(1_900, "checkpointed")
+        self.fleet += [{**started(2_000, 9), "continued": True},
+                       {**started(2_100, 10), "continued": True}]
+        self.assertEqual(self.broken(), ["non-idempotent-once"])
+
+    def test_non_idempotent_run_continued_without_checkpoint(self):
+        self.end_run(1_900, "lost")
+        self.fleet.append({**started(2_000, 9), "continued": True})
+        self.assertEqual(self.broken(), ["non-idempotent-once"])
+
     def test_accepted_run_unknown_at_the_end(self):
         self.callers.append(urgent(3, 300, **{"class": "slow"}, service="invoice", status=202,
                                    run="a-9"))
