Claim a run again whose worker rebooted before the start was sent

The stop of the other entry host was not the cause, nor a start without an answer.

The owner gave up every claim on another boot. Now it releases the claim as never started if it made the claim itself and has sent no start, or had its only start refused.

--- a/src/poplarstream/runs/decide_test.cpp
+++ b/src/poplarstream/runs/decide_test.cpp
@@ -296,5 +296,33 @@
     }
 }
 
+// Guards against a run that is given up as may-have-run, and so is never executed, because its
+// worker had rebooted just before the claim; and against a second execution of one whose start may
+// have arrived.
+TEST(Decide, RunOfRebootedWorkerIsGivenUpOnlyIfItsStartMayHaveArrived)
+{
+    enum class Start { NotSent, Refused, Unanswered };
+    for (const Start sent : {Start::NotSent, Start::Refused, Start::Unanswered}) {
+        SCOPED_TRACE("given start " + std::to_string(static_cast<int>(sent)));
+        Scene scene;
+        scene.accept("a-1");
+        scene.step();
+        if (sent != Start::NotSent) {
+            ASSERT_EQ(countOf<StartTask>(scene.step().commands), 1U);
+        }
+        if (sent == Start::Refused) {
+            scene.see("a-1", TaskState::Refused);
+        }
+        SCOPED_TRACE("when the worker is seen under another boot");
+        for (WorkerView &worker : scene.fleet.workers) {
+            worker.boot = 2;
+        }
+        const RunDecision decision = scene.step();
+        EXPECT_EQ(countOf<StartTask>(decision.commands), 0U);
+        EXPECT_EQ(findRun(scene.state, RunId("a-1"))->stage,
+                  sent == Start::Unanswered ? RunStage::MayHaveRun : RunStage::Accepted);
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream
--- a/src/poplarstream/runs/supervise.cpp
+++ b/src/poplarstream/runs/supervise.cpp
@@ -75,6 +75,15 @@
     }
 }
 
+// Whether the attempt has surely not begun, whatever the worker forgot since: the process that made
+// the claim has sent no start, or the only one that it sent was refused.
+bool hasSurelyNotBegun(const Run &run, const TaskMemory *task)
+{
+    const bool isRefused = task && task->seen && task->seen->state == TaskState::Refused;
+    return task && task->isFresh && !run.claim->startedAt && !run.accepted.idempotent
+           && (!task->startSentAt || isRefused);
+}
+
 void revoke(DecisionStep &step, const Run &run, const TaskMemory *task)
 {
     if (step.isDue(task ? task->revokeSentAt : std::nullopt)) {
@@ -182,7 +191,11 @@
             contactWith(step, claim.worker, claim.workerBoot, task ? task->knownSince : step.now);
     const bool canRepeat = run.accepted.idempotent && run.stage != RunStage::Cancelling;
     if (contact == Contact::GivenUp || (contact == Contact::Lost && canRepeat)) {
-        giveUp(step, run, "The worker was lost.");
+        if (hasSurelyNotBegun(run, task)) {
+            release(step, run, ReleaseCause::NeverStarted, "The worker was lost before the start.");
+        } else {
+            giveUp(step, run, "The worker was lost.");
+        }
     } else if (task && task->seen) {
         superviseSeen(step, run, *task);
     } else {
