Choose the digest senders in turn

Senders are now taken in turn over the zones.

The bound of PeerMembership.BytesPerSecond is tightened to cover acknowledgements; it fails with the senders by rendezvous.

--- a/src/poplarstream/membership/peer_queries.cpp
+++ b/src/poplarstream/membership/peer_queries.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/membership/peer_queries.hpp"
 
-#include <algorithm>  // for sort, find, max
+#include <algorithm>  // for sort, find, max, min
 #include <utility>  // for pair
 
 #include "poplarstream/base/rendezvous.hpp"  // for rendezvousScore
@@ -93,10 +93,20 @@
     const std::vector<EntryHostId> own = livePeers(table, table.zone, now);
     const auto second = static_cast<std::size_t>(
             std::max<std::int64_t>(0, now.time_since_epoch() / table.policy.period));
+    const auto self =
+            static_cast<std::size_t>(std::find(own.begin(), own.end(), table.self) - own.begin());
+    const std::size_t senders = std::min<std::size_t>(table.policy.digestSenders, own.size());
+    // Senders are taken in turn over the zones, so that the numbers of digests of two processes of
+    // a zone differ by one at most.
+    std::size_t turn = 0;
     for (const auto &[zone, entry] : table.zones) {
-        const std::string duty = "digest:" + zone.text();
-        const std::uint32_t rank = dutyRank(duty, own, table.self);
-        if (rank >= table.policy.digestSenders) {
+        const std::size_t first = turn;
+        turn += senders;
+        std::size_t rank = 0;
+        while (rank < senders && (first + rank) % own.size() != self) {
+            ++rank;
+        }
+        if (rank == senders) {
             continue;
         }
         // All known peers, not only the live ones: a zone that was lost is found again this way.
@@ -107,7 +117,7 @@
             }
         }
         // The senders address different peers, so that each peer hears the zone more often.
-        const std::size_t offset = rank * known.size() / table.policy.digestSenders;
+        const std::size_t offset = rank * known.size() / senders;
         targets.push_back(known[(second + offset) % known.size()]);
     }
     return targets;
--- a/src/poplarstream/node/peer_membership_test.cpp
+++ b/src/poplarstream/node/peer_membership_test.cpp
@@ -214,7 +214,8 @@
 
 // Guards against control traffic above 2 KB/s for each entry host at the size in two years. The
 // figure is computed: MessagePack bytes, 8 bytes of nng (SP) framing, 52 bytes of IPv4 and TCP
-// headers with timestamps for each message.
+// headers with timestamps for each message, and as much for the acknowledgement of each received
+// one.
 TEST(PeerMembership, BytesPerSecond)
 {
     Fleet fleet(15, 8);
@@ -244,7 +245,7 @@
     }
     std::cout << "bytes sent a second: mean " << total / fleet.hosts.size() / seconds << ", most "
               << most << ", most with acknowledgements " << mostWithAcknowledgements << '\n';
-    EXPECT_LE(most, 2'000U);
+    EXPECT_LE(mostWithAcknowledgements, 2'000U);
 }
 
 }  // namespace
