Count each host without a rack as a rack of its own

Configurations are only accepted with a rack for each host, so the test takes the rack away in the state.

Scenario.HostsWithoutRack fails before the change (the second reboot is judged against a rack of three hosts) and passes after it.

--- a/src/poplarstream/fleet/absence_rules.cpp
+++ b/src/poplarstream/fleet/absence_rules.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>  // for max
 #include <map>  // for map
+#include <string>  // for string
+#include <utility>  // for pair
 
 #include <fmt/format.h>  // for format
 
@@ -53,18 +55,21 @@
                                      : "";
 }
 
-// The largest number of hosts of the pool in one rack that are still in service without `leaving`.
-std::pair<std::uint32_t, RackId> largestRack(const FleetState &state, const PoolId &pool,
-                                             const FleetHost &leaving)
+// The largest number of hosts of the pool in one rack that are still in service without `leaving`,
+// and the name of what is lost. A host without a rack is a rack of its own.
+std::pair<std::uint32_t, std::string> largestRack(const FleetState &state, const PoolId &pool,
+                                                  const FleetHost &leaving)
 {
     std::map<RackId, std::uint32_t> racks;
-    std::pair<std::uint32_t, RackId> largest;
+    std::pair<std::uint32_t, std::string> largest;
     for (const auto &[id, host] : state.hosts) {
-        if (&host != &leaving && host.config->pool == pool && !isAway(state, host)) {
-            const std::uint32_t size = ++racks[host.config->rack];
-            if (size > largest.first) {
-                largest = {size, host.config->rack};
-            }
+        if (&host == &leaving || host.config->pool != pool || isAway(state, host)) {
+            continue;
+        }
+        const RackId &rack = host.config->rack;
+        const std::uint32_t size = rack.isEmpty() ? 1 : ++racks[rack];
+        if (size > largest.first) {
+            largest = {size, rack.isEmpty() ? "host " + id.text() : "rack " + rack.text()};
         }
     }
     return largest;
@@ -84,11 +89,11 @@
     if (!state.configuration->fleet.rackHeadroom) {
         return {};
     }
-    const auto [size, rack] = largestRack(state, pool, leaving);
+    const auto [size, name] = largestRack(state, pool, leaving);
     if (size > budget->left - 1) {
-        return fmt::format("the loss of rack {} would take {} more hosts of pool {}, and room for "
-                           "{} would remain",
-                           rack.text(), size, pool.text(), budget->left - 1);
+        return fmt::format("the loss of {} would take {} more hosts of pool {}, and room for {} "
+                           "would remain",
+                           name, size, pool.text(), budget->left - 1);
     }
     return {};
 }
--- a/src/poplarstream/fleet/naive_fleet.hpp
+++ b/src/poplarstream/fleet/naive_fleet.hpp
@@ -71,7 +71,8 @@
             std::set<std::string> lossToo = counted;
             for (const auto &[id, member] : hosts) {
                 if (config.fleet.rackHeadroom && row(id).pool.text() == pool
-                    && row(id).rack == row(other).rack) {
+                    && (id == other
+                        || (!row(id).rack.isEmpty() && row(id).rack == row(other).rack))) {
                     lossToo.insert(id);
                 }
             }
--- a/src/poplarstream/fleet/scenario_test.cpp
+++ b/src/poplarstream/fleet/scenario_test.cpp
@@ -223,6 +223,22 @@
     EXPECT_NE(story.reboot("h1"), "");
 }
 
+// Guards against a wave that is refused because hosts without a rack count as one large rack.
+TEST(Scenario, HostsWithoutRack)
+{
+    Story story;
+    EXPECT_EQ(story.change({{"fleet", "rack_headroom", "yes"}}), "");
+    // The checks of the configuration demand a rack, so it is taken away here.
+    for (auto &[id, host] : story.state.hosts) {
+        HostConfig config = *host.config;
+        config.rack = RackId();
+        host.config = std::make_shared<const HostConfig>(std::move(config));
+    }
+    EXPECT_EQ(story.reboot("h0"), "");
+    EXPECT_EQ(story.reboot("h1"), "the loss of host h2 would take 1 more hosts of pool p, and room "
+                                  "for 0 would remain");
+}
+
 // Guards against two holders of a duty, also when the log's clock jumps back.
 TEST(Scenario, DutyLeases)
 {
