Count a reboot for every running wave that names the host

The end of an absence marked the host as done in the wave of the absence only, while the planner shares one absence between waves. A second wave rebooted the host again. A reboot for one wave now counts in all running reboot waves that name the pool which the host left or came to. An absence without a reboot no longer counts for a wave that reboots, and a wave that only moves counts a host only at its target.

Scenario.OneRebootForSeveralWaves fails without the sharing and passes with it. Replay.AgreesWithNaiveFold compares the done hosts of all waves as well.

--- a/include/poplarstream/fleet/state.hpp
+++ b/include/poplarstream/fleet/state.hpp
@@ -22,6 +22,7 @@
 {
     Offset grant = 0;
     AbsenceKind kind = AbsenceKind::Reboot;
+    PoolId origin;  // the pool of the host at the grant
     PoolId target;
     WaveId wave;
     TimePoint granted;  // by the replay clock
@@ -61,7 +62,8 @@
     TimePoint expires;
 };
 
-// `done` are the hosts whose absence for the wave is complete.
+// `done` are the hosts that have done what the wave asks: a reboot, in an absence for this wave or,
+// while this one was running, for another; for a wave that only moves, a move to its target.
 struct WaveRecord
 {
     std::set<HostId> done;
--- a/src/poplarstream/fleet/host_steps.cpp
+++ b/src/poplarstream/fleet/host_steps.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>  // for any_of
+
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/config/document.hpp"  // for setEntry, SectionId
@@ -45,13 +47,34 @@
     return host && host->absence ? host->absence->wave : WaveId{};
 }
 
-// The wave counts a host as done when everything that was granted has happened.
-void finishAbsence(FleetState &state, const HostId &id, FleetHost &host)
+// Whether the wave names the pool that the host was in at the grant, or the one that it is in now.
+bool namesHost(const WaveConfig &wave, const FleetHost &host)
+{
+    return std::any_of(wave.pools.begin(), wave.pools.end(), [&](const PoolId &pool) {
+        return pool == host.absence->origin || pool == host.config->pool;
+    });
+}
+
+// Whether the ended absence did what the wave asks of the host. A reboot for one wave serves all
+// running waves that name the host, or it would be rebooted once for each of them.
+bool serves(const FleetHost &host, const WaveConfig &wave)
 {
     const Absence &absence = *host.absence;
-    const bool isComplete = absence.left && (absence.kind == AbsenceKind::Reboot || absence.moved);
-    if (const auto wave = state.waves.find(absence.wave); isComplete && wave != state.waves.end()) {
-        wave->second.done.insert(id);
+    const bool isOwn = wave.id == absence.wave;
+    if (wave.action == AbsenceKind::Move) {
+        return isOwn && absence.moved && host.config->pool == wave.target;
+    }
+    const bool isRebooted = absence.left && absence.kind != AbsenceKind::Move;
+    const bool isShared = !absence.wave.isEmpty() && wave.state == WaveState::Running;
+    return isRebooted && (isOwn || (isShared && namesHost(wave, host)));
+}
+
+void finishAbsence(FleetState &state, const HostId &id, FleetHost &host)
+{
+    for (const WaveConfig &wave : state.configuration->waves) {
+        if (serves(host, wave)) {
+            state.waves[wave.id].done.insert(id);
+        }
     }
     host.absence.reset();
 }
@@ -154,8 +177,12 @@
         FleetHost &host = *findHost(state, request.host);
         const TallyScope scope(state, host);
         enter(host, *next(host.state, HostEvent::Granted), at.time);
-        host.absence = Absence{at.offset, request.kind, request.target, request.wave,
-                               at.time,   false,        false};
+        host.absence = Absence{.grant = at.offset,
+                               .kind = request.kind,
+                               .origin = host.config->pool,
+                               .target = request.target,
+                               .wave = request.wave,
+                               .granted = at.time};
     }
     return decide(state, at, DecisionKind::Absence, request.host, request.wave, granted,
                   granted ? request.reason : problem);
--- a/src/poplarstream/fleet/naive_fleet.hpp
+++ b/src/poplarstream/fleet/naive_fleet.hpp
@@ -22,6 +22,9 @@
     std::string target;
     bool moved = false;
     bool quarantined = false;
+    std::string origin;  // the pool at the grant
+    std::string wave;
+    bool left = false;
 };
 
 struct Fleet
@@ -33,6 +36,7 @@
     Configuration config;
     std::map<std::string, Host> hosts;
     std::set<std::string> lost;
+    std::map<std::string, std::set<std::string>> done;  // by wave
     std::map<std::string, std::pair<std::string, TimePoint>> duties;
     std::set<std::string> seen;
 
@@ -135,6 +139,9 @@
                 return false;
             }
         }
+        for (auto &[wave, members] : next.done) {
+            std::erase_if(members, [&](const std::string &id) { return !next.hosts.contains(id); });
+        }
         next.version = version + 1;
         *this = std::move(next);
         return true;
@@ -165,10 +172,34 @@
                       request.kind,
                       request.target.text(),
                       false,
-                      at->second.quarantined};
+                      at->second.quarantined,
+                      row(at->first).pool.text(),
+                      request.wave.text(),
+                      false};
         return true;
     }
 
+    void end(const std::string &id, Host &host)
+    {
+        for (const WaveConfig &wave : config.waves) {
+            const bool isOwn = wave.id.text() == host.wave;
+            bool isNamed = false;
+            for (const PoolId &pool : wave.pools) {
+                isNamed = isNamed || pool.text() == host.origin || pool == row(id).pool;
+            }
+            const bool isRebooted = host.left && host.kind != AbsenceKind::Move;
+            const bool isCounted =
+                    isOwn || (!host.wave.empty() && isNamed && wave.state == WaveState::Running);
+            if (wave.action == AbsenceKind::Move
+                        ? isOwn && host.moved && wave.target == row(id).pool
+                        : isRebooted && isCounted) {
+                done[wave.id.text()].insert(id);
+            }
+        }
+        host.state = "in service";
+        host.open = false;
+    }
+
     bool operator()(const AbsenceProgress &progress, Offset /*offset*/)
     {
         const auto at = hosts.find(progress.host.text());
@@ -181,13 +212,13 @@
         case AbsencePhase::Drained:
             return state == "draining" && (state = "away", true);
         case AbsencePhase::Away:
-            return isOut && (state = "away", true);
+            return isOut && (state = "away", at->second.left = true);
         case AbsencePhase::Returning:
             return state == "away" && (state = "returning", true);
         case AbsencePhase::Abandoned:
             return isOut && (state = "returning", true);
         case AbsencePhase::Returned:
-            return state == "returning" && (state = "in service", at->second.open = false, true);
+            return state == "returning" && (end(at->first, at->second), true);
         }
         return false;
     }
@@ -203,6 +234,7 @@
         document = applyEdits(document, std::span(&edit, 1)).document;
         config = readConfiguration(document).configuration;
         at->second.moved = true;
+        at->second.left = true;
         return true;
     }
 
--- a/src/poplarstream/fleet/replay_test.cpp
+++ b/src/poplarstream/fleet/replay_test.cpp
@@ -29,6 +29,14 @@
     for (const auto &[pool, tally] : state.tallies) {
         RC_ASSERT(tally.away + tally.incoming == fleet.against(pool.text(), false).size());
     }
+    for (const auto &[wave, record] : state.waves) {
+        std::set<std::string> done;
+        for (const HostId &host : record.done) {
+            done.insert(host.text());
+        }
+        const auto other = fleet.done.find(wave.text());
+        RC_ASSERT(done == (other == fleet.done.end() ? std::set<std::string>{} : other->second));
+    }
     for (const auto &[duty, held] : fleet.duties) {
         const auto holder = dutyHolder(state, DutyId(duty), state.time);
         RC_ASSERT(holder.has_value() == (held.second > fleet.time));
--- a/src/poplarstream/fleet/scenario_test.cpp
+++ b/src/poplarstream/fleet/scenario_test.cpp
@@ -179,6 +179,54 @@
     EXPECT_EQ(story.reboot("h1", "v"), "");
 }
 
+// Guards against a host that is rebooted once for each wave that names it, and against one that a
+// wave leaves out because of an absence without a reboot or before the wave ran.
+TEST(Scenario, OneRebootForSeveralWaves)
+{
+    Story story;
+    const auto isDone = [&](const char *wave, const char *host) {
+        return story.state.waves.at(WaveId(wave)).done.contains(HostId(host));
+    };
+    EXPECT_EQ(story.change({{"wave v", "state", "running"},
+                            {"wave u", "pools", "p"},
+                            {"wave u", "action", "reboot"},
+                            {"wave u", "state", "stopped"},
+                            {"wave t", "pools", "q"},
+                            {"wave t", "action", "reboot"},
+                            {"wave t", "state", "running"},
+                            {"wave s", "pools", "o"},
+                            {"wave s", "action", "reboot"},
+                            {"wave s", "state", "running"}}),
+              "");
+    SCOPED_TRACE("when a host is rebooted for v, then u, which is stopped, still needs it");
+    EXPECT_EQ(story.reboot("h0", "v"), "");
+    story.bringBack("h0");
+    EXPECT_TRUE(isDone("v", "h0"));
+    EXPECT_FALSE(isDone("u", "h0"));
+    SCOPED_TRACE(
+            "given u runs, then a reboot for v counts for u, and not for waves of other pools");
+    EXPECT_EQ(story.change({{"wave u", "state", "running"}}), "");
+    EXPECT_EQ(story.reboot("h1", "v"), "");
+    story.bringBack("h1");
+    EXPECT_TRUE(isDone("v", "h1") && isDone("u", "h1"));
+    EXPECT_FALSE(isDone("s", "h1") || isDone("t", "h1") || isDone("w", "h1"));
+    SCOPED_TRACE("when a host is rebooted and moved, then the waves of both pools have it");
+    EXPECT_EQ(story.append(AbsenceRequest{HostId("h2"), AbsenceKind::RebootAndMove, PoolId("q"),
+                                          WaveId("w"), "test"}),
+              "");
+    EXPECT_EQ(story.progress("h2", AbsencePhase::Away), "");
+    EXPECT_EQ(story.append(HostMove{HostId("h2"), PoolId("p"), PoolId("q")}), "");
+    story.bringBack("h2");
+    EXPECT_TRUE(isDone("w", "h2") && isDone("v", "h2") && isDone("u", "h2") && isDone("t", "h2"));
+    SCOPED_TRACE("when a host only moves, then no wave counts it as rebooted");
+    EXPECT_EQ(story.move("h4", "q"), "");
+    EXPECT_EQ(story.progress("h4", AbsencePhase::Away), "");
+    EXPECT_EQ(story.append(HostMove{HostId("h4"), PoolId("o"), PoolId("q")}), "");
+    story.bringBack("h4");
+    EXPECT_TRUE(isDone("w", "h4"));
+    EXPECT_FALSE(isDone("s", "h4") || isDone("t", "h4"));
+}
+
 // Guards guarantee 1 in the pool that a host moves to, and changes that are blocked by a pool that
 // moves have made smaller than its budget.
 TEST(Scenario, Move)
--- a/src/poplarstream/fleet/state_codec.cpp
+++ b/src/poplarstream/fleet/state_codec.cpp
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 // A state of another format is not read; the tail of the log or an older snapshot is.
-constexpr int stateFormat = 1;
+constexpr int stateFormat = 2;
 
 std::int64_t number(TimePoint time)
 {
@@ -99,16 +99,20 @@
 
 json toJson(const Absence &a)
 {
-    return json::array({a.grant, static_cast<int>(a.kind), a.target.text(), a.wave.text(),
-                        number(a.granted), a.left, a.moved});
+    return json::array({a.grant, static_cast<int>(a.kind), a.origin.text(), a.target.text(),
+                        a.wave.text(), number(a.granted), a.left, a.moved});
 }
 
 Absence absenceFrom(const json &j)
 {
-    return {j.at(0).get<Offset>(), enumAt<AbsenceKind>(j, 1, 3),
-            idAt<PoolId>(j, 2),    idAt<WaveId>(j, 3),
-            timeAt(j, 4),          j.at(5).get<bool>(),
-            j.at(6).get<bool>()};
+    return {.grant = j.at(0).get<Offset>(),
+            .kind = enumAt<AbsenceKind>(j, 1, 3),
+            .origin = idAt<PoolId>(j, 2),
+            .target = idAt<PoolId>(j, 3),
+            .wave = idAt<WaveId>(j, 4),
+            .granted = timeAt(j, 5),
+            .left = j.at(6).get<bool>(),
+            .moved = j.at(7).get<bool>()};
 }
 
 json toJson(const FleetHost &host)
