Record loans of spare hosts in the replay and return them in every case

The stepper could lend spare hosts, but the replay kept no loans, so lending was off. The replay now judges at the grant whether a move out of the spare pool is a loan, records it with the move, and ends it with the next move or when the lending pool is removed.

Two faults at the seam are fixed with it: a return named its wave, and requests of a stopped, withdrawn or removed wave or one outside of its window are refused, so the host stayed lent; and loans were requested outside of the window.

The fake fleet refuses requests of closed waves as the replay does, and checks the budget of the target pool as well.

--- a/include/poplarstream/fleet/state.hpp
+++ b/include/poplarstream/fleet/state.hpp
@@ -28,6 +28,19 @@
     TimePoint granted;  // by the replay clock
     bool left = false;  // the reboot or move has begun
     bool moved = false;  // the host is in the target pool
+    // The move lends a spare host to a wave: the wave itself does not move hosts to the target.
+    bool isLoan = false;
+};
+
+// A host of the spare pool that was moved for a wave and has to be moved back. The wave may have
+// been removed from the configuration since.
+struct HostLoan
+{
+    PoolId from;
+    PoolId to;
+    WaveId wave;
+
+    friend bool operator==(const HostLoan &, const HostLoan &) = default;
 };
 
 struct FleetHost
@@ -36,6 +49,7 @@
     HostState state = HostState::InService;
     TimePoint since;  // when it entered the state, by the replay clock
     std::optional<Absence> absence;
+    std::optional<HostLoan> loan;
     bool quarantined = false;
     std::vector<Decision> decisions;  // at most decisionsPerHost, oldest first
 };
--- a/src/poplarstream/fleet/change_step.cpp
+++ b/src/poplarstream/fleet/change_step.cpp
@@ -64,6 +64,10 @@
         if (isNew) {
             at->second.since = time;
         }
+        // Without the pool that lent it, the host stays where it is.
+        if (at->second.loan && !configuration.pools.contains(at->second.loan->from)) {
+            at->second.loan.reset();
+        }
     }
     for (auto &[id, wave] : state.waves) {
         std::erase_if(wave.done, [&](const HostId &host) { return !state.hosts.contains(host); });
--- a/src/poplarstream/fleet/host_steps.cpp
+++ b/src/poplarstream/fleet/host_steps.cpp
@@ -79,6 +79,19 @@
     host.absence.reset();
 }
 
+// A move out of the spare pool for a wave that does not move its hosts to the target. It is judged
+// at the grant, when the wave is running; it can be changed or removed before the host moves.
+bool isLoan(const FleetState &state, const AbsenceRequest &request, const FleetHost &host)
+{
+    const Configuration &configuration = *state.configuration;
+    const WaveConfig *wave = configuration.waves.find(request.wave);
+    const PoolConfig *pool = configuration.pools.find(host.config->pool);
+    if (request.kind == AbsenceKind::Reboot || !wave || !pool || !pool->spare) {
+        return false;
+    }
+    return wave->action == AbsenceKind::Reboot || wave->target != request.target;
+}
+
 void enter(FleetHost &host, HostState entered, TimePoint time)
 {
     if (host.state != entered) {
@@ -182,7 +195,8 @@
                                .origin = host.config->pool,
                                .target = request.target,
                                .wave = request.wave,
-                               .granted = at.time};
+                               .granted = at.time,
+                               .isLoan = isLoan(state, request, host)};
     }
     return decide(state, at, DecisionKind::Absence, request.host, request.wave, granted,
                   granted ? request.reason : problem);
@@ -215,6 +229,11 @@
         writePool(state, *host, move.to);
         host->absence->moved = true;
         host->absence->left = true;
+        // Any other move ends a loan: back to the spare pool, or to a pool chosen for good.
+        host->loan.reset();
+        if (host->absence->isLoan) {
+            host->loan = HostLoan{move.from, move.to, host->absence->wave};
+        }
     }
     const bool granted = problem.empty();
     return decide(state, at, DecisionKind::Move, move.host, waveOf(host), granted,
--- a/src/poplarstream/fleet/naive_fleet.hpp
+++ b/src/poplarstream/fleet/naive_fleet.hpp
@@ -25,6 +25,8 @@
     std::string origin;  // the pool at the grant
     std::string wave;
     bool left = false;
+    std::string loanWave;  // the wave of a granted move that lends the host
+    std::vector<std::string> loan;  // from, to and wave while the host is lent
 };
 
 struct Fleet
@@ -139,6 +141,11 @@
                 return false;
             }
         }
+        for (auto &[id, host] : next.hosts) {
+            if (!host.loan.empty() && !next.config.pools.contains(PoolId(host.loan[0]))) {
+                host.loan.clear();
+            }
+        }
         for (auto &[wave, members] : next.done) {
             std::erase_if(members, [&](const std::string &id) { return !next.hosts.contains(id); });
         }
@@ -166,6 +173,10 @@
         if (!fits(row(at->first).pool.text(), at->first)) {
             return false;
         }
+        const bool isOfWave =
+                wave && wave->action != AbsenceKind::Reboot && wave->target == request.target;
+        const bool isLoan =
+                isMove && wave && !isOfWave && config.pools.find(row(at->first).pool)->spare;
         at->second = {"draining",
                       true,
                       offset,
@@ -175,7 +186,9 @@
                       at->second.quarantined,
                       row(at->first).pool.text(),
                       request.wave.text(),
-                      false};
+                      false,
+                      isLoan ? request.wave.text() : "",
+                      at->second.loan};
         return true;
     }
 
@@ -235,6 +248,10 @@
         config = readConfiguration(document).configuration;
         at->second.moved = true;
         at->second.left = true;
+        at->second.loan.clear();
+        if (!at->second.loanWave.empty()) {
+            at->second.loan = {move.from.text(), move.to.text(), at->second.loanWave};
+        }
         return true;
     }
 
--- a/src/poplarstream/fleet/replay_test.cpp
+++ b/src/poplarstream/fleet/replay_test.cpp
@@ -24,6 +24,11 @@
         RC_ASSERT(hostStateText(host.state) == other.state);
         RC_ASSERT(host.absence.has_value() == other.open);
         RC_ASSERT(host.quarantined == other.quarantined);
+        const std::vector<std::string> loan =
+                host.loan ? std::vector{host.loan->from.text(), host.loan->to.text(),
+                                        host.loan->wave.text()}
+                          : std::vector<std::string>();
+        RC_ASSERT(loan == other.loan);
         RC_ASSERT(host.config->pool == fleet.row(id.text()).pool);
     }
     for (const auto &[pool, tally] : state.tallies) {
--- a/src/poplarstream/fleet/scenario_test.cpp
+++ b/src/poplarstream/fleet/scenario_test.cpp
@@ -255,6 +255,42 @@
     EXPECT_EQ(story.change({{"fleet", "name", "renamed"}}), "");
 }
 
+// Guards against spare hosts that are lent and forgotten, and against moves of a wave that are
+// taken for loans.
+TEST(Scenario, Loans)
+{
+    Story story;
+    const auto lent = [&](const char *host) { return story.state.hosts.at(HostId(host)).loan; };
+    const auto request = [&](const char *host, const char *target, const char *wave) {
+        return story.append(AbsenceRequest{HostId(host), AbsenceKind::Move, PoolId(target),
+                                           WaveId(wave), "test"});
+    };
+    const auto moved = [&](const char *host, const char *from, const char *to) {
+        EXPECT_EQ(story.progress(host, AbsencePhase::Away), "");
+        return story.append(HostMove{HostId(host), PoolId(from), PoolId(to)});
+    };
+    EXPECT_EQ(story.change({{"wave v", "state", "running"}}), "");
+    SCOPED_TRACE("when a spare host moves for a reboot wave, then it is lent with its move");
+    EXPECT_EQ(request("h6", "p", "v"), "");
+    EXPECT_FALSE(lent("h6"));
+    SCOPED_TRACE("given that the wave is removed before the move");
+    EXPECT_EQ(story.change({{"wave v", std::nullopt, std::nullopt}}), "");
+    EXPECT_EQ(moved("h6", "q", "p"), "");
+    EXPECT_EQ(lent("h6"), (HostLoan{PoolId("q"), PoolId("p"), WaveId("v")}));
+    story.bringBack("h6");
+    SCOPED_TRACE(
+            "when a host of another pool moves to the target of its wave, then it is not lent");
+    EXPECT_EQ(story.move("h4", "q"), "");
+    EXPECT_EQ(moved("h4", "o", "q"), "");
+    EXPECT_FALSE(lent("h4"));
+    story.bringBack("h4");
+    SCOPED_TRACE("when the lent host moves back without a wave, then the loan has ended");
+    EXPECT_EQ(request("h6", "q", ""), "");
+    EXPECT_TRUE(lent("h6"));
+    EXPECT_EQ(moved("h6", "p", "q"), "");
+    EXPECT_FALSE(lent("h6"));
+}
+
 // Guards against a grant while a lost zone or the loss of one more rack would exceed the budget.
 TEST(Scenario, ZoneAndRack)
 {
--- a/src/poplarstream/fleet/state_codec.cpp
+++ b/src/poplarstream/fleet/state_codec.cpp
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 // A state of another format is not read; the tail of the log or an older snapshot is.
-constexpr int stateFormat = 2;
+constexpr int stateFormat = 3;
 
 std::int64_t number(TimePoint time)
 {
@@ -100,7 +100,7 @@
 json toJson(const Absence &a)
 {
     return json::array({a.grant, static_cast<int>(a.kind), a.origin.text(), a.target.text(),
-                        a.wave.text(), number(a.granted), a.left, a.moved});
+                        a.wave.text(), number(a.granted), a.left, a.moved, a.isLoan});
 }
 
 Absence absenceFrom(const json &j)
@@ -112,14 +112,25 @@
             .wave = idAt<WaveId>(j, 4),
             .granted = timeAt(j, 5),
             .left = j.at(6).get<bool>(),
-            .moved = j.at(7).get<bool>()};
+            .moved = j.at(7).get<bool>(),
+            .isLoan = j.at(8).get<bool>()};
+}
+
+json toJson(const HostLoan &loan)
+{
+    return json::array({loan.from.text(), loan.to.text(), loan.wave.text()});
+}
+
+HostLoan loanFrom(const json &j)
+{
+    return {idAt<PoolId>(j, 0), idAt<PoolId>(j, 1), idAt<WaveId>(j, 2)};
 }
 
 json toJson(const FleetHost &host)
 {
     return json::array({static_cast<int>(host.state), number(host.since), host.quarantined,
                         host.absence ? toJson(*host.absence) : json(nullptr),
-                        listJson(host.decisions)});
+                        listJson(host.decisions), host.loan ? toJson(*host.loan) : json(nullptr)});
 }
 
 FleetHost hostFrom(const json &j)
@@ -132,6 +143,9 @@
         host.absence = absenceFrom(j.at(3));
     }
     host.decisions = listFrom(j.at(4), decisionFrom);
+    if (!j.at(5).is_null()) {
+        host.loan = loanFrom(j.at(5));
+    }
     return host;
 }
 
--- a/src/poplarstream/maintenance/fake_fleet.hpp
+++ b/src/poplarstream/maintenance/fake_fleet.hpp
@@ -39,6 +39,7 @@
     std::vector<std::string> violations;
     std::uint64_t checks = 0;
     std::uint32_t moves = 0;
+    std::uint32_t loans = 0;
 
     std::size_t indexOf(const HostId &host) const
     {
@@ -244,6 +245,15 @@
         return true;
     }
 
+    // A request without a wave is allowed; one for a wave needs it to be running.
+    bool isOpen(const WaveId &wave) const
+    {
+        return wave.isEmpty()
+               || std::any_of(view.waves.begin(), view.waves.end(), [&](const WaveView &entry) {
+                      return entry.id == wave && entry.state == WaveState::Running;
+                  });
+    }
+
     void enter(HostView &host, HostState state)
     {
         host.state = state;
@@ -253,7 +263,8 @@
     bool applyOne(const AbsenceRequest &request)
     {
         HostView &host = view.hosts[indexOf(request.host)];
-        if (host.state != HostState::InService || host.isUnseen || !hasRoom(host.pool, host)
+        if (host.state != HostState::InService || host.isUnseen || !isOpen(request.wave)
+            || !hasRoom(host.pool, host)
             || (hasMove(request.kind) && !hasRoom(request.target, host))) {
             return false;
         }
@@ -261,7 +272,9 @@
         enter(host, HostState::Draining);
         ++checks;
         for (const PoolView &pool : view.pools) {
-            if (pool.id == host.pool && awayOf(pool.id) > pool.maxAway) {
+            const bool isConcerned =
+                    pool.id == host.pool || (hasMove(request.kind) && pool.id == request.target);
+            if (isConcerned && awayOf(pool.id) > pool.maxAway) {
                 violations.push_back("the budget of " + pool.id.text() + " is exceeded");
             }
         }
@@ -324,6 +337,7 @@
             if (std::erase_if(wave.loans, isThis) == 0 && wave.id == host.grant->wave
                 && poolOf(move.from)->isSpare && move.to != wave.target) {
                 wave.loans.push_back({move.host, move.from, move.to});
+                ++loans;
             }
         }
         return true;
--- a/src/poplarstream/maintenance/wave_step.cpp
+++ b/src/poplarstream/maintenance/wave_step.cpp
@@ -7,7 +7,7 @@
 #include <set>  // for set
 
 #include "absence_step.hpp"  // for stepAbsence
-#include "candidates.hpp"  // for Selector, needsOf
+#include "candidates.hpp"  // for Selector, needsOf, isInWindow, expectedDuration
 #include "loans.hpp"  // for chooseLoans
 
 namespace poplarstream::maintenance {
@@ -114,7 +114,10 @@
     const std::vector<LoanChoice> loans = chooseLoans(view, tally, needs);
     tally.useSustainedDemand(false);
     for (const LoanChoice &loan : loans) {
-        if (tally.refusal(loan.host, loan.target) != Refusal::None) {
+        const Milliseconds duration =
+                expectedDuration(view.hosts[loan.host], loan.kind, view.policy);
+        if (!isInWindow(view.waves[loan.wave].window, input.now, duration)
+            || tally.refusal(loan.host, loan.target) != Refusal::None) {
             continue;
         }
         tally.leave(loan.host, loan.target);
@@ -160,9 +163,12 @@
             break;
         }
         const Need &need = *needs[*host];
-        output.proposals.emplace_back(
-                AbsenceRequest{view.hosts[*host].id, need.kind, targetId(view, need.target),
-                               view.waves[need.wave].id, reasonOf(view, tally, need, *host)});
+        // A loan is returned without naming its wave, which may be closed or gone: requests of such
+        // a wave are refused.
+        const WaveId wave = need.isLoanReturn ? WaveId() : view.waves[need.wave].id;
+        output.proposals.emplace_back(AbsenceRequest{view.hosts[*host].id, need.kind,
+                                                     targetId(view, need.target), wave,
+                                                     reasonOf(view, tally, need, *host)});
         selector.take(*host);
         tally.leave(*host, need.target);
         selector.changed(tally.poolOf(*host));
--- a/src/poplarstream/maintenance/wave_step_test.cpp
+++ b/src/poplarstream/maintenance/wave_step_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
+#include <array>  // for array
 #include <deque>  // for deque
 
 #include "fake_fleet.hpp"  // for Fleet
@@ -83,6 +84,30 @@
         fleet_.view.pools[0].demand = static_cast<double>(random_.below(8));
     }
 
+    // Makes the demand on the pool of the first wave so high that lending spare hosts pays.
+    void makeLoansPay()
+    {
+        fleet_.view.weights = {4, 1, 5};
+        fleet_.view.pools[0].sustainedDemand = 3;
+        fleet_.view.pools[0].demand = 3;
+    }
+
+    enum class End { Complete, Stopped, Withdrawn, Removed };
+
+    // Ends all waves in the same way. A removed wave stays in the view, withdrawn and without
+    // pools, until its loans are back.
+    void end(End how)
+    {
+        for (WaveView &wave : fleet_.view.waves) {
+            wave.state = how == End::Complete  ? WaveState::Running
+                         : how == End::Stopped ? WaveState::Stopped
+                                               : WaveState::Withdrawn;
+            if (how == End::Removed) {
+                wave.pools.clear();
+            }
+        }
+    }
+
     void run(int ticks, bool hasFaults)
     {
         hasFaults_ = hasFaults;
@@ -261,6 +286,31 @@
     }
 }
 
+// Guards against a spare host that stays in the pool that borrowed it, or a loan that breaks the
+// budget of either pool, in whatever way and at whatever moment the wave ends.
+TEST(WaveStep, LentHostsReturn)
+{
+    constexpr std::uint64_t interleavings = 1'000;
+    std::array<std::uint32_t, 4> loans{};
+    for (std::uint64_t seed = 1; seed <= interleavings; ++seed) {
+        const std::uint64_t how = seed % loans.size();
+        SCOPED_TRACE("given loans, faults with seed " + std::to_string(seed) + " and the end "
+                     + std::to_string(how));
+        Interleaving interleaving(seed);
+        interleaving.makeLoansPay();
+        interleaving.run(static_cast<int>(20 + seed % 230), true);
+        interleaving.heal();
+        interleaving.end(static_cast<Interleaving::End>(how));
+        interleaving.run(1'500, false);
+        loans[how] += interleaving.fleet().loans;
+        ASSERT_EQ(interleaving.fleet().violations, std::vector<std::string>());
+        ASSERT_TRUE(interleaving.fleet().isComplete());
+    }
+    for (const std::uint32_t count : loans) {
+        EXPECT_GT(count, 100U);  // or the test shows nothing
+    }
+}
+
 // Runs without faults until complete; returns the seconds, or nothing.
 std::optional<int> runUndisturbed(fake::Fleet &fleet, int bound)
 {
--- a/src/poplarstream/node/wave_view.cpp
+++ b/src/poplarstream/node/wave_view.cpp
@@ -1,5 +1,7 @@
 #include "poplarstream/node/wave_view.hpp"
 
+#include <algorithm>  // for lower_bound
+
 namespace poplarstream {
 
 namespace {
@@ -78,6 +80,31 @@
     return view;
 }
 
+// The wave of the view, added as a withdrawn one without pools if it is not configured any more:
+// its loans must still be returned.
+maintenance::WaveView &waveOf(std::vector<maintenance::WaveView> &waves, const WaveId &id)
+{
+    const auto at = std::lower_bound(
+            waves.begin(), waves.end(), id,
+            [](const maintenance::WaveView &wave, const WaveId &other) { return wave.id < other; });
+    if (at != waves.end() && at->id == id) {
+        return *at;
+    }
+    maintenance::WaveView removed;
+    removed.id = id;
+    removed.state = maintenance::WaveState::Withdrawn;
+    return *waves.insert(at, std::move(removed));
+}
+
+void addLoans(const FleetState &state, std::vector<maintenance::WaveView> &waves)
+{
+    for (const auto &[id, host] : state.hosts) {
+        if (host.loan) {
+            waveOf(waves, host.loan->wave).loans.push_back({id, host.loan->from, host.loan->to});
+        }
+    }
+}
+
 }  // namespace
 
 maintenance::FleetView makeWaveView(const FleetState &state, const PoolDemands &demands,
@@ -97,6 +124,8 @@
     for (const WaveConfig &wave : configuration.waves) {
         view.waves.push_back(waveView(state, wave));
     }
+    addLoans(state, view.waves);
+    view.mayLend = true;
     view.weights = {configuration.fleet.weightRollout, configuration.fleet.weightMoves,
                     configuration.fleet.weightFlood};
     view.hasRackHeadroom = configuration.fleet.rackHeadroom;
