Fill the tables of life cycles in one place

Three life cycles each filled their lookup table from a Boost.MSM machine in their own way. The shared part is one header for sources only; the walk of the run table is kept, which needs one machine type for each life cycle.

--- a/include/poplarstream/traffic/connection_cycle.hpp
+++ b/include/poplarstream/traffic/connection_cycle.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>  // for size_t
 #include <cstdint>  // for uint8_t
 #include <optional>  // for optional
 
@@ -23,6 +24,9 @@
     Failed,  // broken, or silent past its deadline
 };
 
+inline constexpr std::size_t connectionStateCount = 5;
+inline constexpr std::size_t connectionEventCount = 6;
+
 // The state after `event`, or nothing when the event is not valid in `state`.
 std::optional<ConnectionState> next(ConnectionState state, ConnectionEvent event);
 
--- a/src/poplarstream/fleet/host_life.cpp
+++ b/src/poplarstream/fleet/host_life.cpp
@@ -2,114 +2,39 @@
 
 #include <array>  // for array
 
-// The machine has 14 rows; the default of MPL is enough for 20.
-#include <boost/msm/back/state_machine.hpp>  // for state_machine
-#include <boost/msm/front/functor_row.hpp>  // for Row
-#include <boost/msm/front/state_machine_def.hpp>  // for state_machine_def
+#include "poplarstream/base/life_cycle_table.hpp"  // for filledTable, Row
 
 namespace poplarstream {
 namespace {
 
-namespace msm = boost::msm;
-
-template <HostEvent Kind>
-struct On
-{};
-
-template <HostState Kind>
-struct In : msm::front::state<>
-{
-    template <class Event, class Machine>
-    void on_entry(const Event & /*event*/, Machine &machine)
-    {
-        machine.entered = Kind;
-    }
-};
-
-// The life cycle, started in `Initial` so that each row of the lookup table needs one event only.
-template <class Initial>
-struct LifeDefinition : msm::front::state_machine_def<LifeDefinition<Initial>>
-{
-    using initial_state = Initial;
-    template <class Source, HostEvent Event, class Target>
-    using Row = msm::front::Row<Source, On<Event>, Target>;
-
-    using Service = In<HostState::InService>;
-    using Draining = In<HostState::Draining>;
-    using Away = In<HostState::Away>;
-    using Returning = In<HostState::Returning>;
-    using Failed = In<HostState::Failed>;
-
-    // Boost.MSM demands the names transition_table and no_transition.
-    struct transition_table  // NOLINT(readability-identifier-naming)
-        : boost::mpl::vector<
-                  Row<Service, HostEvent::Granted, Draining>,
-                  Row<Service, HostEvent::Failed, Failed>, Row<Draining, HostEvent::Drained, Away>,
-                  Row<Draining, HostEvent::Left, Away>,
-                  Row<Draining, HostEvent::Abandoned, Returning>,
-                  Row<Draining, HostEvent::Failed, Failed>, Row<Away, HostEvent::Left, Away>,
-                  Row<Away, HostEvent::CameBack, Returning>,
-                  Row<Away, HostEvent::Abandoned, Returning>, Row<Away, HostEvent::Failed, Failed>,
-                  Row<Returning, HostEvent::Returned, Service>,
-                  Row<Returning, HostEvent::Failed, Failed>,
-                  Row<Failed, HostEvent::Recovered, Service>,
-                  Row<Failed, HostEvent::RecoveredAway, Returning>>
-    {};
-
-    template <class Event, class Machine>
-    // NOLINTNEXTLINE(readability-identifier-naming)
-    void no_transition(const Event & /*event*/, Machine & /*machine*/, int /*state*/)
-    {
-        isRefused = true;
-    }
-
-    HostState entered = HostState::InService;
-    bool isRefused = false;
-};
-
-using Cell = std::optional<HostState>;
-using Table = std::array<std::array<Cell, hostEventCount>, hostStateCount>;
-
-template <HostState From, HostEvent Event>
-void fillCell(Table &table)
-{
-    msm::back::state_machine<LifeDefinition<In<From>>> machine;
-    machine.start();
-    machine.process_event(On<Event>{});
-    table[static_cast<std::size_t>(From)][static_cast<std::size_t>(Event)] =
-            machine.isRefused ? Cell{} : Cell{machine.entered};
-}
-
-template <HostState From>
-void fillRow(Table &table)
-{
-    fillCell<From, HostEvent::Granted>(table);
-    fillCell<From, HostEvent::Drained>(table);
-    fillCell<From, HostEvent::Left>(table);
-    fillCell<From, HostEvent::CameBack>(table);
-    fillCell<From, HostEvent::Returned>(table);
-    fillCell<From, HostEvent::Abandoned>(table);
-    fillCell<From, HostEvent::Failed>(table);
-    fillCell<From, HostEvent::Recovered>(table);
-    fillCell<From, HostEvent::RecoveredAway>(table);
-}
-
-Table filledTable()
-{
-    Table table;
-    fillRow<HostState::InService>(table);
-    fillRow<HostState::Draining>(table);
-    fillRow<HostState::Away>(table);
-    fillRow<HostState::Returning>(table);
-    fillRow<HostState::Failed>(table);
-    return table;
-}
+using life_cycle::Row;
+using S = HostState;
+using E = HostEvent;
+
+// clang-format off
+using Rows = boost::mpl::vector<
+        Row<S::InService, E::Granted, S::Draining>,
+        Row<S::InService, E::Failed, S::Failed>,
+        Row<S::Draining, E::Drained, S::Away>,
+        Row<S::Draining, E::Left, S::Away>,
+        Row<S::Draining, E::Abandoned, S::Returning>,
+        Row<S::Draining, E::Failed, S::Failed>,
+        Row<S::Away, E::Left, S::Away>,
+        Row<S::Away, E::CameBack, S::Returning>,
+        Row<S::Away, E::Abandoned, S::Returning>,
+        Row<S::Away, E::Failed, S::Failed>,
+        Row<S::Returning, E::Returned, S::InService>,
+        Row<S::Returning, E::Failed, S::Failed>,
+        Row<S::Failed, E::Recovered, S::InService>,
+        Row<S::Failed, E::RecoveredAway, S::Returning>>;
+// clang-format on
 
 }  // namespace
 
 std::optional<HostState> next(HostState state, HostEvent event)
 {
-    static const Table table = filledTable();
+    static const auto table =
+            life_cycle::filledTable<S::InService, E, hostStateCount, hostEventCount, Rows>();
     return table[static_cast<std::size_t>(state)][static_cast<std::size_t>(event)];
 }
 
