Give the entry host a life cycle

Readiness depended on two flags of the control duty. A process that leaves before its first views no longer logs that it is ready.

--- a/src/poplarstream/node/control_core.hpp
+++ b/src/poplarstream/node/control_core.hpp
@@ -11,6 +11,7 @@
 #include "poplarstream/node/log_clock.hpp"  // for LogClock
 #include "poplarstream/node/outbox.hpp"  // for Outbox
 #include "poplarstream/node/process_clock.hpp"  // for ProcessClock
+#include "poplarstream/node/process_life.hpp"  // for ProcessState, ProcessEvent
 #include "poplarstream/node/worker_table.hpp"  // for WorkerTable
 #include "poplarstream/runs/owner_memory.hpp"  // for OwnerMemory
 #include "stream_replica.hpp"  // for StreamReplica
@@ -42,7 +43,20 @@
     std::map<RecordId, RunId> pendingArrivals;
     bool drivesWaves = false;
     bool isLogReachable = false;
-    bool isLeaving = false;
+    ProcessState life = ProcessState::Starting;
+
+    bool isLeaving() const
+    {
+        return life == ProcessState::Leaving || life == ProcessState::Stopped;
+    }
+
+    // Returns whether the event is valid in the present state.
+    bool advance(ProcessEvent event)
+    {
+        const auto entered = next(life, event);
+        life = entered.value_or(life);
+        return entered.has_value();
+    }
 
     const FleetState &fleetState() const { return fleet.state; }
     const Configuration &configuration() const { return *fleet.state.configuration; }
--- a/src/poplarstream/node/control_duty.cpp
+++ b/src/poplarstream/node/control_duty.cpp
@@ -427,8 +427,8 @@
 
     bool isReady() const
     {
-        return core.fleet.isReplaying() && core.fleetState().version > 0 && !core.isLeaving
-               && hasPublished;
+        return core.fleet.isReplaying() && core.fleetState().version > 0
+               && core.life == ProcessState::Ready;
     }
 
     ControlView view() const
@@ -462,8 +462,7 @@
         publishDirectory();
         forgetUnknown(core.workers, core.fleetState());
         tellPeers();
-        if (!hasPublished) {
-            hasPublished = true;
+        if (core.advance(ProcessEvent::Published)) {
             logEvent(events::entryHostReady,
                      {{"config", fmt::format("{}", core.fleetState().version)},
                       {"offset", fmt::format("{}", core.fleetState().next)}});
@@ -505,7 +504,7 @@
 
     void beginLeaving(std::function<void()> done)
     {
-        core.isLeaving = true;
+        core.advance(ProcessEvent::Leave);
         whenLeft = std::move(done);
         leaveBy = core.clock.now() + leaveTimeout;
         if (core.isLogReachable && core.runs.isReplaying() && core.fleet.isReplaying()) {
@@ -517,6 +516,7 @@
     void finishLeaving(TimePoint now)
     {
         if (whenLeft && (core.outbox.proposals.empty() || now >= leaveBy)) {
+            core.advance(ProcessEvent::Left);
             std::exchange(whenLeft, nullptr)();
         }
     }
@@ -534,7 +534,6 @@
     std::string lastFault;
     bool flushPending = false;
     bool viewsChanged = false;
-    bool hasPublished = false;
     std::function<void()> whenLeft;
     TimePoint leaveBy;
 };
--- a/src/poplarstream/node/run_driver.cpp
+++ b/src/poplarstream/node/run_driver.cpp
@@ -71,7 +71,7 @@
         return;
     }
     const ServiceConfig *service = configuration.services.find(submission.service);
-    if (!isServing(core) || service == nullptr || core.isLeaving) {
+    if (!isServing(core) || service == nullptr || core.isLeaving()) {
         submission.reply(unavailable("this entry host does not accept runs now"));
         return;
     }
@@ -328,7 +328,7 @@
     if (!isServing(core)) {
         return;
     }
-    if (now >= driver.nextStep && !core.isLeaving) {
+    if (now >= driver.nextStep && !core.isLeaving()) {
         driver.nextStep = now + stepPeriod;
         decide(driver, core);
         stepSnapshot(driver, core);
--- a/src/poplarstream/node/wave_driver.cpp
+++ b/src/poplarstream/node/wave_driver.cpp
@@ -63,7 +63,7 @@
             .self = core.settings.self,
             .lease = leaseView(core),
             .rank = membership::dutyRank(fleetDuty, live, core.settings.self),
-            .isLeaving = core.isLeaving,
+            .isLeaving = core.isLeaving(),
             .isInFlight = driver.leaseProposal.has_value(),
             .now = core.latestLogTimeNow()};
     if (const auto lease = maintenance::decideDutyLease(input, driver.leasePolicy)) {
@@ -217,7 +217,7 @@
 
 bool mayActNow(const WaveDriver &driver, const ControlCore &core)
 {
-    return !core.isLeaving
+    return !core.isLeaving()
            && maintenance::mayAct(leaseView(core), core.settings.self, core.latestLogTimeNow(),
                                   driver.leasePolicy);
 }
@@ -237,7 +237,7 @@
     if (mayActNow(driver, core)) {
         stepFleet(driver, core);
         stepSnapshot(driver, core);
-    } else if (now >= driver.nextHealthStep && !core.isLeaving && core.isLogReachable) {
+    } else if (now >= driver.nextHealthStep && !core.isLeaving() && core.isLogReachable) {
         driver.nextHealthStep = now + healthPeriod;
         stepHealth(driver, core);
     }
