--- a/bench/measure_main.cpp
+++ b/bench/measure_main.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>  // for ordered_json
 
 #include "agreement_cases.hpp"  // for measureConfigRace
+#include "control_cost_cases.hpp"  // for measureControlCost
 #include "maintenance_cases.hpp"  // for measureWaveVanHarselaar
 #include "measure_line.hpp"  // for MeasureLine
 #include "runs_cases.hpp"  // for runBadWorkers
@@ -66,6 +67,7 @@
     cases.insert(cases.end(), others.begin(), others.end());
     extend(cases, "zone-cut", measureZoneCutAgreement);
     extend(cases, "region-apart", measureRegionApartAgreement);
+    extend(cases, "two-year-size", measureControlCost);
     return cases;
 }
 
