--- a/src/poplarstream/node/wave_driver.hpp
+++ b/src/poplarstream/node/wave_driver.hpp
@@ -31,6 +31,7 @@
     std::map<WaveId, std::size_t> loggedDone;  // hosts done when a wave was last logged
     bool heldDuty = false;
     TimePoint nextStep;
+    TimePoint nextFleetStep;
     TimePoint nextHealthStep;
     Offset snapshotThrough = 0;
     TimePoint snapshotAt;
