Refuse edits of a host's zone

Cause: a worker keeps fencing tokens until it restarts, and those of two zones' streams are not comparable and can be equal. A worker meets both only if its zone is edited while it runs, which was granted.

Change: a change of the zone of a host that stays configured is refused.

Before: Scenario.HostsKeepTheirZone sees the change granted.

--- a/src/poplarstream/fleet/change_rules.cpp
+++ b/src/poplarstream/fleet/change_rules.cpp
@@ -35,6 +35,13 @@
         return fmt::format("host {} is in pool {}; only a move changes its pool", after.id.text(),
                            host.config->pool.text());
     }
+    // A worker compares and keeps fencing tokens, which are offsets in the stream of its zone,
+    // until it restarts. Those of another zone's stream are not comparable, and can be equal.
+    if (after.zone != host.config->zone) {
+        return fmt::format("host {} is in zone {}; to change its zone, remove it and restart its "
+                           "worker before it is added again",
+                           after.id.text(), host.config->zone.text());
+    }
     if (isMovePending(host) && !configuration.pools.contains(host.absence->target)) {
         return fmt::format("host {} is moving to pool {}, which the change removes",
                            after.id.text(), host.absence->target.text());
--- a/src/poplarstream/fleet/scenario_test.cpp
+++ b/src/poplarstream/fleet/scenario_test.cpp
@@ -118,6 +118,18 @@
     EXPECT_EQ(story.left("p"), 2u);
 }
 
+// Guards against a worker that meets the fencing tokens of two zones' streams under one boot: it
+// would refuse newer ones, or take two runs with equal ones for the same.
+TEST(Scenario, HostsKeepTheirZone)
+{
+    Story story;
+    const ConfigDocument before = story.state.document;
+    EXPECT_EQ(story.change({{"host h1", "zone", "b"}, {"host h1", "rack", "k2"}}),
+              "host h1 is in zone a; to change its zone, remove it and restart its worker before "
+              "it is added again");
+    EXPECT_EQ(story.state.document, before);
+}
+
 // Guards against late or repeated reports that bring a host back into service before its probe.
 TEST(Scenario, StaleProgress)
 {
