--- /dev/null
+++ b/src/poplarstream/runs/replay_hand_over.cpp
@@ -0,0 +1,56 @@
+#include "poplarstream/base/rendezvous.hpp"  // for stableHash
+#include "poplarstream/runs/queries.hpp"  // for findRun
+#include "replay_step.hpp"  // for Replay
+#include "run_index.hpp"  // for setStage, rememberArrival, confirmHandOver
+
+namespace poplarstream {
+
+Reason Replay::operator()(const RunHandedOver &handed)
+{
+    Run *run = mutableRun(state, handed.run);
+    if (!run) {
+        return unknownRun;
+    }
+    const auto stage = next(run->stage, RunEvent::HandOver);
+    if (!stage) {
+        return invalidStage(*run);
+    }
+    if (run->mayHaveStarted) {
+        // The other zone could neither revoke the earlier attempt nor answer "not run" truthfully.
+        return "an attempt in this zone may have started";
+    }
+    run->handedTo = handed.to;
+    run->handedOverAt = token.offset;
+    setStage(state, *run, *stage);
+    return {};
+}
+
+Reason Replay::operator()(const RunReceived &received)
+{
+    const std::uint64_t arrival = stableHash(
+            received.accepted.run.text(), stableHash(received.from.text(), received.handedOverAt));
+    if (!rememberArrival(state, arrival)) {
+        return "the run has arrived before";
+    }
+    if (findRun(state, received.accepted.run)) {
+        return "the run id is in use";
+    }
+    // Its key was checked where it was accepted; to refuse it here would lose an accepted run.
+    insertAccepted(state, received.accepted);
+    return {};
+}
+
+Reason Replay::operator()(const HandOverConfirmed &confirmed)
+{
+    Run *run = mutableRun(state, confirmed.run);
+    if (!run) {
+        return unknownRun;
+    }
+    if (!state.leaving.contains(run->ordinal)) {
+        return "no hand-over of the run is open";
+    }
+    confirmHandOver(state, *run);
+    return {};
+}
+
+}  // namespace poplarstream
