Drop observations of tasks whose run belongs to another zone

The log shows one claim and no second owner, so neither a lost append nor a take-over was the cause.

--- a/src/poplarstream/node/control_duty.cpp
+++ b/src/poplarstream/node/control_duty.cpp
@@ -5,7 +5,7 @@
 
 #include "control_core.hpp"  // for ControlCore
 #include "poplarstream/fleet/queries.hpp"  // for dutyHolder, changeOutcome
-#include "poplarstream/runs/queries.hpp"  // for isLeaseValid
+#include "poplarstream/runs/queries.hpp"  // for findRun, isLeaseValid
 #include "run_driver.hpp"  // for RunDriver
 #include "wave_driver.hpp"  // for WaveDriver
 
@@ -154,12 +154,21 @@
     {
         const TimePoint now = core.clock.now();
         if (const auto *observation = std::get_if<TaskObservation>(&event)) {
-            noteTask(core.memory, *observation, now);
+            noteOwnZoneTask(*observation, now);
             return;
         }
         const auto &status = std::get<WorkerStatus>(event);
         noteStatus(core.workers, status, now);
         for (const TaskObservation &task : status.tasks) {
+            noteOwnZoneTask(task, now);
+        }
+    }
+
+    // Tokens are unique within the stream of one zone only. An entry host also polls workers of
+    // other zones, and a task there can have the token of a claim in this zone.
+    void noteOwnZoneTask(const TaskObservation &task, TimePoint now)
+    {
+        if (findRun(core.runs.state, task.task.run) != nullptr) {
             noteTask(core.memory, task, now);
         }
     }
