--- a/include/poplarstream/runs/queries.hpp
+++ b/include/poplarstream/runs/queries.hpp
@@ -14,6 +14,11 @@
 const Run *findRun(const RunsState &state, const RunId &run);
 const Run *findRunByKey(const RunsState &state, const TenantId &tenant, std::string_view key);
 
+// Whether `token` is that of the present claim of the run or of an attempt of it that was given up.
+// What a worker says about a task concerns this zone only if it is: a task of another zone can have
+// the same token.
+bool hasAttempt(const RunsState &state, const RunId &run, const FencingToken &token);
+
 // What can be said for good about a run; empty while it is open.
 std::optional<Verdict> verdictOf(const Run &run);
 
--- a/src/poplarstream/node/control_duty.cpp
+++ b/src/poplarstream/node/control_duty.cpp
@@ -6,7 +6,7 @@
 #include "control_core.hpp"  // for ControlCore
 #include "control_log.hpp"  // for logControlRecord
 #include "poplarstream/fleet/queries.hpp"  // for dutyHolder, changeOutcome
-#include "poplarstream/runs/queries.hpp"  // for isLeaseValid
+#include "poplarstream/runs/queries.hpp"  // for hasAttempt
 #include "publication_table.hpp"  // for PublicationTable
 #include "run_driver.hpp"  // for RunDriver
 #include "wave_driver.hpp"  // for WaveDriver
@@ -74,7 +74,7 @@
 
     void take(PlatformEvent &&event)
     {
-        std::visit([this](auto &&part) { onPlatform(std::move(part)); }, std::move(event));
+        std::visit([this](auto &part) { onPlatform(std::move(part)); }, event);
     }
 
     void onPlatform(StreamPage &&event)
@@ -147,13 +147,22 @@
     {
         const TimePoint now = core.clock.now();
         if (const auto *observation = std::get_if<TaskObservation>(&event)) {
-            noteTask(core.memory, *observation, now);
+            noteOwnZoneTask(*observation, now);
             return;
         }
         const auto &status = std::get<WorkerStatus>(event);
         logWorkerSilence(status);
         noteStatus(core.workers, status, now);
         for (const TaskObservation &task : status.tasks) {
+            noteOwnZoneTask(task, now);
+        }
+    }
+
+    // Tokens are unique within the stream of one zone only. An entry host also polls workers of
+    // other zones, and a task there can have the token of a claim in this zone.
+    void noteOwnZoneTask(const TaskObservation &task, TimePoint now)
+    {
+        if (hasAttempt(core.runs.state, task.task.run, task.task.token)) {
             noteTask(core.memory, task, now);
         }
     }
@@ -470,7 +479,7 @@
 
 void ControlDuty::handle(ControlInput &&input)
 {
-    std::visit([this](auto &&part) { state_->take(std::move(part)); }, std::move(input));
+    std::visit([this](auto &part) { state_->take(std::move(part)); }, input);
 }
 
 void ControlDuty::leave(std::function<void()> done)
--- a/src/poplarstream/runs/decide_test.cpp
+++ b/src/poplarstream/runs/decide_test.cpp
@@ -381,5 +381,27 @@
     }
 }
 
+// Guards against a result of another zone's run that is taken for the own one: tokens are offsets of
+// one zone's stream, so a task of another zone can have the token of a claim here.
+TEST(Decide, TokensOfOtherZones)
+{
+    SCOPED_TRACE("given a claimed run");
+    Scene scene;
+    scene.accept("r");
+    scene.step();
+    const Run *run = findRun(scene.state, RunId("r"));
+    ASSERT_TRUE(run->claim);
+    const FencingToken token = run->claim->token;
+    {
+        SCOPED_TRACE("then only its own token is one of its attempts");
+        EXPECT_TRUE(hasAttempt(scene.state, RunId("r"), token));
+        EXPECT_FALSE(hasAttempt(scene.state, RunId("r"), {token.offset + 1, token.index}));
+    }
+    {
+        SCOPED_TRACE("then the token says nothing about a run of another zone");
+        EXPECT_FALSE(hasAttempt(scene.state, RunId("other"), token));
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream
--- a/src/poplarstream/runs/queries.cpp
+++ b/src/poplarstream/runs/queries.cpp
@@ -1,5 +1,7 @@
 #include "poplarstream/runs/queries.hpp"
 
+#include <algorithm>  // for any_of
+
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
@@ -49,6 +51,17 @@
     });
 }
 
+bool hasAttempt(const RunsState &state, const RunId &id, const FencingToken &token)
+{
+    const Run *run = findRun(state, id);
+    if (run == nullptr) {
+        return false;
+    }
+    return (run->claim && run->claim->token == token)
+           || std::any_of(run->lost.begin(), run->lost.end(),
+                          [&](const LostAttempt &attempt) { return attempt.token == token; });
+}
+
 std::optional<Verdict> verdictOf(const Run &run)
 {
     switch (run.stage) {
