--- a/src/poplarstream/runs/decide_test.cpp
+++ b/src/poplarstream/runs/decide_test.cpp
@@ -381,15 +381,15 @@
     }
 }
 
-// Guards against a result of another zone's run that is taken for the own one: tokens are offsets of
-// one zone's stream, so a task of another zone can have the token of a claim here.
+// Guards against a result of another zone's run that is taken for the own one: tokens are offsets
+// of one zone's stream, so a task of another zone can have the token of a claim here.
 TEST(Decide, TokensOfOtherZones)
 {
     SCOPED_TRACE("given a claimed run");
     Scene scene;
     scene.accept("r");
     scene.step();
-    const Run *run = findRun(scene.state, RunId("r"));
+    const auto *run = findRun(scene.state, RunId("r"));
     ASSERT_TRUE(run->claim);
     const FencingToken token = run->claim->token;
     {
