--- a/include/poplarstream/adapters/worker_protocol.hpp
+++ b/include/poplarstream/adapters/worker_protocol.hpp
@@ -50,8 +50,8 @@
 
 HttpRequest taskListRequest(const TaskListPlace &place);
 
-// What the outcome of a command proves about its task: Refused for a start answered with 409, and
-// the state in the answer otherwise. Empty when the outcome proves nothing.
+// What the outcome of a command proves about its task: Refused for a start answered with 409
+// or 503, and the state in the answer otherwise. Empty when the outcome proves nothing.
 std::optional<TaskObservation> observationOf(const WorkerCommand &command,
                                              const HttpOutcome &outcome);
 
@@ -61,7 +61,7 @@
 Result<TaskList> taskListFromJson(const HostId &host, std::string_view text, TimePoint asked);
 
 // The text in messages, for example "never-started", and its inverse. A refusal has no text: it is
-// status 409.
+// status 409 or 503.
 std::string_view taskStateText(TaskState state);
 std::optional<TaskState> taskStateFromText(std::string_view text);
 
--- a/include/poplarstream/config/settings.hpp
+++ b/include/poplarstream/config/settings.hpp
@@ -18,6 +18,9 @@
     std::uint32_t connections = 4096;  // open connections of callers
     std::uint32_t queue = 4096;  // requests that wait for a slot
     std::uint64_t bodyBytes = 1024 * 1024;  // largest body of a request
+    // How long a stopping process still takes callers after its readiness went false, so that the
+    // balancer sees it first.
+    Milliseconds leaving{2'000};
     Milliseconds drain{30'000};  // how long a planned stop waits for requests in progress
 };
 
@@ -25,8 +28,6 @@
 struct TokenFiles
 {
     std::string operators;
-    std::string platform;
-    std::string peers;
 };
 
 // Another entry host. Its one-way messages go to `address`, its requests to the next port.
--- a/include/poplarstream/node/callers_duty.hpp
+++ b/include/poplarstream/node/callers_duty.hpp
@@ -23,6 +23,7 @@
 {
     HttpEndpoint listen;
     HttpServerLimits limits;
+    std::uint32_t maxQueued = 4096;  // urgent requests that wait for a slot
     std::uint64_t incarnation = 0;  // differs between starts of the process
 };
 
--- a/src/poplarstream/adapters/worker_protocol.cpp
+++ b/src/poplarstream/adapters/worker_protocol.cpp
@@ -246,7 +246,8 @@
         return std::nullopt;
     }
     const unsigned status = outcome.response.status;
-    if (status == 409 && std::holds_alternative<StartTask>(command)) {
+    // 409: fenced or another boot. 503: draining; the worker has not taken the start.
+    if ((status == 409 || status == 503) && std::holds_alternative<StartTask>(command)) {
         TaskObservation refused;
         refused.task = *task;
         refused.state = TaskState::Refused;
--- a/src/poplarstream/config/schema.cpp
+++ b/src/poplarstream/config/schema.cpp
@@ -24,9 +24,9 @@
 constexpr std::array<std::string_view, 3> entryHostKeys = {"id", "zone", "region"};
 constexpr std::array<std::string_view, 3> listenKeys = {"callers", "operators", "peers"};
 constexpr std::array<std::string_view, 1> platformKeys = {"address"};
-constexpr std::array<std::string_view, 4> limitKeys = {"connections", "queue", "body_bytes",
-                                                       "drain_ms"};
-constexpr std::array<std::string_view, 3> tokenKeys = {"operators", "platform", "peers"};
+constexpr std::array<std::string_view, 5> limitKeys = {"connections", "queue", "body_bytes",
+                                                       "leaving_ms", "drain_ms"};
+constexpr std::array<std::string_view, 1> tokenKeys = {"operators"};
 
 struct KindRow
 {
--- a/src/poplarstream/config/settings.cpp
+++ b/src/poplarstream/config/settings.cpp
@@ -28,6 +28,8 @@
     limits.bodyBytes = reader.whole("body_bytes", 1, 1024 * 1024 * 1024, limits.bodyBytes);
     limits.drain = Milliseconds{reader.whole("drain_ms", 0, 3'600'000,
                                              static_cast<std::uint64_t>(limits.drain.count()))};
+    limits.leaving = Milliseconds{reader.whole("leaving_ms", 0, 600'000,
+                                               static_cast<std::uint64_t>(limits.leaving.count()))};
     return limits;
 }
 
@@ -86,8 +88,7 @@
         settings.limits = readLimits(reader);
         break;
     default:
-        settings.tokens = {optionalText(reader, "operators"), optionalText(reader, "platform"),
-                           optionalText(reader, "peers")};
+        settings.tokens = {optionalText(reader, "operators")};
     }
     reader.reportUnknownKeys(*kind);
 }
--- a/src/poplarstream/node/callers_duty.cpp
+++ b/src/poplarstream/node/callers_duty.cpp
@@ -96,8 +96,9 @@
 
     // -- requests of callers --
 
-    void onRequest(HttpRequest request, const HttpRespond &respond)
+    void onRequest(HttpRequest request, const HttpRespond &plainRespond)
     {
+        const HttpRespond respond = identified(plainRespond);
         const std::string_view path = targetPath(request.target);
         constexpr std::string_view runPrefix = "/v1/runs/";
         if (path == "/v1/requests" && request.method == "POST") {
@@ -107,11 +108,25 @@
             onRunCall(request, RunId(std::string(path.substr(runPrefix.size()))), respond);
         } else if (path == "/health" && request.method == "GET") {
             respond(jsonResponse(200, "{}"));
+        } else if (path == "/v1/requests" || path.starts_with(runPrefix) || path == "/health") {
+            respond(errorResponse(405, Verdict::NotRun, "unknown method for this path", "method"));
         } else {
-            respond(errorResponse(404, Verdict::NotRun, "unknown method or path", "target"));
+            respond(errorResponse(404, Verdict::NotRun, "unknown path", "target"));
         }
     }
 
+    // Every answer carries a request id, also a refusal before a request got its own.
+    HttpRespond identified(const HttpRespond &respond)
+    {
+        std::string id = fmt::format("{:x}-r{:x}", settings.incarnation, ++receivedCount);
+        return [respond, id = std::move(id)](HttpResponse response) {
+            if (!headerValue(response.headers, "Poplar-Request-Id")) {
+                response.headers.push_back({"Poplar-Request-Id", id});
+            }
+            respond(std::move(response));
+        };
+    }
+
     void onSubmission(HttpRequest &request, const HttpRespond &respond)
     {
         if (view->version == 0) {
@@ -155,26 +170,33 @@
     void sendRunCall(RunCall call, const HttpRespond &respond)
     {
         if (!runs.trySend(std::move(call))) {
+            --runCallsInProgress;
             respond(errorResponse(503, Verdict::NotRun, "too many requests wait", {},
                                   Milliseconds{1'000}));
         }
     }
 
-    Reply replyOnThisThread(const HttpRespond &respond, const TenantId &tenant)
+    Reply replyOnThisThread(const HttpRespond &respond)
     {
         ++runCallsInProgress;
+        return [self = shared_from_this(), respond](HttpResponse response) {
+            self->thread.post([self, respond, response = std::move(response)]() mutable {
+                --self->runCallsInProgress;
+                respond(std::move(response));
+            });
+        };
+    }
+
+    // Answers a submission and counts it by its outcome.
+    HttpRespond counted(const HttpRespond &respond, const TenantId &tenant)
+    {
         return [self = shared_from_this(), respond, tenant,
                 arrived = clock.now()](HttpResponse response) {
-            self->thread.post(
-                    [self, respond, tenant, arrived, response = std::move(response)]() mutable {
-                        --self->runCallsInProgress;
-                        const auto outcome = response.status < 300   ? RequestOutcome::OnTime
-                                             : response.status < 500 ? RequestOutcome::Refused
-                                                                     : RequestOutcome::Failed;
-                        self->histograms.record(tenant, WorkClass::Slow, outcome,
-                                                self->clock.now() - arrived);
-                        respond(std::move(response));
-                    });
+            const auto outcome = response.status < 300   ? RequestOutcome::OnTime
+                                 : response.status < 500 ? RequestOutcome::Refused
+                                                         : RequestOutcome::Failed;
+            self->histograms.record(tenant, WorkClass::Slow, outcome, self->clock.now() - arrived);
+            respond(std::move(response));
         };
     }
 
@@ -187,19 +209,24 @@
                                   .payload = std::move(call.payload),
                                   .deadline = now + call.deadline,
                                   .answerBy = now + std::min(call.deadline, acceptanceTimeout),
-                                  .reply = replyOnThisThread(respond, call.tenant->id)},
+                                  .reply = replyOnThisThread(counted(respond, call.tenant->id))},
                     respond);
     }
 
     void onRunCall(const HttpRequest &request, const RunId &run, const HttpRespond &respond)
     {
+        if (view->version == 0) {
+            respond(errorResponse(503, Verdict::NotRun, "no configuration yet", {},
+                                  Milliseconds{1'000}));
+            return;
+        }
         const auto tenant = authenticateTenant(request, *view->configuration);
         if (const auto *rejected = std::get_if<CallerRejection>(&tenant)) {
             respond(errorResponse(*rejected));
             return;
         }
         const TenantId id = std::get<const TenantConfig *>(tenant)->id;
-        const Reply reply = replyOnThisThread(respond, id);
+        const Reply reply = replyOnThisThread(respond);
         if (request.method == "GET") {
             sendRunCall(RunQuestion{run, id, reply}, respond);
         } else {
@@ -413,11 +440,13 @@
         refusals.clear();
     }
 
-    void apply(std::shared_ptr<const ServingView> next)
+    void apply(std::shared_ptr<const ServingView> newView)
     {
-        const std::shared_ptr<const ServingView> before = std::exchange(view, std::move(next));
+        const std::shared_ptr<const ServingView> before = std::exchange(view, std::move(newView));
         Actions actions;
-        traffic::configure(traffic, view->traffic, clock.now(), actions);
+        traffic::TrafficSettings next = view->traffic;
+        next.policy.maxQueued = settings.maxQueued;
+        traffic::configure(traffic, next, clock.now(), actions);
         for (const MinionId &minion : before->leaving) {
             if (!view->leaving.contains(minion)) {
                 traffic::onLeaving(traffic, minion, false);
@@ -486,6 +515,7 @@
     TimePoint nextRefusalLog;
     MinionWatch minionWatch;
     std::size_t runCallsInProgress = 0;
+    std::uint64_t receivedCount = 0;
     bool isLeaving = false;
     std::function<void()> whenDrained;
 };
--- a/src/poplarstream/node/control_core.cpp
+++ b/src/poplarstream/node/control_core.cpp
@@ -29,7 +29,7 @@
 
 RecordId ControlCore::propose(ControlBody body)
 {
-    const RecordId id = nextRecordId(outbox);
+    RecordId id = nextRecordId(outbox);
     const TimePoint now = clock.now();
     const TimePoint retryUntil = now + retryTime(body);
     const std::string text = encode(ControlRecord{{id, settings.self}, std::move(body)});
--- a/src/poplarstream/node/entry_host.cpp
+++ b/src/poplarstream/node/entry_host.cpp
@@ -100,6 +100,7 @@
                                        .incarnation = incarnation};
         callersOptions.limits.bodyBytes = settings.limits.bodyBytes;
         callersOptions.limits.connections = settings.limits.connections;
+        callersOptions.maxQueued = settings.limits.queue;
         return callersOptions;
     }
 
@@ -262,6 +263,8 @@
     logEvent(events::entryHostLeaving, {});
     duties_->operators.setLeaving();
     duties_->peers.setLeaving();
+    // The balancer has to see the readiness before the port closes. Nothing opens this latch.
+    Latch().waitFor(duties_->settings.limits.leaving);
     Latch callersDone;
     duties_->callers.shutdown([&callersDone] { callersDone.open(); });
     const bool isDrained = callersDone.waitFor(duties_->settings.limits.drain);
--- a/src/poplarstream/node/run_calls.cpp
+++ b/src/poplarstream/node/run_calls.cpp
@@ -132,7 +132,8 @@
 
 HttpResponse acceptedResponse(const RunId &run)
 {
-    HttpResponse response = jsonResponse(202, dump({{"run", run.text()}, {"state", "accepted"}}));
+    HttpResponse response = jsonResponse(
+            202, dump({{"run", run.text()}, {"state", stageText(RunStage::Accepted)}}));
     // The run itself has not run yet; its own verdict is part of its state.
     response.headers.push_back({"Poplar-Verdict", std::string(verdictText(Verdict::NotRun))});
     response.headers.push_back({"Poplar-Request-Id", run.text()});
@@ -144,7 +145,11 @@
 {
     const Run *run = findRunOf(state, id, tenant);
     if (run == nullptr) {
-        return errorResponse(404, Verdict::NotRun, "the tenant has no such run", "run");
+        // It may be a run that ended and was forgotten.
+        return errorResponse(404, Verdict::MayHaveRun,
+                             "the tenant has no such run, or its result "
+                             "is no longer kept",
+                             "run");
     }
     json body = {{"run", id.text()},
                  {"service", run->accepted.service.text()},
--- a/src/poplarstream/node/run_driver.cpp
+++ b/src/poplarstream/node/run_driver.cpp
@@ -138,10 +138,17 @@
         passOn(core, *zone, std::move(cancellation));
         return;
     }
+    if (!zone) {
+        cancellation.reply(errorResponse(404, Verdict::NotRun, "not the id of a run", "run"));
+        return;
+    }
+    if (!isServing(core)) {
+        cancellation.reply(unavailable("this entry host has not read the runs of its zone yet"));
+        return;
+    }
     const Run *run = findRun(core.runs.state, cancellation.run);
-    if (!isServing(core) || run == nullptr || run->accepted.tenant != cancellation.tenant) {
-        cancellation.reply(
-                errorResponse(404, Verdict::NotRun, "the tenant has no such run", "run"));
+    if (run == nullptr || run->accepted.tenant != cancellation.tenant) {
+        cancellation.reply(runResponse(core.runs.state, cancellation.run, cancellation.tenant));
         return;
     }
     if (!isFinal(run->stage)) {
--- a/src/poplarstream/node/status.cpp
+++ b/src/poplarstream/node/status.cpp
@@ -207,8 +207,10 @@
             lines.push_back(describe(change));
         }
     }
-    for (std::string &line : explainRun(view.runs, RunId(id))) {
-        lines.push_back(std::move(line));
+    if (findRun(view.runs, RunId(id)) != nullptr) {
+        for (std::string &line : explainRun(view.runs, RunId(id))) {
+            lines.push_back(std::move(line));
+        }
     }
     for (const maintenance::Note &note : view.waveNotes) {
         if (note.subject == id) {
