Give the read after a silent one two seconds, in the program and in the cases

Cause: a silent read costs its whole deadline of 5.5 s; a second one in a row exceeded the 9 s. Change: the read after a fault does not wait and has 2 s; the replicas of the cases read the same way.

--- a/bench/agreement_world.cpp
+++ b/bench/agreement_world.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t pairs = 10;
 // The periods of platform_duty.cpp and control_duty.cpp.
 constexpr Milliseconds readWait{4'000};
+// The read after a silent one does not wait, as in node/platform_duty.cpp.
+constexpr Milliseconds promptDeadline{2'000};
 constexpr Milliseconds readDeadline{5'500};
 constexpr Milliseconds readRetryDelay{300};
 constexpr Milliseconds appendDeadline{2'000};
@@ -211,9 +213,13 @@
 void AgreementWorld::read(Replica &replica)
 {
     const std::uint64_t number = ++replica.readNumber;
-    const Milliseconds deadline = settings_.isNaive ? naiveDeadline : readDeadline;
+    const bool isPrompt = std::exchange(replica.isNextReadPrompt, false);
+    const Milliseconds deadline = settings_.isNaive ? naiveDeadline
+                                  : isPrompt        ? promptDeadline
+                                                    : readDeadline;
     timeline_.after(deadline, [this, &replica, number] {
         if (replica.readNumber == number) {
+            replica.isNextReadPrompt = true;
             timeline_.after(readRetryDelay, [this, &replica] { read(replica); });
             ++replica.readNumber;
         }
@@ -221,11 +227,11 @@
     if (!isReachable(replica)) {
         return;
     }
-    timeline_.after(delay(), [this, &replica, number] {
+    timeline_.after(delay(), [this, &replica, number, isPrompt] {
         if (replica.readNumber != number) {
             return;
         }
-        if (settings_.isNaive || replica.next < log_.size()) {
+        if (settings_.isNaive || isPrompt || replica.next < log_.size()) {
             answer(replica, number);
             return;
         }
--- a/bench/agreement_world.hpp
+++ b/bench/agreement_world.hpp
@@ -82,6 +82,7 @@
         FleetState state;
         Outbox outbox;
         std::uint64_t readNumber = 0;
+        bool isNextReadPrompt = false;
         bool isCut = false;
         TimePoint lastAnswer;
         Offset next = 0;
--- a/src/poplarstream/node/platform_duty.cpp
+++ b/src/poplarstream/node/platform_duty.cpp
@@ -17,17 +17,20 @@
 // follows; both together stay below the 9 s within which a configuration has to be in force.
 constexpr Milliseconds readWait{4'000};
 constexpr Milliseconds readDeadline{5'500};
+// A read that does not wait is answered at once or lost.
+constexpr Milliseconds promptDeadline{2'000};
 constexpr Milliseconds appendDeadline{2'000};
 constexpr std::size_t pageRecords = 1'000;
 // Two long polls, the host list and the appends in flight.
 constexpr std::size_t platformConnections = 16;
 
-PlatformSettings platformSettings(const HttpEndpoint &endpoint, Milliseconds wait)
+PlatformSettings platformSettings(const HttpEndpoint &endpoint, Milliseconds wait,
+                                  Milliseconds deadline)
 {
     return {.endpoint = endpoint,
             .appendDeadline = appendDeadline,
             .readWait = wait,
-            .readDeadline = readDeadline,
+            .readDeadline = deadline,
             .pageRecords = pageRecords};
 }
 
@@ -58,8 +61,9 @@
           std::function<bool(PlatformEvent &&)> onEvent)
         : thread(dutyThread)
         , http(dutyThread.context(), {.connectionsPerEndpoint = platformConnections})
-        , client(makePlatformClient(http, platformSettings(platform, readWait)))
-        , promptClient(makePlatformClient(http, platformSettings(platform, Milliseconds{0})))
+        , client(makePlatformClient(http, platformSettings(platform, readWait, readDeadline)))
+        , promptClient(makePlatformClient(
+                  http, platformSettings(platform, Milliseconds{0}, promptDeadline)))
         , report(std::move(onEvent))
         , hostsTimer(dutyThread.context())
     {}
