Release a run whose only start was refused before a reboot was noticed

The claim named the boot before a reboot that this owner had not polled yet; the worker refused the start, but the revocation answered under the new boot replaced the refusal and proved nothing by itself. Ruled out: the 503 of a draining worker (fixed before, the run remained) and a closed connection (the channel sends again). Change: the refusal of a start is remembered apart from the newest answer; a start that was not sent counts as refused as well.

--- a/include/poplarstream/runs/owner_memory.hpp
+++ b/include/poplarstream/runs/owner_memory.hpp
@@ -27,6 +27,8 @@
     std::optional<TimePoint> throttleSentAt;
     std::optional<TimePoint> renewedAt;
     bool isThrottled = false;
+    // The worker has refused a start. Kept apart, since a later answer replaces `seen`.
+    bool isStartRefused = false;
     std::optional<TaskObservation> seen;
 };
 
--- a/src/poplarstream/adapters/worker_protocol.cpp
+++ b/src/poplarstream/adapters/worker_protocol.cpp
@@ -184,6 +184,15 @@
     return list;
 }
 
+// Whether the worker has certainly not taken a start: not a byte of it was sent, or it answered 409
+// (fenced, another boot) or 503 (draining).
+bool isNotTaken(const HttpOutcome &outcome)
+{
+    const unsigned status = outcome.response.status;
+    return outcome.delivery == HttpDelivery::NotSent
+           || (outcome.delivery == HttpDelivery::Answered && (status == 409 || status == 503));
+}
+
 const TaskRef *taskOf(const WorkerCommand &command)
 {
     return std::visit(
@@ -242,17 +251,19 @@
                                              const HttpOutcome &outcome)
 {
     const TaskRef *const task = taskOf(command);
-    if (task == nullptr || outcome.delivery != HttpDelivery::Answered) {
+    if (task == nullptr) {
         return std::nullopt;
     }
-    const unsigned status = outcome.response.status;
-    // 409: fenced or another boot. 503: draining; the worker has not taken the start.
-    if ((status == 409 || status == 503) && std::holds_alternative<StartTask>(command)) {
+    if (std::holds_alternative<StartTask>(command) && isNotTaken(outcome)) {
         TaskObservation refused;
         refused.task = *task;
         refused.state = TaskState::Refused;
         return refused;
     }
+    const unsigned status = outcome.response.status;
+    if (outcome.delivery != HttpDelivery::Answered) {
+        return std::nullopt;
+    }
     if (status < 200 || status >= 300) {
         return std::nullopt;
     }
--- a/src/poplarstream/runs/decide_test.cpp
+++ b/src/poplarstream/runs/decide_test.cpp
@@ -403,5 +403,32 @@
     }
 }
 
+// Guards against an invoice run that ends as may-have-run although it never began: a claim made with
+// the boot before a reboot is refused, and the revocation is answered under the new boot.
+TEST(Decide, RefusedStartAfterReboot)
+{
+    SCOPED_TRACE("given a claimed run whose only start was refused by another boot of the worker");
+    Scene scene;
+    scene.accept("r");
+    scene.step();
+    const auto *run = findRun(scene.state, RunId("r"));
+    ASSERT_TRUE(run->claim);
+    scene.now += Milliseconds{10};
+    noteCommands(scene.memory, scene.decide().commands, scene.now);
+    const TaskRef task{RunId("r"), run->claim->token, run->claim->worker};
+    noteTask(scene.memory, {.task = task, .workerBoot = 2, .state = TaskState::Refused}, scene.now);
+    {
+        SCOPED_TRACE("when the revocation is answered under the new boot");
+        noteTask(scene.memory, {.task = task, .workerBoot = 2, .state = TaskState::NeverStarted},
+                 scene.now);
+        const RunDecision decision = scene.decide();
+        SCOPED_TRACE("then the run is released, to be claimed again");
+        ASSERT_FALSE(decision.entries.empty());
+        const auto *released = std::get_if<RunReleased>(&decision.entries.front());
+        ASSERT_NE(released, nullptr);
+        EXPECT_EQ(released->cause, ReleaseCause::NeverStarted);
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream
--- a/src/poplarstream/runs/owner_memory.cpp
+++ b/src/poplarstream/runs/owner_memory.cpp
@@ -59,6 +59,7 @@
 {
     TaskMemory &task =
             memory.tasks.try_emplace(observation.task.token, knownSince(now)).first->second;
+    task.isStartRefused = task.isStartRefused || observation.state == TaskState::Refused;
     const bool isOlder = task.seen
                          && ((isEnd(task.seen->state) && !isEnd(observation.state))
                              || (task.seen->state == TaskState::Running
--- a/src/poplarstream/runs/supervise.cpp
+++ b/src/poplarstream/runs/supervise.cpp
@@ -79,9 +79,8 @@
 // the claim has sent no start, or the only one that it sent was refused.
 bool hasSurelyNotBegun(const Run &run, const TaskMemory *task)
 {
-    const bool isRefused = task && task->seen && task->seen->state == TaskState::Refused;
     return task && task->isFresh && !run.claim->startedAt && !run.accepted.idempotent
-           && (!task->startSentAt || isRefused);
+           && (!task->startSentAt || task->isStartRefused);
 }
 
 void revoke(DecisionStep &step, const Run &run, const TaskMemory *task)
@@ -163,7 +162,9 @@
         return;
     case TaskState::NeverStarted:
         // A worker that restarted, or that denies a start on record, does not remember.
-        if (run.claim->startedAt || isOtherBoot(run.claim->workerBoot, seen.workerBoot)) {
+        if (run.claim->startedAt
+            || (isOtherBoot(run.claim->workerBoot, seen.workerBoot)
+                && !hasSurelyNotBegun(run, &task))) {
             giveUp(step, run, "The worker restarted.");
         } else {
             release(step, run, ReleaseCause::NeverStarted, "The worker did not start the run.");
