--- a/bench/capacity_load.cpp
+++ b/bench/capacity_load.cpp
@@ -14,7 +14,15 @@
 constexpr double day = 86'400;
 // The periods of the program, in seconds, with the file that sets each.
 constexpr double longPoll = 4;  // platform_duty.cpp
-constexpr double hostListPeriod = 30;  // entry_host.cpp
+// The period in seconds of GET /hosts; see listPeriod in node/platform_duty.cpp.
+double hostListPeriod(double hosts)
+{
+    constexpr double shortest = 30;
+    constexpr double bytesPerHost = 33;
+    constexpr double bytesPerSecond = 150;
+    return std::max(shortest, hosts * bytesPerHost / bytesPerSecond);
+}
+
 constexpr double dutyRenewal = 5;  // duty_lease.hpp
 constexpr double ownerRenewal = 3.3;  // run_policy.hpp
 constexpr double waveStepPeriod = 1;  // wave_driver.cpp
@@ -144,7 +152,8 @@
 RoleLoad membershipRole(const Deployment &d, const SeriesTable &t)
 {
     RoleLoad load{.role = "membership",
-                  .mechanism = "heartbeats and digests by nng every second, GET /hosts every 30 s",
+                  .mechanism = "heartbeats and digests by nng every second, GET /hosts every 30 s "
+                               "or less often",
                   .breaksFirst = "the host list, which is read whole by every entry host"};
     const double peers = d.zonePeers() - 1;
     addMessages(load, at(t, "heartbeat", d.zones), peers, peers);
@@ -152,7 +161,7 @@
     addMessages(load, at(t, "digest", d.zones), digests, digests);
     CallSize list = hostListCall(static_cast<std::size_t>(d.hosts));
     list.received.bytes = at(t, "host-list", d.hosts);
-    addCall(load, list, 1 / hostListPeriod);
+    addCall(load, list, 1 / hostListPeriod(static_cast<double>(d.hosts)));
     load.megabytes = 0.001 * d.entryHosts;
     return load;
 }
--- a/include/poplarstream/adapters/worker_protocol.hpp
+++ b/include/poplarstream/adapters/worker_protocol.hpp
@@ -51,7 +51,8 @@
 HttpRequest taskListRequest(const TaskListPlace &place);
 
 // What the outcome of a command proves about its task: Refused for a start that was
-// certainly not taken (not sent, or answered with 409 or 503), and the state in the answer otherwise. Empty when the outcome proves nothing.
+// certainly not taken (not sent, or answered with 409 or 503), and the state in the answer
+// otherwise. Empty when the outcome proves nothing.
 std::optional<TaskObservation> observationOf(const WorkerCommand &command,
                                              const HttpOutcome &outcome);
 
--- a/src/poplarstream/runs/decide_test.cpp
+++ b/src/poplarstream/runs/decide_test.cpp
@@ -403,8 +403,8 @@
     }
 }
 
-// Guards against an invoice run that ends as may-have-run although it never began: a claim made with
-// the boot before a reboot is refused, and the revocation is answered under the new boot.
+// Guards against an invoice run that ends as may-have-run although it never began: a claim made
+// with the boot before a reboot is refused, and the revocation is answered under the new boot.
 TEST(Decide, RefusedStartAfterReboot)
 {
     SCOPED_TRACE("given a claimed run whose only start was refused by another boot of the worker");
