--- a/cmake/compiler.cmake
+++ b/cmake/compiler.cmake
@@ -15,11 +15,16 @@
 find_package(Threads REQUIRED)
 find_package(fmt REQUIRED)
 find_package(nlohmann_json REQUIRED)
-find_package(GTest REQUIRED)
 find_package(nng REQUIRED)
-find_package(benchmark REQUIRED)
-find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_package(tomlplusplus REQUIRED)
+
+option(POPLAR_TESTS "Build tests, stand-ins and benchmarks" ON)
+if(POPLAR_TESTS)
+  find_package(GTest REQUIRED)
+  find_package(benchmark REQUIRED)
+  find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+endif()
 
 # Assertions stay on in tests and in the program: a broken invariant must end the process
 # before it acts, since a replacement replays the log and reaches the last good state.
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -28,7 +28,7 @@
 
   target_compile_definitions(${target} PRIVATE POPLAR_VERSION="${PROJECT_VERSION}")
 
-  if(tests)
+  if(tests AND POPLAR_TESTS)
     add_executable(${target}_test ${tests})
     target_include_directories(${target}_test PRIVATE "${CMAKE_SOURCE_DIR}/src")
     target_compile_definitions(${target}_test PRIVATE
--- /dev/null
+++ b/include/poplarstream/edge/leadership_duty.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>  // for function
+#include <memory>  // for shared_ptr
+
+#include "poplarstream/edge/runtime.hpp"  // for Runtime
+#include "poplarstream/ownership/leadership.hpp"  // for Leadership
+
+namespace poplarstream::edge {
+
+// Called when this process becomes the owner or stops being it, and after each confirmed renewal.
+struct LeadershipEvents
+{
+    std::function<void()> changed;
+};
+
+// Follows and writes the ownership log.
+class LeadershipDuty
+{
+public:
+    LeadershipDuty(Runtime &runtime, LeadershipEvents events);
+    LeadershipDuty(const LeadershipDuty &) = delete;
+    LeadershipDuty &operator=(const LeadershipDuty &) = delete;
+    ~LeadershipDuty();
+
+    const ownership::Leadership &leadership() const;
+
+    // When the owner before this one was last heard of; the epoch when there was none.
+    TimePoint predecessorSeenAt() const;
+    bool hasPredecessorResigned() const;
+
+    // Hands the ownership over and claims it no more.
+    void leave();
+
+private:
+    struct State;
+
+    std::shared_ptr<State> state_;
+};
+
+}  // namespace poplarstream::edge
--- /dev/null
+++ b/include/poplarstream/edge/ports.hpp
@@ -0,0 +1,199 @@
+#pragma once
+
+#include <cstdint>  // for int64_t
+#include <functional>  // for function
+#include <map>  // for map
+#include <optional>  // for optional
+#include <string>  // for string
+#include <vector>  // for vector
+
+#include "poplarstream/base/result.hpp"  // for Result
+#include "poplarstream/engine/state.hpp"  // for WorkerEntry, Queue, Service
+#include "poplarstream/jobs/model.hpp"  // for JobSpec
+#include "poplarstream/pools/machine.hpp"  // for Machine, Wave, MachineOrder
+
+namespace poplarstream::edge {
+
+// The keyed logs that an entry host uses. A keyed log keeps the newest record of each key for good.
+enum class Log {
+    Operator,  // configuration and waves, written by the operator
+    Registry,  // entries of workers, written by themselves
+    Status,  // progress of waves, for the operator
+    Jobs,  // submissions and cancellations, written by any entry host
+    Progress,  // what became of jobs, written by their owner
+    Ownership,  // claims and renewals
+};
+
+struct StoredRecord
+{
+    std::string key;
+    std::optional<std::string> value;  // empty: the key was dropped
+    std::int64_t offset = 0;
+};
+
+// Who writes, so that writes of a superseded owner are refused.
+struct Producer
+{
+    std::string name;
+    std::int64_t epoch = 0;
+    std::int64_t sequence = 0;
+};
+
+struct AppendRequest
+{
+    Log log = Log::Jobs;
+    std::vector<StoredRecord> records;  // offsets are ignored
+    std::optional<std::int64_t> atOffset;  // written only when the log ends there
+    std::optional<Producer> producer;
+    Milliseconds deadline{1500};
+};
+
+enum class AppendResult {
+    Stored,
+    ConditionFailed,  // the log does not end at the offset that was named
+    Fenced,  // a producer with a higher epoch has written
+    OutOfSequence,
+    NotDone,  // refused; nothing was written and nothing will be
+    Unknown,  // no answer: it may have been written, or may be yet
+};
+
+struct AppendOutcome
+{
+    AppendResult result = AppendResult::Unknown;
+    std::int64_t endOffset = 0;  // after the write
+};
+
+struct ReadRequest
+{
+    Log log = Log::Jobs;
+    std::int64_t from = 0;
+    Milliseconds wait{0};  // the answer may wait this long for a record
+};
+
+enum class ReadResult {
+    Records,
+    Expired,  // records from that offset on were deleted
+    Failed,
+};
+
+struct ReadOutcome
+{
+    ReadResult result = ReadResult::Failed;
+    std::vector<StoredRecord> records;
+    std::int64_t nextOffset = 0;  // of the record after the last one here
+    std::int64_t endOffset = 0;  // of the log
+};
+
+// A page of the newest records of each key.
+struct NewestOutcome
+{
+    bool isRead = false;
+    std::vector<StoredRecord> records;
+    bool hasMore = false;  // continue after the last key
+    std::int64_t endOffset = 0;
+};
+
+struct StorePort
+{
+    std::function<void(AppendRequest, std::function<void(AppendOutcome)>)> append;
+    std::function<void(ReadRequest, std::function<void(ReadOutcome)>)> read;
+    std::function<void(Log, const std::string &afterKey, std::function<void(NewestOutcome)>)>
+            newest;
+};
+
+struct WorkerPort
+{
+    struct LookOutcome
+    {
+        std::optional<engine::LookAnswer> answer;
+        bool isOtherLife = false;
+    };
+    struct StartOutcome
+    {
+        engine::StartResult result = engine::StartResult::Unknown;
+        std::int64_t clockMs = 0;  // 0 when there was no answer
+    };
+
+    std::function<void(const engine::LookOrder &, std::function<void(LookOutcome)>)> look;
+    std::function<void(const engine::StartOrder &, std::function<void(StartOutcome)>)> start;
+    std::function<void(const engine::StopOrder &, std::function<void(engine::StopResult)>)> stop;
+    std::function<void(const engine::PaceOrder &, std::function<void(bool)>)> pace;
+};
+
+// A page of the platform's list of machines.
+struct MachinePage
+{
+    bool isRead = false;
+    std::vector<pools::Machine> machines;
+    std::string nextPage;  // empty after the last one
+};
+
+struct MachinePort
+{
+    std::function<void(const std::string &page, std::function<void(MachinePage)>)> list;
+    std::function<void(const pools::MachineOrder &, std::function<void(pools::OrderResult)>)> order;
+};
+
+struct Route
+{
+    std::string host;
+    std::string pathPrefix;
+    jobs::QueuePolicy policy;
+};
+
+struct Configuration
+{
+    std::int64_t version = 0;
+    std::vector<Route> routes;
+    std::map<ServiceId, engine::Service> services;
+    std::uint64_t maxBodyBytes = 262'144;
+};
+
+// Reads what others write to the store.
+struct DecoderPort
+{
+    std::function<bool(const std::string &key)> isConfiguration;
+    std::function<Result<Configuration>(const std::string &)> configuration;
+    std::function<bool(const std::string &key)> isWave;
+    std::function<Result<pools::Wave>(const std::string &)> wave;
+    std::function<StoredRecord(const pools::Wave &, bool isCompleted)> waveStatus;
+    std::function<Result<engine::WorkerEntry>(const std::string &key, const std::string &)>
+            workerEntry;
+    std::function<Result<jobs::JobSpec>(const std::string &)> jobSpec;
+};
+
+// What a caller asks for, by the method of its request.
+enum class CallKind { Submit, Lookup, Cancel, Other };
+
+struct Call
+{
+    CallKind kind = CallKind::Other;
+    std::string host;
+    std::string path;
+    std::string body;
+    Milliseconds remaining{3000};  // how long the caller waits for the answer
+};
+
+enum class AnswerKind {
+    Accepted,  // the job is stored
+    Cancelled,
+    State,
+    Count,
+    NoSuchQueue,
+    NoSuchJob,
+    BadRequest,
+    Unavailable,  // nothing was done; try again later
+    Unknown,  // it may have been done
+};
+
+struct Answer
+{
+    AnswerKind kind = AnswerKind::Unavailable;
+    jobs::JobState state = jobs::JobState::Queued;
+    int count = 0;
+    std::string message;
+};
+
+using Reply = std::function<void(Answer)>;
+
+}  // namespace poplarstream::edge
--- /dev/null
+++ b/include/poplarstream/edge/runtime.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>  // for int64_t
+#include <functional>  // for function
+
+#include <boost/asio/io_context.hpp>  // for io_context
+
+#include "poplarstream/base/time.hpp"  // for TimePoint
+#include "poplarstream/edge/ports.hpp"  // for StorePort, WorkerPort, MachinePort, DecoderPort
+#include "poplarstream/edge/settings.hpp"  // for Settings
+
+namespace poplarstream::edge {
+
+// Milliseconds of a clock that also counts while the machine is suspended.
+TimePoint steadyNow();
+
+std::int64_t unixNowMs();
+
+// What all parts of the process share. One thread runs `io`.
+struct Runtime
+{
+    boost::asio::io_context &io;
+    Settings settings;
+    StorePort store;
+    WorkerPort workers;
+    MachinePort machines;
+    DecoderPort decode;
+};
+
+// Calls `task` after `delay`.
+void callAfter(Runtime &runtime, Milliseconds delay, std::function<void()> task);
+
+}  // namespace poplarstream::edge
--- /dev/null
+++ b/include/poplarstream/engine/ranking.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <tuple>  // for tuple
+#include <vector>  // for vector
+
+#include "poplarstream/engine/state.hpp"  // for Engine, JobId
+
+namespace poplarstream::engine {
+
+// How much an occurrence can still earn.
+enum class Prospect {
+    Lasting,  // runs until it is cancelled and earns all the time
+    InTime,  // can still meet its objective
+    Late,  // earns a little
+    TooLate,  // earns nothing, but has to be done
+};
+
+// A step of an occurrence with tasks that wait, and its place in line.
+struct WaitingStep
+{
+    jobs::Job *job = nullptr;
+    int occurrence = 0;
+    int step = 0;
+    Prospect prospect = Prospect::InTime;
+    int priority = 0;
+    bool hasStarted = false;  // stopping half way would waste what is done
+    double work = 0;  // declared, of the whole job
+    TimePoint objective{};
+};
+
+Prospect prospectOf(const jobs::Job &job, const jobs::Occurrence &occurrence, TimePoint now);
+
+// The steps with waiting tasks of all jobs, by service, in the order in which they are served.
+std::map<ServiceId, std::vector<WaitingStep>> rankWaitingSteps(Engine &engine, TimePoint now);
+
+// The service that runs the job's tasks now.
+const ServiceId &serviceOf(const Engine &engine, const jobs::Job &job);
+
+}  // namespace poplarstream::engine
--- /dev/null
+++ b/include/poplarstream/engine/state.hpp
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <cstdint>  // for int64_t
+#include <limits>  // for numeric_limits
+#include <map>  // for map
+#include <optional>  // for optional
+#include <set>  // for set
+#include <string>  // for string
+#include <unordered_map>  // for unordered_map
+#include <vector>  // for vector
+
+#include "poplarstream/engine/order.hpp"  // for Order, MachineOrder
+#include "poplarstream/jobs/model.hpp"  // for Job, JobId, WorkerLife, Resources, TaskRef
+
+namespace poplarstream::engine {
+
+using jobs::JobId;
+using jobs::QueueId;
+using jobs::TaskRef;
+using jobs::WorkerId;
+using jobs::WorkerLife;
+
+// Time limits of the deployment that bind decisions.
+struct EngineLimits
+{
+    Milliseconds lease{5000};  // how long a worker runs on without hearing from its owner
+    Milliseconds stopTimeout{900};  // a stop takes no longer
+    Milliseconds gangTimeout{3000};  // members of a gang wait for each other this long
+    Milliseconds notice{4500};  // a task that is away longer counts as unavailable
+    Milliseconds statusKept{120'000};  // an ended job can be asked for this long
+    Milliseconds machineLease{3000};  // orders for one machine change hands no faster
+    Milliseconds migration{1500};  // a moved machine is away this long
+    Milliseconds maintenance{2000};  // a machine in upkeep is away this long
+    double remoteFactor = 1.0;  // slowdown of a task away from its data
+};
+
+// A worker as the registry describes it.
+struct WorkerEntry
+{
+    WorkerLife life;
+    ServiceId service;
+    std::string address;  // ip:port
+    ZoneId zone;
+    RackId rack;
+    std::vector<std::string> labels;
+    jobs::Resources capacity;
+    bool isDraining = false;
+    Milliseconds leavesIn{0};  // while draining: the least time that is left
+    std::int64_t clockMs = 0;  // the worker's clock when it reported
+
+    friend bool operator==(const WorkerEntry &, const WorkerEntry &) = default;
+};
+
+// Where the conversation with a worker stands.
+enum class Contact {
+    New,  // has not answered this owner yet, so nothing may start there
+    Open,
+    Silent,  // the last look was not answered
+};
+
+struct AttemptRef
+{
+    TaskRef task;
+    int run = 0;
+
+    friend auto operator<=>(const AttemptRef &, const AttemptRef &) = default;
+    friend bool operator==(const AttemptRef &, const AttemptRef &) = default;
+};
+
+// What is known of one life of a worker.
+struct Worker
+{
+    WorkerEntry entry;
+    bool isListed = false;  // in the registry
+    bool isGone = false;  // its life is known to be over
+    Contact contact = Contact::New;
+    bool isCordoned = false;  // to be emptied for upkeep or a move
+    jobs::Resources used;  // by attempts that run or may run
+    std::map<AttemptRef, std::int64_t> attempts;  // to the first look that settles their absence
+    std::set<AttemptRef> strangers;  // runs that no job accounts for; being stopped
+
+    std::int64_t tokenBump = 0;  // raised to void orders without an answer
+    bool wantsPromptLook = false;  // the next look must not wait for an end
+    std::int64_t lookNumber = 0;  // of the last look that was sent
+    bool isLooking = false;
+    bool isWaitingLook = false;  // the look under way waits for an end
+    TimePoint lookSentAt{};
+    TimePoint nextLookAt{};
+    TimePoint leaseUntil{};  // everything there has lapsed by then, whatever was lost
+    std::int64_t clockMs = 0;
+    TimePoint clockSeenAt{};
+    std::int64_t endsSeen = 0;  // highest number of an end that was processed
+    std::int64_t endsStored = 0;  // and whose effect is durable
+    TimePoint idleSince{};
+    int failuresInRow = 0;  // runs that failed there since one was done
+    TimePoint suspectUntil{};  // gets no task until then
+    int suspicions = 0;  // doubles the time
+};
+
+struct Queue
+{
+    jobs::QueuePolicy policy;
+};
+
+// A service as the configuration describes it.
+struct Service
+{
+    ServiceId id;
+    bool isStandby = false;  // its machines are off
+};
+
+struct OwnerToken
+{
+    std::int64_t epoch = 0;  // rises with each owner
+    // Shared by all workers, so that a worker that comes back never meets a lower token.
+    std::int64_t lastBump = 0;
+    // Bumps stay below this, so that a new owner's tokens are always higher.
+    static constexpr std::int64_t bumpsPerEpoch = std::int64_t{1} << 32;
+};
+
+// One record for the store. Without a value the key is dropped.
+struct ProgressRecord
+{
+    std::string key;
+    std::optional<std::string> value;
+};
+
+// Changes that are written together; their effects follow when the store has them.
+struct Batch
+{
+    std::vector<ProgressRecord> records;
+    std::vector<AttemptRef> starts;
+    std::vector<std::pair<JobId, jobs::JobState>> states;
+    std::vector<std::pair<WorkerLife, std::int64_t>> ends;
+
+    bool isEmpty() const { return records.empty() && ends.empty(); }
+};
+
+// All that the owner of the jobs knows. Changed by the functions of job_events, worker_events,
+// planning and batches; `orders` collects what the caller has to send.
+struct Engine
+{
+    EngineLimits limits;
+    OwnerToken token;
+    std::map<QueueId, Queue> queues;
+    std::map<ServiceId, Service> services;
+    std::unordered_map<JobId, jobs::Job> jobs;
+    std::set<JobId> active;  // not final, or with attempts left
+    std::set<JobId> dirty;
+    std::set<JobId> cancelledEarly;  // cancelled before their submission was seen
+    std::map<WorkerLife, Worker> workers;
+    std::map<WorkerId, WorkerLife> lives;  // the newest life of each id
+    std::vector<Order> orders;
+    std::vector<JobId> forgotten;  // jobs whose submission can go from the store
+    std::vector<ProgressRecord> drops;  // progress of jobs whose submission is gone
+    bool needsPlan = false;
+    // An owner that cannot confirm its ownership extends leases but starts nothing.
+    bool mayStart = true;
+};
+
+}  // namespace poplarstream::engine
--- /dev/null
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>  // for int64_t
+#include <optional>  // for optional
+#include <string>  // for string
+#include <string_view>  // for string_view
+
+#include "poplarstream/base/id.hpp"  // for EntryHostId
+#include "poplarstream/base/time.hpp"  // for TimePoint, Milliseconds
+
+namespace poplarstream::ownership {
+
+// What an owner writes to claim, to renew and to hand over the ownership of all jobs. The records
+// of one log are written under the condition that nothing came in between.
+struct OwnershipRecord
+{
+    enum class Kind { Claim, Renewal, Resignation };
+
+    Kind kind = Kind::Claim;
+    std::int64_t epoch = 0;  // rises with each claim
+    EntryHostId owner;
+    std::string address;  // where the owner answers the other entry hosts
+    std::string incarnation;  // of the owner's process
+};
+
+std::string encodeOwnership(const OwnershipRecord &record);
+std::optional<OwnershipRecord> decodeOwnership(std::string_view text);
+
+struct LeadershipSettings
+{
+    // Between two renewals.
+    Milliseconds renewal{400};
+    // An owner that has not confirmed a renewal for this long orders nothing more.
+    Milliseconds validity{1500};
+    // Silence after which another process claims: the validity, and what a renewal may take from
+    // being sent to being read.
+    Milliseconds silence{2000};
+    // Spreads the claims of several processes; a better candidate has less.
+    Milliseconds claimDelay{0};
+};
+
+enum class LeadershipStep { None, Claim, Renew, Resign };
+
+// The view of one process on who owns the jobs. All times are of its own steady clock, which also
+// counts while the process is suspended.
+struct Leadership
+{
+    LeadershipSettings settings;
+    EntryHostId self;
+    std::string address;
+    std::string incarnation;
+
+    std::optional<OwnershipRecord> last;  // newest record of the log
+    TimePoint lastSeenAt{};  // when it was read here
+    std::int64_t endOffset = 0;  // of the log, as read
+    bool hasRead = false;
+    bool isWriting = false;
+    TimePoint confirmedAt{};  // when the newest confirmed own record was sent
+    TimePoint writtenAt{};
+    bool isLeaving = false;  // hands over and claims no more
+};
+
+bool isOwner(const Leadership &leadership);
+
+// Whether this process may give orders at `now`.
+bool mayOrder(const Leadership &leadership, TimePoint now);
+
+// What has to be written now.
+LeadershipStep nextStep(const Leadership &leadership, TimePoint now);
+
+// The record for a step, written at the end of the log as it was read. At most one write is under
+// way.
+OwnershipRecord beginWrite(Leadership &leadership, LeadershipStep step, TimePoint now);
+
+// A write has been confirmed; `endOffset` is the end of the log after it.
+void confirmWrite(Leadership &leadership, const OwnershipRecord &record, std::int64_t endOffset,
+                  TimePoint now);
+
+// A write was refused or its answer is missing; the log tells what became of it.
+void failWrite(Leadership &leadership);
+
+// Records were read from the log; `endOffset` is the end of what was read.
+void observe(Leadership &leadership, const std::optional<OwnershipRecord> &newest,
+             std::int64_t endOffset, TimePoint now);
+
+}  // namespace poplarstream::ownership
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -3,7 +3,7 @@
 #include "poplarstream/telemetry/event.hpp"  // for EventKind
 
 // The kinds of event, ordered by number: 1xx process, 2xx log and configuration, 3xx hosts and
-// waves, 4xx runs, 5xx urgent path, 6xx peers.
+// waves, 4xx runs, 5xx urgent path, 6xx peers, 7xx jobs.
 namespace poplarstream::events {
 
 inline constexpr EventKind entryHostStarting{100, EventLevel::Info, "entry-host-starting",
@@ -19,6 +19,9 @@
 inline constexpr EventKind settingsFault{104, EventLevel::Error, "settings-fault",
                                          "file section key fault",
                                          "Correct the key and start the process again."};
+inline constexpr EventKind settingsReloaded{
+        108, EventLevel::Info, "settings-reloaded", "sound",
+        "None; if sound is no, correct the keys of the events before it."};
 inline constexpr EventKind noConfiguration{
         105, EventLevel::Warning, "no-configuration", "",
         "Publish a document; until then the process is not ready."};
@@ -112,4 +115,18 @@
 inline constexpr EventKind peerSeen{601, EventLevel::Info, "peer-seen", "peer incarnation",
                                     "None."};
 
+inline constexpr EventKind ownershipSeen{700, EventLevel::Info, "ownership-seen",
+                                         "owner epoch resigned", "None."};
+inline constexpr EventKind ownershipLost{701, EventLevel::Info, "ownership-lost", "epoch",
+                                         "None; another entry host goes on."};
+inline constexpr EventKind ownerLoaded{702, EventLevel::Info, "owner-loaded", "epoch jobs active",
+                                       "None."};
+inline constexpr EventKind progressNotStored{
+        703, EventLevel::Warning, "progress-not-stored", "reason",
+        "Check the platform's store. Nothing new starts until the write is repeated."};
+inline constexpr EventKind jobAccepted{710, EventLevel::Info, "job-accepted", "job queue", "None."};
+inline constexpr EventKind jobRefused{711, EventLevel::Warning, "job-refused", "job reason",
+                                      "See the reason; the caller was told whether to try again."};
+inline constexpr EventKind jobCancelled{712, EventLevel::Info, "job-cancelled", "job", "None."};
+
 }  // namespace poplarstream::events
--- /dev/null
+++ b/src/poplarstream/edge/leadership_duty.cpp
@@ -0,0 +1,174 @@
+#include "poplarstream/edge/leadership_duty.hpp"
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/adapters/http_message.hpp"  // for endpointText
+#include "poplarstream/edge/log_follower.hpp"  // for LogFollower
+#include "poplarstream/telemetry/event_kinds.hpp"  // for ownershipSeen
+
+namespace poplarstream::edge {
+
+namespace {
+
+using ownership::LeadershipStep;
+using ownership::OwnershipRecord;
+
+constexpr std::string_view ownerKey = "owner";
+constexpr Milliseconds tick{50};
+constexpr Milliseconds writeDeadline{1200};
+// A larger share of a processor claims first.
+constexpr double claimDelayMs = 40.0;
+constexpr double claimDelayMostMs = 400.0;
+
+Milliseconds claimDelayOf(const Settings &settings)
+{
+    const double delay = claimDelayMs / std::max(settings.processorShare, 0.01);
+    return Milliseconds(static_cast<std::int64_t>(std::min(delay, claimDelayMostMs)));
+}
+
+}  // namespace
+
+struct LeadershipDuty::State : std::enable_shared_from_this<LeadershipDuty::State>
+{
+    State(Runtime &owner, LeadershipEvents receivers)
+        : runtime(owner)
+        , events(std::move(receivers))
+    {
+        leadership.self = runtime.settings.name;
+        leadership.address = endpointText(runtime.settings.control);
+        leadership.incarnation = fmt::format("{:x}", unixNowMs());
+        leadership.settings.claimDelay = claimDelayOf(runtime.settings);
+    }
+
+    void start()
+    {
+        FollowerEvents received;
+        received.snapshot = [this](const std::vector<StoredRecord> &records, std::int64_t end) {
+            take(records, end);
+        };
+        received.records = received.snapshot;
+        follower = std::make_unique<LogFollower>(runtime, Log::Ownership, FollowerSettings{},
+                                                 std::move(received));
+        step();
+    }
+
+    void take(const std::vector<StoredRecord> &records, std::int64_t endOffset)
+    {
+        std::optional<OwnershipRecord> newest;
+        for (const StoredRecord &record : records) {
+            if (record.key == ownerKey && record.value) {
+                newest = ownership::decodeOwnership(*record.value);
+            }
+        }
+        rememberPredecessor(newest);
+        const auto before = leadership.last;
+        ownership::observe(leadership, newest, endOffset, steadyNow());
+        logChange(before);
+        events.changed();
+    }
+
+    void rememberPredecessor(const std::optional<OwnershipRecord> &newest)
+    {
+        if (newest && newest->incarnation != leadership.incarnation) {
+            predecessorSeenAt = steadyNow();
+            predecessorResigned = newest->kind == OwnershipRecord::Kind::Resignation;
+        }
+    }
+
+    void logChange(const std::optional<OwnershipRecord> &before) const
+    {
+        const auto &last = leadership.last;
+        const bool isSame = before && last && before->epoch == last->epoch
+                            && before->owner == last->owner && before->kind == last->kind;
+        if (!last || isSame || last->kind == OwnershipRecord::Kind::Renewal) {
+            return;
+        }
+        const bool resigned = last->kind == OwnershipRecord::Kind::Resignation;
+        logEvent(events::ownershipSeen, {{"owner", last->owner.text()},
+                                         {"epoch", fmt::to_string(last->epoch)},
+                                         {"resigned", resigned ? "yes" : "no"}});
+    }
+
+    void step()
+    {
+        const TimePoint now = steadyNow();
+        const LeadershipStep wanted = ownership::nextStep(leadership, now);
+        if (wanted != LeadershipStep::None) {
+            write(ownership::beginWrite(leadership, wanted, now));
+        }
+        callAfter(runtime, tick, [weak = weak_from_this()] {
+            if (const auto self = weak.lock(); self && !self->isClosed) {
+                self->step();
+            }
+        });
+    }
+
+    void write(const OwnershipRecord &record)
+    {
+        AppendRequest request;
+        request.log = Log::Ownership;
+        request.records.push_back({std::string(ownerKey), ownership::encodeOwnership(record), 0});
+        request.atOffset = leadership.endOffset;
+        request.deadline = writeDeadline;
+        runtime.store.append(std::move(request),
+                             [weak = weak_from_this(), record](const AppendOutcome &outcome) {
+                                 if (const auto self = weak.lock(); self && !self->isClosed) {
+                                     self->takeWritten(record, outcome);
+                                 }
+                             });
+    }
+
+    void takeWritten(const OwnershipRecord &record, const AppendOutcome &outcome)
+    {
+        if (outcome.result == AppendResult::Stored) {
+            const auto before = leadership.last;
+            ownership::confirmWrite(leadership, record, outcome.endOffset, steadyNow());
+            logChange(before);
+        } else {
+            ownership::failWrite(leadership);
+        }
+        events.changed();
+    }
+
+    Runtime &runtime;
+    LeadershipEvents events;
+    ownership::Leadership leadership;
+    TimePoint predecessorSeenAt{};
+    bool predecessorResigned = false;
+    std::unique_ptr<LogFollower> follower;
+    bool isClosed = false;
+};
+
+LeadershipDuty::LeadershipDuty(Runtime &runtime, LeadershipEvents events)
+    : state_(std::make_shared<State>(runtime, std::move(events)))
+{
+    state_->start();
+}
+
+LeadershipDuty::~LeadershipDuty()
+{
+    state_->isClosed = true;
+    state_->follower.reset();
+}
+
+const ownership::Leadership &LeadershipDuty::leadership() const
+{
+    return state_->leadership;
+}
+
+TimePoint LeadershipDuty::predecessorSeenAt() const
+{
+    return state_->predecessorSeenAt;
+}
+
+bool LeadershipDuty::hasPredecessorResigned() const
+{
+    return state_->predecessorResigned;
+}
+
+void LeadershipDuty::leave()
+{
+    state_->leadership.isLeaving = true;
+}
+
+}  // namespace poplarstream::edge
--- /dev/null
+++ b/src/poplarstream/edge/order_sender.cpp
@@ -0,0 +1,69 @@
+#include "poplarstream/edge/order_sender.hpp"
+
+#include <fmt/format.h>  // for to_string
+
+#include "poplarstream/engine/worker_events.hpp"  // for takeLookAnswer, takeStartResult
+#include "poplarstream/telemetry/event_kinds.hpp"  // for taskEnded, taskNotStarted
+
+namespace poplarstream::edge {
+
+struct OrderSender::State
+{
+    explicit State(Runtime &owner)
+        : runtime(owner)
+    {}
+
+    Runtime &runtime;
+    bool isClosed = false;
+};
+
+OrderSender::OrderSender(Runtime &runtime)
+    : state_(std::make_shared<State>(runtime))
+{}
+
+OrderSender::~OrderSender()
+{
+    state_->isClosed = true;
+}
+
+void OrderSender::send(engine::Engine &engine, const engine::Order &order,
+                       std::function<void()> answered)
+{
+    const auto guarded = [state = state_, answered = std::move(answered)](auto take) {
+        return [state, answered, take](const auto &outcome) {
+            if (!state->isClosed) {
+                take(outcome);
+                answered();
+            }
+        };
+    };
+    const WorkerPort &workers = state_->runtime.workers;
+    if (const auto *const look = std::get_if<engine::LookOrder>(&order)) {
+        workers.look(*look, guarded([&engine, life = look->target.worker, number = look->number](
+                                            const WorkerPort::LookOutcome &outcome) {
+                         if (outcome.isOtherLife) {
+                             engine::takeOtherLife(engine, life, steadyNow());
+                         } else {
+                             engine::takeLookAnswer(engine, life, number, outcome.answer,
+                                                    steadyNow());
+                         }
+                     }));
+    } else if (const auto *const start = std::get_if<engine::StartOrder>(&order)) {
+        const engine::AttemptRef ref{start->task, start->run};
+        workers.start(*start, guarded([&engine, ref, life = start->target.worker](
+                                              const WorkerPort::StartOutcome &outcome) {
+                          engine::takeStartResult(engine, ref, life, outcome.result,
+                                                  outcome.clockMs, steadyNow());
+                      }));
+    } else if (const auto *const stop = std::get_if<engine::StopOrder>(&order)) {
+        const engine::AttemptRef ref{stop->task, stop->run};
+        workers.stop(*stop, guarded([&engine, ref,
+                                     life = stop->target.worker](engine::StopResult result) {
+                         engine::takeStopResult(engine, ref, life, result, steadyNow());
+                     }));
+    } else if (const auto *const pace = std::get_if<engine::PaceOrder>(&order)) {
+        workers.pace(*pace, guarded([](bool) {}));
+    }
+}
+
+}  // namespace poplarstream::edge
--- /dev/null
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -0,0 +1,348 @@
+#include "poplarstream/edge/owner_session.hpp"
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/edge/log_follower.hpp"  // for LogFollower
+#include "poplarstream/edge/order_sender.hpp"  // for OrderSender
+#include "poplarstream/edge/progress_writer.hpp"  // for ProgressWriter
+#include "poplarstream/edge/stored_jobs.hpp"  // for applyJobRecord
+#include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
+#include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
+#include "poplarstream/engine/planning.hpp"  // for planStarts
+#include "poplarstream/engine/worker_events.hpp"  // for listWorker, lookAtWorkers
+#include "poplarstream/telemetry/event_kinds.hpp"  // for ownerLoaded, recordUnreadable
+
+namespace poplarstream::edge {
+
+namespace {
+
+// Orders are given this long after the last confirmed renewal to keep what runs alive through an
+// outage of the store. A successor waits as long before it gives up a silent worker.
+constexpr Milliseconds extendFor{8000};
+constexpr Milliseconds tick{50};
+// Waiting tasks are looked at again this often, for delays that have passed.
+constexpr Milliseconds planPeriod{100};
+// The registry is read this often; draining workers are noticed well within a second.
+constexpr Milliseconds registryPause{250};
+// A lookup of an unknown job is answered with certainty only from a feed as fresh as this.
+constexpr Milliseconds feedAge{2500};
+
+engine::Moment moment()
+{
+    return {steadyNow(), unixNowMs()};
+}
+
+}  // namespace
+
+struct OwnerSession::State : std::enable_shared_from_this<OwnerSession::State>
+{
+    State(Runtime &owner, const Inheritance &inherited, OwnerSessionHooks given)
+        : runtime(owner)
+        , inheritance(inherited)
+        , hooks(std::move(given))
+        , writer(owner, inherited.epoch)
+        , sender(owner)
+    {
+        engine.limits = runtime.settings.limits;
+        engine.token.epoch = inheritance.epoch;
+    }
+
+    template <class Function>
+    auto guarded(Function function)
+    {
+        return [weak = weak_from_this(), function](auto &&...arguments) {
+            if (const auto self = weak.lock(); self && !self->isClosed) {
+                function(*self, std::forward<decltype(arguments)>(arguments)...);
+            }
+        };
+    }
+
+    // The predecessor's writes must be shut out before its progress is read.
+    void start()
+    {
+        writer.fence(guarded([](State &self, bool isFenced) {
+            if (isFenced) {
+                self.loadProgress();
+            } else {
+                self.hooks.superseded();
+            }
+        }));
+    }
+
+    void loadProgress()
+    {
+        FollowerEvents events;
+        events.snapshot = guarded([](State &self, std::vector<StoredRecord> records,
+                                     std::int64_t) {
+            self.progress = std::move(records);
+            // The follower that called this must not be destroyed within its call.
+            callAfter(self.runtime, Milliseconds{0},
+                      self.guarded([](State &later) { later.loadJobs(); }));
+        });
+        events.records = [](const std::vector<StoredRecord> &, std::int64_t) {};
+        progressFollower = std::make_unique<LogFollower>(runtime, Log::Progress,
+                                                         FollowerSettings{}, std::move(events));
+    }
+
+    void loadJobs()
+    {
+        progressFollower.reset();
+        FollowerEvents events;
+        events.snapshot = guarded(
+                [](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
+                    self.takeJobs(records);
+                    self.finishLoading();
+                });
+        events.records = guarded(
+                [](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
+                    self.takeJobs(records);
+                    self.pump();
+                });
+        jobFollower = std::make_unique<LogFollower>(runtime, Log::Jobs, FollowerSettings{},
+                                                    std::move(events));
+    }
+
+    void takeJobs(const std::vector<StoredRecord> &records)
+    {
+        for (const StoredRecord &record : records) {
+            applyJobRecord(engine, record, moment());
+        }
+    }
+
+    void finishLoading()
+    {
+        if (isLoaded) {
+            return;
+        }
+        const TimePoint now = steadyNow();
+        const TimePoint renewedAt = inheritance.lastRenewalAt
+                                            ? std::max(now, *inheritance.lastRenewalAt + extendFor)
+                                            : now;
+        adoptStoredProgress(engine, progress, renewedAt, now);
+        progress.clear();
+        isLoaded = true;
+        logEvent(events::ownerLoaded, {{"epoch", fmt::to_string(inheritance.epoch)},
+                                       {"jobs", fmt::to_string(engine.jobs.size())},
+                                       {"active", fmt::to_string(engine.active.size())}});
+        followRegistry();
+        keepTicking();
+    }
+
+    void followRegistry()
+    {
+        FollowerEvents events;
+        events.snapshot = guarded(
+                [](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
+                    self.takeRegistry(records, true);
+                });
+        events.records = guarded(
+                [](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
+                    self.takeRegistry(records, false);
+                });
+        FollowerSettings settings;
+        settings.pause = registryPause;
+        registryFollower = std::make_unique<LogFollower>(runtime, Log::Registry, settings,
+                                                         std::move(events));
+    }
+
+    void takeRegistry(const std::vector<StoredRecord> &records, bool isWhole)
+    {
+        const TimePoint now = steadyNow();
+        std::set<engine::WorkerId> listed;
+        for (const StoredRecord &record : records) {
+            const engine::WorkerId id(record.key);
+            if (!record.value) {
+                engine::unlistWorker(engine, id);
+                continue;
+            }
+            const Result<engine::WorkerEntry> entry =
+                    runtime.decode.workerEntry(record.key, *record.value);
+            if (!entry) {
+                ++unreadableEntries;
+                continue;
+            }
+            listed.insert(id);
+            engine::listWorker(engine, entry.value(), now);
+        }
+        if (isWhole) {
+            const auto lives = engine.lives;
+            for (const auto &[id, life] : lives) {
+                if (!listed.contains(id)) {
+                    engine::unlistWorker(engine, id);
+                }
+            }
+        }
+        pump();
+    }
+
+    void keepTicking()
+    {
+        const TimePoint now = steadyNow();
+        if (now >= nextPlanAt) {
+            nextPlanAt = now + planPeriod;
+            engine::tickJobs(engine, moment());
+            dropForgotten();
+            engine.needsPlan = true;
+        }
+        pump();
+        callAfter(runtime, tick, guarded([](State &self) { self.keepTicking(); }));
+    }
+
+    // Forgets ended jobs in the store. The submission has to go before the progress: without its
+    // progress a job would look as if it had never run.
+    void dropForgotten()
+    {
+        if (engine.forgotten.empty() || isDropping) {
+            return;
+        }
+        isDropping = true;
+        const std::vector<engine::JobId> ids = std::exchange(engine.forgotten, {});
+        AppendRequest request;
+        request.log = Log::Jobs;
+        for (const engine::JobId &id : ids) {
+            for (StoredRecord &record : dropRecords(id)) {
+                request.records.push_back(std::move(record));
+            }
+        }
+        runtime.store.append(std::move(request), guarded([ids](State &self,
+                                                               const AppendOutcome &outcome) {
+                                 self.isDropping = false;
+                                 for (const engine::JobId &id : ids) {
+                                     if (outcome.result == AppendResult::Stored) {
+                                         self.engine.drops.push_back({id.text(), {}});
+                                     } else {
+                                         self.engine.forgotten.push_back(id);
+                                     }
+                                 }
+                             }));
+    }
+
+    // Plans, orders and writes whatever the last events made necessary.
+    void pump()
+    {
+        if (!isLoaded || isPumping) {
+            return;
+        }
+        isPumping = true;
+        const TimePoint now = steadyNow();
+        engine.mayStart = hooks.mayOrder();
+        if (engine.needsPlan) {
+            engine::planStarts(engine, now);
+        }
+        if (now < hooks.confirmedAt() + extendFor) {
+            engine::lookAtWorkers(engine, now);
+            sendOrders();
+        } else {
+            engine.orders.clear();
+        }
+        writer.write(engine, guarded([](State &self, WriteResult result) {
+                         if (result == WriteResult::Superseded) {
+                             self.hooks.superseded();
+                         } else {
+                             self.pump();
+                         }
+                     }));
+        isPumping = false;
+    }
+
+    void sendOrders()
+    {
+        for (const engine::Order &order : std::exchange(engine.orders, {})) {
+            sender.send(engine, order, guarded([](State &self) { self.pumpSoon(); }));
+        }
+    }
+
+    // Answers that arrive together are worked off together.
+    void pumpSoon()
+    {
+        if (isPumpPending) {
+            return;
+        }
+        isPumpPending = true;
+        callAfter(runtime, Milliseconds{1}, guarded([](State &self) {
+                      self.isPumpPending = false;
+                      self.pump();
+                  }));
+    }
+
+    Runtime &runtime;
+    Inheritance inheritance;
+    OwnerSessionHooks hooks;
+    engine::Engine engine;
+    ProgressWriter writer;
+    OrderSender sender;
+    std::vector<StoredRecord> progress;
+    std::unique_ptr<LogFollower> progressFollower;
+    std::unique_ptr<LogFollower> jobFollower;
+    std::unique_ptr<LogFollower> registryFollower;
+    std::uint64_t unreadableEntries = 0;
+    TimePoint nextPlanAt{};
+    bool isLoaded = false;
+    bool isDropping = false;
+    bool isPumping = false;
+    bool isPumpPending = false;
+    bool isClosed = false;
+};
+
+OwnerSession::OwnerSession(Runtime &runtime, const Inheritance &inheritance,
+                           OwnerSessionHooks hooks)
+    : state_(std::make_shared<State>(runtime, inheritance, std::move(hooks)))
+{
+    state_->start();
+}
+
+OwnerSession::~OwnerSession()
+{
+    close();
+}
+
+void OwnerSession::close()
+{
+    state_->isClosed = true;
+    state_->progressFollower.reset();
+    state_->jobFollower.reset();
+    state_->registryFollower.reset();
+}
+
+void OwnerSession::configure(const Configuration &configuration)
+{
+    std::map<engine::QueueId, engine::Queue> queues;
+    for (const Route &route : configuration.routes) {
+        queues[route.policy.queue] = {route.policy};
+    }
+    engine::configure(state_->engine, std::move(queues), configuration.services);
+}
+
+void OwnerSession::takeWave(const pools::Wave &) {}
+
+bool OwnerSession::isLoaded() const
+{
+    return state_->isLoaded;
+}
+
+bool OwnerSession::isCurrent(TimePoint now) const
+{
+    return state_->isLoaded && state_->jobFollower->currentAsOf() + feedAge >= now;
+}
+
+std::optional<jobs::JobState> OwnerSession::stateOf(const engine::QueueId &queue,
+                                                    const engine::JobId &id) const
+{
+    return engine::stateOf(state_->engine, queue, id);
+}
+
+int OwnerSession::waitingJobs(const engine::QueueId &queue) const
+{
+    return engine::waitingJobs(state_->engine, queue);
+}
+
+std::string OwnerSession::metrics() const
+{
+    const engine::Engine &engine = state_->engine;
+    return fmt::format("poplar_jobs_known {}\npoplar_jobs_active {}\npoplar_workers {}\n"
+                       "poplar_registry_entries_unreadable_total {}\n",
+                       engine.jobs.size(), engine.active.size(), engine.workers.size(),
+                       state_->unreadableEntries);
+}
+
+}  // namespace poplarstream::edge
--- /dev/null
+++ b/src/poplarstream/edge/progress_writer.cpp
@@ -0,0 +1,161 @@
+#include "poplarstream/edge/progress_writer.hpp"
+
+#include <algorithm>  // for any_of
+
+#include "poplarstream/engine/batches.hpp"  // for takeBatch, applyStored
+#include "poplarstream/telemetry/event_kinds.hpp"  // for progressNotStored
+
+namespace poplarstream::edge {
+
+namespace {
+
+constexpr std::string_view producerName = "owner";
+constexpr Milliseconds retryDelay{100};
+// Changes of this long are written together: each call to the store has a price.
+constexpr Milliseconds gather{8};
+
+std::string_view resultText(AppendResult result)
+{
+    switch (result) {
+    case AppendResult::Stored:
+        return "stored";
+    case AppendResult::ConditionFailed:
+        return "condition-failed";
+    case AppendResult::Fenced:
+        return "fenced";
+    case AppendResult::OutOfSequence:
+        return "out-of-sequence";
+    case AppendResult::NotDone:
+        return "not-done";
+    case AppendResult::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+}  // namespace
+
+struct ProgressWriter::State : std::enable_shared_from_this<ProgressWriter::State>
+{
+    State(Runtime &owner, std::int64_t ownEpoch)
+        : runtime(owner)
+        , epoch(ownEpoch)
+    {}
+
+    void append(std::vector<StoredRecord> records, std::function<void(AppendResult)> done)
+    {
+        AppendRequest request;
+        request.log = Log::Progress;
+        request.records = records;
+        request.producer = Producer{std::string(producerName), epoch, sequence};
+        runtime.store.append(
+                std::move(request), [weak = weak_from_this(), records = std::move(records),
+                                     done = std::move(done)](const AppendOutcome &outcome) mutable {
+                    const auto self = weak.lock();
+                    if (!self || self->isClosed) {
+                        return;
+                    }
+                    const AppendResult result = outcome.result;
+                    if (result == AppendResult::Unknown || result == AppendResult::NotDone) {
+                        self->appendLater(std::move(records), std::move(done), result);
+                        return;
+                    }
+                    ++self->sequence;
+                    self->isFailing = false;
+                    done(result);
+                });
+    }
+
+    void appendLater(std::vector<StoredRecord> records, std::function<void(AppendResult)> done,
+                     AppendResult result)
+    {
+        if (!isFailing) {
+            isFailing = true;
+            logEvent(events::progressNotStored, {{"reason", std::string(resultText(result))}});
+        }
+        callAfter(runtime, retryDelay,
+                  [weak = weak_from_this(), records = std::move(records),
+                   done = std::move(done)]() mutable {
+                      if (const auto self = weak.lock(); self && !self->isClosed) {
+                          self->append(std::move(records), std::move(done));
+                      }
+                  });
+    }
+
+    void writeNow(engine::Engine &engine, const std::function<void(WriteResult)> &done)
+    {
+        engine::Batch batch = engine::takeBatch(engine);
+        if (batch.isEmpty()) {
+            isWriting = false;
+            return;
+        }
+        std::vector<StoredRecord> records;
+        for (engine::ProgressRecord &record : batch.records) {
+            records.push_back({std::move(record.key), std::move(record.value), 0});
+        }
+        batch.records.clear();
+        if (records.empty()) {
+            finish(engine, batch, done);
+            return;
+        }
+        append(std::move(records), [this, &engine, batch = std::move(batch),
+                                    done](AppendResult result) {
+            if (result == AppendResult::Stored) {
+                finish(engine, batch, done);
+            } else {
+                logEvent(events::progressNotStored, {{"reason", std::string(resultText(result))}});
+                done(WriteResult::Superseded);
+            }
+        });
+    }
+
+    void finish(engine::Engine &engine, const engine::Batch &batch,
+                const std::function<void(WriteResult)> &done)
+    {
+        isWriting = false;
+        engine::applyStored(engine, batch, steadyNow());
+        done(WriteResult::Stored);
+    }
+
+    Runtime &runtime;
+    std::int64_t epoch;
+    std::int64_t sequence = 0;
+    bool isWriting = false;
+    bool isFailing = false;
+    bool isClosed = false;
+};
+
+ProgressWriter::ProgressWriter(Runtime &runtime, std::int64_t epoch)
+    : state_(std::make_shared<State>(runtime, epoch))
+{}
+
+ProgressWriter::~ProgressWriter()
+{
+    state_->isClosed = true;
+}
+
+void ProgressWriter::fence(std::function<void(bool isFenced)> done)
+{
+    state_->append({}, [done = std::move(done)](AppendResult result) {
+        done(result == AppendResult::Stored);
+    });
+}
+
+void ProgressWriter::write(engine::Engine &engine, std::function<void(WriteResult)> done)
+{
+    const bool hasEnds = std::any_of(engine.workers.begin(), engine.workers.end(), [](auto &entry) {
+        return entry.second.endsSeen > entry.second.endsStored;
+    });
+    if (state_->isWriting || (engine.dirty.empty() && engine.drops.empty() && !hasEnds)) {
+        return;
+    }
+    state_->isWriting = true;
+    callAfter(state_->runtime, gather,
+              [weak = std::weak_ptr(state_), &engine, done = std::move(done)] {
+                  if (const auto self = weak.lock(); self && !self->isClosed) {
+                      self->writeNow(engine, done);
+                  }
+              });
+}
+
+}  // namespace poplarstream::edge
--- /dev/null
+++ b/src/poplarstream/edge/stored_jobs.cpp
@@ -0,0 +1,85 @@
+#include "poplarstream/edge/stored_jobs.hpp"
+
+#include <fmt/format.h>  // for to_string
+
+#include "poplarstream/engine/attempts.hpp"  // for lapseAfter, stopJob
+#include "poplarstream/jobs/codec.hpp"  // for encodeSubmission, decodeSubmission
+#include "poplarstream/jobs/queries.hpp"  // for isFinal
+#include "poplarstream/telemetry/event_kinds.hpp"  // for recordUnreadable
+
+namespace poplarstream::edge {
+
+namespace {
+
+// Job ids are hexadecimal, so the suffix cannot be part of one.
+constexpr char cancellationSuffix = '!';
+
+void logUnreadable(std::string_view log, const StoredRecord &record, const std::string &fault)
+{
+    logEvent(events::recordUnreadable, {{"stream", std::string(log)},
+                                        {"offset", fmt::to_string(record.offset)},
+                                        {"fault", fault}});
+}
+
+}  // namespace
+
+StoredRecord submissionRecord(const jobs::Submission &submission)
+{
+    return {submission.id.text(), jobs::encodeSubmission(submission), 0};
+}
+
+StoredRecord cancellationRecord(const jobs::JobId &id)
+{
+    return {id.text() + cancellationSuffix, "cancelled", 0};
+}
+
+std::vector<StoredRecord> dropRecords(const jobs::JobId &id)
+{
+    return {{id.text(), {}, 0}, {id.text() + cancellationSuffix, {}, 0}};
+}
+
+void applyJobRecord(engine::Engine &engine, const StoredRecord &record, const engine::Moment &now)
+{
+    if (!record.value) {
+        return;  // dropped by an owner when the job was forgotten
+    }
+    if (record.key.ends_with(cancellationSuffix)) {
+        engine::cancelJob(engine, jobs::JobId(record.key.substr(0, record.key.size() - 1)),
+                          now.steady);
+        return;
+    }
+    Result<jobs::Submission> submission = jobs::decodeSubmission(*record.value);
+    if (!submission) {
+        logUnreadable("jobs", record, submission.failure().message);
+        return;
+    }
+    engine::submitJob(engine, std::move(submission).value(), now);
+}
+
+void adoptStoredProgress(engine::Engine &engine, const std::vector<StoredRecord> &progress,
+                         TimePoint renewedAt, TimePoint now)
+{
+    const TimePoint lapsedAt = engine::lapseAfter(engine, renewedAt);
+    for (const StoredRecord &record : progress) {
+        if (!record.value) {
+            continue;
+        }
+        const jobs::JobId id(record.key);
+        const jobs::Job *const known = engine::findJob(engine, id);
+        const bool wasCancelled = known != nullptr && known->state == jobs::JobState::Cancelled;
+        const Result<bool> applied = engine::adoptProgress(engine, id, *record.value, lapsedAt, now);
+        if (!applied) {
+            logUnreadable("progress", record, applied.failure().message);
+        }
+        if (wasCancelled) {
+            engine::cancelJob(engine, id, now);
+        }
+    }
+    for (const auto &[id, job] : engine.jobs) {
+        if (jobs::isFinal(job.state)) {
+            engine::stopJob(engine, id, now);
+        }
+    }
+}
+
+}  // namespace poplarstream::edge
--- /dev/null
+++ b/src/poplarstream/engine/attempts.cpp
@@ -0,0 +1,152 @@
+#include "poplarstream/engine/attempts.hpp"
+
+#include "poplarstream/jobs/commands.hpp"  // for dropAttempt
+#include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt, isFinal
+
+namespace poplarstream::engine {
+
+namespace {
+
+// A call may be under way for a while before its lease begins to count.
+constexpr Milliseconds lapseSlack{400};
+constexpr std::int64_t clockErrorDivisor = 25;  // 4%: 2% of either clock
+
+}  // namespace
+
+jobs::Job *findJob(Engine &engine, const JobId &id)
+{
+    const auto found = engine.jobs.find(id);
+    return found == engine.jobs.end() ? nullptr : &found->second;
+}
+
+Worker *findWorker(Engine &engine, const WorkerLife &life)
+{
+    const auto found = engine.workers.find(life);
+    return found == engine.workers.end() ? nullptr : &found->second;
+}
+
+jobs::Attempt *findAttempt(Engine &engine, const AttemptRef &ref)
+{
+    jobs::Job *const job = findJob(engine, ref.task.job);
+    jobs::Task *const task = job == nullptr ? nullptr : jobs::findTask(*job, ref.task);
+    return task == nullptr ? nullptr : jobs::findAttempt(*task, ref.run);
+}
+
+const jobs::StepSpec &stepOf(const jobs::Job &job, const TaskRef &task)
+{
+    return job.submission.spec.steps.at(static_cast<std::size_t>(task.step));
+}
+
+jobs::Resources roomOf(const jobs::StepSpec &step)
+{
+    jobs::Resources room = step.need;
+    if (step.fills) {
+        room.cpuMilli = 0;
+    }
+    return room;
+}
+
+void markDirty(Engine &engine, jobs::Job &job)
+{
+    job.isDirty = true;
+    engine.dirty.insert(job.submission.id);
+}
+
+void attach(Engine &engine, const AttemptRef &ref, const WorkerLife &life, std::int64_t settledBy)
+{
+    Worker *const worker = findWorker(engine, life);
+    jobs::Job *const job = findJob(engine, ref.task.job);
+    if (worker != nullptr && job != nullptr
+        && worker->attempts.emplace(ref, settledBy).second) {
+        worker->used += roomOf(stepOf(*job, ref.task));
+    }
+}
+
+void detach(Engine &engine, const AttemptRef &ref, const WorkerLife &life, TimePoint now)
+{
+    Worker *const worker = findWorker(engine, life);
+    jobs::Job *const job = findJob(engine, ref.task.job);
+    if (worker == nullptr || job == nullptr || worker->attempts.erase(ref) == 0) {
+        return;
+    }
+    worker->used -= roomOf(stepOf(*job, ref.task));
+    if (worker->attempts.empty()) {
+        worker->idleSince = now;
+    }
+    engine.needsPlan = true;
+}
+
+void release(Engine &engine, const AttemptRef &ref, const WorkerLife &life, TimePoint now)
+{
+    detach(engine, ref, life, now);
+    if (jobs::Job *const job = findJob(engine, ref.task.job)) {
+        if (jobs::dropAttempt(*job, ref.task, ref.run)) {
+            markDirty(engine, *job);
+        }
+    }
+    engine.needsPlan = true;
+}
+
+void stopAttempt(Engine &engine, const AttemptRef &ref, TimePoint now)
+{
+    jobs::Attempt *const attempt = findAttempt(engine, ref);
+    if (attempt == nullptr || attempt->phase == jobs::AttemptPhase::Stopping) {
+        return;
+    }
+    const WorkerLife life = attempt->worker;
+    if (attempt->phase == jobs::AttemptPhase::Planned && !attempt->mayRun) {
+        release(engine, ref, life, now);
+        return;
+    }
+    attempt->phase = jobs::AttemptPhase::Stopping;
+    const Worker *const worker = findWorker(engine, life);
+    if (worker != nullptr && !worker->isGone && !worker->entry.address.empty()) {
+        engine.orders.emplace_back(StopOrder{targetOf(engine, *worker), ref.task, ref.run});
+    }
+}
+
+void stopJob(Engine &engine, const JobId &id, TimePoint now)
+{
+    jobs::Job *const job = findJob(engine, id);
+    if (job == nullptr) {
+        return;
+    }
+    std::vector<AttemptRef> attempts;
+    for (const auto &[number, occurrence] : job->occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                for (const jobs::Attempt &attempt : occurrence.steps[step][index].attempts) {
+                    attempts.push_back({{id, number, static_cast<int>(step),
+                                         static_cast<int>(index)},
+                                        attempt.run});
+                }
+            }
+        }
+    }
+    for (const AttemptRef &ref : attempts) {
+        stopAttempt(engine, ref, now);
+    }
+}
+
+std::int64_t currentToken(const Engine &engine, const Worker &worker)
+{
+    return engine.token.epoch * OwnerToken::bumpsPerEpoch + worker.tokenBump;
+}
+
+OrderTarget targetOf(const Engine &engine, const Worker &worker)
+{
+    return {worker.entry.life, worker.entry.address, currentToken(engine, worker)};
+}
+
+TimePoint lapseAfter(const Engine &engine, TimePoint sentAt)
+{
+    const Milliseconds lease = engine.limits.lease;
+    return sentAt + lease + lease / clockErrorDivisor + lapseSlack;
+}
+
+std::int64_t clockNow(const Worker &worker, TimePoint now)
+{
+    return worker.clockMs + (now - worker.clockSeenAt).count();
+}
+
+}  // namespace poplarstream::engine
--- /dev/null
+++ b/src/poplarstream/engine/batches.cpp
@@ -0,0 +1,120 @@
+#include "poplarstream/engine/batches.hpp"
+
+#include <algorithm>  // for max
+
+#include "poplarstream/engine/attempts.hpp"  // for findAttempt, release
+#include "poplarstream/jobs/codec.hpp"  // for encodeProgress
+#include "poplarstream/jobs/queries.hpp"  // for findTask, isFinal
+
+namespace poplarstream::engine {
+
+namespace {
+
+// A batch stays well below the most that the store takes in one call.
+constexpr std::size_t mostBytes = 1'000'000;
+
+void collectStarts(const jobs::Job &job, std::vector<AttemptRef> &starts)
+{
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                for (const jobs::Attempt &attempt : occurrence.steps[step][index].attempts) {
+                    if (attempt.phase == jobs::AttemptPhase::Planned) {
+                        starts.push_back({{job.submission.id, number, static_cast<int>(step),
+                                           static_cast<int>(index)},
+                                          attempt.run});
+                    }
+                }
+            }
+        }
+    }
+}
+
+bool maySend(const Engine &engine, const jobs::Job &job, const Worker *worker)
+{
+    return engine.mayStart && !jobs::isFinal(job.state) && worker != nullptr && worker->isListed
+           && !worker->isGone && worker->contact == Contact::Open && !worker->entry.isDraining
+           && !worker->isCordoned;
+}
+
+void sendStart(Engine &engine, const AttemptRef &ref, TimePoint now)
+{
+    jobs::Attempt *const attempt = findAttempt(engine, ref);
+    if (attempt == nullptr || attempt->phase != jobs::AttemptPhase::Planned) {
+        return;
+    }
+    jobs::Job &job = engine.jobs.at(ref.task.job);
+    Worker *const worker = findWorker(engine, attempt->worker);
+    if (!maySend(engine, job, worker)) {
+        release(engine, ref, attempt->worker, now);
+        return;
+    }
+    attempt->phase = jobs::AttemptPhase::Ordered;
+    attempt->mayRun = true;
+    attempt->startedAt = now;
+    const Milliseconds lease = engine.limits.lease;
+    worker->leaseUntil = std::max(worker->leaseUntil, lapseAfter(engine, now));
+    StartOrder order;
+    order.target = targetOf(engine, *worker);
+    order.task = ref.task;
+    order.run = ref.run;
+    order.payload = job.submission.spec.payload;
+    order.checkpoint = jobs::findTask(job, ref.task)->checkpoint;
+    order.ticket = attempt->ticket;
+    order.leaseUntilClockMs = clockNow(*worker, now) + lease.count();
+    engine.orders.emplace_back(std::move(order));
+}
+
+}  // namespace
+
+Batch takeBatch(Engine &engine)
+{
+    Batch batch;
+    std::size_t bytes = 0;
+    while (!engine.dirty.empty() && bytes < mostBytes) {
+        const JobId id = engine.dirty.extract(engine.dirty.begin()).value();
+        jobs::Job *const job = findJob(engine, id);
+        if (job == nullptr) {
+            continue;
+        }
+        job->isDirty = false;
+        collectStarts(*job, batch.starts);
+        std::string value = jobs::encodeProgress(*job);
+        bytes += value.size();
+        batch.records.push_back({id.text(), std::move(value)});
+        batch.states.emplace_back(id, job->state);
+    }
+    if (engine.dirty.empty()) {
+        // The effects of all ends seen so far are in this batch or in the store.
+        for (const auto &[life, worker] : engine.workers) {
+            if (worker.endsSeen > worker.endsStored) {
+                batch.ends.emplace_back(life, worker.endsSeen);
+            }
+        }
+        for (ProgressRecord &drop : engine.drops) {
+            batch.records.push_back(std::move(drop));
+        }
+        engine.drops.clear();
+    }
+    return batch;
+}
+
+void applyStored(Engine &engine, const Batch &batch, TimePoint now)
+{
+    for (const auto &[id, state] : batch.states) {
+        if (jobs::Job *const job = findJob(engine, id)) {
+            job->durableState = state;
+        }
+    }
+    for (const auto &[life, number] : batch.ends) {
+        if (Worker *const worker = findWorker(engine, life)) {
+            worker->endsStored = std::max(worker->endsStored, number);
+            worker->nextLookAt = now;
+        }
+    }
+    for (const AttemptRef &ref : batch.starts) {
+        sendStart(engine, ref, now);
+    }
+}
+
+}  // namespace poplarstream::engine
--- /dev/null
+++ b/src/poplarstream/engine/job_events.cpp
@@ -0,0 +1,144 @@
+#include "poplarstream/engine/job_events.hpp"
+
+#include <algorithm>  // for max
+
+#include "poplarstream/engine/attempts.hpp"  // for attach, stopJob, markDirty
+#include "poplarstream/jobs/codec.hpp"  // for applyProgress
+#include "poplarstream/jobs/commands.hpp"  // for makeJob, cancelJob
+#include "poplarstream/jobs/queries.hpp"  // for isFinal
+
+namespace poplarstream::engine {
+
+namespace {
+
+// A cancellation of a job that nobody handed in is kept this many at a time.
+constexpr std::size_t earlyCancelsKept = 10'000;
+
+bool hasAttempts(const jobs::Job &job)
+{
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (const auto &tasks : occurrence.steps) {
+            for (const jobs::Task &task : tasks) {
+                if (!task.attempts.empty()) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+void adoptAttempts(Engine &engine, const jobs::Job &job, TimePoint lapsedAt)
+{
+    const JobId &id = job.submission.id;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                for (const jobs::Attempt &attempt : occurrence.steps[step][index].attempts) {
+                    const auto [place, isNew] = engine.workers.try_emplace(attempt.worker);
+                    Worker &worker = place->second;
+                    if (isNew) {
+                        worker.entry.life = attempt.worker;
+                        worker.tokenBump = engine.token.lastBump;
+                        WorkerLife &newest = engine.lives[attempt.worker.id];
+                        newest = std::max(newest, attempt.worker);
+                    }
+                    worker.leaseUntil = std::max(worker.leaseUntil, lapsedAt);
+                    const TaskRef task{id, number, static_cast<int>(step),
+                                       static_cast<int>(index)};
+                    // The first look at this worker with this owner's token settles it.
+                    attach(engine, {task, attempt.run}, attempt.worker, 1);
+                }
+            }
+        }
+    }
+}
+
+}  // namespace
+
+void submitJob(Engine &engine, jobs::Submission submission, const Moment &now)
+{
+    const JobId id = submission.id;
+    if (engine.jobs.contains(id)) {
+        return;
+    }
+    jobs::Job &job = engine.jobs[id];
+    job = jobs::makeJob(std::move(submission), now.steady, now.unixMs);
+    engine.active.insert(id);
+    engine.needsPlan = true;
+    if (engine.cancelledEarly.erase(id) != 0) {
+        cancelJob(engine, id, now.steady);
+    }
+}
+
+void cancelJob(Engine &engine, const JobId &id, TimePoint now)
+{
+    jobs::Job *const job = findJob(engine, id);
+    if (job == nullptr) {
+        if (engine.cancelledEarly.size() < earlyCancelsKept) {
+            engine.cancelledEarly.insert(id);
+        }
+        return;
+    }
+    if (jobs::cancelJob(*job, now)) {
+        // The caller's cancellation is in the store already.
+        job->durableState = job->state;
+        markDirty(engine, *job);
+        stopJob(engine, id, now);
+    }
+}
+
+Result<bool> adoptProgress(Engine &engine, const JobId &id, std::string_view text,
+                           TimePoint lapsedAt, TimePoint now)
+{
+    jobs::Job *const job = findJob(engine, id);
+    if (job == nullptr) {
+        return Failure{"progress of a job that was not handed in", id.text()};
+    }
+    const Result<bool> applied = jobs::applyProgress(*job, text);
+    if (applied) {
+        job->endedAt = now;
+        adoptAttempts(engine, *job, lapsedAt);
+    }
+    return applied;
+}
+
+void tickJobs(Engine &engine, const Moment &now)
+{
+    std::vector<JobId> settled;
+    for (const JobId &id : engine.active) {
+        jobs::Job &job = engine.jobs.at(id);
+        if (!jobs::isFinal(job.state)) {
+            if (jobs::openDueOccurrences(job, now.steady, now.unixMs)) {
+                engine.needsPlan = true;
+            }
+        } else if (!hasAttempts(job)) {
+            settled.push_back(id);
+        }
+    }
+    for (const JobId &id : settled) {
+        engine.active.erase(id);
+    }
+    std::vector<JobId> old;
+    for (const auto &[id, job] : engine.jobs) {
+        if (jobs::isFinal(job.state) && !engine.active.contains(id)
+            && !engine.dirty.contains(id)
+            && job.endedAt + engine.limits.statusKept * 2 < now.steady) {
+            old.push_back(id);
+        }
+    }
+    for (const JobId &id : old) {
+        engine.jobs.erase(id);
+        engine.forgotten.push_back(id);
+    }
+}
+
+void configure(Engine &engine, std::map<QueueId, Queue> queues,
+               std::map<ServiceId, Service> services)
+{
+    engine.queues = std::move(queues);
+    engine.services = std::move(services);
+    engine.needsPlan = true;
+}
+
+}  // namespace poplarstream::engine
--- /dev/null
+++ b/src/poplarstream/engine/job_queries.cpp
@@ -0,0 +1,31 @@
+#include "poplarstream/engine/job_queries.hpp"
+
+#include "poplarstream/jobs/queries.hpp"  // for isFinal
+
+namespace poplarstream::engine {
+
+std::optional<jobs::JobState> stateOf(const Engine &engine, const QueueId &queue, const JobId &id)
+{
+    const auto found = engine.jobs.find(id);
+    if (found == engine.jobs.end() || found->second.submission.policy.queue != queue) {
+        return {};
+    }
+    const jobs::Job &job = found->second;
+    // An end that is not durable yet could be forgotten with this process.
+    return jobs::isFinal(job.state) ? job.durableState : job.state;
+}
+
+int waitingJobs(const Engine &engine, const QueueId &queue)
+{
+    int count = 0;
+    for (const JobId &id : engine.active) {
+        const jobs::Job &job = engine.jobs.at(id);
+        if (job.submission.policy.queue == queue && !job.hasBegun && !jobs::isFinal(job.state)
+            && job.submission.spec.repeatCount == 0) {
+            ++count;
+        }
+    }
+    return count;
+}
+
+}  // namespace poplarstream::engine
--- /dev/null
+++ b/src/poplarstream/engine/planning.cpp
@@ -0,0 +1,199 @@
+#include "poplarstream/engine/planning.hpp"
+
+#include <algorithm>  // for max
+
+#include "poplarstream/engine/attempts.hpp"  // for attach, markDirty, roomOf
+#include "poplarstream/engine/placement.hpp"  // for Site, chooseSite, openSites
+#include "poplarstream/engine/ranking.hpp"  // for rankWaitingSteps, WaitingStep
+
+namespace poplarstream::engine {
+
+namespace {
+
+// A copy of a task is worth its room when the first has taken this many times its estimate.
+constexpr int copyAfterEstimates = 2;
+constexpr Milliseconds copyAfterLeast{700};
+
+struct StepPlace
+{
+    jobs::Job &job;
+    jobs::Occurrence &occurrence;
+    int occurrenceNumber;
+    int step;
+};
+
+TaskRef refOf(const StepPlace &place, std::size_t index)
+{
+    return {place.job.submission.id, place.occurrenceNumber, place.step,
+            static_cast<int>(index)};
+}
+
+void enter(Engine &engine, const StepPlace &place, std::size_t index, int run, Site &site,
+           Spread &spread, TimePoint now)
+{
+    const jobs::StepSpec &step = place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
+    jobs::Task &task =
+            place.occurrence.steps[static_cast<std::size_t>(place.step)][index];
+    jobs::Attempt attempt;
+    attempt.run = run;
+    attempt.worker = site.worker->entry.life;
+    attempt.startedAt = now;
+    task.lastRun = run;
+    task.attempts.push_back(std::move(attempt));
+    site.room -= roomOf(step);
+    site.hostsServing = site.hostsServing || step.target > Milliseconds{0};
+    site.hostsFillers = site.hostsFillers || step.fills;
+    ++spread.onWorker[site.worker->entry.life];
+    ++spread.onRack[site.worker->entry.rack];
+    attach(engine, {refOf(place, index), run}, site.worker->entry.life, neverSettled);
+    place.job.hasBegun = true;
+    if (place.job.state == jobs::JobState::Queued) {
+        place.job.state = jobs::JobState::Running;
+    }
+    markDirty(engine, place.job);
+}
+
+void planTasks(Engine &engine, const StepPlace &place, std::vector<Site> &sites, TimePoint now)
+{
+    const jobs::StepSpec &step = place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
+    Spread spread = spreadOf(engine, place.occurrence, place.step);
+    auto &tasks = place.occurrence.steps[static_cast<std::size_t>(place.step)];
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const jobs::Task &task = tasks[index];
+        if (task.isDone || !task.attempts.empty() || task.notBefore > now) {
+            continue;
+        }
+        Site *const site = chooseSite(sites, step, spread, {}, nullptr);
+        if (site == nullptr) {
+            return;
+        }
+        enter(engine, place, index, task.lastRun + 1, *site, spread, now);
+    }
+}
+
+// Sites for all tasks of a gang at once, on copies of the rooms; empty when they do not fit.
+std::vector<std::size_t> sitesForGang(const std::vector<Site> &sites, const jobs::StepSpec &step,
+                                      std::size_t count, const RackId *rack)
+{
+    std::vector<Site> trial = sites;
+    Spread spread;
+    std::vector<std::size_t> chosen;
+    for (std::size_t i = 0; i < count; ++i) {
+        Site *const site = chooseSite(trial, step, spread, {}, rack);
+        if (site == nullptr) {
+            return {};
+        }
+        site->room -= roomOf(step);
+        ++spread.onWorker[site->worker->entry.life];
+        chosen.push_back(static_cast<std::size_t>(site - trial.data()));
+    }
+    return chosen;
+}
+
+std::vector<std::size_t> sitesForGang(const std::vector<Site> &sites, const jobs::StepSpec &step,
+                                      std::size_t count)
+{
+    if (step.sameRack) {
+        std::set<RackId> racks;
+        for (const Site &site : sites) {
+            racks.insert(site.worker->entry.rack);
+        }
+        for (const RackId &rack : racks) {
+            if (auto chosen = sitesForGang(sites, step, count, &rack); !chosen.empty()) {
+                return chosen;
+            }
+        }
+    }
+    return sitesForGang(sites, step, count, nullptr);
+}
+
+void planGang(Engine &engine, const StepPlace &place, std::vector<Site> &sites, TimePoint now)
+{
+    const jobs::StepSpec &step = place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
+    auto &tasks = place.occurrence.steps[static_cast<std::size_t>(place.step)];
+    int run = 0;
+    std::string checkpoint;
+    for (const jobs::Task &task : tasks) {
+        if (task.isDone || !task.attempts.empty() || task.notBefore > now) {
+            return;  // a member is still somewhere, or has to wait
+        }
+        run = std::max(run, task.lastRun);
+        checkpoint = checkpoint.empty() ? task.checkpoint : checkpoint;
+    }
+    const std::vector<std::size_t> chosen = sitesForGang(sites, step, tasks.size());
+    if (chosen.empty()) {
+        return;
+    }
+    Spread spread;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        tasks[index].checkpoint = checkpoint;
+        enter(engine, place, index, run + 1, sites[chosen[index]], spread, now);
+    }
+}
+
+// Starts copies of tasks that take much longer than estimated, with what room is left.
+void planCopies(Engine &engine, std::map<ServiceId, std::vector<Site>> &sites, TimePoint now)
+{
+    for (const JobId &id : engine.active) {
+        jobs::Job &job = engine.jobs.at(id);
+        if (job.state != jobs::JobState::Running) {
+            continue;
+        }
+        const auto own = sites.find(serviceOf(engine, job));
+        if (own == sites.end()) {
+            continue;
+        }
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const jobs::StepSpec &step = job.submission.spec.steps[i];
+                if (!step.speculative || step.longRunning || occurrence.remaining[i] == 0) {
+                    continue;
+                }
+                const Milliseconds patience =
+                        std::max(step.estimate * copyAfterEstimates, copyAfterLeast);
+                const StepPlace place{job, occurrence, number, static_cast<int>(i)};
+                Spread spread = spreadOf(engine, occurrence, place.step);
+                for (std::size_t index = 0; index < occurrence.steps[i].size(); ++index) {
+                    const jobs::Task &task = occurrence.steps[i][index];
+                    if (task.isDone || task.attempts.size() != 1
+                        || task.attempts[0].startedAt + patience > now) {
+                        continue;
+                    }
+                    Site *const site = chooseSite(own->second, step, spread,
+                                                  {task.attempts[0].worker}, nullptr);
+                    if (site != nullptr) {
+                        enter(engine, place, index, task.lastRun + 1, *site, spread, now);
+                    }
+                }
+            }
+        }
+    }
+}
+
+}  // namespace
+
+void planStarts(Engine &engine, TimePoint now)
+{
+    engine.needsPlan = false;
+    if (!engine.mayStart) {
+        return;
+    }
+    std::map<ServiceId, std::vector<Site>> sites;
+    for (auto &[service, steps] : rankWaitingSteps(engine, now)) {
+        auto &own = sites[service] = openSites(engine, service, now);
+        for (const WaitingStep &waiting : steps) {
+            const StepPlace place{*waiting.job,
+                                  waiting.job->occurrences.at(waiting.occurrence),
+                                  waiting.occurrence, waiting.step};
+            const auto index = static_cast<std::size_t>(waiting.step);
+            if (waiting.job->submission.spec.steps[index].gang) {
+                planGang(engine, place, own, now);
+            } else {
+                planTasks(engine, place, own, now);
+            }
+        }
+    }
+    planCopies(engine, sites, now);
+}
+
+}  // namespace poplarstream::engine
--- /dev/null
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -0,0 +1,387 @@
+#include "poplarstream/engine/worker_events.hpp"
+
+#include <algorithm>  // for max, min
+
+#include "poplarstream/engine/attempts.hpp"  // for attach, detach, release
+#include "poplarstream/jobs/commands.hpp"  // for recordEnd
+#include "poplarstream/jobs/queries.hpp"  // for findAttempt, isFinal
+
+namespace poplarstream::engine {
+
+namespace {
+
+using jobs::AttemptPhase;
+using jobs::RunEnd;
+
+// A waiting look renews the leases, so it must end well within the lease.
+constexpr Milliseconds longestWait{1500};
+// While ends wait for the store, the worker would answer a waiting look at once.
+constexpr Milliseconds lookPauseWithEnds{500};
+constexpr Milliseconds silentRetry{300};
+// Runs that fail on a worker in a row before it is set aside, and for how long at first.
+constexpr int failuresBeforeSuspicion = 4;
+constexpr Milliseconds firstSuspicion{1500};
+constexpr int suspicionDoublingsMost = 3;
+
+void releaseAll(Engine &engine, const WorkerLife &life, TimePoint now)
+{
+    Worker *const worker = findWorker(engine, life);
+    if (worker == nullptr) {
+        return;
+    }
+    const auto attempts = worker->attempts;
+    for (const auto &[ref, settledBy] : attempts) {
+        release(engine, ref, life, now);
+    }
+    worker->strangers.clear();
+}
+
+// Everything sent before a look with a higher token is void unless that look lists it.
+void voidOpenOrders(Engine &engine, Worker &worker)
+{
+    worker.tokenBump = ++engine.token.lastBump;
+    worker.wantsPromptLook = true;
+    for (auto &[ref, settledBy] : worker.attempts) {
+        settledBy = std::min(settledBy, worker.lookNumber + 1);
+    }
+}
+
+void judgeWorker(Worker &worker, RunEnd end, TimePoint now)
+{
+    if (end == RunEnd::Done) {
+        worker.failuresInRow = 0;
+        worker.suspicions = 0;
+    } else if (end == RunEnd::Failed && ++worker.failuresInRow >= failuresBeforeSuspicion) {
+        worker.suspectUntil = now + firstSuspicion * (1 << worker.suspicions);
+        worker.suspicions = std::min(worker.suspicions + 1, suspicionDoublingsMost);
+        worker.failuresInRow = failuresBeforeSuspicion - 1;
+    }
+}
+
+void takeEnd(Engine &engine, Worker &worker, const EndReport &report, TimePoint now)
+{
+    const AttemptRef ref{report.task, report.run};
+    worker.strangers.erase(ref);
+    jobs::Job *const job = findJob(engine, report.task.job);
+    if (job == nullptr) {
+        return;
+    }
+    detach(engine, ref, worker.entry.life, now);
+    const jobs::EndEffect effect =
+            jobs::recordEnd(*job, report.task, report.run, report.end, report.checkpoint, now);
+    if (!effect.isKnown) {
+        return;
+    }
+    judgeWorker(worker, report.end, now);
+    markDirty(engine, *job);
+    engine.needsPlan = true;
+    const bool isDone = report.end == RunEnd::Done;
+    if (effect.jobEnded) {
+        stopJob(engine, report.task.job, now);
+    } else if (isDone) {
+        // A task that is done needs its other copies no more.
+        const jobs::Task *const task = jobs::findTask(*job, report.task);
+        const std::vector<jobs::Attempt> copies = task->attempts;
+        for (const jobs::Attempt &copy : copies) {
+            stopAttempt(engine, {report.task, copy.run}, now);
+        }
+    }
+}
+
+void takeRunning(Engine &engine, Worker &worker, const RunningReport &report)
+{
+    const AttemptRef ref{report.task, report.run};
+    jobs::Attempt *const attempt = findAttempt(engine, ref);
+    if (attempt == nullptr || attempt->worker != worker.entry.life) {
+        if (worker.strangers.insert(ref).second) {
+            engine.orders.emplace_back(
+                    StopOrder{targetOf(engine, worker), report.task, report.run});
+        }
+        return;
+    }
+    if (attempt->phase == AttemptPhase::Ordered) {
+        attempt->phase = AttemptPhase::Running;
+    }
+    attempt->percent = report.percent;
+    attempt->load = report.load;
+    jobs::Job *const job = findJob(engine, report.task.job);
+    if (stepOf(*job, report.task).checkpointing && !report.checkpoint.empty()) {
+        jobs::findTask(*job, report.task)->checkpoint = report.checkpoint;
+    }
+}
+
+// Frees attempts that the worker does not have and, by the order of calls, never will.
+void settleAbsent(Engine &engine, Worker &worker, std::int64_t lookNumber,
+                  const LookAnswer &answer, TimePoint now)
+{
+    std::set<AttemptRef> present;
+    for (const RunningReport &report : answer.running) {
+        present.insert({report.task, report.run});
+    }
+    std::vector<AttemptRef> absent;
+    for (const auto &[ref, settledBy] : worker.attempts) {
+        if (settledBy <= lookNumber && !present.contains(ref)) {
+            absent.push_back(ref);
+        }
+    }
+    for (const AttemptRef &ref : absent) {
+        release(engine, ref, worker.entry.life, now);
+    }
+    std::erase_if(worker.strangers,
+                  [&](const AttemptRef &ref) { return !present.contains(ref); });
+}
+
+// Stops whose effect is still missing are sent again.
+void repeatStops(Engine &engine, Worker &worker)
+{
+    for (const auto &[ref, settledBy] : worker.attempts) {
+        const jobs::Attempt *const attempt = findAttempt(engine, ref);
+        if (attempt != nullptr && attempt->phase == AttemptPhase::Stopping) {
+            engine.orders.emplace_back(StopOrder{targetOf(engine, worker), ref.task, ref.run});
+        }
+    }
+    for (const AttemptRef &ref : worker.strangers) {
+        engine.orders.emplace_back(StopOrder{targetOf(engine, worker), ref.task, ref.run});
+    }
+}
+
+void sendLook(Engine &engine, Worker &worker, TimePoint now)
+{
+    LookOrder look;
+    look.target = targetOf(engine, worker);
+    look.number = ++worker.lookNumber;
+    look.acknowledged = worker.endsStored;
+    const bool hasWork = !worker.attempts.empty() || !worker.strangers.empty();
+    if (worker.contact != Contact::Silent && hasWork) {
+        look.leaseUntilClockMs = clockNow(worker, now) + engine.limits.lease.count();
+        worker.leaseUntil = std::max(worker.leaseUntil, lapseAfter(engine, now));
+    }
+    const bool endsPending = worker.endsSeen > worker.endsStored;
+    if (worker.contact == Contact::Open && hasWork && !endsPending && !worker.wantsPromptLook) {
+        look.wait = longestWait;
+    }
+    worker.wantsPromptLook = false;
+    worker.isLooking = true;
+    worker.isWaitingLook = look.wait > Milliseconds{0};
+    worker.lookSentAt = now;
+    engine.orders.emplace_back(std::move(look));
+}
+
+bool wantsLook(const Worker &worker)
+{
+    if (worker.isGone || worker.isLooking || worker.entry.address.empty()) {
+        return false;
+    }
+    if (worker.contact != Contact::Open) {
+        return worker.isListed || !worker.attempts.empty();
+    }
+    return !worker.attempts.empty() || !worker.strangers.empty()
+           || worker.endsSeen > worker.endsStored;
+}
+
+}  // namespace
+
+void listWorker(Engine &engine, const WorkerEntry &entry, TimePoint now)
+{
+    const WorkerId &id = entry.life.id;
+    const auto known = engine.lives.find(id);
+    if (known != engine.lives.end() && known->second.bornMs > entry.life.bornMs) {
+        return;  // an entry of an earlier life, read late
+    }
+    if (known != engine.lives.end() && known->second != entry.life) {
+        endWorkerLife(engine, known->second, now);
+    }
+    engine.lives[id] = entry.life;
+    const auto [place, isNew] = engine.workers.try_emplace(entry.life);
+    Worker &worker = place->second;
+    if (isNew) {
+        worker.idleSince = now;
+        worker.tokenBump = engine.token.lastBump;
+    }
+    if (worker.clockMs == 0) {
+        worker.clockMs = entry.clockMs;
+        worker.clockSeenAt = now;
+    }
+    const bool changed = !worker.isListed || worker.entry.isDraining != entry.isDraining
+                         || worker.entry.service != entry.service;
+    worker.entry = entry;
+    worker.isListed = true;
+    engine.needsPlan = engine.needsPlan || changed;
+}
+
+void unlistWorker(Engine &engine, const WorkerId &id)
+{
+    const auto known = engine.lives.find(id);
+    if (known == engine.lives.end()) {
+        return;
+    }
+    if (Worker *const worker = findWorker(engine, known->second)) {
+        worker->isListed = false;
+    }
+}
+
+void endWorkerLife(Engine &engine, const WorkerLife &life, TimePoint now)
+{
+    Worker *const worker = findWorker(engine, life);
+    if (worker == nullptr || worker->isGone) {
+        return;
+    }
+    worker->isGone = true;
+    worker->isListed = false;
+    releaseAll(engine, life, now);
+}
+
+void takeOtherLife(Engine &engine, const WorkerLife &life, TimePoint now)
+{
+    endWorkerLife(engine, life, now);
+}
+
+void takeLookAnswer(Engine &engine, const WorkerLife &life, std::int64_t lookNumber,
+                    const std::optional<LookAnswer> &answer, TimePoint now)
+{
+    Worker *const worker = findWorker(engine, life);
+    if (worker == nullptr || worker->isGone || lookNumber != worker->lookNumber) {
+        return;
+    }
+    worker->isLooking = false;
+    worker->isWaitingLook = false;
+    if (!answer) {
+        worker->contact = Contact::Silent;
+        worker->nextLookAt = now + silentRetry;
+        return;
+    }
+    if (answer->bornMs != 0 && life.bornMs != 0 && answer->bornMs != life.bornMs) {
+        endWorkerLife(engine, life, now);
+        return;
+    }
+    worker->clockMs = answer->clockMs;
+    worker->clockSeenAt = now;
+    for (const EndReport &report : answer->ended) {
+        if (report.number > worker->endsSeen) {
+            takeEnd(engine, *worker, report, now);
+            worker->endsSeen = report.number;
+        }
+    }
+    for (const RunningReport &report : answer->running) {
+        takeRunning(engine, *worker, report);
+    }
+    if (!answer->isPartial) {
+        settleAbsent(engine, *worker, lookNumber, *answer, now);
+    }
+    if (worker->contact != Contact::Open) {
+        worker->contact = Contact::Open;
+        engine.needsPlan = true;
+        repeatStops(engine, *worker);
+    }
+    const bool endsPending = worker->endsSeen > worker->endsStored;
+    worker->nextLookAt = endsPending ? now + lookPauseWithEnds : now;
+}
+
+void takeStartResult(Engine &engine, const AttemptRef &ref, const WorkerLife &life,
+                     StartResult result, std::int64_t clockMs, TimePoint now)
+{
+    Worker *const worker = findWorker(engine, life);
+    if (worker == nullptr || worker->isGone) {
+        return;
+    }
+    const auto place = worker->attempts.find(ref);
+    if (place == worker->attempts.end()) {
+        return;
+    }
+    if (clockMs != 0) {
+        worker->clockMs = clockMs;
+        worker->clockSeenAt = now;
+    }
+    jobs::Attempt *const attempt = findAttempt(engine, ref);
+    switch (result) {
+    case StartResult::Started:
+        place->second = std::min(place->second, worker->lookNumber + 1);
+        if (attempt != nullptr && attempt->phase == AttemptPhase::Ordered) {
+            attempt->phase = AttemptPhase::Running;
+        }
+        return;
+    case StartResult::Unknown:
+        voidOpenOrders(engine, *worker);
+        worker->contact = Contact::Silent;
+        worker->nextLookAt = now;
+        return;
+    case StartResult::Unhealthy:
+        judgeWorker(*worker, RunEnd::Failed, now);
+        break;
+    case StartResult::Fenced:
+    case StartResult::Old:
+    case StartResult::Late:
+    case StartResult::NoRoom:
+    case StartResult::NoTicket:
+    case StartResult::Refused:
+        break;
+    }
+    release(engine, ref, life, now);
+}
+
+void takeStopResult(Engine &engine, const AttemptRef &ref, const WorkerLife &life,
+                    StopResult result, TimePoint now)
+{
+    Worker *const worker = findWorker(engine, life);
+    if (worker == nullptr || worker->isGone) {
+        return;
+    }
+    if (result == StopResult::OtherLife) {
+        endWorkerLife(engine, life, now);
+        return;
+    }
+    if (result != StopResult::Accepted) {
+        worker->contact = Contact::Silent;
+        worker->wantsPromptLook = true;
+        worker->nextLookAt = now;
+        return;
+    }
+    const auto place = worker->attempts.find(ref);
+    if (place != worker->attempts.end()) {
+        place->second = std::min(place->second, worker->lookNumber + 1);
+    }
+}
+
+void lookAtWorkers(Engine &engine, TimePoint now)
+{
+    std::vector<WorkerLife> lapsed;
+    std::vector<WorkerLife> forgotten;
+    for (auto &[life, worker] : engine.workers) {
+        if (wantsLook(worker) && worker.nextLookAt <= now) {
+            sendLook(engine, worker, now);
+        }
+        const bool hasWork = !worker.attempts.empty() || !worker.strangers.empty();
+        if (worker.contact != Contact::Open && hasWork && worker.leaseUntil <= now) {
+            lapsed.push_back(life);
+        } else if (!worker.isListed && !hasWork && !worker.isLooking) {
+            forgotten.push_back(life);
+        }
+    }
+    for (const WorkerLife &life : lapsed) {
+        releaseAll(engine, life, now);
+    }
+    for (const WorkerLife &life : forgotten) {
+        const auto known = engine.lives.find(life.id);
+        if (known != engine.lives.end() && known->second == life) {
+            engine.lives.erase(known);
+        }
+        engine.workers.erase(life);
+    }
+}
+
+std::optional<TimePoint> nextLookAt(const Engine &engine)
+{
+    std::optional<TimePoint> next;
+    const auto consider = [&next](TimePoint time) { next = next ? std::min(*next, time) : time; };
+    for (const auto &[life, worker] : engine.workers) {
+        if (wantsLook(worker)) {
+            consider(worker.nextLookAt);
+        }
+        if (worker.contact != Contact::Open && !worker.attempts.empty()) {
+            consider(worker.leaseUntil);
+        }
+    }
+    return next;
+}
+
+}  // namespace poplarstream::engine
--- /dev/null
+++ b/src/poplarstream/jobs/commands.cpp
@@ -0,0 +1,165 @@
+#include "poplarstream/jobs/commands.hpp"
+
+#include <algorithm>  // for max, remove_if
+
+#include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt, isFinal
+
+namespace poplarstream::jobs {
+
+namespace {
+
+// A task that fails at once would be started in a tight loop otherwise.
+constexpr Milliseconds restartDelay{20};
+constexpr Milliseconds restartDelayMost{2000};
+
+int occurrenceCount(const JobSpec &spec)
+{
+    return std::max(spec.repeatCount, 1);
+}
+
+void finishTask(Occurrence &occurrence, std::size_t step, Task &task)
+{
+    if (!task.isDone) {
+        task.isDone = true;
+        --occurrence.remaining[step];
+    }
+}
+
+void finishJob(Job &job, JobState state, TimePoint now)
+{
+    job.state = state;
+    job.endedAt = now;
+    job.isDirty = true;
+}
+
+bool isOccurrenceDone(const Occurrence &occurrence)
+{
+    return std::all_of(occurrence.remaining.begin(), occurrence.remaining.end(),
+                       [](int count) { return count == 0; });
+}
+
+void recordDone(Job &job, Occurrence &occurrence, const TaskRef &ref, Task &task, TimePoint now)
+{
+    const auto step = static_cast<std::size_t>(ref.step);
+    if (job.submission.spec.steps[step].gang) {
+        for (Task &member : occurrence.steps[step]) {
+            finishTask(occurrence, step, member);
+        }
+    } else {
+        finishTask(occurrence, step, task);
+    }
+    if (!occurrence.isDone && isOccurrenceDone(occurrence)) {
+        occurrence.isDone = true;
+        ++job.finishedOccurrences;
+    }
+    if (job.finishedOccurrences == occurrenceCount(job.submission.spec)) {
+        finishJob(job, JobState::Completed, now);
+    }
+}
+
+void recordFailure(Job &job, const StepSpec &spec, Task &task, TimePoint now)
+{
+    ++task.failures;
+    const int doublings = std::min(task.failures - 1, 8);
+    task.notBefore = now + std::min(restartDelay * (1 << doublings), restartDelayMost);
+    if (!spec.longRunning && task.failures >= job.submission.policy.maxAttempts) {
+        finishJob(job, JobState::Failed, now);
+    }
+}
+
+}  // namespace
+
+Job makeJob(Submission submission, TimePoint now, std::int64_t nowUnixMs)
+{
+    Job job;
+    const std::int64_t age = std::max<std::int64_t>(nowUnixMs - submission.acceptedUnixMs, 0);
+    job.acceptedAt = now - Milliseconds(age);
+    job.submission = std::move(submission);
+    openDueOccurrences(job, now, nowUnixMs);
+    return job;
+}
+
+Occurrence &openOccurrence(Job &job, int number, TimePoint dueAt)
+{
+    Occurrence &occurrence = job.occurrences[number];
+    occurrence.dueAt = dueAt;
+    for (const StepSpec &step : job.submission.spec.steps) {
+        occurrence.steps.emplace_back(static_cast<std::size_t>(step.count));
+        occurrence.remaining.push_back(step.count);
+    }
+    return occurrence;
+}
+
+bool openDueOccurrences(Job &job, TimePoint now, std::int64_t nowUnixMs)
+{
+    const JobSpec &spec = job.submission.spec;
+    bool opened = false;
+    if (spec.repeatCount == 0) {
+        if (job.occurrences.empty()) {
+            openOccurrence(job, 0, job.acceptedAt);
+            opened = true;
+        }
+        return opened;
+    }
+    for (int number = static_cast<int>(job.occurrences.size()); number < spec.repeatCount;
+         ++number) {
+        const std::int64_t dueUnixMs = spec.firstRunUnixMs + number * spec.intervalMs;
+        if (dueUnixMs > nowUnixMs) {
+            break;
+        }
+        openOccurrence(job, number, now - Milliseconds(nowUnixMs - dueUnixMs));
+        opened = true;
+    }
+    return opened;
+}
+
+EndEffect recordEnd(Job &job, const TaskRef &ref, int run, RunEnd end, std::string checkpoint,
+                    TimePoint now)
+{
+    Task *const task = findTask(job, ref);
+    if (task == nullptr || findAttempt(*task, run) == nullptr) {
+        return {};
+    }
+    std::erase_if(task->attempts, [run](const Attempt &attempt) { return attempt.run == run; });
+    job.isDirty = true;
+    const auto step = static_cast<std::size_t>(ref.step);
+    const StepSpec &spec = job.submission.spec.steps[step];
+    if (!checkpoint.empty()) {
+        task->checkpoint = std::move(checkpoint);
+    }
+    EndEffect effect{.isKnown = true};
+    if (isFinal(job.state) || task->isDone) {
+        return effect;
+    }
+    Occurrence &occurrence = job.occurrences.at(ref.occurrence);
+    if (end == RunEnd::Done && !spec.longRunning) {
+        recordDone(job, occurrence, ref, *task, now);
+    } else if (end == RunEnd::Failed) {
+        recordFailure(job, spec, *task, now);
+    }
+    effect.stepDone = occurrence.remaining[step] == 0;
+    effect.jobEnded = isFinal(job.state);
+    return effect;
+}
+
+bool dropAttempt(Job &job, const TaskRef &ref, int run)
+{
+    Task *const task = findTask(job, ref);
+    if (task == nullptr || findAttempt(*task, run) == nullptr) {
+        return false;
+    }
+    std::erase_if(task->attempts, [run](const Attempt &attempt) { return attempt.run == run; });
+    job.isDirty = true;
+    return true;
+}
+
+bool cancelJob(Job &job, TimePoint now)
+{
+    if (isFinal(job.state)) {
+        return false;
+    }
+    finishJob(job, JobState::Cancelled, now);
+    return true;
+}
+
+}  // namespace poplarstream::jobs
--- /dev/null
+++ b/src/poplarstream/jobs/queries.cpp
@@ -0,0 +1,119 @@
+#include "poplarstream/jobs/queries.hpp"
+
+#include <algorithm>  // for all_of, any_of, max, find_if
+
+namespace poplarstream::jobs {
+
+namespace {
+
+// Longest chain over the steps that `counts` accepts.
+template <class Counts>
+Milliseconds longestChain(const JobSpec &spec, Counts counts)
+{
+    std::vector<Milliseconds> finish(spec.steps.size(), Milliseconds{0});
+    Milliseconds longest{0};
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        Milliseconds begin{0};
+        for (const int before : spec.steps[i].after) {
+            begin = std::max(begin, finish[static_cast<std::size_t>(before)]);
+        }
+        finish[i] = begin + (counts(i) ? spec.steps[i].estimate : Milliseconds{0});
+        longest = std::max(longest, finish[i]);
+    }
+    return longest;
+}
+
+}  // namespace
+
+Resources &Resources::operator+=(const Resources &other)
+{
+    cpuMilli += other.cpuMilli;
+    memoryMb += other.memoryMb;
+    gpus += other.gpus;
+    return *this;
+}
+
+Resources &Resources::operator-=(const Resources &other)
+{
+    cpuMilli -= other.cpuMilli;
+    memoryMb -= other.memoryMb;
+    gpus -= other.gpus;
+    return *this;
+}
+
+bool Resources::fits(const Resources &room) const
+{
+    return cpuMilli <= room.cpuMilli && memoryMb <= room.memoryMb && gpus <= room.gpus;
+}
+
+bool isFinal(JobState state)
+{
+    return state == JobState::Completed || state == JobState::Failed
+           || state == JobState::Cancelled;
+}
+
+bool isStepReady(const Job &job, const Occurrence &occurrence, int step)
+{
+    const auto &after = job.submission.spec.steps[static_cast<std::size_t>(step)].after;
+    return std::all_of(after.begin(), after.end(), [&](int before) {
+        return occurrence.remaining[static_cast<std::size_t>(before)] == 0;
+    });
+}
+
+Milliseconds criticalPath(const JobSpec &spec)
+{
+    return longestChain(spec, [](std::size_t) { return true; });
+}
+
+Milliseconds remainingPath(const JobSpec &spec, const Occurrence &occurrence)
+{
+    return longestChain(spec, [&](std::size_t i) { return occurrence.remaining[i] > 0; });
+}
+
+TimePoint objective(const Job &job, const Occurrence &occurrence)
+{
+    const QueuePolicy &policy = job.submission.policy;
+    const auto path = static_cast<double>(criticalPath(job.submission.spec).count());
+    return occurrence.dueAt + Milliseconds(static_cast<std::int64_t>(path * policy.stretch))
+           + policy.completionTarget;
+}
+
+bool isLongRunning(const Job &job)
+{
+    const auto &steps = job.submission.spec.steps;
+    return std::any_of(steps.begin(), steps.end(),
+                       [](const StepSpec &step) { return step.longRunning; });
+}
+
+Task *findTask(Job &job, const TaskRef &ref)
+{
+    const auto occurrence = job.occurrences.find(ref.occurrence);
+    if (occurrence == job.occurrences.end() || ref.step < 0 || ref.index < 0) {
+        return nullptr;
+    }
+    auto &steps = occurrence->second.steps;
+    const auto step = static_cast<std::size_t>(ref.step);
+    const auto index = static_cast<std::size_t>(ref.index);
+    if (step >= steps.size() || index >= steps[step].size()) {
+        return nullptr;
+    }
+    return &steps[step][index];
+}
+
+Attempt *findAttempt(Task &task, int run)
+{
+    const auto found = std::find_if(task.attempts.begin(), task.attempts.end(),
+                                    [run](const Attempt &attempt) { return attempt.run == run; });
+    return found == task.attempts.end() ? nullptr : &*found;
+}
+
+double declaredWork(const JobSpec &spec)
+{
+    double work = 0;
+    for (const StepSpec &step : spec.steps) {
+        work += static_cast<double>(step.need.cpuMilli * step.estimate.count()) * step.count;
+    }
+    return work;
+}
+
+}  // namespace poplarstream::jobs
--- a/src/poplarstream/main/command_line.cpp
+++ b/src/poplarstream/main/command_line.cpp
@@ -83,6 +83,12 @@
         return "usage: poplarstream serve --settings FILE\n"
                "Runs an entry host until SIGTERM or SIGINT, which begin a graceful shutdown.\n";
     }
+    if (command == "entry") {
+        return "usage: poplarstream entry [--settings FILE]\n"
+               "Runs an entry host on the users' platform until SIGTERM or SIGINT. Without "
+               "--settings, the\n"
+               "file is the one that POPLARSTREAM_CONFIG names. SIGHUP checks the file again.\n";
+    }
     if (command == "check") {
         return "usage: poplarstream check FILE...\n"
                "Checks settings and configuration documents and lists every fault. Changes "
@@ -122,6 +128,7 @@
     }
     return "usage: poplarstream COMMAND [OPTION]...\n"
            "  serve     run an entry host\n"
+           "  entry     run an entry host on the users' platform\n"
            "  check     check settings and documents\n"
            "  publish   publish a configuration document\n"
            "  document  print the configuration in force\n"
--- a/src/poplarstream/main/commands.hpp
+++ b/src/poplarstream/main/commands.hpp
@@ -7,6 +7,7 @@
 // The subcommands. Each returns the exit status and may throw for input that cannot be read.
 
 int serve(const CommandLine &line);
+int entry(const CommandLine &line);
 int check(const CommandLine &line);
 int publish(const CommandLine &line);
 int printDocument(const CommandLine &line);
--- a/src/poplarstream/main/main.cpp
+++ b/src/poplarstream/main/main.cpp
@@ -20,6 +20,7 @@
     using Command = int (*)(const CommandLine &);
     const std::pair<const char *, Command> commands[] = {
             {"serve", poplarstream::serve},
+            {"entry", poplarstream::entry},
             {"check", poplarstream::check},
             {"publish", poplarstream::publish},
             {"document", poplarstream::printDocument},
--- /dev/null
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -0,0 +1,136 @@
+#include "poplarstream/ownership/leadership.hpp"
+
+#include <algorithm>  // for find, max
+
+#include <nlohmann/json.hpp>  // for json
+
+namespace poplarstream::ownership {
+
+namespace {
+
+using nlohmann::json;
+using Kind = OwnershipRecord::Kind;
+
+constexpr std::string_view kindTexts[] = {"claim", "renewal", "resignation"};
+
+bool isOwn(const Leadership &leadership, const OwnershipRecord &record)
+{
+    return record.owner == leadership.self && record.incarnation == leadership.incarnation;
+}
+
+}  // namespace
+
+std::string encodeOwnership(const OwnershipRecord &record)
+{
+    return json{{"kind", kindTexts[static_cast<std::size_t>(record.kind)]},
+                {"epoch", record.epoch},
+                {"owner", record.owner.text()},
+                {"address", record.address},
+                {"incarnation", record.incarnation}}
+            .dump();
+}
+
+std::optional<OwnershipRecord> decodeOwnership(std::string_view text)
+{
+    const json value = json::parse(text, nullptr, false);
+    if (!value.is_object()) {
+        return {};
+    }
+    try {
+        OwnershipRecord record;
+        const auto kind = value.at("kind").get<std::string>();
+        const auto *const found = std::find(std::begin(kindTexts), std::end(kindTexts), kind);
+        if (found == std::end(kindTexts)) {
+            return {};
+        }
+        record.kind = static_cast<Kind>(found - std::begin(kindTexts));
+        record.epoch = value.at("epoch").get<std::int64_t>();
+        record.owner = EntryHostId(value.at("owner").get<std::string>());
+        record.address = value.at("address").get<std::string>();
+        record.incarnation = value.at("incarnation").get<std::string>();
+        return record;
+    } catch (const json::exception &) {
+        return {};
+    }
+}
+
+bool isOwner(const Leadership &leadership)
+{
+    return leadership.last && leadership.last->kind != Kind::Resignation
+           && isOwn(leadership, *leadership.last);
+}
+
+bool mayOrder(const Leadership &leadership, TimePoint now)
+{
+    return isOwner(leadership) && now < leadership.confirmedAt + leadership.settings.validity;
+}
+
+LeadershipStep nextStep(const Leadership &leadership, TimePoint now)
+{
+    const LeadershipSettings &settings = leadership.settings;
+    if (!leadership.hasRead || leadership.isWriting) {
+        return LeadershipStep::None;
+    }
+    if (leadership.isLeaving) {
+        return isOwner(leadership) ? LeadershipStep::Resign : LeadershipStep::None;
+    }
+    if (now < leadership.writtenAt + settings.renewal) {
+        return LeadershipStep::None;
+    }
+    if (isOwner(leadership)) {
+        return LeadershipStep::Renew;
+    }
+    // An earlier process of this entry host has ended, or this one would not run.
+    const bool isFree = !leadership.last || leadership.last->kind == Kind::Resignation
+                        || leadership.last->owner == leadership.self;
+    const Milliseconds wait = (isFree ? Milliseconds{0} : settings.silence) + settings.claimDelay;
+    return now >= leadership.lastSeenAt + wait ? LeadershipStep::Claim : LeadershipStep::None;
+}
+
+OwnershipRecord beginWrite(Leadership &leadership, LeadershipStep step, TimePoint now)
+{
+    leadership.isWriting = true;
+    leadership.writtenAt = now;
+    OwnershipRecord record{Kind::Renewal, leadership.last ? leadership.last->epoch : 0,
+                           leadership.self, leadership.address, leadership.incarnation};
+    if (step == LeadershipStep::Claim) {
+        record.kind = Kind::Claim;
+        ++record.epoch;
+    } else if (step == LeadershipStep::Resign) {
+        record.kind = Kind::Resignation;
+    }
+    return record;
+}
+
+void confirmWrite(Leadership &leadership, const OwnershipRecord &record, std::int64_t endOffset,
+                  TimePoint now)
+{
+    leadership.isWriting = false;
+    if (endOffset > leadership.endOffset) {
+        leadership.endOffset = endOffset;
+        leadership.last = record;
+        leadership.lastSeenAt = now;
+    }
+    leadership.confirmedAt = std::max(leadership.confirmedAt, leadership.writtenAt);
+}
+
+void failWrite(Leadership &leadership)
+{
+    leadership.isWriting = false;
+}
+
+void observe(Leadership &leadership, const std::optional<OwnershipRecord> &newest,
+             std::int64_t endOffset, TimePoint now)
+{
+    leadership.hasRead = true;
+    if (endOffset <= leadership.endOffset && leadership.last) {
+        return;
+    }
+    leadership.endOffset = std::max(leadership.endOffset, endOffset);
+    if (newest) {
+        leadership.last = newest;
+        leadership.lastSeenAt = now;
+    }
+}
+
+}  // namespace poplarstream::ownership
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -13,7 +13,8 @@
 
 constexpr std::array allKinds{
         entryHostStarting,    entryHostReady,       entryHostLeaving,  entryHostStopped,
-        settingsFault,        noConfiguration,      internalFault,     ringFull,
+        settingsFault,        noConfiguration,     internalFault,     ringFull,
+        settingsReloaded,
         configurationInForce, configurationRefused, recordUnreadable,  snapshotRestored,
         snapshotWritten,      retentionGap,         stateFromPeer,     logUnavailable,
         logAvailable,         appendUnknown,        dutyAcquired,      dutyLost,
@@ -23,6 +24,8 @@
         runSetAside,          runMayHaveRun,        workerQuarantined, workerSilent,
         workerReleased,       requestRefused,       minionEjected,     minionLeaving,
         connectionSilent,     peerSuspected,        peerSeen,
+        ownershipSeen, ownershipLost, ownerLoaded, progressNotStored, jobAccepted, jobRefused,
+        jobCancelled,
 };
 
 }  // namespace
