Carry out waves and move machines by demand

Change: pools decides moves to and from the standby pool and upkeep within the cap; the engine evacuates long-running tasks within what their step allows to miss.

--- /dev/null
+++ b/include/poplarstream/edge/machine_duty.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <functional>  // for function
+#include <memory>  // for shared_ptr
+
+#include "poplarstream/edge/runtime.hpp"  // for Runtime
+#include "poplarstream/engine/state.hpp"  // for Engine
+
+namespace poplarstream::edge {
+
+// The owner's work on machines: follows the platform's list, gives the orders that are planned, and
+// records the progress of waves.
+class MachineDuty
+{
+public:
+    // `mayOrder` tells whether this process may give orders now. The engine must outlive the duty.
+    MachineDuty(Runtime &runtime, engine::Engine &engine, std::int64_t epoch,
+                std::function<bool()> mayOrder);
+    MachineDuty(const MachineDuty &) = delete;
+    MachineDuty &operator=(const MachineDuty &) = delete;
+    ~MachineDuty();
+
+    // Takes what earlier owners recorded of waves.
+    void adopt(const StoredRecord &record);
+
+    void takeWave(const pools::Wave &wave);
+
+    // Begins to order, once the claims of earlier owners on machines have run out.
+    void start(TimePoint mayOrderFrom);
+
+    // Whether a key of the progress log belongs to this duty.
+    static bool isOwnKey(const std::string &key);
+
+private:
+    struct State;
+
+    std::shared_ptr<State> state_;
+};
+
+}  // namespace poplarstream::edge
--- a/include/poplarstream/engine/placement.hpp
+++ b/include/poplarstream/engine/placement.hpp
@@ -12,6 +12,7 @@
 {
     Worker *worker = nullptr;
     jobs::Resources room;
+    bool hostsLasting = false;  // a long-running task runs there
     bool hostsServing = false;  // a task with a latency target runs there
     bool hostsFillers = false;
 };
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -152,7 +152,7 @@
     std::map<WorkerId, WorkerLife> lives;  // the newest life of each id
     std::vector<Order> orders;
     std::vector<JobId> forgotten;  // jobs whose submission can go from the store
-    std::vector<ProgressRecord> drops;  // progress of jobs whose submission is gone
+    std::vector<ProgressRecord> notes;  // other records that the next batch carries
     bool needsPlan = false;
     // An owner that cannot confirm its ownership extends leases but starts nothing.
     bool mayStart = true;
--- /dev/null
+++ b/include/poplarstream/pools/planning.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <vector>  // for vector
+
+#include "poplarstream/pools/state.hpp"  // for Pools, Machine, MachineOrder
+
+namespace poplarstream::pools {
+
+// Takes a whole list of the platform's machines. Lives that the list shows to be over are ended in
+// the engine.
+void takeMachines(Pools &pools, engine::Engine &engine, const std::vector<Machine> &machines,
+                  TimePoint now);
+
+// Takes a wave that the operator asks for. `begun` are the machines whose upkeep an earlier owner
+// recorded.
+void takeWave(Pools &pools, const Wave &wave, const std::set<MachineId> &begun, TimePoint now);
+
+// Decides which machines to empty, move and take down for upkeep; returns the orders to send now.
+std::vector<MachineOrder> planMachines(Pools &pools, engine::Engine &engine, TimePoint now);
+
+// The platform's answer to an order. Returns the wave whose record has to be written, if any.
+std::optional<std::int64_t> takeOrderResult(Pools &pools, engine::Engine &engine,
+                                            const MachineOrder &order, OrderResult result,
+                                            TimePoint now);
+
+// Whether every machine of the wave that is still there has begun its upkeep.
+bool isCarriedOut(const Pools &pools, const WaveView &wave);
+
+}  // namespace poplarstream::pools
--- /dev/null
+++ b/include/poplarstream/pools/state.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <map>  // for map
+#include <optional>  // for optional
+#include <set>  // for set
+#include <vector>  // for vector
+
+#include "poplarstream/engine/state.hpp"  // for Engine
+#include "poplarstream/pools/machine.hpp"  // for Machine, Wave, MachineOrder
+
+namespace poplarstream::pools {
+
+// An order that is decided but not known to be carried out.
+struct PendingOrder
+{
+    MachineOrder order;
+    bool isSent = false;
+    TimePoint sentAt{};
+};
+
+struct MachineView
+{
+    Machine machine;
+    std::optional<PendingOrder> pending;
+    TimePoint changedAt{};  // when its last order was carried out
+    std::set<ServiceId> unfitPools;  // that refused it
+};
+
+struct WaveView
+{
+    Wave wave;
+    TimePoint seenAt{};
+    std::set<MachineId> begun;  // their upkeep has begun or is over
+    std::set<MachineId> away;  // in upkeep now, as far as is known
+    bool isCompleted = false;
+};
+
+// How many machines a pool should have.
+struct PoolNeed
+{
+    int wanted = 0;
+    TimePoint surplusSince{};  // since when it has had more; the epoch when it has not
+};
+
+// What the owner knows of machines and waves.
+struct Pools
+{
+    std::map<MachineId, MachineView> machines;
+    std::map<std::int64_t, WaveView> waves;
+    std::map<ServiceId, PoolNeed> needs;
+    TimePoint mayOrderFrom{};  // an earlier owner may have ordered until shortly before
+    std::string holder;
+    std::int64_t fencingToken = 0;
+};
+
+// The standby pool, whose machines are off; nothing when the deployment has none.
+std::optional<ServiceId> standbyPool(const engine::Engine &engine);
+
+// The worker that is the machine's present life, or null.
+engine::Worker *workerOf(engine::Engine &engine, const Machine &machine);
+
+// Whether nothing runs, or may run, on the machine.
+bool isEmpty(const engine::Worker *worker);
+
+}  // namespace poplarstream::pools
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -128,5 +128,10 @@
 inline constexpr EventKind jobRefused{711, EventLevel::Warning, "job-refused", "job reason",
                                       "See the reason; the caller was told whether to try again."};
 inline constexpr EventKind jobCancelled{712, EventLevel::Info, "job-cancelled", "job", "None."};
+inline constexpr EventKind machineOrdered{
+        720, EventLevel::Info, "machine-ordered", "machine order to result",
+        "None; an order that is not done is repeated or given up by its result."};
+inline constexpr EventKind waveReported{721, EventLevel::Info, "wave-reported", "wave completed",
+                                        "None."};
 
 }  // namespace poplarstream::events
--- /dev/null
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -0,0 +1,236 @@
+#include "poplarstream/edge/machine_duty.hpp"
+
+#include <fmt/format.h>  // for format
+#include <nlohmann/json.hpp>  // for json
+
+#include "poplarstream/pools/planning.hpp"  // for planMachines, takeOrderResult
+#include "poplarstream/telemetry/event_kinds.hpp"  // for machineOrdered
+
+namespace poplarstream::edge {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view waveKeyPrefix = "wave/";
+// The list shows when a moved machine is back.
+constexpr Milliseconds listPeriod{400};
+constexpr Milliseconds planPeriod{100};
+
+std::string_view resultText(pools::OrderResult result)
+{
+    switch (result) {
+    case pools::OrderResult::Done:
+        return "done";
+    case pools::OrderResult::Fenced:
+        return "fenced";
+    case pools::OrderResult::Busy:
+        return "busy";
+    case pools::OrderResult::NotOfWave:
+        return "not-of-wave";
+    case pools::OrderResult::Invalid:
+        return "invalid";
+    case pools::OrderResult::NotDone:
+        return "not-done";
+    case pools::OrderResult::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+engine::ProgressRecord recordOf(const pools::WaveView &wave)
+{
+    json begun = json::array();
+    for (const pools::MachineId &id : wave.begun) {
+        begun.push_back(id.text());
+    }
+    const json value = {{"begun", std::move(begun)}, {"completed", wave.isCompleted}};
+    return {fmt::format("{}{}", waveKeyPrefix, wave.wave.number), value.dump()};
+}
+
+}  // namespace
+
+struct MachineDuty::State : std::enable_shared_from_this<MachineDuty::State>
+{
+    State(Runtime &owner, engine::Engine &jobs, std::function<bool()> permission)
+        : runtime(owner)
+        , engine(jobs)
+        , mayOrder(std::move(permission))
+    {}
+
+    void after(Milliseconds delay, void (State::*step)())
+    {
+        callAfter(runtime, delay, [weak = weak_from_this(), step] {
+            if (const auto self = weak.lock(); self && !self->isClosed) {
+                (self.get()->*step)();
+            }
+        });
+    }
+
+    void list()
+    {
+        listed.clear();
+        listPage({});
+    }
+
+    void listPage(const std::string &page)
+    {
+        runtime.machines.list(page, [weak = weak_from_this()](MachinePage answer) {
+            if (const auto self = weak.lock(); self && !self->isClosed) {
+                self->takePage(std::move(answer));
+            }
+        });
+    }
+
+    void takePage(MachinePage page)
+    {
+        listed.insert(listed.end(), page.machines.begin(), page.machines.end());
+        if (page.isRead && !page.nextPage.empty()) {
+            listPage(page.nextPage);
+            return;
+        }
+        if (page.isRead) {
+            pools::takeMachines(machines, engine, listed, steadyNow());
+            hasList = true;
+        }
+        after(listPeriod, &State::list);
+    }
+
+    void plan()
+    {
+        if (hasList && mayOrder()) {
+            for (const pools::MachineOrder &order :
+                 pools::planMachines(machines, engine, steadyNow())) {
+                send(order);
+            }
+            reportWaves();
+        }
+        after(planPeriod, &State::plan);
+    }
+
+    void send(const pools::MachineOrder &order)
+    {
+        runtime.machines.order(order, [weak = weak_from_this(), order](pools::OrderResult result) {
+            if (const auto self = weak.lock(); self && !self->isClosed) {
+                self->takeResult(order, result);
+            }
+        });
+    }
+
+    void takeResult(const pools::MachineOrder &order, pools::OrderResult result)
+    {
+        const bool isMove = order.kind == pools::MachineOrder::Kind::Move;
+        logEvent(events::machineOrdered, {{"machine", order.machine.text()},
+                                          {"order", isMove ? "move" : "upkeep"},
+                                          {"to", isMove ? order.pool.text()
+                                                        : fmt::to_string(order.wave)},
+                                          {"result", std::string(resultText(result))}});
+        const auto wave =
+                pools::takeOrderResult(machines, engine, order, result, steadyNow());
+        if (wave) {
+            engine.notes.push_back(recordOf(machines.waves.at(*wave)));
+        }
+    }
+
+    // Tells the operator about waves, and again until the store has it.
+    void reportWaves()
+    {
+        for (auto &[number, wave] : machines.waves) {
+            const bool isDone = pools::isCarriedOut(machines, wave);
+            if (isDone && !wave.isCompleted) {
+                wave.isCompleted = true;
+                engine.notes.push_back(recordOf(wave));
+            }
+            const auto reported = reports.find(number);
+            if (reported == reports.end() || reported->second != wave.isCompleted) {
+                report(wave);
+            }
+        }
+    }
+
+    void report(const pools::WaveView &wave)
+    {
+        const std::int64_t number = wave.wave.number;
+        if (!reporting.insert(number).second) {
+            return;
+        }
+        AppendRequest request;
+        request.log = Log::Status;
+        request.records = {runtime.decode.waveStatus(wave.wave, wave.isCompleted)};
+        runtime.store.append(std::move(request), [weak = weak_from_this(), number,
+                                                  isCompleted = wave.isCompleted](
+                                                         const AppendOutcome &outcome) {
+            const auto self = weak.lock();
+            if (!self || self->isClosed) {
+                return;
+            }
+            self->reporting.erase(number);
+            if (outcome.result == AppendResult::Stored) {
+                self->reports[number] = isCompleted;
+                logEvent(events::waveReported, {{"wave", fmt::to_string(number)},
+                                                {"completed", isCompleted ? "yes" : "no"}});
+            }
+        });
+    }
+
+    Runtime &runtime;
+    engine::Engine &engine;
+    std::function<bool()> mayOrder;
+    pools::Pools machines;
+    std::vector<pools::Machine> listed;
+    std::map<std::int64_t, std::set<pools::MachineId>> inherited;  // begun, by wave
+    std::map<std::int64_t, bool> reports;  // what the operator was told
+    std::set<std::int64_t> reporting;
+    bool hasList = false;
+    bool isClosed = false;
+};
+
+MachineDuty::MachineDuty(Runtime &runtime, engine::Engine &engine, std::int64_t epoch,
+                         std::function<bool()> mayOrder)
+    : state_(std::make_shared<State>(runtime, engine, std::move(mayOrder)))
+{
+    state_->machines.holder = runtime.settings.name.text();
+    state_->machines.fencingToken = epoch;
+}
+
+MachineDuty::~MachineDuty()
+{
+    state_->isClosed = true;
+}
+
+bool MachineDuty::isOwnKey(const std::string &key)
+{
+    return key.starts_with(waveKeyPrefix);
+}
+
+void MachineDuty::adopt(const StoredRecord &record)
+{
+    const json value = json::parse(record.value.value_or(std::string()), nullptr, false);
+    const std::int64_t number =
+            std::strtoll(record.key.c_str() + waveKeyPrefix.size(), nullptr, 10);
+    if (!value.is_object() || !value.contains("begun")) {
+        logEvent(events::recordUnreadable, {{"stream", "progress"},
+                                            {"offset", fmt::to_string(record.offset)},
+                                            {"fault", "not the record of a wave"}});
+        return;
+    }
+    for (const json &id : value.at("begun")) {
+        state_->inherited[number].insert(pools::MachineId(id.get<std::string>()));
+    }
+}
+
+void MachineDuty::takeWave(const pools::Wave &wave)
+{
+    pools::takeWave(state_->machines, wave, state_->inherited[wave.number], steadyNow());
+}
+
+void MachineDuty::start(TimePoint mayOrderFrom)
+{
+    state_->machines.mayOrderFrom = mayOrderFrom;
+    if (state_->runtime.settings.machines.port != 0) {
+        state_->list();
+        state_->plan();
+    }
+}
+
+}  // namespace poplarstream::edge
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -3,9 +3,11 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
+#include "poplarstream/edge/machine_duty.hpp"  // for MachineDuty
 #include "poplarstream/edge/order_sender.hpp"  // for OrderSender
 #include "poplarstream/edge/progress_writer.hpp"  // for ProgressWriter
 #include "poplarstream/edge/stored_jobs.hpp"  // for applyJobRecord
+#include "poplarstream/engine/evacuation.hpp"  // for evacuate
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
 #include "poplarstream/engine/planning.hpp"  // for planStarts
@@ -42,6 +44,7 @@
         , hooks(std::move(given))
         , writer(owner, inherited.epoch)
         , sender(owner)
+        , machines(owner, engine, inherited.epoch, [this] { return isLoaded && hooks.mayOrder(); })
     {
         engine.limits = runtime.settings.limits;
         engine.token.epoch = inheritance.epoch;
@@ -118,9 +121,21 @@
         const TimePoint renewedAt = inheritance.lastRenewalAt
                                             ? std::max(now, *inheritance.lastRenewalAt + extendFor)
                                             : now;
-        adoptStoredProgress(engine, progress, renewedAt, now);
-        progress.clear();
+        std::vector<StoredRecord> ofJobs;
+        for (StoredRecord &record : std::exchange(progress, {})) {
+            if (MachineDuty::isOwnKey(record.key)) {
+                machines.adopt(record);
+            } else {
+                ofJobs.push_back(std::move(record));
+            }
+        }
+        adoptStoredProgress(engine, ofJobs, renewedAt, now);
         isLoaded = true;
+        for (const auto &[number, wave] : waves) {
+            machines.takeWave(wave);
+        }
+        // The predecessor's last order may be as young as its last renewal.
+        machines.start(now + engine.limits.machineLease);
         logEvent(events::ownerLoaded, {{"epoch", fmt::to_string(inheritance.epoch)},
                                        {"jobs", fmt::to_string(engine.jobs.size())},
                                        {"active", fmt::to_string(engine.active.size())}});
@@ -209,7 +224,7 @@
                                  self.isDropping = false;
                                  for (const engine::JobId &id : ids) {
                                      if (outcome.result == AppendResult::Stored) {
-                                         self.engine.drops.push_back({id.text(), {}});
+                                         self.engine.notes.push_back({id.text(), {}});
                                      } else {
                                          self.engine.forgotten.push_back(id);
                                      }
@@ -227,6 +242,7 @@
         const TimePoint now = steadyNow();
         engine.mayStart = hooks.mayOrder();
         if (engine.needsPlan) {
+            engine::evacuate(engine, now);
             engine::planStarts(engine, now);
         }
         if (now < hooks.confirmedAt() + extendFor) {
@@ -271,6 +287,8 @@
     engine::Engine engine;
     ProgressWriter writer;
     OrderSender sender;
+    MachineDuty machines;
+    std::map<std::int64_t, pools::Wave> waves;
     std::vector<StoredRecord> progress;
     std::unique_ptr<LogFollower> progressFollower;
     std::unique_ptr<LogFollower> jobFollower;
@@ -313,7 +331,13 @@
     engine::configure(state_->engine, std::move(queues), configuration.services);
 }
 
-void OwnerSession::takeWave(const pools::Wave &) {}
+void OwnerSession::takeWave(const pools::Wave &wave)
+{
+    state_->waves[wave.number] = wave;
+    if (state_->isLoaded) {
+        state_->machines.takeWave(wave);
+    }
+}
 
 bool OwnerSession::isLoaded() const
 {
--- a/src/poplarstream/edge/progress_writer.cpp
+++ b/src/poplarstream/edge/progress_writer.cpp
@@ -146,7 +146,7 @@
     const bool hasEnds = std::any_of(engine.workers.begin(), engine.workers.end(), [](auto &entry) {
         return entry.second.endsSeen > entry.second.endsStored;
     });
-    if (state_->isWriting || (engine.dirty.empty() && engine.drops.empty() && !hasEnds)) {
+    if (state_->isWriting || (engine.dirty.empty() && engine.notes.empty() && !hasEnds)) {
         return;
     }
     state_->isWriting = true;
--- a/src/poplarstream/engine/batches.cpp
+++ b/src/poplarstream/engine/batches.cpp
@@ -91,10 +91,10 @@
                 batch.ends.emplace_back(life, worker.endsSeen);
             }
         }
-        for (ProgressRecord &drop : engine.drops) {
-            batch.records.push_back(std::move(drop));
+        for (ProgressRecord &note : engine.notes) {
+            batch.records.push_back(std::move(note));
         }
-        engine.drops.clear();
+        engine.notes.clear();
     }
     return batch;
 }
--- /dev/null
+++ b/src/poplarstream/engine/evacuation.cpp
@@ -0,0 +1,76 @@
+#include "poplarstream/engine/evacuation.hpp"
+
+#include <algorithm>  // for max, any_of
+
+#include "poplarstream/engine/attempts.hpp"  // for findAttempt, stepOf, stopAttempt
+#include "poplarstream/engine/placement.hpp"  // for openSites, chooseSite, spreadOf
+#include "poplarstream/engine/ranking.hpp"  // for serviceOf
+
+namespace poplarstream::engine {
+
+namespace {
+
+constexpr int wholePercent = 100;
+
+bool isAtWork(const jobs::Task &task)
+{
+    return std::any_of(task.attempts.begin(), task.attempts.end(),
+                       [](const jobs::Attempt &attempt) {
+                           return attempt.phase == jobs::AttemptPhase::Running
+                                  && attempt.percent >= wholePercent;
+                       });
+}
+
+// Whether one more task of the step may go missing. A step that names no number still loses its
+// tasks one by one.
+bool mayMissAnother(const jobs::Occurrence &occurrence, const jobs::StepSpec &step,
+                    const TaskRef &task)
+{
+    int missing = 0;
+    const auto &tasks = occurrence.steps[static_cast<std::size_t>(task.step)];
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        if (static_cast<int>(index) != task.index && !isAtWork(tasks[index])) {
+            ++missing;
+        }
+    }
+    return missing < std::max(step.mayMiss, 1);
+}
+
+void evacuateTask(Engine &engine, const AttemptRef &ref, bool isLeaving, TimePoint now)
+{
+    jobs::Job &job = engine.jobs.at(ref.task.job);
+    const jobs::StepSpec &step = stepOf(job, ref.task);
+    const jobs::Attempt *const attempt = findAttempt(engine, ref);
+    if (!step.longRunning || attempt == nullptr
+        || attempt->phase != jobs::AttemptPhase::Running) {
+        return;
+    }
+    const jobs::Occurrence &occurrence = job.occurrences.at(ref.task.occurrence);
+    if (!isLeaving && !mayMissAnother(occurrence, step, ref.task)) {
+        return;
+    }
+    std::vector<Site> sites = openSites(engine, serviceOf(engine, job), now);
+    const Spread spread = spreadOf(engine, occurrence, ref.task.step);
+    if (chooseSite(sites, step, spread, {attempt->worker}, nullptr) != nullptr) {
+        stopAttempt(engine, ref, now);
+    }
+}
+
+}  // namespace
+
+void evacuate(Engine &engine, TimePoint now)
+{
+    for (const auto &[life, worker] : engine.workers) {
+        const bool mustLeave = worker.entry.isDraining && worker.isListed;
+        if (worker.isGone || worker.contact != Contact::Open
+            || !(mustLeave || worker.isCordoned)) {
+            continue;
+        }
+        const auto attempts = worker.attempts;
+        for (const auto &[ref, settledBy] : attempts) {
+            evacuateTask(engine, ref, mustLeave, now);
+        }
+    }
+}
+
+}  // namespace poplarstream::engine
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -23,17 +23,16 @@
            || (step.target > Milliseconds{0} && site.hostsFillers);
 }
 
-// Smaller is better. Tasks that last are spread; others fill the fullest worker, so that idle
-// workers can be given away.
-std::tuple<int, int, int, int, std::int64_t> costOf(const Site &site, const jobs::StepSpec &step,
+// Smaller is better. Long-running tasks share workers with others of their kind, but spread over
+// racks; all fill the fullest worker, so that idle workers can be given away.
+std::tuple<int, int, int, std::int64_t> costOf(const Site &site, const jobs::StepSpec &step,
                                                     const Spread &spread)
 {
     const WorkerEntry &entry = site.worker->entry;
     const bool isRemote = !step.affinityRack.empty() && entry.rack.text() != step.affinityRack;
     const int onRack = step.longRunning ? countAt(spread.onRack, entry.rack) : 0;
-    const int onWorker = step.longRunning ? countAt(spread.onWorker, entry.life) : 0;
-    return {isRemote ? 1 : 0, disturbs(site, step) ? 1 : 0, onWorker, onRack,
-            site.room.cpuMilli};
+    const bool isFresh = step.longRunning && !site.hostsLasting;
+    return {isRemote ? 1 : 0, isFresh ? 1 : 0, onRack, site.room.cpuMilli};
 }
 
 }  // namespace
@@ -55,6 +54,7 @@
         site.room -= worker.used;
         for (const auto &[ref, settledBy] : worker.attempts) {
             const jobs::StepSpec &step = stepOf(engine.jobs.at(ref.task.job), ref.task);
+            site.hostsLasting = site.hostsLasting || step.longRunning;
             site.hostsServing = site.hostsServing || step.target > Milliseconds{0};
             site.hostsFillers = site.hostsFillers || step.fills;
         }
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -41,6 +41,7 @@
     task.lastRun = run;
     task.attempts.push_back(std::move(attempt));
     site.room -= roomOf(step);
+    site.hostsLasting = site.hostsLasting || step.longRunning;
     site.hostsServing = site.hostsServing || step.target > Milliseconds{0};
     site.hostsFillers = site.hostsFillers || step.fills;
     ++spread.onWorker[site.worker->entry.life];
--- /dev/null
+++ b/src/poplarstream/pools/demand.cpp
@@ -0,0 +1,71 @@
+#include "poplarstream/pools/demand.hpp"
+
+#include <algorithm>  // for max
+#include <cmath>  // for ceil
+
+#include "poplarstream/engine/attempts.hpp"  // for roomOf
+#include "poplarstream/engine/ranking.hpp"  // for serviceOf, prospectOf
+#include "poplarstream/jobs/queries.hpp"  // for isFinal, isStepReady
+
+namespace poplarstream::pools {
+
+namespace {
+
+// Tasks do not fill a machine to the last thousandth of a core.
+constexpr double fillable = 0.9;
+
+void addStep(Demand &demand, const jobs::Occurrence &occurrence, const jobs::StepSpec &step,
+             std::size_t index, bool counts)
+{
+    const jobs::Resources need = engine::roomOf(step);
+    for (const jobs::Task &task : occurrence.steps[index]) {
+        if (!task.attempts.empty()) {
+            demand.running += need;
+        } else if (!task.isDone && counts) {
+            demand.waiting += need;
+        }
+    }
+    if (step.longRunning && step.antiAffinity > 0) {
+        const int workers = (step.count + step.antiAffinity - 1) / step.antiAffinity;
+        demand.spreadAtLeast = std::max(demand.spreadAtLeast, workers);
+    }
+}
+
+int ceilDiv(double amount, std::int64_t capacity)
+{
+    return capacity <= 0 ? 0
+                         : static_cast<int>(std::ceil(amount / (static_cast<double>(capacity)
+                                                                * fillable)));
+}
+
+}  // namespace
+
+std::map<ServiceId, Demand> demandByService(const engine::Engine &engine, TimePoint now)
+{
+    std::map<ServiceId, Demand> demands;
+    for (const engine::JobId &id : engine.active) {
+        const jobs::Job &job = engine.jobs.at(id);
+        Demand &demand = demands[engine::serviceOf(engine, job)];
+        for (const auto &[number, occurrence] : job.occurrences) {
+            const bool counts = !jobs::isFinal(job.state)
+                                && engine::prospectOf(job, occurrence, now)
+                                           != engine::Prospect::TooLate;
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const bool isReady = jobs::isStepReady(job, occurrence, static_cast<int>(i));
+                addStep(demand, occurrence, job.submission.spec.steps[i], i, counts && isReady);
+            }
+        }
+    }
+    return demands;
+}
+
+int machinesFor(const Demand &demand, const jobs::Resources &capacity)
+{
+    jobs::Resources total = demand.running;
+    total += demand.waiting;
+    const int byProcessor = ceilDiv(static_cast<double>(total.cpuMilli), capacity.cpuMilli);
+    const int byMemory = ceilDiv(static_cast<double>(total.memoryMb), capacity.memoryMb);
+    return std::max({byProcessor, byMemory, demand.spreadAtLeast});
+}
+
+}  // namespace poplarstream::pools
--- /dev/null
+++ b/src/poplarstream/pools/moves.cpp
@@ -0,0 +1,148 @@
+#include "poplarstream/pools/moves.hpp"
+
+#include <algorithm>  // for max, sort
+
+#include "poplarstream/pools/demand.hpp"  // for demandByService, machinesFor
+
+namespace poplarstream::pools {
+
+namespace {
+
+// A pool keeps this many machines, so that its next job does not wait for a move.
+constexpr int leastMachines = 2;
+// A move costs as much as a machine in a pool for about this long, so it is given up only then.
+constexpr Milliseconds surplusHeld{1200};
+
+struct PoolMembers
+{
+    std::vector<MachineView *> up;
+    int present = 0;  // including those that are coming
+};
+
+bool isMovable(const MachineView &view)
+{
+    return !view.pending && view.machine.state == MachineState::Up;
+}
+
+std::map<ServiceId, PoolMembers> membersOf(Pools &pools)
+{
+    std::map<ServiceId, PoolMembers> members;
+    for (auto &[id, view] : pools.machines) {
+        const bool isLeaving = view.pending
+                               && view.pending->order.kind == MachineOrder::Kind::Move;
+        const ServiceId &pool = isLeaving ? view.pending->order.pool : view.machine.pool;
+        PoolMembers &own = members[pool];
+        if (view.machine.state != MachineState::Down) {
+            ++own.present;
+        }
+        if (isMovable(view)) {
+            members[view.machine.pool].up.push_back(&view);
+        }
+    }
+    return members;
+}
+
+jobs::Resources capacityOf(const PoolMembers &own, const Pools &pools)
+{
+    if (!own.up.empty()) {
+        return own.up.front()->machine.capacity;
+    }
+    return pools.machines.empty() ? jobs::Resources{}
+                                  : pools.machines.begin()->second.machine.capacity;
+}
+
+void order(Pools &pools, MachineView &view, const ServiceId &pool)
+{
+    MachineOrder move;
+    move.kind = MachineOrder::Kind::Move;
+    move.machine = view.machine.id;
+    move.pool = pool;
+    move.holder = pools.holder;
+    move.fencingToken = pools.fencingToken;
+    view.pending = PendingOrder{std::move(move)};
+}
+
+// An empty machine that may go to `pool`, of the standby pool or of a pool with a surplus.
+MachineView *donorFor(std::map<ServiceId, PoolMembers> &members, Pools &pools,
+                      engine::Engine &engine, const ServiceId &pool,
+                      const std::optional<ServiceId> &standby)
+{
+    for (const bool fromStandby : {true, false}) {
+        for (auto &[other, own] : members) {
+            const bool isStandby = standby && other == *standby;
+            if (other == pool || isStandby != fromStandby
+                || (!isStandby && own.present <= pools.needs[other].wanted)) {
+                continue;
+            }
+            for (MachineView *const view : own.up) {
+                if (isMovable(*view) && isEmpty(workerOf(engine, view->machine))
+                    && !view->unfitPools.contains(pool)) {
+                    --own.present;
+                    return view;
+                }
+            }
+        }
+    }
+    return nullptr;
+}
+
+void releaseSurplus(Pools &pools, engine::Engine &engine, PoolMembers &own, PoolNeed &need,
+                    const ServiceId &standby, TimePoint now)
+{
+    if (own.present <= need.wanted) {
+        need.surplusSince = {};
+        return;
+    }
+    if (need.surplusSince == TimePoint{}) {
+        need.surplusSince = now;
+    }
+    if (now < need.surplusSince + surplusHeld) {
+        return;
+    }
+    for (MachineView *const view : own.up) {
+        if (own.present <= need.wanted) {
+            return;
+        }
+        const engine::Worker *const worker = workerOf(engine, view->machine);
+        if (isMovable(*view) && isEmpty(worker) && !view->unfitPools.contains(standby)) {
+            order(pools, *view, standby);
+            --own.present;
+        }
+    }
+}
+
+}  // namespace
+
+void planMoves(Pools &pools, engine::Engine &engine, TimePoint now)
+{
+    const std::optional<ServiceId> standby = standbyPool(engine);
+    std::map<ServiceId, PoolMembers> members = membersOf(pools);
+    const std::map<ServiceId, Demand> demands = demandByService(engine, now);
+    for (const auto &[service, settings] : engine.services) {
+        const auto demand = demands.find(service);
+        const int needed = demand == demands.end()
+                                   ? 0
+                                   : machinesFor(demand->second,
+                                                 capacityOf(members[service], pools));
+        pools.needs[service].wanted = settings.isStandby ? 0 : std::max(needed, leastMachines);
+    }
+    for (auto &[service, need] : pools.needs) {
+        if (standby && service == *standby) {
+            continue;
+        }
+        PoolMembers &own = members[service];
+        while (own.present < need.wanted) {
+            MachineView *const donor = donorFor(members, pools, engine, service, standby);
+            if (donor == nullptr) {
+                break;
+            }
+            order(pools, *donor, service);
+            ++own.present;
+        }
+        if (standby) {
+            releaseSurplus(pools, engine, own, need, *standby, now);
+        }
+    }
+}
+
+}  // namespace poplarstream::pools
--- /dev/null
+++ b/src/poplarstream/pools/planning.cpp
@@ -0,0 +1,138 @@
+#include "poplarstream/pools/planning.hpp"
+
+#include "poplarstream/engine/worker_events.hpp"  // for endWorkerLife
+#include "poplarstream/pools/moves.hpp"  // for planMoves
+#include "poplarstream/pools/waves.hpp"  // for planUpkeep
+
+namespace poplarstream::pools {
+
+namespace {
+
+// An order without an answer is repeated after this long; it is carried out at most once.
+constexpr Milliseconds repeatAfter{1500};
+
+void cordon(engine::Engine &engine, const Machine &machine, bool isCordoned)
+{
+    engine::Worker *const worker = workerOf(engine, machine);
+    if (worker != nullptr && worker->isCordoned != isCordoned) {
+        worker->isCordoned = isCordoned;
+        engine.needsPlan = true;
+    }
+}
+
+bool isInOrder(const Machine &machine)
+{
+    return machine.state == MachineState::Up;
+}
+
+}  // namespace
+
+void takeMachines(Pools &pools, engine::Engine &engine, const std::vector<Machine> &machines,
+                  TimePoint now)
+{
+    std::map<MachineId, MachineView> listed;
+    for (const Machine &machine : machines) {
+        MachineView view;
+        if (const auto known = pools.machines.find(machine.id); known != pools.machines.end()) {
+            view = std::move(known->second);
+            const jobs::WorkerId &before = view.machine.worker;
+            const auto life = engine.lives.find(before);
+            const bool hasNewLife = !machine.worker.isEmpty() && machine.worker != before;
+            if (hasNewLife && life != engine.lives.end()) {
+                engine::endWorkerLife(engine, life->second, now);
+            }
+        }
+        view.machine = machine;
+        listed[machine.id] = std::move(view);
+    }
+    pools.machines = std::move(listed);
+    for (auto &[number, wave] : pools.waves) {
+        std::erase_if(wave.away, [&](const MachineId &id) {
+            const auto found = pools.machines.find(id);
+            return found == pools.machines.end()
+                   || (isInOrder(found->second.machine) && found->second.changedAt < now);
+        });
+    }
+}
+
+void takeWave(Pools &pools, const Wave &wave, const std::set<MachineId> &begun, TimePoint now)
+{
+    const auto [place, isNew] = pools.waves.try_emplace(wave.number);
+    place->second.wave = wave;
+    place->second.begun.insert(begun.begin(), begun.end());
+    if (isNew) {
+        place->second.seenAt = now;
+    }
+}
+
+std::vector<MachineOrder> planMachines(Pools &pools, engine::Engine &engine, TimePoint now)
+{
+    if (now < pools.mayOrderFrom) {
+        return {};
+    }
+    planUpkeep(pools, engine, now);
+    planMoves(pools, engine, now);
+    std::vector<MachineOrder> orders;
+    for (auto &[id, view] : pools.machines) {
+        if (!view.pending) {
+            continue;
+        }
+        cordon(engine, view.machine, true);
+        const bool isDue = !view.pending->isSent || view.pending->sentAt + repeatAfter < now;
+        if (isDue && isInOrder(view.machine) && isEmpty(workerOf(engine, view.machine))) {
+            view.pending->isSent = true;
+            view.pending->sentAt = now;
+            orders.push_back(view.pending->order);
+        }
+    }
+    return orders;
+}
+
+std::optional<std::int64_t> takeOrderResult(Pools &pools, engine::Engine &engine,
+                                            const MachineOrder &order, OrderResult result,
+                                            TimePoint now)
+{
+    const auto found = pools.machines.find(order.machine);
+    if (found == pools.machines.end() || !found->second.pending) {
+        return {};
+    }
+    MachineView &view = found->second;
+    if (result == OrderResult::Unknown || result == OrderResult::NotDone) {
+        return {};  // repeated by planMachines
+    }
+    view.pending.reset();
+    if (result != OrderResult::Done) {
+        cordon(engine, view.machine, false);
+        if (result == OrderResult::Invalid && order.kind == MachineOrder::Kind::Move) {
+            view.unfitPools.insert(order.pool);
+        }
+        return {};
+    }
+    view.changedAt = now;
+    const auto life = engine.lives.find(view.machine.worker);
+    if (life != engine.lives.end()) {
+        engine::endWorkerLife(engine, life->second, now);
+    }
+    if (order.kind == MachineOrder::Kind::Move) {
+        view.machine.pool = order.pool;
+        view.machine.state = MachineState::Moving;
+        return {};
+    }
+    view.machine.state = MachineState::InUpkeep;
+    WaveView &wave = pools.waves.at(order.wave);
+    wave.begun.insert(order.machine);
+    wave.away.insert(order.machine);
+    return order.wave;
+}
+
+bool isCarriedOut(const Pools &pools, const WaveView &wave)
+{
+    for (const MachineId &id : wave.wave.machines) {
+        if (!wave.begun.contains(id) && pools.machines.contains(id)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+}  // namespace poplarstream::pools
--- /dev/null
+++ b/src/poplarstream/pools/state.cpp
@@ -0,0 +1,30 @@
+#include "poplarstream/pools/state.hpp"
+
+namespace poplarstream::pools {
+
+std::optional<ServiceId> standbyPool(const engine::Engine &engine)
+{
+    for (const auto &[id, service] : engine.services) {
+        if (service.isStandby) {
+            return id;
+        }
+    }
+    return {};
+}
+
+engine::Worker *workerOf(engine::Engine &engine, const Machine &machine)
+{
+    const auto life = engine.lives.find(machine.worker);
+    if (life == engine.lives.end()) {
+        return nullptr;
+    }
+    const auto worker = engine.workers.find(life->second);
+    return worker == engine.workers.end() ? nullptr : &worker->second;
+}
+
+bool isEmpty(const engine::Worker *worker)
+{
+    return worker == nullptr || (worker->attempts.empty() && worker->strangers.empty());
+}
+
+}  // namespace poplarstream::pools
--- /dev/null
+++ b/src/poplarstream/pools/waves.cpp
@@ -0,0 +1,96 @@
+#include "poplarstream/pools/waves.hpp"
+
+#include <algorithm>  // for sort
+#include <tuple>  // for tuple
+
+#include "poplarstream/engine/attempts.hpp"  // for stepOf
+
+namespace poplarstream::pools {
+
+namespace {
+
+// Machines of one pool that are emptied or away for upkeep at once: the rest has to carry the work.
+constexpr int emptiedPerPool = 2;
+
+struct Choice
+{
+    MachineView *view = nullptr;
+    int lasting = 0;  // tasks that have to move
+    std::size_t running = 0;
+
+    auto rank() const { return std::make_tuple(lasting, running, view->machine.id); }
+};
+
+Choice choiceOf(engine::Engine &engine, MachineView &view)
+{
+    Choice choice{&view};
+    if (const engine::Worker *const worker = workerOf(engine, view.machine)) {
+        choice.running = worker->attempts.size();
+        for (const auto &[ref, settledBy] : worker->attempts) {
+            const jobs::Job &job = engine.jobs.at(ref.task.job);
+            choice.lasting += engine::stepOf(job, ref.task).longRunning ? 1 : 0;
+        }
+    }
+    return choice;
+}
+
+bool isForWave(const MachineView &view, std::int64_t wave)
+{
+    return view.pending && view.pending->order.kind == MachineOrder::Kind::Upkeep
+           && view.pending->order.wave == wave;
+}
+
+void planWave(Pools &pools, engine::Engine &engine, WaveView &wave)
+{
+    int away = static_cast<int>(wave.away.size());
+    std::map<ServiceId, int> emptied;
+    std::vector<Choice> choices;
+    for (const MachineId &id : wave.wave.machines) {
+        const auto found = pools.machines.find(id);
+        if (found == pools.machines.end()) {
+            continue;
+        }
+        MachineView &view = found->second;
+        if (isForWave(view, wave.wave.number)) {
+            ++away;
+            ++emptied[view.machine.pool];
+        } else if (wave.away.contains(id)) {
+            ++emptied[view.machine.pool];
+        } else if (!wave.begun.contains(id) && !view.pending
+                   && view.machine.state == MachineState::Up) {
+            choices.push_back(choiceOf(engine, view));
+        }
+    }
+    std::sort(choices.begin(), choices.end(),
+              [](const Choice &a, const Choice &b) { return a.rank() < b.rank(); });
+    for (const Choice &choice : choices) {
+        const Machine &machine = choice.view->machine;
+        const auto service = engine.services.find(machine.pool);
+        const bool isStandby = service != engine.services.end() && service->second.isStandby;
+        if (away >= wave.wave.cap || (!isStandby && emptied[machine.pool] >= emptiedPerPool)) {
+            continue;
+        }
+        MachineOrder order;
+        order.kind = MachineOrder::Kind::Upkeep;
+        order.machine = machine.id;
+        order.wave = wave.wave.number;
+        order.holder = pools.holder;
+        order.fencingToken = pools.fencingToken;
+        choice.view->pending = PendingOrder{std::move(order)};
+        ++away;
+        ++emptied[machine.pool];
+    }
+}
+
+}  // namespace
+
+void planUpkeep(Pools &pools, engine::Engine &engine, TimePoint)
+{
+    for (auto &[number, wave] : pools.waves) {
+        if (!wave.isCompleted) {
+            planWave(pools, engine, wave);
+        }
+    }
+}
+
+}  // namespace poplarstream::pools
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -25,7 +25,7 @@
         workerReleased,       requestRefused,       minionEjected,     minionLeaving,
         connectionSilent,     peerSuspected,        peerSeen,
         ownershipSeen, ownershipLost, ownerLoaded, progressNotStored, jobAccepted, jobRefused,
-        jobCancelled,
+        jobCancelled, machineOrdered, waveReported,
 };
 
 }  // namespace
