Judge upkeep and evacuation by current reports only

Ruled out: a hand-over; the ownership log shows none near. Change: reports and lists carry their age; stuck tasks ask for a machine beyond the open ones; a job has begun when a worker says so.

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -87,6 +87,7 @@
     TimePoint lookSentAt{};
     TimePoint nextLookAt{};
     TimePoint leaseUntil{};  // everything there has lapsed by then, whatever was lost
+    TimePoint answeredAt{};  // the last look that was answered
     std::int64_t clockMs = 0;
     TimePoint clockSeenAt{};
     std::int64_t endsSeen = 0;  // highest number of an end that was processed
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -135,7 +135,7 @@
     Submission submission;
     JobState state = JobState::Queued;
     JobState durableState = JobState::Queued;  // what callers may be told
-    bool hasBegun = false;  // any task was ordered
+    bool hasBegun = false;  // a worker is known to have started a task
     std::map<int, Occurrence> occurrences;
     int finishedOccurrences = 0;
     TimePoint acceptedAt{};
--- a/include/poplarstream/pools/demand.hpp
+++ b/include/poplarstream/pools/demand.hpp
@@ -11,12 +11,16 @@
 {
     jobs::Resources running;
     jobs::Resources waiting;  // of tasks that could start now and still earn something
+    jobs::Resources stuck;  // of long-running tasks that found no worker, though they could start
     int spreadAtLeast = 0;  // different workers that one step needs
 };
 
 std::map<ServiceId, Demand> demandByService(const engine::Engine &engine, TimePoint now);
 
-// Machines of `capacity` that carry the demand.
-int machinesFor(const Demand &demand, const jobs::Resources &capacity);
+// Machines of `capacity` that hold the total.
+int machinesFor(const jobs::Resources &total, const jobs::Resources &capacity);
+
+// Machines of `capacity` that carry the demand, of which `open` take tasks now.
+int machinesFor(const Demand &demand, const jobs::Resources &capacity, int open);
 
 }  // namespace poplarstream::pools
--- a/include/poplarstream/pools/planning.hpp
+++ b/include/poplarstream/pools/planning.hpp
@@ -6,10 +6,10 @@
 
 namespace poplarstream::pools {
 
-// Takes a whole list of the platform's machines. Lives that the list shows to be over are ended in
-// the engine.
+// Takes a whole list of the platform's machines that was asked for at `askedAt`. Lives that the
+// list shows to be over are ended in the engine.
 void takeMachines(Pools &pools, engine::Engine &engine, const std::vector<Machine> &machines,
-                  TimePoint now);
+                  TimePoint askedAt, TimePoint now);
 
 // Takes a wave that the operator asks for. `begun` are the machines whose upkeep an earlier owner
 // recorded.
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -187,7 +187,10 @@
             return;
         }
         PeerReply reply;
-        if (question.kind == PeerQuestion::Kind::Count) {
+        if (question.kind == PeerQuestion::Kind::Count
+            && !session->isCurrent(steadyNow())) {
+            reply.kind = PeerReply::Kind::NotOwner;
+        } else if (question.kind == PeerQuestion::Kind::Count) {
             reply.kind = PeerReply::Kind::Count;
             reply.count = session->waitingJobs(question.queue);
         } else if (const auto state = session->stateOf(question.queue, question.job)) {
--- a/src/poplarstream/edge/machine_duty.cpp
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -70,6 +70,7 @@
     void list()
     {
         listed.clear();
+        askedAt = steadyNow();
         listPage({});
     }
 
@@ -90,7 +91,7 @@
             return;
         }
         if (page.isRead) {
-            pools::takeMachines(machines, engine, listed, steadyNow());
+            pools::takeMachines(machines, engine, listed, askedAt, steadyNow());
             hasList = true;
         }
         after(listPeriod, &State::list);
@@ -178,6 +179,7 @@
     std::function<bool()> mayOrder;
     pools::Pools machines;
     std::vector<pools::Machine> listed;
+    TimePoint askedAt{};  // when the list under way was begun
     std::map<std::int64_t, std::set<pools::MachineId>> inherited;  // begun, by wave
     std::map<std::int64_t, bool> reports;  // what the operator was told
     std::set<std::int64_t> reporting;
--- a/src/poplarstream/engine/evacuation.cpp
+++ b/src/poplarstream/engine/evacuation.cpp
@@ -11,25 +11,31 @@
 namespace {
 
 constexpr int wholePercent = 100;
+// A worker with tasks is looked at more often than this.
+constexpr Milliseconds reportAge{2500};
 
-bool isAtWork(const jobs::Task &task)
+// Whether a worker that answers has said lately that the task is at work.
+bool isAtWork(const Engine &engine, const jobs::Task &task, TimePoint now)
 {
-    return std::any_of(task.attempts.begin(), task.attempts.end(),
-                       [](const jobs::Attempt &attempt) {
-                           return attempt.phase == jobs::AttemptPhase::Running
-                                  && attempt.percent >= wholePercent;
-                       });
+    return std::any_of(
+            task.attempts.begin(), task.attempts.end(), [&](const jobs::Attempt &attempt) {
+                const auto worker = engine.workers.find(attempt.worker);
+                return attempt.phase == jobs::AttemptPhase::Running
+                       && attempt.percent >= wholePercent && worker != engine.workers.end()
+                       && worker->second.contact == Contact::Open
+                       && worker->second.answeredAt + reportAge >= now;
+            });
 }
 
 // Whether one more task of the step may go missing. A step that names no number still loses its
 // tasks one by one.
-bool mayMissAnother(const jobs::Occurrence &occurrence, const jobs::StepSpec &step,
-                    const TaskRef &task)
+bool mayMissAnother(const Engine &engine, const jobs::Occurrence &occurrence,
+                    const jobs::StepSpec &step, const TaskRef &task, TimePoint now)
 {
     int missing = 0;
     const auto &tasks = occurrence.steps[static_cast<std::size_t>(task.step)];
     for (std::size_t index = 0; index < tasks.size(); ++index) {
-        if (static_cast<int>(index) != task.index && !isAtWork(tasks[index])) {
+        if (static_cast<int>(index) != task.index && !isAtWork(engine, tasks[index], now)) {
             ++missing;
         }
     }
@@ -46,7 +52,7 @@
         return;
     }
     const jobs::Occurrence &occurrence = job.occurrences.at(ref.task.occurrence);
-    if (!isLeaving && !mayMissAnother(occurrence, step, ref.task)) {
+    if (!isLeaving && !mayMissAnother(engine, occurrence, step, ref.task, now)) {
         return;
     }
     std::vector<Site> sites = openSites(engine, serviceOf(engine, job), now);
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -47,7 +47,6 @@
     ++spread.onWorker[site.worker->entry.life];
     ++spread.onRack[site.worker->entry.rack];
     attach(engine, {refOf(place, index), run}, site.worker->entry.life, neverSettled);
-    place.job.hasBegun = true;
     if (place.job.state == jobs::JobState::Queued) {
         place.job.state = jobs::JobState::Running;
     }
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -67,6 +67,7 @@
         return;
     }
     detach(engine, ref, worker.entry.life, now);
+    job->hasBegun = true;
     const jobs::EndEffect effect =
             jobs::recordEnd(*job, report.task, report.run, report.end, report.checkpoint, now);
     if (!effect.isKnown) {
@@ -105,6 +106,7 @@
     attempt->percent = report.percent;
     attempt->load = report.load;
     jobs::Job *const job = findJob(engine, report.task.job);
+    job->hasBegun = true;
     if (stepOf(*job, report.task).checkpointing && !report.checkpoint.empty()) {
         jobs::findTask(*job, report.task)->checkpoint = report.checkpoint;
     }
@@ -254,6 +256,7 @@
         endWorkerLife(engine, life, now);
         return;
     }
+    worker->answeredAt = now;
     worker->clockMs = answer->clockMs;
     worker->clockSeenAt = now;
     for (const EndReport &report : answer->ended) {
@@ -298,6 +301,7 @@
         place->second = std::min(place->second, worker->lookNumber + 1);
         if (attempt != nullptr && attempt->phase == AttemptPhase::Ordered) {
             attempt->phase = AttemptPhase::Running;
+            engine.jobs.at(ref.task.job).hasBegun = true;
         }
         return;
     case StartResult::Unknown:
--- a/src/poplarstream/pools/demand.cpp
+++ b/src/poplarstream/pools/demand.cpp
@@ -15,7 +15,7 @@
 constexpr double fillable = 0.9;
 
 void addStep(Demand &demand, const jobs::Occurrence &occurrence, const jobs::StepSpec &step,
-             std::size_t index, bool counts)
+             std::size_t index, bool counts, TimePoint now)
 {
     const jobs::Resources need = engine::roomOf(step);
     for (const jobs::Task &task : occurrence.steps[index]) {
@@ -23,6 +23,9 @@
             demand.running += need;
         } else if (!task.isDone && counts) {
             demand.waiting += need;
+            if (step.longRunning && task.notBefore <= now) {
+                demand.stuck += need;
+            }
         }
     }
     if (step.longRunning && step.antiAffinity > 0) {
@@ -52,20 +55,29 @@
                                            != engine::Prospect::TooLate;
             for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
                 const bool isReady = jobs::isStepReady(job, occurrence, static_cast<int>(i));
-                addStep(demand, occurrence, job.submission.spec.steps[i], i, counts && isReady);
+                addStep(demand, occurrence, job.submission.spec.steps[i], i, counts && isReady,
+                        now);
             }
         }
     }
     return demands;
 }
 
-int machinesFor(const Demand &demand, const jobs::Resources &capacity)
+int machinesFor(const jobs::Resources &total, const jobs::Resources &capacity)
 {
-    jobs::Resources total = demand.running;
-    total += demand.waiting;
     const int byProcessor = ceilDiv(static_cast<double>(total.cpuMilli), capacity.cpuMilli);
     const int byMemory = ceilDiv(static_cast<double>(total.memoryMb), capacity.memoryMb);
-    return std::max({byProcessor, byMemory, demand.spreadAtLeast});
+    return std::max(byProcessor, byMemory);
+}
+
+int machinesFor(const Demand &demand, const jobs::Resources &capacity, int open)
+{
+    jobs::Resources total = demand.running;
+    total += demand.waiting;
+    // The open machines have no place for tasks that are stuck, whatever the sums say.
+    const int beyondOpen = machinesFor(demand.stuck, capacity);
+    return std::max({machinesFor(total, capacity), demand.spreadAtLeast,
+                     beyondOpen > 0 ? open + beyondOpen : 0});
 }
 
 }  // namespace poplarstream::pools
--- a/src/poplarstream/pools/moves.cpp
+++ b/src/poplarstream/pools/moves.cpp
@@ -16,7 +16,8 @@
 struct PoolMembers
 {
     std::vector<MachineView *> up;
-    int present = 0;  // including those that are coming
+    int present = 0;  // including those that are coming; without those emptied for upkeep
+    int open = 0;  // that take tasks now
 };
 
 bool isMovable(const MachineView &view)
@@ -24,7 +25,14 @@
     return !view.pending && view.machine.state == MachineState::Up;
 }
 
-std::map<ServiceId, PoolMembers> membersOf(Pools &pools)
+bool takesTasks(engine::Engine &engine, const Machine &machine)
+{
+    const engine::Worker *const worker = workerOf(engine, machine);
+    return worker != nullptr && worker->isListed && !worker->isGone && !worker->isCordoned
+           && worker->contact == engine::Contact::Open && !worker->entry.isDraining;
+}
+
+std::map<ServiceId, PoolMembers> membersOf(Pools &pools, engine::Engine &engine)
 {
     std::map<ServiceId, PoolMembers> members;
     for (auto &[id, view] : pools.machines) {
@@ -32,9 +40,13 @@
                                && view.pending->order.kind == MachineOrder::Kind::Move;
         const ServiceId &pool = isLeaving ? view.pending->order.pool : view.machine.pool;
         PoolMembers &own = members[pool];
-        if (view.machine.state != MachineState::Down) {
+        const bool isInUpkeep =
+                view.machine.state == MachineState::InUpkeep
+                || (view.pending && view.pending->order.kind == MachineOrder::Kind::Upkeep);
+        if (view.machine.state != MachineState::Down && !isInUpkeep) {
             ++own.present;
         }
+        own.open += !view.pending && takesTasks(engine, view.machine) ? 1 : 0;
         if (isMovable(view)) {
             members[view.machine.pool].up.push_back(&view);
         }
@@ -116,14 +128,15 @@
 void planMoves(Pools &pools, engine::Engine &engine, TimePoint now)
 {
     const std::optional<ServiceId> standby = standbyPool(engine);
-    std::map<ServiceId, PoolMembers> members = membersOf(pools);
+    std::map<ServiceId, PoolMembers> members = membersOf(pools, engine);
     const std::map<ServiceId, Demand> demands = demandByService(engine, now);
     for (const auto &[service, settings] : engine.services) {
         const auto demand = demands.find(service);
         const int needed = demand == demands.end()
                                    ? 0
                                    : machinesFor(demand->second,
-                                                 capacityOf(members[service], pools));
+                                                 capacityOf(members[service], pools),
+                                                 members[service].open);
         pools.needs[service].wanted = settings.isStandby ? 0 : std::max(needed, leastMachines);
     }
     for (auto &[service, need] : pools.needs) {
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -28,7 +28,7 @@
 }  // namespace
 
 void takeMachines(Pools &pools, engine::Engine &engine, const std::vector<Machine> &machines,
-                  TimePoint now)
+                  TimePoint askedAt, TimePoint now)
 {
     std::map<MachineId, MachineView> listed;
     for (const Machine &machine : machines) {
@@ -37,12 +37,15 @@
             view = std::move(known->second);
             const jobs::WorkerId &before = view.machine.worker;
             const auto life = engine.lives.find(before);
-            const bool hasNewLife = !machine.worker.isEmpty() && machine.worker != before;
+            const bool hasNewLife = view.changedAt < askedAt && !machine.worker.isEmpty() && machine.worker != before;
             if (hasNewLife && life != engine.lives.end()) {
                 engine::endWorkerLife(engine, life->second, now);
             }
         }
-        view.machine = machine;
+        // A list that was under way while an order was carried out may show the time before.
+        if (view.changedAt < askedAt || view.changedAt == TimePoint{}) {
+            view.machine = machine;
+        }
         listed[machine.id] = std::move(view);
     }
     pools.machines = std::move(listed);
@@ -50,7 +53,7 @@
         std::erase_if(wave.away, [&](const MachineId &id) {
             const auto found = pools.machines.find(id);
             return found == pools.machines.end()
-                   || (isInOrder(found->second.machine) && found->second.changedAt < now);
+                   || isInOrder(found->second.machine);
         });
     }
 }
