--- a/src/poplarstream/adapters/http_client_test.cpp
+++ b/src/poplarstream/adapters/http_client_test.cpp
@@ -110,6 +110,17 @@
     EXPECT_TRUE(drive(io, [&] { return server.peers[0]->isClosed; }));
 }
 
+// Guards against a request that is given up and delivered after its caller has decided otherwise:
+// an orderly close would let the network go on delivering it.
+TEST_F(HttpClientTest, RequestIsRecalledWithAReset)
+{
+    send(Milliseconds{50});
+    ASSERT_TRUE(driveUntilEnded(0));
+    expect(0, HttpDelivery::MayHaveBeenSent, HttpFault::DeadlinePassed);
+    ASSERT_TRUE(drive(io, [&] { return !server.peers.empty() && server.peers[0]->isClosed; }));
+    EXPECT_TRUE(server.peers[0]->isReset);
+}
+
 // Guards against a second answer on an idle connection being taken for the answer to the next
 // request, whether it arrives with the first or after it.
 TEST_F(HttpClientTest, UnexpectedAnswerIsNotReused)
--- a/src/poplarstream/adapters/http_test_support.hpp
+++ b/src/poplarstream/adapters/http_test_support.hpp
@@ -63,6 +63,7 @@
                     self->received.append(self->buffer.data(), count);
                     if (error) {
                         self->isClosed = true;
+                        self->isReset = error == boost::asio::error::connection_reset;
                     } else {
                         self->receive();
                     }
@@ -75,6 +76,7 @@
     std::array<char, 4096> buffer{};
     std::string received;
     bool isClosed = false;
+    bool isReset = false;  // closed without an orderly end
 };
 
 // A server whose answers the test writes byte by byte.
--- /dev/null
+++ b/src/poplarstream/engine/contact_test.cpp
@@ -0,0 +1,225 @@
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+
+#include "poplarstream/engine/evacuation.hpp"  // for evacuate
+#include "poplarstream/jobs/codec.hpp"  // for encodeProgress
+#include "scene.hpp"  // for Scene
+
+namespace poplarstream::engine {
+namespace {
+
+using test::firstJob;
+using test::Scene;
+using test::step;
+using test::submission;
+
+RunningReport running(int index, int run, int percent = 10)
+{
+    return {Scene::ref(index).task, run, "", percent, 0};
+}
+
+// Guards against a task that runs twice: an order without an answer may be carried out later.
+TEST(Contact, UnansweredStart)
+{
+    SCOPED_TRACE("given a start that was not answered, and a look that was sent before it");
+    Scene scene(1);
+    scene.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = scene.start();
+    scene.look();
+    const std::int64_t before = scene.worker("w1").lookNumber;
+    const std::int64_t token = starts.at(0).target.fencingToken;
+    scene.answerStart(starts.at(0), StartResult::Unknown);
+    {
+        SCOPED_TRACE("when that look is answered without the run");
+        LookAnswer empty;
+        empty.clockMs = 6000;
+        takeLookAnswer(scene.engine, Scene::life("w1"), before, empty, scene.now);
+        EXPECT_TRUE(scene.start().empty()) << "the order may still be under way";
+        {
+            SCOPED_TRACE("then a look with a higher token that finds nothing frees the task");
+            const auto looks = scene.look();
+            ASSERT_EQ(looks.size(), 1U);
+            EXPECT_GT(looks[0].target.fencingToken, token);
+            EXPECT_EQ(looks[0].wait, Milliseconds{0});
+            scene.answer("w1");
+            const auto again = scene.start();
+            ASSERT_EQ(again.size(), 1U);
+            EXPECT_EQ(again[0].run, 2);
+        }
+    }
+}
+
+// Guards against a second run while the first still holds its lease on a worker that is cut off.
+TEST(Contact, SilentWorkerKeepsItsTasksUntilTheLeaseLapses)
+{
+    SCOPED_TRACE("given a task on a worker that falls silent");
+    Scene scene;
+    scene.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = scene.startAll();
+    const std::string id = starts.at(0).target.worker.id.text();
+    scene.look();
+    scene.silence(id);
+    const TimePoint renewedAt = scene.now;
+    {
+        SCOPED_TRACE("when looks go on without an answer until the lease must have lapsed");
+        while (scene.now < renewedAt + scene.engine.limits.lease) {
+            scene.now += Milliseconds{300};
+            for (const LookOrder &look : scene.look()) {
+                EXPECT_FALSE(look.leaseUntilClockMs) << "a silent worker's lease is not renewed";
+                scene.silence(id);
+            }
+            EXPECT_TRUE(scene.start().empty());
+        }
+        {
+            SCOPED_TRACE("then the task starts on the other worker");
+            scene.now += Milliseconds{1000};
+            scene.look();
+            const auto again = scene.start();
+            ASSERT_EQ(again.size(), 1U);
+            EXPECT_NE(again[0].target.worker.id.text(), id);
+        }
+    }
+}
+
+// Guards against waiting for a worker that has restarted under its id.
+TEST(Contact, NewLifeFreesItsTasksAtOnce)
+{
+    SCOPED_TRACE("given a task on a worker");
+    Scene scene(1);
+    scene.submit(submission(firstJob, step(1, 1000)));
+    scene.startAll();
+    {
+        SCOPED_TRACE("when the registry shows a new life of the same id");
+        scene.list("w1", 2);
+        lookAtWorkers(scene.engine, scene.now);
+        for (const LookOrder &look : scene.take<LookOrder>()) {
+            LookAnswer answer;
+            answer.clockMs = 10;
+            takeLookAnswer(scene.engine, look.target.worker, look.number, answer, scene.now);
+        }
+        {
+            SCOPED_TRACE("then the task starts there again, with a higher run");
+            const auto again = scene.start();
+            ASSERT_EQ(again.size(), 1U);
+            EXPECT_EQ(again[0].target.worker, Scene::life("w1", 2));
+            EXPECT_EQ(again[0].run, 2);
+        }
+    }
+}
+
+// Guards against a registry entry of an earlier life that is read late.
+TEST(Contact, OldEntryIsIgnored)
+{
+    Scene scene(1);
+    scene.list("w1", 2);
+    scene.list("w1", 1);
+    EXPECT_EQ(scene.engine.lives.at(WorkerId("w1")).bornMs, 2);
+}
+
+// Guards against work beside a run that nobody accounts for.
+TEST(Contact, StrangersAreStoppedFirst)
+{
+    SCOPED_TRACE("given a worker that runs something unknown");
+    Scene scene(1);
+    scene.submit(submission(firstJob, step(1, 1000)));
+    scene.worker("w1").contact = Contact::New;
+    scene.look();
+    scene.answer("w1", {running(7, 3)});
+    EXPECT_FALSE(scene.take<StopOrder>().empty());
+    EXPECT_TRUE(scene.start().empty());
+    {
+        SCOPED_TRACE("then it gets work once that has gone");
+        scene.now += Milliseconds{100};
+        scene.look();
+        scene.answer("w1");
+        EXPECT_EQ(scene.start().size(), 1U);
+    }
+}
+
+// Guards against doubled and lost work after a change of owner.
+TEST(Contact, TakeoverLearnsFromTheWorkers)
+{
+    SCOPED_TRACE("given what an earlier owner stored: two tasks ordered, one of them running");
+    Scene before;
+    jobs::StepSpec apart = step(2, 1000);
+    apart.antiAffinity = 1;
+    before.submit(submission(firstJob, apart));
+    const auto starts = before.startAll();
+    ASSERT_EQ(starts.size(), 2U);
+    const std::string progress = jobs::encodeProgress(before.job());
+
+    Scene after(0);
+    after.submit(submission(firstJob, apart));
+    const TimePoint lapsedAt = after.now + Milliseconds{9000};
+    ASSERT_TRUE(adoptProgress(after.engine, JobId(firstJob), progress, lapsedAt, after.now));
+    after.list("w1");
+    after.list("w2");
+    after.list("w3");
+    after.look();
+    after.answer("w3");
+    EXPECT_TRUE(after.start().empty()) << "both may still run";
+    {
+        SCOPED_TRACE("when one worker lists its run and the other does not");
+        const std::string runs = starts[0].target.worker.id.text();
+        const std::string idle = starts[1].target.worker.id.text();
+        after.answer(runs, {running(starts[0].task.index, 1)});
+        after.answer(idle);
+        {
+            SCOPED_TRACE("then only the missing one starts again");
+            const auto again = after.start();
+            ASSERT_EQ(again.size(), 1U);
+            EXPECT_EQ(again[0].task.index, starts[1].task.index);
+            EXPECT_EQ(again[0].run, 2);
+        }
+    }
+}
+
+// Guards against taking away a task of a step while another one is missing on a silent worker.
+TEST(Contact, EvacuationCountsSilentWorkers)
+{
+    SCOPED_TRACE("given a lasting step of two tasks at work, and a third worker with room");
+    Scene scene(3);
+    jobs::StepSpec lasting = step(2, 1000);
+    lasting.longRunning = true;
+    lasting.antiAffinity = 1;
+    lasting.mayMiss = 1;
+    scene.submit(submission(firstJob, lasting));
+    const auto starts = scene.startAll();
+    const std::string first = starts.at(0).target.worker.id.text();
+    const std::string second = starts.at(1).target.worker.id.text();
+    scene.look();
+    scene.answer(first, {running(starts[0].task.index, 1, 100)});
+    scene.answer(second, {running(starts[1].task.index, 1, 100)});
+    scene.worker(first).isCordoned = true;
+    {
+        SCOPED_TRACE("when the other worker has fallen silent");
+        scene.now += Milliseconds{100};
+        scene.look();
+        scene.silence(second);
+        evacuate(scene.engine, scene.now);
+        EXPECT_TRUE(scene.take<StopOrder>().empty());
+    }
+    {
+        SCOPED_TRACE("then the task moves only after the other is at work again");
+        scene.now += Milliseconds{400};
+        scene.look();
+        scene.answer(second, {running(starts[1].task.index, 1, 100)});
+        evacuate(scene.engine, scene.now);
+        EXPECT_EQ(scene.take<StopOrder>().size(), 1U);
+    }
+}
+
+// Guards against a late answer of the past taking a worker for idle.
+TEST(Contact, AnswerOfAnEarlierLookIsDropped)
+{
+    Scene scene(1);
+    scene.submit(submission(firstJob, step(1, 1000)));
+    scene.startAll();
+    scene.look();
+    takeLookAnswer(scene.engine, Scene::life("w1"), scene.worker("w1").lookNumber - 1,
+                   LookAnswer{0, 6000, {}, {}, false}, scene.now);
+    EXPECT_TRUE(scene.start().empty());
+    EXPECT_EQ(scene.worker("w1").attempts.size(), 1U);
+}
+
+}  // namespace
+}  // namespace poplarstream::engine
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -62,7 +62,8 @@
 
 bool mayOrder(const Leadership &leadership, TimePoint now)
 {
-    return isOwner(leadership) && now < leadership.confirmedAt + leadership.settings.validity;
+    return isOwner(leadership) && !leadership.isLeaving
+           && now < leadership.confirmedAt + leadership.settings.validity;
 }
 
 LeadershipStep nextStep(const Leadership &leadership, TimePoint now)
--- /dev/null
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -0,0 +1,144 @@
+#include "poplarstream/ownership/leadership.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+
+namespace poplarstream::ownership {
+namespace {
+
+using Kind = OwnershipRecord::Kind;
+
+// Processes that share a log whose writes need its end as they read it.
+struct Log
+{
+    std::vector<OwnershipRecord> records;
+
+    std::int64_t end() const { return static_cast<std::int64_t>(records.size()); }
+
+    void show(Leadership &process, TimePoint now) const
+    {
+        observe(process, records.empty() ? std::nullopt : std::optional(records.back()), end(),
+                now);
+    }
+
+    // Lets a process take its next step; returns whether it wrote.
+    bool step(Leadership &process, TimePoint now)
+    {
+        const LeadershipStep wanted = nextStep(process, now);
+        if (wanted == LeadershipStep::None) {
+            return false;
+        }
+        const OwnershipRecord record = beginWrite(process, wanted, now);
+        if (process.endOffset != end()) {
+            failWrite(process);
+            return false;
+        }
+        records.push_back(record);
+        confirmWrite(process, record, end(), now);
+        return true;
+    }
+};
+
+Leadership process(const std::string &name)
+{
+    Leadership leadership;
+    leadership.self = EntryHostId(name);
+    leadership.incarnation = "1";
+    return leadership;
+}
+
+// Guards against two owners: both see a free log, one may win.
+TEST(Leadership, OneClaimWins)
+{
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    Leadership b = process("b");
+    log.show(a, now);
+    log.show(b, now);
+    EXPECT_TRUE(log.step(a, now));
+    EXPECT_FALSE(log.step(b, now));
+    EXPECT_TRUE(mayOrder(a, now));
+    log.show(b, now);
+    EXPECT_FALSE(isOwner(b));
+}
+
+// Guards against orders of an owner that was silent while another one took over.
+TEST(Leadership, SilentOwnerStopsBeforeTheNextClaims)
+{
+    SCOPED_TRACE("given an owner whose renewals no longer reach the log");
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    Leadership b = process("b");
+    log.show(a, now);
+    ASSERT_TRUE(log.step(a, now));
+    log.show(b, now);
+    const TimePoint lastConfirmed = now;
+    {
+        SCOPED_TRACE("when the other waits for its silence");
+        while (nextStep(b, now) == LeadershipStep::None) {
+            now += Milliseconds{10};
+        }
+        {
+            SCOPED_TRACE("then the first has stopped some time before");
+            EXPECT_GE(now - lastConfirmed, a.settings.silence);
+            EXPECT_FALSE(mayOrder(a, now - Milliseconds{400}));
+            ASSERT_TRUE(log.step(b, now));
+            EXPECT_EQ(log.records.back().epoch, 2);
+            log.show(a, now);
+            EXPECT_FALSE(isOwner(a));
+        }
+    }
+}
+
+// Guards against a handover that takes as long as a failure.
+TEST(Leadership, ResignationIsFollowedAtOnce)
+{
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    Leadership b = process("b");
+    log.show(a, now);
+    ASSERT_TRUE(log.step(a, now));
+    log.show(b, now);
+    now += Milliseconds{50};
+    a.isLeaving = true;
+    EXPECT_FALSE(mayOrder(a, now)) << "it hands over, so it orders nothing more";
+    ASSERT_TRUE(log.step(a, now));
+    EXPECT_EQ(log.records.back().kind, Kind::Resignation);
+    log.show(b, now);
+    EXPECT_TRUE(log.step(b, now));
+    EXPECT_EQ(nextStep(a, now + Milliseconds{9000}), LeadershipStep::None);
+}
+
+// Guards against a restarted process that waits for its own earlier life.
+TEST(Leadership, RestartedOwnerClaimsAgainWithAHigherEpoch)
+{
+    Log log;
+    const TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    log.show(a, now);
+    ASSERT_TRUE(log.step(a, now));
+    Leadership again = process("a");
+    again.incarnation = "2";
+    log.show(again, now);
+    EXPECT_FALSE(isOwner(again));
+    EXPECT_TRUE(log.step(again, now + Milliseconds{500}));
+    EXPECT_EQ(log.records.back().epoch, 2);
+}
+
+TEST(Leadership, RecordRoundTrip)
+{
+    const OwnershipRecord record{Kind::Renewal, 12, EntryHostId("a-1"), "10.0.0.1:7", "18f"};
+    const auto read = decodeOwnership(encodeOwnership(record));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->kind, record.kind);
+    EXPECT_EQ(read->epoch, record.epoch);
+    EXPECT_EQ(read->owner, record.owner);
+    EXPECT_EQ(read->address, record.address);
+    EXPECT_FALSE(decodeOwnership("{\"kind\":\"other\"}"));
+    EXPECT_FALSE(decodeOwnership("not JSON"));
+}
+
+}  // namespace
+}  // namespace poplarstream::ownership
--- /dev/null
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -0,0 +1,207 @@
+#include "poplarstream/pools/planning.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+
+#include "poplarstream/engine/scene.hpp"  // for Scene
+
+namespace poplarstream::pools {
+namespace {
+
+using engine::test::firstJob;
+using engine::test::step;
+using engine::test::submission;
+
+// Workers "w1", "w2", ... of the pool "shop" on the machines "m1", "m2", ..., and machines "s1",
+// "s2", ... in the standby pool.
+struct Deployment
+{
+    engine::test::Scene scene;
+    Pools pools;
+    std::vector<Machine> machines;
+
+    explicit Deployment(int workers, int standby)
+        : scene(workers)
+    {
+        scene.engine.services[ServiceId("shop")] = {ServiceId("shop"), false};
+        scene.engine.services[ServiceId("reserve")] = {ServiceId("reserve"), true};
+        for (int i = 1; i <= workers; ++i) {
+            add("m" + std::to_string(i), "shop", "w" + std::to_string(i));
+        }
+        for (int i = 1; i <= standby; ++i) {
+            add("s" + std::to_string(i), "reserve", "");
+        }
+        list();
+    }
+
+    void add(const std::string &id, const std::string &pool, const std::string &worker)
+    {
+        Machine machine;
+        machine.id = MachineId(id);
+        machine.pool = ServiceId(pool);
+        machine.state = MachineState::Up;
+        machine.capacity = {4000, 10'000, 0};
+        machine.worker = jobs::WorkerId(worker);
+        machines.push_back(machine);
+    }
+
+    void list() { takeMachines(pools, scene.engine, machines, scene.now, scene.now); }
+
+    std::vector<MachineOrder> plan() { return planMachines(pools, scene.engine, scene.now); }
+
+    void finish(const MachineOrder &order, OrderResult result = OrderResult::Done)
+    {
+        takeOrderResult(pools, scene.engine, order, result, scene.now);
+    }
+
+    void wave(std::vector<std::string> ids, int cap)
+    {
+        Wave wave;
+        wave.number = 1;
+        wave.cap = cap;
+        for (const std::string &id : ids) {
+            wave.machines.emplace_back(id);
+        }
+        takeWave(pools, wave, {}, scene.now);
+    }
+};
+
+int count(const std::vector<MachineOrder> &orders, MachineOrder::Kind kind)
+{
+    return static_cast<int>(std::count_if(orders.begin(), orders.end(),
+                                          [kind](auto &order) { return order.kind == kind; }));
+}
+
+// Guards against more machines away than the wave allows: a list that was under way while an
+// upkeep began still shows the machine as up.
+TEST(Waves, CapHoldsAgainstOldLists)
+{
+    SCOPED_TRACE("given a wave of three standby machines, two at once");
+    Deployment deployment(2, 3);
+    deployment.wave({"s1", "s2", "s3"}, 2);
+    const TimePoint askedAt = deployment.scene.now;
+    deployment.scene.now += Milliseconds{100};
+    const auto orders = deployment.plan();
+    ASSERT_EQ(count(orders, MachineOrder::Kind::Upkeep), 2);
+    for (const MachineOrder &order : orders) {
+        deployment.finish(order);
+    }
+    {
+        SCOPED_TRACE("when a list arrives that was asked for before");
+        deployment.scene.now += Milliseconds{100};
+        takeMachines(deployment.pools, deployment.scene.engine, deployment.machines, askedAt,
+                     deployment.scene.now);
+        EXPECT_TRUE(deployment.plan().empty());
+    }
+    {
+        SCOPED_TRACE("then the third goes when a newer list shows the others up");
+        deployment.scene.now += Milliseconds{2500};
+        deployment.list();
+        EXPECT_EQ(count(deployment.plan(), MachineOrder::Kind::Upkeep), 1);
+    }
+}
+
+// Guards against work that is cut off by upkeep.
+TEST(Waves, MachineIsEmptiedFirst)
+{
+    SCOPED_TRACE("given a machine of a wave on which a task runs");
+    Deployment deployment(1, 0);
+    deployment.scene.submit(submission(firstJob, step(1, 1000)));
+    deployment.scene.startAll();
+    deployment.wave({"m1"}, 1);
+    EXPECT_TRUE(deployment.plan().empty());
+    EXPECT_TRUE(deployment.scene.worker("w1").isCordoned);
+    {
+        SCOPED_TRACE("then it goes when the task has ended");
+        deployment.scene.look();
+        deployment.scene.answer(
+                "w1", {}, {{1, engine::test::Scene::ref().task, 1, jobs::RunEnd::Done, ""}});
+        const auto orders = deployment.plan();
+        ASSERT_EQ(orders.size(), 1U);
+        EXPECT_EQ(orders[0].kind, MachineOrder::Kind::Upkeep);
+    }
+}
+
+// Guards against a wave that is reported as done while a machine is missing, and against waiting
+// for one that was removed.
+TEST(Waves, CarriedOut)
+{
+    Deployment deployment(2, 2);
+    deployment.wave({"s1", "s2", "removed"}, 1);
+    for (int i = 0; i < 2; ++i) {
+        EXPECT_FALSE(isCarriedOut(deployment.pools, deployment.pools.waves.at(1)));
+        const auto orders = deployment.plan();
+        ASSERT_EQ(orders.size(), 1U);
+        deployment.finish(orders[0]);
+        deployment.scene.now += Milliseconds{2500};
+        deployment.list();
+    }
+    EXPECT_TRUE(isCarriedOut(deployment.pools, deployment.pools.waves.at(1)));
+}
+
+// Guards against two owners that order in turns: the successor waits.
+TEST(Waves, NoOrderBeforeThePredecessorsHaveRunOut)
+{
+    Deployment deployment(2, 1);
+    deployment.wave({"s1"}, 1);
+    deployment.pools.mayOrderFrom = deployment.scene.now + Milliseconds{3000};
+    EXPECT_TRUE(deployment.plan().empty());
+    deployment.scene.now += Milliseconds{3000};
+    EXPECT_EQ(deployment.plan().size(), 1U);
+}
+
+// Guards against an order that is forgotten, or given up as done, because its answer was lost.
+TEST(Moves, UnansweredOrderIsRepeated)
+{
+    Deployment deployment(2, 1);
+    deployment.wave({"s1"}, 1);
+    const auto orders = deployment.plan();
+    ASSERT_EQ(orders.size(), 1U);
+    deployment.finish(orders[0], OrderResult::Unknown);
+    EXPECT_TRUE(deployment.plan().empty());
+    deployment.scene.now += Milliseconds{2000};
+    EXPECT_EQ(deployment.plan().size(), 1U);
+}
+
+// Guards against jobs that wait beside machines that nobody uses.
+TEST(Moves, WaitingWorkGetsMachines)
+{
+    SCOPED_TRACE("given a pool that is full and work for two more machines");
+    Deployment deployment(2, 4);
+    deployment.scene.submit(submission(firstJob, step(16, 1000)));
+    deployment.scene.startAll();
+    const auto orders = deployment.plan();
+    ASSERT_GE(count(orders, MachineOrder::Kind::Move), 2);
+    EXPECT_EQ(orders[0].pool, ServiceId("shop"));
+}
+
+// Guards against long-running tasks that wait for ever because sums of room say that they fit.
+TEST(Moves, StuckTasksGetAMachine)
+{
+    SCOPED_TRACE("given lasting tasks of 3 cores on two of three workers of 4 cores");
+    Deployment deployment(2, 2);
+    jobs::StepSpec lasting = step(3, 2100);
+    lasting.longRunning = true;
+    deployment.scene.submit(submission(firstJob, lasting));
+    EXPECT_EQ(deployment.scene.startAll().size(), 2U);
+    {
+        SCOPED_TRACE("then a machine comes for the third, and only one");
+        const auto orders = deployment.plan();
+        ASSERT_EQ(count(orders, MachineOrder::Kind::Move), 1);
+        deployment.finish(orders[0]);
+        EXPECT_EQ(count(deployment.plan(), MachineOrder::Kind::Move), 0);
+    }
+}
+
+// Guards against paying for machines that idle.
+TEST(Moves, IdleMachinesGoToStandby)
+{
+    Deployment deployment(4, 0);
+    EXPECT_TRUE(deployment.plan().empty());
+    deployment.scene.now += Milliseconds{2000};
+    const auto orders = deployment.plan();
+    ASSERT_EQ(orders.size(), 2U);
+    EXPECT_EQ(orders[0].pool, ServiceId("reserve"));
+}
+
+}  // namespace
+}  // namespace poplarstream::pools
