Confirm the ownership before orders to machines, and log each decision

The sender had been killed in between, so no reset recalled it. Change: the owner renews and sends machine orders only on that answer; connections reset also when the process ends; refused orders rest for a second. Decisions are logged with their inputs, at most 400 lines a second.

--- a/include/poplarstream/edge/leadership_duty.hpp
+++ b/include/poplarstream/edge/leadership_duty.hpp
@@ -29,6 +29,9 @@
     TimePoint predecessorSeenAt() const;
     bool hasPredecessorResigned() const;
 
+    // Renews at once and tells whether the store confirmed it.
+    void confirm(std::function<void(bool isConfirmed)> done);
+
     // Hands the ownership over and claims it no more.
     void leave();
 
--- a/include/poplarstream/edge/machine_duty.hpp
+++ b/include/poplarstream/edge/machine_duty.hpp
@@ -8,14 +8,23 @@
 
 namespace poplarstream::edge {
 
+struct MachineDutyHooks
+{
+    // Whether this process may give orders now.
+    std::function<bool()> mayOrder;
+    // Asks the store to confirm the ownership now. Machines do not check fencing tokens everywhere,
+    // so an order that a cut holds up must be unlikely.
+    std::function<void(std::function<void(bool)>)> confirm;
+};
+
 // The owner's work on machines: follows the platform's list, gives the orders that are planned, and
 // records the progress of waves.
 class MachineDuty
 {
 public:
-    // `mayOrder` tells whether this process may give orders now. The engine must outlive the duty.
+    // The engine must outlive the duty.
     MachineDuty(Runtime &runtime, engine::Engine &engine, std::int64_t epoch,
-                std::function<bool()> mayOrder);
+                MachineDutyHooks hooks);
     MachineDuty(const MachineDuty &) = delete;
     MachineDuty &operator=(const MachineDuty &) = delete;
     ~MachineDuty();
--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -22,6 +22,8 @@
     // Whether this process may give orders now, and when that was confirmed last.
     std::function<bool()> mayOrder;
     std::function<TimePoint()> confirmedAt;
+    // Asks the store to confirm the ownership now.
+    std::function<void(std::function<void(bool)>)> confirm;
     // The store has seen a higher epoch: this session must end.
     std::function<void()> superseded;
 };
--- a/include/poplarstream/engine/attempts.hpp
+++ b/include/poplarstream/engine/attempts.hpp
@@ -18,6 +18,10 @@
 // What an attempt takes from its worker's room: fillers take no processor time.
 jobs::Resources roomOf(const jobs::StepSpec &step);
 
+// Notes a decision for the log.
+void note(Engine &engine, DecisionKind kind, const AttemptRef &ref, const WorkerId &worker,
+          std::string inputs);
+
 void markDirty(Engine &engine, jobs::Job &job);
 
 // Enters an attempt at its worker and takes its room.
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>  // for unordered_map
 #include <vector>  // for vector
 
+#include "poplarstream/engine/decision.hpp"  // for Decision
 #include "poplarstream/engine/order.hpp"  // for Order, MachineOrder
 #include "poplarstream/jobs/model.hpp"  // for Job, JobId, WorkerLife, Resources, TaskRef
 
@@ -93,7 +94,7 @@
     std::int64_t endsSeen = 0;  // highest number of an end that was processed
     std::int64_t endsStored = 0;  // and whose effect is durable
     TimePoint idleSince{};
-    int failuresInRow = 0;  // runs that failed there since one was done
+    std::set<JobId> failedJobs;  // jobs with a run that failed there since another was done
     TimePoint suspectUntil{};  // gets no task until then
     int suspicions = 0;  // doubles the time
 };
@@ -152,6 +153,7 @@
     std::map<WorkerLife, Worker> workers;
     std::map<WorkerId, WorkerLife> lives;  // the newest life of each id
     std::vector<Order> orders;
+    std::vector<Decision> decisions;  // to be logged
     std::vector<JobId> forgotten;  // jobs whose submission can go from the store
     std::vector<ProgressRecord> notes;  // other records that the next batch carries
     bool needsPlan = false;
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -104,6 +104,8 @@
     std::string ticket;  // of the advisor, where the queue needs one
     TimePoint startedAt{};
     int percent = -1;  // progress as last reported; -1: not reported
+    TimePoint progressedAt{};  // when the percentage last changed
+    bool isStraggler = false;  // stands still although its worker reports
     int pacePercent = 100;
     std::int64_t load = 0;  // tail latency in ms of a serving task, else thousandths of a core
     bool isLost = false;  // its worker is given up; only the lease has to lapse
@@ -116,6 +118,7 @@
     int failures = 0;  // ends by its own fault
     std::string checkpoint;
     std::vector<Attempt> attempts;  // several only for speculative steps
+    std::vector<WorkerLife> failedOn;  // workers on which it failed
     TimePoint notBefore{};  // delays a restart after a failure
 };
 
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -57,6 +57,7 @@
     bool isWriting = false;
     TimePoint confirmedAt{};  // when the newest confirmed own record was sent
     TimePoint writtenAt{};
+    bool wantsRenewal = false;  // a renewal is written ahead of its time
     bool isLeaving = false;  // hands over and claims no more
 };
 
--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -23,6 +23,7 @@
     Machine machine;
     std::optional<PendingOrder> pending;
     TimePoint changedAt{};  // when its last order was carried out
+    TimePoint restsUntil{};  // after a refusal no order is decided until then
     std::set<ServiceId> unfitPools;  // that refused it
 };
 
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -128,10 +128,40 @@
 inline constexpr EventKind jobRefused{711, EventLevel::Warning, "job-refused", "job reason",
                                       "See the reason; the caller was told whether to try again."};
 inline constexpr EventKind jobCancelled{712, EventLevel::Info, "job-cancelled", "job", "None."};
+inline constexpr EventKind taskPlanned{713, EventLevel::Info, "task-planned",
+                                       "task run worker inputs", "None."};
+inline constexpr EventKind taskEnded{714, EventLevel::Info, "task-ended", "task run worker inputs",
+                                     "None; end=failed counts as an attempt of the task."};
+inline constexpr EventKind taskReleased{
+        715, EventLevel::Info, "task-released", "task run worker inputs",
+        "None; the task starts again, since this run does not run and never will."};
+inline constexpr EventKind taskStopped{716, EventLevel::Info, "task-stopped",
+                                       "task run worker inputs", "None."};
+inline constexpr EventKind taskRelieved{
+        717, EventLevel::Warning, "task-relieved", "task run worker inputs",
+        "If it repeats for one worker, look at that worker."};
+inline constexpr EventKind jobEnded{718, EventLevel::Info, "job-ended", "task run worker inputs",
+                                    "If state=failed, see task-ended of its tasks."};
+inline constexpr EventKind decisionsSuppressed{
+        719, EventLevel::Warning, "decisions-suppressed", "count",
+        "None; the log is bounded under load. The counters on the metrics page are complete."};
 inline constexpr EventKind machineOrdered{
         720, EventLevel::Info, "machine-ordered", "machine order to result",
         "None; an order that is not done is repeated or given up by its result."};
 inline constexpr EventKind waveReported{721, EventLevel::Info, "wave-reported", "wave completed",
                                         "None."};
+inline constexpr EventKind workerSuspected{730, EventLevel::Warning, "worker-suspected",
+                                           "task run worker inputs",
+                                           "If it repeats, take the worker out of its pool."};
+inline constexpr EventKind workerEnded{731, EventLevel::Info, "worker-ended",
+                                       "task run worker inputs", "None."};
+inline constexpr EventKind workerUnanswered{732, EventLevel::Warning, "worker-unanswered",
+                                            "task run worker inputs",
+                                            "Check the network to the worker."};
+inline constexpr EventKind workerAnswers{733, EventLevel::Info, "worker-answers",
+                                         "task run worker inputs", "None."};
+inline constexpr EventKind leaseLapsed{734, EventLevel::Warning, "lease-lapsed",
+                                       "task run worker inputs",
+                                       "None; its tasks start elsewhere."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/adapters/http_call.cpp
+++ b/src/poplarstream/adapters/http_call.cpp
@@ -110,6 +110,10 @@
     }
     error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    // A request that was given up must not be delivered later, not even when this process is
+    // killed: a reset discards what the network still holds of it, where an orderly close would go
+    // on sending.
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.non_blocking(true, ignored);
     phase_ = Phase::Idle;
     changed_(*this);
@@ -204,11 +208,6 @@
     phase_ = Phase::Closed;
     timer_.cancel();
     error_code ignored;
-    if (call_) {
-        // A request that was given up must not be delivered later: a reset discards what the
-        // network still holds of it, where an orderly close would go on sending.
-        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    }
     socket_.close(ignored);
     const auto self = shared_from_this();  // the pool drops its reference in changed_
     const auto call = std::exchange(call_, nullptr);
--- a/src/poplarstream/adapters/http_client_test.cpp
+++ b/src/poplarstream/adapters/http_client_test.cpp
@@ -121,6 +121,18 @@
     EXPECT_TRUE(server.peers[0]->isReset);
 }
 
+// Guards against the same when the process ends in the middle of a request.
+TEST_F(HttpClientTest, RequestIsRecalledWhenTheClientGoes)
+{
+    auto leaving = std::make_unique<HttpClient>(io, limits);
+    leaving->send(endpoint, {"GET", "/", {}, {}, {}}, {Milliseconds{5000}, {}},
+                  [](const HttpOutcome &) {});
+    ASSERT_TRUE(driveUntilSeen(0, "GET / "));
+    leaving.reset();
+    ASSERT_TRUE(drive(io, [&] { return server.peers[0]->isClosed; }));
+    EXPECT_TRUE(server.peers[0]->isReset);
+}
+
 // Guards against a second answer on an idle connection being taken for the answer to the next
 // request, whether it arrives with the first or after it.
 TEST_F(HttpClientTest, UnexpectedAnswerIsNotReused)
--- /dev/null
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -0,0 +1,78 @@
+#include "poplarstream/edge/decision_log.hpp"
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/telemetry/event_kinds.hpp"  // for taskPlanned
+
+namespace poplarstream::edge {
+
+namespace {
+
+// A line costs some microseconds; this many take well under a hundredth of a core.
+constexpr int linesPerSecond = 400;
+constexpr Milliseconds oneSecond{1000};
+
+const EventKind &kindOf(engine::DecisionKind kind)
+{
+    switch (kind) {
+    case engine::DecisionKind::TaskPlanned:
+        return events::taskPlanned;
+    case engine::DecisionKind::TaskEnded:
+        return events::taskEnded;
+    case engine::DecisionKind::TaskReleased:
+        return events::taskReleased;
+    case engine::DecisionKind::TaskStopped:
+        return events::taskStopped;
+    case engine::DecisionKind::TaskRelieved:
+        return events::taskRelieved;
+    case engine::DecisionKind::JobEnded:
+        return events::jobEnded;
+    case engine::DecisionKind::WorkerSuspected:
+        return events::workerSuspected;
+    case engine::DecisionKind::WorkerEnded:
+        return events::workerEnded;
+    case engine::DecisionKind::WorkerSilent:
+        return events::workerUnanswered;
+    case engine::DecisionKind::WorkerBack:
+        return events::workerAnswers;
+    case engine::DecisionKind::LeaseLapsed:
+        break;
+    }
+    return events::leaseLapsed;
+}
+
+std::string taskText(const jobs::TaskRef &task)
+{
+    return task.job.isEmpty() ? "-"
+                              : fmt::format("{}.{}.{}.{}", task.job.text(), task.occurrence,
+                                            task.step, task.index);
+}
+
+}  // namespace
+
+void DecisionLog::write(const engine::Decision &decision, TimePoint now)
+{
+    if (!mayWrite(now)) {
+        ++suppressed_;
+        return;
+    }
+    logEvent(kindOf(decision.kind), {{"task", taskText(decision.task)},
+                                     {"run", fmt::to_string(decision.run)},
+                                     {"worker", decision.worker.text()},
+                                     {"inputs", decision.inputs}});
+}
+
+bool DecisionLog::mayWrite(TimePoint now)
+{
+    if (now >= second_ + oneSecond) {
+        second_ = now;
+        written_ = 0;
+        if (suppressed_ > 0) {
+            logEvent(events::decisionsSuppressed, {{"count", fmt::to_string(suppressed_)}});
+            suppressed_ = 0;
+        }
+    }
+    return ++written_ <= linesPerSecond;
+}
+
+}  // namespace poplarstream::edge
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -138,6 +138,9 @@
             return leadership && ownership::mayOrder(leadership->leadership(), steadyNow());
         };
         hooks.confirmedAt = [this] { return leadership->leadership().confirmedAt; };
+        hooks.confirm = [this](std::function<void(bool)> done) {
+            leadership->confirm(std::move(done));
+        };
         hooks.superseded = [this, epoch] {
             supersededEpoch = epoch;
             takeOwnership();
--- a/src/poplarstream/edge/leadership_duty.cpp
+++ b/src/poplarstream/edge/leadership_duty.cpp
@@ -91,11 +91,7 @@
 
     void step()
     {
-        const TimePoint now = steadyNow();
-        const LeadershipStep wanted = ownership::nextStep(leadership, now);
-        if (wanted != LeadershipStep::None) {
-            write(ownership::beginWrite(leadership, wanted, now));
-        }
+        writeIfDue();
         callAfter(runtime, tick, [weak = weak_from_this()] {
             if (const auto self = weak.lock(); self && !self->isClosed) {
                 self->step();
@@ -103,6 +99,15 @@
         });
     }
 
+    void writeIfDue()
+    {
+        const TimePoint now = steadyNow();
+        const LeadershipStep wanted = ownership::nextStep(leadership, now);
+        if (wanted != LeadershipStep::None) {
+            write(ownership::beginWrite(leadership, wanted, now));
+        }
+    }
+
     void write(const OwnershipRecord &record)
     {
         AppendRequest request;
@@ -127,6 +132,10 @@
         } else {
             ownership::failWrite(leadership);
         }
+        const bool isConfirmed = outcome.result == AppendResult::Stored;
+        for (const auto &done : std::exchange(waiting, {})) {
+            done(isConfirmed);
+        }
         events.changed();
     }
 
@@ -135,6 +144,7 @@
     ownership::Leadership leadership;
     TimePoint predecessorSeenAt{};
     bool predecessorResigned = false;
+    std::vector<std::function<void(bool)>> waiting;  // for the write under way
     std::unique_ptr<LogFollower> follower;
     bool isClosed = false;
 };
@@ -166,6 +176,13 @@
     return state_->predecessorResigned;
 }
 
+void LeadershipDuty::confirm(std::function<void(bool isConfirmed)> done)
+{
+    state_->waiting.push_back(std::move(done));
+    state_->leadership.wantsRenewal = true;
+    state_->writeIfDue();
+}
+
 void LeadershipDuty::leave()
 {
     state_->leadership.isLeaving = true;
--- a/src/poplarstream/edge/machine_duty.cpp
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -52,10 +52,10 @@
 
 struct MachineDuty::State : std::enable_shared_from_this<MachineDuty::State>
 {
-    State(Runtime &owner, engine::Engine &jobs, std::function<bool()> permission)
+    State(Runtime &owner, engine::Engine &jobs, MachineDutyHooks given)
         : runtime(owner)
         , engine(jobs)
-        , mayOrder(std::move(permission))
+        , hooks(std::move(given))
     {}
 
     void after(Milliseconds delay, void (State::*step)())
@@ -99,16 +99,30 @@
 
     void plan()
     {
-        if (hasList && mayOrder()) {
-            for (const pools::MachineOrder &order :
-                 pools::planMachines(machines, engine, steadyNow())) {
-                send(order);
-            }
+        if (hasList && hooks.mayOrder()) {
+            sendConfirmed(pools::planMachines(machines, engine, steadyNow()));
             reportWaves();
         }
         after(planPeriod, &State::plan);
     }
 
+    // Orders that are not sent count as not answered, and are repeated.
+    void sendConfirmed(std::vector<pools::MachineOrder> orders)
+    {
+        if (orders.empty()) {
+            return;
+        }
+        hooks.confirm([weak = weak_from_this(), orders = std::move(orders)](bool isConfirmed) {
+            const auto self = weak.lock();
+            if (!self || self->isClosed || !isConfirmed || !self->hooks.mayOrder()) {
+                return;
+            }
+            for (const pools::MachineOrder &order : orders) {
+                self->send(order);
+            }
+        });
+    }
+
     void send(const pools::MachineOrder &order)
     {
         runtime.machines.order(order, [weak = weak_from_this(), order](pools::OrderResult result) {
@@ -176,7 +190,7 @@
 
     Runtime &runtime;
     engine::Engine &engine;
-    std::function<bool()> mayOrder;
+    MachineDutyHooks hooks;
     pools::Pools machines;
     std::vector<pools::Machine> listed;
     TimePoint askedAt{};  // when the list under way was begun
@@ -188,8 +202,8 @@
 };
 
 MachineDuty::MachineDuty(Runtime &runtime, engine::Engine &engine, std::int64_t epoch,
-                         std::function<bool()> mayOrder)
-    : state_(std::make_shared<State>(runtime, engine, std::move(mayOrder)))
+                         MachineDutyHooks hooks)
+    : state_(std::make_shared<State>(runtime, engine, std::move(hooks)))
 {
     state_->machines.holder = runtime.settings.name.text();
     state_->machines.fencingToken = epoch;
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -2,12 +2,15 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/edge/decision_log.hpp"  // for DecisionLog
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
 #include "poplarstream/edge/machine_duty.hpp"  // for MachineDuty
 #include "poplarstream/edge/order_sender.hpp"  // for OrderSender
 #include "poplarstream/edge/progress_writer.hpp"  // for ProgressWriter
 #include "poplarstream/edge/stored_jobs.hpp"  // for applyJobRecord
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
+#include "poplarstream/engine/evidence.hpp"  // for relieveStragglers
+#include "poplarstream/engine/evidence.hpp"  // for relieveStragglers
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
 #include "poplarstream/engine/planning.hpp"  // for planStarts
@@ -44,7 +47,9 @@
         , hooks(std::move(given))
         , writer(owner, inherited.epoch)
         , sender(owner)
-        , machines(owner, engine, inherited.epoch, [this] { return isLoaded && hooks.mayOrder(); })
+        , machines(owner, engine, inherited.epoch,
+                   {[this] { return isLoaded && hooks.mayOrder(); },
+                    [this](std::function<void(bool)> done) { hooks.confirm(std::move(done)); }})
     {
         engine.limits = runtime.settings.limits;
         engine.token.epoch = inheritance.epoch;
@@ -243,6 +248,8 @@
         engine.mayStart = hooks.mayOrder();
         if (engine.needsPlan) {
             engine::evacuate(engine, now);
+            engine::relieveStragglers(engine, now);
+            //engine::relieveStragglers(engine, now);
             engine::planStarts(engine, now);
         }
         if (now < hooks.confirmedAt() + extendFor) {
@@ -258,9 +265,17 @@
                              self.pump();
                          }
                      }));
+        logDecisions();
         isPumping = false;
     }
 
+    void logDecisions()
+    {
+        for (const engine::Decision &decision : std::exchange(engine.decisions, {})) {
+            journal.write(decision, steadyNow());
+        }
+    }
+
     void sendOrders()
     {
         for (const engine::Order &order : std::exchange(engine.orders, {})) {
@@ -287,6 +302,7 @@
     engine::Engine engine;
     ProgressWriter writer;
     OrderSender sender;
+    DecisionLog journal;
     MachineDuty machines;
     std::map<std::int64_t, pools::Wave> waves;
     std::vector<StoredRecord> progress;
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -1,5 +1,7 @@
 #include "poplarstream/engine/attempts.hpp"
 
+#include <fmt/format.h>  // for format
+
 #include "poplarstream/jobs/commands.hpp"  // for dropAttempt
 #include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt, isFinal
 
@@ -46,6 +48,12 @@
     return room;
 }
 
+void note(Engine &engine, DecisionKind kind, const AttemptRef &ref, const WorkerId &worker,
+          std::string inputs)
+{
+    engine.decisions.push_back({kind, ref.task, ref.run, worker, std::move(inputs)});
+}
+
 void markDirty(Engine &engine, jobs::Job &job)
 {
     job.isDirty = true;
@@ -81,6 +89,7 @@
     detach(engine, ref, life, now);
     if (jobs::Job *const job = findJob(engine, ref.task.job)) {
         if (jobs::dropAttempt(*job, ref.task, ref.run)) {
+            note(engine, DecisionKind::TaskReleased, ref, life.id, {});
             markDirty(engine, *job);
         }
     }
@@ -99,6 +108,9 @@
         return;
     }
     attempt->phase = jobs::AttemptPhase::Stopping;
+    note(engine, DecisionKind::TaskStopped, ref, life.id,
+         fmt::format("percent={} age_ms={}", attempt->percent,
+                     (now - attempt->startedAt).count()));
     const Worker *const worker = findWorker(engine, life);
     if (worker != nullptr && !worker->isGone && !worker->entry.address.empty()) {
         engine.orders.emplace_back(StopOrder{targetOf(engine, *worker), ref.task, ref.run});
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>  // for max
 
+#include <fmt/format.h>  // for format
+
 #include "poplarstream/engine/attempts.hpp"  // for attach, markDirty, roomOf
 #include "poplarstream/engine/placement.hpp"  // for Site, chooseSite, openSites
 #include "poplarstream/engine/ranking.hpp"  // for rankWaitingSteps, WaitingStep
@@ -10,9 +12,8 @@
 
 namespace {
 
-// A copy of a task is worth its room when the first has taken this many times its estimate.
-constexpr int copyAfterEstimates = 2;
-constexpr Milliseconds copyAfterLeast{700};
+// A speculative task that runs longer gets a copy: few tasks of sound workers take that long.
+constexpr Milliseconds copyAfter{1200};
 
 struct StepPlace
 {
@@ -46,6 +47,9 @@
     site.hostsFillers = site.hostsFillers || step.fills;
     ++spread.onWorker[site.worker->entry.life];
     ++spread.onRack[site.worker->entry.rack];
+    note(engine, DecisionKind::TaskPlanned, {refOf(place, index), run}, site.worker->entry.life.id,
+         fmt::format("room_milli={} token={}", site.room.cpuMilli,
+                     currentToken(engine, *site.worker)));
     attach(engine, {refOf(place, index), run}, site.worker->entry.life, neverSettled);
     if (place.job.state == jobs::JobState::Queued) {
         place.job.state = jobs::JobState::Running;
@@ -53,6 +57,15 @@
     markDirty(engine, place.job);
 }
 
+// A task waits for a worker on which it has not failed, unless there is none or it should be at
+// work all the time.
+bool mayRetryWhereItFailed(const jobs::Task &task, const jobs::StepSpec &step,
+                           const std::vector<Site> &sites)
+{
+    return !task.failedOn.empty()
+           && (step.longRunning || task.failedOn.size() >= sites.size());
+}
+
 void planTasks(Engine &engine, const StepPlace &place, std::vector<Site> &sites, TimePoint now)
 {
     const jobs::StepSpec &step = place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
@@ -63,9 +76,12 @@
         if (task.isDone || !task.attempts.empty() || task.notBefore > now) {
             continue;
         }
-        Site *const site = chooseSite(sites, step, spread, {}, nullptr);
+        Site *site = chooseSite(sites, step, spread, task.failedOn, nullptr);
+        if (site == nullptr && mayRetryWhereItFailed(task, step, sites)) {
+            site = chooseSite(sites, step, spread, {}, nullptr);
+        }
         if (site == nullptr) {
-            return;
+            continue;
         }
         enter(engine, place, index, task.lastRun + 1, *site, spread, now);
     }
@@ -131,7 +147,15 @@
     }
 }
 
-// Starts copies of tasks that take much longer than estimated, with what room is left.
+// Whether the attempt may be long in coming.
+bool needsCopy(const Engine &engine, const jobs::Attempt &attempt, TimePoint now)
+{
+    const auto worker = engine.workers.find(attempt.worker);
+    return attempt.isStraggler || attempt.startedAt + copyAfter < now || worker == engine.workers.end()
+           || worker->second.contact != Contact::Open;
+}
+
+// Starts copies of tasks that are in trouble, with what room is left.
 void planCopies(Engine &engine, std::map<ServiceId, std::vector<Site>> &sites, TimePoint now)
 {
     for (const JobId &id : engine.active) {
@@ -149,14 +173,12 @@
                 if (!step.speculative || step.longRunning || occurrence.remaining[i] == 0) {
                     continue;
                 }
-                const Milliseconds patience =
-                        std::max(step.estimate * copyAfterEstimates, copyAfterLeast);
                 const StepPlace place{job, occurrence, number, static_cast<int>(i)};
                 Spread spread = spreadOf(engine, occurrence, place.step);
                 for (std::size_t index = 0; index < occurrence.steps[i].size(); ++index) {
                     const jobs::Task &task = occurrence.steps[i][index];
                     if (task.isDone || task.attempts.size() != 1
-                        || task.attempts[0].startedAt + patience > now) {
+                        || !needsCopy(engine, task.attempts[0], now)) {
                         continue;
                     }
                     Site *const site = chooseSite(own->second, step, spread,
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>  // for max, min
 
+#include <fmt/format.h>  // for format
+
 #include "poplarstream/engine/attempts.hpp"  // for attach, detach, release
+#include "poplarstream/engine/evidence.hpp"  // for noteEnd, suspect
 #include "poplarstream/jobs/commands.hpp"  // for recordEnd
 #include "poplarstream/jobs/queries.hpp"  // for findAttempt, isFinal
 
@@ -18,10 +21,25 @@
 // While ends wait for the store, the worker would answer a waiting look at once.
 constexpr Milliseconds lookPauseWithEnds{500};
 constexpr Milliseconds silentRetry{300};
-// Runs that fail on a worker in a row before it is set aside, and for how long at first.
-constexpr int failuresBeforeSuspicion = 4;
-constexpr Milliseconds firstSuspicion{1500};
-constexpr int suspicionDoublingsMost = 3;
+
+std::string_view endText(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Lapsed:
+        return "lapsed";
+    case RunEnd::Broken:
+        return "broken";
+    case RunEnd::Alone:
+        break;
+    }
+    return "alone";
+}
 
 void releaseAll(Engine &engine, const WorkerLife &life, TimePoint now)
 {
@@ -46,18 +64,6 @@
     }
 }
 
-void judgeWorker(Worker &worker, RunEnd end, TimePoint now)
-{
-    if (end == RunEnd::Done) {
-        worker.failuresInRow = 0;
-        worker.suspicions = 0;
-    } else if (end == RunEnd::Failed && ++worker.failuresInRow >= failuresBeforeSuspicion) {
-        worker.suspectUntil = now + firstSuspicion * (1 << worker.suspicions);
-        worker.suspicions = std::min(worker.suspicions + 1, suspicionDoublingsMost);
-        worker.failuresInRow = failuresBeforeSuspicion - 1;
-    }
-}
-
 void takeEnd(Engine &engine, Worker &worker, const EndReport &report, TimePoint now)
 {
     const AttemptRef ref{report.task, report.run};
@@ -66,6 +72,7 @@
     if (job == nullptr) {
         return;
     }
+    noteEnd(engine, worker, report, now);
     detach(engine, ref, worker.entry.life, now);
     job->hasBegun = true;
     const jobs::EndEffect effect =
@@ -73,7 +80,13 @@
     if (!effect.isKnown) {
         return;
     }
-    judgeWorker(worker, report.end, now);
+    note(engine, DecisionKind::TaskEnded, ref, worker.entry.life.id,
+         fmt::format("end={} number={}", endText(report.end), report.number));
+    if (effect.jobEnded) {
+        note(engine, DecisionKind::JobEnded, ref, worker.entry.life.id,
+             fmt::format("state={}", job->state == jobs::JobState::Completed ? "completed"
+                                                                             : "failed"));
+    }
     markDirty(engine, *job);
     engine.needsPlan = true;
     const bool isDone = report.end == RunEnd::Done;
@@ -89,7 +102,7 @@
     }
 }
 
-void takeRunning(Engine &engine, Worker &worker, const RunningReport &report)
+void takeRunning(Engine &engine, Worker &worker, const RunningReport &report, TimePoint now)
 {
     const AttemptRef ref{report.task, report.run};
     jobs::Attempt *const attempt = findAttempt(engine, ref);
@@ -103,7 +116,10 @@
     if (attempt->phase == AttemptPhase::Ordered) {
         attempt->phase = AttemptPhase::Running;
     }
-    attempt->percent = report.percent;
+    if (attempt->percent != report.percent) {
+        attempt->percent = report.percent;
+        attempt->progressedAt = now;
+    }
     attempt->load = report.load;
     jobs::Job *const job = findJob(engine, report.task.job);
     job->hasBegun = true;
@@ -229,6 +245,8 @@
         return;
     }
     worker->isGone = true;
+    note(engine, DecisionKind::WorkerEnded, {}, life.id,
+         fmt::format("tasks={}", worker->attempts.size()));
     worker->isListed = false;
     releaseAll(engine, life, now);
 }
@@ -248,6 +266,11 @@
     worker->isLooking = false;
     worker->isWaitingLook = false;
     if (!answer) {
+        if (worker->contact == Contact::Open) {
+            note(engine, DecisionKind::WorkerSilent, {}, life.id,
+                 fmt::format("tasks={} answered_ms_ago={}", worker->attempts.size(),
+                             (now - worker->answeredAt).count()));
+        }
         worker->contact = Contact::Silent;
         worker->nextLookAt = now + silentRetry;
         return;
@@ -266,12 +289,14 @@
         }
     }
     for (const RunningReport &report : answer->running) {
-        takeRunning(engine, *worker, report);
+        takeRunning(engine, *worker, report, now);
     }
     if (!answer->isPartial) {
         settleAbsent(engine, *worker, lookNumber, *answer, now);
     }
     if (worker->contact != Contact::Open) {
+        note(engine, DecisionKind::WorkerBack, {}, life.id,
+             fmt::format("tasks={}", worker->attempts.size()));
         worker->contact = Contact::Open;
         engine.needsPlan = true;
         repeatStops(engine, *worker);
@@ -310,7 +335,7 @@
         worker->nextLookAt = now;
         return;
     case StartResult::Unhealthy:
-        judgeWorker(*worker, RunEnd::Failed, now);
+        suspect(engine, *worker, now);
         break;
     case StartResult::Fenced:
     case StartResult::Old:
@@ -362,6 +387,7 @@
         }
     }
     for (const WorkerLife &life : lapsed) {
+        note(engine, DecisionKind::LeaseLapsed, {}, life.id, {});
         releaseAll(engine, life, now);
     }
     for (const WorkerLife &life : forgotten) {
--- a/src/poplarstream/jobs/commands.cpp
+++ b/src/poplarstream/jobs/commands.cpp
@@ -120,6 +120,7 @@
     if (task == nullptr || findAttempt(*task, run) == nullptr) {
         return {};
     }
+    const WorkerLife worker = findAttempt(*task, run)->worker;
     std::erase_if(task->attempts, [run](const Attempt &attempt) { return attempt.run == run; });
     job.isDirty = true;
     const auto step = static_cast<std::size_t>(ref.step);
@@ -135,6 +136,7 @@
     if (end == RunEnd::Done && !spec.longRunning) {
         recordDone(job, occurrence, ref, *task, now);
     } else if (end == RunEnd::Failed) {
+        task->failedOn.push_back(worker);
         recordFailure(job, spec, *task, now);
     }
     effect.stepDone = occurrence.remaining[step] == 0;
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -75,7 +75,8 @@
     if (leadership.isLeaving) {
         return isOwner(leadership) ? LeadershipStep::Resign : LeadershipStep::None;
     }
-    if (now < leadership.writtenAt + settings.renewal) {
+    if (now < leadership.writtenAt + settings.renewal
+        && !(leadership.wantsRenewal && isOwner(leadership))) {
         return LeadershipStep::None;
     }
     if (isOwner(leadership)) {
@@ -91,6 +92,7 @@
 OwnershipRecord beginWrite(Leadership &leadership, LeadershipStep step, TimePoint now)
 {
     leadership.isWriting = true;
+    leadership.wantsRenewal = false;
     leadership.writtenAt = now;
     OwnershipRecord record{Kind::Renewal, leadership.last ? leadership.last->epoch : 0,
                            leadership.self, leadership.address, leadership.incarnation};
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -127,6 +127,22 @@
     EXPECT_EQ(log.records.back().epoch, 2);
 }
 
+// Guards against an order that rests on a renewal of half a second ago: the network may have been
+// cut since, and would deliver the order after the successor's.
+TEST(Leadership, RenewalOnRequest)
+{
+    Log log;
+    const TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    log.show(a, now);
+    a.wantsRenewal = true;
+    ASSERT_TRUE(log.step(a, now));
+    EXPECT_EQ(log.records.back().kind, Kind::Claim);
+    EXPECT_EQ(nextStep(a, now + Milliseconds{1}), LeadershipStep::None);
+    a.wantsRenewal = true;
+    EXPECT_EQ(nextStep(a, now + Milliseconds{1}), LeadershipStep::Renew);
+}
+
 TEST(Leadership, RecordRoundTrip)
 {
     const OwnershipRecord record{Kind::Renewal, 12, EntryHostId("a-1"), "10.0.0.1:7", "18f"};
--- a/src/poplarstream/pools/moves.cpp
+++ b/src/poplarstream/pools/moves.cpp
@@ -20,9 +20,9 @@
     int open = 0;  // that take tasks now
 };
 
-bool isMovable(const MachineView &view)
+bool isMovable(const MachineView &view, TimePoint now)
 {
-    return !view.pending && view.machine.state == MachineState::Up;
+    return !view.pending && view.restsUntil <= now && view.machine.state == MachineState::Up;
 }
 
 bool takesTasks(engine::Engine &engine, const Machine &machine)
@@ -32,7 +32,8 @@
            && worker->contact == engine::Contact::Open && !worker->entry.isDraining;
 }
 
-std::map<ServiceId, PoolMembers> membersOf(Pools &pools, engine::Engine &engine)
+std::map<ServiceId, PoolMembers> membersOf(Pools &pools, engine::Engine &engine,
+                                           TimePoint now)
 {
     std::map<ServiceId, PoolMembers> members;
     for (auto &[id, view] : pools.machines) {
@@ -47,7 +48,7 @@
             ++own.present;
         }
         own.open += !view.pending && takesTasks(engine, view.machine) ? 1 : 0;
-        if (isMovable(view)) {
+        if (isMovable(view, now)) {
             members[view.machine.pool].up.push_back(&view);
         }
     }
@@ -77,7 +78,7 @@
 // An empty machine that may go to `pool`, of the standby pool or of a pool with a surplus.
 MachineView *donorFor(std::map<ServiceId, PoolMembers> &members, Pools &pools,
                       engine::Engine &engine, const ServiceId &pool,
-                      const std::optional<ServiceId> &standby)
+                      const std::optional<ServiceId> &standby, TimePoint now)
 {
     for (const bool fromStandby : {true, false}) {
         for (auto &[other, own] : members) {
@@ -87,7 +88,7 @@
                 continue;
             }
             for (MachineView *const view : own.up) {
-                if (isMovable(*view) && isEmpty(workerOf(engine, view->machine))
+                if (isMovable(*view, now) && isEmpty(workerOf(engine, view->machine))
                     && !view->unfitPools.contains(pool)) {
                     --own.present;
                     return view;
@@ -116,7 +117,7 @@
             return;
         }
         const engine::Worker *const worker = workerOf(engine, view->machine);
-        if (isMovable(*view) && isEmpty(worker) && !view->unfitPools.contains(standby)) {
+        if (isMovable(*view, now) && isEmpty(worker) && !view->unfitPools.contains(standby)) {
             order(pools, *view, standby);
             --own.present;
         }
@@ -128,7 +129,7 @@
 void planMoves(Pools &pools, engine::Engine &engine, TimePoint now)
 {
     const std::optional<ServiceId> standby = standbyPool(engine);
-    std::map<ServiceId, PoolMembers> members = membersOf(pools, engine);
+    std::map<ServiceId, PoolMembers> members = membersOf(pools, engine, now);
     const std::map<ServiceId, Demand> demands = demandByService(engine, now);
     for (const auto &[service, settings] : engine.services) {
         const auto demand = demands.find(service);
@@ -145,7 +146,7 @@
         }
         PoolMembers &own = members[service];
         while (own.present < need.wanted) {
-            MachineView *const donor = donorFor(members, pools, engine, service, standby);
+            MachineView *const donor = donorFor(members, pools, engine, service, standby, now);
             if (donor == nullptr) {
                 break;
             }
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -11,6 +11,9 @@
 // An order without an answer is repeated after this long; it is carried out at most once.
 constexpr Milliseconds repeatAfter{1500};
 
+// A machine that is not up is asked again after this time.
+constexpr Milliseconds restAfterRefusal{1000};
+
 void cordon(engine::Engine &engine, const Machine &machine, bool isCordoned)
 {
     engine::Worker *const worker = workerOf(engine, machine);
@@ -105,6 +108,7 @@
     }
     view.pending.reset();
     if (result != OrderResult::Done) {
+        view.restsUntil = now + restAfterRefusal;
         cordon(engine, view.machine, false);
         if (result == OrderResult::Invalid && order.kind == MachineOrder::Kind::Move) {
             view.unfitPools.insert(order.pool);
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -162,6 +162,19 @@
     EXPECT_EQ(deployment.plan().size(), 1U);
 }
 
+// Guards against an order that is repeated ten times a second to a machine that is not up.
+TEST(Moves, RefusedOrderRests)
+{
+    Deployment deployment(2, 1);
+    deployment.wave({"s1"}, 1);
+    const auto orders = deployment.plan();
+    ASSERT_EQ(orders.size(), 1U);
+    deployment.finish(orders[0], OrderResult::Busy);
+    EXPECT_TRUE(deployment.plan().empty());
+    deployment.scene.now += Milliseconds{1000};
+    EXPECT_EQ(deployment.plan().size(), 1U);
+}
+
 // Guards against jobs that wait beside machines that nobody uses.
 TEST(Moves, WaitingWorkGetsMachines)
 {
--- a/src/poplarstream/pools/waves.cpp
+++ b/src/poplarstream/pools/waves.cpp
@@ -40,7 +40,7 @@
            && view.pending->order.wave == wave;
 }
 
-void planWave(Pools &pools, engine::Engine &engine, WaveView &wave)
+void planWave(Pools &pools, engine::Engine &engine, WaveView &wave, TimePoint now)
 {
     int away = static_cast<int>(wave.away.size());
     std::map<ServiceId, int> emptied;
@@ -56,7 +56,7 @@
             ++emptied[view.machine.pool];
         } else if (wave.away.contains(id)) {
             ++emptied[view.machine.pool];
-        } else if (!wave.begun.contains(id) && !view.pending
+        } else if (!wave.begun.contains(id) && !view.pending && view.restsUntil <= now
                    && view.machine.state == MachineState::Up) {
             choices.push_back(choiceOf(engine, view));
         }
@@ -84,11 +84,11 @@
 
 }  // namespace
 
-void planUpkeep(Pools &pools, engine::Engine &engine, TimePoint)
+void planUpkeep(Pools &pools, engine::Engine &engine, TimePoint now)
 {
     for (auto &[number, wave] : pools.waves) {
         if (!wave.isCompleted) {
-            planWave(pools, engine, wave);
+            planWave(pools, engine, wave, now);
         }
     }
 }
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -25,7 +25,9 @@
         workerReleased,       requestRefused,       minionEjected,     minionLeaving,
         connectionSilent,     peerSuspected,        peerSeen,
         ownershipSeen, ownershipLost, ownerLoaded, progressNotStored, jobAccepted, jobRefused,
-        jobCancelled, machineOrdered, waveReported,
+        jobCancelled, taskPlanned, taskEnded, taskReleased, taskStopped, taskRelieved, jobEnded,
+        decisionsSuppressed, machineOrdered, waveReported, workerSuspected, workerEnded,
+        workerUnanswered, workerAnswers, leaseLapsed,
 };
 
 }  // namespace
