Plan less often and let a large machine own the jobs

Change: critical paths are computed once for each job, a step that fits nowhere is skipped, plans are 8 ms apart, stragglers are looked for every 40 ms; smaller machines claim later.

--- a/include/poplarstream/edge/log_follower.hpp
+++ b/include/poplarstream/edge/log_follower.hpp
@@ -28,8 +28,7 @@
 class LogFollower
 {
 public:
-    LogFollower(Runtime &runtime, Log log, const FollowerSettings &settings,
-                FollowerEvents events);
+    LogFollower(Runtime &runtime, Log log, const FollowerSettings &settings, FollowerEvents events);
     LogFollower(const LogFollower &) = delete;
     LogFollower &operator=(const LogFollower &) = delete;
     // Calls no event afterwards.
--- a/include/poplarstream/edge/stored_jobs.hpp
+++ b/include/poplarstream/edge/stored_jobs.hpp
@@ -17,8 +17,7 @@
 std::vector<StoredRecord> dropRecords(const jobs::JobId &id);
 
 // Applies a record of the job log. One that cannot be read is logged and skipped.
-void applyJobRecord(engine::Engine &engine, const StoredRecord &record,
-                    const engine::Moment &now);
+void applyJobRecord(engine::Engine &engine, const StoredRecord &record, const engine::Moment &now);
 
 // Applies the progress that earlier owners stored. Their attempts may run on until their leases
 // lapse, which were renewed at `renewedAt` at the latest.
--- a/include/poplarstream/engine/ranking.hpp
+++ b/include/poplarstream/engine/ranking.hpp
@@ -24,7 +24,6 @@
     Prospect prospect = Prospect::InTime;
     int priority = 0;
     bool hasStarted = false;  // stopping half way would waste what is done
-    double work = 0;  // declared, of the whole job
     TimePoint objective{};
 };
 
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -136,6 +136,8 @@
 struct Job
 {
     Submission submission;
+    Milliseconds criticalPath{0};  // longest chain of declared durations
+    bool isLongRunning = false;  // has tasks that run until it is cancelled
     JobState state = JobState::Queued;
     JobState durableState = JobState::Queued;  // what callers may be told
     bool hasBegun = false;  // a worker is known to have started a task
--- a/include/poplarstream/jobs/queries.hpp
+++ b/include/poplarstream/jobs/queries.hpp
@@ -23,14 +23,11 @@
 TimePoint objective(const Job &job, const Occurrence &occurrence);
 
 // Whether a task runs until its job is cancelled.
-bool isLongRunning(const Job &job);
+bool hasLongRunning(const JobSpec &spec);
 
 // The task that `ref` names, or null when it is not (or not any more) part of the job.
 Task *findTask(Job &job, const TaskRef &ref);
 
 Attempt *findAttempt(Task &task, int run);
 
-// Processor time of a whole occurrence in thousandths of a core times milliseconds, as declared.
-double declaredWork(const JobSpec &spec);
-
 }  // namespace poplarstream::jobs
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -21,6 +21,7 @@
     EntryHostId owner;
     std::string address;  // where the owner answers the other entry hosts
     std::string incarnation;  // of the owner's process
+    double processorShare = 1.0;  // of a core, that the owner has
 };
 
 std::string encodeOwnership(const OwnershipRecord &record);
@@ -35,8 +36,13 @@
     // Silence after which another process claims: the validity, and what a renewal may take from
     // being sent to being read.
     Milliseconds silence{2000};
-    // Spreads the claims of several processes; a better candidate has less.
-    Milliseconds claimDelay{0};
+    // Added to the silence, and spread over candidates that are as good as the last owner.
+    Milliseconds claimSpread{120};
+    // A smaller candidate waits this long for each time that the last owner's share is larger.
+    Milliseconds smallerDelay{400};
+    Milliseconds smallerDelayMost{1200};
+    // Of the first claim ever, divided by the share: machines start at different moments.
+    Milliseconds firstDelay{200};
 };
 
 enum class LeadershipStep { None, Claim, Renew, Resign };
@@ -49,6 +55,7 @@
     EntryHostId self;
     std::string address;
     std::string incarnation;
+    double processorShare = 1.0;  // of a core
 
     std::optional<OwnershipRecord> last;  // newest record of the log
     TimePoint lastSeenAt{};  // when it was read here
@@ -66,6 +73,9 @@
 // Whether this process may give orders at `now`.
 bool mayOrder(const Leadership &leadership, TimePoint now);
 
+// How long this process lets better candidates claim first.
+Milliseconds claimDelay(const Leadership &leadership);
+
 // What has to be written now.
 LeadershipStep nextStep(const Leadership &leadership, TimePoint now);
 
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -137,9 +137,9 @@
         "None; the task starts again, since this run does not run and never will."};
 inline constexpr EventKind taskStopped{716, EventLevel::Info, "task-stopped",
                                        "task run worker inputs", "None."};
-inline constexpr EventKind taskRelieved{
-        717, EventLevel::Warning, "task-relieved", "task run worker inputs",
-        "If it repeats for one worker, look at that worker."};
+inline constexpr EventKind taskRelieved{717, EventLevel::Warning, "task-relieved",
+                                        "task run worker inputs",
+                                        "If it repeats for one worker, look at that worker."};
 inline constexpr EventKind jobEnded{718, EventLevel::Info, "job-ended", "task run worker inputs",
                                     "If state=failed, see task-ended of its tasks."};
 inline constexpr EventKind decisionsSuppressed{
--- a/src/poplarstream/edge/caller_duty.cpp
+++ b/src/poplarstream/edge/caller_duty.cpp
@@ -81,8 +81,7 @@
 {
     Result<jobs::JobSpec> spec = runtime_.decode.jobSpec(call.body);
     if (!spec) {
-        logEvent(events::jobRefused,
-                 {{"job", id.text()}, {"reason", spec.failure().message}});
+        logEvent(events::jobRefused, {{"job", id.text()}, {"reason", spec.failure().message}});
         reply(answerOf(AnswerKind::BadRequest, spec.failure().message));
         return;
     }
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -37,14 +37,14 @@
             takeOperator(records);
         };
         events.records = events.snapshot;
-        operatorFollower = std::make_unique<LogFollower>(runtime, Log::Operator,
-                                                         FollowerSettings{}, std::move(events));
-        leadership = std::make_unique<LeadershipDuty>(
-                runtime, LeadershipEvents{[weak = weak_from_this()] {
-                    if (const auto self = weak.lock()) {
-                        self->takeOwnership();
-                    }
-                }});
+        operatorFollower = std::make_unique<LogFollower>(runtime, Log::Operator, FollowerSettings{},
+                                                         std::move(events));
+        leadership = std::make_unique<LeadershipDuty>(runtime,
+                                                      LeadershipEvents{[weak = weak_from_this()] {
+                                                          if (const auto self = weak.lock()) {
+                                                              self->takeOwnership();
+                                                          }
+                                                      }});
     }
 
     void takeOperator(const std::vector<StoredRecord> &records)
@@ -190,8 +190,7 @@
             return;
         }
         PeerReply reply;
-        if (question.kind == PeerQuestion::Kind::Count
-            && !session->isCurrent(steadyNow())) {
+        if (question.kind == PeerQuestion::Kind::Count && !session->isCurrent(steadyNow())) {
             reply.kind = PeerReply::Kind::NotOwner;
         } else if (question.kind == PeerQuestion::Kind::Count) {
             reply.kind = PeerReply::Kind::Count;
@@ -212,14 +211,13 @@
         request.log = Log::Jobs;
         request.records = question.records;
         request.deadline = Milliseconds{800};
-        runtime.store.append(std::move(request),
-                             [done = std::move(done)](const AppendOutcome &outcome) {
-                                 const AppendResult result = outcome.result;
-                                 done({result == AppendResult::Stored ? PeerReply::Kind::Stored
-                                       : result == AppendResult::NotDone
-                                               ? PeerReply::Kind::NotStored
-                                               : PeerReply::Kind::NoAnswer});
-                             });
+        runtime.store.append(
+                std::move(request), [done = std::move(done)](const AppendOutcome &outcome) {
+                    const AppendResult result = outcome.result;
+                    done({result == AppendResult::Stored    ? PeerReply::Kind::Stored
+                          : result == AppendResult::NotDone ? PeerReply::Kind::NotStored
+                                                            : PeerReply::Kind::NoAnswer});
+                });
     }
 
     Runtime &runtime;
@@ -262,8 +260,7 @@
         respond(jsonResponse(404, "{}"));
         return;
     }
-    state_->answer(*question,
-                   [respond](const PeerReply &reply) { respond(responseFor(reply)); });
+    state_->answer(*question, [respond](const PeerReply &reply) { respond(responseFor(reply)); });
 }
 
 bool EntryProcess::isReady() const
--- a/src/poplarstream/edge/leadership_duty.cpp
+++ b/src/poplarstream/edge/leadership_duty.cpp
@@ -16,15 +16,6 @@
 constexpr std::string_view ownerKey = "owner";
 constexpr Milliseconds tick{50};
 constexpr Milliseconds writeDeadline{1200};
-// A larger share of a processor claims first.
-constexpr double claimDelayMs = 40.0;
-constexpr double claimDelayMostMs = 400.0;
-
-Milliseconds claimDelayOf(const Settings &settings)
-{
-    const double delay = claimDelayMs / std::max(settings.processorShare, 0.01);
-    return Milliseconds(static_cast<std::int64_t>(std::min(delay, claimDelayMostMs)));
-}
 
 }  // namespace
 
@@ -37,7 +28,7 @@
         leadership.self = runtime.settings.name;
         leadership.address = endpointText(runtime.settings.control);
         leadership.incarnation = fmt::format("{:x}", unixNowMs());
-        leadership.settings.claimDelay = claimDelayOf(runtime.settings);
+        leadership.processorShare = runtime.settings.processorShare;
     }
 
     void start()
--- a/src/poplarstream/edge/machine_duty.cpp
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -135,13 +135,12 @@
     void takeResult(const pools::MachineOrder &order, pools::OrderResult result)
     {
         const bool isMove = order.kind == pools::MachineOrder::Kind::Move;
-        logEvent(events::machineOrdered, {{"machine", order.machine.text()},
-                                          {"order", isMove ? "move" : "upkeep"},
-                                          {"to", isMove ? order.pool.text()
-                                                        : fmt::to_string(order.wave)},
-                                          {"result", std::string(resultText(result))}});
-        const auto wave =
-                pools::takeOrderResult(machines, engine, order, result, steadyNow());
+        logEvent(events::machineOrdered,
+                 {{"machine", order.machine.text()},
+                  {"order", isMove ? "move" : "upkeep"},
+                  {"to", isMove ? order.pool.text() : fmt::to_string(order.wave)},
+                  {"result", std::string(resultText(result))}});
+        const auto wave = pools::takeOrderResult(machines, engine, order, result, steadyNow());
         if (wave) {
             engine.notes.push_back(recordOf(machines.waves.at(*wave)));
         }
@@ -172,20 +171,20 @@
         AppendRequest request;
         request.log = Log::Status;
         request.records = {runtime.decode.waveStatus(wave.wave, wave.isCompleted)};
-        runtime.store.append(std::move(request), [weak = weak_from_this(), number,
-                                                  isCompleted = wave.isCompleted](
-                                                         const AppendOutcome &outcome) {
-            const auto self = weak.lock();
-            if (!self || self->isClosed) {
-                return;
-            }
-            self->reporting.erase(number);
-            if (outcome.result == AppendResult::Stored) {
-                self->reports[number] = isCompleted;
-                logEvent(events::waveReported, {{"wave", fmt::to_string(number)},
-                                                {"completed", isCompleted ? "yes" : "no"}});
-            }
-        });
+        runtime.store.append(
+                std::move(request), [weak = weak_from_this(), number,
+                                     isCompleted = wave.isCompleted](const AppendOutcome &outcome) {
+                    const auto self = weak.lock();
+                    if (!self || self->isClosed) {
+                        return;
+                    }
+                    self->reporting.erase(number);
+                    if (outcome.result == AppendResult::Stored) {
+                        self->reports[number] = isCompleted;
+                        logEvent(events::waveReported, {{"wave", fmt::to_string(number)},
+                                                        {"completed", isCompleted ? "yes" : "no"}});
+                    }
+                });
     }
 
     Runtime &runtime;
--- a/src/poplarstream/edge/order_sender.cpp
+++ b/src/poplarstream/edge/order_sender.cpp
@@ -41,24 +41,23 @@
     if (const auto *const look = std::get_if<engine::LookOrder>(&order)) {
         workers.look(*look, guarded([&engine, life = look->target.worker, number = look->number](
                                             const WorkerPort::LookOutcome &outcome) {
-                         if (outcome.isOtherLife) {
-                             engine::takeOtherLife(engine, life, steadyNow());
-                         } else {
-                             engine::takeLookAnswer(engine, life, number, outcome.answer,
-                                                    steadyNow());
-                         }
-                     }));
+            if (outcome.isOtherLife) {
+                engine::takeOtherLife(engine, life, steadyNow());
+            } else {
+                engine::takeLookAnswer(engine, life, number, outcome.answer, steadyNow());
+            }
+        }));
     } else if (const auto *const start = std::get_if<engine::StartOrder>(&order)) {
         const engine::AttemptRef ref{start->task, start->run};
         workers.start(*start, guarded([&engine, ref, life = start->target.worker](
                                               const WorkerPort::StartOutcome &outcome) {
-                          engine::takeStartResult(engine, ref, life, outcome.result,
-                                                  outcome.clockMs, steadyNow());
-                      }));
+            engine::takeStartResult(engine, ref, life, outcome.result, outcome.clockMs,
+                                    steadyNow());
+        }));
     } else if (const auto *const stop = std::get_if<engine::StopOrder>(&order)) {
         const engine::AttemptRef ref{stop->task, stop->run};
-        workers.stop(*stop, guarded([&engine, ref,
-                                     life = stop->target.worker](engine::StopResult result) {
+        workers.stop(*stop,
+                     guarded([&engine, ref, life = stop->target.worker](engine::StopResult result) {
                          engine::takeStopResult(engine, ref, life, result, steadyNow());
                      }));
     } else if (const auto *const pace = std::get_if<engine::PaceOrder>(&order)) {
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -10,7 +10,6 @@
 #include "poplarstream/edge/stored_jobs.hpp"  // for applyJobRecord
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
 #include "poplarstream/engine/evidence.hpp"  // for relieveStragglers
-#include "poplarstream/engine/evidence.hpp"  // for relieveStragglers
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
 #include "poplarstream/engine/planning.hpp"  // for planStarts
@@ -24,9 +23,13 @@
 // Orders are given this long after the last confirmed renewal to keep what runs alive through an
 // outage of the store. A successor waits as long before it gives up a silent worker.
 constexpr Milliseconds extendFor{8000};
-constexpr Milliseconds tick{50};
+constexpr Milliseconds tick{40};
 // Waiting tasks are looked at again this often, for delays that have passed.
 constexpr Milliseconds planPeriod{100};
+// Events that come within this time are planned for together: a plan looks at every waiting job.
+constexpr Milliseconds planGap{8};
+// Answers that arrive together are worked off together.
+constexpr Milliseconds pumpGap{4};
 // The registry is read this often; draining workers are noticed well within a second.
 constexpr Milliseconds registryPause{250};
 // A lookup of an unknown job is answered with certainty only from a feed as fresh as this.
@@ -80,29 +83,28 @@
     void loadProgress()
     {
         FollowerEvents events;
-        events.snapshot = guarded([](State &self, std::vector<StoredRecord> records,
-                                     std::int64_t) {
+        events.snapshot = guarded([](State &self, std::vector<StoredRecord> records, std::int64_t) {
             self.progress = std::move(records);
             // The follower that called this must not be destroyed within its call.
             callAfter(self.runtime, Milliseconds{0},
                       self.guarded([](State &later) { later.loadJobs(); }));
         });
         events.records = [](const std::vector<StoredRecord> &, std::int64_t) {};
-        progressFollower = std::make_unique<LogFollower>(runtime, Log::Progress,
-                                                         FollowerSettings{}, std::move(events));
+        progressFollower = std::make_unique<LogFollower>(runtime, Log::Progress, FollowerSettings{},
+                                                         std::move(events));
     }
 
     void loadJobs()
     {
         progressFollower.reset();
         FollowerEvents events;
-        events.snapshot = guarded(
-                [](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
+        events.snapshot =
+                guarded([](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
                     self.takeJobs(records);
                     self.finishLoading();
                 });
-        events.records = guarded(
-                [](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
+        events.records =
+                guarded([](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
                     self.takeJobs(records);
                     self.pump();
                 });
@@ -151,18 +153,14 @@
     void followRegistry()
     {
         FollowerEvents events;
-        events.snapshot = guarded(
-                [](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
-                    self.takeRegistry(records, true);
-                });
-        events.records = guarded(
-                [](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
-                    self.takeRegistry(records, false);
-                });
+        events.snapshot = guarded([](State &self, const std::vector<StoredRecord> &records,
+                                     std::int64_t) { self.takeRegistry(records, true); });
+        events.records = guarded([](State &self, const std::vector<StoredRecord> &records,
+                                    std::int64_t) { self.takeRegistry(records, false); });
         FollowerSettings settings;
         settings.pause = registryPause;
-        registryFollower = std::make_unique<LogFollower>(runtime, Log::Registry, settings,
-                                                         std::move(events));
+        registryFollower =
+                std::make_unique<LogFollower>(runtime, Log::Registry, settings, std::move(events));
     }
 
     void takeRegistry(const std::vector<StoredRecord> &records, bool isWhole)
@@ -198,6 +196,7 @@
     void keepTicking()
     {
         const TimePoint now = steadyNow();
+        engine::relieveStragglers(engine, now);
         if (now >= nextPlanAt) {
             nextPlanAt = now + planPeriod;
             engine::tickJobs(engine, moment());
@@ -224,8 +223,8 @@
                 request.records.push_back(std::move(record));
             }
         }
-        runtime.store.append(std::move(request), guarded([ids](State &self,
-                                                               const AppendOutcome &outcome) {
+        runtime.store.append(std::move(request),
+                             guarded([ids](State &self, const AppendOutcome &outcome) {
                                  self.isDropping = false;
                                  for (const engine::JobId &id : ids) {
                                      if (outcome.result == AppendResult::Stored) {
@@ -249,7 +248,7 @@
         if (engine.needsPlan) {
             engine::evacuate(engine, now);
             engine::relieveStragglers(engine, now);
-            //engine::relieveStragglers(engine, now);
+            // engine::relieveStragglers(engine, now);
             engine::planStarts(engine, now);
         }
         if (now < hooks.confirmedAt() + extendFor) {
@@ -283,14 +282,13 @@
         }
     }
 
-    // Answers that arrive together are worked off together.
     void pumpSoon()
     {
         if (isPumpPending) {
             return;
         }
         isPumpPending = true;
-        callAfter(runtime, Milliseconds{1}, guarded([](State &self) {
+        callAfter(runtime, pumpGap, guarded([](State &self) {
                       self.isPumpPending = false;
                       self.pump();
                   }));
@@ -311,6 +309,7 @@
     std::unique_ptr<LogFollower> registryFollower;
     std::uint64_t unreadableEntries = 0;
     TimePoint nextPlanAt{};
+    TimePoint plannedAt{};
     bool isLoaded = false;
     bool isDropping = false;
     bool isPumping = false;
--- a/src/poplarstream/edge/stored_jobs.cpp
+++ b/src/poplarstream/edge/stored_jobs.cpp
@@ -67,7 +67,8 @@
         const jobs::JobId id(record.key);
         const jobs::Job *const known = engine::findJob(engine, id);
         const bool wasCancelled = known != nullptr && known->state == jobs::JobState::Cancelled;
-        const Result<bool> applied = engine::adoptProgress(engine, id, *record.value, lapsedAt, now);
+        const Result<bool> applied =
+                engine::adoptProgress(engine, id, *record.value, lapsedAt, now);
         if (!applied) {
             logUnreadable("progress", record, applied.failure().message);
         }
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -64,8 +64,7 @@
 {
     Worker *const worker = findWorker(engine, life);
     jobs::Job *const job = findJob(engine, ref.task.job);
-    if (worker != nullptr && job != nullptr
-        && worker->attempts.emplace(ref, settledBy).second) {
+    if (worker != nullptr && job != nullptr && worker->attempts.emplace(ref, settledBy).second) {
         worker->used += roomOf(stepOf(*job, ref.task));
     }
 }
@@ -109,8 +108,7 @@
     }
     attempt->phase = jobs::AttemptPhase::Stopping;
     note(engine, DecisionKind::TaskStopped, ref, life.id,
-         fmt::format("percent={} age_ms={}", attempt->percent,
-                     (now - attempt->startedAt).count()));
+         fmt::format("percent={} age_ms={}", attempt->percent, (now - attempt->startedAt).count()));
     const Worker *const worker = findWorker(engine, life);
     if (worker != nullptr && !worker->isGone && !worker->entry.address.empty()) {
         engine.orders.emplace_back(StopOrder{targetOf(engine, *worker), ref.task, ref.run});
@@ -128,9 +126,9 @@
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
                 for (const jobs::Attempt &attempt : occurrence.steps[step][index].attempts) {
-                    attempts.push_back({{id, number, static_cast<int>(step),
-                                         static_cast<int>(index)},
-                                        attempt.run});
+                    attempts.push_back(
+                            {{id, number, static_cast<int>(step), static_cast<int>(index)},
+                             attempt.run});
                 }
             }
         }
--- a/src/poplarstream/engine/evacuation.cpp
+++ b/src/poplarstream/engine/evacuation.cpp
@@ -47,8 +47,7 @@
     jobs::Job &job = engine.jobs.at(ref.task.job);
     const jobs::StepSpec &step = stepOf(job, ref.task);
     const jobs::Attempt *const attempt = findAttempt(engine, ref);
-    if (!step.longRunning || attempt == nullptr
-        || attempt->phase != jobs::AttemptPhase::Running) {
+    if (!step.longRunning || attempt == nullptr || attempt->phase != jobs::AttemptPhase::Running) {
         return;
     }
     const jobs::Occurrence &occurrence = job.occurrences.at(ref.task.occurrence);
@@ -68,8 +67,7 @@
 {
     for (const auto &[life, worker] : engine.workers) {
         const bool mustLeave = worker.entry.isDraining && worker.isListed;
-        if (worker.isGone || worker.contact != Contact::Open
-            || !(mustLeave || worker.isCordoned)) {
+        if (worker.isGone || worker.contact != Contact::Open || !(mustLeave || worker.isCordoned)) {
             continue;
         }
         const auto attempts = worker.attempts;
--- a/src/poplarstream/engine/evidence.cpp
+++ b/src/poplarstream/engine/evidence.cpp
@@ -40,8 +40,7 @@
     if (!attempt.isStraggler) {
         note(engine, DecisionKind::TaskRelieved, ref, attempt.worker.id,
              fmt::format("percent={} age_ms={} unmoved_ms={}", attempt.percent,
-                         (now - attempt.startedAt).count(),
-                         (now - attempt.progressedAt).count()));
+                         (now - attempt.startedAt).count(), (now - attempt.progressedAt).count()));
     }
     attempt.isStraggler = true;
     engine.needsPlan = true;
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -44,8 +44,7 @@
                         newest = std::max(newest, attempt.worker);
                     }
                     worker.leaseUntil = std::max(worker.leaseUntil, lapsedAt);
-                    const TaskRef task{id, number, static_cast<int>(step),
-                                       static_cast<int>(index)};
+                    const TaskRef task{id, number, static_cast<int>(step), static_cast<int>(index)};
                     // The first look at this worker with this owner's token settles it.
                     attach(engine, {task, attempt.run}, attempt.worker, 1);
                 }
@@ -121,8 +120,7 @@
     }
     std::vector<JobId> old;
     for (const auto &[id, job] : engine.jobs) {
-        if (jobs::isFinal(job.state) && !engine.active.contains(id)
-            && !engine.dirty.contains(id)
+        if (jobs::isFinal(job.state) && !engine.active.contains(id) && !engine.dirty.contains(id)
             && job.endedAt + engine.limits.statusKept * 2 < now.steady) {
             old.push_back(id);
         }
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -26,7 +26,7 @@
 // Smaller is better. Long-running tasks share workers with others of their kind, but spread over
 // racks; all fill the fullest worker, so that idle workers can be given away.
 std::tuple<int, int, int, std::int64_t> costOf(const Site &site, const jobs::StepSpec &step,
-                                                    const Spread &spread)
+                                               const Spread &spread)
 {
     const WorkerEntry &entry = site.worker->entry;
     const bool isRemote = !step.affinityRack.empty() && entry.rack.text() != step.affinityRack;
@@ -92,8 +92,8 @@
     Site *best = nullptr;
     for (Site &site : sites) {
         const WorkerLife &life = site.worker->entry.life;
-        const bool isFull = step.antiAffinity > 0
-                            && countAt(spread.onWorker, life) >= step.antiAffinity;
+        const bool isFull =
+                step.antiAffinity > 0 && countAt(spread.onWorker, life) >= step.antiAffinity;
         if (!need.fits(site.room) || isFull || !isSuitable(site, step) || disturbs(site, step)
             || (rack != nullptr && site.worker->entry.rack != *rack)
             || std::find(avoid.begin(), avoid.end(), life) != avoid.end()) {
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -25,16 +25,15 @@
 
 TaskRef refOf(const StepPlace &place, std::size_t index)
 {
-    return {place.job.submission.id, place.occurrenceNumber, place.step,
-            static_cast<int>(index)};
+    return {place.job.submission.id, place.occurrenceNumber, place.step, static_cast<int>(index)};
 }
 
 void enter(Engine &engine, const StepPlace &place, std::size_t index, int run, Site &site,
            Spread &spread, TimePoint now)
 {
-    const jobs::StepSpec &step = place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
-    jobs::Task &task =
-            place.occurrence.steps[static_cast<std::size_t>(place.step)][index];
+    const jobs::StepSpec &step =
+            place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
+    jobs::Task &task = place.occurrence.steps[static_cast<std::size_t>(place.step)][index];
     jobs::Attempt attempt;
     attempt.run = run;
     attempt.worker = site.worker->entry.life;
@@ -62,13 +61,13 @@
 bool mayRetryWhereItFailed(const jobs::Task &task, const jobs::StepSpec &step,
                            const std::vector<Site> &sites)
 {
-    return !task.failedOn.empty()
-           && (step.longRunning || task.failedOn.size() >= sites.size());
+    return !task.failedOn.empty() && (step.longRunning || task.failedOn.size() >= sites.size());
 }
 
 void planTasks(Engine &engine, const StepPlace &place, std::vector<Site> &sites, TimePoint now)
 {
-    const jobs::StepSpec &step = place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
+    const jobs::StepSpec &step =
+            place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
     Spread spread = spreadOf(engine, place.occurrence, place.step);
     auto &tasks = place.occurrence.steps[static_cast<std::size_t>(place.step)];
     for (std::size_t index = 0; index < tasks.size(); ++index) {
@@ -80,10 +79,11 @@
         if (site == nullptr && mayRetryWhereItFailed(task, step, sites)) {
             site = chooseSite(sites, step, spread, {}, nullptr);
         }
-        if (site == nullptr) {
-            continue;
+        if (site != nullptr) {
+            enter(engine, place, index, task.lastRun + 1, *site, spread, now);
+        } else if (task.failedOn.empty()) {
+            return;  // the others of the step need the same
         }
-        enter(engine, place, index, task.lastRun + 1, *site, spread, now);
     }
 }
 
@@ -125,7 +125,8 @@
 
 void planGang(Engine &engine, const StepPlace &place, std::vector<Site> &sites, TimePoint now)
 {
-    const jobs::StepSpec &step = place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
+    const jobs::StepSpec &step =
+            place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
     auto &tasks = place.occurrence.steps[static_cast<std::size_t>(place.step)];
     int run = 0;
     std::string checkpoint;
@@ -151,8 +152,8 @@
 bool needsCopy(const Engine &engine, const jobs::Attempt &attempt, TimePoint now)
 {
     const auto worker = engine.workers.find(attempt.worker);
-    return attempt.isStraggler || attempt.startedAt + copyAfter < now || worker == engine.workers.end()
-           || worker->second.contact != Contact::Open;
+    return attempt.isStraggler || attempt.startedAt + copyAfter < now
+           || worker == engine.workers.end() || worker->second.contact != Contact::Open;
 }
 
 // Starts copies of tasks that are in trouble, with what room is left.
@@ -174,13 +175,13 @@
                     continue;
                 }
                 const StepPlace place{job, occurrence, number, static_cast<int>(i)};
-                Spread spread = spreadOf(engine, occurrence, place.step);
                 for (std::size_t index = 0; index < occurrence.steps[i].size(); ++index) {
                     const jobs::Task &task = occurrence.steps[i][index];
                     if (task.isDone || task.attempts.size() != 1
                         || !needsCopy(engine, task.attempts[0], now)) {
                         continue;
                     }
+                    Spread spread = spreadOf(engine, occurrence, place.step);
                     Site *const site = chooseSite(own->second, step, spread,
                                                   {task.attempts[0].worker}, nullptr);
                     if (site != nullptr) {
@@ -192,6 +193,18 @@
     }
 }
 
+// The most of each resource that any site has left.
+jobs::Resources largestRoom(const std::vector<Site> &sites)
+{
+    jobs::Resources largest;
+    for (const Site &site : sites) {
+        largest.cpuMilli = std::max(largest.cpuMilli, site.room.cpuMilli);
+        largest.memoryMb = std::max(largest.memoryMb, site.room.memoryMb);
+        largest.gpus = std::max(largest.gpus, site.room.gpus);
+    }
+    return largest;
+}
+
 }  // namespace
 
 void planStarts(Engine &engine, TimePoint now)
@@ -203,11 +216,14 @@
     std::map<ServiceId, std::vector<Site>> sites;
     for (auto &[service, steps] : rankWaitingSteps(engine, now)) {
         auto &own = sites[service] = openSites(engine, service, now);
+        const jobs::Resources largest = largestRoom(own);
         for (const WaitingStep &waiting : steps) {
-            const StepPlace place{*waiting.job,
-                                  waiting.job->occurrences.at(waiting.occurrence),
+            const StepPlace place{*waiting.job, waiting.job->occurrences.at(waiting.occurrence),
                                   waiting.occurrence, waiting.step};
             const auto index = static_cast<std::size_t>(waiting.step);
+            if (!roomOf(waiting.job->submission.spec.steps[index]).fits(largest)) {
+                continue;
+            }
             if (waiting.job->submission.spec.steps[index].gang) {
                 planGang(engine, place, own, now);
             } else {
--- a/src/poplarstream/engine/ranking.cpp
+++ b/src/poplarstream/engine/ranking.cpp
@@ -44,7 +44,7 @@
 
 Prospect prospectOf(const jobs::Job &job, const jobs::Occurrence &occurrence, TimePoint now)
 {
-    if (jobs::isLongRunning(job)) {
+    if (job.isLongRunning) {
         return Prospect::Lasting;
     }
     const TimePoint objective = jobs::objective(job, occurrence);
@@ -78,7 +78,6 @@
                 waiting[serviceOf(engine, job)].push_back(
                         {&job, number, step, prospectOf(job, occurrence, now),
                          job.submission.policy.priority, hasStarted(occurrence),
-                         jobs::declaredWork(job.submission.spec),
                          jobs::objective(job, occurrence)});
             }
         }
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -84,8 +84,8 @@
          fmt::format("end={} number={}", endText(report.end), report.number));
     if (effect.jobEnded) {
         note(engine, DecisionKind::JobEnded, ref, worker.entry.life.id,
-             fmt::format("state={}", job->state == jobs::JobState::Completed ? "completed"
-                                                                             : "failed"));
+             fmt::format("state={}",
+                         job->state == jobs::JobState::Completed ? "completed" : "failed"));
     }
     markDirty(engine, *job);
     engine.needsPlan = true;
@@ -129,8 +129,8 @@
 }
 
 // Frees attempts that the worker does not have and, by the order of calls, never will.
-void settleAbsent(Engine &engine, Worker &worker, std::int64_t lookNumber,
-                  const LookAnswer &answer, TimePoint now)
+void settleAbsent(Engine &engine, Worker &worker, std::int64_t lookNumber, const LookAnswer &answer,
+                  TimePoint now)
 {
     std::set<AttemptRef> present;
     for (const RunningReport &report : answer.running) {
@@ -145,8 +145,7 @@
     for (const AttemptRef &ref : absent) {
         release(engine, ref, worker.entry.life, now);
     }
-    std::erase_if(worker.strangers,
-                  [&](const AttemptRef &ref) { return !present.contains(ref); });
+    std::erase_if(worker.strangers, [&](const AttemptRef &ref) { return !present.contains(ref); });
 }
 
 // Stops whose effect is still missing are sent again.
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -13,8 +13,7 @@
 
 using nlohmann::json;
 
-constexpr std::string_view stateTexts[] = {"queued", "running", "completed", "failed",
-                                           "cancelled"};
+constexpr std::string_view stateTexts[] = {"queued", "running", "completed", "failed", "cancelled"};
 
 json resourcesJson(const Resources &need)
 {
@@ -104,10 +103,10 @@
     json steps = json::array();
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
         const auto &tasks = occurrence.steps[i];
-        const bool isSettled =
-                occurrence.remaining[i] == 0
-                && std::all_of(tasks.begin(), tasks.end(),
-                               [](const Task &task) { return task.attempts.empty(); });
+        const bool isSettled = occurrence.remaining[i] == 0
+                               && std::all_of(tasks.begin(), tasks.end(), [](const Task &task) {
+                                      return task.attempts.empty();
+                                  });
         if (isSettled) {
             steps.push_back(1);
             continue;
--- a/src/poplarstream/jobs/codec_test.cpp
+++ b/src/poplarstream/jobs/codec_test.cpp
@@ -104,7 +104,8 @@
     EXPECT_FALSE(decodeSubmission("{\"id\":\"x\"}"));
 }
 
-// Guards against timed jobs that start early, are left out after a pause, or count as done too soon.
+// Guards against timed jobs that start early, are left out after a pause, or count as done too
+// soon.
 TEST(JobCommands, Occurrences)
 {
     Submission timed = submission({stepOf(1)});
@@ -136,8 +137,7 @@
     for (int index = 0; index < 3; ++index) {
         findTask(job, {job.submission.id, 0, 0, index})->attempts.push_back(Attempt{.run = 1});
     }
-    const EndEffect effect =
-            recordEnd(job, {job.submission.id, 0, 0, 1}, 1, RunEnd::Done, "", now);
+    const EndEffect effect = recordEnd(job, {job.submission.id, 0, 0, 1}, 1, RunEnd::Done, "", now);
     EXPECT_TRUE(effect.jobEnded);
     EXPECT_EQ(job.state, JobState::Completed);
 }
--- a/src/poplarstream/jobs/commands.cpp
+++ b/src/poplarstream/jobs/commands.cpp
@@ -75,6 +75,8 @@
     const std::int64_t age = std::max<std::int64_t>(nowUnixMs - submission.acceptedUnixMs, 0);
     job.acceptedAt = now - Milliseconds(age);
     job.submission = std::move(submission);
+    job.criticalPath = criticalPath(job.submission.spec);
+    job.isLongRunning = hasLongRunning(job.submission.spec);
     openDueOccurrences(job, now, nowUnixMs);
     return job;
 }
--- a/src/poplarstream/jobs/queries.cpp
+++ b/src/poplarstream/jobs/queries.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>  // for all_of, any_of, max, find_if
 
+#include <boost/container/small_vector.hpp>  // for small_vector
+
 namespace poplarstream::jobs {
 
 namespace {
@@ -10,7 +12,7 @@
 template <class Counts>
 Milliseconds longestChain(const JobSpec &spec, Counts counts)
 {
-    std::vector<Milliseconds> finish(spec.steps.size(), Milliseconds{0});
+    boost::container::small_vector<Milliseconds, 8> finish(spec.steps.size(), Milliseconds{0});
     Milliseconds longest{0};
     for (std::size_t i = 0; i < spec.steps.size(); ++i) {
         Milliseconds begin{0};
@@ -73,15 +75,14 @@
 TimePoint objective(const Job &job, const Occurrence &occurrence)
 {
     const QueuePolicy &policy = job.submission.policy;
-    const auto path = static_cast<double>(criticalPath(job.submission.spec).count());
+    const auto path = static_cast<double>(job.criticalPath.count());
     return occurrence.dueAt + Milliseconds(static_cast<std::int64_t>(path * policy.stretch))
            + policy.completionTarget;
 }
 
-bool isLongRunning(const Job &job)
+bool hasLongRunning(const JobSpec &spec)
 {
-    const auto &steps = job.submission.spec.steps;
-    return std::any_of(steps.begin(), steps.end(),
+    return std::any_of(spec.steps.begin(), spec.steps.end(),
                        [](const StepSpec &step) { return step.longRunning; });
 }
 
@@ -107,13 +108,4 @@
     return found == task.attempts.end() ? nullptr : &*found;
 }
 
-double declaredWork(const JobSpec &spec)
-{
-    double work = 0;
-    for (const StepSpec &step : spec.steps) {
-        work += static_cast<double>(step.need.cpuMilli * step.estimate.count()) * step.count;
-    }
-    return work;
-}
-
 }  // namespace poplarstream::jobs
--- a/src/poplarstream/main/entry.cpp
+++ b/src/poplarstream/main/entry.cpp
@@ -85,8 +85,7 @@
                && open(settings.control,
                        [this](const HttpRequest &request, const HttpRespond &respond) {
                            if (request.target == "/metrics") {
-                               respond({200, {{"Content-Type", "text/plain"}},
-                                        process_.metrics()});
+                               respond({200, {{"Content-Type", "text/plain"}}, process_.metrics()});
                            } else {
                                process_.takePeer(request, respond);
                            }
@@ -165,9 +164,9 @@
 int entry(const CommandLine &line)
 {
     const char *const fromEnvironment = std::getenv("POPLARSTREAM_CONFIG");
-    const std::string path = !line.settingsFile.empty()     ? line.settingsFile
-                             : fromEnvironment != nullptr   ? std::string(fromEnvironment)
-                                                            : std::string();
+    const std::string path = !line.settingsFile.empty()   ? line.settingsFile
+                             : fromEnvironment != nullptr ? std::string(fromEnvironment)
+                                                          : std::string();
     if (path.empty() || !line.operands.empty()) {
         return exitUsage;
     }
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/rendezvous.hpp"  // for stableHash
+
 namespace poplarstream::ownership {
 
 namespace {
@@ -13,6 +15,9 @@
 
 constexpr std::string_view kindTexts[] = {"claim", "renewal", "resignation"};
 
+constexpr double leastShare = 0.01;
+constexpr std::uint64_t spreadSteps = 1000;
+
 bool isOwn(const Leadership &leadership, const OwnershipRecord &record)
 {
     return record.owner == leadership.self && record.incarnation == leadership.incarnation;
@@ -26,7 +31,8 @@
                 {"epoch", record.epoch},
                 {"owner", record.owner.text()},
                 {"address", record.address},
-                {"incarnation", record.incarnation}}
+                {"incarnation", record.incarnation},
+                {"share", record.processorShare}}
             .dump();
 }
 
@@ -48,6 +54,7 @@
         record.owner = EntryHostId(value.at("owner").get<std::string>());
         record.address = value.at("address").get<std::string>();
         record.incarnation = value.at("incarnation").get<std::string>();
+        record.processorShare = value.at("share").get<double>();
         return record;
     } catch (const json::exception &) {
         return {};
@@ -66,6 +73,23 @@
            && now < leadership.confirmedAt + leadership.settings.validity;
 }
 
+Milliseconds claimDelay(const Leadership &leadership)
+{
+    const LeadershipSettings &settings = leadership.settings;
+    const double share = std::max(leadership.processorShare, leastShare);
+    const auto times = [](Milliseconds unit, double factor) {
+        return Milliseconds(static_cast<std::int64_t>(static_cast<double>(unit.count()) * factor));
+    };
+    if (!leadership.last) {
+        return times(settings.firstDelay, 1 / share);
+    }
+    const auto spread =
+            static_cast<double>(stableHash(leadership.self.text()) % spreadSteps) / spreadSteps;
+    const double behind = std::max(leadership.last->processorShare / share - 1, 0.0);
+    return times(settings.claimSpread, spread)
+           + std::min(times(settings.smallerDelay, behind), settings.smallerDelayMost);
+}
+
 LeadershipStep nextStep(const Leadership &leadership, TimePoint now)
 {
     const LeadershipSettings &settings = leadership.settings;
@@ -85,7 +109,8 @@
     // An earlier process of this entry host has ended, or this one would not run.
     const bool isFree = !leadership.last || leadership.last->kind == Kind::Resignation
                         || leadership.last->owner == leadership.self;
-    const Milliseconds wait = (isFree ? Milliseconds{0} : settings.silence) + settings.claimDelay;
+    const Milliseconds wait =
+            (isFree ? Milliseconds{0} : settings.silence) + claimDelay(leadership);
     return now >= leadership.lastSeenAt + wait ? LeadershipStep::Claim : LeadershipStep::None;
 }
 
@@ -94,8 +119,9 @@
     leadership.isWriting = true;
     leadership.wantsRenewal = false;
     leadership.writtenAt = now;
-    OwnershipRecord record{Kind::Renewal, leadership.last ? leadership.last->epoch : 0,
-                           leadership.self, leadership.address, leadership.incarnation};
+    OwnershipRecord record{Kind::Renewal,          leadership.last ? leadership.last->epoch : 0,
+                           leadership.self,        leadership.address,
+                           leadership.incarnation, leadership.processorShare};
     if (step == LeadershipStep::Claim) {
         record.kind = Kind::Claim;
         ++record.epoch;
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -55,6 +55,7 @@
     Leadership b = process("b");
     log.show(a, now);
     log.show(b, now);
+    now += Milliseconds{200};
     EXPECT_TRUE(log.step(a, now));
     EXPECT_FALSE(log.step(b, now));
     EXPECT_TRUE(mayOrder(a, now));
@@ -71,6 +72,7 @@
     Leadership a = process("a");
     Leadership b = process("b");
     log.show(a, now);
+    now += Milliseconds{200};
     ASSERT_TRUE(log.step(a, now));
     log.show(b, now);
     const TimePoint lastConfirmed = now;
@@ -99,6 +101,7 @@
     Leadership a = process("a");
     Leadership b = process("b");
     log.show(a, now);
+    now += Milliseconds{200};
     ASSERT_TRUE(log.step(a, now));
     log.show(b, now);
     now += Milliseconds{50};
@@ -107,6 +110,7 @@
     ASSERT_TRUE(log.step(a, now));
     EXPECT_EQ(log.records.back().kind, Kind::Resignation);
     log.show(b, now);
+    now += b.settings.claimSpread;
     EXPECT_TRUE(log.step(b, now));
     EXPECT_EQ(nextStep(a, now + Milliseconds{9000}), LeadershipStep::None);
 }
@@ -115,9 +119,10 @@
 TEST(Leadership, RestartedOwnerClaimsAgainWithAHigherEpoch)
 {
     Log log;
-    const TimePoint now = timePoint(10'000);
+    TimePoint now = timePoint(10'000);
     Leadership a = process("a");
     log.show(a, now);
+    now += Milliseconds{200};
     ASSERT_TRUE(log.step(a, now));
     Leadership again = process("a");
     again.incarnation = "2";
@@ -127,12 +132,29 @@
     EXPECT_EQ(log.records.back().epoch, 2);
 }
 
+// Guards against the smallest machine doing the largest work.
+TEST(Leadership, SmallerCandidatesWaitLonger)
+{
+    Leadership large = process("large");
+    large.processorShare = 0.5;
+    Leadership small = process("small");
+    small.processorShare = 0.125;
+    EXPECT_GE(claimDelay(small), claimDelay(large) + Milliseconds{1000});
+    OwnershipRecord last;
+    last.owner = EntryHostId("gone");
+    last.processorShare = 0.5;
+    observe(large, last, 1, timePoint(1));
+    observe(small, last, 1, timePoint(1));
+    EXPECT_LE(claimDelay(large), large.settings.claimSpread);
+    EXPECT_GE(claimDelay(small), claimDelay(large) + Milliseconds{1000});
+}
+
 // Guards against an order that rests on a renewal of half a second ago: the network may have been
 // cut since, and would deliver the order after the successor's.
 TEST(Leadership, RenewalOnRequest)
 {
     Log log;
-    const TimePoint now = timePoint(10'000);
+    TimePoint now = timePoint(10'000);
     Leadership a = process("a");
     log.show(a, now);
     a.wantsRenewal = true;
--- a/src/poplarstream/pools/demand.cpp
+++ b/src/poplarstream/pools/demand.cpp
@@ -37,8 +37,8 @@
 int ceilDiv(double amount, std::int64_t capacity)
 {
     return capacity <= 0 ? 0
-                         : static_cast<int>(std::ceil(amount / (static_cast<double>(capacity)
-                                                                * fillable)));
+                         : static_cast<int>(
+                                 std::ceil(amount / (static_cast<double>(capacity) * fillable)));
 }
 
 }  // namespace
@@ -50,9 +50,9 @@
         const jobs::Job &job = engine.jobs.at(id);
         Demand &demand = demands[engine::serviceOf(engine, job)];
         for (const auto &[number, occurrence] : job.occurrences) {
-            const bool counts = !jobs::isFinal(job.state)
-                                && engine::prospectOf(job, occurrence, now)
-                                           != engine::Prospect::TooLate;
+            const bool counts =
+                    !jobs::isFinal(job.state)
+                    && engine::prospectOf(job, occurrence, now) != engine::Prospect::TooLate;
             for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
                 const bool isReady = jobs::isStepReady(job, occurrence, static_cast<int>(i));
                 addStep(demand, occurrence, job.submission.spec.steps[i], i, counts && isReady,
--- a/src/poplarstream/pools/moves.cpp
+++ b/src/poplarstream/pools/moves.cpp
@@ -32,13 +32,11 @@
            && worker->contact == engine::Contact::Open && !worker->entry.isDraining;
 }
 
-std::map<ServiceId, PoolMembers> membersOf(Pools &pools, engine::Engine &engine,
-                                           TimePoint now)
+std::map<ServiceId, PoolMembers> membersOf(Pools &pools, engine::Engine &engine, TimePoint now)
 {
     std::map<ServiceId, PoolMembers> members;
     for (auto &[id, view] : pools.machines) {
-        const bool isLeaving = view.pending
-                               && view.pending->order.kind == MachineOrder::Kind::Move;
+        const bool isLeaving = view.pending && view.pending->order.kind == MachineOrder::Kind::Move;
         const ServiceId &pool = isLeaving ? view.pending->order.pool : view.machine.pool;
         PoolMembers &own = members[pool];
         const bool isInUpkeep =
@@ -133,11 +131,11 @@
     const std::map<ServiceId, Demand> demands = demandByService(engine, now);
     for (const auto &[service, settings] : engine.services) {
         const auto demand = demands.find(service);
-        const int needed = demand == demands.end()
-                                   ? 0
-                                   : machinesFor(demand->second,
-                                                 capacityOf(members[service], pools),
-                                                 members[service].open);
+        const int needed =
+                demand == demands.end()
+                        ? 0
+                        : machinesFor(demand->second, capacityOf(members[service], pools),
+                                      members[service].open);
         pools.needs[service].wanted = settings.isStandby ? 0 : std::max(needed, leastMachines);
     }
     for (auto &[service, need] : pools.needs) {
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -40,7 +40,8 @@
             view = std::move(known->second);
             const jobs::WorkerId &before = view.machine.worker;
             const auto life = engine.lives.find(before);
-            const bool hasNewLife = view.changedAt < askedAt && !machine.worker.isEmpty() && machine.worker != before;
+            const bool hasNewLife = view.changedAt < askedAt && !machine.worker.isEmpty()
+                                    && machine.worker != before;
             if (hasNewLife && life != engine.lives.end()) {
                 engine::endWorkerLife(engine, life->second, now);
             }
@@ -55,8 +56,7 @@
     for (auto &[number, wave] : pools.waves) {
         std::erase_if(wave.away, [&](const MachineId &id) {
             const auto found = pools.machines.find(id);
-            return found == pools.machines.end()
-                   || isInOrder(found->second.machine);
+            return found == pools.machines.end() || isInOrder(found->second.machine);
         });
     }
 }
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -113,8 +113,8 @@
     {
         SCOPED_TRACE("then it goes when the task has ended");
         deployment.scene.look();
-        deployment.scene.answer(
-                "w1", {}, {{1, engine::test::Scene::ref().task, 1, jobs::RunEnd::Done, ""}});
+        deployment.scene.answer("w1", {},
+                                {{1, engine::test::Scene::ref().task, 1, jobs::RunEnd::Done, ""}});
         const auto orders = deployment.plan();
         ASSERT_EQ(orders.size(), 1U);
         EXPECT_EQ(orders[0].kind, MachineOrder::Kind::Upkeep);
