--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -245,10 +245,9 @@
         isPumping = true;
         const TimePoint now = steadyNow();
         engine.mayStart = hooks.mayOrder();
-        if (engine.needsPlan) {
+        if (engine.needsPlan && now >= plannedAt + planGap) {
+            plannedAt = now;
             engine::evacuate(engine, now);
-            engine::relieveStragglers(engine, now);
-            // engine::relieveStragglers(engine, now);
             engine::planStarts(engine, now);
         }
         if (now < hooks.confirmedAt() + extendFor) {
--- a/src/poplarstream/engine/evidence.cpp
+++ b/src/poplarstream/engine/evidence.cpp
@@ -23,9 +23,6 @@
 constexpr Milliseconds reportLag{800};
 // Stragglers on one worker before it is set aside: a single one may be a long task.
 constexpr int stragglersBeforeSuspicion = 3;
-// A new start has to promise to be this much faster than staying.
-constexpr double restartFactor = 1.3;
-constexpr double restartMs = 200;
 
 bool standsStill(const Worker &worker, const jobs::Attempt &attempt, TimePoint now)
 {
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -94,7 +94,7 @@
     if (job == nullptr) {
         return Failure{"progress of a job that was not handed in", id.text()};
     }
-    const Result<bool> applied = jobs::applyProgress(*job, text);
+    Result<bool> applied = jobs::applyProgress(*job, text);
     if (applied) {
         job->endedAt = now;
         adoptAttempts(engine, *job, lapsedAt);
--- a/src/poplarstream/main/entry.cpp
+++ b/src/poplarstream/main/entry.cpp
@@ -54,7 +54,7 @@
 class EntryServers
 {
 public:
-    EntryServers(boost::asio::io_context &io, edge::Settings settings)
+    EntryServers(boost::asio::io_context &io, const edge::Settings &settings)
         : io_(io)
         , stores_(io)
         , workers_(io, workerLimits())
