--- a/include/poplarstream/telemetry/event.hpp
+++ b/include/poplarstream/telemetry/event.hpp
@@ -33,7 +33,8 @@
 std::string formatEvent(const EventKind &kind, std::string_view time,
                         std::span<const EventField> fields);
 
-// Writes the event to standard error. Safe to call from any thread.
+// Writes the event to standard output. Safe to call from any thread. Never waits: a line that the
+// reader of the output has no room for is dropped, and the next one says how many were.
 void logEvent(const EventKind &kind, std::initializer_list<EventField> fields);
 
 // The catalogue as the Markdown table of docs/events.md.
--- a/src/poplarstream/main/operator_commands.cpp
+++ b/src/poplarstream/main/operator_commands.cpp
@@ -15,7 +15,7 @@
 // The head of docs/events.md, which is the output of `poplarstream events`.
 constexpr std::string_view eventsPageHead =
         "# Events\n\n"
-        "Each line on standard error is one event: time, level, number, name, fields. A number "
+        "Each line on standard output is one event: time, level, number, name, fields. A number "
         "never changes its meaning. `poplarstream events` prints this page.\n\n";
 
 constexpr std::string_view digits = "0123456789";
--- a/src/poplarstream/telemetry/event.cpp
+++ b/src/poplarstream/telemetry/event.cpp
@@ -1,8 +1,12 @@
 #include "poplarstream/telemetry/event.hpp"
 
+#include <poll.h>  // for poll
+#include <unistd.h>  // for write, STDOUT_FILENO
+
 #include <algorithm>  // for any_of
+#include <atomic>  // for atomic
 #include <chrono>  // for system_clock
-#include <cstdio>  // for fwrite, stderr
+#include <climits>  // for PIPE_BUF
 
 #include <fmt/chrono.h>  // for gmtime formatting
 #include <fmt/format.h>  // for format
@@ -49,6 +53,35 @@
     return text;
 }
 
+// Lines that found the reader of the log too slow; the next line that is written says so.
+std::atomic<std::uint64_t> droppedLines{0};
+
+// Whether standard output takes a line now. A pipe that is ready takes at least PIPE_BUF bytes.
+bool canWrite()
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+// One call for one line, so that lines of different threads do not mix.
+void writeLine(std::string line)
+{
+    if (!canWrite()) {
+        droppedLines.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    if (const std::uint64_t dropped = droppedLines.exchange(0, std::memory_order_relaxed)) {
+        line.insert(line.size() - 1, fmt::format(" dropped_before={}", dropped));
+    }
+    if (line.size() > PIPE_BUF) {
+        line.resize(PIPE_BUF - 1);
+        line += '\n';
+    }
+    if (write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+        droppedLines.fetch_add(1, std::memory_order_relaxed);
+    }
+}
+
 }  // namespace
 
 std::string formatEvent(const EventKind &kind, std::string_view time,
@@ -72,8 +105,7 @@
             "{:%FT%T}.{:03}Z", fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis);
     const std::string line =
             formatEvent(kind, time, std::span(fields.begin(), fields.size())) + "\n";
-    // One call for one line, so that lines of different threads do not mix.
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    writeLine(line);
 }
 
 }  // namespace poplarstream
