Order machines sooner after a crash of the owner

A new owner waits out the lease of machines from the moment it has loaded. Change: after a crash it counts from the last renewal that it saw, since orders follow a confirmed renewal. After a handover nothing changes yet.

--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -32,9 +32,23 @@
 constexpr Milliseconds pumpGap{4};
 // The registry is read this often; draining workers are noticed well within a second.
 constexpr Milliseconds registryPause{250};
+// From an order to the moment at which the renewal before it is read elsewhere.
+constexpr Milliseconds renewalLag{500};
 // A lookup of an unknown job is answered with certainty only from a feed as fresh as this.
 constexpr Milliseconds feedAge{2500};
 
+// From when on machines may be ordered. A predecessor orders them only on a renewal that was just
+// confirmed, so its last order is hardly younger than its last renewal; after a handover it may be
+// as young as that.
+TimePoint machineOrdersFrom(const Inheritance &inheritance, const engine::EngineLimits &limits,
+                            TimePoint now)
+{
+    if (!inheritance.lastRenewalAt) {
+        return now + limits.machineLease;
+    }
+    return std::max(now, *inheritance.lastRenewalAt + limits.machineLease + renewalLag);
+}
+
 engine::Moment moment()
 {
     return {steadyNow(), unixNowMs()};
@@ -141,8 +155,7 @@
         for (const auto &[number, wave] : waves) {
             machines.takeWave(wave);
         }
-        // The predecessor's last order may be as young as its last renewal.
-        machines.start(now + engine.limits.machineLease);
+        machines.start(machineOrdersFrom(inheritance, engine.limits, now));
         logEvent(events::ownerLoaded, {{"epoch", fmt::to_string(inheritance.epoch)},
                                        {"jobs", fmt::to_string(engine.jobs.size())},
                                        {"active", fmt::to_string(engine.active.size())}});
