Name machines in the renewal before they are ordered

Change: a renewal names the machines that are ordered on it; a successor lets only these rest, and counts them, and machines that the list shows in upkeep, as away for a wave.

--- a/include/poplarstream/edge/leadership_duty.hpp
+++ b/include/poplarstream/edge/leadership_duty.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <functional>  // for function
+#include <map>  // for map
 #include <memory>  // for shared_ptr
+#include <string>  // for string
+#include <vector>  // for vector
 
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/ownership/leadership.hpp"  // for Leadership
@@ -29,8 +32,13 @@
     TimePoint predecessorSeenAt() const;
     bool hasPredecessorResigned() const;
 
-    // Renews at once and tells whether the store confirmed it.
-    void confirm(std::function<void(bool isConfirmed)> done);
+    // Renews at once, naming the machines that are to be ordered, and tells whether the store
+    // confirmed it.
+    void confirm(std::vector<std::string> machines, std::function<void(bool isConfirmed)> done);
+
+    // When other owners last named each machine; complete for the time since followingSince().
+    const std::map<std::string, TimePoint> &machinesOrdered() const;
+    TimePoint followingSince() const;
 
     // Hands the ownership over and claims it no more.
     void leave();
--- a/include/poplarstream/edge/machine_duty.hpp
+++ b/include/poplarstream/edge/machine_duty.hpp
@@ -14,7 +14,7 @@
     std::function<bool()> mayOrder;
     // Asks the store to confirm the ownership now. Machines do not check fencing tokens everywhere,
     // so an order that a cut holds up must be unlikely.
-    std::function<void(std::function<void(bool)>)> confirm;
+    std::function<void(std::vector<std::string> machines, std::function<void(bool)>)> confirm;
 };
 
 // The owner's work on machines: follows the platform's list, gives the orders that are planned, and
@@ -34,8 +34,9 @@
 
     void takeWave(const pools::Wave &wave);
 
-    // Begins to order, once the claims of earlier owners on machines have run out.
-    void start(TimePoint mayOrderFrom);
+    // Begins to order: nothing before `mayOrderFrom`, and machines that an earlier owner ordered
+    // lately not before the time given for each.
+    void start(TimePoint mayOrderFrom, std::map<pools::MachineId, TimePoint> restsUntil);
 
     // Whether a key of the progress log belongs to this duty.
     static bool isOwnKey(const std::string &key);
--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>  // for function
+#include <map>  // for map
 #include <memory>  // for shared_ptr
 #include <optional>  // for optional
 
@@ -15,6 +16,9 @@
     std::int64_t epoch = 0;
     // When the predecessor may have renewed a lease last; nothing if it handed over.
     std::optional<TimePoint> lastRenewalAt;
+    // When earlier owners last ordered each machine, complete since `machinesKnownSince`.
+    std::map<std::string, TimePoint> machinesOrdered;
+    TimePoint machinesKnownSince{};
 };
 
 struct OwnerSessionHooks
@@ -22,8 +26,8 @@
     // Whether this process may give orders now, and when that was confirmed last.
     std::function<bool()> mayOrder;
     std::function<TimePoint()> confirmedAt;
-    // Asks the store to confirm the ownership now.
-    std::function<void(std::function<void(bool)>)> confirm;
+    // Asks the store to confirm the ownership now, naming the machines to be ordered.
+    std::function<void(std::vector<std::string> machines, std::function<void(bool)>)> confirm;
     // The store has seen a higher epoch: this session must end.
     std::function<void()> superseded;
 };
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -4,6 +4,7 @@
 #include <optional>  // for optional
 #include <string>  // for string
 #include <string_view>  // for string_view
+#include <vector>  // for vector
 
 #include "poplarstream/base/id.hpp"  // for EntryHostId
 #include "poplarstream/base/time.hpp"  // for TimePoint, Milliseconds
@@ -22,6 +23,7 @@
     std::string address;  // where the owner answers the other entry hosts
     std::string incarnation;  // of the owner's process
     double processorShare = 1.0;  // of a core, that the owner has
+    std::vector<std::string> machines;  // that the owner orders once this is confirmed
 };
 
 std::string encodeOwnership(const OwnershipRecord &record);
@@ -65,6 +67,7 @@
     TimePoint confirmedAt{};  // when the newest confirmed own record was sent
     TimePoint writtenAt{};
     bool wantsRenewal = false;  // a renewal is written ahead of its time
+    std::vector<std::string> machinesToOrder;  // named by the next renewal
     bool isLeaving = false;  // hands over and claims no more
 };
 
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -128,18 +128,21 @@
     void beginSession(std::int64_t epoch)
     {
         sessionEpoch = epoch;
-        Inheritance inheritance{epoch, {}};
+        Inheritance inheritance;
+        inheritance.epoch = epoch;
         if (!leadership->hasPredecessorResigned()
             && leadership->predecessorSeenAt() != TimePoint{}) {
             inheritance.lastRenewalAt = leadership->predecessorSeenAt();
         }
+        inheritance.machinesOrdered = leadership->machinesOrdered();
+        inheritance.machinesKnownSince = leadership->followingSince();
         OwnerSessionHooks hooks;
         hooks.mayOrder = [this] {
             return leadership && ownership::mayOrder(leadership->leadership(), steadyNow());
         };
         hooks.confirmedAt = [this] { return leadership->leadership().confirmedAt; };
-        hooks.confirm = [this](std::function<void(bool)> done) {
-            leadership->confirm(std::move(done));
+        hooks.confirm = [this](std::vector<std::string> machines, std::function<void(bool)> done) {
+            leadership->confirm(std::move(machines), std::move(done));
         };
         hooks.superseded = [this, epoch] {
             supersededEpoch = epoch;
--- a/src/poplarstream/edge/leadership_duty.cpp
+++ b/src/poplarstream/edge/leadership_duty.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view ownerKey = "owner";
 constexpr Milliseconds tick{50};
 constexpr Milliseconds writeDeadline{1200};
+// Well beyond the time for which an order to a machine counts.
+constexpr Milliseconds machinesRemembered{60'000};
 
 }  // namespace
 
@@ -35,9 +37,13 @@
     {
         FollowerEvents received;
         received.snapshot = [this](const std::vector<StoredRecord> &records, std::int64_t end) {
+            // What came before the newest record is not known.
+            followingSince = steadyNow();
+            take(records, end);
+        };
+        received.records = [this](const std::vector<StoredRecord> &records, std::int64_t end) {
             take(records, end);
         };
-        received.records = received.snapshot;
         follower = std::make_unique<LogFollower>(runtime, Log::Ownership, FollowerSettings{},
                                                  std::move(received));
         step();
@@ -49,6 +55,7 @@
         for (const StoredRecord &record : records) {
             if (record.key == ownerKey && record.value) {
                 newest = ownership::decodeOwnership(*record.value);
+                rememberMachines(newest);
             }
         }
         rememberPredecessor(newest);
@@ -66,6 +73,19 @@
         }
     }
 
+    void rememberMachines(const std::optional<OwnershipRecord> &record)
+    {
+        if (record && record->incarnation != leadership.incarnation) {
+            const TimePoint now = steadyNow();
+            for (const std::string &machine : record->machines) {
+                machinesOrdered[machine] = now;
+            }
+            std::erase_if(machinesOrdered, [&](const auto &entry) {
+                return entry.second + machinesRemembered < now;
+            });
+        }
+    }
+
     void logChange(const std::optional<OwnershipRecord> &before) const
     {
         const auto &last = leadership.last;
@@ -95,6 +115,7 @@
         const TimePoint now = steadyNow();
         const LeadershipStep wanted = ownership::nextStep(leadership, now);
         if (wanted != LeadershipStep::None) {
+            inWrite = std::exchange(waiting, {});
             write(ownership::beginWrite(leadership, wanted, now));
         }
     }
@@ -124,10 +145,11 @@
             ownership::failWrite(leadership);
         }
         const bool isConfirmed = outcome.result == AppendResult::Stored;
-        for (const auto &done : std::exchange(waiting, {})) {
+        for (const auto &done : std::exchange(inWrite, {})) {
             done(isConfirmed);
         }
         events.changed();
+        writeIfDue();
     }
 
     Runtime &runtime;
@@ -135,7 +157,10 @@
     ownership::Leadership leadership;
     TimePoint predecessorSeenAt{};
     bool predecessorResigned = false;
-    std::vector<std::function<void(bool)>> waiting;  // for the write under way
+    std::vector<std::function<void(bool)>> waiting;  // for the next write
+    std::vector<std::function<void(bool)>> inWrite;  // for the write under way
+    std::map<std::string, TimePoint> machinesOrdered;
+    TimePoint followingSince{};
     std::unique_ptr<LogFollower> follower;
     bool isClosed = false;
 };
@@ -167,8 +192,22 @@
     return state_->predecessorResigned;
 }
 
-void LeadershipDuty::confirm(std::function<void(bool isConfirmed)> done)
+const std::map<std::string, TimePoint> &LeadershipDuty::machinesOrdered() const
 {
+    return state_->machinesOrdered;
+}
+
+TimePoint LeadershipDuty::followingSince() const
+{
+    return state_->followingSince;
+}
+
+void LeadershipDuty::confirm(std::vector<std::string> machines,
+                             std::function<void(bool isConfirmed)> done)
+{
+    for (std::string &machine : machines) {
+        state_->leadership.machinesToOrder.push_back(std::move(machine));
+    }
     state_->waiting.push_back(std::move(done));
     state_->leadership.wantsRenewal = true;
     state_->writeIfDue();
--- a/src/poplarstream/edge/machine_duty.cpp
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -112,15 +112,20 @@
         if (orders.empty()) {
             return;
         }
-        hooks.confirm([weak = weak_from_this(), orders = std::move(orders)](bool isConfirmed) {
-            const auto self = weak.lock();
-            if (!self || self->isClosed || !isConfirmed || !self->hooks.mayOrder()) {
-                return;
-            }
-            for (const pools::MachineOrder &order : orders) {
-                self->send(order);
-            }
-        });
+        std::vector<std::string> named;
+        for (const pools::MachineOrder &order : orders) {
+            named.push_back(order.machine.text());
+        }
+        hooks.confirm(std::move(named),
+                      [weak = weak_from_this(), orders = std::move(orders)](bool isConfirmed) {
+                          const auto self = weak.lock();
+                          if (!self || self->isClosed || !isConfirmed || !self->hooks.mayOrder()) {
+                              return;
+                          }
+                          for (const pools::MachineOrder &order : orders) {
+                              self->send(order);
+                          }
+                      });
     }
 
     void send(const pools::MachineOrder &order)
@@ -239,8 +244,9 @@
     pools::takeWave(state_->machines, wave, state_->inherited[wave.number], steadyNow());
 }
 
-void MachineDuty::start(TimePoint mayOrderFrom)
+void MachineDuty::start(TimePoint mayOrderFrom, std::map<pools::MachineId, TimePoint> restsUntil)
 {
+    state_->machines.restsUntil = std::move(restsUntil);
     state_->machines.mayOrderFrom = mayOrderFrom;
     if (state_->runtime.settings.machines.port != 0) {
         state_->list();
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -37,16 +37,23 @@
 // A lookup of an unknown job is answered with certainty only from a feed as fresh as this.
 constexpr Milliseconds feedAge{2500};
 
-// From when on machines may be ordered. A predecessor orders them only on a renewal that was just
-// confirmed, so its last order is hardly younger than its last renewal; after a handover it may be
-// as young as that.
+// From when on machines may be ordered: at once where all orders of earlier owners are known.
 TimePoint machineOrdersFrom(const Inheritance &inheritance, const engine::EngineLimits &limits,
                             TimePoint now)
 {
-    if (!inheritance.lastRenewalAt) {
-        return now + limits.machineLease;
+    const TimePoint settled = now - limits.machineLease - renewalLag;
+    return inheritance.machinesKnownSince <= settled ? now : now + limits.machineLease;
+}
+
+// Owners name machines in the renewal right before they order them.
+std::map<pools::MachineId, TimePoint> restingMachines(const Inheritance &inheritance,
+                                                      const engine::EngineLimits &limits)
+{
+    std::map<pools::MachineId, TimePoint> resting;
+    for (const auto &[id, orderedAt] : inheritance.machinesOrdered) {
+        resting[pools::MachineId(id)] = orderedAt + limits.machineLease + renewalLag;
     }
-    return std::max(now, *inheritance.lastRenewalAt + limits.machineLease + renewalLag);
+    return resting;
 }
 
 engine::Moment moment()
@@ -66,7 +73,9 @@
         , sender(owner)
         , machines(owner, engine, inherited.epoch,
                    {[this] { return isLoaded && hooks.mayOrder(); },
-                    [this](std::function<void(bool)> done) { hooks.confirm(std::move(done)); }})
+                    [this](std::vector<std::string> named, std::function<void(bool)> done) {
+                        hooks.confirm(std::move(named), std::move(done));
+                    }})
     {
         engine.limits = runtime.settings.limits;
         engine.token.epoch = inheritance.epoch;
@@ -155,7 +164,8 @@
         for (const auto &[number, wave] : waves) {
             machines.takeWave(wave);
         }
-        machines.start(machineOrdersFrom(inheritance, engine.limits, now));
+        machines.start(machineOrdersFrom(inheritance, engine.limits, now),
+                       restingMachines(inheritance, engine.limits));
         logEvent(events::ownerLoaded, {{"epoch", fmt::to_string(inheritance.epoch)},
                                        {"jobs", fmt::to_string(engine.jobs.size())},
                                        {"active", fmt::to_string(engine.active.size())}});
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/ownership/leadership.hpp"
 
 #include <algorithm>  // for find, max
+#include <utility>  // for exchange
 
 #include <nlohmann/json.hpp>  // for json
 
@@ -32,7 +33,8 @@
                 {"owner", record.owner.text()},
                 {"address", record.address},
                 {"incarnation", record.incarnation},
-                {"share", record.processorShare}}
+                {"share", record.processorShare},
+                {"machines", record.machines}}
             .dump();
 }
 
@@ -55,6 +57,7 @@
         record.address = value.at("address").get<std::string>();
         record.incarnation = value.at("incarnation").get<std::string>();
         record.processorShare = value.at("share").get<double>();
+        record.machines = value.at("machines").get<std::vector<std::string>>();
         return record;
     } catch (const json::exception &) {
         return {};
@@ -122,6 +125,9 @@
     OwnershipRecord record{Kind::Renewal,          leadership.last ? leadership.last->epoch : 0,
                            leadership.self,        leadership.address,
                            leadership.incarnation, leadership.processorShare};
+    if (step == LeadershipStep::Renew) {
+        record.machines = std::exchange(leadership.machinesToOrder, {});
+    }
     if (step == LeadershipStep::Claim) {
         record.kind = Kind::Claim;
         ++record.epoch;
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -162,18 +162,24 @@
     EXPECT_EQ(log.records.back().kind, Kind::Claim);
     EXPECT_EQ(nextStep(a, now + Milliseconds{1}), LeadershipStep::None);
     a.wantsRenewal = true;
+    a.machinesToOrder = {"m-1"};
     EXPECT_EQ(nextStep(a, now + Milliseconds{1}), LeadershipStep::Renew);
+    ASSERT_TRUE(log.step(a, now + Milliseconds{1}));
+    EXPECT_EQ(log.records.back().machines, std::vector<std::string>{"m-1"});
+    EXPECT_TRUE(a.machinesToOrder.empty()) << "named once, in the renewal before the orders";
 }
 
 TEST(Leadership, RecordRoundTrip)
 {
-    const OwnershipRecord record{Kind::Renewal, 12, EntryHostId("a-1"), "10.0.0.1:7", "18f"};
+    const OwnershipRecord record{Kind::Renewal, 12,   EntryHostId("a-1"), "10.0.0.1:7",
+                                 "18f",         0.25, {"m-1", "m-2"}};
     const auto read = decodeOwnership(encodeOwnership(record));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->kind, record.kind);
     EXPECT_EQ(read->epoch, record.epoch);
     EXPECT_EQ(read->owner, record.owner);
     EXPECT_EQ(read->address, record.address);
+    EXPECT_EQ(read->machines, record.machines);
     EXPECT_FALSE(decodeOwnership("{\"kind\":\"other\"}"));
     EXPECT_FALSE(decodeOwnership("not JSON"));
 }
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -36,6 +36,9 @@
     std::map<MachineId, MachineView> listed;
     for (const Machine &machine : machines) {
         MachineView view;
+        if (const auto rest = pools.restsUntil.find(machine.id); rest != pools.restsUntil.end()) {
+            view.restsUntil = rest->second;
+        }
         if (const auto known = pools.machines.find(machine.id); known != pools.machines.end()) {
             view = std::move(known->second);
             const jobs::WorkerId &before = view.machine.worker;
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -149,6 +149,43 @@
     EXPECT_EQ(deployment.plan().size(), 1U);
 }
 
+// Guards against two owners that order one machine in turns, and against a successor that lets all
+// others wait for it.
+TEST(Waves, OnlyMachinesOrderedLatelyRest)
+{
+    Deployment deployment(2, 0);
+    deployment.pools.restsUntil[MachineId("s1")] = deployment.scene.now + Milliseconds{3000};
+    deployment.add("s1", "reserve", "");
+    deployment.add("s2", "reserve", "");
+    deployment.list();
+    deployment.wave({"s1", "s2"}, 2);
+    const auto orders = deployment.plan();
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].machine, MachineId("s2"));
+    deployment.finish(orders[0]);
+    deployment.scene.now += Milliseconds{3000};
+    deployment.list();
+    ASSERT_EQ(deployment.plan().size(), 1U);
+}
+
+// Guards against more machines away than the wave allows after a change of owner: the successor
+// does not know which orders of its predecessor were for upkeep.
+TEST(Waves, CapHoldsAcrossOwners)
+{
+    Deployment deployment(2, 0);
+    deployment.pools.restsUntil[MachineId("s1")] = deployment.scene.now + Milliseconds{3000};
+    deployment.add("s1", "reserve", "");
+    deployment.add("s2", "reserve", "");
+    deployment.add("s3", "reserve", "");
+    deployment.machines.back().state = MachineState::InUpkeep;
+    deployment.list();
+    deployment.wave({"s1", "s2", "s3"}, 2);
+    EXPECT_TRUE(deployment.plan().empty());
+    deployment.machines.back().state = MachineState::Up;
+    deployment.list();
+    EXPECT_EQ(count(deployment.plan(), MachineOrder::Kind::Upkeep), 1);
+}
+
 // Guards against an order that is forgotten, or given up as done, because its answer was lost.
 TEST(Moves, UnansweredOrderIsRepeated)
 {
--- a/src/poplarstream/pools/waves.cpp
+++ b/src/poplarstream/pools/waves.cpp
@@ -40,9 +40,18 @@
            && view.pending->order.wave == wave;
 }
 
+// Whether the machine is in upkeep, or an earlier owner may have just sent it there.
+bool mayBeAway(const Pools &pools, const WaveView &wave, const MachineView &view, TimePoint now)
+{
+    const MachineId &id = view.machine.id;
+    const auto rest = pools.restsUntil.find(id);
+    return wave.away.contains(id) || view.machine.state == MachineState::InUpkeep
+           || (rest != pools.restsUntil.end() && rest->second > now);
+}
+
 void planWave(Pools &pools, engine::Engine &engine, WaveView &wave, TimePoint now)
 {
-    int away = static_cast<int>(wave.away.size());
+    int away = 0;
     std::map<ServiceId, int> emptied;
     std::vector<Choice> choices;
     for (const MachineId &id : wave.wave.machines) {
@@ -54,7 +63,8 @@
         if (isForWave(view, wave.wave.number)) {
             ++away;
             ++emptied[view.machine.pool];
-        } else if (wave.away.contains(id)) {
+        } else if (mayBeAway(pools, wave, view, now)) {
+            ++away;
             ++emptied[view.machine.pool];
         } else if (!wave.begun.contains(id) && !view.pending && view.restsUntil <= now
                    && view.machine.state == MachineState::Up) {
