--- a/src/poplarstream/edge/machine_duty.cpp
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -113,6 +113,7 @@
             return;
         }
         std::vector<std::string> named;
+        named.reserve(orders.size());
         for (const pools::MachineOrder &order : orders) {
             named.push_back(order.machine.text());
         }
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -15,6 +15,9 @@
 // A speculative task that runs longer gets a copy: few tasks of sound workers take that long.
 constexpr Milliseconds copyAfter{1200};
 
+// A task waits this long for a worker on which it has not failed: longer than most tasks run.
+constexpr Milliseconds avoidedFor{1000};
+
 struct StepPlace
 {
     jobs::Job &job;
@@ -56,12 +59,14 @@
     markDirty(engine, place.job);
 }
 
-// A task waits for a worker on which it has not failed, unless there is none or it should be at
-// work all the time.
+// A task waits a while for a worker on which it has not failed, unless there is none or it should
+// be at work all the time.
 bool mayRetryWhereItFailed(const jobs::Task &task, const jobs::StepSpec &step,
-                           const std::vector<Site> &sites)
+                           const std::vector<Site> &sites, TimePoint now)
 {
-    return !task.failedOn.empty() && (step.longRunning || task.failedOn.size() >= sites.size());
+    return !task.failedOn.empty()
+           && (step.longRunning || task.failedOn.size() >= sites.size()
+               || task.notBefore + avoidedFor <= now);
 }
 
 void planTasks(Engine &engine, const StepPlace &place, std::vector<Site> &sites, TimePoint now)
@@ -76,7 +81,7 @@
             continue;
         }
         Site *site = chooseSite(sites, step, spread, task.failedOn, nullptr);
-        if (site == nullptr && mayRetryWhereItFailed(task, step, sites)) {
+        if (site == nullptr && mayRetryWhereItFailed(task, step, sites, now)) {
             site = chooseSite(sites, step, spread, {}, nullptr);
         }
         if (site != nullptr) {
--- a/src/poplarstream/engine/starts_test.cpp
+++ b/src/poplarstream/engine/starts_test.cpp
@@ -141,6 +141,31 @@
     }
 }
 
+// Guards against a task that waits for ever: it failed on the only worker with room.
+TEST(Starts, RetriesWhereItFailedAfterAWhile)
+{
+    SCOPED_TRACE("given a task that failed on one worker, while the other is full");
+    Scene scene;
+    jobs::StepSpec filling = step(1, 4000);
+    filling.longRunning = true;
+    scene.submit(submission(test::secondJob, filling));
+    scene.startAll();
+    scene.submit(submission(firstJob, step(1, 3000)));
+    const auto starts = scene.startAll();
+    ASSERT_EQ(starts.size(), 1U);
+    const std::string failing = starts[0].target.worker.id.text();
+    scene.look();
+    scene.answer(failing, {}, {{1, Scene::ref().task, 1, jobs::RunEnd::Failed, ""}});
+    scene.store();
+    scene.now += Milliseconds{100};
+    EXPECT_TRUE(scene.start().empty());
+    {
+        SCOPED_TRACE("then it starts there again after a while");
+        scene.now += Milliseconds{1000};
+        EXPECT_EQ(scene.start().size(), 1U);
+    }
+}
+
 // Guards against a count that leaves out jobs whose start was planned while the store was away.
 TEST(Starts, PlannedJobsStillWait)
 {
