--- a/src/poplarstream/pools/waves.cpp
+++ b/src/poplarstream/pools/waves.cpp
@@ -60,10 +60,7 @@
             continue;
         }
         MachineView &view = found->second;
-        if (isForWave(view, wave.wave.number)) {
-            ++away;
-            ++emptied[view.machine.pool];
-        } else if (mayBeAway(pools, wave, view, now)) {
+        if (isForWave(view, wave.wave.number) || mayBeAway(pools, wave, view, now)) {
             ++away;
             ++emptied[view.machine.pool];
         } else if (!wave.begun.contains(id) && !view.pending && view.restsUntil <= now
