Let larger processes own the jobs, and read renewals at a bounded rate

With 0.12 cores nothing was served.

Change: records carry the largest share of any owner so far, small candidates wait by that; a process with 1.5 times the owner's share takes over after 3 s; after an outage of the log the owner has 1 s to renew before others claim. Every process read every renewal, some 10 a second when machines move: now at most one read in 250 ms.

Three tests fail without the change, and the round trip of the record. The record that SmallerCandidatesWaitLonger makes by hand now names its largest share, as every written one does.

--- a/include/poplarstream/edge/log_follower.hpp
+++ b/include/poplarstream/edge/log_follower.hpp
@@ -36,6 +36,8 @@
 
     // Everything that was in the log at this time has been delivered.
     TimePoint currentAsOf() const;
+    // Since when every read was answered.
+    TimePoint inContactSince() const;
     bool hasSnapshot() const;
 
 private:
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -23,6 +23,7 @@
     std::string address;  // where the owner answers the other entry hosts
     std::string incarnation;  // of the owner's process
     double processorShare = 1.0;  // of a core, that the owner has
+    double largestShare = 1.0;  // of a core, that any owner so far had
     std::vector<std::string> machines;  // that the owner orders once this is confirmed
 };
 
@@ -42,7 +43,14 @@
     Milliseconds claimSpread{120};
     // A smaller candidate waits this long for each time that the last owner's share is larger.
     Milliseconds smallerDelay{400};
-    Milliseconds smallerDelayMost{1200};
+    Milliseconds smallerDelayMost{2400};
+    // A process with a share this many times the owner's takes over after this long: long enough
+    // to load all jobs first where the owner has just changed.
+    double largerBy = 1.5;
+    Milliseconds smallerOwnerFor{3000};
+    // After an outage of the log the owner has this long for its next renewal: one period and the
+    // time of a call that failed late.
+    Milliseconds settling{1000};
     // Of the first claim ever, divided by the share: machines start at different moments.
     Milliseconds firstDelay{200};
 };
@@ -61,6 +69,8 @@
 
     std::optional<OwnershipRecord> last;  // newest record of the log
     TimePoint lastSeenAt{};  // when it was read here
+    TimePoint ownerSince{};  // when the first record of its epoch was read here
+    TimePoint inContactSince{};  // the log has been readable since
     std::int64_t endOffset = 0;  // of the log, as read
     bool hasRead = false;
     bool isWriting = false;
@@ -79,6 +89,9 @@
 // How long this process lets better candidates claim first.
 Milliseconds claimDelay(const Leadership &leadership);
 
+// From when on this process claims unless another record is read.
+TimePoint claimFrom(const Leadership &leadership);
+
 // What has to be written now.
 LeadershipStep nextStep(const Leadership &leadership, TimePoint now);
 
--- a/src/poplarstream/edge/leadership_duty.cpp
+++ b/src/poplarstream/edge/leadership_duty.cpp
@@ -16,6 +16,9 @@
 constexpr std::string_view ownerKey = "owner";
 constexpr Milliseconds tick{50};
 constexpr Milliseconds writeDeadline{1200};
+// Every entry host reads each renewal, and an owner that moves machines renews often: between two
+// reads each waits this long, so that the calls do not grow with the orders.
+constexpr Milliseconds readPause{250};
 // Well beyond the time for which an order to a machine counts.
 constexpr Milliseconds machinesRemembered{60'000};
 
@@ -44,7 +47,9 @@
         received.records = [this](const std::vector<StoredRecord> &records, std::int64_t end) {
             take(records, end);
         };
-        follower = std::make_unique<LogFollower>(runtime, Log::Ownership, FollowerSettings{},
+        FollowerSettings settings;
+        settings.pause = readPause;
+        follower = std::make_unique<LogFollower>(runtime, Log::Ownership, settings,
                                                  std::move(received));
         step();
     }
@@ -113,6 +118,7 @@
     void writeIfDue()
     {
         const TimePoint now = steadyNow();
+        leadership.inContactSince = follower->inContactSince();
         const LeadershipStep wanted = ownership::nextStep(leadership, now);
         if (wanted != LeadershipStep::None) {
             inWrite = std::exchange(waiting, {});
--- a/src/poplarstream/edge/log_follower.cpp
+++ b/src/poplarstream/edge/log_follower.cpp
@@ -48,6 +48,7 @@
 
     void takePage(NewestOutcome outcome)
     {
+        noteContact(outcome.isRead);
         if (!outcome.isRead) {
             after(retryAfterFailure, &State::loadSnapshot);
             return;
@@ -77,6 +78,14 @@
         }
     }
 
+    void noteContact(bool isAnswered)
+    {
+        if (isAnswered && !isInContact) {
+            inContactSince = steadyNow();
+        }
+        isInContact = isAnswered;
+    }
+
     void read()
     {
         const TimePoint sentAt = steadyNow();
@@ -90,6 +99,7 @@
 
     void takeRecords(ReadOutcome outcome, TimePoint sentAt)
     {
+        noteContact(outcome.result != ReadResult::Failed);
         if (outcome.result == ReadResult::Expired) {
             loadSnapshot();
             return;
@@ -124,6 +134,8 @@
     TimePoint snapshotBegunAt{};
     std::int64_t next = 0;
     TimePoint currentAsOf{};
+    TimePoint inContactSince{};
+    bool isInContact = false;
     bool hasSnapshot = false;
     bool isClosed = false;
 };
@@ -145,6 +157,11 @@
     return state_->currentAsOf;
 }
 
+TimePoint LogFollower::inContactSince() const
+{
+    return state_->inContactSince;
+}
+
 bool LogFollower::hasSnapshot() const
 {
     return state_->hasSnapshot;
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -34,6 +34,7 @@
                 {"address", record.address},
                 {"incarnation", record.incarnation},
                 {"share", record.processorShare},
+                {"largestShare", record.largestShare},
                 {"machines", record.machines}}
             .dump();
 }
@@ -57,6 +58,7 @@
         record.address = value.at("address").get<std::string>();
         record.incarnation = value.at("incarnation").get<std::string>();
         record.processorShare = value.at("share").get<double>();
+        record.largestShare = value.at("largestShare").get<double>();
         record.machines = value.at("machines").get<std::vector<std::string>>();
         return record;
     } catch (const json::exception &) {
@@ -88,11 +90,33 @@
     }
     const auto spread =
             static_cast<double>(stableHash(leadership.self.text()) % spreadSteps) / spreadSteps;
-    const double behind = std::max(leadership.last->processorShare / share - 1, 0.0);
+    const double behind = std::max(leadership.last->largestShare / share - 1, 0.0);
     return times(settings.claimSpread, spread)
            + std::min(times(settings.smallerDelay, behind), settings.smallerDelayMost);
 }
 
+TimePoint claimFrom(const Leadership &leadership)
+{
+    const LeadershipSettings &settings = leadership.settings;
+    const Milliseconds delay = claimDelay(leadership);
+    if (!leadership.last) {
+        return leadership.inContactSince + delay;
+    }
+    const OwnershipRecord &last = *leadership.last;
+    // An earlier process of this entry host has ended, or this one would not run.
+    if (last.kind == Kind::Resignation || last.owner == leadership.self) {
+        return std::max(leadership.lastSeenAt, leadership.inContactSince) + delay;
+    }
+    const TimePoint silent = std::max(leadership.lastSeenAt + settings.silence,
+                                      leadership.inContactSince + settings.settling);
+    if (leadership.processorShare < last.processorShare * settings.largerBy) {
+        return silent + delay;
+    }
+    const TimePoint replaced = std::max(leadership.ownerSince + settings.smallerOwnerFor,
+                                        leadership.inContactSince + settings.settling);
+    return std::min(silent, replaced) + delay;
+}
+
 LeadershipStep nextStep(const Leadership &leadership, TimePoint now)
 {
     const LeadershipSettings &settings = leadership.settings;
@@ -109,12 +133,7 @@
     if (isOwner(leadership)) {
         return LeadershipStep::Renew;
     }
-    // An earlier process of this entry host has ended, or this one would not run.
-    const bool isFree = !leadership.last || leadership.last->kind == Kind::Resignation
-                        || leadership.last->owner == leadership.self;
-    const Milliseconds wait =
-            (isFree ? Milliseconds{0} : settings.silence) + claimDelay(leadership);
-    return now >= leadership.lastSeenAt + wait ? LeadershipStep::Claim : LeadershipStep::None;
+    return now >= claimFrom(leadership) ? LeadershipStep::Claim : LeadershipStep::None;
 }
 
 OwnershipRecord beginWrite(Leadership &leadership, LeadershipStep step, TimePoint now)
@@ -124,7 +143,11 @@
     leadership.writtenAt = now;
     OwnershipRecord record{Kind::Renewal,          leadership.last ? leadership.last->epoch : 0,
                            leadership.self,        leadership.address,
-                           leadership.incarnation, leadership.processorShare};
+                           leadership.incarnation, leadership.processorShare,
+                           leadership.processorShare};
+    if (leadership.last) {
+        record.largestShare = std::max(record.largestShare, leadership.last->largestShare);
+    }
     if (step == LeadershipStep::Renew) {
         record.machines = std::exchange(leadership.machinesToOrder, {});
     }
@@ -163,6 +186,9 @@
     }
     leadership.endOffset = std::max(leadership.endOffset, endOffset);
     if (newest) {
+        if (!leadership.last || leadership.last->epoch != newest->epoch) {
+            leadership.ownerSince = now;
+        }
         leadership.last = newest;
         leadership.lastSeenAt = now;
     }
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -143,12 +143,93 @@
     OwnershipRecord last;
     last.owner = EntryHostId("gone");
     last.processorShare = 0.5;
+    last.largestShare = 0.5;
     observe(large, last, 1, timePoint(1));
     observe(small, last, 1, timePoint(1));
     EXPECT_LE(claimDelay(large), large.settings.claimSpread);
     EXPECT_GE(claimDelay(small), claimDelay(large) + Milliseconds{1000});
 }
 
+// Guards against a small machine that once won the ownership and then keeps it: it has not the
+// processor time for the work of the whole deployment.
+TEST(Leadership, LargerProcessTakesOverFromASmallerOne)
+{
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership small = process("small");
+    small.processorShare = 0.125;
+    log.show(small, now);
+    now += claimDelay(small);
+    ASSERT_TRUE(log.step(small, now));
+    Leadership large = process("large");
+    large.processorShare = 0.5;
+    Leadership equal = process("equal");
+    equal.processorShare = 0.125;
+    const TimePoint seenAt = now;
+    log.show(large, now);
+    log.show(equal, now);
+    bool hasTakenOver = false;
+    while (!hasTakenOver && now < seenAt + Milliseconds{10'000}) {
+        SCOPED_TRACE("while the small one goes on renewing");
+        now += Milliseconds{50};
+        log.step(small, now);
+        log.show(large, now);
+        log.show(equal, now);
+        ASSERT_FALSE(log.step(equal, now)) << "no process takes over from its equal";
+        hasTakenOver = log.step(large, now);
+    }
+    ASSERT_TRUE(hasTakenOver);
+    EXPECT_GE(now - seenAt, large.settings.smallerOwnerFor);
+    log.show(small, now);
+    EXPECT_FALSE(isOwner(small));
+    EXPECT_TRUE(mayOrder(large, now));
+}
+
+// Guards against a small machine that claims again at once because the last owner was itself.
+TEST(Leadership, RestartedSmallOwnerWaitsForLargerOnes)
+{
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership large = process("large");
+    large.processorShare = 0.5;
+    log.show(large, now);
+    now += claimDelay(large);
+    ASSERT_TRUE(log.step(large, now));
+    Leadership small = process("small");
+    small.processorShare = 0.125;
+    log.show(small, now);
+    now += small.settings.silence + claimDelay(small);
+    ASSERT_TRUE(log.step(small, now));
+    Leadership again = process("small");
+    again.processorShare = 0.125;
+    again.incarnation = "2";
+    log.show(again, now);
+    EXPECT_GE(claimDelay(again), Milliseconds{1000});
+    EXPECT_FALSE(log.step(again, now + Milliseconds{1000}));
+}
+
+// Guards against a change of owners after each outage of the store: when it comes back, everyone
+// has heard nothing for long, the owner's renewals among it.
+TEST(Leadership, OutageOfTheLogLeavesTheOwnerTimeToRenew)
+{
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    Leadership b = process("b");
+    log.show(a, now);
+    now += Milliseconds{200};
+    ASSERT_TRUE(log.step(a, now));
+    log.show(b, now);
+    now += Milliseconds{5000};
+    b.inContactSince = now;
+    EXPECT_EQ(nextStep(b, now), LeadershipStep::None);
+    EXPECT_EQ(nextStep(b, now + b.settings.renewal), LeadershipStep::None);
+    EXPECT_TRUE(log.step(a, now + a.settings.renewal));
+    log.show(b, now + a.settings.renewal);
+    EXPECT_EQ(nextStep(b, now + Milliseconds{1000}), LeadershipStep::None);
+    EXPECT_EQ(nextStep(b, now + Milliseconds{4000}), LeadershipStep::Claim);
+}
+
 // Guards against an order that rests on a renewal of half a second ago: the network may have been
 // cut since, and would deliver the order after the successor's.
 TEST(Leadership, RenewalOnRequest)
@@ -172,13 +253,14 @@
 TEST(Leadership, RecordRoundTrip)
 {
     const OwnershipRecord record{Kind::Renewal, 12,   EntryHostId("a-1"), "10.0.0.1:7",
-                                 "18f",         0.25, {"m-1", "m-2"}};
+                                 "18f",         0.25, 0.5, {"m-1", "m-2"}};
     const auto read = decodeOwnership(encodeOwnership(record));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->kind, record.kind);
     EXPECT_EQ(read->epoch, record.epoch);
     EXPECT_EQ(read->owner, record.owner);
     EXPECT_EQ(read->address, record.address);
+    EXPECT_EQ(read->largestShare, record.largestShare);
     EXPECT_EQ(read->machines, record.machines);
     EXPECT_FALSE(decodeOwnership("{\"kind\":\"other\"}"));
     EXPECT_FALSE(decodeOwnership("not JSON"));
