--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -6,7 +6,8 @@
 #include <vector>  // for vector
 
 #include "poplarstream/engine/state.hpp"  // for Engine
-#include "poplarstream/pools/forecast.hpp"  // for Forecast
+#include "poplarstream/pools/demand.hpp"  // for Demand
+#include "poplarstream/pools/forecast.hpp"  // for Forecast, Load
 #include "poplarstream/pools/machine.hpp"  // for Machine, Wave, MachineOrder
 
 namespace poplarstream::pools {
@@ -43,6 +44,11 @@
     int wanted = 0;  // machines are moved here below this
     int kept = 0;  // and given away above this
     TimePoint surplusSince{};  // since when it has had more; the epoch when it has not
+    // What the numbers rest on, for the log.
+    int present = 0;  // machines, with those that are coming
+    int open = 0;  // that take tasks
+    Demand demand;
+    Load expected;
 };
 
 // What the owner knows of machines and waves.
--- a/src/poplarstream/edge/machine_duty.cpp
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -16,6 +16,7 @@
 // The list shows when a moved machine is back.
 constexpr Milliseconds listPeriod{400};
 constexpr Milliseconds planPeriod{100};
+constexpr Milliseconds poolLogPeriod{1000};
 
 std::string_view resultText(pools::OrderResult result)
 {
@@ -102,6 +103,7 @@
         if (hasList && hooks.mayOrder()) {
             sendConfirmed(pools::planMachines(machines, engine, steadyNow()));
             reportWaves();
+            logPools();
         }
         after(planPeriod, &State::plan);
     }
@@ -152,6 +154,27 @@
         }
     }
 
+    void logPools()
+    {
+        const TimePoint now = steadyNow();
+        if (now < poolsLoggedAt + poolLogPeriod) {
+            return;
+        }
+        poolsLoggedAt = now;
+        for (const auto &[service, need] : machines.needs) {
+            logEvent(events::poolSized,
+                     {{"pool", service.text()},
+                      {"wanted", fmt::to_string(need.wanted)},
+                      {"kept", fmt::to_string(need.kept)},
+                      {"present", fmt::to_string(need.present)},
+                      {"open", fmt::to_string(need.open)},
+                      {"running_milli", fmt::to_string(need.demand.running.cpuMilli)},
+                      {"waiting_milli", fmt::to_string(need.demand.waiting.cpuMilli)},
+                      {"late_milli", fmt::to_string(need.demand.late.cpuMilli)},
+                      {"expected_milli", fmt::format("{:.0f}", need.expected.cpuMilli)}});
+        }
+    }
+
     // Tells the operator about waves, and again until the store has it.
     void reportWaves()
     {
@@ -202,6 +225,7 @@
     std::map<std::int64_t, std::set<pools::MachineId>> inherited;  // begun, by wave
     std::map<std::int64_t, bool> reports;  // what the operator was told
     std::set<std::int64_t> reporting;
+    TimePoint poolsLoggedAt{};
     bool hasList = false;
     bool isClosed = false;
 };
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -141,9 +141,12 @@
     leadership.isWriting = true;
     leadership.wantsRenewal = false;
     leadership.writtenAt = now;
-    OwnershipRecord record{Kind::Renewal,          leadership.last ? leadership.last->epoch : 0,
-                           leadership.self,        leadership.address,
-                           leadership.incarnation, leadership.processorShare,
+    OwnershipRecord record{Kind::Renewal,
+                           leadership.last ? leadership.last->epoch : 0,
+                           leadership.self,
+                           leadership.address,
+                           leadership.incarnation,
+                           leadership.processorShare,
                            leadership.processorShare};
     if (leadership.last) {
         record.largestShare = std::max(record.largestShare, leadership.last->largestShare);
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -252,8 +252,8 @@
 
 TEST(Leadership, RecordRoundTrip)
 {
-    const OwnershipRecord record{Kind::Renewal, 12,   EntryHostId("a-1"), "10.0.0.1:7",
-                                 "18f",         0.25, 0.5, {"m-1", "m-2"}};
+    const OwnershipRecord record{Kind::Renewal, 12,  EntryHostId("a-1"), "10.0.0.1:7", "18f",
+                                 0.25,          0.5, {"m-1", "m-2"}};
     const auto read = decodeOwnership(encodeOwnership(record));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->kind, record.kind);
--- a/src/poplarstream/pools/forecast.cpp
+++ b/src/poplarstream/pools/forecast.cpp
@@ -52,8 +52,8 @@
         return newer < fewArrivals ? (newer + older) / 2 : newer;
     }
     // The newer count stands for the middle of its window.
-    const auto windows = static_cast<double>((ahead + window / 2).count())
-                         / static_cast<double>(window.count());
+    const auto windows =
+            static_cast<double>((ahead + window / 2).count()) / static_cast<double>(window.count());
     return std::clamp(newer + difference * windows, 0.0, newer * growthMost);
 }
 
@@ -83,8 +83,7 @@
     const ArrivalHistory &history = found->second;
     // What is under way at a time arrived half a job's length before, on average.
     const Milliseconds half(static_cast<std::int64_t>(history.meanLengthMs / 2));
-    const double jobs =
-            expectedArrivals(history, std::max(ahead - half, Milliseconds{0}), now);
+    const double jobs = expectedArrivals(history, std::max(ahead - half, Milliseconds{0}), now);
     const auto perMs = jobs / static_cast<double>(window.count());
     return {history.meanWork.cpuMilli * perMs, history.meanWork.memoryMb * perMs};
 }
--- a/src/poplarstream/pools/moves.cpp
+++ b/src/poplarstream/pools/moves.cpp
@@ -127,8 +127,8 @@
     }
 }
 
-void setNeeds(Pools &pools, const engine::Engine &engine,
-              std::map<ServiceId, PoolMembers> &members, TimePoint now)
+void setNeeds(Pools &pools, const engine::Engine &engine, std::map<ServiceId, PoolMembers> &members,
+              TimePoint now)
 {
     const Milliseconds ahead = engine.limits.migration + joining;
     std::map<ServiceId, Demand> demands = demandByService(engine, now);
@@ -136,14 +136,16 @@
         if (settings.isStandby) {
             continue;
         }
-        const Demand &demand = demands[service];
-        const jobs::Resources capacity = capacityOf(members[service], pools);
-        const int open = members[service].open;
-        const Load coming = expectedLoad(pools.forecast, service, ahead, now);
+        const PoolMembers &own = members[service];
+        const jobs::Resources capacity = capacityOf(own, pools);
         PoolNeed &need = pools.needs[service];
-        need.wanted = std::max({machinesFor(demand, capacity, open, false),
-                                machinesFor(demand, coming, capacity), leastMachines});
-        need.kept = std::max(need.wanted, machinesFor(demand, capacity, open, true));
+        need.present = own.present;
+        need.open = own.open;
+        need.demand = demands[service];
+        need.expected = expectedLoad(pools.forecast, service, ahead, now);
+        need.wanted = std::max({machinesFor(need.demand, capacity, own.open, false),
+                                machinesFor(need.demand, need.expected, capacity), leastMachines});
+        need.kept = std::max(need.wanted, machinesFor(need.demand, capacity, own.open, true));
     }
 }
 
