--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -30,8 +30,8 @@
 constexpr Milliseconds planGap{8};
 // Answers that arrive together are worked off together.
 constexpr Milliseconds pumpGap{4};
-// The registry is read this often; draining workers are noticed well within a second.
-constexpr Milliseconds registryPause{250};
+// The registry is read this often: a machine that was moved waits for it before it gets tasks.
+constexpr Milliseconds registryPause{120};
 // From an order to the moment at which the renewal before it is read elsewhere.
 constexpr Milliseconds renewalLag{500};
 // A lookup of an unknown job is answered with certainty only from a feed as fresh as this.
--- a/src/poplarstream/pools/forecast.cpp
+++ b/src/poplarstream/pools/forecast.cpp
@@ -1,7 +1,6 @@
 #include "poplarstream/pools/forecast.hpp"
 
 #include <algorithm>  // for clamp, count_if, max, min, sort
-#include <cmath>  // for sqrt
 
 namespace poplarstream::pools {
 
@@ -10,14 +9,14 @@
 // The trend is the difference between this time and as long before. Demand rises and falls within
 // a few seconds.
 constexpr Milliseconds window{1000};
-// A difference below this many standard deviations of two Poisson counts is taken for chance.
-constexpr double significance = 1.5;
+// The difference of two counts is shrunk by what chance puts into it: this many times the variance
+// of two Poisson counts, as Stein's estimator has it.
+constexpr double shrinkage = 2.0;
 // The rate of a service with fewer arrivals than this in a window is taken over two.
 constexpr double fewArrivals = 10.0;
 // Sizes of jobs are averaged over about this many.
 constexpr double jobsAveraged = 200.0;
-// A trend that doubles the rate within the time looked ahead is believed, a steeper one is not: a
-// pool that was filled for nothing costs as much as one that was filled late.
+// A rate is not expected to grow beyond this many times within the time looked ahead.
 constexpr double growthMost = 3.0;
 
 void average(double &mean, double value, double weight)
@@ -48,13 +47,15 @@
     const double newer = arrivalsIn(history, now - window, now);
     const double older = arrivalsIn(history, now - window * 2, now - window);
     const double difference = newer - older;
-    if (std::abs(difference) < significance * std::sqrt(newer + older)) {
+    const double chance = shrinkage * (newer + older);
+    if (difference * difference <= chance) {
         return newer < fewArrivals ? (newer + older) / 2 : newer;
     }
+    const double trend = difference * (1 - chance / (difference * difference));
     // The newer count stands for the middle of its window.
     const auto windows =
             static_cast<double>((ahead + window / 2).count()) / static_cast<double>(window.count());
-    return std::clamp(newer + difference * windows, 0.0, newer * growthMost);
+    return std::clamp(newer + trend * windows, 0.0, newer * growthMost);
 }
 
 }  // namespace
