Do not settle a start by a look that was sent before it

Cause: an unanswered start settles everything that is attached to its worker by the next look, also tasks that are planned but not yet ordered. When an older look was answered in between, the worker counted as open, such a task was ordered beside the settling look, was not in its answer, and was taken for absent; it then ran twice, and the room of the worker was counted too low. Ruled out: a late order with a token that the worker had seen (run 1 began 14 ms before run 2, on the first try).

Contact.OrderSentBesideASettlingLookIsNotSettledByIt fails without the change.

--- a/src/poplarstream/engine/batches.cpp
+++ b/src/poplarstream/engine/batches.cpp
@@ -49,6 +49,8 @@
         release(engine, ref, attempt->worker, now);
         return;
     }
+    // A look that is under way may be answered before this order arrives.
+    worker->attempts[ref] = neverSettled;
     attempt->phase = jobs::AttemptPhase::Ordered;
     attempt->mayRun = true;
     attempt->startedAt = now;
--- a/src/poplarstream/engine/contact_test.cpp
+++ b/src/poplarstream/engine/contact_test.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 using test::firstJob;
+using test::secondJob;
 using test::Scene;
 using test::step;
 using test::submission;
@@ -48,6 +49,40 @@
     }
 }
 
+// Guards against a task that is taken for absent because the look that settles older orders does not
+// list it: its own order was sent beside that look.
+TEST(Contact, OrderSentBesideASettlingLookIsNotSettledByIt)
+{
+    SCOPED_TRACE("given an unanswered start, and another task that is planned but not yet ordered");
+    Scene scene(1);
+    scene.submit(submission(firstJob, step(1, 1000)));
+    const auto first = scene.start();
+    ASSERT_EQ(first.size(), 1U);
+    scene.look();
+    const std::int64_t before = scene.worker("w1").lookNumber;
+    scene.submit(submission(secondJob, step(1, 1000)));
+    planStarts(scene.engine, scene.now);
+    const Batch batch = takeBatch(scene.engine);
+    scene.answerStart(first.at(0), StartResult::Unknown);
+    {
+        SCOPED_TRACE("when an older look opens the worker, so that the order leaves after all");
+        LookAnswer empty;
+        empty.clockMs = 6000;
+        takeLookAnswer(scene.engine, Scene::life("w1"), before, empty, scene.now);
+        ASSERT_EQ(scene.look().size(), 1U);
+        applyStored(scene.engine, batch, scene.now);
+        ASSERT_EQ(scene.take<StartOrder>().size(), 1U);
+        {
+            SCOPED_TRACE("then the settling look frees the first task and keeps the second");
+            scene.answer("w1");
+            const auto again = scene.start();
+            ASSERT_EQ(again.size(), 1U);
+            EXPECT_EQ(again[0].task.job, JobId(firstJob));
+            EXPECT_EQ(scene.job(secondJob).occurrences.at(0).steps[0][0].attempts.size(), 1U);
+        }
+    }
+}
+
 // Guards against a second run while the first still holds its lease on a worker that is cut off.
 TEST(Contact, SilentWorkerKeepsItsTasksUntilTheLeaseLapses)
 {
