--- a/include/poplarstream/edge/leadership_duty.hpp
+++ b/include/poplarstream/edge/leadership_duty.hpp
@@ -36,9 +36,8 @@
     // confirmed it.
     void confirm(std::vector<std::string> machines, std::function<void(bool isConfirmed)> done);
 
-    // When other owners last named each machine; complete for the time since followingSince().
+    // When any owner last ordered each machine.
     const std::map<std::string, TimePoint> &machinesOrdered() const;
-    TimePoint followingSince() const;
 
     // Hands the ownership over and claims it no more.
     void leave();
--- a/include/poplarstream/edge/machine_duty.hpp
+++ b/include/poplarstream/edge/machine_duty.hpp
@@ -34,12 +34,8 @@
 
     void takeWave(const pools::Wave &wave);
 
-    // Begins to order: nothing before `mayOrderFrom`, and machines that an earlier owner ordered
-    // lately not before the time given for each.
-    void start(TimePoint mayOrderFrom, std::map<pools::MachineId, TimePoint> restsUntil);
-
-    // Whether a key of the progress log belongs to this duty.
-    static bool isOwnKey(const std::string &key);
+    // Begins to order, machines that an earlier owner ordered lately not before the time given.
+    void start(std::map<pools::MachineId, TimePoint> restsUntil);
 
 private:
     struct State;
--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -16,9 +16,8 @@
     std::int64_t epoch = 0;
     // When the predecessor may have renewed a lease last; nothing if it handed over.
     std::optional<TimePoint> lastRenewalAt;
-    // When earlier owners last ordered each machine, complete since `machinesKnownSince`.
+    // When earlier owners last ordered each machine.
     std::map<std::string, TimePoint> machinesOrdered;
-    TimePoint machinesKnownSince{};
 };
 
 struct OwnerSessionHooks
--- a/include/poplarstream/edge/stored_jobs.hpp
+++ b/include/poplarstream/edge/stored_jobs.hpp
@@ -19,9 +19,15 @@
 // Applies a record of the job log. One that cannot be read is logged and skipped.
 void applyJobRecord(engine::Engine &engine, const StoredRecord &record, const engine::Moment &now);
 
-// Applies the progress that earlier owners stored. Their attempts may run on until their leases
-// lapse, which were renewed at `renewedAt` at the latest.
-void adoptStoredProgress(engine::Engine &engine, const std::vector<StoredRecord> &progress,
-                         TimePoint renewedAt, TimePoint now);
+// Whether a record of the progress log is of a job.
+bool isOfJob(const StoredRecord &record);
+
+// Applies the progress of a job that earlier owners stored. Their attempts may run on until their
+// leases lapse, which were renewed at `renewedAt` at the latest.
+void adoptStoredProgress(engine::Engine &engine, const StoredRecord &record, TimePoint renewedAt,
+                         TimePoint now);
+
+// Stops what is left of jobs that have ended.
+void stopEndedJobs(engine::Engine &engine, TimePoint now);
 
 }  // namespace poplarstream::edge
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>  // for int64_t
+#include <map>  // for map
 #include <optional>  // for optional
 #include <string>  // for string
 #include <string_view>  // for string_view
@@ -24,7 +25,9 @@
     std::string incarnation;  // of the owner's process
     double processorShare = 1.0;  // of a core, that the owner has
     double largestShare = 1.0;  // of a core, that any owner so far had
-    std::vector<std::string> machines;  // that the owner orders once this is confirmed
+    // How long ago machines were ordered, by this owner or one before; 0 for those that the owner
+    // orders once this is confirmed.
+    std::map<std::string, Milliseconds> machinesOrdered;
 };
 
 std::string encodeOwnership(const OwnershipRecord &record);
@@ -33,12 +36,13 @@
 struct LeadershipSettings
 {
     // Between two renewals.
-    Milliseconds renewal{400};
-    // An owner that has not confirmed a renewal for this long orders nothing more.
-    Milliseconds validity{1500};
+    Milliseconds renewal{300};
+    // An owner that has not confirmed a renewal for this long orders nothing more: two renewals
+    // whose answers are lost, and the one after.
+    Milliseconds validity{1300};
     // Silence after which another process claims: the validity, and what a renewal may take from
     // being sent to being read.
-    Milliseconds silence{2000};
+    Milliseconds silence{1700};
     // Added to the silence, and spread over candidates that are as good as the last owner.
     Milliseconds claimSpread{120};
     // A smaller candidate waits this long for each time that the last owner's share is larger.
@@ -51,6 +55,8 @@
     // After an outage of the log the owner has this long for its next renewal: one period and the
     // time of a call that failed late.
     Milliseconds settling{1000};
+    // Orders to machines are passed on for this long: longer than they bind a successor.
+    Milliseconds machinesRemembered{5000};
     // Of the first claim ever, divided by the share: machines start at different moments.
     Milliseconds firstDelay{200};
 };
@@ -78,6 +84,7 @@
     TimePoint writtenAt{};
     bool wantsRenewal = false;  // a renewal is written ahead of its time
     std::vector<std::string> machinesToOrder;  // named by the next renewal
+    std::map<std::string, TimePoint> machinesOrdered;  // lately, by any owner
     bool isLeaving = false;  // hands over and claims no more
 };
 
--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -58,8 +58,7 @@
     std::map<std::int64_t, WaveView> waves;
     std::map<ServiceId, PoolNeed> needs;
     Forecast forecast;
-    TimePoint mayOrderFrom{};  // an earlier owner may have ordered until shortly before
-    std::map<MachineId, TimePoint> restsUntil;  // the same for single machines
+    std::map<MachineId, TimePoint> restsUntil;  // an earlier owner ordered them shortly before
     std::string holder;
     std::int64_t fencingToken = 0;
 };
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -135,7 +135,6 @@
             inheritance.lastRenewalAt = leadership->predecessorSeenAt();
         }
         inheritance.machinesOrdered = leadership->machinesOrdered();
-        inheritance.machinesKnownSince = leadership->followingSince();
         OwnerSessionHooks hooks;
         hooks.mayOrder = [this] {
             return leadership && ownership::mayOrder(leadership->leadership(), steadyNow());
--- a/src/poplarstream/edge/leadership_duty.cpp
+++ b/src/poplarstream/edge/leadership_duty.cpp
@@ -15,12 +15,11 @@
 
 constexpr std::string_view ownerKey = "owner";
 constexpr Milliseconds tick{50};
-constexpr Milliseconds writeDeadline{1200};
+// A write whose answer is lost is noticed in time for two more within the validity.
+constexpr Milliseconds writeDeadline{450};
 // Every entry host reads each renewal, and an owner that moves machines renews often: between two
 // reads each waits this long, so that the calls do not grow with the orders.
 constexpr Milliseconds readPause{250};
-// Well beyond the time for which an order to a machine counts.
-constexpr Milliseconds machinesRemembered{60'000};
 
 }  // namespace
 
@@ -40,8 +39,6 @@
     {
         FollowerEvents received;
         received.snapshot = [this](const std::vector<StoredRecord> &records, std::int64_t end) {
-            // What came before the newest record is not known.
-            followingSince = steadyNow();
             take(records, end);
         };
         received.records = [this](const std::vector<StoredRecord> &records, std::int64_t end) {
@@ -60,7 +57,6 @@
         for (const StoredRecord &record : records) {
             if (record.key == ownerKey && record.value) {
                 newest = ownership::decodeOwnership(*record.value);
-                rememberMachines(newest);
             }
         }
         rememberPredecessor(newest);
@@ -78,19 +74,6 @@
         }
     }
 
-    void rememberMachines(const std::optional<OwnershipRecord> &record)
-    {
-        if (record && record->incarnation != leadership.incarnation) {
-            const TimePoint now = steadyNow();
-            for (const std::string &machine : record->machines) {
-                machinesOrdered[machine] = now;
-            }
-            std::erase_if(machinesOrdered, [&](const auto &entry) {
-                return entry.second + machinesRemembered < now;
-            });
-        }
-    }
-
     void logChange(const std::optional<OwnershipRecord> &before) const
     {
         const auto &last = leadership.last;
@@ -165,8 +148,6 @@
     bool predecessorResigned = false;
     std::vector<std::function<void(bool)>> waiting;  // for the next write
     std::vector<std::function<void(bool)>> inWrite;  // for the write under way
-    std::map<std::string, TimePoint> machinesOrdered;
-    TimePoint followingSince{};
     std::unique_ptr<LogFollower> follower;
     bool isClosed = false;
 };
@@ -200,12 +181,7 @@
 
 const std::map<std::string, TimePoint> &LeadershipDuty::machinesOrdered() const
 {
-    return state_->machinesOrdered;
-}
-
-TimePoint LeadershipDuty::followingSince() const
-{
-    return state_->followingSince;
+    return state_->leadership.machinesOrdered;
 }
 
 void LeadershipDuty::confirm(std::vector<std::string> machines,
--- a/src/poplarstream/edge/machine_duty.cpp
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -243,11 +243,6 @@
     state_->isClosed = true;
 }
 
-bool MachineDuty::isOwnKey(const std::string &key)
-{
-    return key.starts_with(waveKeyPrefix);
-}
-
 void MachineDuty::adopt(const StoredRecord &record)
 {
     const json value = json::parse(record.value.value_or(std::string()), nullptr, false);
@@ -269,10 +264,9 @@
     pools::takeWave(state_->machines, wave, state_->inherited[wave.number], steadyNow());
 }
 
-void MachineDuty::start(TimePoint mayOrderFrom, std::map<pools::MachineId, TimePoint> restsUntil)
+void MachineDuty::start(std::map<pools::MachineId, TimePoint> restsUntil)
 {
     state_->machines.restsUntil = std::move(restsUntil);
-    state_->machines.mayOrderFrom = mayOrderFrom;
     if (state_->runtime.settings.machines.port != 0) {
         state_->list();
         state_->plan();
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -3,11 +3,12 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/edge/decision_log.hpp"  // for DecisionLog
+#include "poplarstream/edge/job_feed.hpp"  // for JobFeed
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
 #include "poplarstream/edge/machine_duty.hpp"  // for MachineDuty
 #include "poplarstream/edge/order_sender.hpp"  // for OrderSender
 #include "poplarstream/edge/progress_writer.hpp"  // for ProgressWriter
-#include "poplarstream/edge/stored_jobs.hpp"  // for applyJobRecord
+#include "poplarstream/edge/stored_jobs.hpp"  // for dropRecords
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
 #include "poplarstream/engine/evidence.hpp"  // for relieveStragglers
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
@@ -37,14 +38,6 @@
 // A lookup of an unknown job is answered with certainty only from a feed as fresh as this.
 constexpr Milliseconds feedAge{2500};
 
-// From when on machines may be ordered: at once where all orders of earlier owners are known.
-TimePoint machineOrdersFrom(const Inheritance &inheritance, const engine::EngineLimits &limits,
-                            TimePoint now)
-{
-    const TimePoint settled = now - limits.machineLease - renewalLag;
-    return inheritance.machinesKnownSince <= settled ? now : now + limits.machineLease;
-}
-
 // Owners name machines in the renewal right before they order them.
 std::map<pools::MachineId, TimePoint> restingMachines(const Inheritance &inheritance,
                                                       const engine::EngineLimits &limits)
@@ -96,76 +89,34 @@
     {
         writer.fence(guarded([](State &self, bool isFenced) {
             if (isFenced) {
-                self.loadProgress();
+                self.load();
             } else {
                 self.hooks.superseded();
             }
         }));
     }
 
-    void loadProgress()
-    {
-        FollowerEvents events;
-        events.snapshot = guarded([](State &self, std::vector<StoredRecord> records, std::int64_t) {
-            self.progress = std::move(records);
-            // The follower that called this must not be destroyed within its call.
-            callAfter(self.runtime, Milliseconds{0},
-                      self.guarded([](State &later) { later.loadJobs(); }));
-        });
-        events.records = [](const std::vector<StoredRecord> &, std::int64_t) {};
-        progressFollower = std::make_unique<LogFollower>(runtime, Log::Progress, FollowerSettings{},
-                                                         std::move(events));
-    }
-
-    void loadJobs()
-    {
-        progressFollower.reset();
-        FollowerEvents events;
-        events.snapshot =
-                guarded([](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
-                    self.takeJobs(records);
-                    self.finishLoading();
-                });
-        events.records =
-                guarded([](State &self, const std::vector<StoredRecord> &records, std::int64_t) {
-                    self.takeJobs(records);
-                    self.pump();
-                });
-        jobFollower = std::make_unique<LogFollower>(runtime, Log::Jobs, FollowerSettings{},
-                                                    std::move(events));
-    }
-
-    void takeJobs(const std::vector<StoredRecord> &records)
-    {
-        for (const StoredRecord &record : records) {
-            applyJobRecord(engine, record, moment());
-        }
-    }
-
-    void finishLoading()
+    void load()
     {
-        if (isLoaded) {
-            return;
-        }
         const TimePoint now = steadyNow();
         const TimePoint renewedAt = inheritance.lastRenewalAt
                                             ? std::max(now, *inheritance.lastRenewalAt + extendFor)
                                             : now;
-        std::vector<StoredRecord> ofJobs;
-        for (StoredRecord &record : std::exchange(progress, {})) {
-            if (MachineDuty::isOwnKey(record.key)) {
-                machines.adopt(record);
-            } else {
-                ofJobs.push_back(std::move(record));
-            }
-        }
-        adoptStoredProgress(engine, ofJobs, renewedAt, now);
+        JobFeedEvents events;
+        events.other = guarded(
+                [](State &self, const StoredRecord &record) { self.machines.adopt(record); });
+        events.loaded = guarded([](State &self) { self.begin(); });
+        events.changed = guarded([](State &self) { self.pump(); });
+        feed = std::make_unique<JobFeed>(runtime, engine, renewedAt, std::move(events));
+    }
+
+    void begin()
+    {
         isLoaded = true;
         for (const auto &[number, wave] : waves) {
             machines.takeWave(wave);
         }
-        machines.start(machineOrdersFrom(inheritance, engine.limits, now),
-                       restingMachines(inheritance, engine.limits));
+        machines.start(restingMachines(inheritance, engine.limits));
         logEvent(events::ownerLoaded, {{"epoch", fmt::to_string(inheritance.epoch)},
                                        {"jobs", fmt::to_string(engine.jobs.size())},
                                        {"active", fmt::to_string(engine.active.size())}});
@@ -325,9 +276,7 @@
     DecisionLog journal;
     MachineDuty machines;
     std::map<std::int64_t, pools::Wave> waves;
-    std::vector<StoredRecord> progress;
-    std::unique_ptr<LogFollower> progressFollower;
-    std::unique_ptr<LogFollower> jobFollower;
+    std::unique_ptr<JobFeed> feed;
     std::unique_ptr<LogFollower> registryFollower;
     std::uint64_t unreadableEntries = 0;
     TimePoint nextPlanAt{};
@@ -354,8 +303,7 @@
 void OwnerSession::close()
 {
     state_->isClosed = true;
-    state_->progressFollower.reset();
-    state_->jobFollower.reset();
+    state_->feed.reset();
     state_->registryFollower.reset();
 }
 
@@ -383,7 +331,7 @@
 
 bool OwnerSession::isCurrent(TimePoint now) const
 {
-    return state_->isLoaded && state_->jobFollower->currentAsOf() + feedAge >= now;
+    return state_->isLoaded && state_->feed->currentAsOf() + feedAge >= now;
 }
 
 std::optional<jobs::JobState> OwnerSession::stateOf(const engine::QueueId &queue,
--- a/src/poplarstream/edge/stored_jobs.cpp
+++ b/src/poplarstream/edge/stored_jobs.cpp
@@ -56,26 +56,32 @@
     engine::submitJob(engine, std::move(submission).value(), now);
 }
 
-void adoptStoredProgress(engine::Engine &engine, const std::vector<StoredRecord> &progress,
-                         TimePoint renewedAt, TimePoint now)
+bool isOfJob(const StoredRecord &record)
 {
-    const TimePoint lapsedAt = engine::lapseAfter(engine, renewedAt);
-    for (const StoredRecord &record : progress) {
-        if (!record.value) {
-            continue;
-        }
-        const jobs::JobId id(record.key);
-        const jobs::Job *const known = engine::findJob(engine, id);
-        const bool wasCancelled = known != nullptr && known->state == jobs::JobState::Cancelled;
-        const Result<bool> applied =
-                engine::adoptProgress(engine, id, *record.value, lapsedAt, now);
-        if (!applied) {
-            logUnreadable("progress", record, applied.failure().message);
-        }
-        if (wasCancelled) {
-            engine::cancelJob(engine, id, now);
-        }
+    return record.key.find('/') == std::string::npos;
+}
+
+void adoptStoredProgress(engine::Engine &engine, const StoredRecord &record, TimePoint renewedAt,
+                         TimePoint now)
+{
+    if (!record.value) {
+        return;
+    }
+    const jobs::JobId id(record.key);
+    const jobs::Job *const known = engine::findJob(engine, id);
+    const bool wasCancelled = known != nullptr && known->state == jobs::JobState::Cancelled;
+    const Result<bool> applied = engine::adoptProgress(engine, id, *record.value,
+                                                       engine::lapseAfter(engine, renewedAt), now);
+    if (!applied) {
+        logUnreadable("progress", record, applied.failure().message);
+    }
+    if (wasCancelled) {
+        engine::cancelJob(engine, id, now);
     }
+}
+
+void stopEndedJobs(engine::Engine &engine, TimePoint now)
+{
     for (const auto &[id, job] : engine.jobs) {
         if (jobs::isFinal(job.state)) {
             engine::stopJob(engine, id, now);
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -28,6 +28,10 @@
 
 std::string encodeOwnership(const OwnershipRecord &record)
 {
+    json machines = json::object();
+    for (const auto &[id, age] : record.machinesOrdered) {
+        machines[id] = age.count();
+    }
     return json{{"kind", kindTexts[static_cast<std::size_t>(record.kind)]},
                 {"epoch", record.epoch},
                 {"owner", record.owner.text()},
@@ -35,7 +39,7 @@
                 {"incarnation", record.incarnation},
                 {"share", record.processorShare},
                 {"largestShare", record.largestShare},
-                {"machines", record.machines}}
+                {"machines", std::move(machines)}}
             .dump();
 }
 
@@ -59,7 +63,9 @@
         record.incarnation = value.at("incarnation").get<std::string>();
         record.processorShare = value.at("share").get<double>();
         record.largestShare = value.at("largestShare").get<double>();
-        record.machines = value.at("machines").get<std::vector<std::string>>();
+        for (const auto &[id, age] : value.at("machines").items()) {
+            record.machinesOrdered[id] = Milliseconds(age.get<std::int64_t>());
+        }
         return record;
     } catch (const json::exception &) {
         return {};
@@ -152,7 +158,15 @@
         record.largestShare = std::max(record.largestShare, leadership.last->largestShare);
     }
     if (step == LeadershipStep::Renew) {
-        record.machines = std::exchange(leadership.machinesToOrder, {});
+        for (const std::string &machine : std::exchange(leadership.machinesToOrder, {})) {
+            leadership.machinesOrdered[machine] = now;
+        }
+    }
+    std::erase_if(leadership.machinesOrdered, [&](const auto &entry) {
+        return entry.second + leadership.settings.machinesRemembered < now;
+    });
+    for (const auto &[id, orderedAt] : leadership.machinesOrdered) {
+        record.machinesOrdered[id] = now - orderedAt;
     }
     if (step == LeadershipStep::Claim) {
         record.kind = Kind::Claim;
@@ -189,6 +203,10 @@
     }
     leadership.endOffset = std::max(leadership.endOffset, endOffset);
     if (newest) {
+        for (const auto &[id, age] : newest->machinesOrdered) {
+            TimePoint &orderedAt = leadership.machinesOrdered[id];
+            orderedAt = std::max(orderedAt, now - age);
+        }
         if (!leadership.last || leadership.last->epoch != newest->epoch) {
             leadership.ownerSince = now;
         }
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -80,9 +80,6 @@
 std::vector<MachineOrder> planMachines(Pools &pools, engine::Engine &engine, TimePoint now)
 {
     takeArrivals(pools.forecast, std::exchange(engine.arrivals, {}), now);
-    if (now < pools.mayOrderFrom) {
-        return {};
-    }
     planUpkeep(pools, engine, now);
     planMoves(pools, engine, now);
     std::vector<MachineOrder> orders;
