Empty hosts of long-running tasks from the start of a wave, and fill others first

Machines with long-running tasks came last, and those leave one by one, onto other machines of the wave at that.

Change: up to two hosts a pool are emptied from the start beside the others; tasks go to workers that are not due for upkeep first. Waves.HostsOfLongRunningTasksAreEmptiedFromTheStart fails without it.

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -76,6 +76,7 @@
     bool isGone = false;  // its life is known to be over
     Contact contact = Contact::New;
     bool isCordoned = false;  // to be emptied for upkeep or a move
+    bool isDueForUpkeep = false;  // will be emptied soon, so other workers are filled first
     jobs::Resources used;  // by attempts that run or may run
     std::map<AttemptRef, std::int64_t> attempts;  // to the first look that settles their absence
     std::set<AttemptRef> strangers;  // runs that no job accounts for; being stopped
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -23,16 +23,18 @@
            || (step.target > Milliseconds{0} && site.hostsFillers);
 }
 
-// Smaller is better. Long-running tasks share workers with others of their kind, but spread over
-// racks; all fill the fullest worker, so that idle workers can be given away.
-std::tuple<int, int, int, std::int64_t> costOf(const Site &site, const jobs::StepSpec &step,
-                                               const Spread &spread)
+// Smaller is better. Nothing goes where it has to be moved away from soon. Long-running tasks share
+// workers with others of their kind, but spread over racks; all fill the fullest worker, so that
+// idle workers can be given away.
+std::tuple<int, int, int, int, std::int64_t> costOf(const Site &site, const jobs::StepSpec &step,
+                                                    const Spread &spread)
 {
     const WorkerEntry &entry = site.worker->entry;
     const bool isRemote = !step.affinityRack.empty() && entry.rack.text() != step.affinityRack;
     const int onRack = step.longRunning ? countAt(spread.onRack, entry.rack) : 0;
     const bool isFresh = step.longRunning && !site.hostsLasting;
-    return {isRemote ? 1 : 0, isFresh ? 1 : 0, onRack, site.room.cpuMilli};
+    return {isRemote ? 1 : 0, site.worker->isDueForUpkeep ? 1 : 0, isFresh ? 1 : 0, onRack,
+            site.room.cpuMilli};
 }
 
 }  // namespace
--- a/src/poplarstream/pools/waves.cpp
+++ b/src/poplarstream/pools/waves.cpp
@@ -13,6 +13,9 @@
 // Machines of one pool that are emptied or away for upkeep at once, where that is enough to be in
 // time: the rest has to carry the work.
 constexpr int emptiedPerPool = 2;
+// Long-running tasks leave one by one, which takes long: machines that host some are emptied from
+// the start, so many of a pool at once beside the others.
+constexpr int hostsEmptiedPerPool = 2;
 // Short tasks run about a second; a machine of the wave is emptied for as long before its upkeep.
 constexpr Milliseconds emptying{1500};
 // A wave aims to be done after this share of its time, as machines are lost and owners change.
@@ -71,6 +74,7 @@
 {
     int away = 0;
     std::map<ServiceId, int> emptied;
+    std::map<ServiceId, int> hostsEmptied;
     std::map<ServiceId, int> left;
     std::vector<Choice> choices;
     for (const MachineId &id : wave.wave.machines) {
@@ -79,10 +83,14 @@
             continue;
         }
         MachineView &view = found->second;
-        left[view.machine.pool] += wave.begun.contains(id) ? 0 : 1;
+        const bool isDue = !wave.begun.contains(id);
+        left[view.machine.pool] += isDue ? 1 : 0;
+        if (engine::Worker *const worker = workerOf(engine, view.machine)) {
+            worker->isDueForUpkeep = isDue;
+        }
         if (isForWave(view, wave.wave.number) || mayBeAway(pools, wave, view, now)) {
             ++away;
-            ++emptied[view.machine.pool];
+            ++(choiceOf(engine, view).lasting > 0 ? hostsEmptied : emptied)[view.machine.pool];
         } else if (!wave.begun.contains(id) && !view.pending && view.restsUntil <= now
                    && view.machine.state == MachineState::Up) {
             choices.push_back(choiceOf(engine, view));
@@ -94,8 +102,11 @@
         const Machine &machine = choice.view->machine;
         const auto service = engine.services.find(machine.pool);
         const bool isStandby = service != engine.services.end() && service->second.isStandby;
-        const int atOnce = emptiedAtOnce(engine, wave, left[machine.pool], now);
-        if (away >= wave.wave.cap || (!isStandby && emptied[machine.pool] >= atOnce)) {
+        const bool isHost = choice.lasting > 0;
+        int &taken = (isHost ? hostsEmptied : emptied)[machine.pool];
+        const int atOnce =
+                isHost ? hostsEmptiedPerPool : emptiedAtOnce(engine, wave, left[machine.pool], now);
+        if (away >= wave.wave.cap || (!isStandby && taken >= atOnce)) {
             continue;
         }
         MachineOrder order;
@@ -106,7 +117,7 @@
         order.fencingToken = pools.fencingToken;
         choice.view->pending = PendingOrder{std::move(order)};
         ++away;
-        ++emptied[machine.pool];
+        ++taken;
     }
 }
 
