--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -38,6 +38,15 @@
     bool isCompleted = false;
 };
 
+// What the workers of a pool's machines can do.
+struct PoolReadiness
+{
+    int open = 0;  // take tasks
+    int coming = 0;  // not in the registry: on the way, in upkeep, or lost
+    int silent = 0;  // have not answered the last look
+    int leaving = 0;  // drain, or are emptied for an order
+};
+
 // How many machines a pool should have.
 struct PoolNeed
 {
@@ -46,7 +55,7 @@
     TimePoint surplusSince{};  // since when it has had more; the epoch when it has not
     // What the numbers rest on, for the log.
     int present = 0;  // machines, with those that are coming
-    int open = 0;  // that take tasks
+    PoolReadiness readiness;
     Demand demand;
     Load expected;
 };
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -152,7 +152,9 @@
                                         "None."};
 inline constexpr EventKind poolSized{
         722, EventLevel::Info, "pool-sized",
-        "pool wanted kept present open running_milli waiting_milli late_milli expected_milli",
+        "pool wanted kept present open coming silent leaving running_milli waiting_milli "
+        "late_milli "
+        "expected_milli",
         "If `wanted` stays above `present`, look for machine orders that are refused."};
 inline constexpr EventKind workerSuspected{730, EventLevel::Warning, "worker-suspected",
                                            "task run worker inputs",
--- a/src/poplarstream/engine/contact_test.cpp
+++ b/src/poplarstream/engine/contact_test.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 using test::firstJob;
-using test::secondJob;
 using test::Scene;
+using test::secondJob;
 using test::step;
 using test::submission;
 
@@ -49,8 +49,8 @@
     }
 }
 
-// Guards against a task that is taken for absent because the look that settles older orders does not
-// list it: its own order was sent beside that look.
+// Guards against a task that is taken for absent because the look that settles older orders does
+// not list it: its own order was sent beside that look.
 TEST(Contact, OrderSentBesideASettlingLookIsNotSettledByIt)
 {
     SCOPED_TRACE("given an unanswered start, and another task that is planned but not yet ordered");
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -20,7 +20,7 @@
 constexpr Milliseconds longestWait{1500};
 // While ends wait for the store, the worker would answer a waiting look at once.
 constexpr Milliseconds lookPauseWithEnds{500};
-constexpr Milliseconds silentRetry{300};
+constexpr Milliseconds silentRetry{100};
 
 std::string_view endText(RunEnd end)
 {
--- a/src/poplarstream/pools/moves.cpp
+++ b/src/poplarstream/pools/moves.cpp
@@ -21,7 +21,7 @@
 {
     std::vector<MachineView *> up;
     int present = 0;  // including those that are coming; without those emptied for upkeep
-    int open = 0;  // that take tasks now
+    PoolReadiness readiness;
 };
 
 bool isMovable(const MachineView &view, TimePoint now)
@@ -29,11 +29,18 @@
     return !view.pending && view.restsUntil <= now && view.machine.state == MachineState::Up;
 }
 
-bool takesTasks(engine::Engine &engine, const Machine &machine)
+void count(PoolReadiness &readiness, engine::Engine &engine, const MachineView &view)
 {
-    const engine::Worker *const worker = workerOf(engine, machine);
-    return worker != nullptr && worker->isListed && !worker->isGone && !worker->isCordoned
-           && worker->contact == engine::Contact::Open && !worker->entry.isDraining;
+    const engine::Worker *const worker = workerOf(engine, view.machine);
+    if (view.pending || (worker != nullptr && (worker->isCordoned || worker->entry.isDraining))) {
+        ++readiness.leaving;
+    } else if (worker == nullptr || worker->isGone || !worker->isListed) {
+        ++readiness.coming;
+    } else if (worker->contact != engine::Contact::Open) {
+        ++readiness.silent;
+    } else {
+        ++readiness.open;
+    }
 }
 
 std::map<ServiceId, PoolMembers> membersOf(Pools &pools, engine::Engine &engine, TimePoint now)
@@ -49,7 +56,7 @@
         if (view.machine.state != MachineState::Down && !isInUpkeep) {
             ++own.present;
         }
-        own.open += !view.pending && takesTasks(engine, view.machine) ? 1 : 0;
+        count(own.readiness, engine, view);
         if (isMovable(view, now)) {
             members[view.machine.pool].up.push_back(&view);
         }
@@ -140,12 +147,13 @@
         const jobs::Resources capacity = capacityOf(own, pools);
         PoolNeed &need = pools.needs[service];
         need.present = own.present;
-        need.open = own.open;
+        need.readiness = own.readiness;
         need.demand = demands[service];
         need.expected = expectedLoad(pools.forecast, service, ahead, now);
-        need.wanted = std::max({machinesFor(need.demand, capacity, own.open, false),
+        need.wanted = std::max({machinesFor(need.demand, capacity, own.readiness.open, false),
                                 machinesFor(need.demand, need.expected, capacity), leastMachines});
-        need.kept = std::max(need.wanted, machinesFor(need.demand, capacity, own.open, true));
+        need.kept =
+                std::max(need.wanted, machinesFor(need.demand, capacity, own.readiness.open, true));
     }
 }
 
