--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -16,6 +16,7 @@
 struct PendingOrder
 {
     MachineOrder order;
+    TimePoint decidedAt{};
     bool isSent = false;
     TimePoint sentAt{};
 };
@@ -29,6 +30,17 @@
     std::set<ServiceId> unfitPools;  // that refused it
 };
 
+// Where the machines of a wave stand.
+struct WaveProgress
+{
+    int left = 0;  // whose upkeep has not begun
+    int away = 0;  // in upkeep, or being emptied for it
+    int hosts = 0;  // that are emptied and still host long-running tasks
+    int notUp = 0;  // left, and moving, down or resting after a refusal
+    MachineId oldest;  // of those being emptied, and since when
+    TimePoint oldestSince{};
+};
+
 struct WaveView
 {
     Wave wave;
@@ -36,6 +48,7 @@
     std::set<MachineId> begun;  // their upkeep has begun or is over
     std::set<MachineId> away;  // in upkeep now, as far as is known
     bool isCompleted = false;
+    WaveProgress progress;
 };
 
 // What the workers of a pool's machines can do.
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -150,6 +150,9 @@
         "None; an order that is not done is repeated or given up by its result."};
 inline constexpr EventKind waveReported{721, EventLevel::Info, "wave-reported", "wave completed",
                                         "None."};
+inline constexpr EventKind waveUnderWay{
+        723, EventLevel::Info, "wave-under-way", "wave left away hosts not_up oldest oldest_ms",
+        "If `oldest_ms` keeps rising, look for what still runs on the machine `oldest`."};
 inline constexpr EventKind poolSized{
         722, EventLevel::Info, "pool-sized",
         "pool wanted kept present open coming silent leaving running_milli waiting_milli "
--- a/src/poplarstream/edge/machine_duty.cpp
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -16,7 +16,7 @@
 // The list shows when a moved machine is back.
 constexpr Milliseconds listPeriod{400};
 constexpr Milliseconds planPeriod{100};
-constexpr Milliseconds poolLogPeriod{1000};
+constexpr Milliseconds logPeriod{1000};
 
 std::string_view resultText(pools::OrderResult result)
 {
@@ -103,7 +103,7 @@
         if (hasList && hooks.mayOrder()) {
             sendConfirmed(pools::planMachines(machines, engine, steadyNow()));
             reportWaves();
-            logPools();
+            logProgress();
         }
         after(planPeriod, &State::plan);
     }
@@ -154,13 +154,37 @@
         }
     }
 
-    void logPools()
+    void logProgress()
     {
         const TimePoint now = steadyNow();
-        if (now < poolsLoggedAt + poolLogPeriod) {
-            return;
+        if (now >= loggedAt + logPeriod) {
+            loggedAt = now;
+            logPools();
+            logWaves(now);
         }
-        poolsLoggedAt = now;
+    }
+
+    void logWaves(TimePoint now) const
+    {
+        for (const auto &[number, wave] : machines.waves) {
+            const pools::WaveProgress &progress = wave.progress;
+            if (wave.isCompleted) {
+                continue;
+            }
+            const Milliseconds age =
+                    progress.oldest.isEmpty() ? Milliseconds{0} : now - progress.oldestSince;
+            logEvent(events::waveUnderWay, {{"wave", fmt::to_string(number)},
+                                            {"left", fmt::to_string(progress.left)},
+                                            {"away", fmt::to_string(progress.away)},
+                                            {"hosts", fmt::to_string(progress.hosts)},
+                                            {"not_up", fmt::to_string(progress.notUp)},
+                                            {"oldest", progress.oldest.text()},
+                                            {"oldest_ms", fmt::to_string(age.count())}});
+        }
+    }
+
+    void logPools() const
+    {
         for (const auto &[service, need] : machines.needs) {
             logEvent(events::poolSized,
                      {{"pool", service.text()},
@@ -228,7 +252,7 @@
     std::map<std::int64_t, std::set<pools::MachineId>> inherited;  // begun, by wave
     std::map<std::int64_t, bool> reports;  // what the operator was told
     std::set<std::int64_t> reporting;
-    TimePoint poolsLoggedAt{};
+    TimePoint loggedAt{};
     bool hasList = false;
     bool isClosed = false;
 };
--- a/src/poplarstream/pools/moves.cpp
+++ b/src/poplarstream/pools/moves.cpp
@@ -73,7 +73,7 @@
                                   : pools.machines.begin()->second.machine.capacity;
 }
 
-void order(Pools &pools, MachineView &view, const ServiceId &pool)
+void order(Pools &pools, MachineView &view, const ServiceId &pool, TimePoint now)
 {
     MachineOrder move;
     move.kind = MachineOrder::Kind::Move;
@@ -81,7 +81,7 @@
     move.pool = pool;
     move.holder = pools.holder;
     move.fencingToken = pools.fencingToken;
-    view.pending = PendingOrder{std::move(move)};
+    view.pending = PendingOrder{std::move(move), now};
 }
 
 // An empty machine that may go to `pool`, of the standby pool or of a pool with a surplus.
@@ -128,7 +128,7 @@
         }
         const engine::Worker *const worker = workerOf(engine, view->machine);
         if (isMovable(*view, now) && isEmpty(worker) && !view->unfitPools.contains(standby)) {
-            order(pools, *view, standby);
+            order(pools, *view, standby, now);
             --own.present;
         }
     }
@@ -174,7 +174,7 @@
             if (donor == nullptr) {
                 break;
             }
-            order(pools, *donor, service);
+            order(pools, *donor, service, now);
             ++own.present;
         }
         if (standby) {
--- a/src/poplarstream/pools/waves.cpp
+++ b/src/poplarstream/pools/waves.cpp
@@ -77,6 +77,7 @@
     std::map<ServiceId, int> hostsEmptied;
     std::map<ServiceId, int> left;
     std::vector<Choice> choices;
+    WaveProgress progress;
     for (const MachineId &id : wave.wave.machines) {
         const auto found = pools.machines.find(id);
         if (found == pools.machines.end()) {
@@ -85,15 +86,27 @@
         MachineView &view = found->second;
         const bool isDue = !wave.begun.contains(id);
         left[view.machine.pool] += isDue ? 1 : 0;
+        progress.left += isDue ? 1 : 0;
         if (engine::Worker *const worker = workerOf(engine, view.machine)) {
             worker->isDueForUpkeep = isDue;
         }
         if (isForWave(view, wave.wave.number) || mayBeAway(pools, wave, view, now)) {
+            const bool isHost = choiceOf(engine, view).lasting > 0;
+            ++(isHost ? hostsEmptied : emptied)[view.machine.pool];
             ++away;
-            ++(choiceOf(engine, view).lasting > 0 ? hostsEmptied : emptied)[view.machine.pool];
+            progress.hosts += isHost ? 1 : 0;
+            const bool isOldest =
+                    progress.oldest.isEmpty()
+                    || (view.pending && view.pending->decidedAt < progress.oldestSince);
+            if (view.pending && isOldest) {
+                progress.oldest = id;
+                progress.oldestSince = view.pending->decidedAt;
+            }
         } else if (!wave.begun.contains(id) && !view.pending && view.restsUntil <= now
                    && view.machine.state == MachineState::Up) {
             choices.push_back(choiceOf(engine, view));
+        } else {
+            progress.notUp += isDue ? 1 : 0;
         }
     }
     std::sort(choices.begin(), choices.end(),
@@ -115,10 +128,12 @@
         order.wave = wave.wave.number;
         order.holder = pools.holder;
         order.fencingToken = pools.fencingToken;
-        choice.view->pending = PendingOrder{std::move(order)};
+        choice.view->pending = PendingOrder{std::move(order), now};
         ++away;
         ++taken;
     }
+    progress.away = away;
+    wave.progress = std::move(progress);
 }
 
 }  // namespace
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -27,8 +27,8 @@
         jobAccepted,       jobRefused,           jobCancelled,         taskPlanned,
         taskEnded,         taskReleased,         taskStopped,          taskRelieved,
         jobEnded,          decisionsSuppressed,  machineOrdered,       waveReported,
-        poolSized,         workerSuspected,      workerEnded,          workerUnanswered,
-        workerAnswers,     leaseLapsed,
+        poolSized,         waveProgress,         workerSuspected,      workerEnded,
+        workerUnanswered,  workerAnswers,        leaseLapsed,
 };
 
 }  // namespace
