Watch long-running tasks until they are at work

Cause: a step counts as short of a task until a look shows it at work, and a look waited up to 1.5 s for an end; so the evacuation of each task waited that much longer than the task took. Contact.TasksThatComeToWorkAreWatched fails without the change.

--- a/src/poplarstream/engine/contact_test.cpp
+++ b/src/poplarstream/engine/contact_test.cpp
@@ -243,6 +243,27 @@
     }
 }
 
+// Guards against a step that counts as short of a task for longer than it is: evacuations wait for
+// it, and a look that waits for an end does not tell of progress.
+TEST(Contact, TasksThatComeToWorkAreWatched)
+{
+    SCOPED_TRACE("given a long-running task that has just started");
+    Scene scene(1);
+    jobs::StepSpec lasting = step(1, 1000);
+    lasting.longRunning = true;
+    scene.submit(submission(firstJob, lasting));
+    const auto starts = scene.startAll();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_LE(scene.look().at(0).wait, Milliseconds{300});
+    {
+        SCOPED_TRACE("then looks wait for an end when it is at work");
+        scene.answer("w1", {{Scene::ref().task, 1, "", 40, 0}});
+        EXPECT_LE(scene.look().at(0).wait, Milliseconds{300});
+        scene.answer("w1", {{Scene::ref().task, 1, "", 100, 0}});
+        EXPECT_GE(scene.look().at(0).wait, Milliseconds{1000});
+    }
+}
+
 // Guards against a late answer of the past taking a worker for idle.
 TEST(Contact, AnswerOfAnEarlierLookIsDropped)
 {
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -20,6 +20,9 @@
 constexpr Milliseconds longestWait{1500};
 // While ends wait for the store, the worker would answer a waiting look at once.
 constexpr Milliseconds lookPauseWithEnds{500};
+// While a long-running task comes to work, its progress is asked for this often.
+constexpr Milliseconds watchedWait{250};
+constexpr int wholePercent = 100;
 constexpr Milliseconds silentRetry{100};
 
 std::string_view endText(RunEnd end)
@@ -162,6 +165,19 @@
     }
 }
 
+// Whether a long-running task there is not known to be at work yet.
+bool hasTaskComingToWork(Engine &engine, const Worker &worker)
+{
+    for (const auto &[ref, settledBy] : worker.attempts) {
+        const jobs::Attempt *const attempt = findAttempt(engine, ref);
+        if (attempt != nullptr && attempt->percent < wholePercent
+            && stepOf(engine.jobs.at(ref.task.job), ref.task).longRunning) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void sendLook(Engine &engine, Worker &worker, TimePoint now)
 {
     LookOrder look;
@@ -175,7 +191,7 @@
     }
     const bool endsPending = worker.endsSeen > worker.endsStored;
     if (worker.contact == Contact::Open && hasWork && !endsPending && !worker.wantsPromptLook) {
-        look.wait = longestWait;
+        look.wait = hasTaskComingToWork(engine, worker) ? watchedWait : longestWait;
     }
     worker.wantsPromptLook = false;
     worker.isLooking = true;
