Count no inherited task as at work while a stop of the predecessor may take effect

Cause: the owner was stopped at 7.2 s and had stopped tasks until then; the successor loaded at 7.38 s, read its first reports, in which a task that is being stopped is still at work, and stopped another one of the step. Ruled out: stops carried out late (the successor's fencing token voids them).

Change: a task that an earlier owner started counts as at work only stopTimeout after the first answer of its worker. Contact.SuccessorWaitsForStopsOfItsPredecessor fails without it.

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -89,6 +89,7 @@
     TimePoint lookSentAt{};
     TimePoint nextLookAt{};
     TimePoint leaseUntil{};  // everything there has lapsed by then, whatever was lost
+    TimePoint openedAt{};  // the first look that was answered: no order of an earlier owner counts
     TimePoint answeredAt{};  // the last look that was answered
     std::int64_t clockMs = 0;
     TimePoint clockSeenAt{};
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -101,6 +101,7 @@
     WorkerLife worker;
     AttemptPhase phase = AttemptPhase::Planned;
     bool mayRun = false;  // the order may have left this or an earlier owner
+    bool isInherited = false;  // started by an earlier owner
     std::string ticket;  // of the advisor, where the queue needs one
     TimePoint startedAt{};
     int percent = -1;  // progress as last reported; -1: not reported
--- a/src/poplarstream/engine/contact_test.cpp
+++ b/src/poplarstream/engine/contact_test.cpp
@@ -243,6 +243,49 @@
     }
 }
 
+// Guards against a step that loses one task to the last order of an owner and the next to the first
+// order of its successor.
+TEST(Contact, SuccessorWaitsForStopsOfItsPredecessor)
+{
+    SCOPED_TRACE(
+            "given a lasting step of two tasks, taken over while both are reported as at work");
+    Scene before(3);
+    jobs::StepSpec lasting = step(2, 1000);
+    lasting.longRunning = true;
+    lasting.antiAffinity = 1;
+    lasting.mayMiss = 1;
+    before.submit(submission(firstJob, lasting));
+    const auto starts = before.startAll();
+    const std::string first = starts.at(0).target.worker.id.text();
+    const std::string second = starts.at(1).target.worker.id.text();
+    const std::string stored = jobs::encodeProgress(before.job());
+    Scene scene(3);
+    scene.submit(submission(firstJob, lasting));
+    ASSERT_TRUE(adoptProgress(scene.engine, JobId(firstJob), stored, scene.now, scene.now));
+    scene.now += Milliseconds{50};
+    scene.worker(first).openedAt = {};
+    scene.worker(second).openedAt = {};
+    const auto report = [&] {
+        scene.look();
+        scene.answer(first, {running(starts[0].task.index, 1, 100)});
+        scene.answer(second, {running(starts[1].task.index, 1, 100)});
+        scene.worker(first).isCordoned = true;
+        evacuate(scene.engine, scene.now);
+        return scene.take<StopOrder>().size();
+    };
+    {
+        SCOPED_TRACE("when a stop of the predecessor may still take effect");
+        EXPECT_EQ(report(), 0U);
+        scene.now += scene.engine.limits.stopTimeout - Milliseconds{10};
+        EXPECT_EQ(report(), 0U);
+    }
+    {
+        SCOPED_TRACE("then the task moves when it would have");
+        scene.now += Milliseconds{10};
+        EXPECT_EQ(report(), 1U);
+    }
+}
+
 // Guards against a step that counts as short of a task for longer than it is: evacuations wait for
 // it, and a look that waits for an end does not tell of progress.
 TEST(Contact, TasksThatComeToWorkAreWatched)
--- a/src/poplarstream/engine/evacuation.cpp
+++ b/src/poplarstream/engine/evacuation.cpp
@@ -14,6 +14,14 @@
 // A worker with tasks is looked at more often than this.
 constexpr Milliseconds reportAge{2500};
 
+// Whether an earlier owner may have stopped the attempt right before its orders became void: until
+// the stop has taken effect, the worker reports the task as at work.
+bool mayBeStopping(const Engine &engine, const jobs::Attempt &attempt, const Worker &worker,
+                   TimePoint now)
+{
+    return attempt.isInherited && now < worker.openedAt + engine.limits.stopTimeout;
+}
+
 // Whether a worker that answers has said lately that the task is at work.
 bool isAtWork(const Engine &engine, const jobs::Task &task, TimePoint now)
 {
@@ -23,7 +31,8 @@
                 return attempt.phase == jobs::AttemptPhase::Running
                        && attempt.percent >= wholePercent && worker != engine.workers.end()
                        && worker->second.contact == Contact::Open
-                       && worker->second.answeredAt + reportAge >= now;
+                       && worker->second.answeredAt + reportAge >= now
+                       && !mayBeStopping(engine, attempt, worker->second, now);
             });
 }
 
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -295,6 +295,9 @@
         return;
     }
     worker->answeredAt = now;
+    if (worker->openedAt == TimePoint{}) {
+        worker->openedAt = now;
+    }
     worker->clockMs = answer->clockMs;
     worker->clockSeenAt = now;
     for (const EndReport &report : answer->ended) {
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -93,6 +93,7 @@
         attempt.worker = {WorkerId(row.at(1).get<std::string>()), row.at(2).get<std::int64_t>()};
         attempt.phase = AttemptPhase::Ordered;
         attempt.mayRun = true;
+        attempt.isInherited = true;
         task.attempts.push_back(std::move(attempt));
     }
     return task;
