--- a/include/poplarstream/edge/caller_duty.hpp
+++ b/include/poplarstream/edge/caller_duty.hpp
@@ -26,6 +26,7 @@
     void take(const Call &call, const Reply &reply);
 
 private:
+    void answerCall(const Call &call, const Reply &reply);
     void submit(const Route &route, const jobs::JobId &id, const Call &call, const Reply &reply);
     void cancel(const jobs::JobId &id, const Call &call, const Reply &reply);
     void lookUp(const Route &route, const jobs::JobId &id, const Call &call, const Reply &reply);
--- a/include/poplarstream/edge/runtime.hpp
+++ b/include/poplarstream/edge/runtime.hpp
@@ -8,6 +8,7 @@
 #include "poplarstream/base/time.hpp"  // for TimePoint
 #include "poplarstream/edge/ports.hpp"  // for StorePort, WorkerPort, MachinePort, DecoderPort
 #include "poplarstream/edge/settings.hpp"  // for Settings
+#include "poplarstream/telemetry/duration_histograms.hpp"  // for DurationHistograms
 
 namespace poplarstream::edge {
 
@@ -25,6 +26,7 @@
     WorkerPort workers;
     MachinePort machines;
     DecoderPort decode;
+    DurationHistograms durations;  // served on the metrics address
 };
 
 // Calls `task` after `delay`.
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -150,15 +150,15 @@
         "None; an order that is not done is repeated or given up by its result."};
 inline constexpr EventKind waveReported{721, EventLevel::Info, "wave-reported", "wave completed",
                                         "None."};
-inline constexpr EventKind waveUnderWay{
-        723, EventLevel::Info, "wave-under-way", "wave left away hosts not_up oldest oldest_ms",
-        "If `oldest_ms` keeps rising, look for what still runs on the machine `oldest`."};
 inline constexpr EventKind poolSized{
         722, EventLevel::Info, "pool-sized",
         "pool wanted kept present open coming silent leaving running_milli waiting_milli "
         "late_milli "
         "expected_milli",
         "If `wanted` stays above `present`, look for machine orders that are refused."};
+inline constexpr EventKind waveUnderWay{
+        723, EventLevel::Info, "wave-under-way", "wave left away hosts not_up oldest oldest_ms",
+        "If `oldest_ms` keeps rising, look for what still runs on the machine `oldest`."};
 inline constexpr EventKind workerSuspected{730, EventLevel::Warning, "worker-suspected",
                                            "task run worker inputs",
                                            "If it repeats, take the worker out of its pool."};
--- a/src/poplarstream/edge/caller_duty.cpp
+++ b/src/poplarstream/edge/caller_duty.cpp
@@ -23,6 +23,41 @@
     return std::max(std::min(most, remaining - answerMargin), leastDeadline);
 }
 
+std::string_view kindText(CallKind kind)
+{
+    switch (kind) {
+    case CallKind::Submit:
+        return "submission";
+    case CallKind::Lookup:
+        return "lookup";
+    case CallKind::Cancel:
+        return "cancellation";
+    case CallKind::Other:
+        break;
+    }
+    return "other-call";
+}
+
+std::string_view outcomeText(AnswerKind kind)
+{
+    switch (kind) {
+    case AnswerKind::Accepted:
+    case AnswerKind::Cancelled:
+        return "stored";
+    case AnswerKind::Unavailable:
+        return "refused";
+    case AnswerKind::Unknown:
+        return "not-known";
+    case AnswerKind::State:
+    case AnswerKind::Count:
+    case AnswerKind::NoSuchQueue:
+    case AnswerKind::NoSuchJob:
+    case AnswerKind::BadRequest:
+        break;
+    }
+    return "answered";
+}
+
 Answer answerOf(AnswerKind kind, std::string message = {})
 {
     Answer answer;
@@ -39,6 +74,14 @@
 {}
 
 void CallerDuty::take(const Call &call, const Reply &reply)
+{
+    answerCall(call, [this, kind = call.kind, since = steadyNow(), reply](const Answer &answer) {
+        runtime_.durations.record(kindText(kind), outcomeText(answer.kind), steadyNow() - since);
+        reply(answer);
+    });
+}
+
+void CallerDuty::answerCall(const Call &call, const Reply &reply)
 {
     const Configuration *const configuration = hooks_.configuration();
     if (configuration == nullptr) {
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -283,7 +283,10 @@
 {
     std::string text = fmt::format("poplar_configuration_version {}\npoplar_is_owner {}\n",
                                    state_->configuration.version, state_->session ? 1 : 0);
-    return state_->session ? text + state_->session->metrics() : text;
+    if (state_->session) {
+        text += state_->session->metrics();
+    }
+    return text + state_->runtime.durations.prometheusText();
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/order_sender.cpp
+++ b/src/poplarstream/edge/order_sender.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>  // for to_string
 
+#include "poplarstream/engine/attempts.hpp"  // for findJob
 #include "poplarstream/engine/worker_events.hpp"  // for takeLookAnswer, takeStartResult
 #include "poplarstream/telemetry/event_kinds.hpp"  // for taskEnded, taskNotStarted
 
@@ -13,6 +14,20 @@
         : runtime(owner)
     {}
 
+    void recordStart(engine::Engine &engine, const engine::JobId &id, engine::StartResult result,
+                     TimePoint sentAt) const
+    {
+        const TimePoint now = steadyNow();
+        const bool isStarted = result == engine::StartResult::Started;
+        const bool isUnknown = result == engine::StartResult::Unknown;
+        const char *const outcome = isStarted ? "started" : isUnknown ? "not-known" : "refused";
+        runtime.durations.record("start-order", outcome, now - sentAt);
+        const jobs::Job *const job = engine::findJob(engine, id);
+        if (isStarted && job != nullptr && !job->hasBegun) {
+            runtime.durations.record("job-until-first-start", "started", now - job->acceptedAt);
+        }
+    }
+
     Runtime &runtime;
     bool isClosed = false;
 };
@@ -29,6 +44,7 @@
 void OrderSender::send(engine::Engine &engine, const engine::Order &order,
                        std::function<void()> answered)
 {
+    const TimePoint sentAt = steadyNow();
     const auto guarded = [state = state_, answered = std::move(answered)](auto take) {
         return [state, answered, take](const auto &outcome) {
             if (!state->isClosed) {
@@ -49,11 +65,13 @@
         }));
     } else if (const auto *const start = std::get_if<engine::StartOrder>(&order)) {
         const engine::AttemptRef ref{start->task, start->run};
-        workers.start(*start, guarded([&engine, ref, life = start->target.worker](
-                                              const WorkerPort::StartOutcome &outcome) {
-            engine::takeStartResult(engine, ref, life, outcome.result, outcome.clockMs,
-                                    steadyNow());
-        }));
+        workers.start(*start,
+                      guarded([&engine, ref, sentAt, state = state_, life = start->target.worker](
+                                      const WorkerPort::StartOutcome &outcome) {
+                          state->recordStart(engine, ref.task.job, outcome.result, sentAt);
+                          engine::takeStartResult(engine, ref, life, outcome.result,
+                                                  outcome.clockMs, steadyNow());
+                      }));
     } else if (const auto *const stop = std::get_if<engine::StopOrder>(&order)) {
         const engine::AttemptRef ref{stop->task, stop->run};
         workers.stop(*stop,
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -244,7 +244,14 @@
     void logDecisions()
     {
         for (const engine::Decision &decision : std::exchange(engine.decisions, {})) {
-            journal.write(decision, steadyNow());
+            const TimePoint now = steadyNow();
+            if (decision.kind == engine::DecisionKind::JobEnded) {
+                const jobs::Job &job = engine.jobs.at(decision.task.job);
+                const bool isDone = job.state == jobs::JobState::Completed;
+                runtime.durations.record("job", isDone ? "completed" : "failed",
+                                         now - job.acceptedAt);
+            }
+            journal.write(decision, now);
         }
     }
 
--- a/src/poplarstream/edge/progress_writer.cpp
+++ b/src/poplarstream/edge/progress_writer.cpp
@@ -49,13 +49,16 @@
         request.records = records;
         request.producer = Producer{std::string(producerName), epoch, sequence};
         runtime.store.append(
-                std::move(request), [weak = weak_from_this(), records = std::move(records),
-                                     done = std::move(done)](const AppendOutcome &outcome) mutable {
+                std::move(request),
+                [weak = weak_from_this(), sentAt = steadyNow(), records = std::move(records),
+                 done = std::move(done)](const AppendOutcome &outcome) mutable {
                     const auto self = weak.lock();
                     if (!self || self->isClosed) {
                         return;
                     }
                     const AppendResult result = outcome.result;
+                    self->runtime.durations.record("progress-write", resultText(result),
+                                                   steadyNow() - sentAt);
                     if (result == AppendResult::Unknown || result == AppendResult::NotDone) {
                         self->appendLater(std::move(records), std::move(done), result);
                         return;
--- a/src/poplarstream/main/entry.cpp
+++ b/src/poplarstream/main/entry.cpp
@@ -64,7 +64,8 @@
                    platform::storeAt(stores_, settings.store),
                    platform::workersThrough(workers_),
                    platform::machinesAt(stores_, settings.machines),
-                   platform::documentDecoder()}
+                   platform::documentDecoder(),
+                   {}}
         , process_(runtime_, peers_)
     {}
 
@@ -84,12 +85,11 @@
                        })
                && open(settings.control,
                        [this](const HttpRequest &request, const HttpRespond &respond) {
-                           if (request.target == "/metrics") {
-                               respond({200, {{"Content-Type", "text/plain"}}, process_.metrics()});
-                           } else {
-                               process_.takePeer(request, respond);
-                           }
-                       });
+                           process_.takePeer(request, respond);
+                       })
+               && open(settings.metrics, [this](const HttpRequest &, const HttpRespond &respond) {
+                      respond({200, {{"Content-Type", "text/plain"}}, process_.metrics()});
+                  });
     }
 
     void stop()
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -27,7 +27,7 @@
         jobAccepted,       jobRefused,           jobCancelled,         taskPlanned,
         taskEnded,         taskReleased,         taskStopped,          taskRelieved,
         jobEnded,          decisionsSuppressed,  machineOrdered,       waveReported,
-        poolSized,         waveProgress,         workerSuspected,      workerEnded,
+        poolSized,         waveUnderWay,         workerSuspected,      workerEnded,
         workerUnanswered,  workerAnswers,        leaseLapsed,
 };
 
