Confirm the ownership also by reading its records; log when it is unconfirmed

Now an own record that is read confirms its write, writes are numbered, and a late answer does not end the write after it. Writes have 1.2 s again: 0.45 s is less than a store that is 150 times slower takes. Contact with the log is lost only by a gap, not by a single failed read.

--- a/include/poplarstream/edge/log_follower.hpp
+++ b/include/poplarstream/edge/log_follower.hpp
@@ -36,7 +36,7 @@
 
     // Everything that was in the log at this time has been delivered.
     TimePoint currentAsOf() const;
-    // Since when every read was answered.
+    // Since when reads have been answered without a longer gap.
     TimePoint inContactSince() const;
     bool hasSnapshot() const;
 
--- a/include/poplarstream/edge/ports.hpp
+++ b/include/poplarstream/edge/ports.hpp
@@ -5,6 +5,7 @@
 #include <map>  // for map
 #include <optional>  // for optional
 #include <string>  // for string
+#include <string_view>  // for string_view
 #include <vector>  // for vector
 
 #include "poplarstream/base/result.hpp"  // for Result
@@ -57,6 +58,9 @@
     Unknown,  // no answer: it may have been written, or may be yet
 };
 
+// A word for the log.
+std::string_view resultText(AppendResult result);
+
 struct AppendOutcome
 {
     AppendResult result = AppendResult::Unknown;
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -23,6 +23,7 @@
     EntryHostId owner;
     std::string address;  // where the owner answers the other entry hosts
     std::string incarnation;  // of the owner's process
+    std::int64_t sequence = 0;  // rises with each write of the incarnation
     double processorShare = 1.0;  // of a core, that the owner has
     double largestShare = 1.0;  // of a core, that any owner so far had
     // How long ago machines were ordered, by this owner or one before; 0 for those that the owner
@@ -37,8 +38,8 @@
 {
     // Between two renewals.
     Milliseconds renewal{300};
-    // An owner that has not confirmed a renewal for this long orders nothing more: two renewals
-    // whose answers are lost, and the one after.
+    // An owner that has not confirmed a renewal for this long orders nothing more: the period, and
+    // what a slow store takes for a write and a read.
     Milliseconds validity{1300};
     // Silence after which another process claims: the validity, and what a renewal may take from
     // being sent to being read.
@@ -82,6 +83,8 @@
     bool isWriting = false;
     TimePoint confirmedAt{};  // when the newest confirmed own record was sent
     TimePoint writtenAt{};
+    std::int64_t lastSequence = 0;  // of own writes
+    std::map<std::int64_t, TimePoint> sentAt;  // of the last own writes, by sequence
     bool wantsRenewal = false;  // a renewal is written ahead of its time
     std::vector<std::string> machinesToOrder;  // named by the next renewal
     std::map<std::string, TimePoint> machinesOrdered;  // lately, by any owner
@@ -111,9 +114,10 @@
                   TimePoint now);
 
 // A write was refused or its answer is missing; the log tells what became of it.
-void failWrite(Leadership &leadership);
+void failWrite(Leadership &leadership, const OwnershipRecord &record);
 
-// Records were read from the log; `endOffset` is the end of what was read.
+// Records were read from the log; `endOffset` is the end of what was read. An own record confirms
+// its write, whether or not that was answered.
 void observe(Leadership &leadership, const std::optional<OwnershipRecord> &newest,
              std::int64_t endOffset, TimePoint now);
 
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -124,6 +124,11 @@
 inline constexpr EventKind progressNotStored{
         703, EventLevel::Warning, "progress-not-stored", "reason",
         "Check the platform's store. Nothing new starts until the write is repeated."};
+inline constexpr EventKind ownershipUnconfirmed{
+        704, EventLevel::Warning, "ownership-unconfirmed", "epoch confirmed_ms_ago last_write",
+        "Nothing new starts until 705 or 701; look at the store's response time."};
+inline constexpr EventKind ownershipConfirmed{705, EventLevel::Info, "ownership-confirmed",
+                                              "epoch unconfirmed_ms", "None."};
 inline constexpr EventKind jobAccepted{710, EventLevel::Info, "job-accepted", "job queue", "None."};
 inline constexpr EventKind jobRefused{711, EventLevel::Warning, "job-refused", "job reason",
                                       "See the reason; the caller was told whether to try again."};
--- a/src/poplarstream/edge/leadership_duty.cpp
+++ b/src/poplarstream/edge/leadership_duty.cpp
@@ -15,8 +15,8 @@
 
 constexpr std::string_view ownerKey = "owner";
 constexpr Milliseconds tick{50};
-// A write whose answer is lost is noticed in time for two more within the validity.
-constexpr Milliseconds writeDeadline{450};
+// Longer than a store that is slow takes; a lost answer is noticed before, in the log.
+constexpr Milliseconds writeDeadline{1200};
 // Every entry host reads each renewal, and an owner that moves machines renews often: between two
 // reads each waits this long, so that the calls do not grow with the orders.
 constexpr Milliseconds readPause{250};
@@ -61,11 +61,22 @@
         }
         rememberPredecessor(newest);
         const auto before = leadership.last;
+        const bool wasWriting = leadership.isWriting;
         ownership::observe(leadership, newest, endOffset, steadyNow());
+        if (wasWriting && !leadership.isWriting) {
+            answerWaiting(true);
+        }
         logChange(before);
         events.changed();
     }
 
+    void answerWaiting(bool isConfirmed)
+    {
+        for (const auto &done : std::exchange(inWrite, {})) {
+            done(isConfirmed);
+        }
+    }
+
     void rememberPredecessor(const std::optional<OwnershipRecord> &newest)
     {
         if (newest && newest->incarnation != leadership.incarnation) {
@@ -98,9 +109,31 @@
         });
     }
 
+    // Says when the owner may no longer order because its renewals are not confirmed, and when it
+    // may again.
+    void logConfirmation(TimePoint now)
+    {
+        const bool mayOrder = ownership::mayOrder(leadership, now);
+        if (!ownership::isOwner(leadership) || leadership.isLeaving) {
+            unconfirmedSince.reset();
+        } else if (!mayOrder && !unconfirmedSince) {
+            unconfirmedSince = now;
+            logEvent(events::ownershipUnconfirmed,
+                     {{"epoch", fmt::to_string(leadership.last->epoch)},
+                      {"confirmed_ms_ago", fmt::to_string((now - leadership.confirmedAt).count())},
+                      {"last_write", std::string(resultText(lastResult))}});
+        } else if (mayOrder && unconfirmedSince) {
+            logEvent(events::ownershipConfirmed,
+                     {{"epoch", fmt::to_string(leadership.last->epoch)},
+                      {"unconfirmed_ms", fmt::to_string((now - *unconfirmedSince).count())}});
+            unconfirmedSince.reset();
+        }
+    }
+
     void writeIfDue()
     {
         const TimePoint now = steadyNow();
+        logConfirmation(now);
         leadership.inContactSince = follower->inContactSince();
         const LeadershipStep wanted = ownership::nextStep(leadership, now);
         if (wanted != LeadershipStep::None) {
@@ -126,16 +159,16 @@
 
     void takeWritten(const OwnershipRecord &record, const AppendOutcome &outcome)
     {
+        lastResult = outcome.result;
         if (outcome.result == AppendResult::Stored) {
             const auto before = leadership.last;
             ownership::confirmWrite(leadership, record, outcome.endOffset, steadyNow());
             logChange(before);
         } else {
-            ownership::failWrite(leadership);
+            ownership::failWrite(leadership, record);
         }
-        const bool isConfirmed = outcome.result == AppendResult::Stored;
-        for (const auto &done : std::exchange(inWrite, {})) {
-            done(isConfirmed);
+        if (!leadership.isWriting) {
+            answerWaiting(outcome.result == AppendResult::Stored);
         }
         events.changed();
         writeIfDue();
@@ -144,6 +177,8 @@
     Runtime &runtime;
     LeadershipEvents events;
     ownership::Leadership leadership;
+    AppendResult lastResult = AppendResult::Stored;
+    std::optional<TimePoint> unconfirmedSince;
     TimePoint predecessorSeenAt{};
     bool predecessorResigned = false;
     std::vector<std::function<void(bool)>> waiting;  // for the next write
--- a/src/poplarstream/edge/log_follower.cpp
+++ b/src/poplarstream/edge/log_follower.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Milliseconds retryAfterFailure{100};
+// A read that fails and is answered when it is repeated is no loss of contact.
+constexpr Milliseconds contactSlack{800};
 
 }  // namespace
 
@@ -80,10 +82,11 @@
 
     void noteContact(bool isAnswered)
     {
-        if (isAnswered && !isInContact) {
-            inContactSince = steadyNow();
+        const TimePoint now = steadyNow();
+        if (isAnswered && now > answeredAt + settings.wait + contactSlack) {
+            inContactSince = now;
         }
-        isInContact = isAnswered;
+        answeredAt = isAnswered ? now : answeredAt;
     }
 
     void read()
@@ -135,7 +138,7 @@
     std::int64_t next = 0;
     TimePoint currentAsOf{};
     TimePoint inContactSince{};
-    bool isInContact = false;
+    TimePoint answeredAt{};
     bool hasSnapshot = false;
     bool isClosed = false;
 };
--- a/src/poplarstream/edge/progress_writer.cpp
+++ b/src/poplarstream/edge/progress_writer.cpp
@@ -14,25 +14,6 @@
 // Changes of this long are written together: each call to the store has a price.
 constexpr Milliseconds gather{8};
 
-std::string_view resultText(AppendResult result)
-{
-    switch (result) {
-    case AppendResult::Stored:
-        return "stored";
-    case AppendResult::ConditionFailed:
-        return "condition-failed";
-    case AppendResult::Fenced:
-        return "fenced";
-    case AppendResult::OutOfSequence:
-        return "out-of-sequence";
-    case AppendResult::NotDone:
-        return "not-done";
-    case AppendResult::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
 }  // namespace
 
 struct ProgressWriter::State : std::enable_shared_from_this<ProgressWriter::State>
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -18,6 +18,23 @@
 
 constexpr double leastShare = 0.01;
 constexpr std::uint64_t spreadSteps = 1000;
+// Own records are read at most a few writes later.
+constexpr std::size_t writesRemembered = 16;
+
+void settleWrite(Leadership &leadership, std::int64_t sequence)
+{
+    if (sequence == leadership.lastSequence) {
+        leadership.isWriting = false;
+    }
+}
+
+void noteConfirmed(Leadership &leadership, const OwnershipRecord &record)
+{
+    const auto sent = leadership.sentAt.find(record.sequence);
+    if (sent != leadership.sentAt.end()) {
+        leadership.confirmedAt = std::max(leadership.confirmedAt, sent->second);
+    }
+}
 
 bool isOwn(const Leadership &leadership, const OwnershipRecord &record)
 {
@@ -37,6 +54,7 @@
                 {"owner", record.owner.text()},
                 {"address", record.address},
                 {"incarnation", record.incarnation},
+                {"sequence", record.sequence},
                 {"share", record.processorShare},
                 {"largestShare", record.largestShare},
                 {"machines", std::move(machines)}}
@@ -61,6 +79,7 @@
         record.owner = EntryHostId(value.at("owner").get<std::string>());
         record.address = value.at("address").get<std::string>();
         record.incarnation = value.at("incarnation").get<std::string>();
+        record.sequence = value.at("sequence").get<std::int64_t>();
         record.processorShare = value.at("share").get<double>();
         record.largestShare = value.at("largestShare").get<double>();
         for (const auto &[id, age] : value.at("machines").items()) {
@@ -147,13 +166,19 @@
     leadership.isWriting = true;
     leadership.wantsRenewal = false;
     leadership.writtenAt = now;
-    OwnershipRecord record{Kind::Renewal,
-                           leadership.last ? leadership.last->epoch : 0,
-                           leadership.self,
-                           leadership.address,
-                           leadership.incarnation,
-                           leadership.processorShare,
-                           leadership.processorShare};
+    OwnershipRecord record;
+    record.kind = Kind::Renewal;
+    record.epoch = leadership.last ? leadership.last->epoch : 0;
+    record.owner = leadership.self;
+    record.address = leadership.address;
+    record.incarnation = leadership.incarnation;
+    record.sequence = ++leadership.lastSequence;
+    record.processorShare = leadership.processorShare;
+    record.largestShare = leadership.processorShare;
+    leadership.sentAt[record.sequence] = now;
+    if (leadership.sentAt.size() > writesRemembered) {
+        leadership.sentAt.erase(leadership.sentAt.begin());
+    }
     if (leadership.last) {
         record.largestShare = std::max(record.largestShare, leadership.last->largestShare);
     }
@@ -180,18 +205,18 @@
 void confirmWrite(Leadership &leadership, const OwnershipRecord &record, std::int64_t endOffset,
                   TimePoint now)
 {
-    leadership.isWriting = false;
+    settleWrite(leadership, record.sequence);
     if (endOffset > leadership.endOffset) {
         leadership.endOffset = endOffset;
         leadership.last = record;
         leadership.lastSeenAt = now;
     }
-    leadership.confirmedAt = std::max(leadership.confirmedAt, leadership.writtenAt);
+    noteConfirmed(leadership, record);
 }
 
-void failWrite(Leadership &leadership)
+void failWrite(Leadership &leadership, const OwnershipRecord &record)
 {
-    leadership.isWriting = false;
+    settleWrite(leadership, record.sequence);
 }
 
 void observe(Leadership &leadership, const std::optional<OwnershipRecord> &newest,
@@ -212,6 +237,10 @@
         }
         leadership.last = newest;
         leadership.lastSeenAt = now;
+        if (isOwn(leadership, *newest)) {
+            settleWrite(leadership, newest->sequence);
+            noteConfirmed(leadership, *newest);
+        }
     }
 }
 
