Close connections that were not heard of since a call that timed out was made

Calls went over each idle connection in turn, with a deadline each, when all connections of an endpoint had fallen silent at once. HttpClientTest.SilenceOfOneConnectionCondemnsThoseNotHeardOfSince fails without the change.

--- a/src/poplarstream/adapters/http_call.hpp
+++ b/src/poplarstream/adapters/http_call.hpp
@@ -70,6 +70,10 @@
     // Why the connect failed; None if it did not.
     HttpFault connectFault() const { return connectFault_; }
 
+    // Number of the newest call when this connection was last heard of.
+    std::uint64_t provenAtCall() const { return provenAtCall_; }
+    void prove(std::uint64_t newestCall) { provenAtCall_ = newestCall; }
+
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
@@ -88,6 +92,7 @@
     std::optional<Message> message_;
     std::optional<Parser> parser_;
     std::shared_ptr<HttpCall> call_;
+    std::uint64_t provenAtCall_ = 0;
     Phase phase_ = Phase::Connecting;
     HttpFault connectFault_ = HttpFault::None;
     bool isRetired_ = false;
--- a/src/poplarstream/adapters/http_client.cpp
+++ b/src/poplarstream/adapters/http_client.cpp
@@ -74,7 +74,10 @@
     {
         calls.erase(call->number);
         if (const Connection connection = call->connection.lock()) {
-            counts.silentConnections += fault == HttpFault::DeadlinePassed ? 1 : 0;
+            if (fault == HttpFault::DeadlinePassed) {
+                ++counts.silentConnections;
+                closeUnproven(*call);
+            }
             connection->close(fault);
             return;
         }
@@ -83,6 +86,20 @@
         call->finish({HttpDelivery::NotSent, fault, {}});
     }
 
+    // What silenced one connection may have silenced the others to its peer: those that have not
+    // been heard of since the call was made are not tried one after the other, a deadline each.
+    void closeUnproven(const HttpCall &call)
+    {
+        const auto connections = pools[call.endpoint].connections;
+        for (const Connection &connection : connections) {
+            if (connection->phase() == Phase::Idle && connection->provenAtCall() < call.number) {
+                ++counts.staleConnections;
+                drop(*connection);
+                connection->close(HttpFault::None);
+            }
+        }
+    }
+
     void reject(const Call &call, HttpFault fault)
     {
         asio::post(io, [self = weak_from_this(), call, fault] {
@@ -174,6 +191,9 @@
     void onChanged(HttpClientConnection &connection)
     {
         const HttpEndpoint &endpoint = connection.endpoint();
+        if (connection.phase() == Phase::Idle) {
+            connection.prove(lastCall);
+        }
         if (connection.phase() == Phase::Closed && !drop(connection)) {
             return;  // closed by freshIdle, within pump
         }
--- a/src/poplarstream/adapters/http_client_test.cpp
+++ b/src/poplarstream/adapters/http_client_test.cpp
@@ -110,6 +110,34 @@
     EXPECT_TRUE(drive(io, [&] { return server.peers[0]->isClosed; }));
 }
 
+// Guards against a deadline lost on each connection in turn when all of them have fallen silent.
+TEST_F(HttpClientTest, SilenceOfOneConnectionCondemnsThoseNotHeardOfSince)
+{
+    SCOPED_TRACE("given two idle connections");
+    send();
+    send();
+    ASSERT_TRUE(driveUntilSeen(0, "GET /"));
+    ASSERT_TRUE(driveUntilSeen(1, "GET /"));
+    server.peers[0]->send(answer("a"));
+    server.peers[1]->send(answer("b"));
+    ASSERT_TRUE(driveUntilEnded(0) && driveUntilEnded(1));
+    {
+        SCOPED_TRACE("when a call on one of them is not answered");
+        send(Milliseconds{20});
+        ASSERT_TRUE(driveUntilEnded(2));
+        expect(2, HttpDelivery::MayHaveBeenSent, HttpFault::DeadlinePassed);
+        {
+            SCOPED_TRACE("then the next one goes over a new connection");
+            send();
+            ASSERT_TRUE(driveUntilSeen(2, "GET /3 "));
+            server.peers[2]->send(answer("c"));
+            ASSERT_TRUE(driveUntilEnded(3));
+            EXPECT_TRUE(drive(
+                    io, [&] { return server.peers[0]->isClosed && server.peers[1]->isClosed; }));
+        }
+    }
+}
+
 // Guards against a request that is given up and delivered after its caller has decided otherwise:
 // an orderly close would let the network go on delivering it.
 TEST_F(HttpClientTest, RequestIsRecalledWithAReset)
