Let stored progress confirm the ownership, so that starts go on without the ownership log

A write of progress is refused when a newer owner has shut this one out, so one that is stored confirms the ownership as well as a renewal. Starts now need a fresh write instead of a fresh renewal; leases are extended by the newer of both; a successor counts the predecessor's leases from the moment at which it shut it out. Moves of machines still need a renewal, which names them.

--- a/include/poplarstream/edge/leadership_duty.hpp
+++ b/include/poplarstream/edge/leadership_duty.hpp
@@ -28,8 +28,8 @@
 
     const ownership::Leadership &leadership() const;
 
-    // When the owner before this one was last heard of; the epoch when there was none.
-    TimePoint predecessorSeenAt() const;
+    // Whether there was an owner before this one, and whether it handed over.
+    bool hasPredecessor() const;
     bool hasPredecessorResigned() const;
 
     // Renews at once, naming the machines that are to be ordered, and tells whether the store
--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -14,15 +14,17 @@
 struct Inheritance
 {
     std::int64_t epoch = 0;
-    // When the predecessor may have renewed a lease last; nothing if it handed over.
-    std::optional<TimePoint> lastRenewalAt;
+    // The predecessor handed over: it renews no lease any more.
+    bool isHandover = false;
     // When earlier owners last ordered each machine.
     std::map<std::string, TimePoint> machinesOrdered;
 };
 
 struct OwnerSessionHooks
 {
-    // Whether this process may give orders now, and when that was confirmed last.
+    // Whether this process is the owner as far as it knows, whether a renewal confirmed that just
+    // now, and when one did last.
+    std::function<bool()> isInOffice;
     std::function<bool()> mayOrder;
     std::function<TimePoint()> confirmedAt;
     // Asks the store to confirm the ownership now, naming the machines to be ordered.
--- a/include/poplarstream/edge/progress_writer.hpp
+++ b/include/poplarstream/edge/progress_writer.hpp
@@ -12,10 +12,14 @@
 
 // Writes the owner's progress, one batch at a time. A batch whose fate is not known is written
 // again under the same number, which the store recognizes.
+//
+// A write that is stored shows that no newer owner has shut this one out, so it confirms the
+// ownership as a renewal does. Starts whose batch took longer than `freshFor` are not sent: they
+// are planned again.
 class ProgressWriter
 {
 public:
-    ProgressWriter(Runtime &runtime, std::int64_t epoch);
+    ProgressWriter(Runtime &runtime, std::int64_t epoch, Milliseconds freshFor);
     ProgressWriter(const ProgressWriter &) = delete;
     ProgressWriter &operator=(const ProgressWriter &) = delete;
     ~ProgressWriter();
@@ -27,6 +31,9 @@
     // when it is stored. The engine must outlive the writer.
     void write(engine::Engine &engine, std::function<void(WriteResult)> done);
 
+    // When the newest stored batch was first sent.
+    TimePoint confirmedAt() const;
+
 private:
     struct State;
 
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -130,12 +130,14 @@
         sessionEpoch = epoch;
         Inheritance inheritance;
         inheritance.epoch = epoch;
-        if (!leadership->hasPredecessorResigned()
-            && leadership->predecessorSeenAt() != TimePoint{}) {
-            inheritance.lastRenewalAt = leadership->predecessorSeenAt();
-        }
+        inheritance.isHandover =
+                leadership->hasPredecessorResigned() || !leadership->hasPredecessor();
         inheritance.machinesOrdered = leadership->machinesOrdered();
         OwnerSessionHooks hooks;
+        hooks.isInOffice = [this] {
+            return leadership && ownership::isOwner(leadership->leadership())
+                   && !leadership->leadership().isLeaving;
+        };
         hooks.mayOrder = [this] {
             return leadership && ownership::mayOrder(leadership->leadership(), steadyNow());
         };
--- a/src/poplarstream/edge/leadership_duty.cpp
+++ b/src/poplarstream/edge/leadership_duty.cpp
@@ -80,7 +80,7 @@
     void rememberPredecessor(const std::optional<OwnershipRecord> &newest)
     {
         if (newest && newest->incarnation != leadership.incarnation) {
-            predecessorSeenAt = steadyNow();
+            hasPredecessor = true;
             predecessorResigned = newest->kind == OwnershipRecord::Kind::Resignation;
         }
     }
@@ -179,7 +179,7 @@
     ownership::Leadership leadership;
     AppendResult lastResult = AppendResult::Stored;
     std::optional<TimePoint> unconfirmedSince;
-    TimePoint predecessorSeenAt{};
+    bool hasPredecessor = false;
     bool predecessorResigned = false;
     std::vector<std::function<void(bool)>> waiting;  // for the next write
     std::vector<std::function<void(bool)>> inWrite;  // for the write under way
@@ -204,9 +204,9 @@
     return state_->leadership;
 }
 
-TimePoint LeadershipDuty::predecessorSeenAt() const
+bool LeadershipDuty::hasPredecessor() const
 {
-    return state_->predecessorSeenAt;
+    return state_->hasPredecessor;
 }
 
 bool LeadershipDuty::hasPredecessorResigned() const
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -1,5 +1,7 @@
 #include "poplarstream/edge/owner_session.hpp"
 
+#include <algorithm>  // for max
+
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/edge/decision_log.hpp"  // for DecisionLog
@@ -24,6 +26,9 @@
 // Orders are given this long after the last confirmed renewal to keep what runs alive through an
 // outage of the store. A successor waits as long before it gives up a silent worker.
 constexpr Milliseconds extendFor{8000};
+// A start is sent this soon after its record was written, or planned again. A successor that comes
+// in between reads the record.
+constexpr Milliseconds startsFreshFor{1500};
 constexpr Milliseconds tick{40};
 // Waiting tasks are looked at again this often, for delays that have passed.
 constexpr Milliseconds planPeriod{100};
@@ -62,7 +67,7 @@
         : runtime(owner)
         , inheritance(inherited)
         , hooks(std::move(given))
-        , writer(owner, inherited.epoch)
+        , writer(owner, inherited.epoch, startsFreshFor)
         , sender(owner)
         , machines(owner, engine, inherited.epoch,
                    {[this] { return isLoaded && hooks.mayOrder(); },
@@ -99,9 +104,8 @@
     void load()
     {
         const TimePoint now = steadyNow();
-        const TimePoint renewedAt = inheritance.lastRenewalAt
-                                            ? std::max(now, *inheritance.lastRenewalAt + extendFor)
-                                            : now;
+        // The predecessor was shut out just now; until then it may have been confirmed.
+        const TimePoint renewedAt = inheritance.isHandover ? now : now + extendFor;
         JobFeedEvents events;
         events.other = guarded(
                 [](State &self, const StoredRecord &record) { self.machines.adopt(record); });
@@ -218,13 +222,13 @@
         }
         isPumping = true;
         const TimePoint now = steadyNow();
-        engine.mayStart = hooks.mayOrder();
+        engine.mayStart = hooks.isInOffice();
         if (engine.needsPlan && now >= plannedAt + planGap) {
             plannedAt = now;
             engine::evacuate(engine, now);
             engine::planStarts(engine, now);
         }
-        if (now < hooks.confirmedAt() + extendFor) {
+        if (now < std::max(hooks.confirmedAt(), writer.confirmedAt()) + extendFor) {
             engine::lookAtWorkers(engine, now);
             sendOrders();
         } else {
--- a/src/poplarstream/edge/progress_writer.cpp
+++ b/src/poplarstream/edge/progress_writer.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/edge/progress_writer.hpp"
 
-#include <algorithm>  // for any_of
+#include <algorithm>  // for any_of, max
 
 #include "poplarstream/engine/batches.hpp"  // for takeBatch, applyStored
 #include "poplarstream/telemetry/event_kinds.hpp"  // for progressNotStored
@@ -18,21 +18,24 @@
 
 struct ProgressWriter::State : std::enable_shared_from_this<ProgressWriter::State>
 {
-    State(Runtime &owner, std::int64_t ownEpoch)
+    State(Runtime &owner, std::int64_t ownEpoch, Milliseconds fresh)
         : runtime(owner)
         , epoch(ownEpoch)
+        , freshFor(fresh)
     {}
 
-    void append(std::vector<StoredRecord> records, std::function<void(AppendResult)> done)
+    // `firstSentAt` is the time of the first try: a repeated write may get the answer of that one.
+    void append(std::vector<StoredRecord> records, TimePoint firstSentAt,
+                std::function<void(AppendResult)> done)
     {
         AppendRequest request;
         request.log = Log::Progress;
         request.records = records;
         request.producer = Producer{std::string(producerName), epoch, sequence};
         runtime.store.append(
-                std::move(request),
-                [weak = weak_from_this(), sentAt = steadyNow(), records = std::move(records),
-                 done = std::move(done)](const AppendOutcome &outcome) mutable {
+                std::move(request), [weak = weak_from_this(), sentAt = steadyNow(), firstSentAt,
+                                     records = std::move(records),
+                                     done = std::move(done)](const AppendOutcome &outcome) mutable {
                     const auto self = weak.lock();
                     if (!self || self->isClosed) {
                         return;
@@ -41,27 +44,30 @@
                     self->runtime.durations.record("progress-write", resultText(result),
                                                    steadyNow() - sentAt);
                     if (result == AppendResult::Unknown || result == AppendResult::NotDone) {
-                        self->appendLater(std::move(records), std::move(done), result);
+                        self->appendLater(std::move(records), firstSentAt, std::move(done), result);
                         return;
                     }
+                    if (result == AppendResult::Stored) {
+                        self->confirmedAt = std::max(self->confirmedAt, firstSentAt);
+                    }
                     ++self->sequence;
                     self->isFailing = false;
                     done(result);
                 });
     }
 
-    void appendLater(std::vector<StoredRecord> records, std::function<void(AppendResult)> done,
-                     AppendResult result)
+    void appendLater(std::vector<StoredRecord> records, TimePoint firstSentAt,
+                     std::function<void(AppendResult)> done, AppendResult result)
     {
         if (!isFailing) {
             isFailing = true;
             logEvent(events::progressNotStored, {{"reason", std::string(resultText(result))}});
         }
         callAfter(runtime, retryDelay,
-                  [weak = weak_from_this(), records = std::move(records),
+                  [weak = weak_from_this(), firstSentAt, records = std::move(records),
                    done = std::move(done)]() mutable {
                       if (const auto self = weak.lock(); self && !self->isClosed) {
-                          self->append(std::move(records), std::move(done));
+                          self->append(std::move(records), firstSentAt, std::move(done));
                       }
                   });
     }
@@ -82,35 +88,39 @@
             finish(engine, batch, done);
             return;
         }
-        append(std::move(records), [this, &engine, batch = std::move(batch),
-                                    done](AppendResult result) {
-            if (result == AppendResult::Stored) {
-                finish(engine, batch, done);
-            } else {
-                logEvent(events::progressNotStored, {{"reason", std::string(resultText(result))}});
-                done(WriteResult::Superseded);
-            }
-        });
+        append(std::move(records), steadyNow(),
+               [this, &engine, batch = std::move(batch), done](AppendResult result) {
+                   if (result == AppendResult::Stored) {
+                       finish(engine, batch, done);
+                   } else {
+                       logEvent(events::progressNotStored,
+                                {{"reason", std::string(resultText(result))}});
+                       done(WriteResult::Superseded);
+                   }
+               });
     }
 
     void finish(engine::Engine &engine, const engine::Batch &batch,
                 const std::function<void(WriteResult)> &done)
     {
         isWriting = false;
+        engine.mayStart = engine.mayStart && steadyNow() < confirmedAt + freshFor;
         engine::applyStored(engine, batch, steadyNow());
         done(WriteResult::Stored);
     }
 
     Runtime &runtime;
     std::int64_t epoch;
+    Milliseconds freshFor;
+    TimePoint confirmedAt{};
     std::int64_t sequence = 0;
     bool isWriting = false;
     bool isFailing = false;
     bool isClosed = false;
 };
 
-ProgressWriter::ProgressWriter(Runtime &runtime, std::int64_t epoch)
-    : state_(std::make_shared<State>(runtime, epoch))
+ProgressWriter::ProgressWriter(Runtime &runtime, std::int64_t epoch, Milliseconds freshFor)
+    : state_(std::make_shared<State>(runtime, epoch, freshFor))
 {}
 
 ProgressWriter::~ProgressWriter()
@@ -120,11 +130,16 @@
 
 void ProgressWriter::fence(std::function<void(bool isFenced)> done)
 {
-    state_->append({}, [done = std::move(done)](AppendResult result) {
+    state_->append({}, steadyNow(), [done = std::move(done)](AppendResult result) {
         done(result == AppendResult::Stored);
     });
 }
 
+TimePoint ProgressWriter::confirmedAt() const
+{
+    return state_->confirmedAt;
+}
+
 void ProgressWriter::write(engine::Engine &engine, std::function<void(WriteResult)> done)
 {
     const bool hasEnds = std::any_of(engine.workers.begin(), engine.workers.end(), [](auto &entry) {
