Take a silent worker for over when no machine of a newer list has it

Cause: long-running tasks were lost with a rack of workers at 13.0 s while the store was slow; the owner had settled them but lost its ownership before that was stored, and the successor waited for the longest lease of its predecessor, until 33.5 s, although the machines had new workers by then. Ruled out: room (under a quarter of the service's was in use) and evacuation.

Change: a worker is one life of a machine. One that does not answer, was known before a list of machines was asked for, and is on no machine of it, is over. Moves.WorkerWithoutAMachineIsOver fails without the change.

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -72,6 +72,7 @@
 struct Worker
 {
     WorkerEntry entry;
+    TimePoint knownSince{};  // to this owner, from the registry or from a record
     bool isListed = false;  // in the registry
     bool isGone = false;  // its life is known to be over
     Contact contact = Contact::New;
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -48,7 +48,7 @@
     return false;
 }
 
-void adoptAttempts(Engine &engine, const jobs::Job &job, TimePoint lapsedAt)
+void adoptAttempts(Engine &engine, const jobs::Job &job, TimePoint lapsedAt, TimePoint now)
 {
     const JobId &id = job.submission.id;
     for (const auto &[number, occurrence] : job.occurrences) {
@@ -59,6 +59,7 @@
                     Worker &worker = place->second;
                     if (isNew) {
                         worker.entry.life = attempt.worker;
+                        worker.knownSince = now;
                         worker.tokenBump = engine.token.lastBump;
                         WorkerLife &newest = engine.lives[attempt.worker.id];
                         newest = std::max(newest, attempt.worker);
@@ -118,7 +119,7 @@
     Result<bool> applied = jobs::applyProgress(*job, text);
     if (applied) {
         job->endedAt = now;
-        adoptAttempts(engine, *job, lapsedAt);
+        adoptAttempts(engine, *job, lapsedAt, now);
     }
     return applied;
 }
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -228,6 +228,7 @@
     const auto [place, isNew] = engine.workers.try_emplace(entry.life);
     Worker &worker = place->second;
     if (isNew) {
+        worker.knownSince = now;
         worker.idleSince = now;
         worker.tokenBump = engine.token.lastBump;
     }
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -26,6 +26,27 @@
     }
 }
 
+// A worker is one life of a machine: one that does not answer, and that no machine of a newer list
+// has, is over. A successor would otherwise wait for the longest lease of its predecessor.
+void endLivesWithoutMachine(engine::Engine &engine, const std::vector<Machine> &machines,
+                            TimePoint askedAt, TimePoint now)
+{
+    std::set<jobs::WorkerId> present;
+    for (const Machine &machine : machines) {
+        present.insert(machine.worker);
+    }
+    std::vector<jobs::WorkerLife> over;
+    for (const auto &[life, worker] : engine.workers) {
+        if (worker.contact != engine::Contact::Open && worker.knownSince < askedAt && !worker.isGone
+            && !present.contains(life.id)) {
+            over.push_back(life);
+        }
+    }
+    for (const jobs::WorkerLife &life : over) {
+        engine::endWorkerLife(engine, life, now);
+    }
+}
+
 bool isInOrder(const Machine &machine)
 {
     return machine.state == MachineState::Up;
@@ -59,6 +80,7 @@
         listed[machine.id] = std::move(view);
     }
     pools.machines = std::move(listed);
+    endLivesWithoutMachine(engine, machines, askedAt, now);
     for (auto &[number, wave] : pools.waves) {
         std::erase_if(wave.away, [&](const MachineId &id) {
             const auto found = pools.machines.find(id);
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -3,10 +3,12 @@
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
 #include "poplarstream/engine/scene.hpp"  // for Scene
+#include "poplarstream/jobs/codec.hpp"  // for encodeProgress
 
 namespace poplarstream::pools {
 namespace {
 
+using engine::JobId;
 using engine::test::firstJob;
 using engine::test::step;
 using engine::test::submission;
@@ -241,6 +243,36 @@
     EXPECT_EQ(count(deployment.plan(), MachineOrder::Kind::Upkeep), 1);
 }
 
+// Guards against a successor that waits for the lease of a worker whose machine has a new life.
+TEST(Moves, WorkerWithoutAMachineIsOver)
+{
+    SCOPED_TRACE("given a task that an earlier owner started on a worker that does not answer");
+    Deployment deployment(2, 0);
+    jobs::StepSpec one = step(1, 1000);
+    engine::test::Scene before(1);
+    before.submit(submission(firstJob, one));
+    before.startAll();
+    const std::string stored = jobs::encodeProgress(before.job());
+    engine::test::Scene &scene = deployment.scene;
+    scene.submit(submission(firstJob, one));
+    const std::string renamed = std::string(stored).replace(stored.find("\"w1\""), 4, "\"w9\"");
+    const TimePoint lapsedAt = scene.now + Milliseconds{13'000};
+    ASSERT_TRUE(engine::adoptProgress(scene.engine, JobId(firstJob), renamed, lapsedAt, scene.now));
+    {
+        SCOPED_TRACE("when a list arrives that was asked for before");
+        deployment.list();
+        EXPECT_TRUE(scene.start().empty());
+    }
+    {
+        SCOPED_TRACE("then a newer list settles it, and spares workers that answer");
+        scene.now += Milliseconds{400};
+        deployment.machines.pop_back();
+        deployment.list();
+        EXPECT_EQ(scene.start().size(), 1U);
+        EXPECT_FALSE(scene.worker("w2").isGone);
+    }
+}
+
 // Guards against an order that is forgotten, or given up as done, because its answer was lost.
 TEST(Moves, UnansweredOrderIsRepeated)
 {
