--- a/include/poplarstream/engine/attempts.hpp
+++ b/include/poplarstream/engine/attempts.hpp
@@ -33,6 +33,9 @@
 // Takes an attempt that does not run and never will off its task and its worker.
 void release(Engine &engine, const AttemptRef &ref, const WorkerLife &life, TimePoint now);
 
+// The same for everything on a worker whose life or leases are over.
+void releaseAll(Engine &engine, const WorkerLife &life, TimePoint now);
+
 // Orders an attempt to stop. One that was not ordered yet is released at once.
 void stopAttempt(Engine &engine, const AttemptRef &ref, TimePoint now);
 
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -26,13 +26,10 @@
 {
     Milliseconds lease{5000};  // how long a worker runs on without hearing from its owner
     Milliseconds stopTimeout{900};  // a stop takes no longer
-    Milliseconds gangTimeout{3000};  // members of a gang wait for each other this long
-    Milliseconds notice{4500};  // a task that is away longer counts as unavailable
     Milliseconds statusKept{120'000};  // an ended job can be asked for this long
     Milliseconds machineLease{3000};  // orders for one machine change hands no faster
     Milliseconds migration{1500};  // a moved machine is away this long
     Milliseconds maintenance{2000};  // a machine in upkeep is away this long
-    double remoteFactor = 1.0;  // slowdown of a task away from its data
 };
 
 // A worker as the registry describes it.
@@ -86,7 +83,6 @@
     bool wantsPromptLook = false;  // the next look must not wait for an end
     std::int64_t lookNumber = 0;  // of the last look that was sent
     bool isLooking = false;
-    bool isWaitingLook = false;  // the look under way waits for an end
     TimePoint lookSentAt{};
     TimePoint nextLookAt{};
     TimePoint leaseUntil{};  // everything there has lapsed by then, whatever was lost
--- a/include/poplarstream/engine/worker_events.hpp
+++ b/include/poplarstream/engine/worker_events.hpp
@@ -28,11 +28,4 @@
 void takeStopResult(Engine &engine, const AttemptRef &attempt, const WorkerLife &life,
                     StopResult result, TimePoint now);
 
-// Sends the looks that are due and gives up what must have lapsed. Called every few tens of
-// milliseconds.
-void lookAtWorkers(Engine &engine, TimePoint now);
-
-// When lookAtWorkers() has to be called next.
-std::optional<TimePoint> nextLookAt(const Engine &engine);
-
 }  // namespace poplarstream::engine
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -15,8 +15,9 @@
 #include "poplarstream/engine/evidence.hpp"  // for relieveStragglers
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
+#include "poplarstream/engine/looks.hpp"  // for lookAtWorkers
 #include "poplarstream/engine/planning.hpp"  // for planStarts
-#include "poplarstream/engine/worker_events.hpp"  // for listWorker, lookAtWorkers
+#include "poplarstream/engine/worker_events.hpp"  // for listWorker, unlistWorker
 #include "poplarstream/telemetry/event_kinds.hpp"  // for ownerLoaded, recordUnreadable
 
 namespace poplarstream::edge {
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -95,6 +95,19 @@
     engine.needsPlan = true;
 }
 
+void releaseAll(Engine &engine, const WorkerLife &life, TimePoint now)
+{
+    Worker *const worker = findWorker(engine, life);
+    if (worker == nullptr) {
+        return;
+    }
+    const auto attempts = worker->attempts;
+    for (const auto &[ref, settledBy] : attempts) {
+        release(engine, ref, life, now);
+    }
+    worker->strangers.clear();
+}
+
 void stopAttempt(Engine &engine, const AttemptRef &ref, TimePoint now)
 {
     jobs::Attempt *const attempt = findAttempt(engine, ref);
--- a/src/poplarstream/engine/scene.hpp
+++ b/src/poplarstream/engine/scene.hpp
@@ -7,6 +7,7 @@
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt
 #include "poplarstream/engine/batches.hpp"  // for takeBatch, applyStored
 #include "poplarstream/engine/job_events.hpp"  // for submitJob
+#include "poplarstream/engine/looks.hpp"  // for lookAtWorkers
 #include "poplarstream/engine/planning.hpp"  // for planStarts
 #include "poplarstream/engine/worker_events.hpp"  // for listWorker, takeLookAnswer
 
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -16,13 +16,9 @@
 using jobs::AttemptPhase;
 using jobs::RunEnd;
 
-// A waiting look renews the leases, so it must end well within the lease.
-constexpr Milliseconds longestWait{1500};
 // While ends wait for the store, the worker would answer a waiting look at once.
 constexpr Milliseconds lookPauseWithEnds{500};
-// While a long-running task comes to work, its progress is asked for this often.
-constexpr Milliseconds watchedWait{250};
-constexpr int wholePercent = 100;
+// A worker that did not answer is asked again after this time.
 constexpr Milliseconds silentRetry{100};
 
 std::string_view endText(RunEnd end)
@@ -44,19 +40,6 @@
     return "alone";
 }
 
-void releaseAll(Engine &engine, const WorkerLife &life, TimePoint now)
-{
-    Worker *const worker = findWorker(engine, life);
-    if (worker == nullptr) {
-        return;
-    }
-    const auto attempts = worker->attempts;
-    for (const auto &[ref, settledBy] : attempts) {
-        release(engine, ref, life, now);
-    }
-    worker->strangers.clear();
-}
-
 // Everything sent before a look with a higher token is void unless that look lists it.
 void voidOpenOrders(Engine &engine, Worker &worker)
 {
@@ -165,53 +148,6 @@
     }
 }
 
-// Whether a long-running task there is not known to be at work yet.
-bool hasTaskComingToWork(Engine &engine, const Worker &worker)
-{
-    for (const auto &[ref, settledBy] : worker.attempts) {
-        const jobs::Attempt *const attempt = findAttempt(engine, ref);
-        if (attempt != nullptr && attempt->percent < wholePercent
-            && stepOf(engine.jobs.at(ref.task.job), ref.task).longRunning) {
-            return true;
-        }
-    }
-    return false;
-}
-
-void sendLook(Engine &engine, Worker &worker, TimePoint now)
-{
-    LookOrder look;
-    look.target = targetOf(engine, worker);
-    look.number = ++worker.lookNumber;
-    look.acknowledged = worker.endsStored;
-    const bool hasWork = !worker.attempts.empty() || !worker.strangers.empty();
-    if (worker.contact != Contact::Silent && hasWork) {
-        look.leaseUntilClockMs = clockNow(worker, now) + engine.limits.lease.count();
-        worker.leaseUntil = std::max(worker.leaseUntil, lapseAfter(engine, now));
-    }
-    const bool endsPending = worker.endsSeen > worker.endsStored;
-    if (worker.contact == Contact::Open && hasWork && !endsPending && !worker.wantsPromptLook) {
-        look.wait = hasTaskComingToWork(engine, worker) ? watchedWait : longestWait;
-    }
-    worker.wantsPromptLook = false;
-    worker.isLooking = true;
-    worker.isWaitingLook = look.wait > Milliseconds{0};
-    worker.lookSentAt = now;
-    engine.orders.emplace_back(std::move(look));
-}
-
-bool wantsLook(const Worker &worker)
-{
-    if (worker.isGone || worker.isLooking || worker.entry.address.empty()) {
-        return false;
-    }
-    if (worker.contact != Contact::Open) {
-        return worker.isListed || !worker.attempts.empty();
-    }
-    return !worker.attempts.empty() || !worker.strangers.empty()
-           || worker.endsSeen > worker.endsStored;
-}
-
 }  // namespace
 
 void listWorker(Engine &engine, const WorkerEntry &entry, TimePoint now)
@@ -280,7 +216,6 @@
         return;
     }
     worker->isLooking = false;
-    worker->isWaitingLook = false;
     if (!answer) {
         if (worker->contact == Contact::Open) {
             note(engine, DecisionKind::WorkerSilent, {}, life.id,
@@ -390,47 +325,4 @@
     }
 }
 
-void lookAtWorkers(Engine &engine, TimePoint now)
-{
-    std::vector<WorkerLife> lapsed;
-    std::vector<WorkerLife> forgotten;
-    for (auto &[life, worker] : engine.workers) {
-        if (wantsLook(worker) && worker.nextLookAt <= now) {
-            sendLook(engine, worker, now);
-        }
-        const bool hasWork = !worker.attempts.empty() || !worker.strangers.empty();
-        if (worker.contact != Contact::Open && hasWork && worker.leaseUntil <= now) {
-            lapsed.push_back(life);
-        } else if (!worker.isListed && !hasWork && !worker.isLooking) {
-            forgotten.push_back(life);
-        }
-    }
-    for (const WorkerLife &life : lapsed) {
-        note(engine, DecisionKind::LeaseLapsed, {}, life.id, {});
-        releaseAll(engine, life, now);
-    }
-    for (const WorkerLife &life : forgotten) {
-        const auto known = engine.lives.find(life.id);
-        if (known != engine.lives.end() && known->second == life) {
-            engine.lives.erase(known);
-        }
-        engine.workers.erase(life);
-    }
-}
-
-std::optional<TimePoint> nextLookAt(const Engine &engine)
-{
-    std::optional<TimePoint> next;
-    const auto consider = [&next](TimePoint time) { next = next ? std::min(*next, time) : time; };
-    for (const auto &[life, worker] : engine.workers) {
-        if (wantsLook(worker)) {
-            consider(worker.nextLookAt);
-        }
-        if (worker.contact != Contact::Open && !worker.attempts.empty()) {
-            consider(worker.leaseUntil);
-        }
-    }
-    return next;
-}
-
 }  // namespace poplarstream::engine
