Keep a wave's time across owners, pace its hosts, and leave due machines in standby

And while work waited, a wave took up to 73 machines out of the standby pool at once. Ruled out: machines that are not up (`not_up` was 0 while the wave stood still); the cap. Change: the record of a wave says when it was first seen; hosts are emptied as many at once as the time that is left needs; while pools are short of machines, those in standby go to upkeep at the pace of the wave; machines due for upkeep are the last to leave standby and the first to go there. Records of waves are read and written in stored_waves, and a machine without a name in one is logged; it ended the process before.

--- a/include/poplarstream/pools/planning.hpp
+++ b/include/poplarstream/pools/planning.hpp
@@ -13,7 +13,7 @@
 
 // Takes a wave that the operator asks for. `begun` are the machines whose upkeep an earlier owner
 // recorded.
-void takeWave(Pools &pools, const Wave &wave, const std::set<MachineId> &begun, TimePoint now);
+void takeWave(Pools &pools, const Wave &wave, const std::set<MachineId> &begun, TimePoint seenAt);
 
 // Decides which machines to empty, move and take down for upkeep; returns the orders to send now.
 std::vector<MachineOrder> planMachines(Pools &pools, engine::Engine &engine, TimePoint now);
--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -10,11 +10,6 @@
 // Records of this many take a small processor well below the period of a renewal.
 constexpr std::size_t recordsAtOnce = 100;
 
-engine::Moment moment()
-{
-    return {steadyNow(), unixNowMs()};
-}
-
 }  // namespace
 
 struct JobFeed::State : std::enable_shared_from_this<JobFeed::State>
@@ -66,7 +61,7 @@
     {
         if (isLoaded) {
             for (const StoredRecord &record : records) {
-                applyJobRecord(engine, record, moment());
+                applyJobRecord(engine, record, momentNow());
             }
             events.changed();
             return;
@@ -83,7 +78,7 @@
     {
         for (std::size_t count = 0; count < recordsAtOnce; ++count) {
             if (nextJob < jobs.size()) {
-                applyJobRecord(engine, jobs[nextJob++], moment());
+                applyJobRecord(engine, jobs[nextJob++], momentNow());
             } else if (nextProgress < progress.size()) {
                 adopt(progress[nextProgress++]);
             } else {
--- a/src/poplarstream/edge/machine_duty.cpp
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -1,8 +1,8 @@
 #include "poplarstream/edge/machine_duty.hpp"
 
 #include <fmt/format.h>  // for format
-#include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/edge/stored_waves.hpp"  // for recordOf, decodeWaveRecord, seenAt
 #include "poplarstream/pools/planning.hpp"  // for planMachines, takeOrderResult
 #include "poplarstream/telemetry/event_kinds.hpp"  // for machineOrdered
 
@@ -10,9 +10,6 @@
 
 namespace {
 
-using nlohmann::json;
-
-constexpr std::string_view waveKeyPrefix = "wave/";
 // The list shows when a moved machine is back.
 constexpr Milliseconds listPeriod{400};
 constexpr Milliseconds planPeriod{100};
@@ -39,16 +36,6 @@
     return "unknown";
 }
 
-engine::ProgressRecord recordOf(const pools::WaveView &wave)
-{
-    json begun = json::array();
-    for (const pools::MachineId &id : wave.begun) {
-        begun.push_back(id.text());
-    }
-    const json value = {{"begun", std::move(begun)}, {"completed", wave.isCompleted}};
-    return {fmt::format("{}{}", waveKeyPrefix, wave.wave.number), value.dump()};
-}
-
 }  // namespace
 
 struct MachineDuty::State : std::enable_shared_from_this<MachineDuty::State>
@@ -150,7 +137,7 @@
                   {"result", std::string(resultText(result))}});
         const auto wave = pools::takeOrderResult(machines, engine, order, result, steadyNow());
         if (wave) {
-            engine.notes.push_back(recordOf(machines.waves.at(*wave)));
+            engine.notes.push_back(recordOf(machines.waves.at(*wave), momentNow()));
         }
     }
 
@@ -209,7 +196,7 @@
             const bool isDone = pools::isCarriedOut(machines, wave);
             if (isDone && !wave.isCompleted) {
                 wave.isCompleted = true;
-                engine.notes.push_back(recordOf(wave));
+                engine.notes.push_back(recordOf(wave, momentNow()));
             }
             const auto reported = reports.find(number);
             if (reported == reports.end() || reported->second != wave.isCompleted) {
@@ -249,7 +236,7 @@
     pools::Pools machines;
     std::vector<pools::Machine> listed;
     TimePoint askedAt{};  // when the list under way was begun
-    std::map<std::int64_t, std::set<pools::MachineId>> inherited;  // begun, by wave
+    std::map<std::int64_t, InheritedWave> inherited;  // by number
     std::map<std::int64_t, bool> reports;  // what the operator was told
     std::set<std::int64_t> reporting;
     TimePoint loggedAt{};
@@ -272,23 +259,27 @@
 
 void MachineDuty::adopt(const StoredRecord &record)
 {
-    const json value = json::parse(record.value.value_or(std::string()), nullptr, false);
-    const std::int64_t number =
-            std::strtoll(record.key.c_str() + waveKeyPrefix.size(), nullptr, 10);
-    if (!value.is_object() || !value.contains("begun")) {
+    Result<InheritedWave> wave = decodeWaveRecord(record);
+    if (!wave) {
         logEvent(events::recordUnreadable, {{"stream", "progress"},
                                             {"offset", fmt::to_string(record.offset)},
-                                            {"fault", "not the record of a wave"}});
+                                            {"fault", wave.failure().message}});
         return;
     }
-    for (const json &id : value.at("begun")) {
-        state_->inherited[number].insert(pools::MachineId(id.get<std::string>()));
-    }
+    const std::int64_t number = wave.value().number;
+    state_->inherited[number] = std::move(wave).value();
 }
 
 void MachineDuty::takeWave(const pools::Wave &wave)
 {
-    pools::takeWave(state_->machines, wave, state_->inherited[wave.number], steadyNow());
+    const InheritedWave &inherited = state_->inherited[wave.number];
+    const bool isNew = !state_->machines.waves.contains(wave.number);
+    pools::takeWave(state_->machines, wave, inherited.begun, seenAt(wave, inherited, momentNow()));
+    if (isNew && !inherited.seenUnixMs) {
+        // A successor has to know how much of the wave's time is left.
+        state_->engine.notes.push_back(
+                recordOf(state_->machines.waves.at(wave.number), momentNow()));
+    }
 }
 
 void MachineDuty::start(std::map<pools::MachineId, TimePoint> restsUntil)
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -55,11 +55,6 @@
     return resting;
 }
 
-engine::Moment moment()
-{
-    return {steadyNow(), unixNowMs()};
-}
-
 }  // namespace
 
 struct OwnerSession::State : std::enable_shared_from_this<OwnerSession::State>
@@ -178,7 +173,7 @@
         engine::relieveStragglers(engine, now);
         if (now >= nextPlanAt) {
             nextPlanAt = now + planPeriod;
-            engine::tickJobs(engine, moment());
+            engine::tickJobs(engine, momentNow());
             dropForgotten();
             engine.needsPlan = true;
         }
--- a/src/poplarstream/edge/runtime.cpp
+++ b/src/poplarstream/edge/runtime.cpp
@@ -21,6 +21,11 @@
     return std::chrono::duration_cast<Milliseconds>(since).count();
 }
 
+engine::Moment momentNow()
+{
+    return {steadyNow(), unixNowMs()};
+}
+
 void callAfter(Runtime &runtime, Milliseconds delay, std::function<void()> task)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(runtime.io, delay);
--- a/src/poplarstream/pools/moves.cpp
+++ b/src/poplarstream/pools/moves.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/pools/moves.hpp"
 
-#include <algorithm>  // for max, sort
+#include <algorithm>  // for max, stable_partition
 
 #include "poplarstream/pools/demand.hpp"  // for demandByService, machinesFor
 #include "poplarstream/pools/forecast.hpp"  // for expectedLoad
@@ -61,6 +61,14 @@
             members[view.machine.pool].up.push_back(&view);
         }
     }
+    // The standby pool keeps those whose upkeep costs no work there, and gets them first.
+    for (auto &[pool, own] : members) {
+        const auto service = engine.services.find(pool);
+        const bool isStandby = service != engine.services.end() && service->second.isStandby;
+        std::stable_partition(own.up.begin(), own.up.end(), [isStandby](const MachineView *view) {
+            return view->isDueForUpkeep != isStandby;
+        });
+    }
     return members;
 }
 
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -89,13 +89,13 @@
     }
 }
 
-void takeWave(Pools &pools, const Wave &wave, const std::set<MachineId> &begun, TimePoint now)
+void takeWave(Pools &pools, const Wave &wave, const std::set<MachineId> &begun, TimePoint seenAt)
 {
     const auto [place, isNew] = pools.waves.try_emplace(wave.number);
     place->second.wave = wave;
     place->second.begun.insert(begun.begin(), begun.end());
     if (isNew) {
-        place->second.seenAt = now;
+        place->second.seenAt = seenAt;
     }
 }
 
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -189,6 +189,46 @@
     }
 }
 
+// Guards against a wave whose last machines are all hosts: each takes several seconds to empty.
+TEST(Waves, HostsArePacedByTheTimeThatIsLeft)
+{
+    SCOPED_TRACE("given eight machines of a wave with a lasting task each, and 20 s for them");
+    Deployment deployment(8, 0);
+    jobs::StepSpec lasting = step(8, 100);
+    lasting.longRunning = true;
+    lasting.antiAffinity = 1;
+    deployment.scene.submit(submission(firstJob, lasting));
+    ASSERT_EQ(deployment.scene.startAll().size(), 8U);
+    deployment.wave({"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"}, 8);
+    deployment.plan();
+    const auto cordoned = std::count_if(deployment.scene.engine.workers.begin(),
+                                        deployment.scene.engine.workers.end(),
+                                        [](const auto &each) { return each.second.isCordoned; });
+    // 8 machines of 6.5 s each, to be done after 14 s.
+    EXPECT_EQ(cordoned, 4);
+}
+
+// Guards against a wave that takes machines away at once while work waits for them.
+TEST(Waves, StandbyMachinesArePacedWhileWorkWaits)
+{
+    SCOPED_TRACE("given work for six machines on two, and no machine in standby");
+    Deployment deployment(2, 0);
+    deployment.scene.submit(submission(firstJob, step(24, 1000)));
+    deployment.scene.startAll();
+    EXPECT_TRUE(deployment.plan().empty());
+    {
+        SCOPED_TRACE("when four of a wave come up in standby, then the work gets some");
+        for (const char *id : {"s1", "s2", "s3", "s4"}) {
+            deployment.add(id, "reserve", "");
+        }
+        deployment.list();
+        deployment.wave({"s1", "s2", "s3", "s4"}, 4);
+        const auto orders = deployment.plan();
+        EXPECT_EQ(count(orders, MachineOrder::Kind::Upkeep), 2);
+        EXPECT_EQ(count(orders, MachineOrder::Kind::Move), 2);
+    }
+}
+
 // Guards against a wave that is reported as done while a machine is missing, and against waiting
 // for one that was removed.
 TEST(Waves, CarriedOut)
@@ -343,6 +383,27 @@
     EXPECT_GE(deployment.pools.needs.at(ServiceId("shop")).kept, 4);
 }
 
+// Guards against machines that come to work shortly before their upkeep, while others idle that
+// have none before them.
+TEST(Moves, MachinesDueForUpkeepStayInStandby)
+{
+    SCOPED_TRACE("given four machines in standby, three of a wave of which one is away at once");
+    Deployment deployment(2, 4);
+    deployment.wave({"s1", "s2", "s3"}, 1);
+    EXPECT_EQ(count(deployment.plan(), MachineOrder::Kind::Upkeep), 1);
+    {
+        SCOPED_TRACE(
+                "when work for one more machine waits, then that which is not of the wave goes");
+        deployment.scene.submit(submission(firstJob, step(10, 1000)));
+        deployment.scene.startAll();
+        for (const MachineOrder &order : deployment.plan()) {
+            EXPECT_EQ(order.kind, MachineOrder::Kind::Move);
+            EXPECT_EQ(order.machine, MachineId("s4"));
+        }
+        EXPECT_TRUE(deployment.pools.machines.at(MachineId("s4")).pending);
+    }
+}
+
 // Guards against paying for machines that idle.
 TEST(Moves, IdleMachinesGoToStandby)
 {
--- a/src/poplarstream/pools/waves.cpp
+++ b/src/poplarstream/pools/waves.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/pools/waves.hpp"
 
-#include <algorithm>  // for max, sort
+#include <algorithm>  // for any_of, max, sort
 #include <cmath>  // for ceil
 #include <tuple>  // for tuple
 
@@ -16,6 +16,8 @@
 // Long-running tasks leave one by one, which takes long: machines that host some are emptied from
 // the start, so many of a pool at once beside the others.
 constexpr int hostsEmptiedPerPool = 2;
+// Emptying a host took 3 to 6 s on the recorded days: few tasks of a step may be away at once.
+constexpr Milliseconds emptyingHost{4500};
 // Short tasks run about a second; a machine of the wave is emptied for as long before its upkeep.
 constexpr Milliseconds emptying{1500};
 // A wave aims to be done after this share of its time, as machines are lost and owners change.
@@ -58,82 +60,132 @@
            || (rest != pools.restsUntil.end() && rest->second > now);
 }
 
-// How many machines of a pool have to be away at once so that `left` are done in time.
-int emptiedAtOnce(const engine::Engine &engine, const WaveView &wave, int left, TimePoint now)
+// How the machines of a wave are spread over a pool.
+struct PoolShare
+{
+    int left = 0;  // whose upkeep has not begun
+    int emptied = 0;  // in upkeep, or being emptied for it
+    int hostsLeft = 0;  // the same of those that host long-running tasks
+    int hostsEmptied = 0;
+};
+
+// Where a wave stands, and which machines may go next.
+struct Survey
+{
+    std::map<ServiceId, PoolShare> pools;
+    std::vector<Choice> choices;
+    WaveProgress progress;
+};
+
+void noteBeingEmptied(WaveProgress &progress, const MachineView &view, bool isHost)
+{
+    ++progress.away;
+    progress.hosts += isHost ? 1 : 0;
+    const bool isOldest =
+            view.pending
+            && (progress.oldest.isEmpty() || view.pending->decidedAt < progress.oldestSince);
+    if (isOldest) {
+        progress.oldest = view.machine.id;
+        progress.oldestSince = view.pending->decidedAt;
+    }
+}
+
+void survey(Survey &result, Pools &pools, engine::Engine &engine, const WaveView &wave,
+            MachineView &view, TimePoint now)
+{
+    const bool isDue = !wave.begun.contains(view.machine.id);
+    const Choice choice = choiceOf(engine, view);
+    const bool isHost = choice.lasting > 0;
+    PoolShare &share = result.pools[view.machine.pool];
+    share.left += isDue ? 1 : 0;
+    share.hostsLeft += isDue && isHost ? 1 : 0;
+    result.progress.left += isDue ? 1 : 0;
+    view.isDueForUpkeep = isDue;
+    if (engine::Worker *const worker = workerOf(engine, view.machine)) {
+        worker->isDueForUpkeep = isDue;
+    }
+    if (isForWave(view, wave.wave.number) || mayBeAway(pools, wave, view, now)) {
+        ++(isHost ? share.hostsEmptied : share.emptied);
+        noteBeingEmptied(result.progress, view, isHost);
+    } else if (isDue && !view.pending && view.restsUntil <= now
+               && view.machine.state == MachineState::Up) {
+        result.choices.push_back(choice);
+    } else {
+        result.progress.notUp += isDue ? 1 : 0;
+    }
+}
+
+// How many machines have to be away at once so that `left` are done in time, each away for `each`.
+int neededAtOnce(const WaveView &wave, int left, Milliseconds each, TimePoint now)
 {
-    const Milliseconds each = engine.limits.maintenance + emptying;
     const auto aimed = static_cast<double>(wave.wave.duration.count()) * aimedShare;
     const TimePoint doneBy = wave.seenAt + Milliseconds(static_cast<std::int64_t>(aimed));
     const Milliseconds remaining = std::max(doneBy - now, each);
     const double needed = static_cast<double>(left) * static_cast<double>(each.count())
                           / static_cast<double>(remaining.count());
-    return std::max(emptiedPerPool, static_cast<int>(std::ceil(needed)));
+    return static_cast<int>(std::ceil(needed));
+}
+
+// Whether one more machine of the pool may be emptied now.
+bool hasTurn(const engine::Engine &engine, const WaveView &wave, const PoolShare &share,
+             bool isHost, TimePoint now)
+{
+    const Milliseconds away = engine.limits.maintenance;
+    if (isHost) {
+        const int needed = neededAtOnce(wave, share.hostsLeft, away + emptyingHost, now);
+        return share.hostsEmptied < std::max(hostsEmptiedPerPool, needed);
+    }
+    const int needed = neededAtOnce(wave, share.left, away + emptying, now);
+    return share.emptied < std::max(emptiedPerPool, needed);
+}
+
+// Whether the work asks for more machines than there are.
+bool isShort(const Pools &pools)
+{
+    return std::any_of(pools.needs.begin(), pools.needs.end(),
+                       [](const auto &each) { return each.second.present < each.second.wanted; });
+}
+
+void orderUpkeep(const Pools &pools, MachineView &view, std::int64_t wave, TimePoint now)
+{
+    MachineOrder order;
+    order.kind = MachineOrder::Kind::Upkeep;
+    order.machine = view.machine.id;
+    order.wave = wave;
+    order.holder = pools.holder;
+    order.fencingToken = pools.fencingToken;
+    view.pending = PendingOrder{std::move(order), now};
 }
 
 void planWave(Pools &pools, engine::Engine &engine, WaveView &wave, TimePoint now)
 {
-    int away = 0;
-    std::map<ServiceId, int> emptied;
-    std::map<ServiceId, int> hostsEmptied;
-    std::map<ServiceId, int> left;
-    std::vector<Choice> choices;
-    WaveProgress progress;
+    Survey result;
     for (const MachineId &id : wave.wave.machines) {
         const auto found = pools.machines.find(id);
-        if (found == pools.machines.end()) {
-            continue;
-        }
-        MachineView &view = found->second;
-        const bool isDue = !wave.begun.contains(id);
-        left[view.machine.pool] += isDue ? 1 : 0;
-        progress.left += isDue ? 1 : 0;
-        if (engine::Worker *const worker = workerOf(engine, view.machine)) {
-            worker->isDueForUpkeep = isDue;
-        }
-        if (isForWave(view, wave.wave.number) || mayBeAway(pools, wave, view, now)) {
-            const bool isHost = choiceOf(engine, view).lasting > 0;
-            ++(isHost ? hostsEmptied : emptied)[view.machine.pool];
-            ++away;
-            progress.hosts += isHost ? 1 : 0;
-            const bool isOldest =
-                    progress.oldest.isEmpty()
-                    || (view.pending && view.pending->decidedAt < progress.oldestSince);
-            if (view.pending && isOldest) {
-                progress.oldest = id;
-                progress.oldestSince = view.pending->decidedAt;
-            }
-        } else if (!wave.begun.contains(id) && !view.pending && view.restsUntil <= now
-                   && view.machine.state == MachineState::Up) {
-            choices.push_back(choiceOf(engine, view));
-        } else {
-            progress.notUp += isDue ? 1 : 0;
+        if (found != pools.machines.end()) {
+            survey(result, pools, engine, wave, found->second, now);
         }
     }
-    std::sort(choices.begin(), choices.end(),
+    std::sort(result.choices.begin(), result.choices.end(),
               [](const Choice &a, const Choice &b) { return a.rank() < b.rank(); });
-    for (const Choice &choice : choices) {
-        const Machine &machine = choice.view->machine;
-        const auto service = engine.services.find(machine.pool);
-        const bool isStandby = service != engine.services.end() && service->second.isStandby;
+    const bool isStandbyIdle = !isShort(pools);
+    for (const Choice &choice : result.choices) {
+        if (result.progress.away >= wave.wave.cap) {
+            break;
+        }
+        const ServiceId &pool = choice.view->machine.pool;
+        const auto service = engine.services.find(pool);
+        const bool isIdle =
+                isStandbyIdle && service != engine.services.end() && service->second.isStandby;
         const bool isHost = choice.lasting > 0;
-        int &taken = (isHost ? hostsEmptied : emptied)[machine.pool];
-        const int atOnce =
-                isHost ? hostsEmptiedPerPool : emptiedAtOnce(engine, wave, left[machine.pool], now);
-        if (away >= wave.wave.cap || (!isStandby && taken >= atOnce)) {
-            continue;
+        PoolShare &share = result.pools[pool];
+        if (isIdle || hasTurn(engine, wave, share, isHost, now)) {
+            orderUpkeep(pools, *choice.view, wave.wave.number, now);
+            ++result.progress.away;
+            ++(isHost ? share.hostsEmptied : share.emptied);
         }
-        MachineOrder order;
-        order.kind = MachineOrder::Kind::Upkeep;
-        order.machine = machine.id;
-        order.wave = wave.wave.number;
-        order.holder = pools.holder;
-        order.fencingToken = pools.fencingToken;
-        choice.view->pending = PendingOrder{std::move(order), now};
-        ++away;
-        ++taken;
     }
-    progress.away = away;
-    wave.progress = std::move(progress);
+    wave.progress = std::move(result.progress);
 }
 
 }  // namespace
