Say what holds the oldest machine of a wave

Change: evacuation keeps why the first task of a worker does not leave (tasks of its step that are missing, or no other worker with room), and 723 shows it as `held_by`.

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -66,6 +66,14 @@
 };
 
 // What is known of one life of a worker.
+// Why a long-running task does not leave its worker yet.
+struct EvacuationHold
+{
+    jobs::TaskRef task;
+    int missing = 0;  // other tasks of its step that are not at work, as many as may be
+    bool hasSite = true;  // whether another worker could take it
+};
+
 struct Worker
 {
     WorkerEntry entry;
@@ -75,6 +83,7 @@
     Contact contact = Contact::New;
     bool isCordoned = false;  // to be emptied for upkeep or a move
     bool isDueForUpkeep = false;  // will be emptied soon, so other workers are filled first
+    std::optional<EvacuationHold> heldBy;  // of the first task that does not leave yet
     jobs::Resources used;  // by attempts that run or may run
     std::map<AttemptRef, std::int64_t> attempts;  // to the first look that settles their absence
     std::set<AttemptRef> strangers;  // runs that no job accounts for; being stopped
--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -40,6 +40,7 @@
     int notUp = 0;  // left, and moving, down or resting after a refusal
     MachineId oldest;  // of those being emptied, and since when
     TimePoint oldestSince{};
+    std::optional<engine::EvacuationHold> oldestHeldBy;  // why it is not empty yet, if it is a host
 };
 
 struct WaveView
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -161,9 +161,10 @@
         "late_milli "
         "expected_milli",
         "If `wanted` stays above `present`, look for machine orders that are refused."};
-inline constexpr EventKind waveUnderWay{
-        723, EventLevel::Info, "wave-under-way", "wave left away hosts not_up oldest oldest_ms",
-        "If `oldest_ms` keeps rising, look for what still runs on the machine `oldest`."};
+inline constexpr EventKind waveUnderWay{723, EventLevel::Info, "wave-under-way",
+                                        "wave left away hosts not_up oldest oldest_ms held_by",
+                                        "If `oldest_ms` keeps rising, see `held_by`: tasks of the "
+                                        "step are missing, or no worker has room."};
 inline constexpr EventKind workerSuspected{730, EventLevel::Warning, "worker-suspected",
                                            "task run worker inputs",
                                            "If it repeats, take the worker out of its pool."};
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -41,6 +41,8 @@
     return events::leaseLapsed;
 }
 
+}  // namespace
+
 std::string taskText(const jobs::TaskRef &task)
 {
     return task.job.isEmpty() ? "-"
@@ -48,8 +50,6 @@
                                             task.step, task.index);
 }
 
-}  // namespace
-
 void DecisionLog::write(const engine::Decision &decision, TimePoint now)
 {
     if (!mayWrite(now)) {
--- a/src/poplarstream/edge/machine_duty.cpp
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/edge/decision_log.hpp"  // for taskText
 #include "poplarstream/edge/stored_waves.hpp"  // for recordOf, decodeWaveRecord, seenAt
 #include "poplarstream/pools/planning.hpp"  // for planMachines, takeOrderResult
 #include "poplarstream/telemetry/event_kinds.hpp"  // for machineOrdered
@@ -36,6 +37,16 @@
     return "unknown";
 }
 
+std::string holdText(const std::optional<engine::EvacuationHold> &hold)
+{
+    if (!hold) {
+        return {};
+    }
+    return fmt::format("{} {}", taskText(hold->task),
+                       hold->hasSite ? fmt::format("missing={}", hold->missing)
+                                     : std::string("no-site"));
+}
+
 }  // namespace
 
 struct MachineDuty::State : std::enable_shared_from_this<MachineDuty::State>
@@ -166,7 +177,8 @@
                                             {"hosts", fmt::to_string(progress.hosts)},
                                             {"not_up", fmt::to_string(progress.notUp)},
                                             {"oldest", progress.oldest.text()},
-                                            {"oldest_ms", fmt::to_string(age.count())}});
+                                            {"oldest_ms", fmt::to_string(age.count())},
+                                            {"held_by", holdText(progress.oldestHeldBy)}});
         }
     }
 
--- a/src/poplarstream/engine/contact_test.cpp
+++ b/src/poplarstream/engine/contact_test.cpp
@@ -232,6 +232,9 @@
         scene.silence(second);
         evacuate(scene.engine, scene.now);
         EXPECT_TRUE(scene.take<StopOrder>().empty());
+        ASSERT_TRUE(scene.worker(first).heldBy);
+        EXPECT_EQ(scene.worker(first).heldBy->missing, 1);
+        EXPECT_TRUE(scene.worker(first).heldBy->hasSite);
     }
     {
         SCOPED_TRACE("then the task moves only after the other is at work again");
@@ -240,9 +243,29 @@
         scene.answer(second, {running(starts[1].task.index, 1, 100)});
         evacuate(scene.engine, scene.now);
         EXPECT_EQ(scene.take<StopOrder>().size(), 1U);
+        EXPECT_FALSE(scene.worker(first).heldBy);
     }
 }
 
+// Guards against an operator who cannot tell why a worker is not empty yet.
+TEST(Contact, EvacuationSaysThatNoWorkerHasRoom)
+{
+    Scene scene(1);
+    jobs::StepSpec lasting = step(1, 1000);
+    lasting.longRunning = true;
+    scene.submit(submission(firstJob, lasting));
+    const auto starts = scene.startAll();
+    ASSERT_EQ(starts.size(), 1U);
+    const std::string only = starts[0].target.worker.id.text();
+    scene.look();
+    scene.answer(only, {running(starts[0].task.index, 1, 100)});
+    scene.worker(only).isCordoned = true;
+    evacuate(scene.engine, scene.now);
+    EXPECT_TRUE(scene.take<StopOrder>().empty());
+    ASSERT_TRUE(scene.worker(only).heldBy);
+    EXPECT_FALSE(scene.worker(only).heldBy->hasSite);
+}
+
 // Guards against a step that loses one task to the last order of an owner and the next to the first
 // order of its successor.
 TEST(Contact, SuccessorWaitsForStopsOfItsPredecessor)
--- a/src/poplarstream/engine/evacuation.cpp
+++ b/src/poplarstream/engine/evacuation.cpp
@@ -36,10 +36,16 @@
             });
 }
 
-// Whether one more task of the step may go missing. A step that names no number still loses its
-// tasks one by one.
-bool mayMissAnother(const Engine &engine, const jobs::Occurrence &occurrence,
-                    const jobs::StepSpec &step, const TaskRef &task, TimePoint now)
+void hold(Worker &worker, EvacuationHold why)
+{
+    if (!worker.heldBy) {
+        worker.heldBy = std::move(why);
+    }
+}
+
+// Other tasks of the step that are not at work.
+int missingBeside(const Engine &engine, const jobs::Occurrence &occurrence, const TaskRef &task,
+                  TimePoint now)
 {
     int missing = 0;
     const auto &tasks = occurrence.steps[static_cast<std::size_t>(task.step)];
@@ -48,10 +54,11 @@
             ++missing;
         }
     }
-    return missing < std::max(step.mayMiss, 1);
+    return missing;
 }
 
-void evacuateTask(Engine &engine, const AttemptRef &ref, bool isLeaving, TimePoint now)
+void evacuateTask(Engine &engine, Worker &worker, const AttemptRef &ref, bool isLeaving,
+                  TimePoint now)
 {
     jobs::Job &job = engine.jobs.at(ref.task.job);
     const jobs::StepSpec &step = stepOf(job, ref.task);
@@ -60,13 +67,18 @@
         return;
     }
     const jobs::Occurrence &occurrence = job.occurrences.at(ref.task.occurrence);
-    if (!isLeaving && !mayMissAnother(engine, occurrence, step, ref.task, now)) {
+    // A step that names no number still loses its tasks one by one.
+    const int missing = missingBeside(engine, occurrence, ref.task, now);
+    if (!isLeaving && missing >= std::max(step.mayMiss, 1)) {
+        hold(worker, {ref.task, missing, true});
         return;
     }
     std::vector<Site> sites = openSites(engine, serviceOf(engine, job), now);
     const Spread spread = spreadOf(engine, occurrence, ref.task.step);
     if (chooseSite(sites, step, spread, {attempt->worker}, nullptr) != nullptr) {
         stopAttempt(engine, ref, now);
+    } else {
+        hold(worker, {ref.task, missing, false});
     }
 }
 
@@ -74,14 +86,15 @@
 
 void evacuate(Engine &engine, TimePoint now)
 {
-    for (const auto &[life, worker] : engine.workers) {
+    for (auto &[life, worker] : engine.workers) {
+        worker.heldBy.reset();
         const bool mustLeave = worker.entry.isDraining && worker.isListed;
         if (worker.isGone || worker.contact != Contact::Open || !(mustLeave || worker.isCordoned)) {
             continue;
         }
         const auto attempts = worker.attempts;
         for (const auto &[ref, settledBy] : attempts) {
-            evacuateTask(engine, ref, mustLeave, now);
+            evacuateTask(engine, worker, ref, mustLeave, now);
         }
     }
 }
--- a/src/poplarstream/pools/waves.cpp
+++ b/src/poplarstream/pools/waves.cpp
@@ -77,7 +77,8 @@
     WaveProgress progress;
 };
 
-void noteBeingEmptied(WaveProgress &progress, const MachineView &view, bool isHost)
+void noteBeingEmptied(WaveProgress &progress, engine::Engine &engine, const MachineView &view,
+                      bool isHost)
 {
     ++progress.away;
     progress.hosts += isHost ? 1 : 0;
@@ -87,6 +88,8 @@
     if (isOldest) {
         progress.oldest = view.machine.id;
         progress.oldestSince = view.pending->decidedAt;
+        const engine::Worker *const worker = workerOf(engine, view.machine);
+        progress.oldestHeldBy = worker ? worker->heldBy : std::nullopt;
     }
 }
 
@@ -103,7 +106,7 @@
     view.isDueForUpkeep = view.isDueForUpkeep || isDue;
     if (isForWave(view, wave.wave.number) || mayBeAway(pools, wave, view, now)) {
         ++(isHost ? share.hostsEmptied : share.emptied);
-        noteBeingEmptied(result.progress, view, isHost);
+        noteBeingEmptied(result.progress, engine, view, isHost);
     } else if (isDue && !view.pending && view.restsUntil <= now
                && view.machine.state == MachineState::Up) {
         result.choices.push_back(choice);
