Share the guard of callbacks between the duties, and free the machines of dropped services

Cause: job_feed and owner_session each had a copy of the same guard, and machine_duty wrote it out four times. Sizes of pools stayed for services that the configuration no longer names, and held their machines. Change: Closable is the one guard; needs of dropped services go. Test: Moves.MachinesOfADroppedServiceAreFree, seen to fail.

--- a/include/poplarstream/pools/forecast.hpp
+++ b/include/poplarstream/pools/forecast.hpp
@@ -18,7 +18,7 @@
 // What arrived for one service.
 struct ArrivalHistory
 {
-    std::deque<TimePoint> lately;  // in order, no longer than the forecast looks back
+    std::deque<TimePoint> lately;  // nearly in order, no longer than the forecast looks back
     double jobs = 0;  // weight of the means below; old jobs fade out
     Load meanWork;  // of a job, times milliseconds
     double meanLengthMs = 0;  // of a job's longest chain
--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -1,5 +1,6 @@
 #include "poplarstream/edge/job_feed.hpp"
 
+#include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
 #include "poplarstream/edge/stored_jobs.hpp"  // for applyJobRecord, adoptStoredProgress
 
@@ -12,7 +13,7 @@
 
 }  // namespace
 
-struct JobFeed::State : std::enable_shared_from_this<JobFeed::State>
+struct JobFeed::State : Closable<JobFeed::State>
 {
     State(Runtime &owner, engine::Engine &owned, TimePoint renewed, JobFeedEvents receivers)
         : runtime(owner)
@@ -21,16 +22,6 @@
         , events(std::move(receivers))
     {}
 
-    template <class Function>
-    auto guarded(Function function)
-    {
-        return [weak = weak_from_this(), function](auto &&...arguments) {
-            if (const auto self = weak.lock(); self && !self->isClosed) {
-                function(*self, std::forward<decltype(arguments)>(arguments)...);
-            }
-        };
-    }
-
     void loadProgress()
     {
         FollowerEvents received;
@@ -118,7 +109,6 @@
     std::size_t nextJob = 0;
     bool isLoading = false;
     bool isLoaded = false;
-    bool isClosed = false;
 };
 
 JobFeed::JobFeed(Runtime &runtime, engine::Engine &engine, TimePoint renewedAt,
--- a/src/poplarstream/edge/machine_duty.cpp
+++ b/src/poplarstream/edge/machine_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/decision_log.hpp"  // for taskText
 #include "poplarstream/edge/stored_waves.hpp"  // for recordOf, decodeWaveRecord, seenAt
 #include "poplarstream/pools/planning.hpp"  // for planMachines, takeOrderResult
@@ -49,7 +50,7 @@
 
 }  // namespace
 
-struct MachineDuty::State : std::enable_shared_from_this<MachineDuty::State>
+struct MachineDuty::State : Closable<MachineDuty::State>
 {
     State(Runtime &owner, engine::Engine &jobs, MachineDutyHooks given)
         : runtime(owner)
@@ -59,11 +60,7 @@
 
     void after(Milliseconds delay, void (State::*step)())
     {
-        callAfter(runtime, delay, [weak = weak_from_this(), step] {
-            if (const auto self = weak.lock(); self && !self->isClosed) {
-                (self.get()->*step)();
-            }
-        });
+        callAfter(runtime, delay, guarded([step](State &self) { (self.*step)(); }));
     }
 
     void list()
@@ -75,11 +72,9 @@
 
     void listPage(const std::string &page)
     {
-        runtime.machines.list(page, [weak = weak_from_this()](MachinePage answer) {
-            if (const auto self = weak.lock(); self && !self->isClosed) {
-                self->takePage(std::move(answer));
-            }
-        });
+        runtime.machines.list(page, guarded([](State &self, MachinePage answer) {
+                                  self.takePage(std::move(answer));
+                              }));
     }
 
     void takePage(MachinePage page)
@@ -118,24 +113,21 @@
             named.push_back(order.machine.text());
         }
         hooks.confirm(std::move(named),
-                      [weak = weak_from_this(), orders = std::move(orders)](bool isConfirmed) {
-                          const auto self = weak.lock();
-                          if (!self || self->isClosed || !isConfirmed || !self->hooks.mayOrder()) {
+                      guarded([orders = std::move(orders)](State &self, bool isConfirmed) {
+                          if (!isConfirmed || !self.hooks.mayOrder()) {
                               return;
                           }
                           for (const pools::MachineOrder &order : orders) {
-                              self->send(order);
+                              self.send(order);
                           }
-                      });
+                      }));
     }
 
     void send(const pools::MachineOrder &order)
     {
-        runtime.machines.order(order, [weak = weak_from_this(), order](pools::OrderResult result) {
-            if (const auto self = weak.lock(); self && !self->isClosed) {
-                self->takeResult(order, result);
-            }
-        });
+        runtime.machines.order(order, guarded([order](State &self, pools::OrderResult result) {
+                                   self.takeResult(order, result);
+                               }));
     }
 
     void takeResult(const pools::MachineOrder &order, pools::OrderResult result)
@@ -253,7 +245,6 @@
     std::set<std::int64_t> reporting;
     TimePoint loggedAt{};
     bool hasList = false;
-    bool isClosed = false;
 };
 
 MachineDuty::MachineDuty(Runtime &runtime, engine::Engine &engine, std::int64_t epoch,
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/decision_log.hpp"  // for DecisionLog
 #include "poplarstream/edge/job_feed.hpp"  // for JobFeed
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
@@ -57,7 +58,7 @@
 
 }  // namespace
 
-struct OwnerSession::State : std::enable_shared_from_this<OwnerSession::State>
+struct OwnerSession::State : Closable<OwnerSession::State>
 {
     State(Runtime &owner, const Inheritance &inherited, OwnerSessionHooks given)
         : runtime(owner)
@@ -75,16 +76,6 @@
         engine.token.epoch = inheritance.epoch;
     }
 
-    template <class Function>
-    auto guarded(Function function)
-    {
-        return [weak = weak_from_this(), function](auto &&...arguments) {
-            if (const auto self = weak.lock(); self && !self->isClosed) {
-                function(*self, std::forward<decltype(arguments)>(arguments)...);
-            }
-        };
-    }
-
     // The predecessor's writes must be shut out before its progress is read.
     void start()
     {
@@ -292,7 +283,6 @@
     bool isDropping = false;
     bool isPumping = false;
     bool isPumpPending = false;
-    bool isClosed = false;
 };
 
 OwnerSession::OwnerSession(Runtime &runtime, const Inheritance &inheritance,
--- a/src/poplarstream/pools/moves.cpp
+++ b/src/poplarstream/pools/moves.cpp
@@ -147,6 +147,9 @@
 {
     const Milliseconds ahead = engine.limits.migration + joining;
     std::map<ServiceId, Demand> demands = demandByService(engine, now);
+    // Machines of a service that the configuration no longer names are free for others.
+    std::erase_if(pools.needs,
+                  [&engine](const auto &each) { return !engine.services.contains(each.first); });
     for (const auto &[service, settings] : engine.services) {
         if (settings.isStandby) {
             continue;
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -430,6 +430,26 @@
     }
 }
 
+// Guards against machines that stay with a service that was dropped from the configuration.
+TEST(Moves, MachinesOfADroppedServiceAreFree)
+{
+    SCOPED_TRACE("given work that one service has been sized for, and none of the other");
+    Deployment deployment(2, 0);
+    deployment.scene.engine.services[ServiceId("old")] = {ServiceId("old"), false};
+    deployment.add("o1", "old", "");
+    deployment.add("o2", "old", "");
+    deployment.list();
+    deployment.scene.submit(submission(firstJob, step(16, 1000)));
+    deployment.scene.startAll();
+    EXPECT_EQ(count(deployment.plan(), MachineOrder::Kind::Move), 0);
+    {
+        SCOPED_TRACE("when the other is dropped, then its machines come to the work");
+        deployment.scene.engine.services.erase(ServiceId("old"));
+        const auto orders = deployment.plan();
+        EXPECT_EQ(count(orders, MachineOrder::Kind::Move), 2);
+    }
+}
+
 // Guards against paying for machines that idle.
 TEST(Moves, IdleMachinesGoToStandby)
 {
