Write submissions of others together while the store is slow

Ruled out: an outage, a change of owner, missing machines. Change: an entry host whose append is under way for 300 ms, or was slow or failed lately, gives submissions to the owner, which writes what comes meanwhile together, with four calls at a time. Where that process does not own the jobs, the entry host stores them itself. Tests: GroupAppend.WhatWaitsGoesTogether and GroupAppend.LargeRecordsAreSplit, each seen to fail without its limit; StoreHealth.SlowAndFailedCallsAreTrouble, written with the change.

--- a/include/poplarstream/edge/caller_duty.hpp
+++ b/include/poplarstream/edge/caller_duty.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <functional>  // for function
+#include <optional>  // for optional
 
 #include "poplarstream/edge/peer_calls.hpp"  // for PeerQuestion, PeerReply
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
+#include "poplarstream/edge/store_health.hpp"  // for StoreHealth
 
 namespace poplarstream::edge {
 
@@ -33,12 +35,16 @@
     void count(const Route &route, const Call &call, const Reply &reply);
     void store(const StoredRecord &record, AnswerKind stored, Milliseconds remaining,
                const Reply &reply);
-    void storeThroughOwner(const StoredRecord &record, AnswerKind stored, bool mayBeStored,
-                           Milliseconds remaining, const Reply &reply);
+    void storeDirectly(const StoredRecord &record, AnswerKind stored, Milliseconds remaining,
+                       const Reply &reply);
+    // `tried` is the outcome of a call to the store before, if there was one.
+    void storeThroughOwner(const StoredRecord &record, AnswerKind stored,
+                           std::optional<AppendResult> tried, Milliseconds remaining,
+                           const Reply &reply);
 
     Runtime &runtime_;
     CallerHooks hooks_;
-    TimePoint storeTroubleUntil_{};
+    StoreHealth health_;
 };
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/caller_duty.cpp
+++ b/src/poplarstream/edge/caller_duty.cpp
@@ -15,8 +15,6 @@
 constexpr Milliseconds storeDeadline{1000};
 constexpr Milliseconds ownerDeadline{1000};
 constexpr Milliseconds leastDeadline{50};
-// After a failed write the next ones go through the owner first for this long.
-constexpr Milliseconds troubleMemory{2000};
 
 Milliseconds within(Milliseconds most, Milliseconds remaining)
 {
@@ -189,36 +187,48 @@
 void CallerDuty::store(const StoredRecord &record, AnswerKind stored, Milliseconds remaining,
                        const Reply &reply)
 {
-    if (steadyNow() < storeTroubleUntil_) {
-        storeThroughOwner(record, stored, false, remaining, reply);
-        return;
+    if (health_.isInTrouble(steadyNow())) {
+        storeThroughOwner(record, stored, {}, remaining, reply);
+    } else {
+        storeDirectly(record, stored, remaining, reply);
     }
+}
+
+void CallerDuty::storeDirectly(const StoredRecord &record, AnswerKind stored,
+                               Milliseconds remaining, const Reply &reply)
+{
     AppendRequest request;
     request.log = Log::Jobs;
     request.records = {record};
     request.deadline = within(storeDeadline, remaining);
     const TimePoint sentAt = steadyNow();
+    health_.begin(sentAt);
     runtime_.store.append(std::move(request), [=, this](const AppendOutcome &outcome) {
-        if (outcome.result == AppendResult::Stored) {
+        const bool isStored = outcome.result == AppendResult::Stored;
+        health_.end(sentAt, isStored, steadyNow());
+        if (isStored) {
             reply(answerOf(stored));
             return;
         }
-        storeTroubleUntil_ = steadyNow() + troubleMemory;
-        const bool mayBeStored = outcome.result == AppendResult::Unknown;
-        storeThroughOwner(record, stored, mayBeStored, remaining - (steadyNow() - sentAt), reply);
+        storeThroughOwner(record, stored, outcome.result, remaining - (steadyNow() - sentAt),
+                          reply);
     });
 }
 
-void CallerDuty::storeThroughOwner(const StoredRecord &record, AnswerKind stored, bool mayBeStored,
-                                   Milliseconds remaining, const Reply &reply)
+void CallerDuty::storeThroughOwner(const StoredRecord &record, AnswerKind stored,
+                                   std::optional<AppendResult> tried, Milliseconds remaining,
+                                   const Reply &reply)
 {
     PeerQuestion question;
     question.kind = PeerQuestion::Kind::Store;
     question.records = {record};
-    hooks_.askOwner(question, within(ownerDeadline, remaining), [=](PeerReply answer) {
-        const bool isUnsure = mayBeStored || answer.kind == PeerReply::Kind::NoAnswer;
+    hooks_.askOwner(question, within(ownerDeadline, remaining), [=, this](PeerReply answer) {
+        const bool isUnsure =
+                tried == AppendResult::Unknown || answer.kind == PeerReply::Kind::NoAnswer;
         if (answer.kind == PeerReply::Kind::Stored) {
             reply(answerOf(stored));
+        } else if (!tried && answer.kind == PeerReply::Kind::NotOwner) {
+            storeDirectly(record, stored, remaining, reply);
         } else if (isUnsure) {
             reply(answerOf(AnswerKind::Unknown, "the store does not answer"));
         } else {
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/edge/caller_duty.hpp"  // for CallerDuty
+#include "poplarstream/edge/group_append.hpp"  // for GroupAppend
 #include "poplarstream/edge/leadership_duty.hpp"  // for LeadershipDuty
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
 #include "poplarstream/edge/owner_session.hpp"  // for OwnerSession
@@ -15,6 +16,8 @@
 // Without news from the store for this long, and without an owner that answers, callers are better
 // served elsewhere.
 constexpr Milliseconds contactAge{3000};
+// Of appends for other entry hosts, which wait 1 s for the answer.
+constexpr Milliseconds storeForOthersDeadline{800};
 
 }  // namespace
 
@@ -23,6 +26,7 @@
     State(Runtime &owner, HttpClient &client)
         : runtime(owner)
         , peers(client)
+        , appends(owner.store, storeForOthersDeadline)
         , callers(owner, {[this] { return hasConfiguration ? &configuration : nullptr; },
                           [this](const PeerQuestion &question, Milliseconds deadline,
                                  std::function<void(PeerReply)> done) {
@@ -211,17 +215,12 @@
 
     void storeFor(const PeerQuestion &question, std::function<void(PeerReply)> done)
     {
-        AppendRequest request;
-        request.log = Log::Jobs;
-        request.records = question.records;
-        request.deadline = Milliseconds{800};
-        runtime.store.append(
-                std::move(request), [done = std::move(done)](const AppendOutcome &outcome) {
-                    const AppendResult result = outcome.result;
-                    done({result == AppendResult::Stored    ? PeerReply::Kind::Stored
-                          : result == AppendResult::NotDone ? PeerReply::Kind::NotStored
-                                                            : PeerReply::Kind::NoAnswer});
-                });
+        appends.append(question.records, [done = std::move(done)](const AppendOutcome &outcome) {
+            const AppendResult result = outcome.result;
+            done({result == AppendResult::Stored    ? PeerReply::Kind::Stored
+                  : result == AppendResult::NotDone ? PeerReply::Kind::NotStored
+                                                    : PeerReply::Kind::NoAnswer});
+        });
     }
 
     Runtime &runtime;
@@ -229,6 +228,7 @@
     Configuration configuration;
     bool hasConfiguration = false;
     std::map<std::int64_t, pools::Wave> waves;
+    GroupAppend appends;  // for other entry hosts, while this one owns the jobs
     CallerDuty callers;
     std::unique_ptr<LogFollower> operatorFollower;
     std::unique_ptr<LeadershipDuty> leadership;
--- /dev/null
+++ b/src/poplarstream/edge/group_append_test.cpp
@@ -0,0 +1,115 @@
+#include "poplarstream/edge/group_append.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+
+#include "poplarstream/edge/store_health.hpp"  // for StoreHealth
+
+namespace poplarstream::edge {
+namespace {
+
+// A store that keeps the calls until the test answers them.
+struct Store
+{
+    std::vector<AppendRequest> requests;
+    std::vector<std::function<void(AppendOutcome)>> answers;
+
+    StorePort port()
+    {
+        StorePort port;
+        port.append = [this](AppendRequest request, std::function<void(AppendOutcome)> done) {
+            requests.push_back(std::move(request));
+            answers.push_back(std::move(done));
+        };
+        return port;
+    }
+};
+
+struct Callers
+{
+    Store store;
+    GroupAppend appends{store.port(), Milliseconds{800}};
+    std::vector<AppendResult> results;
+
+    void append(const std::string &key, std::size_t bytes = 10)
+    {
+        appends.append({{key, std::string(bytes, 'x'), 0}},
+                       [this](const AppendOutcome &outcome) { results.push_back(outcome.result); });
+    }
+};
+
+// Guards against a slow store that refuses most of what many callers hand in at once.
+TEST(GroupAppend, WhatWaitsGoesTogether)
+{
+    Callers callers;
+    for (int i = 0; i < 50; ++i) {
+        callers.append("job" + std::to_string(i));
+    }
+    const std::size_t calls = callers.store.requests.size();
+    EXPECT_LT(calls, 10U);
+    {
+        SCOPED_TRACE("then the others go with one call, in the order in which they came");
+        callers.store.answers[0]({AppendResult::Stored, 1});
+        ASSERT_EQ(callers.store.requests.size(), calls + 1);
+        const auto &records = callers.store.requests.back().records;
+        ASSERT_EQ(records.size(), 50 - calls);
+        EXPECT_EQ(records.front().key, "job" + std::to_string(calls));
+        EXPECT_EQ(records.back().key, "job49");
+    }
+    {
+        SCOPED_TRACE("and each is told what became of its own call");
+        callers.store.answers.back()({AppendResult::Unknown, 0});
+        ASSERT_EQ(callers.results.size(), 1 + 50 - calls);
+        EXPECT_EQ(callers.results[0], AppendResult::Stored);
+        EXPECT_EQ(callers.results[1], AppendResult::Unknown);
+    }
+}
+
+// Guards against calls that the store refuses because they are too large.
+TEST(GroupAppend, LargeRecordsAreSplit)
+{
+    Callers callers;
+    for (int i = 0; i < 24; ++i) {
+        callers.append("job" + std::to_string(i), 250'000);
+    }
+    for (std::size_t i = 0; i < callers.store.answers.size(); ++i) {
+        std::size_t bytes = 0;
+        for (const StoredRecord &record : callers.store.requests[i].records) {
+            bytes += record.value->size();
+        }
+        EXPECT_LT(bytes, 2'000'000U);
+        const auto answer = callers.store.answers[i];
+        answer({AppendResult::Stored, 1});
+    }
+    EXPECT_EQ(callers.results.size(), 24U);
+}
+
+TEST(StoreHealth, SlowAndFailedCallsAreTrouble)
+{
+    StoreHealth health;
+    const TimePoint sent = timePoint(1'000'000);
+    health.begin(sent);
+    EXPECT_FALSE(health.isInTrouble(sent + Milliseconds{100}));
+    {
+        SCOPED_TRACE("a call that is under way for long");
+        EXPECT_TRUE(health.isInTrouble(sent + Milliseconds{400}));
+    }
+    {
+        SCOPED_TRACE("and one that was stored late, for some time");
+        health.end(sent, true, sent + Milliseconds{500});
+        EXPECT_TRUE(health.isInTrouble(sent + Milliseconds{2000}));
+        EXPECT_FALSE(health.isInTrouble(sent + Milliseconds{3000}));
+    }
+    {
+        SCOPED_TRACE("one that failed at once, too, and one that was stored at once is none");
+        const TimePoint again = sent + Milliseconds{5000};
+        health.begin(again);
+        health.end(again, true, again + Milliseconds{10});
+        EXPECT_FALSE(health.isInTrouble(again + Milliseconds{10}));
+        health.begin(again);
+        health.end(again, false, again + Milliseconds{10});
+        EXPECT_TRUE(health.isInTrouble(again + Milliseconds{10}));
+    }
+}
+
+}  // namespace
+}  // namespace poplarstream::edge
