Start nothing on an outdated view of cancellations; count late successes

A run whose worker was taken for gone and then reported success was ignored, and its task started again. Change: ownership/start_permission decides, when starts are planned and again right before they are sent, by ownership, by the age of the last complete read of the job log and by the age of their record; events 706 and 707 tell. A success of a given-up run completes its task and stops the replacement. Ruled out: asking the store before each start (a call for each batch). Measured: Reachability.LateSuccessOfReleasedTask failed before (a task that had succeeded started again).

--- a/include/poplarstream/edge/progress_writer.hpp
+++ b/include/poplarstream/edge/progress_writer.hpp
@@ -14,11 +14,14 @@
 // again under the same sequence number, so that the store deduplicates it.
 //
 // A stored write shows that no newer owner has fenced this one, so it confirms the ownership as a
-// renewal does. Starts whose batch took longer than `maxStartDelay` are not sent but planned again.
+// renewal does. Right before the starts of a batch are sent, `maySend` is asked with the time at
+// which the batch was first sent to the store; if it refuses, they are planned again.
 class ProgressWriter
 {
 public:
-    ProgressWriter(Runtime &runtime, std::int64_t epoch, Milliseconds maxStartDelay);
+    using MaySend = std::function<bool(TimePoint recordedAt)>;
+
+    ProgressWriter(Runtime &runtime, std::int64_t epoch, MaySend maySend);
     ProgressWriter(const ProgressWriter &) = delete;
     ProgressWriter &operator=(const ProgressWriter &) = delete;
     ~ProgressWriter();
--- a/include/poplarstream/jobs/commands.hpp
+++ b/include/poplarstream/jobs/commands.hpp
@@ -17,13 +17,15 @@
 // The effect of a completion on its job.
 struct CompletionEffect
 {
-    bool isKnown = false;  // the run is an attempt of this job
+    bool isKnown = false;  // the run is an attempt of this job, or was one and succeeded
     bool stepDone = false;
     bool jobEnded = false;  // this completion ended the job
 };
 
 // Records the completion of a run and removes the attempt. Stores `checkpoint` unless it is empty.
-// The result Done of one member finishes the whole gang.
+// The result Done of one member finishes the whole gang. The result Done also counts for a run
+// whose attempt was dropped, so that work that was done is not done again; other results of such
+// runs are ignored.
 CompletionEffect recordCompletion(Job &job, const TaskRef &ref, int run, AttemptResult result,
                                   std::string checkpoint, TimePoint now);
 
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -130,6 +130,19 @@
         "Nothing new starts until 705 or 701; look at the store's response time."};
 inline constexpr EventKind ownershipConfirmed{705, EventLevel::Info, "ownership-confirmed",
                                               "epoch unconfirmed_ms", "None."};
+inline constexpr EventKind startsHeld{
+        706, EventLevel::Warning, "starts-held", "epoch read_ms_ago",
+        "Nothing new starts until 707: cancellations may be unread. Check the store, and the "
+        "processor time of this process."};
+inline constexpr EventKind startsResumed{707, EventLevel::Info, "starts-resumed", "epoch held_ms",
+                                         "None."};
+inline constexpr EventKind callbackFailed{
+        708, EventLevel::Error, "callback-failed", "error",
+        "Report it with the log before it. The process goes on; if it owned the jobs, another "
+        "takes over."};
+inline constexpr EventKind recordNotStorable{
+        709, EventLevel::Error, "record-not-storable", "log",
+        "Report it: a key is empty or longer than the store allows, so nothing was written."};
 inline constexpr EventKind jobAccepted{710, EventLevel::Info, "job-accepted", "job queue", "None."};
 inline constexpr EventKind jobRefused{
         711, EventLevel::Warning, "job-refused", "job reason",
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -19,7 +19,8 @@
 #include "poplarstream/engine/worker_events.hpp"  // for registerWorker, deregisterWorker
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
 #include "poplarstream/engine/worker_polling.hpp"  // for pollWorkers
-#include "poplarstream/telemetry/event_kinds.hpp"  // for ownerLoaded, recordUnreadable
+#include "poplarstream/ownership/start_permission.hpp"  // for planningHold, sendingHold
+#include "poplarstream/telemetry/event_kinds.hpp"  // for ownerLoaded, startsHeld
 
 namespace poplarstream::edge {
 
@@ -29,9 +30,6 @@
 // the ownership, so that tasks survive an outage of the store. A successor waits as long before it
 // gives up an unresponsive worker.
 constexpr Milliseconds pollingGrace{8000};
-// A start is sent within this time after the write of its record began; otherwise the task is
-// planned again. A successor that takes over in between reads the record.
-constexpr Milliseconds maxStartDelay{1500};
 constexpr Milliseconds tickPeriod{40};
 // Waiting tasks are planned again this often even without events, for delays that have expired.
 constexpr Milliseconds planPeriod{100};
@@ -44,6 +42,7 @@
 constexpr Milliseconds registryPause{120};
 // From a machine command until other processes have read the renewal that names the machine.
 constexpr Milliseconds renewalPropagation{500};
+constexpr ownership::StartLimits startLimits;
 // A job is reported as unknown only if the job log has been read up to this long ago: an older view
 // may miss a job that was accepted since.
 constexpr Milliseconds maxFeedAge{2500};
@@ -68,7 +67,8 @@
         : runtime(sharedRuntime)
         , predecessor(previous)
         , hooks(std::move(given))
-        , writer(sharedRuntime, previous.epoch, maxStartDelay)
+        , writer(sharedRuntime, previous.epoch,
+                 [this](TimePoint recordedAt) { return mayStart(recordedAt); })
         , sender(sharedRuntime)
         , machines(sharedRuntime, engine, previous.epoch,
                    {[this] { return isLoaded && hooks.mayIssueCommands(); },
@@ -205,6 +205,38 @@
                              }));
     }
 
+    ownership::StartEvidence startEvidence() const
+    {
+        return {hooks.isOwner(), feed ? feed->currentAsOf() : TimePoint{}};
+    }
+
+    bool mayStart(TimePoint recordedAt) const
+    {
+        return ownership::sendingHold(startEvidence(), recordedAt, startLimits, steadyNow())
+               == ownership::StartHold::None;
+    }
+
+    // Whether starts may be planned. Logs when they no longer may, because the log of cancellations
+    // is not read in time, and when they may again.
+    bool mayPlan(TimePoint now)
+    {
+        const ownership::StartEvidence evidence = startEvidence();
+        const ownership::StartHold hold = ownership::planningHold(evidence, startLimits, now);
+        if (hold == ownership::StartHold::CancellationsUnread && !startsHeldSince) {
+            startsHeldSince = now;
+            logEvent(events::startsHeld,
+                     {{"epoch", fmt::to_string(predecessor.epoch)},
+                      {"read_ms_ago",
+                       fmt::to_string((now - evidence.cancellationsReadAt).count())}});
+        } else if (hold == ownership::StartHold::None && startsHeldSince) {
+            logEvent(events::startsResumed,
+                     {{"epoch", fmt::to_string(predecessor.epoch)},
+                      {"held_ms", fmt::to_string((now - *startsHeldSince).count())}});
+            startsHeldSince.reset();
+        }
+        return hold == ownership::StartHold::None;
+    }
+
     // Plans, sends commands and writes progress as the last events require.
     void pump()
     {
@@ -213,7 +245,7 @@
         }
         isPumping = true;
         const TimePoint now = steadyNow();
-        engine.mayStart = hooks.isOwner();
+        engine.mayStart = mayPlan(now);
         if (engine.needsPlan && now >= plannedAt + minPlanInterval) {
             plannedAt = now;
             engine::evacuate(engine, now);
@@ -281,6 +313,7 @@
     std::unique_ptr<JobFeed> feed;
     std::unique_ptr<LogFollower> registryFollower;
     std::uint64_t unreadableEntries = 0;
+    std::optional<TimePoint> startsHeldSince;  // the log of cancellations is read too late
     TimePoint nextPlanAt{};
     TimePoint plannedAt{};
     bool isLoaded = false;
--- a/src/poplarstream/edge/progress_writer.cpp
+++ b/src/poplarstream/edge/progress_writer.cpp
@@ -18,10 +18,10 @@
 
 struct ProgressWriter::State : std::enable_shared_from_this<ProgressWriter::State>
 {
-    State(Runtime &sharedRuntime, std::int64_t ownEpoch, Milliseconds startDelayLimit)
+    State(Runtime &sharedRuntime, std::int64_t ownEpoch, MaySend permission)
         : runtime(sharedRuntime)
         , epoch(ownEpoch)
-        , maxStartDelay(startDelayLimit)
+        , maySend(std::move(permission))
     {}
 
     // `firstSentAt` is the time of the first attempt: a retry may be answered with its result.
@@ -104,14 +104,14 @@
                 const std::function<void(WriteResult)> &done)
     {
         isWriting = false;
-        engine.mayStart = engine.mayStart && steadyNow() < confirmedAt + maxStartDelay;
+        engine.mayStart = maySend(confirmedAt);
         engine::applyStored(engine, batch, steadyNow());
         done(WriteResult::Stored);
     }
 
     Runtime &runtime;
     std::int64_t epoch;
-    Milliseconds maxStartDelay;
+    MaySend maySend;
     TimePoint confirmedAt{};
     std::int64_t sequence = 0;
     bool isWriting = false;
@@ -119,8 +119,8 @@
     bool isClosed = false;
 };
 
-ProgressWriter::ProgressWriter(Runtime &runtime, std::int64_t epoch, Milliseconds maxStartDelay)
-    : state_(std::make_shared<State>(runtime, epoch, maxStartDelay))
+ProgressWriter::ProgressWriter(Runtime &runtime, std::int64_t epoch, MaySend maySend)
+    : state_(std::make_shared<State>(runtime, epoch, std::move(maySend)))
 {}
 
 ProgressWriter::~ProgressWriter()
--- a/src/poplarstream/edge/progress_writer_test.cpp
+++ b/src/poplarstream/edge/progress_writer_test.cpp
@@ -38,8 +38,11 @@
 // An owner with one planned start whose batch has been sent to the store.
 struct Owner
 {
-    explicit Owner(Milliseconds maxStartDelay)
-        : writer(runtime, 7, maxStartDelay)
+    explicit Owner(bool mayStart)
+        : writer(runtime, 7, [this, mayStart](TimePoint recordedAt) {
+            recordedAt_ = recordedAt;
+            return mayStart;
+        })
     {
         fixture.submit(submission(firstJob, step(1, 1000)));
         engine::planStarts(fixture.engine, fixture.now);
@@ -53,13 +56,14 @@
     engine::test::EngineFixture fixture{1};
     ProgressWriter writer;
     std::optional<WriteResult> result_;
+    std::optional<TimePoint> recordedAt_;
 };
 
 // Guards against an owner that starts nothing because its renewals are not confirmed although its
 // progress is stored, when only the partition of the ownership log is unavailable.
 TEST(ProgressWriter, StoredProgressConfirmsTheOwnership)
 {
-    Owner owner(Milliseconds{60'000});
+    Owner owner(true);
     ASSERT_EQ(owner.store.requests.size(), 1U);
     EXPECT_EQ(owner.writer.confirmedAt(), TimePoint{});
     owner.store.respond(AppendResult::Stored);
@@ -71,8 +75,10 @@
 // read the record and decided about the task meanwhile.
 TEST(ProgressWriter, StartOfAnOldBatchIsPlannedAgain)
 {
-    Owner owner(Milliseconds{-1});
+    Owner owner(false);
+    EXPECT_FALSE(owner.recordedAt_);
     owner.store.respond(AppendResult::Stored);
+    EXPECT_EQ(owner.recordedAt_, owner.writer.confirmedAt()) << "asked when the record is stored";
     EXPECT_TRUE(owner.fixture.take<engine::StartCommand>().empty());
     EXPECT_TRUE(owner.fixture.job().occurrences.at(0).steps[0][0].attempts.empty());
     owner.fixture.engine.mayStart = true;
@@ -82,7 +88,7 @@
 // Guards against a start by an owner that has been fenced.
 TEST(ProgressWriter, FencedBatchSendsNothing)
 {
-    Owner owner(Milliseconds{60'000});
+    Owner owner(true);
     owner.store.respond(AppendResult::Fenced);
     EXPECT_EQ(owner.result_, WriteResult::Superseded);
     EXPECT_EQ(owner.writer.confirmedAt(), TimePoint{});
--- a/src/poplarstream/engine/reachability_test.cpp
+++ b/src/poplarstream/engine/reachability_test.cpp
@@ -120,6 +120,54 @@
     }
 }
 
+// Guards against work that is done twice: a worker whose lease was taken for expired reports that
+// the task had succeeded before.
+TEST(Reachability, LateSuccessOfReleasedTask)
+{
+    SCOPED_TRACE("given a task that was released because its worker did not respond");
+    EngineFixture fixture;
+    fixture.submit(submission(firstJob, step(2, 1000)));
+    const auto starts = fixture.startAll();
+    ASSERT_EQ(starts.size(), 2U);
+    const std::string id = starts[0].target.worker.id.text();
+    ASSERT_EQ(starts[1].target.worker.id.text(), id);
+    fixture.poll();
+    fixture.leavePollUnanswered(id);
+    fixture.now += fixture.engine.limits.lease * 2;
+    fixture.poll();
+    planStarts(fixture.engine, fixture.now);
+    const Batch replacements = collectBatch(fixture.engine);
+    ASSERT_EQ(replacements.starts.size(), 2U);
+    {
+        SCOPED_TRACE("when it responds before the replacement has started");
+        fixture.answer(id, {}, {{1, starts[0].task, 1, jobs::AttemptResult::Done, ""}});
+        applyStored(fixture.engine, replacements, fixture.now);
+        const auto restarted = fixture.take<StartCommand>();
+        ASSERT_EQ(restarted.size(), 1U) << "only the task that has not succeeded starts again";
+        EXPECT_EQ(restarted[0].task, starts[1].task);
+    }
+    {
+        SCOPED_TRACE("then a success after the replacement has started stops the replacement and "
+                     "completes the job");
+        fixture.poll();
+        fixture.answer(id, {}, {{2, starts[1].task, 1, jobs::AttemptResult::Done, ""}});
+        const auto stops = fixture.take<StopCommand>();
+        ASSERT_EQ(stops.size(), 1U);
+        EXPECT_EQ(stops[0].run, 2);
+        EXPECT_EQ(fixture.job().state, jobs::JobState::Completed);
+    }
+    {
+        SCOPED_TRACE("and a run that was never started is ignored");
+        EngineFixture other(1);
+        other.submit(submission(firstJob, step(1, 1000)));
+        other.startAll();
+        other.poll();
+        other.answer("w1", {running(0, 1)},
+                     {{1, EngineFixture::ref().task, 2, jobs::AttemptResult::Done, ""}});
+        EXPECT_EQ(other.job().state, jobs::JobState::Running);
+    }
+}
+
 // Guards against waiting for a lease on a worker that has restarted under the same id.
 TEST(Reachability, NewIncarnationReleasesTasksAtOnce)
 {
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -52,6 +52,33 @@
     }
 }
 
+// Stops the runs that a success makes needless: other copies of the task, or, in a gang, of any
+// member.
+void stopOtherRuns(Engine &engine, const jobs::Job &job, const CompletionReport &report,
+                   TimePoint now)
+{
+    const TaskRef &done = report.task;
+    const auto &tasks =
+            job.occurrences.at(done.occurrence).steps[static_cast<std::size_t>(done.step)];
+    const bool isGang = stepOf(job, done).gang;
+    std::vector<AttemptRef> needless;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        TaskRef task = done;
+        task.index = static_cast<int>(index);
+        if (!isGang && task.index != done.index) {
+            continue;
+        }
+        for (const jobs::Attempt &attempt : tasks[index].attempts) {
+            if (attempt.run != report.run) {
+                needless.push_back({task, attempt.run});
+            }
+        }
+    }
+    for (const AttemptRef &ref : needless) {
+        stopAttempt(engine, ref, now);
+    }
+}
+
 void handleCompletion(Engine &engine, Worker &worker, const CompletionReport &report, TimePoint now)
 {
     const AttemptRef ref{report.task, report.run};
@@ -81,12 +108,7 @@
     if (effect.jobEnded) {
         stopJob(engine, report.task.job, now);
     } else if (isDone) {
-        // The other copies of the task are no longer needed.
-        const jobs::Task *const task = jobs::findTask(*job, report.task);
-        const std::vector<jobs::Attempt> copies = task->attempts;
-        for (const jobs::Attempt &copy : copies) {
-            stopAttempt(engine, {report.task, copy.run}, now);
-        }
+        stopOtherRuns(engine, *job, report, now);
     }
 }
 
--- a/src/poplarstream/jobs/commands.cpp
+++ b/src/poplarstream/jobs/commands.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/jobs/commands.hpp"
 
 #include <algorithm>  // for max, remove_if
+#include <optional>  // for optional
 
 #include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt, isFinal
 
@@ -67,6 +68,15 @@
     }
 }
 
+// Whether a run that was given up has succeeded after all: its worker was unreachable when its
+// lease was taken for expired, and its response is late.
+bool isLateSuccess(const Job &job, const StepSpec &spec, const Task &task, int run,
+                   AttemptResult result)
+{
+    return result == AttemptResult::Done && !spec.longRunning && !task.isDone && !isFinal(job.state)
+           && run >= 1 && run <= task.lastRun;
+}
+
 }  // namespace
 
 Job makeJob(Submission submission, TimePoint now, std::int64_t nowUnixMs)
@@ -77,6 +87,7 @@
     job.submission = std::move(submission);
     job.criticalPath = criticalPath(job.submission.spec);
     job.isLongRunning = hasLongRunning(job.submission.spec);
+    job.hasSpeculative = hasSpeculative(job.submission.spec);
     openDueOccurrences(job, now, nowUnixMs);
     return job;
 }
@@ -119,14 +130,19 @@
                                   std::string checkpoint, TimePoint now)
 {
     Task *const task = findTask(job, ref);
-    if (task == nullptr || findAttempt(*task, run) == nullptr) {
+    if (task == nullptr) {
         return {};
     }
-    const WorkerIncarnation worker = findAttempt(*task, run)->worker;
-    std::erase_if(task->attempts, [run](const Attempt &attempt) { return attempt.run == run; });
-    job.isDirty = true;
     const auto step = static_cast<std::size_t>(ref.step);
     const StepSpec &spec = job.submission.spec.steps[step];
+    const Attempt *const attempt = findAttempt(*task, run);
+    if (attempt == nullptr && !isLateSuccess(job, spec, *task, run, result)) {
+        return {};
+    }
+    const std::optional<WorkerIncarnation> worker =
+            attempt == nullptr ? std::nullopt : std::optional(attempt->worker);
+    std::erase_if(task->attempts, [run](const Attempt &each) { return each.run == run; });
+    job.isDirty = true;
     if (!checkpoint.empty()) {
         task->checkpoint = std::move(checkpoint);
     }
@@ -137,8 +153,8 @@
     Occurrence &occurrence = job.occurrences.at(ref.occurrence);
     if (result == AttemptResult::Done && !spec.longRunning) {
         recordDone(job, occurrence, ref, *task, now);
-    } else if (result == AttemptResult::Failed) {
-        task->failedOn.push_back(worker);
+    } else if (result == AttemptResult::Failed && worker) {
+        task->failedOn.push_back(*worker);
         recordFailure(job, spec, *task, now);
     }
     effect.stepDone = occurrence.remaining[step] == 0;
