Keep a process alive after malformed messages and unexpected errors

Ruled out: catching each exception where it occurs, which leaves flags such as a write in progress set for good.

--- a/include/poplarstream/edge/entry_process.hpp
+++ b/include/poplarstream/edge/entry_process.hpp
@@ -26,6 +26,9 @@
     // Whether the load balancer should send callers here.
     bool isReady() const;
 
+    // Gives the ownership to another process after a callback was broken off by an exception.
+    void abandonOwnership();
+
     // Resigns the ownership and reports not ready from now on.
     void leave();
 
--- a/include/poplarstream/edge/runtime.hpp
+++ b/include/poplarstream/edge/runtime.hpp
@@ -32,6 +32,10 @@
     DurationHistograms durations;  // served on the metrics address
 };
 
+// Runs the event loop until it is stopped. An exception of a callback ends that callback only: it
+// is logged and passed to `failed`, and the loop goes on.
+void runEventLoop(boost::asio::io_context &io, const std::function<void()> &failed);
+
 // Calls `task` after `delay`.
 void callAfter(Runtime &runtime, Milliseconds delay, std::function<void()> task);
 
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -92,6 +92,7 @@
     std::vector<std::string> machinesToCommand;  // listed in the next renewal
     std::map<std::string, TimePoint> recentMachineCommands;  // by any owner
     bool isLeaving = false;  // resigns and makes no more claims
+    std::int64_t abandonedEpoch = 0;  // the ownership of this epoch is resigned
 };
 
 bool isOwner(const Leadership &leadership);
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -120,6 +120,17 @@
         }
     }
 
+    // Ends the owner session, whose state may be inconsistent. The next owner, possibly this
+    // process again, loads the state from the store.
+    void abandonOwnership()
+    {
+        if (session) {
+            leadership->abandon(sessionEpoch);
+            supersededEpoch = sessionEpoch;
+            handleLeadershipChange();
+        }
+    }
+
     bool isSuperseded(std::int64_t epoch) const { return epoch <= supersededEpoch; }
 
     void closeSession(std::unique_ptr<OwnerSession> old)
@@ -236,6 +247,7 @@
     std::int64_t sessionEpoch = 0;
     std::int64_t supersededEpoch = 0;
     TimePoint ownerRespondedAt{};
+    std::uint64_t failures = 0;  // callbacks that threw an exception
     bool isLeaving = false;
 };
 
@@ -277,6 +289,12 @@
     return state_->hasConfiguration && isConnected && !state_->isLeaving;
 }
 
+void EntryProcess::abandonOwnership()
+{
+    ++state_->failures;
+    state_->abandonOwnership();
+}
+
 void EntryProcess::leave()
 {
     state_->isLeaving = true;
@@ -285,8 +303,10 @@
 
 std::string EntryProcess::metrics() const
 {
-    std::string text = fmt::format("poplar_configuration_version {}\npoplar_is_owner {}\n",
-                                   state_->configuration.version, state_->session ? 1 : 0);
+    std::string text =
+            fmt::format("poplar_configuration_version {}\npoplar_is_owner {}\n"
+                        "poplar_callbacks_failed_total {}\n",
+                        state_->configuration.version, state_->session ? 1 : 0, state_->failures);
     if (state_->session) {
         text += state_->session->metrics();
     }
--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -230,6 +230,11 @@
     state_->writeIfDue();
 }
 
+void LeadershipController::abandon(std::int64_t epoch)
+{
+    state_->leadership.abandonedEpoch = epoch;
+}
+
 void LeadershipController::leave()
 {
     state_->leadership.isLeaving = true;
--- a/src/poplarstream/edge/log_follower.cpp
+++ b/src/poplarstream/edge/log_follower.cpp
@@ -51,20 +51,22 @@
 
     void handlePage(NewestOutcome outcome)
     {
+        // After an empty page there is no key to continue with, so the snapshot would lack the
+        // rest.
+        const bool isUsable = outcome.isRead && !(outcome.hasMore && outcome.records.empty());
         recordReachability(outcome.isRead);
-        if (!outcome.isRead) {
+        if (!isUsable) {
             after(retryDelay, &State::loadSnapshot);
             return;
         }
         // The pages are read at different times, so records are read from the end of the first page
         // on.
         snapshotEnd = snapshotEnd < 0 ? outcome.endOffset : snapshotEnd;
-        const bool isEmptyPage = outcome.records.empty();
         for (StoredRecord &record : outcome.records) {
             std::string key = record.key;
             items[std::move(key)] = std::move(record);
         }
-        if (outcome.hasMore && !isEmptyPage) {
+        if (outcome.hasMore) {
             loadPage();
             return;
         }
--- a/src/poplarstream/edge/peer_calls.cpp
+++ b/src/poplarstream/edge/peer_calls.cpp
@@ -1,7 +1,11 @@
 #include "poplarstream/edge/peer_calls.hpp"
 
+#include <exception>  // for exception
+
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/json_value.hpp"  // for integerFrom
+
 namespace poplarstream::edge {
 
 namespace {
@@ -13,17 +17,28 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusBadGateway = 502;
 
+// The enumerator that is numbered `value`, up to the last one. Throws if there is none.
+template <class Enum>
+Enum enumFrom(const json &value, Enum last)
+{
+    return static_cast<Enum>(integerFrom<int>(value, 0, static_cast<int>(last)));
+}
+
 PeerResponse peerResponseFrom(const HttpResponse &response)
 {
-    const json value = json::parse(response.body, nullptr, false);
-    if (response.status != statusOk || !value.is_object()) {
+    if (response.status != statusOk) {
         return {};
     }
-    PeerResponse peerResponse;
-    peerResponse.kind = static_cast<Kind>(value.value("kind", static_cast<int>(Kind::NoResponse)));
-    peerResponse.state = static_cast<jobs::JobState>(value.value("state", 0));
-    peerResponse.count = value.value("count", 0);
-    return peerResponse;
+    try {
+        const json value = json::parse(response.body);
+        PeerResponse peerResponse;
+        peerResponse.kind = enumFrom(value.at("kind"), Kind::NoResponse);
+        peerResponse.state = enumFrom(value.at("state"), jobs::JobState::Cancelled);
+        peerResponse.count = integerFrom<int>(value.at("count"), 0);
+        return peerResponse;
+    } catch (const std::exception &) {
+        return {};  // NoResponse: the request may have been carried out
+    }
 }
 
 json recordsJson(const std::vector<StoredRecord> &records)
@@ -71,7 +86,7 @@
     try {
         const json value = json::parse(request.body);
         PeerRequest peerRequest;
-        peerRequest.kind = static_cast<PeerRequest::Kind>(value.at("kind").get<int>());
+        peerRequest.kind = enumFrom(value.at("kind"), PeerRequest::Kind::Store);
         peerRequest.queue = jobs::QueueId(value.at("queue").get<std::string>());
         peerRequest.job = jobs::JobId(value.at("job").get<std::string>());
         for (const json &row : value.at("records")) {
@@ -79,7 +94,7 @@
                     {row.at(0).get<std::string>(), row.at(1).get<std::string>(), 0});
         }
         return peerRequest;
-    } catch (const json::exception &) {
+    } catch (const std::exception &) {
         return {};
     }
 }
--- a/src/poplarstream/edge/runtime.cpp
+++ b/src/poplarstream/edge/runtime.cpp
@@ -2,10 +2,13 @@
 
 #include <chrono>  // for system_clock
 #include <ctime>  // for clock_gettime, CLOCK_BOOTTIME
+#include <exception>  // for exception
 #include <memory>  // for make_shared
 
 #include <boost/asio/steady_timer.hpp>  // for steady_timer
 
+#include "poplarstream/telemetry/event_kinds.hpp"  // for callbackFailed
+
 namespace poplarstream::edge {
 
 TimePoint steadyNow()
@@ -26,6 +29,20 @@
     return {steadyNow(), unixNowMs()};
 }
 
+void runEventLoop(boost::asio::io_context &io, const std::function<void()> &failed)
+{
+    bool isRunning = true;
+    while (isRunning) {
+        try {
+            io.run();
+            isRunning = false;
+        } catch (const std::exception &error) {
+            logEvent(events::callbackFailed, {{"error", error.what()}});
+            failed();
+        }
+    }
+}
+
 void callAfter(Runtime &runtime, Milliseconds delay, std::function<void()> task)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(runtime.io, delay);
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>  // for format
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/json_value.hpp"  // for integerFrom
 #include "poplarstream/jobs/commands.hpp"  // for openOccurrence
 
 namespace poplarstream::jobs {
@@ -22,8 +23,8 @@
 
 Resources resourcesFrom(const json &value)
 {
-    return {value.at(0).get<std::int64_t>(), value.at(1).get<std::int64_t>(),
-            value.at(2).get<std::int64_t>()};
+    return {integerFrom<std::int64_t>(value.at(0)), integerFrom<std::int64_t>(value.at(1)),
+            integerFrom<std::int64_t>(value.at(2))};
 }
 
 int flagsOf(const StepSpec &step)
@@ -50,11 +51,11 @@
 StepSpec stepFrom(const json &value)
 {
     StepSpec step;
-    step.count = value.at("n").get<int>();
+    step.count = integerFrom<int>(value.at("n"));
     step.need = resourcesFrom(value.at("need"));
-    step.estimate = Milliseconds(value.at("estimate").get<std::int64_t>());
+    step.estimate = Milliseconds(integerFrom<std::int64_t>(value.at("estimate")));
     step.after = value.at("after").get<std::vector<int>>();
-    const int flags = value.at("flags").get<int>();
+    const int flags = integerFrom<int>(value.at("flags"));
     step.checkpointing = (flags & 1) != 0;
     step.gang = (flags & 2) != 0;
     step.sameRack = (flags & 4) != 0;
@@ -63,10 +64,10 @@
     step.fills = (flags & 32) != 0;
     step.requiredLabel = value.at("label").get<std::string>();
     step.affinityRack = value.at("rack").get<std::string>();
-    step.antiAffinity = value.at("apart").get<int>();
+    step.antiAffinity = integerFrom<int>(value.at("apart"));
     step.image = value.at("image").get<std::string>();
-    step.target = Milliseconds(value.at("target").get<std::int64_t>());
-    step.mayMiss = value.at("away").get<int>();
+    step.target = Milliseconds(integerFrom<std::int64_t>(value.at("target")));
+    step.mayMiss = integerFrom<int>(value.at("away"));
     return step;
 }
 
@@ -83,14 +84,15 @@
 Task taskFrom(const json &value)
 {
     Task task;
-    task.isDone = value.at(0).get<int>() != 0;
-    task.lastRun = value.at(1).get<int>();
-    task.failures = value.at(2).get<int>();
+    task.isDone = integerFrom<int>(value.at(0)) != 0;
+    task.lastRun = integerFrom<int>(value.at(1));
+    task.failures = integerFrom<int>(value.at(2));
     task.checkpoint = value.at(3).get<std::string>();
     for (const json &row : value.at(4)) {
         Attempt attempt;
-        attempt.run = row.at(0).get<int>();
-        attempt.worker = {WorkerId(row.at(1).get<std::string>()), row.at(2).get<std::int64_t>()};
+        attempt.run = integerFrom<int>(row.at(0));
+        attempt.worker = {WorkerId(row.at(1).get<std::string>()),
+                          integerFrom<std::int64_t>(row.at(2))};
         attempt.phase = AttemptPhase::StartSent;
         attempt.mayRun = true;
         attempt.isFromPreviousOwner = true;
@@ -130,7 +132,7 @@
 
 void readOccurrence(Job &job, const json &row)
 {
-    const int number = row.at(0).get<int>();
+    const int number = integerFrom<int>(row.at(0));
     const auto existing = job.occurrences.find(number);
     Occurrence &occurrence = existing != job.occurrences.end()
                                      ? existing->second
@@ -148,12 +150,12 @@
             if (steps[i].is_array()) {
                 task = taskFrom(steps[i][j]);
             } else {
-                task.isDone = steps[i].get<int>() != 0;
+                task.isDone = integerFrom<int>(steps[i]) != 0;
             }
             occurrence.remaining[i] -= task.isDone ? 1 : 0;
         }
     }
-    occurrence.isDone = row.at(1).get<int>() != 0;
+    occurrence.isDone = integerFrom<int>(row.at(1)) != 0;
     job.finishedOccurrences += occurrence.isDone ? 1 : 0;
 }
 
@@ -201,15 +203,15 @@
         QueuePolicy &policy = submission.policy;
         policy.queue = QueueId(value.at("queue").get<std::string>());
         policy.service = ServiceId(value.at("service").get<std::string>());
-        policy.priority = value.at("priority").get<int>();
-        policy.maxAttempts = value.at("attempts").get<int>();
+        policy.priority = integerFrom<int>(value.at("priority"));
+        policy.maxAttempts = integerFrom<int>(value.at("attempts"));
         policy.stretch = value.at("stretch").get<double>();
-        policy.completionTarget = Milliseconds(value.at("target").get<std::int64_t>());
-        submission.acceptedUnixMs = value.at("accepted").get<std::int64_t>();
+        policy.completionTarget = Milliseconds(integerFrom<std::int64_t>(value.at("target")));
+        submission.acceptedUnixMs = integerFrom<std::int64_t>(value.at("accepted"));
         submission.spec.payload = value.at("payload").get<std::string>();
-        submission.spec.repeatCount = value.at("repeat").get<int>();
-        submission.spec.firstRunUnixMs = value.at("first").get<std::int64_t>();
-        submission.spec.intervalMs = value.at("interval").get<std::int64_t>();
+        submission.spec.repeatCount = integerFrom<int>(value.at("repeat"));
+        submission.spec.firstRunUnixMs = integerFrom<std::int64_t>(value.at("first"));
+        submission.spec.intervalMs = integerFrom<std::int64_t>(value.at("interval"));
         for (const json &step : value.at("steps")) {
             submission.spec.steps.push_back(stepFrom(step));
         }
--- a/src/poplarstream/main/entry.cpp
+++ b/src/poplarstream/main/entry.cpp
@@ -95,6 +95,9 @@
                            });
     }
 
+    // A callback was broken off.
+    void handleFailure() { process_.abandonOwnership(); }
+
     void stop()
     {
         if (isStopping_) {
@@ -190,7 +193,7 @@
     awaitStop(stopSignals, servers);
     boost::asio::signal_set reloadSignals(io, SIGHUP);
     awaitReload(reloadSignals, path);
-    io.run();
+    edge::runEventLoop(io, [&servers] { servers.handleFailure(); });
     logEvent(events::entryHostStopped, {{"seconds", ""}, {"drained", ""}, {"left", ""}});
     return exitDone;
 }
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/json_value.hpp"  // for integerFrom
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
 
 namespace poplarstream::ownership {
@@ -16,6 +17,9 @@
 
 constexpr std::string_view kindTexts[] = {"claim", "renewal", "resignation"};
 
+// Fencing tokens are made of the epoch and 32 bits more.
+constexpr std::int64_t maxEpoch = std::int64_t{1} << 30;
+constexpr std::int64_t maxAgeMs = std::int64_t{1} << 40;
 constexpr double minShare = 0.01;
 constexpr std::uint64_t claimSpreadSteps = 1000;
 // A process reads its own records at most a few writes later.
@@ -75,18 +79,19 @@
             return {};
         }
         record.kind = static_cast<Kind>(found - std::begin(kindTexts));
-        record.epoch = value.at("epoch").get<std::int64_t>();
+        record.epoch = integerFrom<std::int64_t>(value.at("epoch"), 0, maxEpoch);
         record.owner = EntryHostId(value.at("owner").get<std::string>());
         record.address = value.at("address").get<std::string>();
         record.incarnation = value.at("incarnation").get<std::string>();
-        record.sequence = value.at("sequence").get<std::int64_t>();
+        record.sequence = integerFrom<std::int64_t>(value.at("sequence"), 0);
         record.processorShare = value.at("share").get<double>();
         record.largestShare = value.at("largestShare").get<double>();
         for (const auto &[id, age] : value.at("machines").items()) {
-            record.recentMachineCommands[id] = Milliseconds(age.get<std::int64_t>());
+            record.recentMachineCommands[id] =
+                    Milliseconds(integerFrom<std::int64_t>(age, 0, maxAgeMs));
         }
         return record;
-    } catch (const json::exception &) {
+    } catch (const std::exception &) {
         return {};
     }
 }
@@ -100,6 +105,7 @@
 bool mayIssueCommands(const Leadership &leadership, TimePoint now)
 {
     return isOwner(leadership) && !leadership.isLeaving
+           && leadership.last->epoch != leadership.abandonedEpoch
            && now < leadership.confirmedAt + leadership.settings.validity;
 }
 
@@ -151,6 +157,9 @@
     if (leadership.isLeaving) {
         return isOwner(leadership) ? LeadershipStep::Resign : LeadershipStep::None;
     }
+    if (isOwner(leadership) && leadership.last->epoch == leadership.abandonedEpoch) {
+        return LeadershipStep::Resign;
+    }
     if (now < leadership.writtenAt + settings.renewalInterval
         && !(leadership.wantsRenewal && isOwner(leadership))) {
         return LeadershipStep::None;
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -63,6 +63,37 @@
     EXPECT_FALSE(isOwner(b));
 }
 
+// Guards against jobs that nobody runs: an owner whose session has failed must not keep renewing.
+TEST(Leadership, AbandonedOwnershipIsResigned)
+{
+    SCOPED_TRACE("given an owner that gives up its epoch");
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    log.show(a, now);
+    now += Milliseconds{200};
+    ASSERT_TRUE(log.step(a, now));
+    a.abandonedEpoch = a.last->epoch;
+    EXPECT_FALSE(mayIssueCommands(a, now));
+    {
+        SCOPED_TRACE("when another process has written meanwhile, so that the write fails");
+        const OwnershipRecord failed = beginWrite(a, nextStep(a, now), now);
+        EXPECT_EQ(failed.kind, Kind::Resignation);
+        failWrite(a, failed);
+    }
+    {
+        SCOPED_TRACE("then it resigns at the next step and may claim again under a new epoch");
+        ASSERT_TRUE(log.step(a, now));
+        EXPECT_EQ(log.records.back().kind, Kind::Resignation);
+        EXPECT_FALSE(isOwner(a));
+        now += Milliseconds{5000};
+        ASSERT_TRUE(log.step(a, now));
+        EXPECT_EQ(log.records.back().kind, Kind::Claim);
+        EXPECT_GT(a.last->epoch, a.abandonedEpoch);
+        EXPECT_TRUE(mayIssueCommands(a, now));
+    }
+}
+
 // Guards against commands of an owner whose renewals failed while another process took over.
 TEST(Leadership, UnconfirmedOwnerStopsBeforeTheNextClaims)
 {
