Send HTTP requests in one buffer and keep a read pending

Cause: half of an owner's processor time goes to calls to workers. Each call ran the message serializer over many small buffers and tried a read that could not succeed yet. Change: a request is one string; a connection always has a read pending, which passes its bytes to the parser and also notices the end of an idle connection.

--- a/src/poplarstream/adapters/http_call.cpp
+++ b/src/poplarstream/adapters/http_call.cpp
@@ -1,11 +1,13 @@
 #include "poplarstream/adapters/http_call.hpp"
 
+#include <algorithm>  // for min
 #include <array>  // for array
+#include <string>  // for string
+#include <string_view>  // for string_view
 
 #include <boost/asio/buffer.hpp>  // for buffer
 #include <boost/asio/post.hpp>  // for post
-#include <boost/beast/http/read.hpp>  // for async_read
-#include <boost/beast/http/write.hpp>  // for async_write
+#include <boost/asio/write.hpp>  // for async_write
 
 namespace poplarstream {
 
@@ -15,19 +17,27 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-http::request<http::string_body> messageFrom(HttpRequest &&request, const HttpEndpoint &endpoint)
+constexpr std::string_view headMethod = "HEAD";
+// Most responses fit into the first read; further reads double in size.
+constexpr std::size_t firstReadBytes = 2 * 1024;
+constexpr std::size_t maxReadBytes = 64 * 1024;
+// An idle connection keeps a buffer up to this size.
+constexpr std::size_t maxIdleBufferBytes = 8 * 1024;
+
+std::string requestText(const HttpRequest &request, const HttpEndpoint &endpoint)
 {
-    http::request<http::string_body> message;
-    message.version(11);
-    message.method_string(request.method);
-    message.target(request.target);
-    message.set(http::field::host, endpointText(endpoint));
+    std::string text;
+    text.reserve(request.target.size() + request.body.size() + 256);
+    text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ");
+    text.append(endpointText(endpoint)).append("\r\n");
     for (const HttpHeader &header : request.headers) {
-        message.insert(header.name, header.value);
+        text.append(header.name).append(": ").append(header.value).append("\r\n");
+    }
+    const bool mayHaveBody = request.method != "GET" && request.method != headMethod;
+    if (mayHaveBody || !request.body.empty()) {
+        text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
     }
-    message.body() = std::move(request.body);
-    message.prepare_payload();
-    return message;
+    return text.append("\r\n").append(request.body);
 }
 
 HttpResponse responseFrom(http::response<http::string_body> &&message)
@@ -73,6 +83,7 @@
     , endpoint_(std::move(endpoint))
     , limits_(limits)
     , changed_(std::move(changed))
+    , readBytes_(firstReadBytes)
 {}
 
 void HttpClientConnection::connect()
@@ -115,6 +126,7 @@
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.non_blocking(true, ignored);
     phase_ = Phase::Idle;
+    read();
     changed_(*this);
 }
 
@@ -134,8 +146,14 @@
     phase_ = phase;
     call_ = std::move(call);
     call_->connection = weak_from_this();
-    message_.emplace(messageFrom(std::move(call_->request), endpoint_));
-    http::async_write(socket_, *message_,
+    parser_.emplace();
+    parser_->header_limit(limits_.headerBytes);
+    parser_->body_limit(limits_.bodyBytes);
+    parser_->skip(call_->request.method == headMethod);
+    parser_->eager(true);
+    request_ = requestText(call_->request, endpoint_);
+    isWriting_ = true;
+    asio::async_write(socket_, asio::buffer(request_),
                       [self = shared_from_this()](error_code error, std::size_t bytes) {
                           self->onWritten(error, bytes);
                       });
@@ -143,31 +161,67 @@
 
 void HttpClientConnection::onWritten(error_code error, std::size_t bytes)
 {
-    if (phase_ == Phase::Closed) {
+    isWriting_ = false;
+    if (phase_ == Phase::Closed || !error) {
         return;
     }
-    if (error) {
-        const auto delivery = bytes == 0 ? HttpDelivery::NotSent : HttpDelivery::MayHaveBeenSent;
-        const auto call = std::exchange(call_, nullptr);
-        close(HttpError::ConnectionLost);
+    const auto delivery = bytes == 0 ? HttpDelivery::NotSent : HttpDelivery::MayHaveBeenSent;
+    const auto call = std::exchange(call_, nullptr);
+    close(HttpError::ConnectionLost);
+    if (call) {
         call->finish({delivery, HttpError::ConnectionLost, {}});
-        return;
     }
-    parser_.emplace();
-    parser_->header_limit(limits_.headerBytes);
-    parser_->body_limit(limits_.bodyBytes);
-    parser_->skip(message_->method() == http::verb::head);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code result, std::size_t) {
-                         self->onResponse(result);
-                     });
 }
 
-void HttpClientConnection::onResponse(error_code error)
+// A read is always pending, so that it also notices when the peer closes an idle connection.
+void HttpClientConnection::read()
+{
+    socket_.async_read_some(buffer_.prepare(readBytes_),
+                            [self = shared_from_this()](error_code error, std::size_t bytes) {
+                                self->onRead(error, bytes);
+                            });
+}
+
+void HttpClientConnection::onRead(error_code error, std::size_t bytes)
 {
     if (phase_ == Phase::Closed) {
         return;
     }
+    buffer_.commit(bytes);
+    if (!call_) {
+        close(HttpError::None);
+        return;
+    }
+    if (error == asio::error::eof && parser_->got_some()) {
+        error = {};
+        parser_->put_eof(error);
+    }
+    if (error) {
+        onResponse(error);
+        return;
+    }
+    readBytes_ = bytes == readBytes_ ? std::min(readBytes_ * 2, maxReadBytes) : readBytes_;
+    parse(error);
+    if (error || parser_->is_done()) {
+        onResponse(error);
+    }
+    if (phase_ != Phase::Closed) {
+        read();
+    }
+}
+
+void HttpClientConnection::parse(error_code &error)
+{
+    while (!error && buffer_.size() > 0 && !parser_->is_done()) {
+        buffer_.consume(parser_->put(buffer_.data(), error));
+    }
+    if (error == http::error::need_more) {
+        error = {};
+    }
+}
+
+void HttpClientConnection::onResponse(error_code error)
+{
     if (error) {
         close(isHttpError(error) ? HttpError::InvalidResponse : HttpError::ConnectionLost);
         return;
@@ -178,18 +232,22 @@
         return;
     }
     const std::string &echo = call_->options.echoHeader;
-    if (!echo.empty() && parser_->get()[echo] != (*message_)[echo]) {
+    if (!echo.empty()
+        && parser_->get()[echo] != headerValue(call_->request.headers, echo).value_or("")) {
         close(HttpError::InvalidResponse);
         return;
     }
-    const bool keep = parser_->keep_alive() && !isRetired_;
+    const bool keep = parser_->keep_alive() && !isRetired_ && !isWriting_;
     accept(responseFrom(parser_->release()), keep);
 }
 
 void HttpClientConnection::accept(HttpResponse response, bool keep)
 {
     parser_.reset();
-    message_.reset();
+    readBytes_ = firstReadBytes;
+    if (buffer_.size() == 0 && buffer_.capacity() > maxIdleBufferBytes) {
+        buffer_.shrink_to_fit();
+    }
     const auto call = std::exchange(call_, nullptr);
     if (keep) {
         phase_ = Phase::Idle;
--- a/src/poplarstream/adapters/http_call.hpp
+++ b/src/poplarstream/adapters/http_call.hpp
@@ -76,10 +76,13 @@
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-    using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
     void onConnected(boost::system::error_code error);
     void onWritten(boost::system::error_code error, std::size_t bytes);
+    void read();
+    void onRead(boost::system::error_code error, std::size_t bytes);
+    // Passes the buffered bytes to the parser; no error if it needs more.
+    void parse(boost::system::error_code &error);
     void onResponse(boost::system::error_code error);
     void accept(HttpResponse response, bool keep);
 
@@ -89,7 +92,9 @@
     HttpClientLimits limits_;
     Changed changed_;
     boost::beast::flat_buffer buffer_;
-    std::optional<Message> message_;
+    std::string request_;  // until it is written
+    bool isWriting_ = false;
+    std::size_t readBytes_;  // size of the next read
     std::optional<Parser> parser_;
     std::shared_ptr<HttpCall> call_;
     std::uint64_t confirmedAtCall_ = 0;
