Plan by an index of the jobs that have waiting tasks

Cause: each plan, up to 125 a second, visited every task of every active job and every attempt of every worker, and compared ids of jobs as texts. Change: jobs keep their places in the engine's sets; a plan visits the jobs that changed or wait. Workers count the kinds of their tasks. Finished jobs are forgotten in the order of their end instead of by a search over all. Stragglers are found without copies.

--- /dev/null
+++ b/bench/owner_world.cpp
@@ -0,0 +1,182 @@
+#include "owner_world.hpp"
+
+#include <algorithm>  // for max
+#include <utility>  // for exchange
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/engine/attempts.hpp"  // for findAttempt
+#include "poplarstream/engine/batches.hpp"  // for collectBatch, applyStored
+#include "poplarstream/engine/job_events.hpp"  // for submitJob, tickJobs
+#include "poplarstream/engine/planning.hpp"  // for planStarts
+#include "poplarstream/engine/worker_events.hpp"  // for registerWorker, handlePollResponse
+#include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
+#include "poplarstream/engine/worker_polling.hpp"  // for pollWorkers
+
+namespace poplarstream::bench {
+
+namespace {
+
+constexpr Milliseconds stepTime{4};
+constexpr Milliseconds tickPeriod{40};
+constexpr Milliseconds storeDelay{8};
+constexpr double peak = 4.0;  // of the mean, in a service's turn
+constexpr double trough = 0.05;
+constexpr jobs::Resources workerCapacity{64'000, 262'144, 0};
+
+std::string serviceName(int service)
+{
+    return fmt::format("service-{}", service);
+}
+
+}  // namespace
+
+OwnerWorld::OwnerWorld(const OwnerLoad &load, std::uint64_t seed)
+    : load_(load)
+    , random_(seed)
+    , due_(static_cast<std::size_t>(load.services), 0.0)
+{
+    engine_.token.epoch = 7;
+    for (int service = 0; service < load.services; ++service) {
+        const ServiceId id(serviceName(service));
+        engine_.services[id] = {id, false};
+        for (int i = 0; i < load.workersPerService; ++i) {
+            engine::WorkerEntry entry;
+            entry.incarnation = {engine::WorkerId(fmt::format("i-{:02}-{:04}", service, i)), 1};
+            entry.service = id;
+            entry.address = "10.0.0.1:80";
+            entry.rack = RackId(fmt::format("rack-{}", i / 12));
+            entry.capacity = workerCapacity;
+            entry.clockMs = 5000;
+            engine::registerWorker(engine_, entry, now_);
+            workers_[entry.incarnation];
+        }
+    }
+}
+
+std::int64_t OwnerWorld::jobsDone() const
+{
+    return std::count_if(engine_.jobs.begin(), engine_.jobs.end(), [](const auto &entry) {
+        return entry.second.state == jobs::JobState::Completed;
+    });
+}
+
+void OwnerWorld::run(Milliseconds duration)
+{
+    for (const TimePoint end = now_ + duration; now_ < end;) {
+        step();
+    }
+}
+
+void OwnerWorld::submitArrivals()
+{
+    const auto turn = (now_ - begunAt_) / load_.turn;
+    for (int service = 0; service < load_.services; ++service) {
+        const bool isPeak = turn % load_.services == service;
+        const double mean = load_.jobsPerSecond / load_.services;
+        double &due = due_[static_cast<std::size_t>(service)];
+        due += mean * (isPeak ? peak : trough) * static_cast<double>(stepTime.count()) / 1000;
+        for (; due >= 1; due -= 1) {
+            jobs::Submission submission;
+            submission.id = engine::JobId(fmt::format("{:016x}", nextJob_++ * 0x9e3779b97f4a7c15));
+            submission.policy.queue = engine::QueueId("queue");
+            submission.policy.service = ServiceId(serviceName(service));
+            submission.policy.maxAttempts = 3;
+            submission.policy.stretch = 1.5;
+            submission.policy.completionTarget = Milliseconds{600};
+            submission.spec.payload = std::string(200, 'p');
+            jobs::StepSpec step;
+            step.count = 8;
+            step.need = {8900, 8000, 0};
+            step.estimate = Milliseconds{640};
+            submission.spec.steps.push_back(step);
+            if (random_() % 5 < 3) {
+                step.after = {0};
+                submission.spec.steps.push_back(step);
+            }
+            engine::submitJob(engine_, std::move(submission), {now_, 0});
+        }
+    }
+}
+
+void OwnerWorld::endRuns()
+{
+    for (auto &[incarnation, worker] : workers_) {
+        std::erase_if(worker.running, [&](const Running &running) {
+            if (running.endsAt > now_) {
+                return false;
+            }
+            worker.completed.push_back({++worker.lastCompletion, running.ref.task, running.ref.run,
+                                        jobs::AttemptResult::Done, ""});
+            ++tasksDone_;
+            return true;
+        });
+        if (worker.isPollWaiting && (!worker.completed.empty() || worker.pollEndsAt <= now_)) {
+            answerPoll(incarnation, worker);
+        }
+    }
+}
+
+void OwnerWorld::answerPoll(const engine::WorkerIncarnation &incarnation, SimulatedWorker &worker)
+{
+    worker.isPollWaiting = false;
+    engine::PollResponse response;
+    response.clockMs = 5000 + (now_ - begunAt_).count();
+    for (const Running &running : worker.running) {
+        response.running.push_back({running.ref.task, running.ref.run, "", 50, 1000});
+    }
+    response.completed = worker.completed;
+    engine::handlePollResponse(engine_, incarnation, worker.pollNumber, response, now_);
+}
+
+void OwnerWorld::handleCommands()
+{
+    for (const engine::Command &command : std::exchange(engine_.commands, {})) {
+        if (const auto *const poll = std::get_if<engine::PollCommand>(&command)) {
+            SimulatedWorker &worker = workers_.at(poll->target.worker);
+            std::erase_if(worker.completed, [poll](const engine::CompletionReport &report) {
+                return report.number <= poll->acknowledged;
+            });
+            worker.pollNumber = poll->number;
+            worker.pollEndsAt = now_ + poll->wait;
+            worker.isPollWaiting = true;
+        } else if (const auto *const start = std::get_if<engine::StartCommand>(&command)) {
+            const engine::AttemptRef ref{start->task, start->run};
+            const Milliseconds length(300 + static_cast<std::int64_t>(random_() % 700));
+            workers_.at(start->target.worker).running.push_back({ref, now_ + length});
+            engine::handleStartResult(engine_, ref, start->target.worker,
+                                      engine::StartResult::Started, 0, now_);
+        }
+    }
+}
+
+void OwnerWorld::step()
+{
+    now_ += stepTime;
+    submitArrivals();
+    endRuns();
+    const auto elapsed = now_ - begunAt_;
+    if (elapsed % tickPeriod == Milliseconds{0}) {
+        engine::rescheduleStragglers(engine_, now_);
+        engine::tickJobs(engine_, {now_, 0});
+    }
+    if (engine_.needsPlan && elapsed % (stepTime * 2) == Milliseconds{0}) {
+        engine::planStarts(engine_, now_);
+    }
+    engine::pollWorkers(engine_, now_);
+    if (writing_ && writtenAt_ + storeDelay <= now_) {
+        engine::applyStored(engine_, *writing_, now_);
+        writing_.reset();
+    }
+    if (!writing_) {
+        engine::Batch batch = engine::collectBatch(engine_);
+        if (!batch.isEmpty()) {
+            writing_ = std::move(batch);
+            writtenAt_ = now_;
+        }
+    }
+    engine_.decisions.clear();
+    handleCommands();
+}
+
+}  // namespace poplarstream::bench
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>  // for int64_t
+#include <deque>  // for deque
 #include <limits>  // for numeric_limits
 #include <map>  // for map
 #include <optional>  // for optional
@@ -10,6 +11,7 @@
 #include <vector>  // for vector
 
 #include "poplarstream/engine/decision.hpp"  // for Decision
+#include "poplarstream/engine/job_set.hpp"  // for JobSet
 #include "poplarstream/engine/worker_commands.hpp"  // for Command
 #include "poplarstream/jobs/model.hpp"  // for Job, JobId, WorkerIncarnation, Resources, TaskRef
 
@@ -73,6 +75,14 @@
     bool hasCandidate = true;  // whether another worker has free capacity for it
 };
 
+// The number of attempts of each kind on a worker.
+struct TaskMix
+{
+    int longRunning = 0;
+    int serving = 0;  // with a latency target
+    int filling = 0;
+};
+
 // The owner's view of one incarnation of a worker.
 struct Worker
 {
@@ -89,6 +99,7 @@
     // it runs.
     std::map<AttemptRef, std::int64_t> attempts;
     std::set<AttemptRef> unexpectedAttempts;  // running but in no job; being stopped
+    TaskMix mix;  // of `attempts`
 
     std::int64_t tokenBump = 0;  // raised to fence commands that got no response
     bool wantsPromptPoll = false;  // the next poll must not wait for a completion
@@ -167,8 +178,10 @@
     std::map<QueueId, Queue> queues;
     std::map<ServiceId, Service> services;
     std::unordered_map<JobId, jobs::Job> jobs;
-    std::set<JobId> active;  // not final, or with remaining attempts
-    std::set<JobId> dirty;
+    JobSet active{jobs::JobIndex::Active};
+    JobSet waiting{jobs::JobIndex::Waiting};
+    JobSet dirty{jobs::JobIndex::Unstored};
+    std::deque<JobId> settled;  // no longer active, in this order
     std::set<JobId> cancelledEarly;  // cancelled before their submission was read
     std::map<WorkerIncarnation, Worker> workers;
     std::map<WorkerId, WorkerIncarnation> newestIncarnations;
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <array>  // for array
+#include <cstddef>  // for size_t
 #include <cstdint>  // for int64_t
+#include <limits>  // for numeric_limits
 #include <map>  // for map
 #include <optional>  // for optional
 #include <string>  // for string
@@ -130,6 +133,15 @@
     bool isDone = false;
 };
 
+// The sets of jobs that the engine keeps.
+enum class JobIndex {
+    Active,  // not final, or with remaining attempts
+    Waiting,  // may have tasks that wait for a start
+    Unstored,  // changed since the last write
+};
+inline constexpr std::size_t jobIndexes = 3;
+inline constexpr std::size_t notInIndex = std::numeric_limits<std::size_t>::max();
+
 enum class JobState { Queued, Running, Completed, Failed, Cancelled };
 
 struct Job
@@ -137,6 +149,7 @@
     Submission submission;
     Milliseconds criticalPath{0};  // longest chain of estimated durations
     bool isLongRunning = false;  // has tasks that run until the job is cancelled
+    bool hasSpeculative = false;  // has tasks that may run as several copies
     JobState state = JobState::Queued;
     JobState durableState = JobState::Queued;  // the state in the store, which callers may see
     bool hasBegun = false;  // a worker confirmed the start of a task
@@ -145,6 +158,7 @@
     TimePoint acceptedAt{};
     TimePoint endedAt{};
     bool isDirty = false;  // differs from the stored progress
+    std::array<std::size_t, jobIndexes> places{notInIndex, notInIndex, notInIndex};  // by JobIndex
 };
 
 // Identifies a task within a job.
--- a/include/poplarstream/jobs/queries.hpp
+++ b/include/poplarstream/jobs/queries.hpp
@@ -25,6 +25,9 @@
 // Whether any step runs until the job is cancelled.
 bool hasLongRunning(const JobSpec &spec);
 
+// Whether any step is speculative.
+bool hasSpeculative(const JobSpec &spec);
+
 // The task that `ref` names, or null if the job has no such task.
 Task *findTask(Job &job, const TaskRef &ref);
 
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -13,6 +13,13 @@
 constexpr Milliseconds leaseSlack{400};
 constexpr std::int64_t clockErrorDivisor = 25;  // 4%: both clocks may be off by 2%
 
+void countInMix(TaskMix &mix, const jobs::StepSpec &step, int change)
+{
+    mix.longRunning += step.longRunning ? change : 0;
+    mix.serving += step.target > Milliseconds{0} ? change : 0;
+    mix.filling += step.fills ? change : 0;
+}
+
 }  // namespace
 
 jobs::Job *findJob(Engine &engine, const JobId &id)
@@ -57,7 +64,8 @@
 void markDirty(Engine &engine, jobs::Job &job)
 {
     job.isDirty = true;
-    engine.dirty.insert(job.submission.id);
+    engine.dirty.insert(job);
+    engine.waiting.insert(job);
 }
 
 void attach(Engine &engine, const AttemptRef &ref, const WorkerIncarnation &incarnation,
@@ -66,7 +74,9 @@
     Worker *const worker = findWorker(engine, incarnation);
     jobs::Job *const job = findJob(engine, ref.task.job);
     if (worker != nullptr && job != nullptr && worker->attempts.emplace(ref, decisivePoll).second) {
-        worker->used += capacityUsedBy(stepOf(*job, ref.task));
+        const jobs::StepSpec &step = stepOf(*job, ref.task);
+        worker->used += capacityUsedBy(step);
+        countInMix(worker->mix, step, 1);
     }
 }
 
@@ -78,7 +88,9 @@
     if (worker == nullptr || job == nullptr || worker->attempts.erase(ref) == 0) {
         return;
     }
-    worker->used -= capacityUsedBy(stepOf(*job, ref.task));
+    const jobs::StepSpec &step = stepOf(*job, ref.task);
+    worker->used -= capacityUsedBy(step);
+    countInMix(worker->mix, step, -1);
     if (worker->attempts.empty()) {
         worker->idleSince = now;
     }
--- a/src/poplarstream/engine/batches.cpp
+++ b/src/poplarstream/engine/batches.cpp
@@ -74,17 +74,15 @@
     Batch batch;
     std::size_t bytes = 0;
     while (!engine.dirty.empty() && bytes < maxBatchBytes) {
-        const JobId id = engine.dirty.extract(engine.dirty.begin()).value();
-        jobs::Job *const job = findJob(engine, id);
-        if (job == nullptr) {
-            continue;
-        }
-        job->isDirty = false;
-        collectStarts(*job, batch.starts);
-        std::string value = jobs::encodeProgress(*job);
+        jobs::Job &job = engine.dirty.back();
+        engine.dirty.erase(job);
+        job.isDirty = false;
+        collectStarts(job, batch.starts);
+        std::string value = jobs::encodeProgress(job);
         bytes += value.size();
+        const JobId &id = job.submission.id;
         batch.records.push_back({id.text(), std::move(value)});
-        batch.states.emplace_back(id, job->state);
+        batch.states.emplace_back(id, job.state);
     }
     if (engine.dirty.empty()) {
         // The effects of all completions so far are in this batch or already stored.
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -48,6 +48,23 @@
     return false;
 }
 
+// Removes the jobs whose callers no longer ask for them. They settled about in the order in which
+// they ended, so one that must stay holds up only those that ended shortly before it.
+void forgetOldJobs(Engine &engine, TimePoint now)
+{
+    while (!engine.settled.empty()) {
+        const JobId id = engine.settled.front();
+        jobs::Job &job = engine.jobs.at(id);
+        if (engine.dirty.contains(job) || job.endedAt + engine.limits.statusRetention * 2 >= now) {
+            return;
+        }
+        engine.settled.pop_front();
+        engine.waiting.erase(job);
+        engine.jobs.erase(id);
+        engine.forgotten.push_back(id);
+    }
+}
+
 void adoptAttempts(Engine &engine, const jobs::Job &job, TimePoint lapsedAt, TimePoint now)
 {
     const JobId &id = job.submission.id;
@@ -84,7 +101,8 @@
     }
     jobs::Job &job = engine.jobs[id];
     job = jobs::makeJob(std::move(submission), now.steady, now.unixMs);
-    engine.active.insert(id);
+    engine.active.insert(job);
+    engine.waiting.insert(job);
     engine.needsPlan = true;
     recordArrival(engine, job);
     if (engine.cancelledEarly.erase(id) != 0) {
@@ -126,31 +144,22 @@
 
 void tickJobs(Engine &engine, const ClockReading &now)
 {
-    std::vector<JobId> settled;
-    for (const JobId &id : engine.active) {
-        jobs::Job &job = engine.jobs.at(id);
-        if (!jobs::isFinal(job.state)) {
-            if (jobs::openDueOccurrences(job, now.steady, now.unixMs)) {
+    std::vector<jobs::Job *> settled;
+    for (jobs::Job *const job : engine.active) {
+        if (!jobs::isFinal(job->state)) {
+            if (jobs::openDueOccurrences(*job, now.steady, now.unixMs)) {
+                engine.waiting.insert(*job);
                 engine.needsPlan = true;
             }
-        } else if (!hasAttempts(job)) {
-            settled.push_back(id);
+        } else if (!hasAttempts(*job)) {
+            settled.push_back(job);
         }
     }
-    for (const JobId &id : settled) {
-        engine.active.erase(id);
-    }
-    std::vector<JobId> old;
-    for (const auto &[id, job] : engine.jobs) {
-        if (jobs::isFinal(job.state) && !engine.active.contains(id) && !engine.dirty.contains(id)
-            && job.endedAt + engine.limits.statusRetention * 2 < now.steady) {
-            old.push_back(id);
-        }
-    }
-    for (const JobId &id : old) {
-        engine.jobs.erase(id);
-        engine.forgotten.push_back(id);
+    for (jobs::Job *const job : settled) {
+        engine.active.erase(*job);
+        engine.settled.push_back(job->submission.id);
     }
+    forgetOldJobs(engine, now.steady);
 }
 
 void configure(Engine &engine, std::map<QueueId, Queue> queues,
--- a/src/poplarstream/engine/job_queries.cpp
+++ b/src/poplarstream/engine/job_queries.cpp
@@ -18,8 +18,8 @@
 int waitingJobs(const Engine &engine, const QueueId &queue)
 {
     int count = 0;
-    for (const JobId &id : engine.active) {
-        const jobs::Job &job = engine.jobs.at(id);
+    for (const jobs::Job *const each : engine.active) {
+        const jobs::Job &job = *each;
         if (job.submission.policy.queue == queue && !job.hasBegun && !jobs::isFinal(job.state)
             && job.submission.spec.repeatCount == 0) {
             ++count;
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -57,12 +57,9 @@
         candidate.worker = &worker;
         candidate.freeCapacity = worker.entry.capacity;
         candidate.freeCapacity -= worker.used;
-        for (const auto &[ref, decisivePoll] : worker.attempts) {
-            const jobs::StepSpec &step = stepOf(engine.jobs.at(ref.task.job), ref.task);
-            candidate.hostsLongRunning = candidate.hostsLongRunning || step.longRunning;
-            candidate.hostsServing = candidate.hostsServing || step.target > Milliseconds{0};
-            candidate.hostsFillers = candidate.hostsFillers || step.fills;
-        }
+        candidate.hostsLongRunning = worker.mix.longRunning > 0;
+        candidate.hostsServing = worker.mix.serving > 0;
+        candidate.hostsFillers = worker.mix.filling > 0;
         candidates.push_back(candidate);
     }
     return candidates;
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -174,9 +174,9 @@
                            std::map<ServiceId, std::vector<PlacementCandidate>> &candidates,
                            TimePoint now)
 {
-    for (const JobId &id : engine.active) {
-        jobs::Job &job = engine.jobs.at(id);
-        if (job.state != jobs::JobState::Running) {
+    for (jobs::Job *const each : engine.active) {
+        jobs::Job &job = *each;
+        if (!job.hasSpeculative || job.state != jobs::JobState::Running) {
             continue;
         }
         const auto own = candidates.find(serviceOf(engine, job));
--- a/src/poplarstream/engine/ranking.cpp
+++ b/src/poplarstream/engine/ranking.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/engine/ranking.hpp"
 
-#include <algorithm>  // for sort, any_of
+#include <algorithm>  // for sort
+#include <tuple>  // for make_tuple, tie
 
 #include "poplarstream/jobs/queries.hpp"  // for isStepReady, objective, remainingPath
 
@@ -11,15 +12,9 @@
 // A result has no value later than this multiple of the time from due to objective.
 constexpr int expiredAfterObjectives = 3;
 
-bool isWaiting(const jobs::Task &task, TimePoint now)
+bool isWaiting(const jobs::Task &task)
 {
-    return !task.isDone && task.attempts.empty() && task.notBefore <= now;
-}
-
-bool hasWaiting(const std::vector<jobs::Task> &tasks, TimePoint now)
-{
-    return std::any_of(tasks.begin(), tasks.end(),
-                       [now](const jobs::Task &task) { return isWaiting(task, now); });
+    return !task.isDone && task.attempts.empty();
 }
 
 bool hasStarted(const jobs::Occurrence &occurrence)
@@ -34,10 +29,49 @@
     return false;
 }
 
-auto rankOf(const WaitingStep &step)
+// Adds the job's steps that have waiting tasks now. Returns whether any task waits, even if only
+// for the delay after a failure.
+bool addWaitingSteps(const Engine &engine, jobs::Job &job,
+                     std::map<ServiceId, std::vector<WaitingStep>> &waiting, TimePoint now)
+{
+    bool hasWaiting = false;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        if (occurrence.isDone) {
+            continue;
+        }
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            const int step = static_cast<int>(i);
+            if (occurrence.remaining[i] == 0 || !jobs::isStepReady(job, occurrence, step)) {
+                continue;
+            }
+            bool isDue = false;
+            for (const jobs::Task &task : occurrence.steps[i]) {
+                if (isWaiting(task)) {
+                    hasWaiting = true;
+                    isDue = isDue || task.notBefore <= now;
+                }
+            }
+            if (isDue) {
+                waiting[serviceOf(engine, job)].push_back(
+                        {&job, number, step, deadlineClassOf(job, occurrence, now),
+                         job.submission.policy.priority, hasStarted(occurrence),
+                         jobs::objective(job, occurrence)});
+            }
+        }
+    }
+    return hasWaiting;
+}
+
+bool isRankedHigher(const WaitingStep &a, const WaitingStep &b)
 {
-    return std::make_tuple(step.deadlineClass, step.priority, !step.hasStarted, step.objective,
-                           step.job->submission.id, step.step);
+    const auto rank = [](const WaitingStep &step) {
+        return std::make_tuple(step.deadlineClass, step.priority, !step.hasStarted, step.objective);
+    };
+    const auto rankA = rank(a);
+    const auto rankB = rank(b);
+    return rankA != rankB ? rankA < rankB
+                          : std::tie(a.job->submission.id, a.step)
+                                    < std::tie(b.job->submission.id, b.step);
 }
 
 }  // namespace
@@ -61,31 +95,17 @@
 std::map<ServiceId, std::vector<WaitingStep>> rankWaitingSteps(Engine &engine, TimePoint now)
 {
     std::map<ServiceId, std::vector<WaitingStep>> waiting;
-    for (const JobId &id : engine.active) {
-        jobs::Job &job = engine.jobs.at(id);
-        if (jobs::isFinal(job.state)) {
-            continue;
-        }
-        for (const auto &[number, occurrence] : job.occurrences) {
-            if (occurrence.isDone) {
-                continue;
-            }
-            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-                const int step = static_cast<int>(i);
-                if (occurrence.remaining[i] == 0 || !hasWaiting(occurrence.steps[i], now)
-                    || !jobs::isStepReady(job, occurrence, step)) {
-                    continue;
-                }
-                waiting[serviceOf(engine, job)].push_back(
-                        {&job, number, step, deadlineClassOf(job, occurrence, now),
-                         job.submission.policy.priority, hasStarted(occurrence),
-                         jobs::objective(job, occurrence)});
-            }
+    std::vector<jobs::Job *> served;
+    for (jobs::Job *const job : engine.waiting) {
+        if (jobs::isFinal(job->state) || !addWaitingSteps(engine, *job, waiting, now)) {
+            served.push_back(job);
         }
     }
+    for (jobs::Job *const job : served) {
+        engine.waiting.erase(*job);
+    }
     for (auto &[service, steps] : waiting) {
-        std::sort(steps.begin(), steps.end(),
-                  [](const WaitingStep &a, const WaitingStep &b) { return rankOf(a) < rankOf(b); });
+        std::sort(steps.begin(), steps.end(), isRankedHigher);
     }
     return waiting;
 }
--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -23,7 +23,7 @@
 constexpr Milliseconds stallTimeout{1200};
 constexpr Milliseconds stallConfirmation{800};
 // Stalled tasks on a worker before it is quarantined: a single one may just be a long task.
-constexpr int stragglersBeforeQuarantine = 3;
+constexpr std::size_t stragglersBeforeQuarantine = 3;
 
 bool isStalled(const Worker &worker, const jobs::Attempt &attempt, TimePoint now)
 {
@@ -90,27 +90,32 @@
 
 void rescheduleStragglers(Engine &engine, TimePoint now)
 {
+    std::vector<AttemptRef> stalled;
     for (auto &[incarnation, worker] : engine.workers) {
         if (worker.isGone || worker.reachability != Reachability::Reachable) {
             continue;
         }
-        const auto attempts = worker.attempts;
-        int stragglers = 0;
-        for (const auto &[ref, decisivePoll] : attempts) {
-            jobs::Attempt *const attempt = findAttempt(engine, ref);
+        stalled.clear();
+        for (const auto &[ref, decisivePoll] : worker.attempts) {
             jobs::Job &job = engine.jobs.at(ref.task.job);
-            if (attempt == nullptr || attempt->phase != jobs::AttemptPhase::Running
-                || jobs::isFinal(job.state)) {
+            const jobs::StepSpec &step = stepOf(job, ref.task);
+            if (step.longRunning || step.gang || jobs::isFinal(job.state)) {
                 continue;
             }
-            const jobs::StepSpec &step = stepOf(job, ref.task);
-            const bool canStall = !step.longRunning && !step.gang;
-            if (canStall && isStalled(worker, *attempt, now)) {
-                ++stragglers;
-                if (stragglers == stragglersBeforeQuarantine && worker.quarantinedUntil <= now) {
-                    quarantine(engine, worker, now);
-                }
-                reschedule(engine, job, ref, *attempt, now);
+            jobs::Task *const task = jobs::findTask(job, ref.task);
+            const jobs::Attempt *const attempt =
+                    task == nullptr ? nullptr : jobs::findAttempt(*task, ref.run);
+            if (attempt != nullptr && attempt->phase == jobs::AttemptPhase::Running
+                && isStalled(worker, *attempt, now)) {
+                stalled.push_back(ref);
+            }
+        }
+        if (stalled.size() >= stragglersBeforeQuarantine && worker.quarantinedUntil <= now) {
+            quarantine(engine, worker, now);
+        }
+        for (const AttemptRef &ref : stalled) {
+            if (jobs::Attempt *const attempt = findAttempt(engine, ref)) {
+                reschedule(engine, engine.jobs.at(ref.task.job), ref, *attempt, now);
             }
         }
     }
--- a/src/poplarstream/jobs/queries.cpp
+++ b/src/poplarstream/jobs/queries.cpp
@@ -87,6 +87,12 @@
                        [](const StepSpec &step) { return step.longRunning; });
 }
 
+bool hasSpeculative(const JobSpec &spec)
+{
+    return std::any_of(spec.steps.begin(), spec.steps.end(),
+                       [](const StepSpec &step) { return step.speculative; });
+}
+
 Task *findTask(Job &job, const TaskRef &ref)
 {
     const auto occurrence = job.occurrences.find(ref.occurrence);
--- a/src/poplarstream/pools/demand.cpp
+++ b/src/poplarstream/pools/demand.cpp
@@ -53,8 +53,8 @@
 std::map<ServiceId, Demand> demandByService(const engine::Engine &engine, TimePoint now)
 {
     std::map<ServiceId, Demand> demands;
-    for (const engine::JobId &id : engine.active) {
-        const jobs::Job &job = engine.jobs.at(id);
+    for (const jobs::Job *const each : engine.active) {
+        const jobs::Job &job = *each;
         Demand &demand = demands[engine::serviceOf(engine, job)];
         for (const auto &[number, occurrence] : job.occurrences) {
             const engine::DeadlineClass deadlineClass =
