Read the ownership log often only where a claim may come next

Change: processes whose claim waits for larger ones read every 1.5 s, and at once (250 ms apart) when the owner they know does not answer or says that it is not the owner. Ruled out: one reader a zone that passes changes on; a zone would depend on one process.

--- a/include/poplarstream/edge/leadership_controller.hpp
+++ b/include/poplarstream/edge/leadership_controller.hpp
@@ -42,6 +42,9 @@
     // Resigns the ownership and does not claim it again.
     void leave();
 
+    // Reads the log soon: the owner may have changed.
+    void refresh();
+
     // Resigns the ownership of `epoch`. This process may claim it again later.
     void abandon(std::int64_t epoch);
 
--- a/include/poplarstream/edge/log_follower.hpp
+++ b/include/poplarstream/edge/log_follower.hpp
@@ -34,6 +34,11 @@
     // Calls no event afterwards.
     ~LogFollower();
 
+    // Changes the pause between two reads.
+    void setPause(Milliseconds pause);
+    // Ends the present pause once it has lasted `least`.
+    void readSoon(Milliseconds least);
+
     // Everything that was in the log at this time has been delivered.
     TimePoint currentAsOf() const;
     // Since when reads of the log have succeeded without a long gap.
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -60,6 +60,10 @@
     // Commands to machines are passed on in the records for this long, which is longer than a
     // successor has to respect them.
     Milliseconds machineCommandRetention{5000};
+    // Interval at which a process reads the log if it may be the next owner.
+    Milliseconds candidateReadInterval{250};
+    // The same for a process whose claim waits for larger ones. Its claim delay exceeds it.
+    Milliseconds otherReadInterval{1500};
     // Delay of the first claim in an empty log, divided by the processor share, as processes start
     // at different times.
     Milliseconds firstClaimDelay{200};
@@ -103,6 +107,10 @@
 // Extra delay of a claim by this process, so that better candidates can claim first.
 Milliseconds claimDelay(const Leadership &leadership);
 
+// How long this process waits between two reads of the log. Only the processes that may claim next
+// read often, so that the number of reads hardly grows with the deployment.
+Milliseconds readInterval(const Leadership &leadership);
+
 // When this process claims the ownership unless it reads another record.
 TimePoint earliestClaim(const Leadership &leadership);
 
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -192,6 +192,8 @@
                        if (self && response.kind != PeerResponse::Kind::NoResponse
                            && response.kind != PeerResponse::Kind::NotOwner) {
                            self->ownerRespondedAt = steadyNow();
+                       } else if (self && self->leadership) {
+                           self->leadership->refresh();
                        }
                        done(response);
                    });
--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -17,9 +17,8 @@
 constexpr Milliseconds tickPeriod{50};
 // Longer than a slow store takes. If a response is lost, the record is seen earlier, in the log.
 constexpr Milliseconds writeDeadline{1200};
-// Between two reads of the log. Every entry host reads it, and an owner that moves machines renews
-// often: without the pause the number of reads would grow with the number of machine commands.
-constexpr Milliseconds readPause{250};
+// After a sign that the owner has changed, the log is read again this long after the last read.
+constexpr Milliseconds minReadPause{250};
 
 }  // namespace
 
@@ -45,7 +44,9 @@
             handleRecords(records, end);
         };
         FollowerSettings settings;
-        settings.pause = readPause;
+        // Without a pause the number of reads would grow with the renewals, which an owner that
+        // moves machines writes often.
+        settings.pause = ownership::readInterval(leadership);
         follower = std::make_unique<LogFollower>(runtime, Log::Ownership, settings,
                                                  std::move(received));
         tick();
@@ -66,6 +67,9 @@
         if (wasWriting && !leadership.isWriting) {
             completeConfirmations(true);
         }
+        if (follower) {
+            follower->setPause(ownership::readInterval(leadership));
+        }
         logChange(before);
         events.changed();
     }
@@ -230,6 +234,11 @@
     state_->writeIfDue();
 }
 
+void LeadershipController::refresh()
+{
+    state_->follower->readSoon(minReadPause);
+}
+
 void LeadershipController::abandon(std::int64_t epoch)
 {
     state_->leadership.abandonedEpoch = epoch;
--- a/src/poplarstream/edge/log_follower.cpp
+++ b/src/poplarstream/edge/log_follower.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/edge/log_follower.hpp"
 
 #include <map>  // for map
+#include <optional>  // for optional
 
 namespace poplarstream::edge {
 
@@ -125,11 +126,26 @@
         if (isClosed) {
             return;
         }
-        if (settings.pause > Milliseconds{0}) {
-            after(settings.pause, &State::read);
-        } else {
+        pausedSince = steadyNow();
+        pauseUntil(*pausedSince + settings.pause);
+    }
+
+    // Reads at `end`, unless another end of the pause is set first.
+    void pauseUntil(TimePoint end)
+    {
+        const TimePoint now = steadyNow();
+        if (end <= now) {
+            pausedSince.reset();
             read();
+            return;
         }
+        callAfter(runtime, end - now, [weak = weak_from_this(), number = ++pauseNumber] {
+            const auto self = weak.lock();
+            if (self && !self->isClosed && self->pausedSince && self->pauseNumber == number) {
+                self->pausedSince.reset();
+                self->read();
+            }
+        });
     }
 
     Runtime &runtime;
@@ -143,6 +159,8 @@
     TimePoint currentAsOf{};
     TimePoint reachableSince{};
     TimePoint lastSuccessAt{};
+    std::optional<TimePoint> pausedSince;
+    std::uint64_t pauseNumber = 0;  // increases when the end of a pause is set
     bool hasSnapshot = false;
     bool isClosed = false;
 };
@@ -159,6 +177,18 @@
     state_->isClosed = true;
 }
 
+void LogFollower::setPause(Milliseconds pause)
+{
+    state_->settings.pause = pause;
+}
+
+void LogFollower::readSoon(Milliseconds least)
+{
+    if (state_->pausedSince) {
+        state_->pauseUntil(*state_->pausedSince + least);
+    }
+}
+
 TimePoint LogFollower::currentAsOf() const
 {
     return state_->currentAsOf;
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -126,6 +126,15 @@
            + std::min(scaled(settings.smallShareDelay, shareDeficit), settings.maxSmallShareDelay);
 }
 
+Milliseconds readInterval(const Leadership &leadership)
+{
+    const LeadershipSettings &settings = leadership.settings;
+    const bool isCandidate =
+            !leadership.last || isOwner(leadership)
+            || settings.ownerTimeout + claimDelay(leadership) < settings.otherReadInterval * 2;
+    return isCandidate ? settings.candidateReadInterval : settings.otherReadInterval;
+}
+
 TimePoint earliestClaim(const Leadership &leadership)
 {
     const LeadershipSettings &settings = leadership.settings;
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -63,6 +63,32 @@
     EXPECT_FALSE(isOwner(b));
 }
 
+// Guards against reads of the log that grow with the number of small processes, and against a small
+// process that claims because it has not read for long.
+TEST(Leadership, SmallProcessesReadLessOften)
+{
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership large = process("large");
+    large.processorShare = 0.5;
+    Leadership equal = process("equal");
+    equal.processorShare = 0.5;
+    Leadership small = process("small");
+    small.processorShare = 0.12;
+    EXPECT_EQ(readInterval(small), small.settings.candidateReadInterval) << "there is no owner yet";
+    log.show(large, now);
+    now += Milliseconds{400};
+    ASSERT_TRUE(log.step(large, now));
+    log.show(equal, now);
+    log.show(small, now);
+    EXPECT_EQ(readInterval(large), large.settings.candidateReadInterval);
+    EXPECT_EQ(readInterval(equal), equal.settings.candidateReadInterval);
+    EXPECT_EQ(readInterval(small), small.settings.otherReadInterval);
+    now += small.settings.otherReadInterval * 2 - Milliseconds{1};
+    small.inContactSince = timePoint(0);
+    EXPECT_EQ(nextStep(small, now), LeadershipStep::None) << "a renewal is read before it claims";
+}
+
 // Guards against jobs that nobody runs: an owner whose session has failed must not keep renewing.
 TEST(Leadership, AbandonedOwnershipIsResigned)
 {
