Meter the owner's work and let other work go before plans

Cause: which part of an owner's time goes where was not known, and under overload each plan takes longer while each completion asks for one. Change: LoadMeter adds up the time of each kind of work, on the metrics address and in event 724. After a plan the owner rests at least four times as long as the plan took, so that completions, cancellations and renewals come first; stalled tasks are searched every 100 ms instead of 40.

--- a/include/poplarstream/edge/runtime.hpp
+++ b/include/poplarstream/edge/runtime.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>  // for io_context
 
 #include "poplarstream/base/time.hpp"  // for TimePoint
+#include "poplarstream/edge/load_meter.hpp"  // for LoadMeter
 #include "poplarstream/edge/ports.hpp"  // for StorePort, WorkerPort, MachinePort, DecoderPort
 #include "poplarstream/edge/settings.hpp"  // for Settings
 #include "poplarstream/engine/job_events.hpp"  // for ClockReading
@@ -30,6 +31,7 @@
     MachinePort machines;
     DecoderPort decode;
     DurationHistograms durations;  // served on the metrics address
+    LoadMeter load;  // as above
 };
 
 // Runs the event loop until it is stopped. An exception of a callback ends that callback only: it
--- a/src/poplarstream/edge/command_sender.cpp
+++ b/src/poplarstream/edge/command_sender.cpp
@@ -48,6 +48,7 @@
     const auto guarded = [state = state_, handled = std::move(handled)](auto handle) {
         return [state, handled, handle](const auto &outcome) {
             if (!state->isClosed) {
+                const LoadMeter::Section section(state->runtime.load, OwnerWork::Responses);
                 handle(outcome);
                 handled();
             }
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -210,6 +210,7 @@
             storeForPeer(request, std::move(done));
             return;
         }
+        const LoadMeter::Section section(runtime.load, OwnerWork::Lookups);
         PeerResponse response;
         if (request.kind == PeerRequest::Kind::Count && !session->isCurrent(steadyNow())) {
             response.kind = PeerResponse::Kind::NotOwner;
--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -55,6 +55,7 @@
     void handleJobRecords(std::vector<StoredRecord> records)
     {
         if (isLoaded) {
+            const LoadMeter::Section section(runtime.load, OwnerWork::Feed);
             for (const StoredRecord &record : records) {
                 applyJobRecord(engine, record, clockReadingNow());
             }
--- /dev/null
+++ b/src/poplarstream/edge/load_meter_test.cpp
@@ -0,0 +1,29 @@
+#include "poplarstream/edge/load_meter.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_NE
+
+namespace poplarstream::edge {
+namespace {
+
+// Guards against figures that mix up the kinds of work or count them twice.
+TEST(LoadMeter, SummaryTellsWhatWasAdded)
+{
+    LoadMeter meter;
+    for (int i = 0; i < 3; ++i) {
+        const LoadMeter::Section section(meter, OwnerWork::Polls);
+    }
+    {
+        const LoadMeter::Section section(meter, OwnerWork::Lookups);
+    }
+    EXPECT_NE(meter.prometheusText().find("poplar_owner_work_total{work=\"polls\"} 3\n"),
+              std::string::npos);
+    const std::string summary = meter.takeSummary();
+    EXPECT_NE(summary.find("/3 send="), std::string::npos) << summary;
+    EXPECT_TRUE(summary.ends_with("/1")) << summary;
+    EXPECT_TRUE(meter.takeSummary().ends_with("/0"));
+    EXPECT_NE(meter.prometheusText().find("poplar_owner_work_total{work=\"lookups\"} 1\n"),
+              std::string::npos);
+}
+
+}  // namespace
+}  // namespace poplarstream::edge
--- a/src/poplarstream/edge/machine_controller.cpp
+++ b/src/poplarstream/edge/machine_controller.cpp
@@ -85,6 +85,7 @@
             return;
         }
         if (page.isRead) {
+            const LoadMeter::Section section(runtime.load, OwnerWork::Machines);
             pools::applyMachineList(machines, engine, listed, listRequestedAt, steadyNow());
             hasList = true;
         }
@@ -93,6 +94,7 @@
 
     void plan()
     {
+        const LoadMeter::Section section(runtime.load, OwnerWork::Machines);
         if (hasList && hooks.mayIssueCommands()) {
             sendConfirmed(pools::planMachines(machines, engine, steadyNow()));
             reportWaves();
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/edge/owner_session.hpp"
 
 #include <algorithm>  // for max
+#include <chrono>  // for steady_clock
 
 #include <fmt/format.h>  // for format
 
@@ -15,6 +16,7 @@
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
+#include "poplarstream/engine/plan_pacing.hpp"  // for PlanPacing
 #include "poplarstream/engine/planning.hpp"  // for planStarts
 #include "poplarstream/engine/worker_events.hpp"  // for registerWorker, deregisterWorker
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
@@ -31,10 +33,9 @@
 // gives up an unresponsive worker.
 constexpr Milliseconds pollingGrace{8000};
 constexpr Milliseconds tickPeriod{40};
+constexpr Milliseconds loadLogPeriod{5000};
 // Waiting tasks are planned again this often even without events, for delays that have expired.
 constexpr Milliseconds planPeriod{100};
-// A plan visits every waiting job, so the events within this time share one.
-constexpr Milliseconds minPlanInterval{8};
 // Responses that arrive within this time are processed together.
 constexpr Milliseconds responseBatchWindow{4};
 // Between two reads of the registry. A machine that was moved gets no task before its new entry has
@@ -165,13 +166,20 @@
     void tick()
     {
         const TimePoint now = steadyNow();
-        engine::rescheduleStragglers(engine, now);
         if (now >= nextPlanAt) {
             nextPlanAt = now + planPeriod;
-            engine::tickJobs(engine, clockReadingNow());
+            {
+                const LoadMeter::Section section(runtime.load, OwnerWork::Health);
+                engine::rescheduleStragglers(engine, now);
+            }
+            {
+                const LoadMeter::Section section(runtime.load, OwnerWork::Jobs);
+                engine::tickJobs(engine, clockReadingNow());
+            }
             deleteForgottenJobs();
             engine.needsPlan = true;
         }
+        logLoad(now);
         pump();
         callAfter(runtime, tickPeriod, guarded([](State &self) { self.tick(); }));
     }
@@ -246,13 +254,20 @@
         isPumping = true;
         const TimePoint now = steadyNow();
         engine.mayStart = mayPlan(now);
-        if (engine.needsPlan && now >= plannedAt + minPlanInterval) {
-            plannedAt = now;
+        if (engine.needsPlan && engine::mayPlan(planPacing, now)) {
+            const LoadMeter::Section section(runtime.load, OwnerWork::Plan);
+            const auto begunAt = std::chrono::steady_clock::now();
             engine::evacuate(engine, now);
             engine::planStarts(engine, now);
+            engine::recordPlan(planPacing, now,
+                               std::chrono::duration_cast<std::chrono::microseconds>(
+                                       std::chrono::steady_clock::now() - begunAt));
         }
         if (now < std::max(hooks.confirmedAt(), writer.confirmedAt()) + pollingGrace) {
-            engine::pollWorkers(engine, now);
+            {
+                const LoadMeter::Section section(runtime.load, OwnerWork::Polls);
+                engine::pollWorkers(engine, now);
+            }
             sendCommands();
         } else {
             engine.commands.clear();
@@ -282,8 +297,20 @@
         }
     }
 
+    void logLoad(TimePoint now)
+    {
+        if (now < loadLoggedAt + loadLogPeriod) {
+            return;
+        }
+        loadLoggedAt = now;
+        logEvent(events::ownerLoad, {{"active", fmt::to_string(engine.active.size())},
+                                     {"waiting", fmt::to_string(engine.waiting.size())},
+                                     {"work", runtime.load.takeSummary()}});
+    }
+
     void sendCommands()
     {
+        const LoadMeter::Section section(runtime.load, OwnerWork::Send);
         for (const engine::Command &command : std::exchange(engine.commands, {})) {
             sender.send(engine, command, guarded([](State &self) { self.schedulePump(); }));
         }
@@ -304,6 +331,7 @@
     Runtime &runtime;
     PredecessorState predecessor;
     OwnerSessionHooks hooks;
+    TimePoint loadLoggedAt{};
     engine::Engine engine;
     ProgressWriter writer;
     CommandSender sender;
@@ -315,7 +343,7 @@
     std::uint64_t unreadableEntries = 0;
     std::optional<TimePoint> startsHeldSince;  // the log of cancellations is read too late
     TimePoint nextPlanAt{};
-    TimePoint plannedAt{};
+    engine::PlanPacing planPacing;
     bool isLoaded = false;
     bool isDeleting = false;
     bool isPumping = false;
@@ -385,7 +413,8 @@
     return fmt::format("poplar_jobs_known {}\npoplar_jobs_active {}\npoplar_workers {}\n"
                        "poplar_registry_entries_unreadable_total {}\n",
                        engine.jobs.size(), engine.active.size(), engine.workers.size(),
-                       state_->unreadableEntries);
+                       state_->unreadableEntries)
+           + state_->runtime.load.prometheusText();
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/progress_writer.cpp
+++ b/src/poplarstream/edge/progress_writer.cpp
@@ -74,6 +74,7 @@
 
     void writeNow(engine::Engine &engine, const std::function<void(WriteResult)> &done)
     {
+        const LoadMeter::Section section(runtime.load, OwnerWork::Encode);
         engine::Batch batch = engine::collectBatch(engine);
         if (batch.isEmpty()) {
             isWriting = false;
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -80,6 +80,7 @@
         waveReported,
         poolSized,
         waveUnderWay,
+        ownerLoad,
         workerSuspected,
         workerEnded,
         workerUnanswered,
