--- a/include/poplarstream/engine/placement.hpp
+++ b/include/poplarstream/engine/placement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>  // for map
+#include <span>  // for span
 #include <vector>  // for vector
 
 #include "poplarstream/engine/state.hpp"  // for Engine, Worker
@@ -21,6 +22,10 @@
 std::vector<PlacementCandidate> placementCandidates(Engine &engine, const ServiceId &service,
                                                     TimePoint now);
 
+// The same for several services, with one pass over all workers.
+std::map<ServiceId, std::vector<PlacementCandidate>>
+placementCandidates(Engine &engine, std::span<const ServiceId *const> services, TimePoint now);
+
 // The number of tasks of one step and occurrence on each worker and each rack.
 struct PlacementCounts
 {
--- a/src/poplarstream/adapters/http_client.cpp
+++ b/src/poplarstream/adapters/http_client.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>  // for count_if, find
 #include <deque>  // for deque
-#include <map>  // for map
+#include <functional>  // for hash
+#include <unordered_map>  // for unordered_map
 #include <vector>  // for vector
 
 #include <boost/asio/io_context.hpp>  // for io_context
@@ -33,6 +34,14 @@
     }
 };
 
+struct EndpointHash
+{
+    std::size_t operator()(const HttpEndpoint &endpoint) const
+    {
+        return std::hash<std::string>{}(endpoint.address) ^ endpoint.port;
+    }
+};
+
 bool isWritable(const HttpRequest &request)
 {
     const auto isVisible = [](char c) { return c > 0x20 && c < 0x7f; };
@@ -245,8 +254,8 @@
 
     asio::io_context &io;
     HttpClientLimits limits;
-    std::map<HttpEndpoint, Pool> pools;
-    std::map<std::uint64_t, Call> calls;
+    std::unordered_map<HttpEndpoint, Pool, EndpointHash> pools;
+    std::unordered_map<std::uint64_t, Call> calls;
     std::uint64_t lastCall = 0;
     HttpClientCounts counts;
 };
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/engine/placement.hpp"
 
-#include <algorithm>  // for find
+#include <algorithm>  // for find, find_if
+#include <optional>  // for optional
 #include <tuple>  // for tuple, make_tuple
 
 #include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy, stepOf
@@ -23,12 +24,13 @@
            || (step.target > Milliseconds{0} && candidate.hostsFillers);
 }
 
+using Cost = std::tuple<int, int, int, int, std::int64_t>;
+
 // Lower is better. Avoids workers that will be emptied soon. Long-running tasks share workers with
 // each other but are spread over racks. Prefers the fullest worker, so that idle workers can be
 // given to other pools.
-std::tuple<int, int, int, int, std::int64_t> costOf(const PlacementCandidate &candidate,
-                                                    const jobs::StepSpec &step,
-                                                    const PlacementCounts &counts)
+Cost costOf(const PlacementCandidate &candidate, const jobs::StepSpec &step,
+            const PlacementCounts &counts)
 {
     const WorkerEntry &entry = candidate.worker->entry;
     const bool isRemote = !step.affinityRack.empty() && entry.rack.text() != step.affinityRack;
@@ -38,33 +40,55 @@
             onRack, candidate.freeCapacity.cpuMilli};
 }
 
+bool mayGetTasks(const Worker &worker, TimePoint now)
+{
+    return worker.isListed && !worker.isGone && worker.reachability == Reachability::Reachable
+           && !worker.entry.isDraining && !worker.isCordoned && worker.unexpectedAttempts.empty()
+           && worker.quarantinedUntil <= now;
+}
+
+PlacementCandidate candidateFor(Worker &worker)
+{
+    PlacementCandidate candidate;
+    candidate.worker = &worker;
+    candidate.freeCapacity = worker.entry.capacity;
+    candidate.freeCapacity -= worker.used;
+    candidate.hostsLongRunning = worker.mix.longRunning > 0;
+    candidate.hostsServing = worker.mix.serving > 0;
+    candidate.hostsFillers = worker.mix.filling > 0;
+    return candidate;
+}
+
 }  // namespace
 
-std::vector<PlacementCandidate> placementCandidates(Engine &engine, const ServiceId &service,
-                                                    TimePoint now)
+std::map<ServiceId, std::vector<PlacementCandidate>>
+placementCandidates(Engine &engine, std::span<const ServiceId *const> services, TimePoint now)
 {
-    std::vector<PlacementCandidate> candidates;
+    std::map<ServiceId, std::vector<PlacementCandidate>> candidates;
+    std::vector<std::vector<PlacementCandidate> *> byService;
+    for (const ServiceId *const service : services) {
+        byService.push_back(&candidates[*service]);
+    }
     for (auto &[incarnation, worker] : engine.workers) {
-        const bool mayStart = worker.entry.service == service && worker.isListed && !worker.isGone
-                              && worker.reachability == Reachability::Reachable
-                              && !worker.entry.isDraining && !worker.isCordoned
-                              && worker.unexpectedAttempts.empty()
-                              && worker.quarantinedUntil <= now;
-        if (!mayStart) {
-            continue;
+        const auto own =
+                std::find_if(services.begin(), services.end(), [&](const ServiceId *service) {
+                    return *service == worker.entry.service;
+                });
+        if (own != services.end() && mayGetTasks(worker, now)) {
+            byService[static_cast<std::size_t>(own - services.begin())]->push_back(
+                    candidateFor(worker));
         }
-        PlacementCandidate candidate;
-        candidate.worker = &worker;
-        candidate.freeCapacity = worker.entry.capacity;
-        candidate.freeCapacity -= worker.used;
-        candidate.hostsLongRunning = worker.mix.longRunning > 0;
-        candidate.hostsServing = worker.mix.serving > 0;
-        candidate.hostsFillers = worker.mix.filling > 0;
-        candidates.push_back(candidate);
     }
     return candidates;
 }
 
+std::vector<PlacementCandidate> placementCandidates(Engine &engine, const ServiceId &service,
+                                                    TimePoint now)
+{
+    const ServiceId *const services[] = {&service};
+    return std::move(placementCandidates(engine, services, now).at(service));
+}
+
 PlacementCounts countPlacements(const Engine &engine, const jobs::Occurrence &occurrence, int step)
 {
     PlacementCounts counts;
@@ -93,6 +117,7 @@
 {
     const jobs::Resources need = capacityUsedBy(step);
     PlacementCandidate *best = nullptr;
+    std::optional<Cost> bestCost;
     for (PlacementCandidate &candidate : candidates) {
         const WorkerIncarnation &incarnation = candidate.worker->entry.incarnation;
         const bool isFull =
@@ -103,8 +128,10 @@
             || std::find(avoid.begin(), avoid.end(), incarnation) != avoid.end()) {
             continue;
         }
-        if (best == nullptr || costOf(candidate, step, counts) < costOf(*best, step, counts)) {
+        const Cost cost = costOf(candidate, step, counts);
+        if (!bestCost || cost < *bestCost) {
             best = &candidate;
+            bestCost = cost;
         }
     }
     return best;
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -228,9 +228,15 @@
     if (!engine.mayStart) {
         return;
     }
-    std::map<ServiceId, std::vector<PlacementCandidate>> candidates;
-    for (auto &[service, steps] : rankWaitingSteps(engine, now)) {
-        auto &own = candidates[service] = placementCandidates(engine, service, now);
+    const std::map<ServiceId, std::vector<WaitingStep>> ranked = rankWaitingSteps(engine, now);
+    std::vector<const ServiceId *> services;
+    for (const auto &[service, steps] : ranked) {
+        services.push_back(&service);
+    }
+    std::map<ServiceId, std::vector<PlacementCandidate>> candidates =
+            placementCandidates(engine, services, now);
+    for (const auto &[service, steps] : ranked) {
+        auto &own = candidates.at(service);
         const jobs::Resources largest = largestFreeCapacity(own);
         for (const WaitingStep &waiting : steps) {
             const StepRef place{*waiting.job, waiting.job->occurrences.at(waiting.occurrence),
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/engine/worker_events.hpp"
 
-#include <algorithm>  // for max, min
+#include <algorithm>  // for any_of, max, min
 
 #include <fmt/format.h>  // for format
 
@@ -143,13 +143,15 @@
 void releaseMissing(Engine &engine, Worker &worker, std::int64_t pollNumber,
                     const PollResponse &response, TimePoint now)
 {
-    std::set<AttemptRef> present;
-    for (const RunningReport &report : response.running) {
-        present.insert({report.task, report.run});
-    }
+    const auto isPresent = [&response](const AttemptRef &ref) {
+        return std::any_of(response.running.begin(), response.running.end(),
+                           [&ref](const RunningReport &report) {
+                               return report.run == ref.run && report.task == ref.task;
+                           });
+    };
     std::vector<AttemptRef> absent;
     for (const auto &[ref, decisivePoll] : worker.attempts) {
-        if (decisivePoll <= pollNumber && !present.contains(ref)) {
+        if (decisivePoll <= pollNumber && !isPresent(ref)) {
             absent.push_back(ref);
         }
     }
@@ -157,7 +159,7 @@
         release(engine, ref, worker.entry.incarnation, now);
     }
     std::erase_if(worker.unexpectedAttempts,
-                  [&](const AttemptRef &ref) { return !present.contains(ref); });
+                  [&](const AttemptRef &ref) { return !isPresent(ref); });
 }
 
 // Resends the stop commands that haven't taken effect yet.
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -18,6 +18,9 @@
 // Whether a long-running task on this worker isn't ready yet.
 bool hasStartingTask(Engine &engine, const Worker &worker)
 {
+    if (worker.mix.longRunning == 0) {
+        return false;
+    }
     for (const auto &[ref, decisivePoll] : worker.attempts) {
         const jobs::Attempt *const attempt = findAttempt(engine, ref);
         if (attempt != nullptr && attempt->percent < readyPercent
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/jobs/codec.hpp"
 
 #include <algorithm>  // for all_of
+#include <iterator>  // for back_inserter
 
 #include <fmt/format.h>  // for format
 #include <nlohmann/json.hpp>  // for json
@@ -71,14 +72,42 @@
     return step;
 }
 
-json taskJson(const Task &task)
+// Appends a text as a JSON string. Ids and checkpoints rarely need escaping.
+void appendText(std::string &out, const std::string &text)
 {
-    json attempts = json::array();
-    for (const Attempt &attempt : task.attempts) {
-        attempts.push_back({attempt.run, attempt.worker.id.text(), attempt.worker.startedUnixMs});
+    const bool isPlain = std::all_of(text.begin(), text.end(), [](char c) {
+        return c >= ' ' && c <= '~' && c != '"' && c != '\\';
+    });
+    if (isPlain) {
+        out.append(1, '"').append(text).append(1, '"');
+    } else {
+        out.append(json(text).dump(-1, ' ', false, json::error_handler_t::replace));
     }
-    return json::array({task.isDone ? 1 : 0, task.lastRun, task.failures, task.checkpoint,
-                        std::move(attempts)});
+}
+
+// Separates the elements of a JSON array.
+void appendSeparator(std::string &out, std::size_t index)
+{
+    if (index > 0) {
+        out.push_back(',');
+    }
+}
+
+// Format: [isDone, lastRun, failures, checkpoint, [[run, worker, startedUnixMs], ...]].
+void appendTask(std::string &out, const Task &task)
+{
+    fmt::format_to(std::back_inserter(out), "[{},{},{},", task.isDone ? 1 : 0, task.lastRun,
+                   task.failures);
+    appendText(out, task.checkpoint);
+    out.append(",[");
+    for (std::size_t i = 0; i < task.attempts.size(); ++i) {
+        const Attempt &attempt = task.attempts[i];
+        appendSeparator(out, i);
+        fmt::format_to(std::back_inserter(out), "[{},", attempt.run);
+        appendText(out, attempt.worker.id.text());
+        fmt::format_to(std::back_inserter(out), ",{}]", attempt.worker.startedUnixMs);
+    }
+    out.append("]]");
 }
 
 Task taskFrom(const json &value)
@@ -101,33 +130,36 @@
     return task;
 }
 
-json occurrenceJson(int number, const Occurrence &occurrence)
+// Format of a step: 1 if it is done and settled, 0 if it is untouched, else its tasks.
+void appendStep(std::string &out, const std::vector<Task> &tasks, int remaining)
 {
-    json steps = json::array();
+    const bool isSettled = remaining == 0
+                           && std::all_of(tasks.begin(), tasks.end(),
+                                          [](const Task &task) { return task.attempts.empty(); });
+    const bool isUntouched = std::all_of(tasks.begin(), tasks.end(), [](const Task &task) {
+        return task.lastRun == 0 && !task.isDone;
+    });
+    if (isSettled || isUntouched) {
+        out.push_back(isSettled ? '1' : '0');
+        return;
+    }
+    out.push_back('[');
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        appendSeparator(out, i);
+        appendTask(out, tasks[i]);
+    }
+    out.push_back(']');
+}
+
+// Format: [number, isDone, [step, ...]].
+void appendOccurrence(std::string &out, int number, const Occurrence &occurrence)
+{
+    fmt::format_to(std::back_inserter(out), "[{},{},[", number, occurrence.isDone ? 1 : 0);
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-        const auto &tasks = occurrence.steps[i];
-        const bool isSettled = occurrence.remaining[i] == 0
-                               && std::all_of(tasks.begin(), tasks.end(), [](const Task &task) {
-                                      return task.attempts.empty();
-                                  });
-        if (isSettled) {
-            steps.push_back(1);
-            continue;
-        }
-        const bool isUntouched = std::all_of(tasks.begin(), tasks.end(), [](const Task &task) {
-            return task.lastRun == 0 && !task.isDone;
-        });
-        if (isUntouched) {
-            steps.push_back(0);
-            continue;
-        }
-        json rows = json::array();
-        for (const Task &task : tasks) {
-            rows.push_back(taskJson(task));
-        }
-        steps.push_back(std::move(rows));
+        appendSeparator(out, i);
+        appendStep(out, occurrence.steps[i], occurrence.remaining[i]);
     }
-    return json::array({number, occurrence.isDone ? 1 : 0, std::move(steps)});
+    out.append("]]");
 }
 
 void readOccurrence(Job &job, const json &row)
@@ -223,14 +255,16 @@
 
 std::string encodeProgress(const Job &job)
 {
-    json occurrences = json::array();
+    // Written without a document in memory: an owner encodes a job after each change.
+    std::string out;
+    fmt::format_to(std::back_inserter(out), R"({{"state":"{}","begun":{},"runs":[)",
+                   stateTexts[static_cast<std::size_t>(job.state)], job.hasBegun);
+    std::size_t index = 0;
     for (const auto &[number, occurrence] : job.occurrences) {
-        occurrences.push_back(occurrenceJson(number, occurrence));
+        appendSeparator(out, index++);
+        appendOccurrence(out, number, occurrence);
     }
-    const json value = {{"state", stateTexts[static_cast<std::size_t>(job.state)]},
-                        {"begun", job.hasBegun},
-                        {"runs", std::move(occurrences)}};
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+    return out.append("]}");
 }
 
 Result<bool> applyProgress(Job &job, std::string_view text)
