Place tasks without lookups that most of them do not need

Change: free capacity is compared first; counts are kept for steps with anti-affinity or long-running tasks only; an attempt is attached to the worker at hand; beyond the log's allowance the two most frequent kinds of decision are counted only.

--- a/include/poplarstream/edge/decision_log.hpp
+++ b/include/poplarstream/edge/decision_log.hpp
@@ -15,6 +15,11 @@
 class DecisionLog
 {
 public:
+    // How many more lines may be written now.
+    std::size_t allowance(TimePoint now) const;
+    // Counts decisions that were not passed to write().
+    void omit(std::size_t count) { suppressed_ += count; }
+
     void write(const engine::Decision &decision, TimePoint now);
 
 private:
--- a/include/poplarstream/engine/attempts.hpp
+++ b/include/poplarstream/engine/attempts.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <type_traits>  // for is_invocable_v
+
 #include "poplarstream/engine/state.hpp"  // for Engine, AttemptRef, Worker
 
 namespace poplarstream::engine {
@@ -24,12 +26,25 @@
 void recordDecision(Engine &engine, DecisionKind kind, const AttemptRef &ref,
                     const WorkerId &worker, std::string inputs);
 
+// The same for the two most frequent kinds. Under load those that the log would suppress anyway are
+// only counted, and their inputs are not formatted.
+template <class Inputs>
+void recordDecision(Engine &engine, DecisionKind kind, const AttemptRef &ref,
+                    const WorkerId &worker,
+                    const Inputs &inputs) requires std::is_invocable_v<Inputs>
+{
+    if (engine.decisions.size() >= engine.decisionAllowance) {
+        ++engine.decisionsOmitted;
+        return;
+    }
+    recordDecision(engine, kind, ref, worker, inputs());
+}
+
 void markDirty(Engine &engine, jobs::Job &job);
 
-// Adds an attempt to its worker and reserves its capacity. A response to poll `decisivePoll` or a
-// later one that lacks the attempt shows that it doesn't run.
-void attach(Engine &engine, const AttemptRef &ref, const WorkerIncarnation &incarnation,
-            std::int64_t decisivePoll);
+// Adds an attempt of a task of `step` to its worker and reserves its capacity. A response to poll
+// `decisivePoll` or a later one that lacks the attempt shows that it doesn't run.
+void attach(Worker &worker, const jobs::StepSpec &step, AttemptRef ref, std::int64_t decisivePoll);
 
 // Removes an attempt from its worker and frees its capacity. The task keeps the attempt.
 void detach(Engine &engine, const AttemptRef &ref, const WorkerIncarnation &incarnation,
--- a/include/poplarstream/engine/placement.hpp
+++ b/include/poplarstream/engine/placement.hpp
@@ -33,6 +33,9 @@
     std::map<RackId, int> onRack;
 };
 
+// Whether the placement of a task of `step` depends on where the others are.
+bool needsCounts(const jobs::StepSpec &step);
+
 PlacementCounts countPlacements(const Engine &engine, const jobs::Occurrence &occurrence, int step);
 
 // The best candidate for a task of `step`, or null. Skips the workers in `avoid` and, if `rack` is
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -187,6 +187,9 @@
     std::map<WorkerId, WorkerIncarnation> newestIncarnations;
     std::vector<Command> commands;
     std::vector<Decision> decisions;  // for the decision log
+    // Of the most frequent kinds, so many may be queued at a time.
+    std::size_t decisionAllowance = std::numeric_limits<std::size_t>::max();
+    std::size_t decisionsOmitted = 0;  // not queued for that reason
     std::vector<JobId> forgotten;  // jobs to delete from the store
     std::vector<ProgressRecord> pendingRecords;  // other records for the next batch
     std::vector<Arrival> arrivals;  // since the forecast last consumed them
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -1,5 +1,7 @@
 #include "poplarstream/edge/decision_log.hpp"
 
+#include <algorithm>  // for max
+
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/telemetry/event_kinds.hpp"  // for taskPlanned
@@ -50,6 +52,12 @@
                                             task.step, task.index);
 }
 
+std::size_t DecisionLog::allowance(TimePoint now) const
+{
+    const int written = now >= windowStart_ + window ? 0 : writtenInWindow_;
+    return static_cast<std::size_t>(std::max(maxEventsPerSecond - written, 0));
+}
+
 void DecisionLog::write(const engine::Decision &decision, TimePoint now)
 {
     if (!mayWrite(now)) {
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -295,6 +295,8 @@
             }
             decisionLog.write(decision, now);
         }
+        decisionLog.omit(std::exchange(engine.decisionsOmitted, 0));
+        engine.decisionAllowance = decisionLog.allowance(steadyNow());
     }
 
     void logLoad(TimePoint now)
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -1,5 +1,7 @@
 #include "poplarstream/engine/attempts.hpp"
 
+#include <utility>  // for move
+
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/jobs/commands.hpp"  // for dropAttempt
@@ -68,15 +70,11 @@
     engine.waiting.insert(job);
 }
 
-void attach(Engine &engine, const AttemptRef &ref, const WorkerIncarnation &incarnation,
-            std::int64_t decisivePoll)
+void attach(Worker &worker, const jobs::StepSpec &step, AttemptRef ref, std::int64_t decisivePoll)
 {
-    Worker *const worker = findWorker(engine, incarnation);
-    jobs::Job *const job = findJob(engine, ref.task.job);
-    if (worker != nullptr && job != nullptr && worker->attempts.emplace(ref, decisivePoll).second) {
-        const jobs::StepSpec &step = stepOf(*job, ref.task);
-        worker->used += capacityUsedBy(step);
-        countInMix(worker->mix, step, 1);
+    if (worker.attempts.emplace(std::move(ref), decisivePoll).second) {
+        worker.used += capacityUsedBy(step);
+        countInMix(worker.mix, step, 1);
     }
 }
 
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -84,7 +84,7 @@
                     worker.leaseUntil = std::max(worker.leaseUntil, lapsedAt);
                     const TaskRef task{id, number, static_cast<int>(step), static_cast<int>(index)};
                     // This owner's first poll of the worker is decisive.
-                    attach(engine, {task, attempt.run}, attempt.worker, 1);
+                    attach(worker, job.submission.spec.steps[step], {task, attempt.run}, 1);
                 }
             }
         }
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -89,6 +89,11 @@
     return std::move(placementCandidates(engine, services, now).at(service));
 }
 
+bool needsCounts(const jobs::StepSpec &step)
+{
+    return step.antiAffinity > 0 || step.longRunning;
+}
+
 PlacementCounts countPlacements(const Engine &engine, const jobs::Occurrence &occurrence, int step)
 {
     PlacementCounts counts;
@@ -119,11 +124,14 @@
     PlacementCandidate *best = nullptr;
     std::optional<Cost> bestCost;
     for (PlacementCandidate &candidate : candidates) {
+        // Most candidates fail the first test.
+        if (!need.fits(candidate.freeCapacity)) {
+            continue;
+        }
         const WorkerIncarnation &incarnation = candidate.worker->entry.incarnation;
         const bool isFull =
                 step.antiAffinity > 0 && countAt(counts.onWorker, incarnation) >= step.antiAffinity;
-        if (!need.fits(candidate.freeCapacity) || isFull || !isSuitable(candidate, step)
-            || disturbs(candidate, step)
+        if (isFull || !isSuitable(candidate, step) || disturbs(candidate, step)
             || (rack != nullptr && candidate.worker->entry.rack != *rack)
             || std::find(avoid.begin(), avoid.end(), incarnation) != avoid.end()) {
             continue;
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -48,14 +48,17 @@
     candidate.hostsLongRunning = candidate.hostsLongRunning || step.longRunning;
     candidate.hostsServing = candidate.hostsServing || step.target > Milliseconds{0};
     candidate.hostsFillers = candidate.hostsFillers || step.fills;
-    ++counts.onWorker[candidate.worker->entry.incarnation];
-    ++counts.onRack[candidate.worker->entry.rack];
-    recordDecision(engine, DecisionKind::TaskPlanned, {taskRefOf(place, index), run},
-                   candidate.worker->entry.incarnation.id,
-                   fmt::format("room_milli={} token={}", candidate.freeCapacity.cpuMilli,
-                               currentToken(engine, *candidate.worker)));
-    attach(engine, {taskRefOf(place, index), run}, candidate.worker->entry.incarnation,
-           noDecisivePoll);
+    if (needsCounts(step)) {
+        ++counts.onWorker[candidate.worker->entry.incarnation];
+        ++counts.onRack[candidate.worker->entry.rack];
+    }
+    AttemptRef ref{taskRefOf(place, index), run};
+    recordDecision(engine, DecisionKind::TaskPlanned, ref, candidate.worker->entry.incarnation.id,
+                   [&] {
+                       return fmt::format("room_milli={} token={}", candidate.freeCapacity.cpuMilli,
+                                          currentToken(engine, *candidate.worker));
+                   });
+    attach(*candidate.worker, step, std::move(ref), noDecisivePoll);
     if (place.job.state == jobs::JobState::Queued) {
         place.job.state = jobs::JobState::Running;
     }
@@ -77,7 +80,9 @@
 {
     const jobs::StepSpec &step =
             place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
-    PlacementCounts counts = countPlacements(engine, place.occurrence, place.step);
+    PlacementCounts counts = needsCounts(step)
+                                     ? countPlacements(engine, place.occurrence, place.step)
+                                     : PlacementCounts{};
     auto &tasks = place.occurrence.steps[static_cast<std::size_t>(place.step)];
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const jobs::Task &task = tasks[index];
--- a/src/poplarstream/engine/starts_test.cpp
+++ b/src/poplarstream/engine/starts_test.cpp
@@ -245,5 +245,20 @@
     }
 }
 
+// Guards against a log that costs the owner its time under load: decisions beyond what the log
+// takes are only counted, and the others are complete.
+TEST(Starts, FrequentDecisionsBeyondTheAllowanceAreCounted)
+{
+    EngineFixture fixture(1);
+    fixture.engine.decisions.clear();
+    fixture.engine.decisionAllowance = 1;
+    fixture.submit(submission(firstJob, step(3, 1000)));
+    EXPECT_EQ(fixture.start().size(), 3U);
+    EXPECT_EQ(fixture.engine.decisions.size(), 1U);
+    EXPECT_EQ(fixture.engine.decisionsOmitted, 2U);
+    cancelJob(fixture.engine, JobId(firstJob), fixture.now);
+    EXPECT_EQ(fixture.engine.decisions.size(), 4U) << "rare decisions are always queued";
+}
+
 }  // namespace
 }  // namespace poplarstream::engine
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -95,8 +95,9 @@
     if (!effect.isKnown) {
         return;
     }
-    recordDecision(engine, DecisionKind::TaskEnded, ref, worker.entry.incarnation.id,
-                   fmt::format("end={} number={}", resultText(report.result), report.number));
+    recordDecision(engine, DecisionKind::TaskEnded, ref, worker.entry.incarnation.id, [&] {
+        return fmt::format("end={} number={}", resultText(report.result), report.number);
+    });
     if (effect.jobEnded) {
         recordDecision(engine, DecisionKind::JobEnded, ref, worker.entry.incarnation.id,
                        fmt::format("state={}", job->state == jobs::JobState::Completed ? "completed"
