Remove the command and field for pacing that nothing used

Cause: Attempt::pacePercent was never set, PaceCommand never sent; LATE_COMMAND_S of the soak's rules was unused.

--- a/include/poplarstream/engine/worker_commands.hpp
+++ b/include/poplarstream/engine/worker_commands.hpp
@@ -47,15 +47,7 @@
     int run = 0;
 };
 
-struct PaceCommand
-{
-    CommandTarget target;
-    jobs::TaskRef task;
-    int run = 0;
-    int percent = 100;
-};
-
-using Command = std::variant<PollCommand, StartCommand, StopCommand, PaceCommand>;
+using Command = std::variant<PollCommand, StartCommand, StopCommand>;
 
 struct RunningReport
 {
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -109,7 +109,6 @@
     int percent = -1;  // last reported progress; -1: none
     TimePoint progressedAt{};  // when the percentage last changed
     bool isStraggler = false;  // makes no progress although its worker responds
-    int pacePercent = 100;
     std::int64_t load = 0;  // tail latency in ms if the step has a target, else millicores
 };
 
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -4,7 +4,6 @@
 
 CANCEL_GRACE_S = 4.0  # from an acknowledged cancellation to the last start that is allowed
 VISIBILITY_GRACE_S = 3.0  # from an acceptance until every entry host must know the job
-LATE_COMMAND_S = 6.5  # how late a worker may execute a command that got no response
 WORKER_CPU_MILLI = 4000
 MAX_ATTEMPTS = 4
 
--- a/src/poplarstream/edge/command_sender.cpp
+++ b/src/poplarstream/edge/command_sender.cpp
@@ -81,8 +81,6 @@
                                      incarnation = stop->target.worker](engine::StopResult result) {
             engine::handleStopResult(engine, ref, incarnation, result, steadyNow());
         }));
-    } else if (const auto *const pace = std::get_if<engine::PaceCommand>(&command)) {
-        workers.pace(*pace, guarded([](bool) {}));
     }
 }
 
