--- a/bench/http_client_benchmark.cpp
+++ b/bench/http_client_benchmark.cpp
@@ -33,8 +33,8 @@
 public:
     BackgroundServer()
     {
-        Result<HttpServer> server =
-                HttpServer::listen(io_, {"127.0.0.1", 0}, [](HttpRequest, const HttpRespond &done) {
+        Result<HttpServer> server = HttpServer::listen(
+                io_, {"127.0.0.1", 0}, [](const HttpRequest &, const HttpRespond &done) {
                     done(jsonResponse(200, R"({"clockMs":482113})"));
                 });
         server_.emplace(std::move(server).value());
--- a/bench/owner_world.cpp
+++ b/bench/owner_world.cpp
@@ -101,7 +101,8 @@
 
 void OwnerWorld::endRuns()
 {
-    for (auto &[incarnation, worker] : workers_) {
+    for (auto &entry : workers_) {
+        SimulatedWorker &worker = entry.second;
         std::erase_if(worker.running, [&](const Running &running) {
             if (running.endsAt > now_) {
                 return false;
@@ -112,7 +113,7 @@
             return true;
         });
         if (worker.isPollWaiting && (!worker.completed.empty() || worker.pollEndsAt <= now_)) {
-            answerPoll(incarnation, worker);
+            answerPoll(entry.first, worker);
         }
     }
 }
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -66,10 +66,12 @@
 {
     std::map<ServiceId, std::vector<PlacementCandidate>> candidates;
     std::vector<std::vector<PlacementCandidate> *> byService;
+    byService.reserve(services.size());
     for (const ServiceId *const service : services) {
         byService.push_back(&candidates[*service]);
     }
-    for (auto &[incarnation, worker] : engine.workers) {
+    for (auto &entry : engine.workers) {
+        Worker &worker = entry.second;
         const auto own =
                 std::find_if(services.begin(), services.end(), [&](const ServiceId *service) {
                     return *service == worker.entry.service;
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -235,6 +235,7 @@
     }
     const std::map<ServiceId, std::vector<WaitingStep>> ranked = rankWaitingSteps(engine, now);
     std::vector<const ServiceId *> services;
+    services.reserve(ranked.size());
     for (const auto &[service, steps] : ranked) {
         services.push_back(&service);
     }
