Load ended jobs by their state alone

Change: a completed job of which no run is left is loaded with its queue and state only. Conclusion: kept for the processor time; the job log needs more partitions.

--- a/include/poplarstream/engine/job_events.hpp
+++ b/include/poplarstream/engine/job_events.hpp
@@ -26,6 +26,10 @@
 Result<bool> adoptProgress(Engine &engine, const JobId &id, std::string_view text,
                            TimePoint lapsedAt, TimePoint now);
 
+// Adds a job of which only the state is of interest, since it has ended and nothing of it runs.
+void adoptSettledJob(Engine &engine, const JobId &id, const QueueId &queue, jobs::JobState state,
+                     TimePoint now);
+
 // Opens occurrences that are due and removes finished jobs after their retention time.
 void tickJobs(Engine &engine, const ClockReading &now);
 
--- a/include/poplarstream/jobs/codec.hpp
+++ b/include/poplarstream/jobs/codec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>  // for optional
 #include <string>  // for string
 #include <string_view>  // for string_view
 
@@ -12,6 +13,14 @@
 std::string encodeSubmission(const Submission &submission);
 Result<Submission> decodeSubmission(std::string_view text);
 
+// The queue of an encoded submission, without decoding the rest. Empty if the text has none or
+// cannot be read.
+std::optional<QueueId> queueOfSubmission(std::string_view text);
+
+// The state in encoded progress if the job is completed and none of its runs is left, so that only
+// its state is of interest; empty otherwise, and for text that cannot be read.
+std::optional<JobState> settledState(std::string_view progress);
+
 // The stored progress of a job: finished tasks, run and failure counts, checkpoints, and the
 // attempts that may be running.
 std::string encodeProgress(const Job &job);
--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -1,8 +1,13 @@
 #include "poplarstream/edge/job_feed.hpp"
 
+#include <unordered_map>  // for unordered_map
+
 #include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
 #include "poplarstream/edge/stored_jobs.hpp"  // for applyJobRecord, adoptStoredProgress
+#include "poplarstream/engine/attempts.hpp"  // for findJob
+#include "poplarstream/jobs/codec.hpp"  // for settledState, queueOfSubmission
+#include "poplarstream/jobs/queries.hpp"  // for isFinal
 
 namespace poplarstream::edge {
 
@@ -62,8 +67,8 @@
             events.changed();
             return;
         }
-        jobs.insert(jobs.end(), std::make_move_iterator(records.begin()),
-                    std::make_move_iterator(records.end()));
+        submissions.insert(submissions.end(), std::make_move_iterator(records.begin()),
+                           std::make_move_iterator(records.end()));
         if (!isLoading) {
             isLoading = true;
             loadSlice();
@@ -73,8 +78,10 @@
     void loadSlice()
     {
         for (std::size_t count = 0; count < recordsPerSlice; ++count) {
-            if (nextJob < jobs.size()) {
-                applyJobRecord(engine, jobs[nextJob++], clockReadingNow());
+            if (nextSettled < progress.size()) {
+                noteIfSettled(progress[nextSettled++]);
+            } else if (nextJob < submissions.size()) {
+                applyStoredJob(submissions[nextJob++]);
             } else if (nextProgress < progress.size()) {
                 applyProgress(progress[nextProgress++]);
             } else {
@@ -85,8 +92,39 @@
         callAfter(runtime, Milliseconds{0}, guarded([](State &self) { self.loadSlice(); }));
     }
 
+    // Most stored jobs have ended; only their state is loaded, which takes a fraction of the time.
+    void noteIfSettled(const StoredRecord &record)
+    {
+        if (!record.value || !isJobRecord(record)) {
+            return;
+        }
+        if (const auto state = jobs::settledState(*record.value)) {
+            settled.emplace(record.key, *state);
+        }
+    }
+
+    void applyStoredJob(const StoredRecord &record)
+    {
+        const auto known = settled.find(record.key);
+        const auto queue = known != settled.end() && record.value
+                                   ? jobs::queueOfSubmission(*record.value)
+                                   : std::nullopt;
+        if (queue) {
+            engine::adoptSettledJob(engine, jobs::JobId(record.key), *queue, known->second,
+                                    steadyNow());
+        } else {
+            applyJobRecord(engine, record, clockReadingNow());
+        }
+    }
+
     void applyProgress(const StoredRecord &record)
     {
+        if (settled.contains(record.key)) {
+            const jobs::Job *const job = engine::findJob(engine, jobs::JobId(record.key));
+            if (job != nullptr && jobs::isFinal(job->state)) {
+                return;
+            }
+        }
         if (isJobRecord(record)) {
             adoptStoredProgress(engine, record, renewedAt, steadyNow());
         } else {
@@ -97,8 +135,9 @@
     void finish()
     {
         stopEndedJobs(engine, steadyNow());
-        jobs.clear();
+        submissions.clear();
         progress.clear();
+        settled.clear();
         isLoaded = true;
         events.loaded();
     }
@@ -109,7 +148,9 @@
     JobFeedEvents events;
     std::unique_ptr<LogFollower> follower;
     std::vector<StoredRecord> progress;
-    std::vector<StoredRecord> jobs;
+    std::vector<StoredRecord> submissions;
+    std::unordered_map<std::string, jobs::JobState> settled;  // by the key of the job
+    std::size_t nextSettled = 0;
     std::size_t nextProgress = 0;
     std::size_t nextJob = 0;
     bool isLoading = false;
--- /dev/null
+++ b/src/poplarstream/edge/job_feed_test.cpp
@@ -0,0 +1,104 @@
+#include "poplarstream/edge/job_feed.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+
+#include "poplarstream/edge/stored_jobs.hpp"  // for submissionRecord, cancellationRecord
+#include "poplarstream/engine/engine_fixture.hpp"  // for submission, step
+#include "poplarstream/engine/job_queries.hpp"  // for stateOf
+#include "poplarstream/jobs/codec.hpp"  // for encodeProgress
+#include "poplarstream/jobs/commands.hpp"  // for makeJob
+
+namespace poplarstream::edge {
+namespace {
+
+using engine::test::firstJob;
+using engine::test::secondJob;
+using engine::test::step;
+using engine::test::submission;
+
+constexpr const char *thirdJob = "00000000000000c3";
+
+// A store that serves one page of each log.
+StorePort storeOf(std::vector<StoredRecord> jobRecords, std::vector<StoredRecord> progress)
+{
+    StorePort port;
+    port.newest = [jobRecords = std::move(jobRecords),
+                   progress = std::move(progress)](Log log, const std::string &, const auto &done) {
+        NewestOutcome outcome;
+        outcome.isRead = true;
+        outcome.records = log == Log::Jobs ? jobRecords : progress;
+        done(outcome);
+    };
+    port.read = [](const ReadRequest &, const std::function<void(ReadOutcome)> &) {};
+    return port;
+}
+
+std::string progressOf(const std::string &id, jobs::JobState state, bool hasAttempt)
+{
+    jobs::Job job = jobs::makeJob(submission(id, step(2, 1000)), timePoint(0), 0);
+    job.state = state;
+    jobs::Occurrence &occurrence = job.occurrences.at(0);
+    for (jobs::Task &task : occurrence.steps[0]) {
+        task.isDone = state == jobs::JobState::Completed;
+        task.lastRun = 1;
+    }
+    occurrence.remaining[0] = state == jobs::JobState::Completed ? 0 : 2;
+    if (hasAttempt) {
+        jobs::Attempt attempt;
+        attempt.run = 1;
+        attempt.worker = engine::test::EngineFixture::incarnation("w1");
+        occurrence.steps[0][0].attempts.push_back(attempt);
+    }
+    return jobs::encodeProgress(job);
+}
+
+// Guards against a recovery that takes too long because jobs that have ended, which are most of
+// those in the store, are loaded in full; and against losing their state or what is left of them.
+TEST(JobFeed, EndedJobsAreLoadedByTheirState)
+{
+    SCOPED_TRACE("given a completed job, one with a run that may be left, and one that runs");
+    std::vector<StoredRecord> jobRecords;
+    for (const char *const id : {firstJob, secondJob, thirdJob}) {
+        jobRecords.push_back(submissionRecord(submission(id, step(2, 1000))));
+    }
+    jobRecords.push_back(cancellationRecord(jobs::JobId(firstJob)));
+    const std::vector<StoredRecord> progress = {
+            {firstJob, progressOf(firstJob, jobs::JobState::Completed, false), 0},
+            {secondJob, progressOf(secondJob, jobs::JobState::Completed, true), 1},
+            {thirdJob, progressOf(thirdJob, jobs::JobState::Running, true), 2}};
+    boost::asio::io_context io;
+    Runtime runtime{io, {}, storeOf(jobRecords, progress), {}, {}, {}, {}};
+    engine::Engine engine;
+    bool isLoaded = false;
+    JobFeedEvents events;
+    events.otherRecord = [](const StoredRecord &) {};
+    events.loaded = [&isLoaded] { isLoaded = true; };
+    events.changed = [] {};
+    const JobFeed feed(runtime, engine, timePoint(0), std::move(events));
+    io.run();
+    {
+        SCOPED_TRACE("then the state of each is known");
+        ASSERT_TRUE(isLoaded);
+        const engine::QueueId queue("proofs");
+        EXPECT_EQ(engine::stateOf(engine, queue, jobs::JobId(firstJob)), jobs::JobState::Completed);
+        EXPECT_EQ(engine::stateOf(engine, queue, jobs::JobId(secondJob)),
+                  jobs::JobState::Completed);
+        EXPECT_EQ(engine::stateOf(engine, queue, jobs::JobId(thirdJob)), jobs::JobState::Running);
+        EXPECT_FALSE(engine::stateOf(engine, engine::QueueId("other"), jobs::JobId(firstJob)));
+    }
+    {
+        SCOPED_TRACE("and only the job of which nothing is left is loaded by its state alone");
+        EXPECT_EQ(engine.active.size(), 2U);
+        EXPECT_TRUE(engine.jobs.at(jobs::JobId(firstJob)).submission.spec.steps.empty());
+        const auto &worker = engine.workers.at(engine::test::EngineFixture::incarnation("w1"));
+        EXPECT_EQ(worker.attempts.size(), 2U);
+    }
+    {
+        SCOPED_TRACE("and a repeated submission of the ended job starts nothing");
+        engine::submitJob(engine, submission(firstJob, step(2, 1000)), {timePoint(0), 0});
+        EXPECT_EQ(engine.active.size(), 2U);
+    }
+}
+
+}  // namespace
+}  // namespace poplarstream::edge
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -110,6 +110,23 @@
     }
 }
 
+void adoptSettledJob(Engine &engine, const JobId &id, const QueueId &queue, jobs::JobState state,
+                     TimePoint now)
+{
+    const auto [place, isNew] = engine.jobs.try_emplace(id);
+    if (!isNew) {
+        return;
+    }
+    jobs::Job &job = place->second;
+    job.submission.id = id;
+    job.submission.policy.queue = queue;
+    job.state = state;
+    job.durableState = state;
+    job.acceptedAt = now;
+    job.endedAt = now;
+    engine.settled.push_back(id);
+}
+
 void cancelJob(Engine &engine, const JobId &id, TimePoint now)
 {
     jobs::Job *const job = findJob(engine, id);
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for all_of
 #include <iterator>  // for back_inserter
+#include <optional>  // for optional
 
 #include <fmt/format.h>  // for format
 #include <nlohmann/json.hpp>  // for json
@@ -201,6 +202,66 @@
     throw std::invalid_argument(fmt::format("unknown job state {}", text));
 }
 
+// Reads one text member of a document and skips the rest.
+class MemberReader : public nlohmann::json_sax<json>
+{
+public:
+    explicit MemberReader(std::string_view name)
+        : name_(name)
+    {}
+
+    std::optional<std::string> take() { return std::move(value_); }
+
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t &) override { return true; }
+    bool string(string_t &value) override
+    {
+        if (depth_ == 1 && isNamed_) {
+            value_ = std::move(value);
+        }
+        return true;
+    }
+    bool binary(binary_t &) override { return true; }
+    bool start_object(std::size_t) override
+    {
+        ++depth_;
+        return true;
+    }
+    bool key(string_t &key) override
+    {
+        isNamed_ = depth_ == 1 && key == name_;
+        return true;
+    }
+    bool end_object() override
+    {
+        --depth_;
+        return true;
+    }
+    bool start_array(std::size_t) override
+    {
+        ++depth_;
+        return true;
+    }
+    bool end_array() override
+    {
+        --depth_;
+        return true;
+    }
+    bool parse_error(std::size_t, const std::string &, const json::exception &) override
+    {
+        return false;
+    }
+
+private:
+    std::string_view name_;
+    std::optional<std::string> value_;
+    int depth_ = 0;
+    bool isNamed_ = false;
+};
+
 }  // namespace
 
 std::string encodeSubmission(const Submission &submission)
@@ -253,6 +314,38 @@
     }
 }
 
+std::optional<QueueId> queueOfSubmission(std::string_view text)
+{
+    MemberReader reader("queue");
+    if (!json::sax_parse(text, &reader)) {
+        return {};
+    }
+    std::optional<std::string> queue = reader.take();
+    return queue ? std::optional(QueueId(std::move(*queue))) : std::nullopt;
+}
+
+std::optional<JobState> settledState(std::string_view progress)
+{
+    // Spares most documents of unfinished jobs the parsing.
+    if (progress.find("\"completed\"") == std::string_view::npos) {
+        return {};
+    }
+    try {
+        const json value = json::parse(progress);
+        const JobState state = stateFrom(value.at("state").get<std::string>());
+        for (const json &occurrence : value.at("runs")) {
+            for (const json &step : occurrence.at(2)) {
+                if (!step.is_number() || integerFrom<int>(step) != 1) {
+                    return {};
+                }
+            }
+        }
+        return state == JobState::Completed ? std::optional(state) : std::nullopt;
+    } catch (const std::exception &) {
+        return {};  // reported when the record is read in full
+    }
+}
+
 std::string encodeProgress(const Job &job)
 {
     // Written without a document in memory: an owner encodes a job after each change.
