Spread the job log over up to four partitions

Cause: the store carries out the appends to a partition one at a time, 2 ms each. Change: the records of a job go to the partition that a hash of its id names; the owner follows all partitions side by side and is as current as the one that is furthest behind; tombstones and what the owner appends for others go partition by partition.

--- a/include/poplarstream/edge/group_append.hpp
+++ b/include/poplarstream/edge/group_append.hpp
@@ -8,13 +8,13 @@
 
 namespace poplarstream::edge {
 
-// Appends to the job log with a few calls at a time; records that arrive meanwhile share the next
-// call. The store processes the appends of a log one by one, so a slow store would reject callers
-// if each had a call of its own.
+// Appends to one partition of the job log with a few calls at a time; records that arrive meanwhile
+// share the next call. The store processes the appends of a log one by one, so a slow store would
+// reject callers if each had a call of its own.
 class GroupAppend
 {
 public:
-    GroupAppend(StorePort store, Milliseconds deadline);
+    GroupAppend(StorePort store, int partition, Milliseconds deadline);
     GroupAppend(const GroupAppend &) = delete;
     GroupAppend &operator=(const GroupAppend &) = delete;
     ~GroupAppend();
--- a/include/poplarstream/edge/log_follower.hpp
+++ b/include/poplarstream/edge/log_follower.hpp
@@ -19,6 +19,7 @@
 
 struct FollowerSettings
 {
+    int partition = 0;
     Milliseconds wait{1000};  // long poll: how long the store may hold a read
     Milliseconds pause{0};  // between two reads, which limits their rate
 };
--- a/include/poplarstream/edge/ports.hpp
+++ b/include/poplarstream/edge/ports.hpp
@@ -44,6 +44,7 @@
 struct AppendRequest
 {
     Log log = Log::Jobs;
+    int partition = 0;
     std::vector<StoredRecord> records;  // offsets are ignored
     std::optional<std::int64_t> atOffset;  // written only if the log ends there
     std::optional<Producer> producer;
@@ -71,6 +72,7 @@
 struct ReadRequest
 {
     Log log = Log::Jobs;
+    int partition = 0;
     std::int64_t from = 0;
     Milliseconds wait{0};  // long poll: the response may wait this long for a record
 };
@@ -102,7 +104,8 @@
 {
     std::function<void(AppendRequest, std::function<void(AppendOutcome)>)> append;
     std::function<void(ReadRequest, std::function<void(ReadOutcome)>)> read;
-    std::function<void(Log, const std::string &afterKey, std::function<void(NewestOutcome)>)>
+    std::function<void(Log, int partition, const std::string &afterKey,
+                       std::function<void(NewestOutcome)>)>
             newest;
 };
 
--- a/include/poplarstream/edge/settings.hpp
+++ b/include/poplarstream/edge/settings.hpp
@@ -9,6 +9,10 @@
 
 namespace poplarstream::edge {
 
+// The partitions that the job log is spread over, at most. The store carries out the appends to a
+// partition one after the other, and the owner reads all of them.
+inline constexpr int maxJobPartitions = 4;
+
 // Settings of an entry host on a platform.
 struct Settings
 {
@@ -22,6 +26,7 @@
     HttpEndpoint machines;
     HttpEndpoint advisor;
     std::vector<HttpEndpoint> seeds;  // control addresses of some entry hosts
+    int jobPartitions = 1;  // of the job log; the same for all entry hosts
     double processorShare = 1.0;  // of a core
     engine::EngineLimits limits;
     Milliseconds grace{6000};  // between the stop signal and the kill signal
--- a/include/poplarstream/edge/stored_jobs.hpp
+++ b/include/poplarstream/edge/stored_jobs.hpp
@@ -13,6 +13,11 @@
 StoredRecord submissionRecord(const jobs::Submission &submission);
 StoredRecord cancellationRecord(const jobs::JobId &id);
 
+// The partition of the job log that holds the records of a job.
+int jobPartition(const jobs::JobId &id, int partitions);
+// The same by the key of one of its records.
+int jobPartition(const StoredRecord &record, int partitions);
+
 // The records that delete both from the store.
 std::vector<StoredRecord> tombstones(const jobs::JobId &id);
 
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -205,6 +205,7 @@
 {
     AppendRequest request;
     request.log = Log::Jobs;
+    request.partition = jobPartition(record, runtime_.settings.jobPartitions);
     request.records = {record};
     request.deadline = boundedDeadline(storeDeadline, remaining);
     const TimePoint sentAt = steadyNow();
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -7,6 +7,7 @@
 #include "poplarstream/edge/leadership_controller.hpp"  // for LeadershipController
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
 #include "poplarstream/edge/owner_session.hpp"  // for OwnerSession
+#include "poplarstream/edge/stored_jobs.hpp"  // for jobPartition
 #include "poplarstream/telemetry/event_kinds.hpp"  // for configurationInForce
 
 namespace poplarstream::edge {
@@ -26,13 +27,17 @@
     State(Runtime &sharedRuntime, HttpClient &peerClient)
         : runtime(sharedRuntime)
         , peers(peerClient)
-        , peerAppends(sharedRuntime.store, peerStoreDeadline)
         , callers(sharedRuntime, {[this] { return hasConfiguration ? &configuration : nullptr; },
                                   [this](const PeerRequest &request, Milliseconds deadline,
                                          std::function<void(PeerResponse)> done) {
                                       sendToOwner(request, deadline, std::move(done));
                                   }})
-    {}
+    {
+        for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
+            peerAppends.push_back(
+                    std::make_unique<GroupAppend>(runtime.store, partition, peerStoreDeadline));
+        }
+    }
 
     void start()
     {
@@ -229,7 +234,13 @@
 
     void storeForPeer(const PeerRequest &request, std::function<void(PeerResponse)> done)
     {
-        peerAppends.append(request.records, [done = std::move(done)](const AppendOutcome &outcome) {
+        if (request.records.size() != 1) {
+            done({PeerResponse::Kind::NotStored});
+            return;
+        }
+        const int partition = jobPartition(request.records[0], runtime.settings.jobPartitions);
+        GroupAppend &appends = *peerAppends[static_cast<std::size_t>(partition)];
+        appends.append(request.records, [done = std::move(done)](const AppendOutcome &outcome) {
             const AppendResult result = outcome.result;
             done({result == AppendResult::Stored    ? PeerResponse::Kind::Stored
                   : result == AppendResult::NotDone ? PeerResponse::Kind::NotStored
@@ -242,7 +253,8 @@
     Configuration configuration;
     bool hasConfiguration = false;
     std::map<std::int64_t, pools::Wave> waves;
-    GroupAppend peerAppends;  // for other entry hosts, while this process is the owner
+    // For other entry hosts, while this process is the owner; one for each partition.
+    std::vector<std::unique_ptr<GroupAppend>> peerAppends;
     CallerHandler callers;
     std::unique_ptr<LogFollower> operatorFollower;
     std::unique_ptr<LeadershipController> leadership;
--- a/src/poplarstream/edge/group_append.cpp
+++ b/src/poplarstream/edge/group_append.cpp
@@ -35,8 +35,9 @@
         Done done;
     };
 
-    State(StorePort port, Milliseconds callDeadline)
+    State(StorePort port, int part, Milliseconds callDeadline)
         : store(std::move(port))
+        , partition(part)
         , deadline(callDeadline)
     {}
 
@@ -47,6 +48,7 @@
         }
         AppendRequest request;
         request.log = Log::Jobs;
+        request.partition = partition;
         request.deadline = deadline;
         std::vector<Done> callbacks;
         std::size_t bytes = 0;
@@ -72,13 +74,14 @@
     }
 
     StorePort store;
+    int partition;
     Milliseconds deadline;
     std::deque<Entry> waiting;
     int callsInFlight = 0;
 };
 
-GroupAppend::GroupAppend(StorePort store, Milliseconds deadline)
-    : state_(std::make_shared<State>(std::move(store), deadline))
+GroupAppend::GroupAppend(StorePort store, int partition, Milliseconds deadline)
+    : state_(std::make_shared<State>(std::move(store), partition, deadline))
 {}
 
 GroupAppend::~GroupAppend()
--- a/src/poplarstream/edge/group_append_test.cpp
+++ b/src/poplarstream/edge/group_append_test.cpp
@@ -27,7 +27,7 @@
 struct Callers
 {
     Store store;
-    GroupAppend appends{store.port(), Milliseconds{800}};
+    GroupAppend appends{store.port(), 2, Milliseconds{800}};
     std::vector<AppendResult> results;
 
     void append(const std::string &key, std::size_t bytes = 10)
@@ -52,6 +52,7 @@
         ASSERT_EQ(callers.store.requests.size(), calls + 1);
         const auto &records = callers.store.requests.back().records;
         ASSERT_EQ(records.size(), 50 - calls);
+        EXPECT_EQ(callers.store.requests.back().partition, 2);
         EXPECT_EQ(records.front().key, "job" + std::to_string(calls));
         EXPECT_EQ(records.back().key, "job49");
     }
--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -1,5 +1,6 @@
 #include "poplarstream/edge/job_feed.hpp"
 
+#include <algorithm>  // for min
 #include <unordered_map>  // for unordered_map
 
 #include "poplarstream/edge/closable.hpp"  // for Closable
@@ -15,6 +16,8 @@
 
 // A slow processor applies this many records in much less than the renewal period.
 constexpr std::size_t recordsPerSlice = 100;
+// Between two reads of a partition, so that records that arrive one by one share a read.
+constexpr Milliseconds readPause{10};
 
 }  // namespace
 
@@ -40,21 +43,32 @@
                               self.guarded([](State &later) { later.loadJobs(); }));
                 });
         received.records = [](const std::vector<StoredRecord> &, std::int64_t) {};
-        follower = std::make_unique<LogFollower>(runtime, Log::Progress, FollowerSettings{},
-                                                 std::move(received));
+        progressFollower = std::make_unique<LogFollower>(runtime, Log::Progress, FollowerSettings{},
+                                                         std::move(received));
     }
 
-    // Jobs are read after the progress, so that the job of each progress record is known.
+    // Jobs are read after the progress, so that the job of each progress record is known. The
+    // partitions are read side by side.
     void loadJobs()
     {
-        FollowerEvents received;
-        received.snapshot =
-                guarded([](State &self, std::vector<StoredRecord> records, std::int64_t) {
-                    self.handleJobRecords(std::move(records));
-                });
-        received.records = received.snapshot;
-        follower = std::make_unique<LogFollower>(runtime, Log::Jobs, FollowerSettings{},
-                                                 std::move(received));
+        progressFollower.reset();
+        for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
+            FollowerEvents received;
+            received.snapshot =
+                    guarded([](State &self, std::vector<StoredRecord> records, std::int64_t) {
+                        ++self.snapshots;
+                        self.handleJobRecords(std::move(records));
+                    });
+            received.records =
+                    guarded([](State &self, std::vector<StoredRecord> records, std::int64_t) {
+                        self.handleJobRecords(std::move(records));
+                    });
+            FollowerSettings settings;
+            settings.partition = partition;
+            settings.pause = readPause;
+            followers.push_back(std::make_unique<LogFollower>(runtime, Log::Jobs, settings,
+                                                              std::move(received)));
+        }
     }
 
     void handleJobRecords(std::vector<StoredRecord> records)
@@ -69,12 +83,22 @@
         }
         submissions.insert(submissions.end(), std::make_move_iterator(records.begin()),
                            std::make_move_iterator(records.end()));
-        if (!isLoading) {
+        if (!isLoading && snapshots >= runtime.settings.jobPartitions) {
             isLoading = true;
             loadSlice();
         }
     }
 
+    // All partitions have been read up to here.
+    TimePoint currentAsOf() const
+    {
+        TimePoint oldest = TimePoint::max();
+        for (const auto &follower : followers) {
+            oldest = std::min(oldest, follower->currentAsOf());
+        }
+        return isLoaded ? oldest : TimePoint{};
+    }
+
     void loadSlice()
     {
         for (std::size_t count = 0; count < recordsPerSlice; ++count) {
@@ -146,7 +170,9 @@
     engine::Engine &engine;
     TimePoint renewedAt;
     JobFeedEvents events;
-    std::unique_ptr<LogFollower> follower;
+    std::unique_ptr<LogFollower> progressFollower;
+    std::vector<std::unique_ptr<LogFollower>> followers;  // of the job log, by partition
+    int snapshots = 0;  // partitions of which a snapshot has been read
     std::vector<StoredRecord> progress;
     std::vector<StoredRecord> submissions;
     std::unordered_map<std::string, jobs::JobState> settled;  // by the key of the job
@@ -167,7 +193,8 @@
 JobFeed::~JobFeed()
 {
     state_->isClosed = true;
-    state_->follower.reset();
+    state_->progressFollower.reset();
+    state_->followers.clear();
 }
 
 bool JobFeed::isLoaded() const
@@ -177,7 +204,7 @@
 
 TimePoint JobFeed::currentAsOf() const
 {
-    return state_->isLoaded ? state_->follower->currentAsOf() : TimePoint{};
+    return state_->currentAsOf();
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/job_feed_test.cpp
+++ b/src/poplarstream/edge/job_feed_test.cpp
@@ -1,5 +1,6 @@
 #include "poplarstream/edge/job_feed.hpp"
 
+#include <fmt/format.h>  // for format
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
 #include "poplarstream/edge/stored_jobs.hpp"  // for submissionRecord, cancellationRecord
@@ -18,15 +19,21 @@
 
 constexpr const char *thirdJob = "00000000000000c3";
 
-// A store that serves one page of each log.
+constexpr int partitions = 3;
+
+// A store that serves one page of each partition.
 StorePort storeOf(std::vector<StoredRecord> jobRecords, std::vector<StoredRecord> progress)
 {
     StorePort port;
-    port.newest = [jobRecords = std::move(jobRecords),
-                   progress = std::move(progress)](Log log, const std::string &, const auto &done) {
+    port.newest = [jobRecords = std::move(jobRecords), progress = std::move(progress)](
+                          Log log, int partition, const std::string &, const auto &done) {
         NewestOutcome outcome;
         outcome.isRead = true;
-        outcome.records = log == Log::Jobs ? jobRecords : progress;
+        for (const StoredRecord &record : log == Log::Jobs ? jobRecords : progress) {
+            if (log != Log::Jobs || jobPartition(record, partitions) == partition) {
+                outcome.records.push_back(record);
+            }
+        }
         done(outcome);
     };
     port.read = [](const ReadRequest &, const std::function<void(ReadOutcome)> &) {};
@@ -68,6 +75,7 @@
             {thirdJob, progressOf(thirdJob, jobs::JobState::Running, true), 2}};
     boost::asio::io_context io;
     Runtime runtime{io, {}, storeOf(jobRecords, progress), {}, {}, {}, {}};
+    runtime.settings.jobPartitions = partitions;
     engine::Engine engine;
     bool isLoaded = false;
     JobFeedEvents events;
@@ -100,5 +108,28 @@
     }
 }
 
+// Guards against a cancellation that overtakes its submission in another partition, and against a
+// job log of which one partition carries everything: appends to it are carried out one by one.
+TEST(JobFeed, RecordsOfAJobShareAPartition)
+{
+    std::map<int, int> jobsByPartition;
+    for (int i = 0; i < 400; ++i) {
+        const jobs::JobId id(fmt::format("{:016x}", i * 7919));
+        const int partition = jobPartition(id, maxJobPartitions);
+        ++jobsByPartition[partition];
+        EXPECT_EQ(jobPartition(cancellationRecord(id), maxJobPartitions), partition);
+        EXPECT_EQ(
+                jobPartition(submissionRecord(submission(id.text(), step(1, 1))), maxJobPartitions),
+                partition);
+        for (const StoredRecord &record : tombstones(id)) {
+            EXPECT_EQ(jobPartition(record, maxJobPartitions), partition);
+        }
+    }
+    ASSERT_EQ(jobsByPartition.size(), static_cast<std::size_t>(maxJobPartitions));
+    for (const auto &[partition, count] : jobsByPartition) {
+        EXPECT_GT(count, 400 / maxJobPartitions / 2) << partition;
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/log_follower.cpp
+++ b/src/poplarstream/edge/log_follower.cpp
@@ -43,11 +43,12 @@
     void loadPage()
     {
         const std::string afterKey = items.empty() ? std::string() : items.rbegin()->first;
-        runtime.store.newest(log, afterKey, [weak = weak_from_this()](NewestOutcome outcome) {
-            if (const auto self = weak.lock(); self && !self->isClosed) {
-                self->handlePage(std::move(outcome));
-            }
-        });
+        runtime.store.newest(log, settings.partition, afterKey,
+                             [weak = weak_from_this()](NewestOutcome outcome) {
+                                 if (const auto self = weak.lock(); self && !self->isClosed) {
+                                     self->handlePage(std::move(outcome));
+                                 }
+                             });
     }
 
     void handlePage(NewestOutcome outcome)
@@ -97,7 +98,7 @@
     void read()
     {
         const TimePoint sentAt = steadyNow();
-        runtime.store.read({log, next, settings.wait},
+        runtime.store.read({log, settings.partition, next, settings.wait},
                            [weak = weak_from_this(), sentAt](ReadOutcome outcome) {
                                if (const auto self = weak.lock(); self && !self->isClosed) {
                                    self->handleRecords(std::move(outcome), sentAt);
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -192,9 +192,18 @@
             return;
         }
         isDeleting = true;
-        const std::vector<engine::JobId> ids = std::exchange(engine.forgotten, {});
         AppendRequest request;
         request.log = Log::Jobs;
+        request.partition = jobPartition(engine.forgotten.front(), runtime.settings.jobPartitions);
+        std::vector<engine::JobId> ids;
+        std::erase_if(engine.forgotten, [&](const engine::JobId &id) {
+            const bool isHere =
+                    jobPartition(id, runtime.settings.jobPartitions) == request.partition;
+            if (isHere) {
+                ids.push_back(id);
+            }
+            return isHere;
+        });
         for (const engine::JobId &id : ids) {
             for (StoredRecord &record : tombstones(id)) {
                 request.records.push_back(std::move(record));
--- a/src/poplarstream/edge/stored_jobs.cpp
+++ b/src/poplarstream/edge/stored_jobs.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>  // for to_string
 
+#include "poplarstream/base/rendezvous.hpp"  // for stableHash
 #include "poplarstream/engine/attempts.hpp"  // for lapseAfter, stopJob
 #include "poplarstream/jobs/codec.hpp"  // for encodeSubmission, decodeSubmission
 #include "poplarstream/jobs/queries.hpp"  // for isFinal
@@ -33,6 +34,19 @@
     return {id.text() + cancellationSuffix, "cancelled", 0};
 }
 
+int jobPartition(const jobs::JobId &id, int partitions)
+{
+    return static_cast<int>(stableHash(id.text()) % static_cast<std::uint64_t>(partitions));
+}
+
+int jobPartition(const StoredRecord &record, int partitions)
+{
+    const bool isCancellation = record.key.ends_with(cancellationSuffix);
+    return jobPartition(
+            jobs::JobId(record.key.substr(0, record.key.size() - (isCancellation ? 1 : 0))),
+            partitions);
+}
+
 std::vector<StoredRecord> tombstones(const jobs::JobId &id)
 {
     return {{id.text(), {}, 0}, {id.text() + cancellationSuffix, {}, 0}};
