--- a/soak/processes.py
+++ b/soak/processes.py
@@ -30,6 +30,7 @@
 maintenanceS = 0.6
 [platform]
 address = "{store}"
+parts = 12
 [cloudApi]
 address = "{machines}"
 """
--- a/soak/store.py
+++ b/soak/store.py
@@ -55,8 +55,8 @@
         self.app.router.add_get("/log-read", self._read)
         self.app.router.add_get("/log-newest", self._latest)
 
-    def topic(self, name):
-        return self.topics.setdefault(name, Topic())
+    def topic(self, name, partition="0"):
+        return self.topics.setdefault((name, partition), Topic())
 
     async def put(self, topic, key, value):
         """Writes for an operator or a worker; injected faults do not apply."""
@@ -83,7 +83,7 @@
 
     async def _append(self, request):
         query = request.query
-        topic = self.topic(query["topic"])
+        topic = self.topic(query["topic"], query["part"])
         if query["topic"] in ("keyed.op", "keyed.servers"):
             return web.json_response({}, status=403)
         records = _parse_records(await request.read())
@@ -122,7 +122,7 @@
         return None
 
     async def _read(self, request):
-        topic = self.topic(request.query["topic"])
+        topic = self.topic(request.query["topic"], request.query["part"])
         start = int(request.query["from"])
         wait_s = int(request.query.get("waitMs", 0)) / 1000
         try:
@@ -138,7 +138,7 @@
         return web.Response(body=bytes(body))
 
     async def _latest(self, request):
-        topic = self.topic(request.query["topic"])
+        topic = self.topic(request.query["topic"], request.query["part"])
         items = sorted(topic.latest().items())
         after = request.query.get("after")
         if after is not None:
