Keep the tests of decoders in the modules that decide

Change: the mutations are a test header of base/; the property of ownership records moved to the test of ownership, and now also checks what it accepts.

--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -1,6 +1,9 @@
 #include "poplarstream/ownership/leadership.hpp"
 
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+#include <rapidcheck.h>  // for check
+
+#include "poplarstream/base/malformed_json.hpp"  // for malformed
 
 namespace poplarstream::ownership {
 namespace {
@@ -398,5 +401,18 @@
     EXPECT_FALSE(decodeOwnership("not JSON"));
 }
 
+// Guards against a process that is ended by a malformed record in the log.
+TEST(Leadership, MalformedRecords)
+{
+    const std::string record = encodeOwnership({});
+    ASSERT_TRUE(decodeOwnership(record));
+    rc::check([&record] {
+        if (const auto decoded = decodeOwnership(test::malformed(record))) {
+            RC_ASSERT(decoded->epoch >= 0);
+            RC_ASSERT(decoded->sequence >= 0);
+        }
+    });
+}
+
 }  // namespace
 }  // namespace poplarstream::ownership
