Log why each run is released and how the end of a worker is known

A run that was done twice could not be explained from the log: task-released had no reason, worker-ended no evidence, a start without a response no line, and under load all of these were suppressed with the thousands of starts.

Now 715 names the cause (with the poll that lacked the run, or the response to the start), 731 the evidence, 734 how long the worker had been silent, and the new 735 an unanswered start. Planned and ended runs have a limit of lines of their own.

--- a/include/poplarstream/edge/decision_log.hpp
+++ b/include/poplarstream/edge/decision_log.hpp
@@ -11,11 +11,12 @@
 // How events name a task; "-" if there is none.
 std::string taskText(const jobs::TaskRef &task);
 
-// Logs decisions as events, up to a maximum per second. The number of suppressed events is logged.
+// Logs decisions as events, up to a maximum per second for planned and ended runs and the same for
+// all other decisions. The number of suppressed events is logged.
 class DecisionLog
 {
 public:
-    // How many more lines may be written now.
+    // How many more planned and ended runs may be written now.
     std::size_t allowance(TimePoint now) const;
     // Counts decisions that were not passed to write().
     void omit(std::size_t count) { suppressed_ += count; }
@@ -23,10 +24,11 @@
     void write(const engine::Decision &decision, TimePoint now);
 
 private:
-    bool mayWrite(TimePoint now);
+    bool mayWrite(engine::DecisionKind kind, TimePoint now);
 
     TimePoint windowStart_{};
-    int writtenInWindow_ = 0;
+    int frequentInWindow_ = 0;
+    int othersInWindow_ = 0;
     std::uint64_t suppressed_ = 0;
 };
 
--- a/include/poplarstream/engine/attempts.hpp
+++ b/include/poplarstream/engine/attempts.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string>  // for string
+#include <string_view>  // for string_view
 #include <type_traits>  // for is_invocable_v
 
 #include "poplarstream/engine/state.hpp"  // for Engine, AttemptRef, Worker
@@ -51,11 +53,13 @@
             TimePoint now);
 
 // Removes an attempt that isn't running and can't start any more from its task and its worker.
+// `evidence` says for the decision log how that is known, as key=value pairs.
 void release(Engine &engine, const AttemptRef &ref, const WorkerIncarnation &incarnation,
-             TimePoint now);
+             TimePoint now, std::string evidence);
 
 // Releases all attempts on a worker whose incarnation or leases have expired.
-void releaseAll(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now);
+void releaseAll(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now,
+                std::string_view evidence);
 
 // Sends a stop command. An attempt whose start was never sent is released at once.
 void stopAttempt(Engine &engine, const AttemptRef &ref, TimePoint now);
--- a/include/poplarstream/engine/decision.hpp
+++ b/include/poplarstream/engine/decision.hpp
@@ -9,6 +9,7 @@
 enum class DecisionKind {
     TaskPlanned,
     TaskEnded,
+    StartUnanswered,  // the start command got no response
     TaskReleased,  // isn't running and can't start any more
     TaskStopped,
     TaskStalled,  // makes no progress
--- a/include/poplarstream/engine/worker_events.hpp
+++ b/include/poplarstream/engine/worker_events.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>  // for optional
+#include <string_view>  // for string_view
 
 #include "poplarstream/engine/state.hpp"  // for Engine, WorkerEntry
 
@@ -13,8 +14,9 @@
 void deregisterWorker(Engine &engine, const WorkerId &id);
 
 // Called when a newer incarnation of the machine or the id shows that nothing of this one is
-// running any more.
-void endIncarnation(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now);
+// running any more. `evidence` says for the decision log how that is known, as key=value pairs.
+void endIncarnation(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now,
+                    std::string_view evidence);
 
 // Handles the response to a poll, or nothing if none came in time.
 void handlePollResponse(Engine &engine, const WorkerIncarnation &incarnation,
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -198,5 +198,8 @@
 inline constexpr EventKind leaseLapsed{734, EventLevel::Warning, "lease-lapsed",
                                        "task run worker inputs",
                                        "None; its tasks start elsewhere."};
+inline constexpr EventKind startUnanswered{
+        735, EventLevel::Warning, "start-unanswered", "task run worker inputs",
+        "None; a poll settles whether the run has started. Check the network to the worker."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-// An event takes a few microseconds, so this many take well under 1 % of a core.
+// An event takes a few microseconds, so this many of both kinds take well under 1 % of a core.
 constexpr int maxEventsPerSecond = 400;
 constexpr Milliseconds window{1000};
 
@@ -21,6 +21,8 @@
         return events::taskPlanned;
     case engine::DecisionKind::TaskEnded:
         return events::taskEnded;
+    case engine::DecisionKind::StartUnanswered:
+        return events::startUnanswered;
     case engine::DecisionKind::TaskReleased:
         return events::taskReleased;
     case engine::DecisionKind::TaskStopped:
@@ -43,6 +45,13 @@
     return events::leaseLapsed;
 }
 
+// Starts and completions come by the thousand under load. They have a limit of their own, so that
+// the events that explain a lost or repeated run are not suppressed with them.
+bool isFrequent(engine::DecisionKind kind)
+{
+    return kind == engine::DecisionKind::TaskPlanned || kind == engine::DecisionKind::TaskEnded;
+}
+
 }  // namespace
 
 std::string taskText(const jobs::TaskRef &task)
@@ -54,13 +63,13 @@
 
 std::size_t DecisionLog::allowance(TimePoint now) const
 {
-    const int written = now >= windowStart_ + window ? 0 : writtenInWindow_;
+    const int written = now >= windowStart_ + window ? 0 : frequentInWindow_;
     return static_cast<std::size_t>(std::max(maxEventsPerSecond - written, 0));
 }
 
 void DecisionLog::write(const engine::Decision &decision, TimePoint now)
 {
-    if (!mayWrite(now)) {
+    if (!mayWrite(decision.kind, now)) {
         ++suppressed_;
         return;
     }
@@ -70,17 +79,18 @@
                                      {"inputs", decision.inputs}});
 }
 
-bool DecisionLog::mayWrite(TimePoint now)
+bool DecisionLog::mayWrite(engine::DecisionKind kind, TimePoint now)
 {
     if (now >= windowStart_ + window) {
         windowStart_ = now;
-        writtenInWindow_ = 0;
+        frequentInWindow_ = 0;
+        othersInWindow_ = 0;
         if (suppressed_ > 0) {
             logEvent(events::decisionsSuppressed, {{"count", fmt::to_string(suppressed_)}});
             suppressed_ = 0;
         }
     }
-    return ++writtenInWindow_ <= maxEventsPerSecond;
+    return ++(isFrequent(kind) ? frequentInWindow_ : othersInWindow_) <= maxEventsPerSecond;
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -96,19 +96,21 @@
 }
 
 void release(Engine &engine, const AttemptRef &ref, const WorkerIncarnation &incarnation,
-             TimePoint now)
+             TimePoint now, std::string evidence)
 {
     detach(engine, ref, incarnation, now);
     if (jobs::Job *const job = findJob(engine, ref.task.job)) {
         if (jobs::dropAttempt(*job, ref.task, ref.run)) {
-            recordDecision(engine, DecisionKind::TaskReleased, ref, incarnation.id, {});
+            recordDecision(engine, DecisionKind::TaskReleased, ref, incarnation.id,
+                           std::move(evidence));
             markDirty(engine, *job);
         }
     }
     engine.needsPlan = true;
 }
 
-void releaseAll(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now)
+void releaseAll(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now,
+                std::string_view evidence)
 {
     Worker *const worker = findWorker(engine, incarnation);
     if (worker == nullptr) {
@@ -116,7 +118,7 @@
     }
     const auto attempts = worker->attempts;
     for (const auto &[ref, decisivePoll] : attempts) {
-        release(engine, ref, incarnation, now);
+        release(engine, ref, incarnation, now, std::string(evidence));
     }
     worker->unexpectedAttempts.clear();
 }
@@ -129,7 +131,7 @@
     }
     const WorkerIncarnation incarnation = attempt->worker;
     if (attempt->phase == jobs::AttemptPhase::Planned && !attempt->mayRun) {
-        release(engine, ref, incarnation, now);
+        release(engine, ref, incarnation, now, "cause=stopped-before-start");
         return;
     }
     attempt->phase = jobs::AttemptPhase::Stopping;
--- a/src/poplarstream/engine/batches.cpp
+++ b/src/poplarstream/engine/batches.cpp
@@ -46,7 +46,7 @@
     jobs::Job &job = engine.jobs.at(ref.task.job);
     Worker *const worker = findWorker(engine, attempt->worker);
     if (!maySend(engine, job, worker)) {
-        release(engine, ref, attempt->worker, now);
+        release(engine, ref, attempt->worker, now, "cause=not-sent");
         return;
     }
     // The worker may respond to a poll in flight before this command arrives.
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -41,6 +41,31 @@
     return "alone";
 }
 
+std::string_view resultText(StartResult result)
+{
+    switch (result) {
+    case StartResult::Started:
+        return "started";
+    case StartResult::Fenced:
+        return "fenced";
+    case StartResult::Stale:
+        return "stale";
+    case StartResult::Late:
+        return "late";
+    case StartResult::NoCapacity:
+        return "no-capacity";
+    case StartResult::NoTicket:
+        return "no-ticket";
+    case StartResult::Unhealthy:
+        return "unhealthy";
+    case StartResult::Refused:
+        return "refused";
+    case StartResult::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 // Raises the token, so that the worker rejects all earlier commands once it has seen the next poll.
 // Attempts that are missing from the response to that poll won't start any more.
 void invalidateSentCommands(Engine &engine, Worker &worker)
@@ -150,14 +175,17 @@
                                return report.run == ref.run && report.task == ref.task;
                            });
     };
-    std::vector<AttemptRef> absent;
+    std::vector<std::pair<AttemptRef, std::int64_t>> absent;
     for (const auto &[ref, decisivePoll] : worker.attempts) {
         if (decisivePoll <= pollNumber && !isPresent(ref)) {
-            absent.push_back(ref);
+            absent.emplace_back(ref, decisivePoll);
         }
     }
-    for (const AttemptRef &ref : absent) {
-        release(engine, ref, worker.entry.incarnation, now);
+    for (const auto &[ref, decisivePoll] : absent) {
+        release(engine, ref, worker.entry.incarnation, now,
+                fmt::format("cause=not-listed poll={} decisive={} sent_ms_ago={} token={}",
+                            pollNumber, decisivePoll, (now - worker.pollSentAt).count(),
+                            currentToken(engine, worker)));
     }
     std::erase_if(worker.unexpectedAttempts,
                   [&](const AttemptRef &ref) { return !isPresent(ref); });
@@ -188,7 +216,7 @@
         return;  // an outdated entry of a previous incarnation
     }
     if (known != engine.newestIncarnations.end() && known->second != entry.incarnation) {
-        endIncarnation(engine, known->second, now);
+        endIncarnation(engine, known->second, now, "evidence=newer-registry-entry");
     }
     engine.newestIncarnations[id] = entry.incarnation;
     const auto [place, isNew] = engine.workers.try_emplace(entry.incarnation);
@@ -220,7 +248,8 @@
     }
 }
 
-void endIncarnation(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now)
+void endIncarnation(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now,
+                    std::string_view evidence)
 {
     Worker *const worker = findWorker(engine, incarnation);
     if (worker == nullptr || worker->isGone) {
@@ -228,14 +257,15 @@
     }
     worker->isGone = true;
     recordDecision(engine, DecisionKind::WorkerEnded, {}, incarnation.id,
-                   fmt::format("tasks={}", worker->attempts.size()));
+                   fmt::format("tasks={} {} answered_ms_ago={}", worker->attempts.size(), evidence,
+                               (now - worker->answeredAt).count()));
     worker->isListed = false;
-    releaseAll(engine, incarnation, now);
+    releaseAll(engine, incarnation, now, "cause=worker-ended");
 }
 
 void handleOtherIncarnation(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now)
 {
-    endIncarnation(engine, incarnation, now);
+    endIncarnation(engine, incarnation, now, "evidence=command-misdirected");
 }
 
 void handlePollResponse(Engine &engine, const WorkerIncarnation &incarnation,
@@ -259,7 +289,7 @@
     }
     if (response->startedUnixMs != 0 && incarnation.startedUnixMs != 0
         && response->startedUnixMs != incarnation.startedUnixMs) {
-        endIncarnation(engine, incarnation, now);
+        endIncarnation(engine, incarnation, now, "evidence=poll-of-other-incarnation");
         return;
     }
     worker->answeredAt = now;
@@ -316,6 +346,10 @@
         }
         return;
     case StartResult::Unknown:
+        recordDecision(engine, DecisionKind::StartUnanswered, ref, incarnation.id,
+                       fmt::format("sent_ms_ago={} token={} last_poll={}",
+                                   attempt == nullptr ? 0 : (now - attempt->startedAt).count(),
+                                   currentToken(engine, *worker), worker->pollNumber));
         invalidateSentCommands(engine, *worker);
         worker->reachability = Reachability::Unreachable;
         worker->nextPollAt = now;
@@ -331,7 +365,8 @@
     case StartResult::Refused:
         break;
     }
-    release(engine, ref, incarnation, now);
+    release(engine, ref, incarnation, now,
+            fmt::format("cause=start-rejected result={}", resultText(result)));
 }
 
 void handleStopResult(Engine &engine, const AttemptRef &ref, const WorkerIncarnation &incarnation,
@@ -342,7 +377,7 @@
         return;
     }
     if (result == StopResult::OtherIncarnation) {
-        endIncarnation(engine, incarnation, now);
+        endIncarnation(engine, incarnation, now, "evidence=command-misdirected");
         return;
     }
     if (result != StopResult::Accepted) {
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>  // for max
 #include <vector>  // for vector
 
+#include <fmt/format.h>  // for format
+
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt, releaseAll, targetOf
 
 namespace poplarstream::engine {
@@ -83,8 +85,11 @@
         }
     }
     for (const WorkerIncarnation &incarnation : expired) {
-        recordDecision(engine, DecisionKind::LeaseLapsed, {}, incarnation.id, {});
-        releaseAll(engine, incarnation, now);
+        const Worker &worker = engine.workers.at(incarnation);
+        recordDecision(engine, DecisionKind::LeaseLapsed, {}, incarnation.id,
+                       fmt::format("tasks={} answered_ms_ago={}", worker.attempts.size(),
+                                   (now - worker.answeredAt).count()));
+        releaseAll(engine, incarnation, now, "cause=lease-lapsed");
     }
     for (const WorkerIncarnation &incarnation : forgotten) {
         const auto known = engine.newestIncarnations.find(incarnation.id);
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -43,7 +43,7 @@
         }
     }
     for (const jobs::WorkerIncarnation &incarnation : ended) {
-        engine::endIncarnation(engine, incarnation, now);
+        engine::endIncarnation(engine, incarnation, now, "evidence=not-in-machine-list");
     }
 }
 
@@ -71,7 +71,8 @@
             const bool hasNewIncarnation = view.changedAt < askedAt && !machine.worker.isEmpty()
                                            && machine.worker != previous;
             if (hasNewIncarnation && incarnation != engine.newestIncarnations.end()) {
-                engine::endIncarnation(engine, incarnation->second, now);
+                engine::endIncarnation(engine, incarnation->second, now,
+                                       "evidence=other-worker-in-machine-list");
             }
         }
         // A list that was requested before a command was carried out may show the earlier state.
@@ -145,7 +146,7 @@
     view.changedAt = now;
     const auto incarnation = engine.newestIncarnations.find(view.machine.worker);
     if (incarnation != engine.newestIncarnations.end()) {
-        engine::endIncarnation(engine, incarnation->second, now);
+        engine::endIncarnation(engine, incarnation->second, now, "evidence=machine-command-done");
     }
     if (command.kind == MachineCommand::Kind::Move) {
         view.machine.pool = command.pool;
