--- a/src/poplarstream/engine/reachability_test.cpp
+++ b/src/poplarstream/engine/reachability_test.cpp
@@ -195,6 +195,46 @@
     }
 }
 
+// Guards against a second run beside the first after a worker has restarted under the same id: its
+// new incarnation may have carried out a start command that was meant for the previous one.
+TEST(Reachability, StartCarriedOutByNewIncarnation)
+{
+    SCOPED_TRACE("given a start that was confirmed by the address of a worker");
+    EngineFixture fixture(2);
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = fixture.startAll();
+    const std::string id = starts.at(0).target.worker.id.text();
+    {
+        SCOPED_TRACE("when the registry lists a new incarnation of its id");
+        fixture.addWorker(id, 2);
+        EXPECT_TRUE(fixture.start().empty()) << "the new incarnation may run the task";
+    }
+    {
+        SCOPED_TRACE("then the task starts elsewhere once the new incarnation has been polled");
+        pollWorkers(fixture.engine, fixture.now);
+        handlePollResponse(fixture.engine, EngineFixture::incarnation(id, 2), 1,
+                           PollResponse{2, 10, {}, {}, false}, fixture.now);
+        EXPECT_EQ(fixture.start().size(), 1U);
+    }
+}
+
+// Guards against a lease that outlives the owner's estimate of it: the clock of a worker that has
+// had no work for a minute may be 1.2 s behind the extrapolation of its last reading.
+TEST(Reachability, LeaseAfterIdleMinuteOnSlowClock)
+{
+    EngineFixture fixture(1);
+    const std::int64_t clockMs = fixture.worker("w1").clockMs;
+    const TimePoint readAt = fixture.now;
+    fixture.now += Milliseconds{60'000};
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = fixture.start();
+    if (starts.empty()) {
+        return;  // the owner reads the clock first
+    }
+    const auto elapsed = (fixture.worker("w1").leaseUntil - readAt).count();
+    EXPECT_LE(starts[0].leaseUntilClockMs, clockMs + elapsed * 98 / 100);
+}
+
 // Guards against replacing an incarnation by an older one when a registry entry is read late.
 TEST(Reachability, OutdatedEntryIsIgnored)
 {
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -345,6 +345,100 @@
     }
 }
 
+// Guards against a second run beside the first: a list whose pages shift while machines move lacks
+// the machine of a living worker that has just missed one poll.
+TEST(Moves, MachineMissingFromOneListKeepsItsTasks)
+{
+    SCOPED_TRACE("given a task on a worker that has missed a poll but is in the registry");
+    Deployment deployment(2, 0);
+    engine::test::EngineFixture &fixture = deployment.fixture;
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = fixture.startAll();
+    const std::string id = starts.at(0).target.worker.id.text();
+    fixture.poll();
+    fixture.now += Milliseconds{400};
+    fixture.leavePollUnanswered(id);
+    {
+        SCOPED_TRACE("when one list lacks its machine");
+        std::erase_if(deployment.machines,
+                      [&](const Machine &machine) { return machine.worker.text() == id; });
+        deployment.list();
+        {
+            SCOPED_TRACE("then the task isn't started again and the worker stays in use");
+            EXPECT_TRUE(fixture.start().empty());
+            EXPECT_FALSE(fixture.worker(id).isGone);
+        }
+    }
+}
+
+// Guards against a second run beside the first: a list that still shows the previous worker of a
+// machine says nothing about a worker that has joined since.
+TEST(Moves, ListWithPreviousWorkerKeepsTasksOfTheNewOne)
+{
+    SCOPED_TRACE("given a task on a worker that has joined in place of another");
+    Deployment deployment(1, 0);
+    engine::test::EngineFixture &fixture = deployment.fixture;
+    fixture.addWorker("w2");
+    const std::vector<Machine> before = deployment.machines;
+    deployment.machines[0].worker = jobs::WorkerId("w2");
+    fixture.now += Milliseconds{400};
+    deployment.list();
+    fixture.poll();
+    fixture.answerPolls();
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = fixture.startAll();
+    ASSERT_EQ(starts.size(), 1U);
+    ASSERT_EQ(starts[0].target.worker.id.text(), "w2");
+    fixture.addWorker("w3");
+    fixture.poll();
+    fixture.answer("w3");
+    {
+        SCOPED_TRACE("when a list shows the previous worker");
+        fixture.now += Milliseconds{400};
+        deployment.machines = before;
+        deployment.list();
+        {
+            SCOPED_TRACE("then the task isn't started again and the worker stays in use");
+            EXPECT_TRUE(fixture.start().empty());
+            EXPECT_FALSE(fixture.worker("w2").isGone);
+        }
+    }
+}
+
+// Guards against a second run beside the first: a command that is sent again and was already
+// carried out the first time ends nothing on the worker that has joined since.
+TEST(Moves, RepeatedCommandKeepsTasksOfTheNewWorker)
+{
+    SCOPED_TRACE("given a command without a response that is sent again");
+    Deployment deployment(1, 0);
+    engine::test::EngineFixture &fixture = deployment.fixture;
+    deployment.wave({"m1"}, 1);
+    ASSERT_EQ(deployment.plan().size(), 1U);
+    fixture.now += Milliseconds{2000};
+    const auto repeated = deployment.plan();
+    ASSERT_EQ(repeated.size(), 1U);
+    {
+        SCOPED_TRACE("when the machine's new worker gets a task and is listed before the response");
+        fixture.addWorker("w2");
+        fixture.poll();
+        fixture.answer("w2");
+        fixture.submit(submission(firstJob, step(1, 1000)));
+        ASSERT_EQ(fixture.startAll().size(), 1U);
+        fixture.now += Milliseconds{100};
+        fixture.addWorker("w3");
+        fixture.poll();
+        fixture.answer("w3");
+        deployment.machines[0].worker = jobs::WorkerId("w2");
+        deployment.list();
+        deployment.finish(repeated[0]);
+        {
+            SCOPED_TRACE("then the task isn't started again and the worker stays in use");
+            EXPECT_TRUE(fixture.start().empty());
+            EXPECT_FALSE(fixture.worker("w2").isGone);
+        }
+    }
+}
+
 // Guards against dropping a command, or taking it for carried out, because its response was lost.
 TEST(Moves, CommandWithoutResponseIsSentAgain)
 {
