End only the worker that a machine command was sent for

Callers could see a task done twice: a command without a response is sent again, and the platform answers 200 also if the first one was carried out. By then a list may show the machine's next worker, and the response ended that one although it ran tasks; they started elsewhere at once.

The test Moves.RepeatedCommandKeepsTasksOfTheNewWorker failed before.

Change: a command remembers the incarnation that it was first sent for, and its response ends that one only. The next worker is no longer cordoned.

--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -19,6 +19,8 @@
     TimePoint decidedAt{};
     bool isSent = false;
     TimePoint sentAt{};
+    // The machine's worker when the command was first sent.
+    std::optional<jobs::WorkerIncarnation> worker;
 };
 
 struct MachineView
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -113,7 +113,11 @@
         }
         cordon(engine, view.machine, true);
         const bool isDue = !view.pending->isSent || view.pending->sentAt + resendDelay < now;
-        if (isDue && isUp(view.machine) && isEmpty(workerOf(engine, view.machine))) {
+        const engine::Worker *const worker = workerOf(engine, view.machine);
+        if (isDue && isUp(view.machine) && isEmpty(worker)) {
+            if (!view.pending->isSent && worker != nullptr) {
+                view.pending->worker = worker->entry.incarnation;
+            }
             view.pending->isSent = true;
             view.pending->sentAt = now;
             commands.push_back(view.pending->command);
@@ -134,6 +138,7 @@
     if (result == CommandResult::Unknown || result == CommandResult::NotDone) {
         return {};  // planMachines sends it again
     }
+    const std::optional<jobs::WorkerIncarnation> commanded = view.pending->worker;
     view.pending.reset();
     if (result != CommandResult::Done) {
         view.cooldownUntil = now + refusalCooldown;
@@ -144,10 +149,12 @@
         return {};
     }
     view.changedAt = now;
-    const auto incarnation = engine.newestIncarnations.find(view.machine.worker);
-    if (incarnation != engine.newestIncarnations.end()) {
-        engine::endIncarnation(engine, incarnation->second, now, "evidence=machine-command-done");
+    // A command that was sent again may have been carried out the first time. Then the machine's
+    // next worker lives.
+    if (commanded) {
+        engine::endIncarnation(engine, *commanded, now, "evidence=machine-command-done");
     }
+    cordon(engine, view.machine, false);
     if (command.kind == MachineCommand::Kind::Move) {
         view.machine.pool = command.pool;
         view.machine.state = MachineState::Moving;
