Take a machine for gone only when two lists in a row lack it

One list of machines is read in pages while machines move, and says nothing about a worker that has answered since it was requested. Still, a worker that had missed one poll and was not in the list lost its tasks to other workers at once; so did a worker whose machine the list showed with its previous one, even if it answered. A machine without a place in one list also lost its pending command, with its worker cordoned for good, and counted as maintained in its wave.

Tests that failed before: Moves.MachineMissingFromOneListKeepsItsTasks, Moves.ListWithPreviousWorkerKeepsTasksOfTheNewOne and Moves.MachineMissingFromOneListKeepsItsCommand.

Change: a worker ends by the lists if it is unreachable, has not answered since the older of two lists was requested, and neither contains it. The rule for a machine with another worker goes: the previous worker stops answering and is covered by the same rule. Moves.WorkerWithoutAMachineIsEnded asks for the second list now, and that the first one ends nothing.

--- a/include/poplarstream/pools/planning.hpp
+++ b/include/poplarstream/pools/planning.hpp
@@ -6,8 +6,8 @@
 
 namespace poplarstream::pools {
 
-// Applies a complete list of the platform's machines that was requested at `askedAt`. Worker
-// incarnations that no longer exist according to the list are ended in the engine.
+// Applies a complete list of the platform's machines that was requested at `askedAt`. Unreachable
+// workers that two lists in a row lack are ended in the engine.
 void applyMachineList(Pools &pools, engine::Engine &engine, const std::vector<Machine> &machines,
                       TimePoint askedAt, TimePoint now);
 
--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -31,6 +31,7 @@
     TimePoint cooldownUntil{};  // no new command before this time
     std::set<ServiceId> rejectedPools;  // target pools that the platform called invalid
     bool isDueForMaintenance = false;  // part of a wave, and its maintenance has not begun
+    bool isMissing = false;  // the last list lacked it
 };
 
 // Progress of a wave, counted in machines.
@@ -86,6 +87,7 @@
     std::map<ServiceId, PoolNeed> needs;
     Forecast forecast;
     std::map<MachineId, TimePoint> cooldownUntil;  // of machines commanded by a previous owner
+    std::set<jobs::WorkerIncarnation> missingWorkers;  // unreachable, and not in the last list
     std::string holder;
     std::int64_t fencingToken = 0;
 };
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -26,24 +26,30 @@
     }
 }
 
-// Ends the incarnations of unreachable workers that no machine of a newer list has. Otherwise a new
-// owner would wait for the longest lease granted by its predecessor.
-void endIncarnationsWithoutMachine(engine::Engine &engine, const std::vector<Machine> &machines,
-                                   TimePoint askedAt, TimePoint now)
+// Ends the incarnations of unreachable workers that neither this list nor the one before contains.
+// Otherwise their tasks would wait for the longest lease. One list alone proves nothing: it is read
+// in pages while machines move. Nor does a list that was requested before the worker's last answer.
+void endIncarnationsWithoutMachine(Pools &pools, engine::Engine &engine,
+                                   const std::vector<Machine> &machines, TimePoint askedAt,
+                                   TimePoint now)
 {
     std::set<jobs::WorkerId> present;
     for (const Machine &machine : machines) {
         present.insert(machine.worker);
     }
-    std::vector<jobs::WorkerIncarnation> ended;
+    std::set<jobs::WorkerIncarnation> missing;
     for (const auto &[incarnation, worker] : engine.workers) {
         if (worker.reachability != engine::Reachability::Reachable && worker.knownSince < askedAt
-            && !worker.isGone && !present.contains(incarnation.id)) {
-            ended.push_back(incarnation);
+            && worker.answeredAt < askedAt && !worker.isGone && !present.contains(incarnation.id)) {
+            missing.insert(incarnation);
         }
     }
-    for (const jobs::WorkerIncarnation &incarnation : ended) {
-        engine::endIncarnation(engine, incarnation, now, "evidence=not-in-machine-list");
+    const std::set<jobs::WorkerIncarnation> missingBefore =
+            std::exchange(pools.missingWorkers, std::move(missing));
+    for (const jobs::WorkerIncarnation &incarnation : missingBefore) {
+        if (pools.missingWorkers.contains(incarnation)) {
+            engine::endIncarnation(engine, incarnation, now, "evidence=not-in-machine-lists");
+        }
     }
 }
 
@@ -59,30 +65,32 @@
 {
     std::map<MachineId, MachineView> listed;
     for (const Machine &machine : machines) {
-        MachineView view;
-        if (const auto cooldown = pools.cooldownUntil.find(machine.id);
-            cooldown != pools.cooldownUntil.end()) {
-            view.cooldownUntil = cooldown->second;
-        }
-        if (const auto known = pools.machines.find(machine.id); known != pools.machines.end()) {
-            view = std::move(known->second);
-            const jobs::WorkerId &previous = view.machine.worker;
-            const auto incarnation = engine.newestIncarnations.find(previous);
-            const bool hasNewIncarnation = view.changedAt < askedAt && !machine.worker.isEmpty()
-                                           && machine.worker != previous;
-            if (hasNewIncarnation && incarnation != engine.newestIncarnations.end()) {
-                engine::endIncarnation(engine, incarnation->second, now,
-                                       "evidence=other-worker-in-machine-list");
+        const auto [place, isFirst] = listed.try_emplace(machine.id);
+        MachineView &view = place->second;
+        if (isFirst) {
+            if (const auto cooldown = pools.cooldownUntil.find(machine.id);
+                cooldown != pools.cooldownUntil.end()) {
+                view.cooldownUntil = cooldown->second;
+            }
+            if (const auto known = pools.machines.find(machine.id); known != pools.machines.end()) {
+                view = std::move(known->second);
             }
         }
         // A list that was requested before a command was carried out may show the earlier state.
         if (view.changedAt < askedAt || view.changedAt == TimePoint{}) {
             view.machine = machine;
         }
-        listed[machine.id] = std::move(view);
+        view.isMissing = false;
+    }
+    // A machine without a place in one list may have changed its page while the list was read.
+    for (auto &[id, view] : pools.machines) {
+        if (!view.isMissing && !listed.contains(id)) {
+            view.isMissing = true;
+            listed[id] = std::move(view);
+        }
     }
     pools.machines = std::move(listed);
-    endIncarnationsWithoutMachine(engine, machines, askedAt, now);
+    endIncarnationsWithoutMachine(pools, engine, machines, askedAt, now);
     for (auto &[number, wave] : pools.waves) {
         std::erase_if(wave.inMaintenance, [&](const MachineId &id) {
             const auto found = pools.machines.find(id);
