Extrapolate the clock of a worker by its lower bound

A lease is granted by the worker's clock, extrapolated from its last reading. The extrapolation took both clocks as exact, while each may be off by 2%: for a worker that was read a minute ago it is up to 2.4 s ahead, and the lease outlives the owner's estimate, which allows for 0.6 s. The task of a worker that is cut off could start elsewhere while it still runs.

Reachability.LeaseAfterIdleMinuteOnSlowClock failed before.

Change: the extrapolation is a lower bound, and each entry of the registry and each response raises it. A response that an owner reads late no longer sets the clock back, which made leases shorter the later the owner was.

--- a/include/poplarstream/engine/attempts.hpp
+++ b/include/poplarstream/engine/attempts.hpp
@@ -75,7 +75,12 @@
 // The latest time at which a lease renewed by a command sent at `sentAt` can still be valid.
 TimePoint lapseAfter(const Engine &engine, TimePoint sentAt);
 
-// The worker's clock, extrapolated from its last reading; the real one is at least this.
+// A lower bound of the worker's clock, extrapolated from a reading. A lease that was granted by it
+// never outlives lapseAfter().
 std::int64_t clockNow(const Worker &worker, TimePoint now);
 
+// Takes note of a reading of the worker's clock. One that was under way for long is less than what
+// is known already.
+void noteClock(Worker &worker, std::int64_t clockMs, TimePoint now);
+
 }  // namespace poplarstream::engine
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -110,7 +110,7 @@
     TimePoint leaseUntil{};  // no lease there outlives this, whatever commands were lost
     TimePoint firstAnsweredAt{};  // the worker rejects commands of previous owners from then on
     TimePoint answeredAt{};  // last response to a poll
-    std::int64_t clockMs = 0;
+    std::int64_t clockMs = 0;  // a reading of its clock, at `clockSeenAt` or before
     TimePoint clockSeenAt{};
     std::int64_t completionsSeen = 0;  // highest processed completion number
     std::int64_t completionsStored = 0;  // highest one whose effect is durable
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -185,7 +185,16 @@
 
 std::int64_t clockNow(const Worker &worker, TimePoint now)
 {
-    return worker.clockMs + (now - worker.clockSeenAt).count();
+    const std::int64_t elapsed = (now - worker.clockSeenAt).count();
+    return worker.clockMs + elapsed - elapsed / clockErrorDivisor;
+}
+
+void noteClock(Worker &worker, std::int64_t clockMs, TimePoint now)
+{
+    if (worker.clockMs == 0 || clockMs > clockNow(worker, now)) {
+        worker.clockMs = clockMs;
+        worker.clockSeenAt = now;
+    }
 }
 
 }  // namespace poplarstream::engine
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -226,10 +226,7 @@
         worker.idleSince = now;
         worker.tokenBump = engine.token.lastBump;
     }
-    if (worker.clockMs == 0) {
-        worker.clockMs = entry.clockMs;
-        worker.clockSeenAt = now;
-    }
+    noteClock(worker, entry.clockMs, now);
     const bool changed = !worker.isListed || worker.entry.isDraining != entry.isDraining
                          || worker.entry.service != entry.service;
     worker.entry = entry;
@@ -296,8 +293,7 @@
     if (worker->firstAnsweredAt == TimePoint{}) {
         worker->firstAnsweredAt = now;
     }
-    worker->clockMs = response->clockMs;
-    worker->clockSeenAt = now;
+    noteClock(*worker, response->clockMs, now);
     for (const CompletionReport &report : response->completed) {
         if (report.number > worker->completionsSeen) {
             handleCompletion(engine, *worker, report, now);
@@ -333,8 +329,7 @@
         return;
     }
     if (clockMs != 0) {
-        worker->clockMs = clockMs;
-        worker->clockSeenAt = now;
+        noteClock(*worker, clockMs, now);
     }
     jobs::Attempt *const attempt = findAttempt(engine, ref);
     switch (result) {
