Let the next incarnation of a worker settle the starts sent to the last one

A worker may restart under its id, and commands name the id only. A start that is carried out late, or that is sent in the moment of the restart, then runs on the new incarnation; the owner released it when it learned of the restart and started the task elsewhere at once.

Reachability.StartCarriedOutByNewIncarnation failed before.

Change: runs whose start was sent move to the new incarnation. Its first poll carries a higher token, so it lists the run, or the run cannot start any more. Until it answers, they wait for the longest lease that a worker grants: the deadline in the command counts by the clock of the previous incarnation. A poll asks for no lease before the clock of its worker is known.

--- a/include/poplarstream/engine/attempts.hpp
+++ b/include/poplarstream/engine/attempts.hpp
@@ -75,6 +75,9 @@
 // The latest time at which a lease renewed by a command sent at `sentAt` can still be valid.
 TimePoint lapseAfter(const Engine &engine, TimePoint sentAt);
 
+// The same for a lease of another length.
+TimePoint lapseAfter(Milliseconds lease, TimePoint sentAt);
+
 // A lower bound of the worker's clock, extrapolated from a reading. A lease that was granted by it
 // never outlives lapseAfter().
 std::int64_t clockNow(const Worker &worker, TimePoint now);
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -27,6 +27,7 @@
 struct EngineLimits
 {
     Milliseconds lease{5000};  // a worker without renewal stops its tasks after this
+    Milliseconds longestLease{5000};  // that a worker grants, whatever a command asks for
     Milliseconds stopTimeout{900};  // upper bound for stopping a task
     Milliseconds statusRetention{120'000};  // callers can query a finished job for this long
     Milliseconds machineLease{3000};  // minimum time before another owner may command a machine
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -179,7 +179,11 @@
 
 TimePoint lapseAfter(const Engine &engine, TimePoint sentAt)
 {
-    const Milliseconds lease = engine.limits.lease;
+    return lapseAfter(engine.limits.lease, sentAt);
+}
+
+TimePoint lapseAfter(Milliseconds lease, TimePoint sentAt)
+{
     return sentAt + lease + lease / clockErrorDivisor + leaseSlack;
 }
 
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -205,6 +205,59 @@
     }
 }
 
+void markEnded(Engine &engine, Worker &worker, std::string_view evidence, TimePoint now)
+{
+    worker.isGone = true;
+    worker.isListed = false;
+    recordDecision(engine, DecisionKind::WorkerEnded, {}, worker.entry.incarnation.id,
+                   fmt::format("tasks={} {} answered_ms_ago={}", worker.attempts.size(), evidence,
+                               (now - worker.answeredAt).count()));
+}
+
+// Moves the attempts whose start was sent from an incarnation to the next one under its id, which
+// may have carried the command out. Its first poll settles them.
+void moveAttempts(Engine &engine, const Worker &previous, Worker &next, TimePoint now)
+{
+    const WorkerIncarnation from = previous.entry.incarnation;
+    const auto attempts = previous.attempts;
+    for (const auto &[ref, decisivePoll] : attempts) {
+        jobs::Attempt *const attempt = findAttempt(engine, ref);
+        if (attempt == nullptr || !attempt->mayRun) {
+            continue;
+        }
+        jobs::Job &job = engine.jobs.at(ref.task.job);
+        detach(engine, ref, from, now);
+        attempt->worker = next.entry.incarnation;
+        attach(next, stepOf(job, ref.task), ref, next.pollNumber + 1);
+        markDirty(engine, job);
+    }
+    next.leaseUntil = std::max(
+            {next.leaseUntil, previous.leaseUntil, lapseAfter(engine.limits.longestLease, now)});
+    invalidateSentCommands(engine, next);
+}
+
+// Called when a worker has restarted under its id.
+void restartWorker(Engine &engine, const WorkerIncarnation &from, const WorkerIncarnation &to,
+                   std::string_view evidence, TimePoint now)
+{
+    Worker *const previous = findWorker(engine, from);
+    if (previous == nullptr || previous->isGone) {
+        return;
+    }
+    markEnded(engine, *previous, evidence, now);
+    const auto [place, isNew] = engine.workers.try_emplace(to);
+    Worker &next = place->second;
+    if (isNew) {
+        next.entry = previous->entry;
+        next.entry.incarnation = to;
+        next.knownSince = now;
+        next.idleSince = now;
+    }
+    engine.newestIncarnations[to.id] = to;
+    moveAttempts(engine, *previous, next, now);
+    releaseAll(engine, from, now, "cause=worker-ended");
+}
+
 }  // namespace
 
 void registerWorker(Engine &engine, const WorkerEntry &entry, TimePoint now)
@@ -216,7 +269,8 @@
         return;  // an outdated entry of a previous incarnation
     }
     if (known != engine.newestIncarnations.end() && known->second != entry.incarnation) {
-        endIncarnation(engine, known->second, now, "evidence=newer-registry-entry");
+        const WorkerIncarnation previous = known->second;
+        restartWorker(engine, previous, entry.incarnation, "evidence=newer-registry-entry", now);
     }
     engine.newestIncarnations[id] = entry.incarnation;
     const auto [place, isNew] = engine.workers.try_emplace(entry.incarnation);
@@ -252,11 +306,7 @@
     if (worker == nullptr || worker->isGone) {
         return;
     }
-    worker->isGone = true;
-    recordDecision(engine, DecisionKind::WorkerEnded, {}, incarnation.id,
-                   fmt::format("tasks={} {} answered_ms_ago={}", worker->attempts.size(), evidence,
-                               (now - worker->answeredAt).count()));
-    worker->isListed = false;
+    markEnded(engine, *worker, evidence, now);
     releaseAll(engine, incarnation, now, "cause=worker-ended");
 }
 
@@ -286,7 +336,9 @@
     }
     if (response->startedUnixMs != 0 && incarnation.startedUnixMs != 0
         && response->startedUnixMs != incarnation.startedUnixMs) {
-        endIncarnation(engine, incarnation, now, "evidence=poll-of-other-incarnation");
+        const WorkerIncarnation next{incarnation.id, response->startedUnixMs};
+        restartWorker(engine, incarnation, next, "evidence=poll-of-other-incarnation", now);
+        noteClock(engine.workers.at(next), response->clockMs, now);
         return;
     }
     worker->answeredAt = now;
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -40,7 +40,8 @@
     poll.number = ++worker.pollNumber;
     poll.acknowledged = worker.completionsStored;
     const bool hasWork = !worker.attempts.empty() || !worker.unexpectedAttempts.empty();
-    if (worker.reachability != Reachability::Unreachable && hasWork) {
+    const bool isClockKnown = worker.clockMs != 0;
+    if (worker.reachability != Reachability::Unreachable && hasWork && isClockKnown) {
         poll.leaseUntilClockMs = clockNow(worker, now) + engine.limits.lease.count();
         worker.leaseUntil = std::max(worker.leaseUntil, lapseAfter(engine, now));
     }
