--- a/src/poplarstream/engine/reachability_test.cpp
+++ b/src/poplarstream/engine/reachability_test.cpp
@@ -222,17 +222,58 @@
 // had no work for a minute may be 1.2 s behind the extrapolation of its last reading.
 TEST(Reachability, LeaseAfterIdleMinuteOnSlowClock)
 {
+    SCOPED_TRACE("given a worker with a clock that is 2% slow and was last read a minute ago");
     EngineFixture fixture(1);
-    const std::int64_t clockMs = fixture.worker("w1").clockMs;
     const TimePoint readAt = fixture.now;
+    const auto clockAt = [&](TimePoint time) { return 6000 + (time - readAt).count() * 98 / 100; };
     fixture.now += Milliseconds{60'000};
     fixture.submit(submission(firstJob, step(1, 1000)));
-    const auto starts = fixture.start();
-    if (starts.empty()) {
-        return;  // the owner reads the clock first
+    auto starts = fixture.start();
+    if (starts.empty()) {  // the owner reads the clock first
+        ASSERT_EQ(fixture.poll().size(), 1U);
+        handlePollResponse(fixture.engine, EngineFixture::incarnation("w1"),
+                           fixture.worker("w1").pollNumber,
+                           PollResponse{1, clockAt(fixture.now), {}, {}, false}, fixture.now);
+        starts = fixture.start();
+    }
+    ASSERT_EQ(starts.size(), 1U);
+    {
+        SCOPED_TRACE("then the lease of a task is over when the owner takes it for expired");
+        EXPECT_LE(starts[0].leaseUntilClockMs, clockAt(fixture.worker("w1").leaseUntil));
+    }
+}
+
+// Guards against losing the end of a run: a worker that has restarted under the same id numbers its
+// ends anew, and a poll for its previous incarnation acknowledges some that were never read.
+TEST(Reachability, FirstPollAfterIdleTimeAcknowledgesNothing)
+{
+    SCOPED_TRACE("given a worker that has had no work for 10 s since its first run was done");
+    EngineFixture fixture(1);
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    fixture.startAll();
+    fixture.poll();
+    fixture.answer("w1", {}, {{1, EngineFixture::ref().task, 1, jobs::AttemptResult::Done, ""}});
+    fixture.store();
+    fixture.now += Milliseconds{10'000};
+    fixture.submit(submission(secondJob, step(1, 1000)));
+    ASSERT_EQ(fixture.startAll().size(), 1U);
+    const TaskRef second = EngineFixture::ref(0, 1, secondJob).task;
+    {
+        SCOPED_TRACE("when it is polled after the next start");
+        const auto polls = fixture.poll();
+        ASSERT_EQ(polls.size(), 1U);
+        EXPECT_EQ(polls[0].acknowledged, 0) << "the incarnation that has started it is unknown";
+        handlePollResponse(fixture.engine, EngineFixture::incarnation("w1"), polls[0].number,
+                           PollResponse{1, 16'000, {{second, 1, "", 10, 0}}, {}, false},
+                           fixture.now);
+    }
+    {
+        SCOPED_TRACE("then the end is acknowledged once the response shows the same incarnation");
+        fixture.now += Milliseconds{600};
+        const auto polls = fixture.poll();
+        ASSERT_EQ(polls.size(), 1U);
+        EXPECT_EQ(polls[0].acknowledged, 1);
     }
-    const auto elapsed = (fixture.worker("w1").leaseUntil - readAt).count();
-    EXPECT_LE(starts[0].leaseUntilClockMs, clockMs + elapsed * 98 / 100);
 }
 
 // Guards against replacing an incarnation by an older one when a registry entry is read late.
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -13,6 +13,8 @@
 
 // Each poll renews the leases, so the response must come well before the lease expires.
 constexpr Milliseconds maxPollWait{1500};
+// A response shows which incarnation of a worker it is. A restart takes longer than this.
+constexpr Milliseconds incarnationKnownFor{1000};
 // The progress of a starting long-running task is polled this often.
 constexpr Milliseconds startingTaskPollWait{250};
 constexpr int readyPercent = 100;
@@ -38,7 +40,9 @@
     PollCommand poll;
     poll.target = targetOf(engine, worker);
     poll.number = ++worker.pollNumber;
-    poll.acknowledged = worker.completionsStored;
+    // A worker that has restarted since would forget completions of its next incarnation.
+    const bool isIncarnationKnown = worker.answeredAt + incarnationKnownFor >= now;
+    poll.acknowledged = isIncarnationKnown ? worker.completionsStored : 0;
     const bool hasWork = !worker.attempts.empty() || !worker.unexpectedAttempts.empty();
     const bool isClockKnown = worker.clockMs != 0;
     if (worker.reachability != Reachability::Unreachable && hasWork && isClockKnown) {
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -421,6 +421,7 @@
     engine::test::EngineFixture &fixture = deployment.fixture;
     fixture.addWorker("w2");
     const std::vector<Machine> before = deployment.machines;
+    deregisterWorker(fixture.engine, jobs::WorkerId("w1"));
     deployment.machines[0].worker = jobs::WorkerId("w2");
     fixture.now += Milliseconds{400};
     deployment.list();
