Ask for a missed report before a worker without a machine is taken for ended

Change: a worker is taken for ended when the lists have lacked it for a whole interval of the workers' reports (heartbeatIntervalMs), in which it neither answered nor renewed its entry in the registry.

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -28,6 +28,7 @@
 {
     Milliseconds lease{5000};  // a worker without renewal stops its tasks after this
     Milliseconds longestLease{5000};  // that a worker grants, whatever a command asks for
+    Milliseconds reportInterval{1500};  // at which a worker renews its entry in the registry
     Milliseconds stopTimeout{900};  // upper bound for stopping a task
     Milliseconds statusRetention{120'000};  // callers can query a finished job for this long
     Milliseconds machineLease{3000};  // minimum time before another owner may command a machine
@@ -111,6 +112,7 @@
     TimePoint leaseUntil{};  // no lease there outlives this, whatever commands were lost
     TimePoint firstAnsweredAt{};  // the worker rejects commands of previous owners from then on
     TimePoint answeredAt{};  // last response to a poll
+    TimePoint registeredAt{};  // when its last entry of the registry was read
     std::int64_t clockMs = 0;  // a reading of its clock, at `clockSeenAt` or before
     TimePoint clockSeenAt{};
     std::int64_t completionsSeen = 0;  // highest processed completion number
--- a/include/poplarstream/pools/planning.hpp
+++ b/include/poplarstream/pools/planning.hpp
@@ -7,7 +7,7 @@
 namespace poplarstream::pools {
 
 // Applies a complete list of the platform's machines that was requested at `askedAt`. Unreachable
-// workers that two lists in a row lack are ended in the engine.
+// workers that the lists have lacked for some time are ended in the engine.
 void applyMachineList(Pools &pools, engine::Engine &engine, const std::vector<Machine> &machines,
                       TimePoint askedAt, TimePoint now);
 
--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -87,7 +87,8 @@
     std::map<ServiceId, PoolNeed> needs;
     Forecast forecast;
     std::map<MachineId, TimePoint> cooldownUntil;  // of machines commanded by a previous owner
-    std::set<jobs::WorkerIncarnation> missingWorkers;  // unreachable, and not in the last list
+    // Unreachable workers that the lists lack, with the request of the first such list.
+    std::map<jobs::WorkerIncarnation, TimePoint> missingSince;
     std::string holder;
     std::int64_t fencingToken = 0;
 };
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -285,6 +285,7 @@
                          || worker.entry.service != entry.service;
     worker.entry = entry;
     worker.isListed = true;
+    worker.registeredAt = now;
     engine.needsPlan = engine.needsPlan || changed;
 }
 
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/pools/planning.hpp"
 
-#include <utility>  // for exchange
+#include <algorithm>  // for max
+#include <utility>  // for exchange, move
 
 #include "poplarstream/engine/worker_events.hpp"  // for endIncarnation
 #include "poplarstream/pools/forecast.hpp"  // for recordArrivals
@@ -26,9 +27,15 @@
     }
 }
 
-// Ends the incarnations of unreachable workers that neither this list nor the one before contains.
-// Otherwise their tasks would wait for the longest lease. One list alone proves nothing: it is read
-// in pages while machines move. Nor does a list that was requested before the worker's last answer.
+// The last sign of life of a worker, to this owner or to the registry.
+TimePoint lastHeardFrom(const engine::Worker &worker)
+{
+    return std::max(worker.answeredAt, worker.registeredAt);
+}
+
+// Ends the incarnations of unreachable workers that the lists have lacked for a whole interval of
+// their reports, without a sign of life meanwhile. Otherwise their tasks would wait for the longest
+// lease. One list alone proves nothing: it is read in pages while machines move.
 void endIncarnationsWithoutMachine(Pools &pools, engine::Engine &engine,
                                    const std::vector<Machine> &machines, TimePoint askedAt,
                                    TimePoint now)
@@ -37,20 +44,28 @@
     for (const Machine &machine : machines) {
         present.insert(machine.worker);
     }
-    std::set<jobs::WorkerIncarnation> missing;
+    std::map<jobs::WorkerIncarnation, TimePoint> missingSince;
+    std::vector<jobs::WorkerIncarnation> ended;
     for (const auto &[incarnation, worker] : engine.workers) {
-        if (worker.reachability != engine::Reachability::Reachable && worker.knownSince < askedAt
-            && worker.answeredAt < askedAt && !worker.isGone && !present.contains(incarnation.id)) {
-            missing.insert(incarnation);
+        if (worker.reachability == engine::Reachability::Reachable || worker.isGone
+            || worker.knownSince >= askedAt || lastHeardFrom(worker) >= askedAt
+            || present.contains(incarnation.id)) {
+            continue;
         }
-    }
-    const std::set<jobs::WorkerIncarnation> missingBefore =
-            std::exchange(pools.missingWorkers, std::move(missing));
-    for (const jobs::WorkerIncarnation &incarnation : missingBefore) {
-        if (pools.missingWorkers.contains(incarnation)) {
-            engine::endIncarnation(engine, incarnation, now, "evidence=not-in-machine-lists");
+        const auto before = pools.missingSince.find(incarnation);
+        const bool isStillMissing =
+                before != pools.missingSince.end() && lastHeardFrom(worker) < before->second;
+        const TimePoint since = isStillMissing ? before->second : askedAt;
+        if (askedAt >= since + engine.limits.reportInterval) {
+            ended.push_back(incarnation);
+        } else {
+            missingSince[incarnation] = since;
         }
     }
+    pools.missingSince = std::move(missingSince);
+    for (const jobs::WorkerIncarnation &incarnation : ended) {
+        engine::endIncarnation(engine, incarnation, now, "evidence=not-in-machine-lists");
+    }
 }
 
 bool isUp(const Machine &machine)
