Benchmark an owner at the limit of a large fleet

Callers saw: on a fleet of 1,100 workers with about 1,300 tasks a second, an owner with half of a core falls behind; tasks start up to 10 s late. Cause: the load of owner_benchmark had no long-running tasks, no machines, room for most jobs and a store that writes in 8 ms, so that the costs that grow with the fleet did not show. Change: a load of that size: 1,100 workers that each run a long-running task and have room for two more, 1,300 tasks a second in turns that leave 72 of 100 active jobs waiting, plans every 60 ms, 120 ms for a write. Processor time of each kind of work for one task and one call, and the responses to polls for one task by what ended them. The first two loads are unchanged.

--- a/bench/owner_world.cpp
+++ b/bench/owner_world.cpp
@@ -1,6 +1,7 @@
 #include "owner_world.hpp"
 
-#include <algorithm>  // for max
+#include <algorithm>  // for count_if, min
+#include <ctime>  // for clock_gettime, CLOCK_THREAD_CPUTIME_ID
 #include <utility>  // for exchange
 
 #include <fmt/format.h>  // for format
@@ -12,17 +13,28 @@
 #include "poplarstream/engine/worker_events.hpp"  // for registerWorker, handlePollResponse
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
 #include "poplarstream/engine/worker_polling.hpp"  // for pollWorkers
+#include "poplarstream/pools/planning.hpp"  // for planMachines, applyMachineList
 
 namespace poplarstream::bench {
 
 namespace {
 
 constexpr Milliseconds stepTime{4};
-constexpr Milliseconds tickPeriod{40};
-constexpr Milliseconds storeDelay{8};
 constexpr double peak = 4.0;  // of the mean, in a service's turn
 constexpr double trough = 0.05;
 constexpr jobs::Resources workerCapacity{64'000, 262'144, 0};
+// A long-running task is ready this long after its start.
+constexpr Milliseconds readyAfter{1000};
+constexpr int longRunningTasksPerJob = 25;
+constexpr TimePoint never = TimePoint::max();
+constexpr Milliseconds machinePeriod{100};
+
+std::chrono::nanoseconds processorTime()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds{time.tv_sec} + std::chrono::nanoseconds{time.tv_nsec};
+}
 
 std::string serviceName(int service)
 {
@@ -51,6 +63,57 @@
             engine::registerWorker(engine_, entry, now_);
             workers_[entry.incarnation];
         }
+        if (load.longRunningNeed.cpuMilli > 0) {
+            submitLongRunning(service);
+        }
+    }
+    if (load.hasMachines) {
+        std::vector<pools::Machine> machines;
+        for (const auto &[incarnation, worker] : engine_.workers) {
+            machines.push_back({pools::MachineId("m-" + incarnation.id.text()),
+                                worker.entry.service,
+                                pools::MachineState::Up,
+                                ZoneId("zone"),
+                                worker.entry.rack,
+                                {},
+                                workerCapacity,
+                                incarnation.id});
+        }
+        pools::applyMachineList(pools_, engine_, machines, now_, now_);
+    }
+}
+
+template <class Work>
+void OwnerWorld::measure(OwnerPart part, Work work)
+{
+    const std::chrono::nanoseconds before = processorTime();
+    work();
+    PartCost &cost = costs_[static_cast<std::size_t>(part)];
+    cost.spent += processorTime() - before;
+    ++cost.count;
+}
+
+Milliseconds OwnerWorld::meanReportDelay() const
+{
+    return tasksDone_ == 0 ? Milliseconds{0} : reportDelays_ / tasksDone_;
+}
+
+// One task for each worker, in jobs of some tasks on different workers.
+void OwnerWorld::submitLongRunning(int service)
+{
+    for (int left = load_.workersPerService; left > 0; left -= longRunningTasksPerJob) {
+        jobs::Submission submission;
+        submission.id = engine::JobId(fmt::format("{:016x}", nextJob_++ * 0x9e3779b97f4a7c15));
+        submission.policy.queue = engine::QueueId("long-running");
+        submission.policy.service = ServiceId(serviceName(service));
+        submission.policy.maxAttempts = 3;
+        jobs::StepSpec step;
+        step.count = std::min(left, longRunningTasksPerJob);
+        step.need = load_.longRunningNeed;
+        step.longRunning = true;
+        step.antiAffinity = 1;
+        submission.spec.steps.push_back(step);
+        engine::submitJob(engine_, std::move(submission), {now_, 0});
     }
 }
 
@@ -109,6 +172,7 @@
             }
             worker.completed.push_back({++worker.lastCompletion, running.ref.task, running.ref.run,
                                         jobs::AttemptResult::Done, ""});
+            worker.endedAt.push_back(now_);
             ++tasksDone_;
             return true;
         });
@@ -124,10 +188,23 @@
     engine::PollResponse response;
     response.clockMs = 5000 + (now_ - begunAt_).count();
     for (const Running &running : worker.running) {
-        response.running.push_back({running.ref.task, running.ref.run, "", 50, 1000});
+        const bool isReady = running.endsAt == never && now_ >= running.beganAt + readyAfter;
+        response.running.push_back(
+                {running.ref.task, running.ref.run, "", isReady ? 100 : 50, 1000});
     }
     response.completed = worker.completed;
-    engine::handlePollResponse(engine_, incarnation, worker.pollNumber, response, now_);
+    if (worker.lastReported < worker.lastCompletion) {
+        ++polls_.withEnds;
+    } else {
+        ++(worker.completed.empty() ? polls_.timedOut : polls_.repeated);
+    }
+    for (const TimePoint endedAt : std::exchange(worker.endedAt, {})) {
+        reportDelays_ += now_ - endedAt;
+    }
+    worker.lastReported = worker.lastCompletion;
+    measure(OwnerPart::Responses, [&] {
+        engine::handlePollResponse(engine_, incarnation, worker.pollNumber, response, now_);
+    });
 }
 
 void OwnerWorld::handleCommands()
@@ -144,9 +221,14 @@
         } else if (const auto *const start = std::get_if<engine::StartCommand>(&command)) {
             const engine::AttemptRef ref{start->task, start->run};
             const Milliseconds length(300 + static_cast<std::int64_t>(random_() % 700));
-            workers_.at(start->target.worker).running.push_back({ref, now_ + length});
-            engine::handleStartResult(engine_, ref, start->target.worker,
-                                      engine::StartResult::Started, 0, now_);
+            const bool isLongRunning =
+                    engine::stepOf(engine_.jobs.at(ref.task.job), ref.task).longRunning;
+            workers_.at(start->target.worker)
+                    .running.push_back({ref, now_, isLongRunning ? never : now_ + length});
+            measure(OwnerPart::Responses, [&] {
+                engine::handleStartResult(engine_, ref, start->target.worker,
+                                          engine::StartResult::Started, 0, now_);
+            });
         }
     }
 }
@@ -157,20 +239,24 @@
     submitArrivals();
     endRuns();
     const auto elapsed = now_ - begunAt_;
-    if (elapsed % tickPeriod == Milliseconds{0}) {
-        engine::rescheduleStragglers(engine_, now_);
-        engine::tickJobs(engine_, {now_, 0});
+    if (elapsed % load_.tickInterval == Milliseconds{0}) {
+        measure(OwnerPart::Health, [this] { engine::rescheduleStragglers(engine_, now_); });
+        measure(OwnerPart::Jobs, [this] { engine::tickJobs(engine_, {now_, 0}); });
+    }
+    if (load_.hasMachines && elapsed % machinePeriod == Milliseconds{0}) {
+        measure(OwnerPart::Machines, [this] { pools::planMachines(pools_, engine_, now_); });
     }
-    if (engine_.needsPlan && elapsed % (stepTime * 2) == Milliseconds{0}) {
-        engine::planStarts(engine_, now_);
+    if (engine_.needsPlan && elapsed % load_.planInterval == Milliseconds{0}) {
+        measure(OwnerPart::Plan, [this] { engine::planStarts(engine_, now_); });
     }
-    engine::pollWorkers(engine_, now_);
-    if (writing_ && writtenAt_ + storeDelay <= now_) {
-        engine::applyStored(engine_, *writing_, now_);
+    measure(OwnerPart::Polls, [this] { engine::pollWorkers(engine_, now_); });
+    if (writing_ && writtenAt_ + load_.storeDelay <= now_) {
+        measure(OwnerPart::Stored, [this] { engine::applyStored(engine_, *writing_, now_); });
         writing_.reset();
     }
     if (!writing_) {
-        engine::Batch batch = engine::collectBatch(engine_);
+        engine::Batch batch;
+        measure(OwnerPart::Encode, [&] { batch = engine::collectBatch(engine_); });
         if (!batch.isEmpty()) {
             writing_ = std::move(batch);
             writtenAt_ = now_;
