Search the running jobs for stalled tasks, not the workers

Cause: the search visited each attempt of each worker, and looked up its job by id and then its task, also those of long-running tasks, which are never taken for stalled. Ruled out: keeping the start in the attempt of the worker, as progress moves the time as well. Change: the search reads the attempts in the running jobs, where they lie side by side, and looks up the worker of only those without progress for longer than the limit. A job without a started task is passed over by its state. The order of workers and attempts, and so the decisions, are as before. What is left is reading the tasks of the jobs that run.

--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/engine/worker_health.hpp"
 
-#include <algorithm>  // for max, min
+#include <algorithm>  // for max, min, sort
 
 #include <fmt/format.h>  // for format
 
@@ -25,11 +25,63 @@
 // Stalled tasks on a worker before it is quarantined: a single one may just be a long task.
 constexpr std::size_t stragglersBeforeQuarantine = 3;
 
-bool isStalled(const Worker &worker, const jobs::Attempt &attempt, TimePoint now)
+// Whether the attempt is without progress for so long that it is stalled if its worker confirms it.
+bool isSuspected(const jobs::Attempt &attempt, TimePoint now)
 {
+    return attempt.phase == jobs::AttemptPhase::Running && attempt.percent >= 0
+           && now >= std::max(attempt.progressedAt, attempt.startedAt) + stallTimeout;
+}
+
+// Whether the worker has responded since, and still has the attempt.
+bool isConfirmed(const Engine &engine, const jobs::Attempt &attempt, const AttemptRef &ref)
+{
+    const auto place = engine.workers.find(attempt.worker);
+    if (place == engine.workers.end()) {
+        return false;
+    }
+    const Worker &worker = place->second;
     const TimePoint since = std::max(attempt.progressedAt, attempt.startedAt);
-    return attempt.percent >= 0 && now >= since + stallTimeout
-           && worker.answeredAt >= since + stallConfirmation;
+    return !worker.isGone && worker.reachability == Reachability::Reachable
+           && worker.answeredAt >= since + stallConfirmation && worker.attempts.contains(ref);
+}
+
+// The stalled attempts, in the order of workers and attempts. Looks for them in the jobs, since
+// looking up the job of each attempt of each worker costs several times as much.
+std::map<WorkerIncarnation, std::vector<AttemptRef>> stalledAttempts(const Engine &engine,
+                                                                     TimePoint now)
+{
+    std::map<WorkerIncarnation, std::vector<AttemptRef>> stalled;
+    for (const jobs::Job *const job : engine.active) {
+        if (job->state != jobs::JobState::Running) {
+            continue;  // has no attempts yet, or is being stopped
+        }
+        const std::vector<jobs::StepSpec> &specs = job->submission.spec.steps;
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (specs[step].longRunning || specs[step].gang) {
+                    continue;
+                }
+                const std::vector<jobs::Task> &tasks = occurrence.steps[step];
+                for (std::size_t index = 0; index < tasks.size(); ++index) {
+                    for (const jobs::Attempt &attempt : tasks[index].attempts) {
+                        if (!isSuspected(attempt, now)) {
+                            continue;
+                        }
+                        const AttemptRef ref{{job->submission.id, number, static_cast<int>(step),
+                                              static_cast<int>(index)},
+                                             attempt.run};
+                        if (isConfirmed(engine, attempt, ref)) {
+                            stalled[attempt.worker].push_back(ref);
+                        }
+                    }
+                }
+            }
+        }
+    }
+    for (auto &[incarnation, attempts] : stalled) {
+        std::sort(attempts.begin(), attempts.end());
+    }
+    return stalled;
 }
 
 void reschedule(Engine &engine, jobs::Job &job, const AttemptRef &ref, jobs::Attempt &attempt,
@@ -90,26 +142,10 @@
 
 void rescheduleStragglers(Engine &engine, TimePoint now)
 {
-    std::vector<AttemptRef> stalled;
-    for (auto &[incarnation, worker] : engine.workers) {
-        if (worker.isGone || worker.reachability != Reachability::Reachable) {
-            continue;
-        }
-        stalled.clear();
-        for (const auto &[ref, decisivePoll] : worker.attempts) {
-            jobs::Job &job = engine.jobs.at(ref.task.job);
-            const jobs::StepSpec &step = stepOf(job, ref.task);
-            if (step.longRunning || step.gang || jobs::isFinal(job.state)) {
-                continue;
-            }
-            jobs::Task *const task = jobs::findTask(job, ref.task);
-            const jobs::Attempt *const attempt =
-                    task == nullptr ? nullptr : jobs::findAttempt(*task, ref.run);
-            if (attempt != nullptr && attempt->phase == jobs::AttemptPhase::Running
-                && isStalled(worker, *attempt, now)) {
-                stalled.push_back(ref);
-            }
-        }
+    const std::map<WorkerIncarnation, std::vector<AttemptRef>> stalledByWorker =
+            stalledAttempts(engine, now);
+    for (const auto &[incarnation, stalled] : stalledByWorker) {
+        Worker &worker = engine.workers.at(incarnation);
         if (stalled.size() >= stragglersBeforeQuarantine && worker.quarantinedUntil <= now) {
             quarantine(engine, worker, now);
         }
