Skip waiting steps that no longer fit on any worker

Cause: the largest free capacity was computed once before a plan, so that after the first starts each of the many steps that wait visited all candidates and found none. Ranking read every task of every waiting job, though most of them have not started any. Change: the largest free capacity is computed again after a step that was not placed, if something was placed since. Capacity only shrinks during a plan, so that a step that does not fit it fits nowhere. In a job without a started task all tasks wait, which its state shows. What is decided stays the same. Test: Starts.SmallTaskIsPlacedAfterLargeOneDidNotFit, Starts.QueuedJobStartsWhenCapacityIsFree. What is left is ranking the waiting jobs, the list of candidates and the choice among them for each task that is placed.

--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -75,8 +75,15 @@
                || task.notBefore + failedWorkerAvoidance <= now);
 }
 
-void planTasks(Engine &engine, const StepRef &place, std::vector<PlacementCandidate> &candidates,
-               TimePoint now)
+// Which of the waiting tasks of a step were placed.
+struct PlacedTasks
+{
+    bool any = false;
+    bool all = true;
+};
+
+PlacedTasks planTasks(Engine &engine, const StepRef &place,
+                      std::vector<PlacementCandidate> &candidates, TimePoint now)
 {
     const jobs::StepSpec &step =
             place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
@@ -84,6 +91,7 @@
                                      ? countPlacements(engine, place.occurrence, place.step)
                                      : PlacementCounts{};
     auto &tasks = place.occurrence.steps[static_cast<std::size_t>(place.step)];
+    PlacedTasks placed;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const jobs::Task &task = tasks[index];
         if (task.isDone || !task.attempts.empty() || task.notBefore > now) {
@@ -96,10 +104,15 @@
         }
         if (candidate != nullptr) {
             addAttempt(engine, place, index, task.lastRun + 1, *candidate, counts, now);
-        } else if (task.failedOn.empty()) {
-            return;  // the other tasks of the step have the same needs
+            placed.any = true;
+            continue;
+        }
+        placed.all = false;
+        if (task.failedOn.empty()) {
+            return placed;  // the other tasks of the step have the same needs
         }
     }
+    return placed;
 }
 
 // Indexes of the candidates for all tasks of a gang, or none if they don't all fit.
@@ -139,8 +152,8 @@
     return candidatesForGang(candidates, step, count, nullptr);
 }
 
-void planGang(Engine &engine, const StepRef &place, std::vector<PlacementCandidate> &candidates,
-              TimePoint now)
+PlacedTasks planGang(Engine &engine, const StepRef &place,
+                     std::vector<PlacementCandidate> &candidates, TimePoint now)
 {
     const jobs::StepSpec &step =
             place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
@@ -149,20 +162,21 @@
     std::string checkpoint;
     for (const jobs::Task &task : tasks) {
         if (task.isDone || !task.attempts.empty() || task.notBefore > now) {
-            return;  // a member may still be running, or must wait
+            return {};  // a member may still be running, or must wait
         }
         run = std::max(run, task.lastRun);
         checkpoint = checkpoint.empty() ? task.checkpoint : checkpoint;
     }
     const std::vector<std::size_t> chosen = candidatesForGang(candidates, step, tasks.size());
     if (chosen.empty()) {
-        return;
+        return {.any = false, .all = false};
     }
     PlacementCounts counts;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         tasks[index].checkpoint = checkpoint;
         addAttempt(engine, place, index, run + 1, candidates[chosen[index]], counts, now);
     }
+    return {.any = true, .all = true};
 }
 
 // Whether the attempt is slow or its worker doesn't respond.
@@ -243,7 +257,8 @@
             placementCandidates(engine, services, now);
     for (const auto &[service, steps] : ranked) {
         auto &own = candidates.at(service);
-        const jobs::Resources largest = largestFreeCapacity(own);
+        jobs::Resources largest = largestFreeCapacity(own);
+        bool hasPlaced = false;  // since `largest` was computed
         for (const WaitingStep &waiting : steps) {
             const StepRef place{*waiting.job, waiting.job->occurrences.at(waiting.occurrence),
                                 waiting.occurrence, waiting.step};
@@ -251,10 +266,15 @@
             if (!capacityUsedBy(waiting.job->submission.spec.steps[index]).fits(largest)) {
                 continue;
             }
-            if (waiting.job->submission.spec.steps[index].gang) {
-                planGang(engine, place, own, now);
-            } else {
-                planTasks(engine, place, own, now);
+            const PlacedTasks placed = waiting.job->submission.spec.steps[index].gang
+                                               ? planGang(engine, place, own, now)
+                                               : planTasks(engine, place, own, now);
+            hasPlaced = hasPlaced || placed.any;
+            // Capacity only shrinks during a plan. Without this, each of the many steps that no
+            // longer fit visits all candidates.
+            if (hasPlaced && !placed.all) {
+                largest = largestFreeCapacity(own);
+                hasPlaced = false;
             }
         }
     }
--- a/src/poplarstream/engine/ranking.cpp
+++ b/src/poplarstream/engine/ranking.cpp
@@ -34,6 +34,7 @@
 bool addWaitingSteps(const Engine &engine, jobs::Job &job,
                      std::map<ServiceId, std::vector<WaitingStep>> &waiting, TimePoint now)
 {
+    const bool isQueued = job.state == jobs::JobState::Queued;
     bool hasWaiting = false;
     for (const auto &[number, occurrence] : job.occurrences) {
         if (occurrence.isDone) {
@@ -44,17 +45,20 @@
             if (occurrence.remaining[i] == 0 || !jobs::isStepReady(job, occurrence, step)) {
                 continue;
             }
-            bool isDue = false;
-            for (const jobs::Task &task : occurrence.steps[i]) {
+            // No task of a queued job was started, so that all wait. Most waiting jobs are queued.
+            bool isDue = isQueued;
+            hasWaiting = hasWaiting || isQueued;
+            for (std::size_t index = 0; !isDue && index < occurrence.steps[i].size(); ++index) {
+                const jobs::Task &task = occurrence.steps[i][index];
                 if (isWaiting(task)) {
                     hasWaiting = true;
-                    isDue = isDue || task.notBefore <= now;
+                    isDue = task.notBefore <= now;
                 }
             }
             if (isDue) {
                 waiting[serviceOf(engine, job)].push_back(
                         {&job, number, step, deadlineClassOf(job, occurrence, now),
-                         job.submission.policy.priority, hasStarted(occurrence),
+                         job.submission.policy.priority, !isQueued && hasStarted(occurrence),
                          jobs::objective(job, occurrence)});
             }
         }
--- a/src/poplarstream/engine/starts_test.cpp
+++ b/src/poplarstream/engine/starts_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>  // for count_if
+
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
 #include "engine_fixture.hpp"  // for EngineFixture
@@ -260,5 +262,63 @@
     EXPECT_EQ(fixture.engine.decisions.size(), 4U) << "rare decisions are always queued";
 }
 
+// Guards against idle capacity: once a large task fits nowhere, steps that need as much are
+// skipped, but a smaller task of a lower rank still gets the rest.
+TEST(Starts, SmallTaskIsPlacedAfterLargeOneDidNotFit)
+{
+    SCOPED_TRACE("given a worker of 4 cores, three large tasks, three more, and a small one");
+    EngineFixture fixture(1);
+    jobs::Submission small = submission("00000000000000c3", step(1, 1000));
+    small.policy.priority = 1;
+    fixture.submit(submission(firstJob, step(3, 1500)));
+    fixture.submit(submission(test::secondJob, step(3, 1500)));
+    fixture.submit(small);
+    {
+        SCOPED_TRACE("when starts are planned");
+        const auto starts = fixture.start();
+        {
+            SCOPED_TRACE("then two large tasks and the small one start");
+            ASSERT_EQ(starts.size(), 3U);
+            EXPECT_EQ(std::count_if(starts.begin(), starts.end(),
+                                    [&](const StartCommand &start) {
+                                        return start.task.job == small.id;
+                                    }),
+                      1);
+            EXPECT_EQ(fixture.worker("w1").used.cpuMilli, 4000);
+        }
+    }
+}
+
+// Guards against a job that is forgotten while it waits: each plan ranks only the jobs that had
+// waiting tasks in the last one.
+TEST(Starts, QueuedJobStartsWhenCapacityIsFree)
+{
+    SCOPED_TRACE("given a full worker and a job that has never started a task");
+    EngineFixture fixture(1);
+    fixture.submit(submission(firstJob, step(4, 1000)));
+    fixture.startAll();
+    fixture.submit(submission(test::secondJob, step(2, 1000)));
+    EXPECT_TRUE(fixture.start().empty());
+    EXPECT_TRUE(fixture.start().empty());
+    {
+        SCOPED_TRACE("when a task ends");
+        const auto running = [](int index) {
+            return RunningReport{EngineFixture::ref(index).task, 1, "", 10, 0};
+        };
+        fixture.poll();
+        fixture.answer("w1", {running(1), running(2), running(3)},
+                       {{1, EngineFixture::ref(0).task, 1, jobs::AttemptResult::Done, ""}});
+        {
+            SCOPED_TRACE("then one task of the waiting job starts, and the other still waits");
+            const auto starts = fixture.startAll();
+            ASSERT_EQ(starts.size(), 1U);
+            EXPECT_EQ(starts[0].task.job, JobId(test::secondJob));
+            EXPECT_TRUE(fixture.start().empty());
+            EXPECT_EQ(waitingJobs(fixture.engine, QueueId("proofs")), 0);
+            EXPECT_TRUE(fixture.engine.waiting.contains(fixture.job(test::secondJob)));
+        }
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::engine
