Read responses that have arrived before a call times out

Callers saw: with an owner that is behind, calls to workers time out at 300 ms although the workers answered, and the workers are taken for unresponsive. Cause: when the event loop is late, the timers of the calls run before the sockets are read. Each call whose deadline passed meanwhile ended as unanswered and closed its connection, with the response in the receive buffer. A new connection, a prompt poll with a higher token and a poll every 100 ms follow, all of which make the owner later still. Ruled out: reading in the handler of the timer, since a read into the same buffer is pending already; a longer timeout, which also delays the discovery of workers that are silent. Change: at the deadline of a call whose socket has unread bytes the call gets 200 ms more, once, in which the pending read completes it. A call without such bytes ends as before. A response was always allowed to be handled late, as the loop may be late after reading it, so that nothing that is decided from a response changes. Test: HttpClientTest.ResponseThatArrivedByTheDeadlineIsRead: 300 calls whose responses have arrived as the loop runs after their deadline. HttpClientTest.PartOfAResponseDoesNotHoldTheCall bounds the extra time for a peer that sends a part. Measured: the tests only. Conclusion: a late owner no longer takes workers that answered for unresponsive at this place. Workers whose response is late for another reason still are.

--- a/include/poplarstream/adapters/http_client.hpp
+++ b/include/poplarstream/adapters/http_client.hpp
@@ -56,7 +56,8 @@
 
 struct HttpCallOptions
 {
-    // Covers waiting for a connection, connecting, sending and receiving.
+    // Covers waiting for a connection, connecting, sending and receiving. A response that has
+    // arrived by then is still read.
     Milliseconds deadline{1000};
     // When not empty, the response must repeat the request's value of this header. If it does not,
     // the call fails with InvalidResponse and its connection is closed.
--- a/src/poplarstream/adapters/http_call.cpp
+++ b/src/poplarstream/adapters/http_call.cpp
@@ -141,6 +141,13 @@
     return error == asio::error::would_block;
 }
 
+bool HttpClientConnection::hasUnreadInput() const
+{
+    error_code error;
+    const std::size_t bytes = socket_.available(error);
+    return !error && bytes > 0;
+}
+
 void HttpClientConnection::startCall(std::shared_ptr<HttpCall> call, Phase phase)
 {
     phase_ = phase;
--- a/src/poplarstream/adapters/http_call.hpp
+++ b/src/poplarstream/adapters/http_call.hpp
@@ -35,6 +35,7 @@
     HttpCallback callback;
     std::weak_ptr<HttpClientConnection> connection;  // while in flight
     bool isDone = false;
+    bool isExtended = false;  // the deadline has passed, but a response has arrived
 
     // Ends the call. Later outcomes are ignored.
     void finish(HttpOutcome outcome);
@@ -65,6 +66,9 @@
     // Whether the peer has neither closed this idle connection nor sent anything on it.
     bool isReusable();
 
+    // Whether the peer has sent something that was not read yet.
+    bool hasUnreadInput() const;
+
     Phase phase() const { return phase_; }
     const HttpEndpoint &endpoint() const { return endpoint_; }
     // Why connecting failed; None if it did not.
--- a/src/poplarstream/adapters/http_client.cpp
+++ b/src/poplarstream/adapters/http_client.cpp
@@ -21,6 +21,9 @@
 using Connection = std::shared_ptr<HttpClientConnection>;
 using Call = std::shared_ptr<HttpCall>;
 
+// For reading a response that has arrived by the deadline.
+constexpr Milliseconds readExtension{200};
+
 struct Pool
 {
     std::vector<Connection> connections;  // the most recently used idle one is last
@@ -68,14 +71,32 @@
         call->number = ++lastCall;
         call->endpoint = endpoint;
         calls[call->number] = call;
-        call->deadline.expires_after(call->options.deadline);
+        waitForDeadline(call, call->options.deadline);
+        return call;
+    }
+
+    void waitForDeadline(const Call &call, Milliseconds remaining)
+    {
+        call->deadline.expires_after(remaining);
         call->deadline.async_wait([weak = weak_from_this(), call](error_code error) {
             const auto self = weak.lock();
             if (!error && self && !call->isDone) {
-                self->end(call, HttpError::DeadlinePassed);
+                self->onDeadline(call);
             }
         });
-        return call;
+    }
+
+    // When the event loop is late, timers run before responses that have arrived are read. Without
+    // the extra time, each of them would count as missing and cost a new connection.
+    void onDeadline(const Call &call)
+    {
+        const Connection connection = call->connection.lock();
+        if (connection && !call->isExtended && connection->hasUnreadInput()) {
+            call->isExtended = true;
+            waitForDeadline(call, readExtension);
+        } else {
+            end(call, HttpError::DeadlinePassed);
+        }
     }
 
     // Ends a call without a response: closes its connection or removes it from the queue.
--- a/src/poplarstream/adapters/http_client_test.cpp
+++ b/src/poplarstream/adapters/http_client_test.cpp
@@ -307,5 +307,52 @@
     EXPECT_EQ(outcome->delivery, HttpDelivery::NotSent);
 }
 
+// A busy process must not take responses that it has not read yet for missing ones: the calls would
+// be repeated and their connections opened anew, which makes it busier.
+TEST_F(HttpClientTest, ResponseThatArrivedByTheDeadlineIsRead)
+{
+    // More sockets than the event loop looks at before it handles the timers.
+    constexpr std::size_t calls = 300;
+    limits.connectionsPerEndpoint = calls;
+    limits.waitingPerEndpoint = calls;
+    for (std::size_t i = 0; i < calls; ++i) {
+        send();
+    }
+    for (std::size_t i = 0; i < calls; ++i) {
+        ASSERT_TRUE(runUntil(
+                io, [&] { return server.peers.size() > i && server.peers[i]->has("GET"); }));
+        server.peers[i]->send(okResponse("first"));
+    }
+    for (std::size_t i = 0; i < calls; ++i) {
+        ASSERT_TRUE(runUntilEnded(i));
+    }
+    for (std::size_t i = 0; i < calls; ++i) {
+        send(Milliseconds{0});
+    }
+    for (const auto &peer : server.peers) {
+        peer->send(okResponse("second"));
+    }
+    std::size_t answered = 0;
+    for (std::size_t i = calls; i < calls * 2; ++i) {
+        ASSERT_TRUE(runUntilEnded(i));
+        answered += outcomes[i]->delivery == HttpDelivery::Answered ? 1 : 0;
+    }
+    EXPECT_EQ(answered, calls);
+}
+
+// A peer that sends a part of a response must not hold a call beyond its deadline and the time to
+// read what has arrived.
+TEST_F(HttpClientTest, PartOfAResponseDoesNotHoldTheCall)
+{
+    send();
+    ASSERT_TRUE(runUntilReceived(0, "GET /0"));
+    server.peers[0]->send(okResponse("first"));
+    ASSERT_TRUE(runUntilEnded(0));
+    send(Milliseconds{0});
+    server.peers[0]->send("HTTP/1.1 200 OK\r\n");
+    ASSERT_TRUE(runUntilEnded(1));
+    expect(1, HttpDelivery::MayHaveBeenSent, HttpError::DeadlinePassed);
+}
+
 }  // namespace
 }  // namespace poplarstream
