Count calls to workers by what they led to in event 724

Operators saw: 31,286 responses in 5 s in event 724 of an owner that is behind, without a way to tell polls with ends from polls that time out, polls for starting tasks, retries to silent workers, starts and stops. Change: event 724 has a field `calls`, and the metrics page a counter, with the number of polls that reported ends, long polls without, shorter ones for the progress of starting tasks, polls that did not wait, polls without a usable response, starts and stops. The pages now say that `work` is elapsed time: the sections read the steady clock, so that it includes the time without a core. Ruled out: processor time in these sections, as reading that clock is a system call for each of some ten thousand sections a second. Test: LoadMeter.CallsAreCountedByWhatTheyLedTo; Events.Catalogue compares the page. Measured: the tests only. Conclusion: the next line of an overloaded owner tells which calls could be saved.

--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -182,9 +182,13 @@
                                         "If `oldest_ms` keeps rising, see `held_by`: tasks of the "
                                         "step are missing, or no worker has free capacity."};
 inline constexpr EventKind ownerLoad{
-        724, EventLevel::Info, "owner-load", "active waiting work",
-        "`work` gives milliseconds and number of each kind of work since the last line. If their "
-        "sum nears the processor share of the machine, let a larger machine own the jobs."};
+        724, EventLevel::Info, "owner-load", "active waiting work calls",
+        "`work` gives elapsed milliseconds and number of each kind of work since the last line. If "
+        "their sum nears the processor share of the machine, let a larger machine own the jobs. "
+        "`calls` gives the calls to workers by what they led to: polls with ends, long ones "
+        "without, "
+        "those for the progress of starting tasks, those that did not wait, those without a "
+        "response; starts; stops."};
 inline constexpr EventKind workerSuspected{730, EventLevel::Warning, "worker-suspected",
                                            "task run worker inputs",
                                            "If it repeats, take the worker out of its pool."};
--- a/src/poplarstream/edge/command_sender.cpp
+++ b/src/poplarstream/edge/command_sender.cpp
@@ -4,10 +4,29 @@
 
 #include "poplarstream/engine/attempts.hpp"  // for findJob
 #include "poplarstream/engine/worker_events.hpp"  // for handlePollResponse, handleStartResult
+#include "poplarstream/engine/worker_polling.hpp"  // for maxPollWait
 #include "poplarstream/telemetry/event_kinds.hpp"  // for taskEnded, taskNotStarted
 
 namespace poplarstream::edge {
 
+namespace {
+
+WorkerCallEnd endOf(Milliseconds wait, const WorkerPort::PollOutcome &outcome)
+{
+    if (!outcome.response) {
+        return WorkerCallEnd::Unanswered;
+    }
+    if (!outcome.response->completed.empty()) {
+        return WorkerCallEnd::Ends;
+    }
+    if (wait == Milliseconds{0}) {
+        return WorkerCallEnd::Prompt;
+    }
+    return wait < engine::maxPollWait ? WorkerCallEnd::Progress : WorkerCallEnd::Idle;
+}
+
+}  // namespace
+
 struct CommandSender::State
 {
     explicit State(Runtime &sharedRuntime)
@@ -56,29 +75,32 @@
     };
     const WorkerPort &workers = state_->runtime.workers;
     if (const auto *const poll = std::get_if<engine::PollCommand>(&command)) {
-        workers.poll(*poll,
-                     guarded([&engine, incarnation = poll->target.worker,
-                              number = poll->number](const WorkerPort::PollOutcome &outcome) {
-                         if (outcome.isOtherIncarnation) {
-                             engine::handleOtherIncarnation(engine, incarnation, steadyNow());
-                         } else {
-                             engine::handlePollResponse(engine, incarnation, number,
-                                                        outcome.response, steadyNow());
-                         }
-                     }));
+        workers.poll(*poll, guarded([&engine, incarnation = poll->target.worker,
+                                     number = poll->number, wait = poll->wait,
+                                     state = state_](const WorkerPort::PollOutcome &outcome) {
+            state->runtime.load.count(endOf(wait, outcome));
+            if (outcome.isOtherIncarnation) {
+                engine::handleOtherIncarnation(engine, incarnation, steadyNow());
+            } else {
+                engine::handlePollResponse(engine, incarnation, number, outcome.response,
+                                           steadyNow());
+            }
+        }));
     } else if (const auto *const start = std::get_if<engine::StartCommand>(&command)) {
         const engine::AttemptRef ref{start->task, start->run};
         workers.start(*start, guarded([&engine, ref, sentAt, state = state_,
                                        incarnation = start->target.worker](
                                               const WorkerPort::StartOutcome &outcome) {
+            state->runtime.load.count(WorkerCallEnd::Start);
             state->recordStartDuration(engine, ref.task.job, outcome.result, sentAt);
             engine::handleStartResult(engine, ref, incarnation, outcome.result, outcome.clockMs,
                                       steadyNow());
         }));
     } else if (const auto *const stop = std::get_if<engine::StopCommand>(&command)) {
         const engine::AttemptRef ref{stop->task, stop->run};
-        workers.stop(*stop, guarded([&engine, ref,
+        workers.stop(*stop, guarded([&engine, ref, state = state_,
                                      incarnation = stop->target.worker](engine::StopResult result) {
+            state->runtime.load.count(WorkerCallEnd::Stop);
             engine::handleStopResult(engine, ref, incarnation, result, steadyNow());
         }));
     }
--- a/src/poplarstream/edge/load_meter.cpp
+++ b/src/poplarstream/edge/load_meter.cpp
@@ -13,6 +13,10 @@
         "plan",      "health", "jobs", "polls",    "send",
         "responses", "encode", "feed", "machines", "lookups"};
 
+// In the order of WorkerCallEnd.
+constexpr std::array<std::string_view, workerCallEnds> callNames = {
+        "ends", "idle", "progress", "prompt", "unanswered", "starts", "stops"};
+
 double seconds(std::chrono::nanoseconds duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -28,6 +32,9 @@
                             "poplar_owner_work_total{{work=\"{}\"}} {}\n",
                             names[i], seconds(spent_[i]), names[i], counts_[i]);
     }
+    for (std::size_t i = 0; i < workerCallEnds; ++i) {
+        text += fmt::format("poplar_owner_calls_total{{end=\"{}\"}} {}\n", callNames[i], calls_[i]);
+    }
     return text;
 }
 
@@ -44,4 +51,15 @@
     return text;
 }
 
+std::string LoadMeter::takeCalls()
+{
+    std::string text;
+    for (std::size_t i = 0; i < workerCallEnds; ++i) {
+        text += fmt::format("{}{}={}", i == 0 ? "" : " ", callNames[i],
+                            calls_[i] - callsBefore_[i]);
+    }
+    callsBefore_ = calls_;
+    return text;
+}
+
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/load_meter_test.cpp
+++ b/src/poplarstream/edge/load_meter_test.cpp
@@ -25,5 +25,20 @@
               std::string::npos);
 }
 
+// Guards against calls that are counted as another kind, by which an overload is traced.
+TEST(LoadMeter, CallsAreCountedByWhatTheyLedTo)
+{
+    LoadMeter meter;
+    meter.count(WorkerCallEnd::Ends);
+    meter.count(WorkerCallEnd::Progress);
+    meter.count(WorkerCallEnd::Progress);
+    meter.count(WorkerCallEnd::Stop);
+    EXPECT_EQ(meter.takeCalls(), "ends=1 idle=0 progress=2 prompt=0 unanswered=0 starts=0 stops=1");
+    meter.count(WorkerCallEnd::Unanswered);
+    EXPECT_EQ(meter.takeCalls(), "ends=0 idle=0 progress=0 prompt=0 unanswered=1 starts=0 stops=0");
+    EXPECT_NE(meter.prometheusText().find("poplar_owner_calls_total{end=\"progress\"} 2\n"),
+              std::string::npos);
+}
+
 }  // namespace
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -316,7 +316,8 @@
         loadLoggedAt = now;
         logEvent(events::ownerLoad, {{"active", fmt::to_string(engine.active.size())},
                                      {"waiting", fmt::to_string(engine.waiting.size())},
-                                     {"work", runtime.load.takeSummary()}});
+                                     {"work", runtime.load.takeSummary()},
+                                     {"calls", runtime.load.takeCalls()}});
     }
 
     void sendCommands()
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-// Each poll renews the leases, so the response must come well before the lease expires.
-constexpr Milliseconds maxPollWait{1500};
 // A response shows which incarnation of a worker it is. A restart takes longer than this.
 constexpr Milliseconds incarnationKnownFor{1000};
 // The progress of a starting long-running task is polled this often.
