Visit all workers for unstored ends only if nothing else is written

Callers saw: tasks that start late while the owner is at its limit. Cause: each pump, up to 250 a second, visited all workers to see whether an end is not stored yet, also while a write was in flight and while jobs were waiting to be written, when the answer does not matter. Change: the visit comes last, and only if it decides whether something is written. Test: ProgressWriter.EndOfAnUnknownJobIsAcknowledged covers the case that needs the visit.

--- a/src/poplarstream/edge/progress_writer.cpp
+++ b/src/poplarstream/edge/progress_writer.cpp
@@ -14,6 +14,13 @@
 // Changes within this time are written together, because each call to the store is expensive.
 constexpr Milliseconds batchWindow{8};
 
+bool hasUnstoredCompletions(const engine::Engine &engine)
+{
+    return std::any_of(engine.workers.begin(), engine.workers.end(), [](const auto &entry) {
+        return entry.second.completionsSeen > entry.second.completionsStored;
+    });
+}
+
 }  // namespace
 
 struct ProgressWriter::State : std::enable_shared_from_this<ProgressWriter::State>
@@ -143,12 +150,10 @@
 
 void ProgressWriter::write(engine::Engine &engine, std::function<void(WriteResult)> done)
 {
-    const bool hasCompletions =
-            std::any_of(engine.workers.begin(), engine.workers.end(), [](auto &entry) {
-                return entry.second.completionsSeen > entry.second.completionsStored;
-            });
+    // Visits all workers only if nothing else has to be written.
     if (state_->isWriting
-        || (engine.dirty.empty() && engine.pendingRecords.empty() && !hasCompletions)) {
+        || (engine.dirty.empty() && engine.pendingRecords.empty()
+            && !hasUnstoredCompletions(engine))) {
         return;
     }
     state_->isWriting = true;
--- a/src/poplarstream/edge/progress_writer_test.cpp
+++ b/src/poplarstream/edge/progress_writer_test.cpp
@@ -95,5 +95,31 @@
     EXPECT_TRUE(owner.fixture.take<engine::StartCommand>().empty());
 }
 
+// Guards against a worker that responds to each poll at once for good: an end that changes no job
+// has to be acknowledged as well, although there is nothing to store.
+TEST(ProgressWriter, EndOfAnUnknownJobIsAcknowledged)
+{
+    SCOPED_TRACE("given an owner that has stored everything");
+    Owner owner(true);
+    owner.store.respond(AppendResult::Stored);
+    owner.fixture.poll();
+    {
+        SCOPED_TRACE("when a worker reports the end of a task of an unknown job");
+        owner.fixture.answer(
+                "w1", {},
+                {{1, engine::test::EngineFixture::ref(0, 1, engine::test::secondJob).task, 1,
+                  jobs::AttemptResult::Done, ""}});
+        ASSERT_TRUE(owner.fixture.engine.dirty.empty());
+        owner.writer.write(owner.fixture.engine, [](WriteResult) {});
+        owner.io.restart();
+        owner.io.run();
+        {
+            SCOPED_TRACE("then it is acknowledged without a write");
+            EXPECT_EQ(owner.store.requests.size(), 1U);
+            EXPECT_EQ(owner.fixture.worker("w1").completionsStored, 1);
+        }
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::edge
