--- a/src/poplarstream/pools/run_once_simulation_test.cpp
+++ b/src/poplarstream/pools/run_once_simulation_test.cpp
@@ -161,6 +161,7 @@
         return isFaulty_ && has(fault) && chance(perTenThousand);
     }
     Milliseconds ms(int least, int most) { return Milliseconds(between(least, most)); }
+    Milliseconds longestLease() const { return Milliseconds(has(LongLeases) ? 10'000 : 5000); }
     Milliseconds latency() { return strikes(SlowResponses, 1000) ? ms(50, 400) : ms(1, 8); }
 
     void at(TimePoint when, std::function<void()> handle)
@@ -222,7 +223,7 @@
         const double rate = 0.98 + 0.01 * between(0, 4);
         slot.worker = std::make_unique<SimulatedWorker>(
                 engine::WorkerIncarnation{engine::WorkerId(id), now_.time_since_epoch().count()},
-                rate, Milliseconds(has(LongLeases) ? 10'000 : 5000), now_, rules_);
+                rate, longestLease(), now_, rules_);
         slot.worker->endsPerPoll = static_cast<std::size_t>(endsPerPoll_);
         slot.bornAt = now_;
         slot.nextHeartbeat = now_ + ms(0, 300);
@@ -436,6 +437,7 @@
         at(now_ + delay, [this, isHandover] {
             auto owner = std::make_shared<Owner>();
             owner->engine.token.epoch = ++storeEpoch_;
+            owner->engine.limits.longestLease = longestLease();
             owner->confirmedAt = now_;
             owner->loadedAt = now_ + ms(50, 600);
             const TimePoint renewedAt = isHandover ? now_ : now_ + pollingGrace;
