Take a move for done when a list shows it

A move whose response was lost was sent again until a response came, each time to the machine's next worker, which stayed cordoned meanwhile: the machine had moved and did nothing.

Moves.MoveThatAListShowsIsNotSentAgain failed before. Change: a list that was requested after the command was sent, and shows the machine in the pool that it was sent to, settles the command.

--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -73,6 +73,15 @@
     return machine.state == MachineState::Up;
 }
 
+// Whether a list that was requested at `askedAt` shows that the view's move has been carried out
+// although its response was lost.
+bool showsMove(const MachineView &view, TimePoint askedAt)
+{
+    return view.pending && view.pending->isSent && view.pending->sentAt < askedAt
+           && view.pending->command.kind == MachineCommand::Kind::Move
+           && view.machine.pool == view.pending->command.pool;
+}
+
 }  // namespace
 
 void applyMachineList(Pools &pools, engine::Engine &engine, const std::vector<Machine> &machines,
@@ -94,6 +103,10 @@
         // A list that was requested before a command was carried out may show the earlier state.
         if (view.changedAt < askedAt || view.changedAt == TimePoint{}) {
             view.machine = machine;
+            if (showsMove(view, askedAt)) {
+                view.pending.reset();
+                cordon(engine, view.machine, false);
+            }
         }
         view.isMissing = false;
     }
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -484,6 +484,34 @@
     }
 }
 
+// Guards against a machine that has moved and stays cordoned, and is sent the same move again and
+// again, because the responses were lost.
+TEST(Moves, MoveThatAListShowsIsNotSentAgain)
+{
+    SCOPED_TRACE("given a move from the standby pool whose response was lost");
+    Deployment deployment(0, 1);
+    engine::test::EngineFixture &fixture = deployment.fixture;
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const auto commands = deployment.plan();
+    ASSERT_EQ(count(commands, MachineCommand::Kind::Move), 1);
+    deployment.finish(commands[0], CommandResult::Unknown);
+    {
+        SCOPED_TRACE("when a list shows the machine in the other pool, with a worker");
+        deployment.machines[0].pool = ServiceId("shop");
+        deployment.machines[0].worker = jobs::WorkerId("w1");
+        fixture.addWorker("w1");
+        fixture.poll();
+        fixture.answer("w1");
+        fixture.now += Milliseconds{1600};
+        deployment.list();
+        {
+            SCOPED_TRACE("then the move isn't sent again and the worker gets the task");
+            EXPECT_TRUE(deployment.plan().empty());
+            EXPECT_EQ(fixture.start().size(), 1U);
+        }
+    }
+}
+
 // Guards against dropping a command, or taking it for carried out, because its response was lost.
 TEST(Moves, CommandWithoutResponseIsSentAgain)
 {
