Log each run that is lost with its worker, and how the end was learned

Cause of the gap: 731 said only how many tasks a worker had; 715 had no inputs. Change: an incarnation ends on named evidence, and 731 gives it, whether the end was asked for, and the age of the last response. 735 task-lost names each run that ended with its worker, when its start was sent, confirmed and last polled as alive, the other tasks there, and the ends counted for the task. poplar_tasks_lost_total counts them, also those the log suppresses. The count decides nothing yet.

--- a/include/poplarstream/engine/decision.hpp
+++ b/include/poplarstream/engine/decision.hpp
@@ -17,6 +17,7 @@
     WorkerUnresponsive,
     WorkerRecovered,
     LeaseLapsed,
+    TaskLost,  // its worker ended while it ran or may have run there
     JobEnded,
 };
 
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -190,6 +190,7 @@
     // Of the most frequent kinds, so many may be queued at a time.
     std::size_t decisionAllowance = std::numeric_limits<std::size_t>::max();
     std::size_t decisionsOmitted = 0;  // not queued for that reason
+    std::uint64_t tasksLost = 0;  // runs that were lost with their workers, for the metrics
     std::vector<JobId> forgotten;  // jobs to delete from the store
     std::vector<ProgressRecord> pendingRecords;  // other records for the next batch
     std::vector<Arrival> arrivals;  // since the forecast last consumed them
--- a/include/poplarstream/engine/worker_events.hpp
+++ b/include/poplarstream/engine/worker_events.hpp
@@ -12,9 +12,24 @@
 // Called when the registry no longer lists the worker.
 void deregisterWorker(Engine &engine, const WorkerId &id);
 
+// How this owner learned that an incarnation has ended.
+enum class EndEvidence {
+    RejectedCommand,  // another incarnation rejected a command to it
+    Registry,  // the registry lists a newer incarnation under its id
+    PollResponse,  // another incarnation responded to a poll
+    MachineReplaced,  // the machine list names another worker for its machine
+    MachineAbsent,  // the machine list has no machine with it
+    MachineCommand,  // this owner moved its machine or sent it to maintenance
+};
+
+// Whether a worker that ends now was asked to: it was draining, or this owner ordered or prepared
+// the end.
+bool isPlannedEnd(const Worker &worker, EndEvidence evidence);
+
 // Called when a newer incarnation of the machine or the id shows that nothing of this one is
 // running any more.
-void endIncarnation(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now);
+void endIncarnation(Engine &engine, const WorkerIncarnation &incarnation, EndEvidence evidence,
+                    TimePoint now);
 
 // Handles the response to a poll, or nothing if none came in time.
 void handlePollResponse(Engine &engine, const WorkerIncarnation &incarnation,
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -109,6 +109,8 @@
     int percent = -1;  // last reported progress; -1: none
     TimePoint progressedAt{};  // when the percentage last changed
     bool isStraggler = false;  // makes no progress although its worker responds
+    TimePoint confirmedAt{};  // when a worker first confirmed to this owner that it runs
+    TimePoint aliveAt{};  // send time of the last poll whose response listed it
     std::int64_t load = 0;  // tail latency in ms if the step has a target, else millicores
 };
 
@@ -117,6 +119,7 @@
     bool isDone = false;
     int lastRun = 0;
     int failures = 0;  // runs with the result Failed
+    int crashes = 0;  // unplanned ends of workers under a run of this task
     std::string checkpoint;
     std::vector<Attempt> attempts;  // more than one only for speculative steps
     std::vector<WorkerIncarnation> failedOn;  // workers on which it failed
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -189,7 +189,9 @@
                                            "task run worker inputs",
                                            "If it repeats, take the worker out of its pool."};
 inline constexpr EventKind workerEnded{731, EventLevel::Info, "worker-ended",
-                                       "task run worker inputs", "None."};
+                                       "task run worker inputs",
+                                       "None if planned=true; otherwise see 735 of the same worker "
+                                       "for the tasks that were lost with it."};
 inline constexpr EventKind workerUnanswered{732, EventLevel::Warning, "worker-unanswered",
                                             "task run worker inputs",
                                             "Check the network to the worker."};
@@ -198,5 +200,9 @@
 inline constexpr EventKind leaseLapsed{734, EventLevel::Warning, "lease-lapsed",
                                        "task run worker inputs",
                                        "None; its tasks start elsewhere."};
+inline constexpr EventKind taskLost{735, EventLevel::Warning, "task-lost", "task run worker inputs",
+                                    "If `crashes` of one task rises from worker to worker, the "
+                                    "task takes its workers down: tell "
+                                    "its owner, and cancel its job."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -37,6 +37,8 @@
         return events::workerUnanswered;
     case engine::DecisionKind::WorkerRecovered:
         return events::workerAnswers;
+    case engine::DecisionKind::TaskLost:
+        return events::taskLost;
     case engine::DecisionKind::LeaseLapsed:
         break;
     }
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -422,9 +422,9 @@
 {
     const engine::Engine &engine = state_->engine;
     return fmt::format("poplar_jobs_known {}\npoplar_jobs_active {}\npoplar_workers {}\n"
-                       "poplar_registry_entries_unreadable_total {}\n",
+                       "poplar_registry_entries_unreadable_total {}\npoplar_tasks_lost_total {}\n",
                        engine.jobs.size(), engine.active.size(), engine.workers.size(),
-                       state_->unreadableEntries)
+                       state_->unreadableEntries, engine.tasksLost)
            + state_->runtime.load.prometheusText();
 }
 
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -7,7 +7,7 @@
 #include "poplarstream/engine/attempts.hpp"  // for attach, detach, release
 #include "poplarstream/engine/worker_health.hpp"  // for updateWorkerHealth, quarantine
 #include "poplarstream/jobs/commands.hpp"  // for recordCompletion
-#include "poplarstream/jobs/queries.hpp"  // for findAttempt, isFinal
+#include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt
 
 namespace poplarstream::engine {
 
@@ -41,6 +41,32 @@
     return "alone";
 }
 
+std::string_view evidenceText(EndEvidence evidence)
+{
+    switch (evidence) {
+    case EndEvidence::RejectedCommand:
+        return "rejected-command";
+    case EndEvidence::Registry:
+        return "registry";
+    case EndEvidence::PollResponse:
+        return "poll-response";
+    case EndEvidence::MachineReplaced:
+        return "machine-replaced";
+    case EndEvidence::MachineAbsent:
+        return "machine-absent";
+    case EndEvidence::MachineCommand:
+        break;
+    }
+    return "machine-command";
+}
+
+void confirm(jobs::Attempt &attempt, TimePoint now)
+{
+    if (attempt.confirmedAt == TimePoint{}) {
+        attempt.confirmedAt = now;
+    }
+}
+
 // Raises the token, so that the worker rejects all earlier commands once it has seen the next poll.
 // Attempts that are missing from the response to that poll won't start any more.
 void invalidateSentCommands(Engine &engine, Worker &worker)
@@ -127,6 +153,8 @@
     if (attempt->phase == AttemptPhase::StartSent) {
         attempt->phase = AttemptPhase::Running;
     }
+    confirm(*attempt, now);
+    attempt->aliveAt = worker.pollSentAt;
     if (attempt->percent != report.percent) {
         attempt->percent = report.percent;
         attempt->progressedAt = now;
@@ -177,6 +205,34 @@
     }
 }
 
+// Milliseconds since `since`, or -1 if it never was.
+std::int64_t ageMs(TimePoint since, TimePoint now)
+{
+    return since == TimePoint{} ? -1 : (now - since).count();
+}
+
+// Counts the end of a worker for the tasks that ran or may have run on it.
+void recordLostTasks(Engine &engine, const Worker &worker, TimePoint now)
+{
+    for (const auto &[ref, decisivePoll] : worker.attempts) {
+        jobs::Job *const job = findJob(engine, ref.task.job);
+        jobs::Task *const task = job == nullptr ? nullptr : jobs::findTask(*job, ref.task);
+        const jobs::Attempt *const attempt =
+                task == nullptr ? nullptr : jobs::findAttempt(*task, ref.run);
+        if (attempt == nullptr || !attempt->mayRun) {
+            continue;
+        }
+        ++task->crashes;
+        ++engine.tasksLost;
+        recordDecision(engine, DecisionKind::TaskLost, ref, worker.entry.incarnation.id,
+                       fmt::format("crashes={} others={} sent_ms_ago={} confirmed_ms_ago={} "
+                                   "alive_ms_ago={} percent={}",
+                                   task->crashes, worker.attempts.size() - 1,
+                                   ageMs(attempt->startedAt, now), ageMs(attempt->confirmedAt, now),
+                                   ageMs(attempt->aliveAt, now), attempt->percent));
+    }
+}
+
 }  // namespace
 
 void registerWorker(Engine &engine, const WorkerEntry &entry, TimePoint now)
@@ -188,7 +244,7 @@
         return;  // an outdated entry of a previous incarnation
     }
     if (known != engine.newestIncarnations.end() && known->second != entry.incarnation) {
-        endIncarnation(engine, known->second, now);
+        endIncarnation(engine, known->second, EndEvidence::Registry, now);
     }
     engine.newestIncarnations[id] = entry.incarnation;
     const auto [place, isNew] = engine.workers.try_emplace(entry.incarnation);
@@ -220,7 +276,13 @@
     }
 }
 
-void endIncarnation(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now)
+bool isPlannedEnd(const Worker &worker, EndEvidence evidence)
+{
+    return evidence == EndEvidence::MachineCommand || worker.entry.isDraining || worker.isCordoned;
+}
+
+void endIncarnation(Engine &engine, const WorkerIncarnation &incarnation, EndEvidence evidence,
+                    TimePoint now)
 {
     Worker *const worker = findWorker(engine, incarnation);
     if (worker == nullptr || worker->isGone) {
@@ -228,14 +290,19 @@
     }
     worker->isGone = true;
     recordDecision(engine, DecisionKind::WorkerEnded, {}, incarnation.id,
-                   fmt::format("tasks={}", worker->attempts.size()));
+                   fmt::format("tasks={} evidence={} planned={} answered_ms_ago={}",
+                               worker->attempts.size(), evidenceText(evidence),
+                               isPlannedEnd(*worker, evidence), ageMs(worker->answeredAt, now)));
     worker->isListed = false;
+    if (!isPlannedEnd(*worker, evidence)) {
+        recordLostTasks(engine, *worker, now);
+    }
     releaseAll(engine, incarnation, now);
 }
 
 void handleOtherIncarnation(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now)
 {
-    endIncarnation(engine, incarnation, now);
+    endIncarnation(engine, incarnation, EndEvidence::RejectedCommand, now);
 }
 
 void handlePollResponse(Engine &engine, const WorkerIncarnation &incarnation,
@@ -259,7 +326,7 @@
     }
     if (response->startedUnixMs != 0 && incarnation.startedUnixMs != 0
         && response->startedUnixMs != incarnation.startedUnixMs) {
-        endIncarnation(engine, incarnation, now);
+        endIncarnation(engine, incarnation, EndEvidence::PollResponse, now);
         return;
     }
     worker->answeredAt = now;
@@ -312,6 +379,7 @@
         place->second = std::min(place->second, worker->pollNumber + 1);
         if (attempt != nullptr && attempt->phase == AttemptPhase::StartSent) {
             attempt->phase = AttemptPhase::Running;
+            confirm(*attempt, now);
             engine.jobs.at(ref.task.job).hasBegun = true;
         }
         return;
@@ -342,7 +410,7 @@
         return;
     }
     if (result == StopResult::OtherIncarnation) {
-        endIncarnation(engine, incarnation, now);
+        endIncarnation(engine, incarnation, EndEvidence::RejectedCommand, now);
         return;
     }
     if (result != StopResult::Accepted) {
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -43,7 +43,7 @@
         }
     }
     for (const jobs::WorkerIncarnation &incarnation : ended) {
-        engine::endIncarnation(engine, incarnation, now);
+        engine::endIncarnation(engine, incarnation, engine::EndEvidence::MachineAbsent, now);
     }
 }
 
@@ -71,7 +71,8 @@
             const bool hasNewIncarnation = view.changedAt < askedAt && !machine.worker.isEmpty()
                                            && machine.worker != previous;
             if (hasNewIncarnation && incarnation != engine.newestIncarnations.end()) {
-                engine::endIncarnation(engine, incarnation->second, now);
+                engine::endIncarnation(engine, incarnation->second,
+                                       engine::EndEvidence::MachineReplaced, now);
             }
         }
         // A list that was requested before a command was carried out may show the earlier state.
@@ -145,7 +146,8 @@
     view.changedAt = now;
     const auto incarnation = engine.newestIncarnations.find(view.machine.worker);
     if (incarnation != engine.newestIncarnations.end()) {
-        engine::endIncarnation(engine, incarnation->second, now);
+        engine::endIncarnation(engine, incarnation->second, engine::EndEvidence::MachineCommand,
+                               now);
     }
     if (command.kind == MachineCommand::Kind::Move) {
         view.machine.pool = command.pool;
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -86,6 +86,7 @@
         workerUnanswered,
         workerAnswers,
         leaseLapsed,
+        taskLost,
 };
 
 }  // namespace
