Give up a task that takes its workers down, and keep it apart until then

A run that was lost with its worker left no trace, so the task was planned again at once, beside a dozen others. Change: the unplanned end of a worker is spread over the runs that may have caused it. A run weighs more the shorter it is known to have been alive there and the more its task is suspected already; one alive for 5 s is cleared. A task that is a tenth or more of the cause counts a crash, and is given up at the second if its job is four fifths of it, at the third in any case. Moves and upkeep that this owner ordered, draining and cordoned workers, refused starts and cuts do not count; runs whose leases had expired count once their worker turns out to have restarted. Workers of a rack that fall silent at once end no job at its second crash. Count and suspicion are part of the stored progress; records without them are read as before. Suspected tasks prefer workers without others, others prefer workers without them, and suspected tasks get no copies. A test is replaced by a stricter one: SuspectGetsNoCopy passed before, as no service was ranked and nothing could get a copy; it now shows that another task gets one.

--- /dev/null
+++ b/include/poplarstream/engine/crashes.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "poplarstream/engine/state.hpp"  // for Engine, Worker
+
+namespace poplarstream::engine {
+
+// Whether the task may have taken a worker down and hasn't been cleared since.
+bool isSuspect(const jobs::Task &task);
+
+// Counts the unplanned end of a worker for the tasks that are likely to have caused it, and gives
+// up those that are likely to have caused several. Must be called while the attempts are attached.
+void recordCrash(Engine &engine, const Worker &worker, TimePoint now);
+
+// Remembers the attempts of a worker whose leases have expired. Its end, if it is seen later,
+// counts for them.
+void rememberLapsed(Engine &engine, Worker &worker, TimePoint now);
+
+// Removes the suspicion from a task once a run of it has been alive for several seconds.
+void clearIfProven(Engine &engine, jobs::Job &job, const TaskRef &ref,
+                   const jobs::Attempt &attempt);
+
+// Records that a worker no longer responds. Workers of a rack that do so at once have a common
+// cause.
+void recordSilence(Engine &engine, Worker &worker, TimePoint now);
+
+}  // namespace poplarstream::engine
--- a/include/poplarstream/engine/placement.hpp
+++ b/include/poplarstream/engine/placement.hpp
@@ -16,6 +16,8 @@
     bool hostsLongRunning = false;  // runs a long-running task
     bool hostsServing = false;  // runs a task with a latency target
     bool hostsFillers = false;  // runs a filling task
+    int attempts = 0;  // that run or may run there
+    int suspects = 0;  // of them, of tasks that may take the worker down
 };
 
 // The workers of a service that may get a task now.
@@ -39,11 +41,12 @@
 PlacementCounts countPlacements(const Engine &engine, const jobs::Occurrence &occurrence, int step);
 
 // The best candidate for a task of `step`, or null. Skips the workers in `avoid` and, if `rack` is
-// set, all other racks.
+// set, all other racks. A suspected task prefers workers without other tasks, and all tasks prefer
+// workers without suspected ones.
 PlacementCandidate *chooseCandidate(std::vector<PlacementCandidate> &candidates,
                                     const jobs::StepSpec &step, const PlacementCounts &counts,
-                                    const std::vector<WorkerIncarnation> &avoid,
-                                    const RackId *rack);
+                                    const std::vector<WorkerIncarnation> &avoid, const RackId *rack,
+                                    bool isSuspect = false);
 
 // Whether the worker has the labels that `step` requires. Ignores free capacity.
 bool isSuitable(const PlacementCandidate &candidate, const jobs::StepSpec &step);
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -83,6 +83,27 @@
     int filling = 0;
 };
 
+// A run that was or may have been on a worker, and how long it is known to have been alive there.
+struct ExposedRun
+{
+    AttemptRef ref;
+    TimePoint sentAt{};
+    TimePoint confirmedAt{};
+    TimePoint aliveAt{};
+    TimePoint recordedAt{};
+    Milliseconds aliveFor{0};
+    int percent = -1;
+    bool isKnownToStart = false;  // sent by this owner, or seen by it
+};
+
+// A worker that stopped responding.
+struct RackSilence
+{
+    WorkerId worker;
+    RackId rack;
+    TimePoint at{};
+};
+
 // The owner's view of one incarnation of a worker.
 struct Worker
 {
@@ -118,6 +139,8 @@
     std::set<JobId> failedJobs;  // jobs with a run that failed there since the last success
     TimePoint quarantinedUntil{};  // gets no tasks before
     int quarantineCount = 0;  // each doubles the next quarantine, up to a limit
+    TimePoint silentSince{};  // when it last stopped responding
+    std::vector<ExposedRun> lapsedRuns;  // there when its leases expired, until it responds
 };
 
 struct Queue
@@ -190,6 +213,8 @@
     // Of the most frequent kinds, so many may be queued at a time.
     std::size_t decisionAllowance = std::numeric_limits<std::size_t>::max();
     std::size_t decisionsOmitted = 0;  // not queued for that reason
+    std::set<TaskRef> suspects;  // tasks that may have taken a worker down
+    std::deque<RackSilence> silences;  // of the last seconds, oldest first
     std::uint64_t tasksLost = 0;  // runs that were lost with their workers, for the metrics
     std::vector<JobId> forgotten;  // jobs to delete from the store
     std::vector<ProgressRecord> pendingRecords;  // other records for the next batch
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -119,7 +119,8 @@
     bool isDone = false;
     int lastRun = 0;
     int failures = 0;  // runs with the result Failed
-    int crashes = 0;  // unplanned ends of workers under a run of this task
+    int crashes = 0;  // unplanned ends of workers that a run of this task is likely to have caused
+    int suspicion = 0;  // likelihood that it caused the last of them, in thousandths
     std::string checkpoint;
     std::vector<Attempt> attempts;  // more than one only for speculative steps
     std::vector<WorkerIncarnation> failedOn;  // workers on which it failed
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -161,7 +161,8 @@
                                         "task run worker inputs",
                                         "If it repeats for one worker, look at that worker."};
 inline constexpr EventKind jobEnded{718, EventLevel::Info, "job-ended", "task run worker inputs",
-                                    "If state=failed, see task-ended of its tasks."};
+                                    "If state=failed, see task-ended of its tasks, or task-lost if "
+                                    "crashes= is given."};
 inline constexpr EventKind decisionsSuppressed{
         719, EventLevel::Warning, "decisions-suppressed", "count",
         "None; the log is bounded under load. The counters on the metrics page are complete."};
--- /dev/null
+++ b/src/poplarstream/engine/crashes.cpp
@@ -0,0 +1,187 @@
+#include "poplarstream/engine/crashes.hpp"
+
+#include <algorithm>  // for any_of, max
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/engine/attempts.hpp"  // for findJob, findAttempt, markDirty, stopJob
+#include "poplarstream/jobs/commands.hpp"  // for recordCrash
+#include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt, isFinal
+
+namespace poplarstream::engine {
+
+namespace {
+
+// A task that takes its worker down does so soon after its start. A run that a worker still lists
+// after this time did not cause a crash.
+constexpr Milliseconds provenAfter{5000};
+
+// The likelihood that a run of a given age causes a crash falls with 1 / (age + this).
+constexpr Milliseconds ageScale{50};
+
+// The likelihood, in thousandths, that a task takes workers down before any did.
+constexpr double priorSuspicion = 20;
+
+// Tasks that are less likely to have caused a crash, in thousandths, are not counted: on a full
+// worker most are innocent.
+constexpr int minSuspicion = 100;
+
+// A rack has gone dark if this many of its workers fall silent within `commonCauseWindow`. Their
+// polls are answered at least every 1.5 s.
+constexpr std::size_t workersOfDarkRack = 3;
+constexpr Milliseconds commonCauseWindow{2000};
+constexpr Milliseconds silenceMemory{30'000};
+
+std::int64_t ageMs(TimePoint since, TimePoint now)
+{
+    return since == TimePoint{} ? -1 : (now - since).count();
+}
+
+ExposedRun exposedRun(const AttemptRef &ref, const jobs::Attempt &attempt, TimePoint now)
+{
+    ExposedRun run;
+    run.ref = ref;
+    run.sentAt = attempt.startedAt;
+    run.confirmedAt = attempt.confirmedAt;
+    run.aliveAt = attempt.aliveAt;
+    run.percent = attempt.percent;
+    run.aliveFor = std::max(attempt.aliveAt - attempt.confirmedAt, Milliseconds{0});
+    run.isKnownToStart = !attempt.isFromPreviousOwner || attempt.confirmedAt != TimePoint{};
+    run.recordedAt = now;
+    return run;
+}
+
+// The runs that were or may have been on the worker, except those that have run too long to be the
+// cause.
+std::vector<ExposedRun> suspectedRuns(Engine &engine, const Worker &worker, TimePoint now)
+{
+    std::vector<ExposedRun> runs = worker.lapsedRuns;
+    for (const auto &[ref, decisivePoll] : worker.attempts) {
+        const jobs::Attempt *const attempt = findAttempt(engine, ref);
+        if (attempt != nullptr && attempt->mayRun) {
+            runs.push_back(exposedRun(ref, *attempt, now));
+        }
+    }
+    return runs;
+}
+
+// Whether several workers of the rack fell silent together with this one.
+bool hasCommonCause(const Engine &engine, const Worker &worker, TimePoint now)
+{
+    const TimePoint silentAt = worker.silentSince == TimePoint{} ? now : worker.silentSince;
+    std::set<WorkerId> together{worker.entry.incarnation.id};
+    for (const RackSilence &silence : engine.silences) {
+        if (silence.rack == worker.entry.rack && silence.at + commonCauseWindow >= silentAt
+            && silence.at <= silentAt + commonCauseWindow) {
+            together.insert(silence.worker);
+        }
+    }
+    return together.size() >= workersOfDarkRack;
+}
+
+}  // namespace
+
+bool isSuspect(const jobs::Task &task)
+{
+    return task.crashes > 0;
+}
+
+void recordCrash(Engine &engine, const Worker &worker, TimePoint now)
+{
+    struct Candidate
+    {
+        ExposedRun run;
+        jobs::Job *job = nullptr;
+        jobs::Task *task = nullptr;
+        double weight = 0;
+    };
+    std::vector<Candidate> candidates;
+    std::map<JobId, double> weights;  // the runs of a job stand or fall together
+    double total = 0;
+    const std::vector<ExposedRun> runs = suspectedRuns(engine, worker, now);
+    for (const ExposedRun &run : runs) {
+        jobs::Job *const job = findJob(engine, run.ref.task.job);
+        jobs::Task *const task = job == nullptr ? nullptr : jobs::findTask(*job, run.ref.task);
+        if (task == nullptr) {
+            continue;
+        }
+        ++engine.tasksLost;
+        Candidate candidate{run, job, task, 0};
+        if (run.aliveFor < provenAfter) {
+            candidate.weight = std::max<double>(task->suspicion, priorSuspicion)
+                               / static_cast<double>((run.aliveFor + ageScale).count());
+        }
+        total += candidate.weight;
+        weights[run.ref.task.job] += candidate.weight;
+        candidates.push_back(std::move(candidate));
+    }
+    const bool isShared = hasCommonCause(engine, worker, now);
+    for (const Candidate &candidate : candidates) {
+        const ExposedRun &run = candidate.run;
+        const JobId &id = run.ref.task.job;
+        const int suspicion =
+                candidate.weight > 0 ? static_cast<int>(1000 * candidate.weight / total) : 0;
+        // A crash whose cause is more likely the rack's than a task's counts, but ends no job that
+        // has not had its last crash.
+        const int jobSuspicion =
+                isShared || total <= 0 ? suspicion : static_cast<int>(1000 * weights[id] / total);
+        const bool counts = run.isKnownToStart && suspicion >= minSuspicion;
+        const bool ended =
+                candidate.weight > 0 && run.isKnownToStart
+                && jobs::recordCrash(*candidate.job, run.ref.task,
+                                     {suspicion, counts, isShared ? 0 : jobSuspicion}, now);
+        recordDecision(engine, DecisionKind::TaskLost, run.ref, worker.entry.incarnation.id,
+                       fmt::format("crashes={} suspicion={} others={} shared={} sent_ms_ago={} "
+                                   "confirmed_ms_ago={} alive_ms_ago={} percent={}",
+                                   candidate.task->crashes, suspicion, candidates.size() - 1,
+                                   isShared, ageMs(run.sentAt, now), ageMs(run.confirmedAt, now),
+                                   ageMs(run.aliveAt, now), run.percent));
+        if (candidate.weight > 0 && run.isKnownToStart) {
+            markDirty(engine, *candidate.job);
+        }
+        if (isSuspect(*candidate.task)) {
+            engine.suspects.insert(run.ref.task);
+        }
+        if (ended) {
+            recordDecision(engine, DecisionKind::JobEnded, run.ref, worker.entry.incarnation.id,
+                           fmt::format("state=failed crashes={}", candidate.task->crashes));
+            stopJob(engine, id, now);
+        }
+    }
+}
+
+void rememberLapsed(Engine &engine, Worker &worker, TimePoint now)
+{
+    for (const ExposedRun &run : suspectedRuns(engine, worker, now)) {
+        const bool isKnown =
+                std::any_of(worker.lapsedRuns.begin(), worker.lapsedRuns.end(),
+                            [&run](const ExposedRun &known) { return known.ref == run.ref; });
+        if (!isKnown) {
+            worker.lapsedRuns.push_back(run);
+        }
+    }
+}
+
+void clearIfProven(Engine &engine, jobs::Job &job, const TaskRef &ref, const jobs::Attempt &attempt)
+{
+    jobs::Task *const task = jobs::findTask(job, ref);
+    if (task == nullptr || task->suspicion == 0
+        || attempt.aliveAt < attempt.confirmedAt + provenAfter) {
+        return;
+    }
+    task->suspicion = 0;
+    task->crashes = 0;
+    engine.suspects.erase(ref);
+    markDirty(engine, job);
+}
+
+void recordSilence(Engine &engine, Worker &worker, TimePoint now)
+{
+    worker.silentSince = now;
+    while (!engine.silences.empty() && engine.silences.front().at + silenceMemory < now) {
+        engine.silences.pop_front();
+    }
+    engine.silences.push_back({worker.entry.incarnation.id, worker.entry.rack, now});
+}
+
+}  // namespace poplarstream::engine
--- a/src/poplarstream/engine/crashes_test.cpp
+++ b/src/poplarstream/engine/crashes_test.cpp
@@ -316,15 +316,26 @@
 // Guards against a second copy that takes down a second worker at the same time.
 TEST(Crashes, SuspectGetsNoCopy)
 {
-    EngineFixture fixture(3);
+    SCOPED_TRACE("given two slow speculative tasks, and a job that waits for a larger worker");
+    EngineFixture fixture(4);
     jobs::StepSpec copied = step(1, 1000);
     copied.speculative = true;
     fixture.submit(submission(firstJob, copied));
     ASSERT_EQ(fixture.startAll().size(), 1U);
-    crash(fixture, workerOf(fixture));
-    ASSERT_EQ(fixture.startAll().size(), 1U);
-    fixture.now += Milliseconds{2000};
-    EXPECT_TRUE(fixture.startAll().empty());
+    {
+        SCOPED_TRACE("when the worker of one has crashed");
+        crash(fixture, workerOf(fixture));
+        fixture.submit(submission(secondJob, copied));
+        fixture.submit(submission("00000000000000c3", step(1, 9000)));
+        ASSERT_EQ(fixture.startAll().size(), 2U);
+        fixture.now += Milliseconds{2000};
+        {
+            SCOPED_TRACE("then only the other gets a copy");
+            const auto copies = fixture.startAll();
+            ASSERT_EQ(copies.size(), 1U);
+            EXPECT_EQ(copies[0].task.job, JobId(secondJob));
+        }
+    }
 }
 
 // Guards against blaming single tasks for a loss of power: workers of one rack that fall silent at
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for max
 
 #include "poplarstream/engine/attempts.hpp"  // for attach, stopJob, markDirty, capacityUsedBy
+#include "poplarstream/engine/crashes.hpp"  // for isSuspect
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
 #include "poplarstream/jobs/codec.hpp"  // for applyProgress
 #include "poplarstream/jobs/commands.hpp"  // for makeJob, cancelJob
@@ -71,6 +72,10 @@
     for (const auto &[number, occurrence] : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                if (isSuspect(occurrence.steps[step][index])) {
+                    engine.suspects.insert(
+                            {id, number, static_cast<int>(step), static_cast<int>(index)});
+                }
                 for (const jobs::Attempt &attempt : occurrence.steps[step][index].attempts) {
                     const auto [place, isNew] = engine.workers.try_emplace(attempt.worker);
                     Worker &worker = place->second;
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -1,10 +1,11 @@
 #include "poplarstream/engine/placement.hpp"
 
-#include <algorithm>  // for find, find_if
+#include <algorithm>  // for find, find_if, min
 #include <optional>  // for optional
 #include <tuple>  // for tuple, make_tuple
 
-#include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy, stepOf
+#include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy, stepOf, findJob
+#include "poplarstream/jobs/queries.hpp"  // for findTask, isFinal
 
 namespace poplarstream::engine {
 
@@ -24,20 +25,25 @@
            || (step.target > Milliseconds{0} && candidate.hostsFillers);
 }
 
-using Cost = std::tuple<int, int, int, int, std::int64_t>;
+using Cost = std::tuple<int, int, int, int, int, int, std::int64_t>;
 
-// Lower is better. Avoids workers that will be emptied soon. Long-running tasks share workers with
-// each other but are spread over racks. Prefers the fullest worker, so that idle workers can be
-// given to other pools.
+// Lower is better. Keeps tasks that may take their worker down apart. Avoids workers that will be
+// emptied soon. Long-running tasks share workers with each other but are spread over racks. Prefers
+// the fullest worker, so that idle workers can be given to other pools.
 Cost costOf(const PlacementCandidate &candidate, const jobs::StepSpec &step,
-            const PlacementCounts &counts)
+            const PlacementCounts &counts, bool isSuspect)
 {
     const WorkerEntry &entry = candidate.worker->entry;
     const bool isRemote = !step.affinityRack.empty() && entry.rack.text() != step.affinityRack;
     const int onRack = step.longRunning ? countAt(counts.onRack, entry.rack) : 0;
     const bool isFresh = step.longRunning && !candidate.hostsLongRunning;
-    return {isRemote ? 1 : 0, candidate.worker->isDueForMaintenance ? 1 : 0, isFresh ? 1 : 0,
-            onRack, candidate.freeCapacity.cpuMilli};
+    return {std::min(candidate.suspects, 1),
+            isSuspect ? candidate.attempts : 0,
+            isRemote ? 1 : 0,
+            candidate.worker->isDueForMaintenance ? 1 : 0,
+            isFresh ? 1 : 0,
+            onRack,
+            candidate.freeCapacity.cpuMilli};
 }
 
 bool mayGetTasks(const Worker &worker, TimePoint now)
@@ -53,12 +59,38 @@
     candidate.worker = &worker;
     candidate.freeCapacity = worker.entry.capacity;
     candidate.freeCapacity -= worker.used;
+    candidate.attempts = static_cast<int>(worker.attempts.size());
     candidate.hostsLongRunning = worker.mix.longRunning > 0;
     candidate.hostsServing = worker.mix.serving > 0;
     candidate.hostsFillers = worker.mix.filling > 0;
     return candidate;
 }
 
+// Counts the suspected tasks of each candidate. Forgets those that have ended.
+void countSuspects(Engine &engine, std::map<ServiceId, std::vector<PlacementCandidate>> &candidates)
+{
+    if (engine.suspects.empty()) {
+        return;
+    }
+    std::map<WorkerIncarnation, int> onWorker;
+    std::erase_if(engine.suspects, [&](const TaskRef &ref) {
+        jobs::Job *const job = findJob(engine, ref.job);
+        const jobs::Task *const task = job == nullptr ? nullptr : jobs::findTask(*job, ref);
+        if (task == nullptr || (task->attempts.empty() && jobs::isFinal(job->state))) {
+            return true;
+        }
+        for (const jobs::Attempt &attempt : task->attempts) {
+            ++onWorker[attempt.worker];
+        }
+        return task->isDone && task->attempts.empty();
+    });
+    for (auto &[service, own] : candidates) {
+        for (PlacementCandidate &candidate : own) {
+            candidate.suspects = countAt(onWorker, candidate.worker->entry.incarnation);
+        }
+    }
+}
+
 }  // namespace
 
 std::map<ServiceId, std::vector<PlacementCandidate>>
@@ -81,6 +113,7 @@
                     candidateFor(worker));
         }
     }
+    countSuspects(engine, candidates);
     return candidates;
 }
 
@@ -120,7 +153,8 @@
 
 PlacementCandidate *chooseCandidate(std::vector<PlacementCandidate> &candidates,
                                     const jobs::StepSpec &step, const PlacementCounts &counts,
-                                    const std::vector<WorkerIncarnation> &avoid, const RackId *rack)
+                                    const std::vector<WorkerIncarnation> &avoid, const RackId *rack,
+                                    bool isSuspect)
 {
     const jobs::Resources need = capacityUsedBy(step);
     PlacementCandidate *best = nullptr;
@@ -138,7 +172,7 @@
             || std::find(avoid.begin(), avoid.end(), incarnation) != avoid.end()) {
             continue;
         }
-        const Cost cost = costOf(candidate, step, counts);
+        const Cost cost = costOf(candidate, step, counts, isSuspect);
         if (!bestCost || cost < *bestCost) {
             best = &candidate;
             bestCost = cost;
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/engine/attempts.hpp"  // for attach, markDirty, capacityUsedBy
+#include "poplarstream/engine/crashes.hpp"  // for isSuspect
 #include "poplarstream/engine/placement.hpp"  // for chooseCandidate, placementCandidates
 #include "poplarstream/engine/ranking.hpp"  // for rankWaitingSteps, WaitingStep
 
@@ -45,6 +46,8 @@
     task.lastRun = run;
     task.attempts.push_back(std::move(attempt));
     candidate.freeCapacity -= capacityUsedBy(step);
+    ++candidate.attempts;
+    candidate.suspects += isSuspect(task) ? 1 : 0;
     candidate.hostsLongRunning = candidate.hostsLongRunning || step.longRunning;
     candidate.hostsServing = candidate.hostsServing || step.target > Milliseconds{0};
     candidate.hostsFillers = candidate.hostsFillers || step.fills;
@@ -90,9 +93,9 @@
             continue;
         }
         PlacementCandidate *candidate =
-                chooseCandidate(candidates, step, counts, task.failedOn, nullptr);
+                chooseCandidate(candidates, step, counts, task.failedOn, nullptr, isSuspect(task));
         if (candidate == nullptr && mayRetryOnFailedWorker(task, step, candidates, now)) {
-            candidate = chooseCandidate(candidates, step, counts, {}, nullptr);
+            candidate = chooseCandidate(candidates, step, counts, {}, nullptr, isSuspect(task));
         }
         if (candidate != nullptr) {
             addAttempt(engine, place, index, task.lastRun + 1, *candidate, counts, now);
@@ -105,13 +108,14 @@
 // Indexes of the candidates for all tasks of a gang, or none if they don't all fit.
 std::vector<std::size_t> candidatesForGang(const std::vector<PlacementCandidate> &candidates,
                                            const jobs::StepSpec &step, std::size_t count,
-                                           const RackId *rack)
+                                           const RackId *rack, bool isSuspect)
 {
     std::vector<PlacementCandidate> trial = candidates;
     PlacementCounts counts;
     std::vector<std::size_t> chosen;
     for (std::size_t i = 0; i < count; ++i) {
-        PlacementCandidate *const candidate = chooseCandidate(trial, step, counts, {}, rack);
+        PlacementCandidate *const candidate =
+                chooseCandidate(trial, step, counts, {}, rack, isSuspect);
         if (candidate == nullptr) {
             return {};
         }
@@ -123,7 +127,8 @@
 }
 
 std::vector<std::size_t> candidatesForGang(const std::vector<PlacementCandidate> &candidates,
-                                           const jobs::StepSpec &step, std::size_t count)
+                                           const jobs::StepSpec &step, std::size_t count,
+                                           bool isSuspect)
 {
     if (step.sameRack) {
         std::set<RackId> racks;
@@ -131,12 +136,13 @@
             racks.insert(candidate.worker->entry.rack);
         }
         for (const RackId &rack : racks) {
-            if (auto chosen = candidatesForGang(candidates, step, count, &rack); !chosen.empty()) {
+            if (auto chosen = candidatesForGang(candidates, step, count, &rack, isSuspect);
+                !chosen.empty()) {
                 return chosen;
             }
         }
     }
-    return candidatesForGang(candidates, step, count, nullptr);
+    return candidatesForGang(candidates, step, count, nullptr, isSuspect);
 }
 
 void planGang(Engine &engine, const StepRef &place, std::vector<PlacementCandidate> &candidates,
@@ -146,15 +152,18 @@
             place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
     auto &tasks = place.occurrence.steps[static_cast<std::size_t>(place.step)];
     int run = 0;
+    bool hasSuspect = false;
     std::string checkpoint;
     for (const jobs::Task &task : tasks) {
         if (task.isDone || !task.attempts.empty() || task.notBefore > now) {
             return;  // a member may still be running, or must wait
         }
         run = std::max(run, task.lastRun);
+        hasSuspect = hasSuspect || isSuspect(task);
         checkpoint = checkpoint.empty() ? task.checkpoint : checkpoint;
     }
-    const std::vector<std::size_t> chosen = candidatesForGang(candidates, step, tasks.size());
+    const std::vector<std::size_t> chosen =
+            candidatesForGang(candidates, step, tasks.size(), hasSuspect);
     if (chosen.empty()) {
         return;
     }
@@ -197,7 +206,8 @@
                 const StepRef place{job, occurrence, number, static_cast<int>(i)};
                 for (std::size_t index = 0; index < occurrence.steps[i].size(); ++index) {
                     const jobs::Task &task = occurrence.steps[i][index];
-                    if (task.isDone || task.attempts.size() != 1
+                    // A copy of a suspected task would endanger a second worker.
+                    if (task.isDone || task.attempts.size() != 1 || isSuspect(task)
                         || !needsCopy(engine, task.attempts[0], now)) {
                         continue;
                     }
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/engine/attempts.hpp"  // for attach, detach, release
+#include "poplarstream/engine/crashes.hpp"  // for recordCrash, recordSilence, clearIfProven
 #include "poplarstream/engine/worker_health.hpp"  // for updateWorkerHealth, quarantine
 #include "poplarstream/jobs/commands.hpp"  // for recordCompletion
 #include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt
@@ -162,6 +163,7 @@
     attempt->load = report.load;
     jobs::Job *const job = findJob(engine, report.task.job);
     job->hasBegun = true;
+    clearIfProven(engine, *job, report.task, *attempt);
     if (stepOf(*job, report.task).checkpointing && !report.checkpoint.empty()) {
         jobs::findTask(*job, report.task)->checkpoint = report.checkpoint;
     }
@@ -211,28 +213,6 @@
     return since == TimePoint{} ? -1 : (now - since).count();
 }
 
-// Counts the end of a worker for the tasks that ran or may have run on it.
-void recordLostTasks(Engine &engine, const Worker &worker, TimePoint now)
-{
-    for (const auto &[ref, decisivePoll] : worker.attempts) {
-        jobs::Job *const job = findJob(engine, ref.task.job);
-        jobs::Task *const task = job == nullptr ? nullptr : jobs::findTask(*job, ref.task);
-        const jobs::Attempt *const attempt =
-                task == nullptr ? nullptr : jobs::findAttempt(*task, ref.run);
-        if (attempt == nullptr || !attempt->mayRun) {
-            continue;
-        }
-        ++task->crashes;
-        ++engine.tasksLost;
-        recordDecision(engine, DecisionKind::TaskLost, ref, worker.entry.incarnation.id,
-                       fmt::format("crashes={} others={} sent_ms_ago={} confirmed_ms_ago={} "
-                                   "alive_ms_ago={} percent={}",
-                                   task->crashes, worker.attempts.size() - 1,
-                                   ageMs(attempt->startedAt, now), ageMs(attempt->confirmedAt, now),
-                                   ageMs(attempt->aliveAt, now), attempt->percent));
-    }
-}
-
 }  // namespace
 
 void registerWorker(Engine &engine, const WorkerEntry &entry, TimePoint now)
@@ -295,8 +275,9 @@
                                isPlannedEnd(*worker, evidence), ageMs(worker->answeredAt, now)));
     worker->isListed = false;
     if (!isPlannedEnd(*worker, evidence)) {
-        recordLostTasks(engine, *worker, now);
+        recordCrash(engine, *worker, now);
     }
+    worker->lapsedRuns.clear();
     releaseAll(engine, incarnation, now);
 }
 
@@ -319,6 +300,7 @@
             recordDecision(engine, DecisionKind::WorkerUnresponsive, {}, incarnation.id,
                            fmt::format("tasks={} answered_ms_ago={}", worker->attempts.size(),
                                        (now - worker->answeredAt).count()));
+            recordSilence(engine, *worker, now);
         }
         worker->reachability = Reachability::Unreachable;
         worker->nextPollAt = now + unreachableRetryDelay;
@@ -330,6 +312,7 @@
         return;
     }
     worker->answeredAt = now;
+    worker->lapsedRuns.clear();
     if (worker->firstAnsweredAt == TimePoint{}) {
         worker->firstAnsweredAt = now;
     }
@@ -351,6 +334,7 @@
         recordDecision(engine, DecisionKind::WorkerRecovered, {}, incarnation.id,
                        fmt::format("tasks={}", worker->attempts.size()));
         worker->reachability = Reachability::Reachable;
+        worker->silentSince = {};
         engine.needsPlan = true;
         resendStops(engine, *worker);
     }
@@ -385,6 +369,9 @@
         return;
     case StartResult::Unknown:
         invalidateSentCommands(engine, *worker);
+        if (worker->reachability == Reachability::Reachable) {
+            recordSilence(engine, *worker, now);
+        }
         worker->reachability = Reachability::Unreachable;
         worker->nextPollAt = now;
         return;
@@ -414,6 +401,9 @@
         return;
     }
     if (result != StopResult::Accepted) {
+        if (worker->reachability == Reachability::Reachable) {
+            recordSilence(engine, *worker, now);
+        }
         worker->reachability = Reachability::Unreachable;
         worker->wantsPromptPoll = true;
         worker->nextPollAt = now;
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -4,6 +4,7 @@
 #include <vector>  // for vector
 
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt, releaseAll, targetOf
+#include "poplarstream/engine/crashes.hpp"  // for rememberLapsed
 
 namespace poplarstream::engine {
 
@@ -14,6 +15,8 @@
 // The progress of a starting long-running task is polled this often.
 constexpr Milliseconds startingTaskPollWait{250};
 constexpr int readyPercent = 100;
+// A worker that is not back after this time is forgotten; most restart within seconds.
+constexpr Milliseconds lapsedRunMemory{60'000};
 
 // Whether a long-running task on this worker isn't ready yet.
 bool hasStartingTask(Engine &engine, const Worker &worker)
@@ -53,6 +56,13 @@
     engine.commands.emplace_back(std::move(poll));
 }
 
+// Whether a later restart of the worker must still be counted for the runs that it lost.
+bool awaitsRestart(const Worker &worker, TimePoint now)
+{
+    return !worker.isGone && !worker.lapsedRuns.empty()
+           && worker.lapsedRuns.back().recordedAt + lapsedRunMemory >= now;
+}
+
 bool needsPoll(const Worker &worker)
 {
     if (worker.isGone || worker.isPolling || worker.entry.address.empty()) {
@@ -78,12 +88,14 @@
         const bool hasWork = !worker.attempts.empty() || !worker.unexpectedAttempts.empty();
         if (worker.reachability != Reachability::Reachable && hasWork && worker.leaseUntil <= now) {
             expired.push_back(incarnation);
-        } else if (!worker.isListed && !hasWork && !worker.isPolling) {
+        } else if (!worker.isListed && !hasWork && !worker.isPolling
+                   && !awaitsRestart(worker, now)) {
             forgotten.push_back(incarnation);
         }
     }
     for (const WorkerIncarnation &incarnation : expired) {
         recordDecision(engine, DecisionKind::LeaseLapsed, {}, incarnation.id, {});
+        rememberLapsed(engine, engine.workers.at(incarnation), now);
         releaseAll(engine, incarnation, now);
     }
     for (const WorkerIncarnation &incarnation : forgotten) {
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -94,7 +94,8 @@
     }
 }
 
-// Format: [isDone, lastRun, failures, checkpoint, [[run, worker, startedUnixMs], ...]].
+// Format: [isDone, lastRun, failures, checkpoint, [[run, worker, startedUnixMs], ...]]; a task that
+// may have crashed workers has `crashes, suspicion` after that.
 void appendTask(std::string &out, const Task &task)
 {
     fmt::format_to(std::back_inserter(out), "[{},{},{},", task.isDone ? 1 : 0, task.lastRun,
@@ -108,7 +109,11 @@
         appendText(out, attempt.worker.id.text());
         fmt::format_to(std::back_inserter(out), ",{}]", attempt.worker.startedUnixMs);
     }
-    out.append("]]");
+    out.push_back(']');
+    if (task.suspicion > 0 || task.crashes > 0) {
+        fmt::format_to(std::back_inserter(out), ",{},{}", task.crashes, task.suspicion);
+    }
+    out.push_back(']');
 }
 
 Task taskFrom(const json &value)
@@ -128,6 +133,10 @@
         attempt.isFromPreviousOwner = true;
         task.attempts.push_back(std::move(attempt));
     }
+    if (value.size() > 5) {
+        task.crashes = integerFrom<int>(value.at(5));
+        task.suspicion = integerFrom<int>(value.at(6));
+    }
     return task;
 }
 
--- a/src/poplarstream/jobs/commands.cpp
+++ b/src/poplarstream/jobs/commands.cpp
@@ -13,6 +13,13 @@
 constexpr Milliseconds restartDelay{20};
 constexpr Milliseconds maxRestartDelay{2000};
 
+// A task that is almost certainly the cause of its second crash is given up, so that it takes down
+// no third worker. At the third crash it is given up in any case: the users expect no further
+// start.
+constexpr int certainCrashLimit = 2;
+constexpr int crashLimit = 3;
+constexpr int certainSuspicion = 800;  // thousandths
+
 int occurrenceCount(const JobSpec &spec)
 {
     return std::max(spec.repeatCount, 1);
@@ -173,6 +180,26 @@
     return true;
 }
 
+bool recordCrash(Job &job, const TaskRef &ref, const CrashEvidence &evidence, TimePoint now)
+{
+    Task *const task = findTask(job, ref);
+    if (task == nullptr || task->isDone) {
+        return false;
+    }
+    task->suspicion = std::max(task->suspicion, evidence.suspicion);
+    task->crashes += evidence.counts ? 1 : 0;
+    job.isDirty = true;
+    const bool isCertain = evidence.jobSuspicion >= certainSuspicion;
+    const bool mustEnd =
+            evidence.counts
+            && (task->crashes >= crashLimit || (isCertain && task->crashes >= certainCrashLimit));
+    if (!mustEnd || isFinal(job.state)) {
+        return false;
+    }
+    finishJob(job, JobState::Failed, now);
+    return true;
+}
+
 bool cancelJob(Job &job, TimePoint now)
 {
     if (isFinal(job.state)) {
