Tell a crash's cause by what its worker survived, and spread the suspects

Ruled out: missing evidence of the end; each crash had its lines 731 and 735. Change: a run weighs less the longer its worker has survived it, by the worker's own clock and any of its responses. A task is suspected as soon as it is likelier a cause than before, and all tasks prefer the worker with the fewest suspects. It is given up at the second crash with a likelihood of 0.8, the third with 0.5, the fourth with 0.25, at the fifth in any case: after the third the users expect at most two more starts. A crash counts from a likelihood of 0.05. What stays is the number of crashes: each deadly request still takes two workers.

--- a/include/poplarstream/engine/crashes.hpp
+++ b/include/poplarstream/engine/crashes.hpp
@@ -16,8 +16,8 @@
 void rememberLapsed(Engine &engine, Worker &worker, TimePoint now);
 
 // Removes the suspicion from a task once a run of it has been alive for several seconds.
-void clearIfProven(Engine &engine, jobs::Job &job, const TaskRef &ref,
-                   const jobs::Attempt &attempt);
+void clearIfProven(Engine &engine, jobs::Job &job, const TaskRef &ref, const jobs::Attempt &attempt,
+                   const Worker &worker);
 
 // Records that a worker no longer responds. Workers of a rack that do so at once have a common
 // cause.
--- a/include/poplarstream/jobs/commands.hpp
+++ b/include/poplarstream/jobs/commands.hpp
@@ -36,12 +36,11 @@
 struct CrashEvidence
 {
     int suspicion = 0;  // likelihood that the run caused it, in thousandths
-    bool counts = false;  // the task is likely enough to have caused it
     int jobSuspicion = 0;  // the same for all runs of the job on the worker together
 };
 
 // Records the unplanned end of a worker under a run. Returns whether this ended the job: a task
-// that has crashed two workers, the last almost certainly, or three in any case, is given up.
+// is given up at its second crash if it almost certainly caused it, and later with less certainty.
 bool recordCrash(Job &job, const TaskRef &ref, const CrashEvidence &evidence, TimePoint now);
 
 // Marks the job as cancelled. Returns false if it was already final.
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -110,6 +110,7 @@
     TimePoint progressedAt{};  // when the percentage last changed
     bool isStraggler = false;  // makes no progress although its worker responds
     TimePoint confirmedAt{};  // when a worker first confirmed to this owner that it runs
+    std::int64_t confirmedClockMs = 0;  // the worker's clock then
     TimePoint aliveAt{};  // send time of the last poll whose response listed it
     std::int64_t load = 0;  // tail latency in ms if the step has a target, else millicores
 };
@@ -119,7 +120,7 @@
     bool isDone = false;
     int lastRun = 0;
     int failures = 0;  // runs with the result Failed
-    int crashes = 0;  // unplanned ends of workers that a run of this task is likely to have caused
+    int crashes = 0;  // unplanned ends of workers that a run of this task may have caused
     int suspicion = 0;  // likelihood that it caused the last of them, in thousandths
     std::string checkpoint;
     std::vector<Attempt> attempts;  // more than one only for speculative steps
--- a/src/poplarstream/engine/crashes.cpp
+++ b/src/poplarstream/engine/crashes.cpp
@@ -17,14 +17,10 @@
 constexpr Milliseconds provenAfter{5000};
 
 // The likelihood that a run of a given age causes a crash falls with 1 / (age + this).
-constexpr Milliseconds ageScale{50};
+constexpr Milliseconds ageScale{20};
 
 // The likelihood, in thousandths, that a task takes workers down before any did.
-constexpr double priorSuspicion = 20;
-
-// Tasks that are less likely to have caused a crash, in thousandths, are not counted: on a full
-// worker most are innocent.
-constexpr int minSuspicion = 100;
+constexpr int priorSuspicion = 20;
 
 // A rack has gone dark if this many of its workers fall silent within `commonCauseWindow`. Their
 // polls are answered at least every 1.5 s.
@@ -37,7 +33,18 @@
     return since == TimePoint{} ? -1 : (now - since).count();
 }
 
-ExposedRun exposedRun(const AttemptRef &ref, const jobs::Attempt &attempt, TimePoint now)
+// How long the worker has demonstrably survived the run, by its own clock: until its last response
+// of any kind.
+Milliseconds survived(const jobs::Attempt &attempt, const Worker &worker)
+{
+    return attempt.confirmedAt == TimePoint{}
+                   ? Milliseconds{0}
+                   : Milliseconds{
+                           std::max<std::int64_t>(worker.clockMs - attempt.confirmedClockMs, 0)};
+}
+
+ExposedRun exposedRun(const AttemptRef &ref, const jobs::Attempt &attempt, const Worker &worker,
+                      TimePoint now)
 {
     ExposedRun run;
     run.ref = ref;
@@ -45,7 +52,7 @@
     run.confirmedAt = attempt.confirmedAt;
     run.aliveAt = attempt.aliveAt;
     run.percent = attempt.percent;
-    run.aliveFor = std::max(attempt.aliveAt - attempt.confirmedAt, Milliseconds{0});
+    run.aliveFor = survived(attempt, worker);
     run.isKnownToStart = !attempt.isFromPreviousOwner || attempt.confirmedAt != TimePoint{};
     run.recordedAt = now;
     return run;
@@ -59,7 +66,7 @@
     for (const auto &[ref, decisivePoll] : worker.attempts) {
         const jobs::Attempt *const attempt = findAttempt(engine, ref);
         if (attempt != nullptr && attempt->mayRun) {
-            runs.push_back(exposedRun(ref, *attempt, now));
+            runs.push_back(exposedRun(ref, *attempt, worker, now));
         }
     }
     return runs;
@@ -83,7 +90,7 @@
 
 bool isSuspect(const jobs::Task &task)
 {
-    return task.crashes > 0;
+    return task.suspicion > priorSuspicion;
 }
 
 void recordCrash(Engine &engine, const Worker &worker, TimePoint now)
@@ -108,7 +115,7 @@
         ++engine.tasksLost;
         Candidate candidate{run, job, task, 0};
         if (run.aliveFor < provenAfter) {
-            candidate.weight = std::max<double>(task->suspicion, priorSuspicion)
+            candidate.weight = static_cast<double>(std::max(task->suspicion, priorSuspicion))
                                / static_cast<double>((run.aliveFor + ageScale).count());
         }
         total += candidate.weight;
@@ -125,17 +132,16 @@
         // has not had its last crash.
         const int jobSuspicion =
                 isShared || total <= 0 ? suspicion : static_cast<int>(1000 * weights[id] / total);
-        const bool counts = run.isKnownToStart && suspicion >= minSuspicion;
-        const bool ended =
-                candidate.weight > 0 && run.isKnownToStart
-                && jobs::recordCrash(*candidate.job, run.ref.task,
-                                     {suspicion, counts, isShared ? 0 : jobSuspicion}, now);
+        const bool ended = candidate.weight > 0 && run.isKnownToStart
+                           && jobs::recordCrash(*candidate.job, run.ref.task,
+                                                {suspicion, isShared ? 0 : jobSuspicion}, now);
         recordDecision(engine, DecisionKind::TaskLost, run.ref, worker.entry.incarnation.id,
-                       fmt::format("crashes={} suspicion={} others={} shared={} sent_ms_ago={} "
-                                   "confirmed_ms_ago={} alive_ms_ago={} percent={}",
+                       fmt::format("crashes={} suspicion={} others={} shared={} survived_ms={} "
+                                   "sent_ms_ago={} confirmed_ms_ago={} alive_ms_ago={} percent={}",
                                    candidate.task->crashes, suspicion, candidates.size() - 1,
-                                   isShared, ageMs(run.sentAt, now), ageMs(run.confirmedAt, now),
-                                   ageMs(run.aliveAt, now), run.percent));
+                                   isShared, run.aliveFor.count(), ageMs(run.sentAt, now),
+                                   ageMs(run.confirmedAt, now), ageMs(run.aliveAt, now),
+                                   run.percent));
         if (candidate.weight > 0 && run.isKnownToStart) {
             markDirty(engine, *candidate.job);
         }
@@ -162,11 +168,11 @@
     }
 }
 
-void clearIfProven(Engine &engine, jobs::Job &job, const TaskRef &ref, const jobs::Attempt &attempt)
+void clearIfProven(Engine &engine, jobs::Job &job, const TaskRef &ref, const jobs::Attempt &attempt,
+                   const Worker &worker)
 {
     jobs::Task *const task = jobs::findTask(job, ref);
-    if (task == nullptr || task->suspicion == 0
-        || attempt.aliveAt < attempt.confirmedAt + provenAfter) {
+    if (task == nullptr || task->suspicion == 0 || survived(attempt, worker) < provenAfter) {
         return;
     }
     task->suspicion = 0;
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/engine/placement.hpp"
 
-#include <algorithm>  // for find, find_if, min
+#include <algorithm>  // for find, find_if
 #include <optional>  // for optional
 #include <tuple>  // for tuple, make_tuple
 
@@ -37,7 +37,7 @@
     const bool isRemote = !step.affinityRack.empty() && entry.rack.text() != step.affinityRack;
     const int onRack = step.longRunning ? countAt(counts.onRack, entry.rack) : 0;
     const bool isFresh = step.longRunning && !candidate.hostsLongRunning;
-    return {std::min(candidate.suspects, 1),
+    return {candidate.suspects,
             isSuspect ? candidate.attempts : 0,
             isRemote ? 1 : 0,
             candidate.worker->isDueForMaintenance ? 1 : 0,
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -61,10 +61,11 @@
     return "machine-command";
 }
 
-void confirm(jobs::Attempt &attempt, TimePoint now)
+void confirm(jobs::Attempt &attempt, const Worker &worker, TimePoint now)
 {
     if (attempt.confirmedAt == TimePoint{}) {
         attempt.confirmedAt = now;
+        attempt.confirmedClockMs = worker.clockMs;
     }
 }
 
@@ -154,7 +155,7 @@
     if (attempt->phase == AttemptPhase::StartSent) {
         attempt->phase = AttemptPhase::Running;
     }
-    confirm(*attempt, now);
+    confirm(*attempt, worker, now);
     attempt->aliveAt = worker.pollSentAt;
     if (attempt->percent != report.percent) {
         attempt->percent = report.percent;
@@ -163,7 +164,7 @@
     attempt->load = report.load;
     jobs::Job *const job = findJob(engine, report.task.job);
     job->hasBegun = true;
-    clearIfProven(engine, *job, report.task, *attempt);
+    clearIfProven(engine, *job, report.task, *attempt, worker);
     if (stepOf(*job, report.task).checkpointing && !report.checkpoint.empty()) {
         jobs::findTask(*job, report.task)->checkpoint = report.checkpoint;
     }
@@ -363,7 +364,7 @@
         place->second = std::min(place->second, worker->pollNumber + 1);
         if (attempt != nullptr && attempt->phase == AttemptPhase::StartSent) {
             attempt->phase = AttemptPhase::Running;
-            confirm(*attempt, now);
+            confirm(*attempt, *worker, now);
             engine.jobs.at(ref.task.job).hasBegun = true;
         }
         return;
--- a/src/poplarstream/jobs/commands.cpp
+++ b/src/poplarstream/jobs/commands.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/jobs/commands.hpp"
 
-#include <algorithm>  // for max, remove_if
+#include <algorithm>  // for any_of, max, min
+#include <iterator>  // for begin, end
 #include <optional>  // for optional
 
 #include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt, isFinal
@@ -13,12 +14,26 @@
 constexpr Milliseconds restartDelay{20};
 constexpr Milliseconds maxRestartDelay{2000};
 
-// A task that is almost certainly the cause of its second crash is given up, so that it takes down
-// no third worker. At the third crash it is given up in any case: the users expect no further
-// start.
-constexpr int certainCrashLimit = 2;
-constexpr int crashLimit = 3;
-constexpr int certainSuspicion = 800;  // thousandths
+// The crashes after which a task is given up, by how likely it caused the last one. The users
+// expect at most two starts after the third, so that the fifth is the last in any case.
+struct CrashLimit
+{
+    int crashes = 0;
+    int suspicion = 0;  // at least, in thousandths
+};
+constexpr CrashLimit crashLimits[] = {{2, 800}, {3, 500}, {4, 250}, {5, 0}};
+
+// A crash does not count for tasks that are less likely to have caused it: on a full worker most
+// are innocent.
+constexpr int minSuspicion = 50;  // thousandths
+
+bool isAtCrashLimit(const Task &task, int suspicion)
+{
+    return std::any_of(std::begin(crashLimits), std::end(crashLimits),
+                       [&](const CrashLimit &limit) {
+                           return task.crashes >= limit.crashes && suspicion >= limit.suspicion;
+                       });
+}
 
 int occurrenceCount(const JobSpec &spec)
 {
@@ -187,13 +202,9 @@
         return false;
     }
     task->suspicion = std::max(task->suspicion, evidence.suspicion);
-    task->crashes += evidence.counts ? 1 : 0;
+    task->crashes += evidence.suspicion >= minSuspicion ? 1 : 0;
     job.isDirty = true;
-    const bool isCertain = evidence.jobSuspicion >= certainSuspicion;
-    const bool mustEnd =
-            evidence.counts
-            && (task->crashes >= crashLimit || (isCertain && task->crashes >= certainCrashLimit));
-    if (!mustEnd || isFinal(job.state)) {
+    if (isFinal(job.state) || !isAtCrashLimit(*task, evidence.jobSuspicion)) {
         return false;
     }
     finishJob(job, JobState::Failed, now);
