Send no start beyond the capacity of a worker that has shrunk

What callers saw: nothing yet; found by reading. Workers without an admission check start whatever they are told to, so this would break LIMIT. Cause: a start is planned against the capacity of the registry's entry and sent once it is stored; an entry that shrinks in between was not looked at again. Change: starts that no longer fit are released when their batch is stored, until the rest fits. If a member of a gang may not start, for this or another reason, the planned members are released with it instead of waiting for it. A change of capacity asks for a new plan. Free capacity is the entry's less what runs, so it is right again when the entry grows. No play of a shrinking worker was made.

--- a/src/poplarstream/engine/batches.cpp
+++ b/src/poplarstream/engine/batches.cpp
@@ -1,6 +1,8 @@
 #include "poplarstream/engine/batches.hpp"
 
 #include <algorithm>  // for max
+#include <set>  // for set
+#include <tuple>  // for make_tuple
 
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt, release
 #include "poplarstream/jobs/codec.hpp"  // for encodeProgress
@@ -37,6 +39,51 @@
            && !worker->entry.isDraining && !worker->isCordoned;
 }
 
+// Whether the attempts on the worker no longer fit because its capacity has shrunk since they were
+// planned. Workers may start whatever they are told to.
+bool isOverCapacity(const Worker &worker)
+{
+    return !worker.used.fits(worker.entry.capacity);
+}
+
+// Whether a planned start must be given up.
+bool mustHold(Engine &engine, const AttemptRef &ref)
+{
+    const jobs::Attempt *const attempt = findAttempt(engine, ref);
+    if (attempt == nullptr || attempt->phase != jobs::AttemptPhase::Planned) {
+        return false;
+    }
+    const Worker *const worker = findWorker(engine, attempt->worker);
+    return !maySend(engine, engine.jobs.at(ref.task.job), worker) || isOverCapacity(*worker);
+}
+
+// Releases the planned members of each gang of which one must not start: the others would wait for
+// it in vain.
+void releaseBrokenGangs(Engine &engine, const std::vector<AttemptRef> &starts, TimePoint now)
+{
+    const auto gangOf = [](const AttemptRef &ref) {
+        return std::make_tuple(ref.task.job, ref.task.occurrence, ref.task.step, ref.run);
+    };
+    std::vector<AttemptRef> members;
+    std::set<std::tuple<JobId, int, int, int>> broken;
+    for (const AttemptRef &ref : starts) {
+        const jobs::Job *const job = findJob(engine, ref.task.job);
+        if (job != nullptr && stepOf(*job, ref.task).gang) {
+            members.push_back(ref);
+            if (mustHold(engine, ref)) {
+                broken.insert(gangOf(ref));
+            }
+        }
+    }
+    for (const AttemptRef &ref : members) {
+        const jobs::Attempt *const attempt = findAttempt(engine, ref);
+        if (broken.contains(gangOf(ref)) && attempt != nullptr
+            && attempt->phase == jobs::AttemptPhase::Planned) {
+            release(engine, ref, attempt->worker, now);
+        }
+    }
+}
+
 void sendStart(Engine &engine, const AttemptRef &ref, TimePoint now)
 {
     jobs::Attempt *const attempt = findAttempt(engine, ref);
@@ -45,7 +92,7 @@
     }
     jobs::Job &job = engine.jobs.at(ref.task.job);
     Worker *const worker = findWorker(engine, attempt->worker);
-    if (!maySend(engine, job, worker)) {
+    if (mustHold(engine, ref)) {
         release(engine, ref, attempt->worker, now);
         return;
     }
@@ -112,6 +159,7 @@
             worker->nextPollAt = now;
         }
     }
+    releaseBrokenGangs(engine, batch.starts, now);
     for (const AttemptRef &ref : batch.starts) {
         sendStart(engine, ref, now);
     }
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -240,7 +240,8 @@
         worker.clockSeenAt = now;
     }
     const bool changed = !worker.isListed || worker.entry.isDraining != entry.isDraining
-                         || worker.entry.service != entry.service;
+                         || worker.entry.service != entry.service
+                         || worker.entry.capacity != entry.capacity;
     worker.entry = entry;
     worker.isListed = true;
     engine.needsPlan = engine.needsPlan || changed;
