Count a late failure of a run whose lease was taken for expired

What callers saw: nothing yet; found by reading. A task could start more often than maxAttempts allows. Cause: recordCompletion took note of a late success of a released run, but not of a late failed end, though its number is acknowledged. Change: a task remembers the runs that it lost to an expired lease, at most 8, in the stored progress. A failed end of one of them counts once, also when a later owner reads it again; ends of runs that were released for another reason are ignored as before, since their worker had listed all its ends.

--- a/include/poplarstream/jobs/commands.hpp
+++ b/include/poplarstream/jobs/commands.hpp
@@ -17,15 +17,15 @@
 // The effect of a completion on its job.
 struct CompletionEffect
 {
-    bool isKnown = false;  // the run is an attempt of this job, or was one and succeeded
+    bool isKnown = false;  // the run is an attempt of this job, or was one and its end counts
     bool stepDone = false;
     bool jobEnded = false;  // this completion ended the job
 };
 
 // Records the completion of a run and removes the attempt. Stores `checkpoint` unless it is empty.
 // The result Done of one member finishes the whole gang. The result Done also counts for a run
-// whose attempt was dropped, so that work that was done is not done again; other results of such
-// runs are ignored.
+// whose attempt was dropped, so that work that was done is not done again. The result Failed counts
+// for one whose lease was taken for expired. Other results of such runs are ignored.
 CompletionEffect recordCompletion(Job &job, const TaskRef &ref, int run, AttemptResult result,
                                   std::string checkpoint, TimePoint now);
 
@@ -43,6 +43,10 @@
 // is given up at its second crash if it almost certainly caused it, and later with less certainty.
 bool recordCrash(Job &job, const TaskRef &ref, const CrashEvidence &evidence, TimePoint now);
 
+// Remembers a run whose attempt is dropped because its lease has expired. It may still be reported
+// as failed.
+void rememberLapsed(Job &job, const TaskRef &ref, int run);
+
 // Marks the job as cancelled. Returns false if it was already final.
 bool cancelJob(Job &job, TimePoint now);
 
--- a/src/poplarstream/engine/crashes.cpp
+++ b/src/poplarstream/engine/crashes.cpp
@@ -5,7 +5,7 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/engine/attempts.hpp"  // for findJob, findAttempt, markDirty, stopJob
-#include "poplarstream/jobs/commands.hpp"  // for recordCrash
+#include "poplarstream/jobs/commands.hpp"  // for recordCrash, rememberLapsed
 #include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt, isFinal
 
 namespace poplarstream::engine {
@@ -158,6 +158,14 @@
 
 void rememberLapsed(Engine &engine, Worker &worker, TimePoint now)
 {
+    for (const auto &[ref, decisivePoll] : worker.attempts) {
+        const jobs::Attempt *const attempt = findAttempt(engine, ref);
+        if (attempt != nullptr && attempt->mayRun) {
+            jobs::Job &job = engine.jobs.at(ref.task.job);
+            jobs::rememberLapsed(job, ref.task, ref.run);
+            markDirty(engine, job);
+        }
+    }
     for (const ExposedRun &run : suspectedRuns(engine, worker, now)) {
         const bool isKnown =
                 std::any_of(worker.lapsedRuns.begin(), worker.lapsedRuns.end(),
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -5,6 +5,7 @@
 #include <optional>  // for optional
 
 #include <fmt/format.h>  // for format
+#include <fmt/ranges.h>  // for join
 #include <nlohmann/json.hpp>  // for json
 
 #include "poplarstream/base/json_value.hpp"  // for integerFrom
@@ -94,8 +95,8 @@
     }
 }
 
-// Format: [isDone, lastRun, failures, checkpoint, [[run, worker, startedUnixMs], ...]]; a task that
-// may have crashed workers has `crashes, suspicion` after that.
+// Format: [isDone, lastRun, failures, checkpoint, [[run, worker, startedUnixMs], ...]]. A task that
+// may have crashed workers or has lapsed runs has `crashes, suspicion, [run, ...]` after that.
 void appendTask(std::string &out, const Task &task)
 {
     fmt::format_to(std::back_inserter(out), "[{},{},{},", task.isDone ? 1 : 0, task.lastRun,
@@ -110,8 +111,9 @@
         fmt::format_to(std::back_inserter(out), ",{}]", attempt.worker.startedUnixMs);
     }
     out.push_back(']');
-    if (task.suspicion > 0 || task.crashes > 0) {
-        fmt::format_to(std::back_inserter(out), ",{},{}", task.crashes, task.suspicion);
+    if (task.suspicion > 0 || task.crashes > 0 || !task.lapsedRuns.empty()) {
+        fmt::format_to(std::back_inserter(out), ",{},{},[{}]", task.crashes, task.suspicion,
+                       fmt::join(task.lapsedRuns, ","));
     }
     out.push_back(']');
 }
@@ -136,6 +138,9 @@
     if (value.size() > 5) {
         task.crashes = integerFrom<int>(value.at(5));
         task.suspicion = integerFrom<int>(value.at(6));
+        for (const json &run : value.at(7)) {
+            task.lapsedRuns.push_back(integerFrom<int>(run));
+        }
     }
     return task;
 }
--- a/src/poplarstream/jobs/commands.cpp
+++ b/src/poplarstream/jobs/commands.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/jobs/commands.hpp"
 
-#include <algorithm>  // for any_of, max, min
+#include <algorithm>  // for any_of, find, max, min
 #include <iterator>  // for begin, end
 #include <optional>  // for optional
 
@@ -14,6 +14,9 @@
 constexpr Milliseconds restartDelay{20};
 constexpr Milliseconds maxRestartDelay{2000};
 
+// Bounds the stored progress of a task that is cut off again and again.
+constexpr std::size_t maxLapsedRuns = 8;
+
 // The crashes after which a task is given up, by how likely it caused the last one. The users
 // expect at most two starts after the third, so that the fifth is the last in any case.
 struct CrashLimit
@@ -99,6 +102,17 @@
            && run >= 1 && run <= task.lastRun;
 }
 
+// Whether a run that was given up has failed: its lease was taken for expired, and its response is
+// late. It counts once.
+bool isLateFailure(const Job &job, const StepSpec &spec, const Task &task, int run,
+                   AttemptResult result)
+{
+    return result == AttemptResult::Failed && !spec.longRunning && !task.isDone
+           && !isFinal(job.state)
+           && std::find(task.lapsedRuns.begin(), task.lapsedRuns.end(), run)
+                      != task.lapsedRuns.end();
+}
+
 }  // namespace
 
 Job makeJob(Submission submission, TimePoint now, std::int64_t nowUnixMs)
@@ -158,9 +172,11 @@
     const auto step = static_cast<std::size_t>(ref.step);
     const StepSpec &spec = job.submission.spec.steps[step];
     const Attempt *const attempt = findAttempt(*task, run);
-    if (attempt == nullptr && !isLateSuccess(job, spec, *task, run, result)) {
+    if (attempt == nullptr && !isLateSuccess(job, spec, *task, run, result)
+        && !isLateFailure(job, spec, *task, run, result)) {
         return {};
     }
+    std::erase(task->lapsedRuns, run);
     const std::optional<WorkerIncarnation> worker =
             attempt == nullptr ? std::nullopt : std::optional(attempt->worker);
     std::erase_if(task->attempts, [run](const Attempt &each) { return each.run == run; });
@@ -175,8 +191,10 @@
     Occurrence &occurrence = job.occurrences.at(ref.occurrence);
     if (result == AttemptResult::Done && !spec.longRunning) {
         recordDone(job, occurrence, ref, *task, now);
-    } else if (result == AttemptResult::Failed && worker) {
-        task->failedOn.push_back(*worker);
+    } else if (result == AttemptResult::Failed) {
+        if (worker) {
+            task->failedOn.push_back(*worker);
+        }
         recordFailure(job, spec, *task, now);
     }
     effect.stepDone = occurrence.remaining[step] == 0;
@@ -211,6 +229,19 @@
     return true;
 }
 
+void rememberLapsed(Job &job, const TaskRef &ref, int run)
+{
+    Task *const task = findTask(job, ref);
+    if (task == nullptr || task->isDone) {
+        return;
+    }
+    if (task->lapsedRuns.size() >= maxLapsedRuns) {
+        task->lapsedRuns.erase(task->lapsedRuns.begin());
+    }
+    task->lapsedRuns.push_back(run);
+    job.isDirty = true;
+}
+
 bool cancelJob(Job &job, TimePoint now)
 {
     if (isFinal(job.state)) {
