--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -202,8 +202,8 @@
                                        "task run worker inputs",
                                        "None; its tasks start elsewhere."};
 inline constexpr EventKind taskLost{735, EventLevel::Warning, "task-lost", "task run worker inputs",
-                                    "If `crashes` of one task rises from worker to worker, the "
-                                    "task takes its workers down: tell "
-                                    "its owner, and cancel its job."};
+                                    "If `crashes` and `suspicion` of one task rise from worker to "
+                                    "worker, the task takes its workers down and its job is given "
+                                    "up: tell its owner. shared=true points to the rack."};
 
 }  // namespace poplarstream::events
