--- a/include/poplarstream/engine/decision.hpp
+++ b/include/poplarstream/engine/decision.hpp
@@ -18,6 +18,7 @@
     WorkerUnresponsive,
     WorkerRecovered,
     LeaseLapsed,
+    TaskLost,  // its worker ended while it ran or may have run there
     JobEnded,
 };
 
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -161,7 +161,8 @@
                                         "task run worker inputs",
                                         "If it repeats for one worker, look at that worker."};
 inline constexpr EventKind jobEnded{718, EventLevel::Info, "job-ended", "task run worker inputs",
-                                    "If state=failed, see task-ended of its tasks."};
+                                    "If state=failed, see task-ended of its tasks, or task-lost if "
+                                    "crashes= is given."};
 inline constexpr EventKind decisionsSuppressed{
         719, EventLevel::Warning, "decisions-suppressed", "count",
         "None; the log is bounded under load. The counters on the metrics page are complete."};
@@ -193,7 +194,9 @@
                                            "task run worker inputs",
                                            "If it repeats, take the worker out of its pool."};
 inline constexpr EventKind workerEnded{731, EventLevel::Info, "worker-ended",
-                                       "task run worker inputs", "None."};
+                                       "task run worker inputs",
+                                       "None if planned=true; otherwise see 736 of the same worker "
+                                       "for the tasks that were lost with it."};
 inline constexpr EventKind workerUnanswered{732, EventLevel::Warning, "worker-unanswered",
                                             "task run worker inputs",
                                             "Check the network to the worker."};
@@ -205,5 +208,9 @@
 inline constexpr EventKind startUnanswered{
         735, EventLevel::Warning, "start-unanswered", "task run worker inputs",
         "None; a poll settles whether the run has started. Check the network to the worker."};
+inline constexpr EventKind taskLost{736, EventLevel::Warning, "task-lost", "task run worker inputs",
+                                    "If `crashes` and `suspicion` of one task rise from worker to "
+                                    "worker, the task takes its workers down and its job is given "
+                                    "up: tell its owner. shared=true points to the rack."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -5,9 +5,10 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/engine/attempts.hpp"  // for attach, detach, release
+#include "poplarstream/engine/crashes.hpp"  // for recordCrash, recordSilence, clearIfProven
 #include "poplarstream/engine/worker_health.hpp"  // for updateWorkerHealth, quarantine
 #include "poplarstream/jobs/commands.hpp"  // for recordCompletion
-#include "poplarstream/jobs/queries.hpp"  // for findAttempt, isFinal
+#include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt
 
 namespace poplarstream::engine {
 
@@ -66,6 +67,31 @@
     return "unknown";
 }
 
+std::string_view evidenceText(EndEvidence evidence)
+{
+    switch (evidence) {
+    case EndEvidence::RejectedCommand:
+        return "rejected-command";
+    case EndEvidence::Registry:
+        return "registry";
+    case EndEvidence::PollResponse:
+        return "poll-response";
+    case EndEvidence::MachineAbsent:
+        return "machine-absent";
+    case EndEvidence::MachineCommand:
+        break;
+    }
+    return "machine-command";
+}
+
+void confirm(jobs::Attempt &attempt, const Worker &worker, TimePoint now)
+{
+    if (attempt.confirmedAt == TimePoint{}) {
+        attempt.confirmedAt = now;
+        attempt.confirmedClockMs = worker.clockMs;
+    }
+}
+
 // Raises the token, so that the worker rejects all earlier commands once it has seen the next poll.
 // Attempts that are missing from the response to that poll won't start any more.
 void invalidateSentCommands(Engine &engine, Worker &worker)
@@ -152,6 +178,8 @@
     if (attempt->phase == AttemptPhase::StartSent) {
         attempt->phase = AttemptPhase::Running;
     }
+    confirm(*attempt, worker, now);
+    attempt->aliveAt = worker.pollSentAt;
     if (attempt->percent != report.percent) {
         attempt->percent = report.percent;
         attempt->progressedAt = now;
@@ -159,6 +187,7 @@
     attempt->load = report.load;
     jobs::Job *const job = findJob(engine, report.task.job);
     job->hasBegun = true;
+    clearIfProven(engine, *job, report.task, *attempt, worker);
     if (stepOf(*job, report.task).checkpointing && !report.checkpoint.empty()) {
         jobs::findTask(*job, report.task)->checkpoint = report.checkpoint;
     }
@@ -205,13 +234,26 @@
     }
 }
 
-void markEnded(Engine &engine, Worker &worker, std::string_view evidence, TimePoint now)
+// Milliseconds since `since`, or -1 if it never was.
+std::int64_t ageMs(TimePoint since, TimePoint now)
+{
+    return since == TimePoint{} ? -1 : (now - since).count();
+}
+
+// Ends an incarnation in the engine, and counts an unplanned end for the tasks that ran on it.
+void markEnded(Engine &engine, Worker &worker, EndEvidence evidence, TimePoint now)
 {
+    const bool isPlanned = isPlannedEnd(worker, evidence);
     worker.isGone = true;
     worker.isListed = false;
     recordDecision(engine, DecisionKind::WorkerEnded, {}, worker.entry.incarnation.id,
-                   fmt::format("tasks={} {} answered_ms_ago={}", worker.attempts.size(), evidence,
-                               (now - worker.answeredAt).count()));
+                   fmt::format("tasks={} evidence={} planned={} answered_ms_ago={}",
+                               worker.attempts.size(), evidenceText(evidence), isPlanned,
+                               ageMs(worker.answeredAt, now)));
+    if (!isPlanned) {
+        recordCrash(engine, worker, now);
+    }
+    worker.lapsedRuns.clear();
 }
 
 // Moves the attempts whose start was sent from an incarnation to the next one under its id, which
@@ -228,6 +270,7 @@
         jobs::Job &job = engine.jobs.at(ref.task.job);
         detach(engine, ref, from, now);
         attempt->worker = next.entry.incarnation;
+        attempt->confirmedAt = {};
         attach(next, stepOf(job, ref.task), ref, next.pollNumber + 1);
         markDirty(engine, job);
     }
@@ -238,7 +281,7 @@
 
 // Called when a worker has restarted under its id.
 void restartWorker(Engine &engine, const WorkerIncarnation &from, const WorkerIncarnation &to,
-                   std::string_view evidence, TimePoint now)
+                   EndEvidence evidence, TimePoint now)
 {
     Worker *const previous = findWorker(engine, from);
     if (previous == nullptr || previous->isGone) {
@@ -270,7 +313,7 @@
     }
     if (known != engine.newestIncarnations.end() && known->second != entry.incarnation) {
         const WorkerIncarnation previous = known->second;
-        restartWorker(engine, previous, entry.incarnation, "evidence=newer-registry-entry", now);
+        restartWorker(engine, previous, entry.incarnation, EndEvidence::Registry, now);
     }
     engine.newestIncarnations[id] = entry.incarnation;
     const auto [place, isNew] = engine.workers.try_emplace(entry.incarnation);
@@ -282,7 +325,8 @@
     }
     noteClock(worker, entry.clockMs, now);
     const bool changed = !worker.isListed || worker.entry.isDraining != entry.isDraining
-                         || worker.entry.service != entry.service;
+                         || worker.entry.service != entry.service
+                         || worker.entry.capacity != entry.capacity;
     worker.entry = entry;
     worker.isListed = true;
     worker.registeredAt = now;
@@ -300,8 +344,13 @@
     }
 }
 
-void endIncarnation(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now,
-                    std::string_view evidence)
+bool isPlannedEnd(const Worker &worker, EndEvidence evidence)
+{
+    return evidence == EndEvidence::MachineCommand || worker.entry.isDraining || worker.isCordoned;
+}
+
+void endIncarnation(Engine &engine, const WorkerIncarnation &incarnation, EndEvidence evidence,
+                    TimePoint now)
 {
     Worker *const worker = findWorker(engine, incarnation);
     if (worker == nullptr || worker->isGone) {
@@ -313,7 +362,7 @@
 
 void handleOtherIncarnation(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now)
 {
-    endIncarnation(engine, incarnation, now, "evidence=command-misdirected");
+    endIncarnation(engine, incarnation, EndEvidence::RejectedCommand, now);
 }
 
 void handlePollResponse(Engine &engine, const WorkerIncarnation &incarnation,
@@ -330,6 +379,7 @@
             recordDecision(engine, DecisionKind::WorkerUnresponsive, {}, incarnation.id,
                            fmt::format("tasks={} answered_ms_ago={}", worker->attempts.size(),
                                        (now - worker->answeredAt).count()));
+            recordSilence(engine, *worker, now);
         }
         worker->reachability = Reachability::Unreachable;
         worker->nextPollAt = now + unreachableRetryDelay;
@@ -338,11 +388,12 @@
     if (response->startedUnixMs != 0 && incarnation.startedUnixMs != 0
         && response->startedUnixMs != incarnation.startedUnixMs) {
         const WorkerIncarnation next{incarnation.id, response->startedUnixMs};
-        restartWorker(engine, incarnation, next, "evidence=poll-of-other-incarnation", now);
+        restartWorker(engine, incarnation, next, EndEvidence::PollResponse, now);
         noteClock(engine.workers.at(next), response->clockMs, now);
         return;
     }
     worker->answeredAt = now;
+    worker->lapsedRuns.clear();
     if (worker->firstAnsweredAt == TimePoint{}) {
         worker->firstAnsweredAt = now;
     }
@@ -363,6 +414,7 @@
         recordDecision(engine, DecisionKind::WorkerRecovered, {}, incarnation.id,
                        fmt::format("tasks={}", worker->attempts.size()));
         worker->reachability = Reachability::Reachable;
+        worker->silentSince = {};
         engine.needsPlan = true;
         resendStops(engine, *worker);
     }
@@ -390,6 +442,7 @@
         place->second = std::min(place->second, worker->pollNumber + 1);
         if (attempt != nullptr && attempt->phase == AttemptPhase::StartSent) {
             attempt->phase = AttemptPhase::Running;
+            confirm(*attempt, *worker, now);
             engine.jobs.at(ref.task.job).hasBegun = true;
         }
         return;
@@ -399,6 +452,9 @@
                                    attempt == nullptr ? 0 : (now - attempt->startedAt).count(),
                                    currentToken(engine, *worker), worker->pollNumber));
         invalidateSentCommands(engine, *worker);
+        if (worker->reachability == Reachability::Reachable) {
+            recordSilence(engine, *worker, now);
+        }
         worker->reachability = Reachability::Unreachable;
         worker->nextPollAt = now;
         return;
@@ -425,10 +481,13 @@
         return;
     }
     if (result == StopResult::OtherIncarnation) {
-        endIncarnation(engine, incarnation, now, "evidence=command-misdirected");
+        endIncarnation(engine, incarnation, EndEvidence::RejectedCommand, now);
         return;
     }
     if (result != StopResult::Accepted) {
+        if (worker->reachability == Reachability::Reachable) {
+            recordSilence(engine, *worker, now);
+        }
         worker->reachability = Reachability::Unreachable;
         worker->wantsPromptPoll = true;
         worker->nextPollAt = now;
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt, releaseAll, targetOf
+#include "poplarstream/engine/crashes.hpp"  // for rememberLapsed
 
 namespace poplarstream::engine {
 
@@ -16,6 +17,8 @@
 // The progress of a starting long-running task is polled this often.
 constexpr Milliseconds startingTaskPollWait{250};
 constexpr int readyPercent = 100;
+// A worker that is not back after this time is forgotten; most restart within seconds.
+constexpr Milliseconds lapsedRunMemory{60'000};
 
 // Whether a long-running task on this worker isn't ready yet.
 bool hasStartingTask(Engine &engine, const Worker &worker)
@@ -58,6 +61,13 @@
     engine.commands.emplace_back(std::move(poll));
 }
 
+// Whether a later restart of the worker must still be counted for the runs that it lost.
+bool awaitsRestart(const Worker &worker, TimePoint now)
+{
+    return !worker.isGone && !worker.lapsedRuns.empty()
+           && worker.lapsedRuns.back().recordedAt + lapsedRunMemory >= now;
+}
+
 bool needsPoll(const Worker &worker)
 {
     if (worker.isGone || worker.isPolling || worker.entry.address.empty()) {
@@ -83,15 +93,17 @@
         const bool hasWork = !worker.attempts.empty() || !worker.unexpectedAttempts.empty();
         if (worker.reachability != Reachability::Reachable && hasWork && worker.leaseUntil <= now) {
             expired.push_back(incarnation);
-        } else if (!worker.isListed && !hasWork && !worker.isPolling) {
+        } else if (!worker.isListed && !hasWork && !worker.isPolling
+                   && !awaitsRestart(worker, now)) {
             forgotten.push_back(incarnation);
         }
     }
     for (const WorkerIncarnation &incarnation : expired) {
-        const Worker &worker = engine.workers.at(incarnation);
+        Worker &worker = engine.workers.at(incarnation);
         recordDecision(engine, DecisionKind::LeaseLapsed, {}, incarnation.id,
                        fmt::format("tasks={} answered_ms_ago={}", worker.attempts.size(),
                                    (now - worker.answeredAt).count()));
+        rememberLapsed(engine, worker, now);
         releaseAll(engine, incarnation, now, "cause=lease-lapsed");
     }
     for (const WorkerIncarnation &incarnation : forgotten) {
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -5,6 +5,7 @@
 #include <optional>  // for optional
 
 #include <fmt/format.h>  // for format
+#include <fmt/ranges.h>  // for join
 #include <nlohmann/json.hpp>  // for json
 
 #include "poplarstream/base/json_value.hpp"  // for integerFrom
@@ -94,7 +95,8 @@
     }
 }
 
-// Format: [isDone, lastRun, failures, checkpoint, [[run, worker, startedUnixMs], ...]].
+// Format: [isDone, lastRun, failures, checkpoint, [[run, worker, startedUnixMs], ...]]. A task that
+// may have crashed workers or has lapsed runs has `crashes, suspicion, [run, ...]` after that.
 void appendTask(std::string &out, const Task &task)
 {
     fmt::format_to(std::back_inserter(out), "[{},{},{},", task.isDone ? 1 : 0, task.lastRun,
@@ -108,7 +110,12 @@
         appendText(out, attempt.worker.id.text());
         fmt::format_to(std::back_inserter(out), ",{}]", attempt.worker.startedUnixMs);
     }
-    out.append("]]");
+    out.push_back(']');
+    if (task.suspicion > 0 || task.crashes > 0 || !task.lapsedRuns.empty()) {
+        fmt::format_to(std::back_inserter(out), ",{},{},[{}]", task.crashes, task.suspicion,
+                       fmt::join(task.lapsedRuns, ","));
+    }
+    out.push_back(']');
 }
 
 Task taskFrom(const json &value)
@@ -128,6 +135,13 @@
         attempt.isFromPreviousOwner = true;
         task.attempts.push_back(std::move(attempt));
     }
+    if (value.size() > 5) {
+        task.crashes = integerFrom<int>(value.at(5));
+        task.suspicion = integerFrom<int>(value.at(6));
+        for (const json &run : value.at(7)) {
+            task.lapsedRuns.push_back(integerFrom<int>(run));
+        }
+    }
     return task;
 }
 
--- a/src/poplarstream/jobs/commands.cpp
+++ b/src/poplarstream/jobs/commands.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/jobs/commands.hpp"
 
-#include <algorithm>  // for max, remove_if
+#include <algorithm>  // for any_of, find, max, min
+#include <iterator>  // for begin, end
 #include <optional>  // for optional
 
 #include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt, isFinal
@@ -13,6 +14,30 @@
 constexpr Milliseconds restartDelay{20};
 constexpr Milliseconds maxRestartDelay{2000};
 
+// Bounds the stored progress of a task that is cut off again and again.
+constexpr std::size_t maxLapsedRuns = 8;
+
+// The crashes after which a task is given up, by how likely it caused the last one. The users
+// expect at most two starts after the third, so that the fifth is the last in any case.
+struct CrashLimit
+{
+    int crashes = 0;
+    int suspicion = 0;  // at least, in thousandths
+};
+constexpr CrashLimit crashLimits[] = {{2, 800}, {3, 500}, {4, 250}, {5, 0}};
+
+// A crash does not count for tasks that are less likely to have caused it: on a full worker most
+// are innocent.
+constexpr int minSuspicion = 50;  // thousandths
+
+bool isAtCrashLimit(const Task &task, int suspicion)
+{
+    return std::any_of(std::begin(crashLimits), std::end(crashLimits),
+                       [&](const CrashLimit &limit) {
+                           return task.crashes >= limit.crashes && suspicion >= limit.suspicion;
+                       });
+}
+
 int occurrenceCount(const JobSpec &spec)
 {
     return std::max(spec.repeatCount, 1);
@@ -77,6 +102,17 @@
            && run >= 1 && run <= task.lastRun;
 }
 
+// Whether a run that was given up has failed: its lease was taken for expired, and its response is
+// late. It counts once.
+bool isLateFailure(const Job &job, const StepSpec &spec, const Task &task, int run,
+                   AttemptResult result)
+{
+    return result == AttemptResult::Failed && !spec.longRunning && !task.isDone
+           && !isFinal(job.state)
+           && std::find(task.lapsedRuns.begin(), task.lapsedRuns.end(), run)
+                      != task.lapsedRuns.end();
+}
+
 }  // namespace
 
 Job makeJob(Submission submission, TimePoint now, std::int64_t nowUnixMs)
@@ -136,9 +172,11 @@
     const auto step = static_cast<std::size_t>(ref.step);
     const StepSpec &spec = job.submission.spec.steps[step];
     const Attempt *const attempt = findAttempt(*task, run);
-    if (attempt == nullptr && !isLateSuccess(job, spec, *task, run, result)) {
+    if (attempt == nullptr && !isLateSuccess(job, spec, *task, run, result)
+        && !isLateFailure(job, spec, *task, run, result)) {
         return {};
     }
+    std::erase(task->lapsedRuns, run);
     const std::optional<WorkerIncarnation> worker =
             attempt == nullptr ? std::nullopt : std::optional(attempt->worker);
     std::erase_if(task->attempts, [run](const Attempt &each) { return each.run == run; });
@@ -153,8 +191,10 @@
     Occurrence &occurrence = job.occurrences.at(ref.occurrence);
     if (result == AttemptResult::Done && !spec.longRunning) {
         recordDone(job, occurrence, ref, *task, now);
-    } else if (result == AttemptResult::Failed && worker) {
-        task->failedOn.push_back(*worker);
+    } else if (result == AttemptResult::Failed) {
+        if (worker) {
+            task->failedOn.push_back(*worker);
+        }
         recordFailure(job, spec, *task, now);
     }
     effect.stepDone = occurrence.remaining[step] == 0;
@@ -173,6 +213,35 @@
     return true;
 }
 
+bool recordCrash(Job &job, const TaskRef &ref, const CrashEvidence &evidence, TimePoint now)
+{
+    Task *const task = findTask(job, ref);
+    if (task == nullptr || task->isDone) {
+        return false;
+    }
+    task->suspicion = std::max(task->suspicion, evidence.suspicion);
+    task->crashes += evidence.suspicion >= minSuspicion ? 1 : 0;
+    job.isDirty = true;
+    if (isFinal(job.state) || !isAtCrashLimit(*task, evidence.jobSuspicion)) {
+        return false;
+    }
+    finishJob(job, JobState::Failed, now);
+    return true;
+}
+
+void rememberLapsed(Job &job, const TaskRef &ref, int run)
+{
+    Task *const task = findTask(job, ref);
+    if (task == nullptr || task->isDone) {
+        return;
+    }
+    if (task->lapsedRuns.size() >= maxLapsedRuns) {
+        task->lapsedRuns.erase(task->lapsedRuns.begin());
+    }
+    task->lapsedRuns.push_back(run);
+    job.isDirty = true;
+}
+
 bool cancelJob(Job &job, TimePoint now)
 {
     if (isFinal(job.state)) {
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -64,7 +64,7 @@
     }
     pools.missingSince = std::move(missingSince);
     for (const jobs::WorkerIncarnation &incarnation : ended) {
-        engine::endIncarnation(engine, incarnation, now, "evidence=not-in-machine-lists");
+        engine::endIncarnation(engine, incarnation, engine::EndEvidence::MachineAbsent, now);
     }
 }
 
@@ -188,7 +188,7 @@
     // A command that was sent again may have been carried out the first time. Then the machine's
     // next worker lives.
     if (commanded) {
-        engine::endIncarnation(engine, *commanded, now, "evidence=machine-command-done");
+        engine::endIncarnation(engine, *commanded, engine::EndEvidence::MachineCommand, now);
     }
     cordon(engine, view.machine, false);
     if (command.kind == MachineCommand::Kind::Move) {
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -87,6 +87,7 @@
         workerAnswers,
         leaseLapsed,
         startUnanswered,
+        taskLost,
 };
 
 }  // namespace
