Take workers without a rack for unrelated when they fall silent

What callers saw: nothing yet; found by reading. On a deployment whose workers name no rack a task that takes its workers down would be given up a crash later. Change: only workers that name a rack can share a cause. Measured: Crashes.WorkersWithoutRackHaveNoCommonCause fails before and holds now.

--- a/src/poplarstream/engine/crashes.cpp
+++ b/src/poplarstream/engine/crashes.cpp
@@ -75,6 +75,9 @@
 // Whether several workers of the rack fell silent together with this one.
 bool hasCommonCause(const Engine &engine, const Worker &worker, TimePoint now)
 {
+    if (worker.entry.rack.isEmpty()) {
+        return false;
+    }
     const TimePoint silentAt = worker.silentSince == TimePoint{} ? now : worker.silentSince;
     std::set<WorkerId> together{worker.entry.incarnation.id};
     for (const RackSilence &silence : engine.silences) {
--- a/src/poplarstream/engine/crashes_test.cpp
+++ b/src/poplarstream/engine/crashes_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
 #include "engine_fixture.hpp"  // for EngineFixture
+#include "poplarstream/engine/crashes.hpp"  // for recordSilence
 #include "poplarstream/jobs/codec.hpp"  // for encodeProgress
 #include "poplarstream/jobs/queries.hpp"  // for isFinal
 
@@ -376,5 +377,30 @@
     }
 }
 
+// Guards against taking workers whose rack is not known for workers of one rack: a task that takes
+// its second worker down would then go on.
+TEST(Crashes, WorkersWithoutRackHaveNoCommonCause)
+{
+    SCOPED_TRACE("given three workers without a rack, and a suspected task on one");
+    EngineFixture fixture(3);
+    for (const char *id : {"w1", "w2", "w3"}) {
+        fixture.worker(id).entry.rack = RackId();
+    }
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    ASSERT_EQ(fixture.startAll().size(), 1U);
+    taskOf(fixture).crashes = 1;
+    {
+        SCOPED_TRACE("when all fall silent and its worker turns out to have restarted");
+        for (const char *id : {"w1", "w2", "w3"}) {
+            recordSilence(fixture.engine, fixture.worker(id), fixture.now);
+        }
+        crash(fixture, workerOf(fixture));
+        {
+            SCOPED_TRACE("then the job has failed");
+            EXPECT_EQ(fixture.job().state, jobs::JobState::Failed);
+        }
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::engine
