Count a crash for a task from a likelihood of 0.02

Change: a crash counts from 0.02, the likelihood that a task has before any crash. Measured: JobCommands.FifthCrashEndsTheTaskInAnyCase fails before and holds now.

--- a/src/poplarstream/jobs/codec_test.cpp
+++ b/src/poplarstream/jobs/codec_test.cpp
@@ -162,6 +162,22 @@
     EXPECT_EQ(job.state, JobState::Failed);
 }
 
+// Guards against a task that is never likely enough for its crashes to count, and starts for ever.
+TEST(JobCommands, FifthCrashEndsTheTaskInAnyCase)
+{
+    Job job = makeJob(submission({stepOf(1)}), now, unixNow);
+    const TaskRef ref{job.submission.id, 0, 0, 0};
+    for (int crashes = 0; crashes < 4; ++crashes) {
+        EXPECT_FALSE(recordCrash(job, ref, {20, 20}, now)) << "crashes: " << crashes;
+    }
+    EXPECT_TRUE(recordCrash(job, ref, {20, 20}, now));
+    EXPECT_EQ(job.state, JobState::Failed);
+    Job innocent = makeJob(submission({stepOf(1)}), now, unixNow);
+    for (int crashes = 0; crashes < 9; ++crashes) {
+        EXPECT_FALSE(recordCrash(innocent, ref, {3, 3}, now)) << "crashes: " << crashes;
+    }
+}
+
 // Guards against progress of an earlier release, which has no counts of crashes.
 TEST(JobCodec, ProgressWithoutCrashes)
 {
--- a/src/poplarstream/jobs/commands.cpp
+++ b/src/poplarstream/jobs/commands.cpp
@@ -27,8 +27,8 @@
 constexpr CrashLimit crashLimits[] = {{2, 800}, {3, 500}, {4, 250}, {5, 0}};
 
 // A crash does not count for tasks that are less likely to have caused it: on a full worker most
-// are innocent.
-constexpr int minSuspicion = 50;  // thousandths
+// are innocent, and those that it survived for long are far below this.
+constexpr int minSuspicion = 20;  // thousandths
 
 bool isAtCrashLimit(const Task &task, int suspicion)
 {
