Lower the suspicion of a task that a worker has survived for a while

Change: a task that is lost with a worker keeps of its former suspicion only the likelihood, by the same law, that it would cause a crash later than that worker survived it. Measured: Crashes.SurvivedRunLowersTheSuspicion fails before and holds now.

--- a/src/poplarstream/engine/crashes.cpp
+++ b/src/poplarstream/engine/crashes.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/engine/crashes.hpp"
 
-#include <algorithm>  // for any_of, max
+#include <algorithm>  // for any_of, max, min
+#include <cmath>  // for log
 
 #include <fmt/format.h>  // for format
 
@@ -89,6 +90,17 @@
     return together.size() >= workersOfDarkRack;
 }
 
+// The part of its former suspicion that a task keeps after a worker has survived a run of it for a
+// while: the likelihood, by the same law, that it would cause a crash later than that.
+double keptSuspicion(Milliseconds survivedFor)
+{
+    const auto scaled = [](Milliseconds age) {
+        return static_cast<double>((std::min(age, provenAfter) + ageScale).count());
+    };
+    return std::log(scaled(provenAfter) / scaled(survivedFor))
+           / std::log(scaled(provenAfter) / scaled(Milliseconds{0}));
+}
+
 }  // namespace
 
 bool isSuspect(const jobs::Task &task)
@@ -117,6 +129,7 @@
         }
         ++engine.tasksLost;
         Candidate candidate{run, job, task, 0};
+        task->suspicion = static_cast<int>(task->suspicion * keptSuspicion(run.aliveFor));
         if (run.aliveFor < provenAfter) {
             candidate.weight = static_cast<double>(std::max(task->suspicion, priorSuspicion))
                                / static_cast<double>((run.aliveFor + ageScale).count());
--- a/src/poplarstream/engine/crashes_test.cpp
+++ b/src/poplarstream/engine/crashes_test.cpp
@@ -233,6 +233,24 @@
     }
 }
 
+// Guards against giving up an innocent task that is lost with one worker after the other: a worker
+// that has survived it for seconds speaks for it.
+TEST(Crashes, SurvivedRunLowersTheSuspicion)
+{
+    EngineFixture fixture(2);
+    jobs::StepSpec lasting = step(1, 1000);
+    lasting.longRunning = true;
+    fixture.submit(submission(secondJob, lasting));
+    runFor(fixture, fixture.startAll(), Milliseconds{2000});
+    taskOf(fixture, secondJob).suspicion = 400;
+    fixture.submit(submission(firstJob, step(1, 3000)));
+    const auto starts = fixture.start();
+    ASSERT_EQ(starts.size(), 1U);
+    fixture.answerStart(starts[0]);
+    crash(fixture, workerOf(fixture, secondJob));
+    EXPECT_LT(taskOf(fixture, secondJob).suspicion, 200);
+}
+
 // Guards against a suspicion that stays with an innocent task for good, so that a later crash of
 // another cause ends it.
 TEST(Crashes, TaskThatRunsForSecondsIsCleared)
