End no worker that has tasks by the response to a machine command

The worker leaves the registry for a moment and is registered anew, without its cordon; it gets a task before the response 'done' comes, which ended it. The task then ran twice.

Change: the response ends the worker only if it is empty. Otherwise its polls tell whether it lives.

--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for max
 #include <utility>  // for exchange, move
 
+#include "poplarstream/engine/attempts.hpp"  // for findWorker
 #include "poplarstream/engine/worker_events.hpp"  // for endIncarnation
 #include "poplarstream/pools/forecast.hpp"  // for recordArrivals
 #include "poplarstream/pools/moves.hpp"  // for planMoves
@@ -185,9 +186,11 @@
         return {};
     }
     view.changedAt = now;
-    // A command that was sent again may have been carried out the first time. Then the machine's
-    // next worker lives.
-    if (commanded) {
+    // The command may have been carried out before: the first time that it was sent, or by an
+    // earlier owner. A worker that has tasks since may live, which its polls tell.
+    const engine::Worker *const worker =
+            commanded ? engine::findWorker(engine, *commanded) : nullptr;
+    if (worker != nullptr && isEmpty(worker)) {
         engine::endIncarnation(engine, *commanded, engine::EndEvidence::MachineCommand, now);
     }
     cordon(engine, view.machine, false);
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -484,6 +484,37 @@
     }
 }
 
+// Guards against a second run beside the first: an earlier owner has carried the command out, and
+// its worker, which has left the registry for a moment, is cordoned no longer.
+TEST(Moves, CommandCarriedOutByAnEarlierOwnerKeepsTasks)
+{
+    SCOPED_TRACE("given a command for an empty worker");
+    Deployment deployment(1, 0);
+    engine::test::EngineFixture &fixture = deployment.fixture;
+    deployment.wave({"m1"}, 1);
+    const auto commands = deployment.plan();
+    ASSERT_EQ(commands.size(), 1U);
+    {
+        SCOPED_TRACE("when the worker is registered anew and gets a task before the response");
+        deregisterWorker(fixture.engine, jobs::WorkerId("w1"));
+        fixture.poll();
+        fixture.now += Milliseconds{50};
+        fixture.addWorker("w1");
+        fixture.poll();
+        fixture.answerPolls();
+        fixture.submit(submission(firstJob, step(1, 1000)));
+        ASSERT_EQ(fixture.startAll().size(), 1U);
+        fixture.addWorker("w2");
+        fixture.poll();
+        fixture.answer("w2");
+        deployment.finish(commands[0]);
+        {
+            SCOPED_TRACE("then the task isn't started again");
+            EXPECT_TRUE(fixture.start().empty());
+        }
+    }
+}
+
 // Guards against a machine that has moved and stays cordoned, and is sent the same move again and
 // again, because the responses were lost.
 TEST(Moves, MoveThatAListShowsIsNotSentAgain)
