Send a machine command once at a time, and only while its worker is empty

A command was sent again 1.5 s after it was decided, which is before the outcome of the first copy is known; of two copies the first may be refused, which gives the worker tasks again, and the second be carried out. And a worker that is registered anew between the decision and the renewal that precedes the command has no cordon, and may get tasks.

Change: a command is sent again only after its outcome was reported, or 6 s; emptiness is checked again right before it is sent; the cordon ends when a list shows what has become of the machine.

--- a/include/poplarstream/pools/planning.hpp
+++ b/include/poplarstream/pools/planning.hpp
@@ -18,7 +18,10 @@
 // Decides which machines to drain, move and maintain; returns the commands to send now.
 std::vector<MachineCommand> planMachines(Pools &pools, engine::Engine &engine, TimePoint now);
 
-// Handles the platform's response to a command. Returns the wave whose record has to be written, if
+// Whether a command that was decided a moment ago still interrupts no task.
+bool mayBeSent(const Pools &pools, engine::Engine &engine, const MachineCommand &command);
+
+// Handles the platform's response to a command; NotDone also if it was not sent after all. Returns the wave whose record has to be written, if
 // any.
 std::optional<std::int64_t> handleCommandResult(Pools &pools, engine::Engine &engine,
                                                 const MachineCommand &command, CommandResult result,
--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -18,6 +18,7 @@
     MachineCommand command;
     TimePoint decidedAt{};
     bool isSent = false;
+    bool isInFlight = false;  // sent, and its outcome has not been reported
     TimePoint sentAt{};
     // The machine's worker when the command was first sent.
     std::optional<jobs::WorkerIncarnation> worker;
@@ -32,6 +33,7 @@
     std::set<ServiceId> rejectedPools;  // target pools that the platform called invalid
     bool isDueForMaintenance = false;  // part of a wave, and its maintenance has not begun
     bool isMissing = false;  // the last list lacked it
+    bool isCordonKept = false;  // until a list shows whether its worker has ended
 };
 
 // Progress of a wave, counted in machines.
--- a/src/poplarstream/edge/machine_controller.cpp
+++ b/src/poplarstream/edge/machine_controller.cpp
@@ -114,15 +114,19 @@
         for (const pools::MachineCommand &command : commands) {
             machineIds.push_back(command.machine.text());
         }
-        hooks.confirm(std::move(machineIds),
-                      guarded([commands = std::move(commands)](State &self, bool isConfirmed) {
-                          if (!isConfirmed || !self.hooks.mayIssueCommands()) {
-                              return;
-                          }
-                          for (const pools::MachineCommand &command : commands) {
-                              self.send(command);
-                          }
-                      }));
+        hooks.confirm(
+                std::move(machineIds),
+                guarded([commands = std::move(commands)](State &self, bool isConfirmed) {
+                    const bool maySend = isConfirmed && self.hooks.mayIssueCommands();
+                    for (const pools::MachineCommand &command : commands) {
+                        if (maySend && pools::mayBeSent(self.machines, self.engine, command)) {
+                            self.send(command);
+                        } else {
+                            pools::handleCommandResult(self.machines, self.engine, command,
+                                                       pools::CommandResult::NotDone, steadyNow());
+                        }
+                    }
+                }));
     }
 
     void send(const pools::MachineCommand &command)
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -15,6 +15,8 @@
 
 // A command without a response is sent again after this time; it is carried out at most once.
 constexpr Milliseconds resendDelay{1500};
+// A command whose outcome has not been reported for this long is taken for lost.
+constexpr Milliseconds outcomeTimeout{6000};
 
 // After a refused command, the next command for the machine is decided after this time.
 constexpr Milliseconds refusalCooldown{1000};
@@ -106,7 +108,11 @@
             view.machine = machine;
             if (showsMove(view, askedAt)) {
                 view.pending.reset();
+                view.isCordonKept = true;
+            }
+            if (view.isCordonKept && !view.pending) {
                 cordon(engine, view.machine, false);
+                view.isCordonKept = false;
             }
         }
         view.isMissing = false;
@@ -149,13 +155,15 @@
             continue;
         }
         cordon(engine, view.machine, true);
-        const bool isDue = !view.pending->isSent || view.pending->sentAt + resendDelay < now;
+        const Milliseconds delay = view.pending->isInFlight ? outcomeTimeout : resendDelay;
+        const bool isDue = !view.pending->isSent || view.pending->sentAt + delay < now;
         const engine::Worker *const worker = workerOf(engine, view.machine);
         if (isDue && isUp(view.machine) && isEmpty(worker)) {
             if (!view.pending->isSent && worker != nullptr) {
                 view.pending->worker = worker->entry.incarnation;
             }
             view.pending->isSent = true;
+            view.pending->isInFlight = true;
             view.pending->sentAt = now;
             commands.push_back(view.pending->command);
         }
@@ -173,7 +181,8 @@
     }
     MachineView &view = found->second;
     if (result == CommandResult::Unknown || result == CommandResult::NotDone) {
-        return {};  // planMachines sends it again
+        view.pending->isInFlight = false;  // planMachines sends it again
+        return {};
     }
     const std::optional<jobs::WorkerIncarnation> commanded = view.pending->worker;
     view.pending.reset();
@@ -193,7 +202,7 @@
     if (worker != nullptr && isEmpty(worker)) {
         engine::endIncarnation(engine, *commanded, engine::EndEvidence::MachineCommand, now);
     }
-    cordon(engine, view.machine, false);
+    view.isCordonKept = true;
     if (command.kind == MachineCommand::Kind::Move) {
         view.machine.pool = command.pool;
         view.machine.state = MachineState::Moving;
@@ -206,6 +215,13 @@
     return command.wave;
 }
 
+bool mayBeSent(const Pools &pools, engine::Engine &engine, const MachineCommand &command)
+{
+    const auto found = pools.machines.find(command.machine);
+    return found != pools.machines.end() && found->second.pending
+           && isEmpty(workerOf(engine, found->second.machine));
+}
+
 bool isCarriedOut(const Pools &pools, const WaveView &wave)
 {
     for (const MachineId &id : wave.wave.machines) {
