Use a worker again that was taken for ended while a poll was on its way

The response to that poll was dropped before the poll was marked as over, so the worker was never forgotten, and its next report did not bring it back: it got no task until the next owner. Reachability.WorkerTakenForEndedDuringAPollIsUsedAgain failed before.

--- a/src/poplarstream/engine/reachability_test.cpp
+++ b/src/poplarstream/engine/reachability_test.cpp
@@ -312,6 +312,32 @@
     }
 }
 
+// Guards against a living worker that is never used again: it was taken for ended while a poll was
+// on its way, and its next report comes after the response.
+TEST(Reachability, WorkerTakenForEndedDuringAPollIsUsedAgain)
+{
+    EngineFixture fixture(1);
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    fixture.startAll();
+    fixture.poll();
+    endIncarnation(fixture.engine, EngineFixture::incarnation("w1"), EndEvidence::MachineAbsent,
+                   fixture.now);
+    fixture.answer("w1");
+    {
+        SCOPED_TRACE("when the registry lists it again");
+        fixture.now += Milliseconds{1500};
+        fixture.poll();
+        fixture.addWorker("w1");
+        fixture.poll();
+        fixture.answerPolls();
+        {
+            SCOPED_TRACE("then it gets tasks");
+            EXPECT_FALSE(fixture.worker("w1").isGone);
+            EXPECT_EQ(fixture.start().size(), 1U);
+        }
+    }
+}
+
 // Guards against replacing an incarnation by an older one when a registry entry is read late.
 TEST(Reachability, OutdatedEntryIsIgnored)
 {
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -370,10 +370,13 @@
                         TimePoint now)
 {
     Worker *const worker = findWorker(engine, incarnation);
-    if (worker == nullptr || worker->isGone || pollNumber != worker->pollNumber) {
+    if (worker == nullptr || pollNumber != worker->pollNumber) {
         return;
     }
     worker->isPolling = false;
+    if (worker->isGone) {
+        return;
+    }
     if (!response) {
         if (worker->reachability == Reachability::Reachable) {
             recordDecision(engine, DecisionKind::WorkerUnresponsive, {}, incarnation.id,
