Settle the commands that an owner may not send

An owner whose renewals are not confirmed for 8 s discarded its commands, but kept their marks: a stop was never sent again while the worker answered, and a start waited for an outcome for good. Reachability.DroppedCommandsAreSettled fails if the commands are only cleared. Change: each counts as a command without a response.

--- a/include/poplarstream/engine/worker_events.hpp
+++ b/include/poplarstream/engine/worker_events.hpp
@@ -43,6 +43,10 @@
                        const WorkerIncarnation &incarnation, StartResult result,
                        std::int64_t clockMs, TimePoint now);
 
+// Discards the commands that may not be sent. Each counts as one without a response, so that its
+// outcome is settled later.
+void dropCommands(Engine &engine, TimePoint now);
+
 void handleStopResult(Engine &engine, const AttemptRef &attempt,
                       const WorkerIncarnation &incarnation, StopResult result, TimePoint now);
 
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -279,7 +279,7 @@
             }
             sendCommands();
         } else {
-            engine.commands.clear();
+            engine::dropCommands(engine, now);
         }
         writer.write(engine, guarded([](State &self, WriteResult result) {
                          if (result == WriteResult::Superseded) {
--- a/src/poplarstream/engine/reachability_test.cpp
+++ b/src/poplarstream/engine/reachability_test.cpp
@@ -312,6 +312,33 @@
     }
 }
 
+// Guards against a run that is never stopped, and a task that is never started again, after an
+// owner could not send its commands for a while.
+TEST(Reachability, DroppedCommandsAreSettled)
+{
+    SCOPED_TRACE("given a running task and a start that was not sent yet");
+    EngineFixture fixture(1);
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    fixture.startAll();
+    fixture.submit(submission(secondJob, step(1, 1000)));
+    planStarts(fixture.engine, fixture.now);
+    fixture.store();
+    {
+        SCOPED_TRACE("when the start and a stop are dropped");
+        stopAttempt(fixture.engine, EngineFixture::ref(), fixture.now);
+        dropCommands(fixture.engine, fixture.now);
+        ASSERT_EQ(fixture.poll().size(), 1U);
+        fixture.answer("w1", {running(0, 1)});
+        {
+            SCOPED_TRACE("then the stop is sent again and the task starts again");
+            EXPECT_EQ(fixture.take<StopCommand>().size(), 1U);
+            const auto again = fixture.start();
+            ASSERT_EQ(again.size(), 1U);
+            EXPECT_EQ(again[0].task.job, JobId(secondJob));
+        }
+    }
+}
+
 // Guards against a living worker that is never used again: it was taken for ended while a poll was
 // on its way, and its next report comes after the response.
 TEST(Reachability, WorkerTakenForEndedDuringAPollIsUsedAgain)
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -1,6 +1,8 @@
 #include "poplarstream/engine/worker_events.hpp"
 
 #include <algorithm>  // for any_of, max, min
+#include <utility>  // for exchange
+#include <variant>  // for get_if
 
 #include <fmt/format.h>  // for format
 
@@ -502,4 +504,19 @@
     }
 }
 
+void dropCommands(Engine &engine, TimePoint now)
+{
+    for (const Command &command : std::exchange(engine.commands, {})) {
+        if (const auto *const poll = std::get_if<PollCommand>(&command)) {
+            handlePollResponse(engine, poll->target.worker, poll->number, {}, now);
+        } else if (const auto *const start = std::get_if<StartCommand>(&command)) {
+            handleStartResult(engine, {start->task, start->run}, start->target.worker,
+                              StartResult::Unknown, 0, now);
+        } else if (const auto *const stop = std::get_if<StopCommand>(&command)) {
+            handleStopResult(engine, {stop->task, stop->run}, stop->target.worker,
+                             StopResult::Unknown, now);
+        }
+    }
+}
+
 }  // namespace poplarstream::engine
