Wait for leases of an owner whose successor has resigned

An owner that is cut off from the store goes on renewing leases for 8 s after its last confirmation. If its successor resigned within that time, the next owner took the ownership for handed over, and the leases for lapsed 5.6 s after loading: a task on a worker that only the first owner reaches could run twice.

Leadership.ResignationSaysNothingOfEarlierOwners tests what is recorded: when an owner was last seen replaced without having resigned, or could have been without this process having read it. A new owner waits for that too. Cost: an owner that has started shortly before waits up to 8 s longer, but only for workers that do not answer.

--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -15,8 +15,10 @@
 struct PredecessorState
 {
     std::int64_t epoch = 0;
-    // Whether the predecessor resigned or there was none, so that nobody else renews leases.
+    // Whether the predecessor resigned or there was none.
     bool isHandover = false;
+    // Until when an owner before the predecessor, which did not resign, may have had confirmations.
+    TimePoint unresignedUntil{};
     // When an earlier owner last sent a command for each machine.
     std::map<std::string, TimePoint> recentMachineCommands;
 };
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -84,6 +84,9 @@
     std::optional<OwnershipRecord> last;  // newest record of the log
     TimePoint lastSeenAt{};  // when it was read by this process
     TimePoint ownerSince{};  // when this process read the first record of its epoch
+    // Until when an owner before the last one, which has not resigned as far as is known, may have
+    // had confirmations.
+    TimePoint unresignedUntil{};
     TimePoint inContactSince{};  // since when the log has been readable
     std::int64_t endOffset = 0;  // of the log, as far as it was read
     bool hasRead = false;
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -152,6 +152,7 @@
         predecessor.epoch = epoch;
         predecessor.isHandover =
                 leadership->hasPredecessorResigned() || !leadership->hasPredecessor();
+        predecessor.unresignedUntil = leadership->leadership().unresignedUntil;
         predecessor.recentMachineCommands = leadership->recentMachineCommands();
         OwnerSessionHooks hooks;
         hooks.isOwner = [this] {
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -97,7 +97,9 @@
     {
         const TimePoint now = steadyNow();
         // The predecessor was fenced just now; its ownership may have been confirmed until then.
-        const TimePoint renewedAt = predecessor.isHandover ? now : now + pollingGrace;
+        const TimePoint renewedAt =
+                predecessor.isHandover ? std::max(now, predecessor.unresignedUntil + pollingGrace)
+                                       : now + pollingGrace;
         JobFeedEvents events;
         events.otherRecord = guarded(
                 [](State &self, const StoredRecord &record) { self.machines.adopt(record); });
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -252,6 +252,10 @@
         }
         if (!leadership.last || leadership.last->epoch != newest->epoch) {
             leadership.ownerSince = now;
+            if (!leadership.last || leadership.last->kind != Kind::Resignation
+                || leadership.last->epoch + 1 != newest->epoch) {
+                leadership.unresignedUntil = now;
+            }
         }
         leadership.last = newest;
         leadership.lastSeenAt = now;
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -375,6 +375,42 @@
     }
 }
 
+// Guards against a second run beside the first: an owner that was superseded goes on renewing
+// leases for a while, although its successor has resigned meanwhile.
+TEST(Leadership, ResignationSaysNothingOfEarlierOwners)
+{
+    SCOPED_TRACE("given an owner that is superseded without having resigned");
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    Leadership b = process("b");
+    Leadership c = process("c");
+    log.show(a, now);
+    log.show(c, now);
+    now += Milliseconds{2000};
+    ASSERT_TRUE(log.step(a, now));
+    log.show(b, now);
+    log.show(c, now);
+    now += Milliseconds{10'000};
+    log.show(b, now);
+    ASSERT_TRUE(log.step(b, now));
+    log.show(c, now);
+    const TimePoint claimedAt = now;
+    {
+        SCOPED_TRACE("when its successor resigns");
+        now += Milliseconds{4000};
+        b.isLeaving = true;
+        ASSERT_TRUE(log.step(b, now));
+        log.show(c, now);
+        EXPECT_EQ(log.records.back().kind, Kind::Resignation);
+        {
+            SCOPED_TRACE(
+                    "then the next owner knows until when the first may have had confirmations");
+            EXPECT_EQ(c.unresignedUntil, claimedAt);
+        }
+    }
+}
+
 TEST(Leadership, RecordRoundTrip)
 {
     OwnershipRecord record;
