Raise the token for each incarnation, and allow for late reports

A poll for the previous incarnation of an id could carry the token of the next one, which would take it for its own; and a report that is late by a tenth of a second was taken for missing. Both found by the review by reading.

--- a/src/poplarstream/engine/reachability_test.cpp
+++ b/src/poplarstream/engine/reachability_test.cpp
@@ -312,6 +312,36 @@
     }
 }
 
+// Guards against a poll for the previous incarnation of an id that the next one takes for its own,
+// and against a second run beside the first: a poll may be the first to show the restart.
+TEST(Reachability, RestartSeenByAPollIsSettledByTheNextPoll)
+{
+    SCOPED_TRACE("given a start on a worker");
+    EngineFixture fixture(2);
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = fixture.startAll();
+    const std::string id = starts.at(0).target.worker.id.text();
+    const auto first = fixture.poll();
+    ASSERT_EQ(first.size(), 1U);
+    {
+        SCOPED_TRACE("when a response shows another incarnation");
+        handlePollResponse(fixture.engine, EngineFixture::incarnation(id), first[0].number,
+                           PollResponse{2, 10, {}, {}, false}, fixture.now);
+        EXPECT_TRUE(fixture.start().empty()) << "the new incarnation may run the task";
+        const auto second = fixture.poll();
+        ASSERT_EQ(second.size(), 1U);
+        EXPECT_EQ(second[0].target.worker, EngineFixture::incarnation(id, 2));
+        EXPECT_GT(second[0].target.fencingToken, first[0].target.fencingToken);
+        {
+            SCOPED_TRACE("then its answer settles the task");
+            EXPECT_TRUE(fixture.start().empty());
+            handlePollResponse(fixture.engine, second[0].target.worker, second[0].number,
+                               PollResponse{2, 20, {}, {}, false}, fixture.now);
+            EXPECT_EQ(fixture.start().size(), 1U);
+        }
+    }
+}
+
 // Guards against a run that is never stopped, and a task that is never started again, after an
 // owner could not send its commands for a while.
 TEST(Reachability, DroppedCommandsAreSettled)
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -323,7 +323,8 @@
     if (isNew) {
         worker.knownSince = now;
         worker.idleSince = now;
-        worker.tokenBump = engine.token.lastBump;
+        // Commands for an earlier incarnation of the id must not be taken for this one's.
+        worker.tokenBump = ++engine.token.lastBump;
     }
     noteClock(worker, entry.clockMs, now);
     const bool changed = !worker.isListed || worker.entry.isDraining != entry.isDraining
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -15,6 +15,8 @@
 
 // A command without a response is sent again after this time; it is carried out at most once.
 constexpr Milliseconds resendDelay{1500};
+// The reports of workers come about in their interval, and are read a little later.
+constexpr Milliseconds reportSlack{500};
 // A command whose outcome has not been reported for this long is taken for lost.
 constexpr Milliseconds outcomeTimeout{6000};
 
@@ -59,7 +61,7 @@
         const bool isStillMissing =
                 before != pools.missingSince.end() && lastHeardFrom(worker) < before->second;
         const TimePoint since = isStillMissing ? before->second : askedAt;
-        if (askedAt >= since + engine.limits.reportInterval) {
+        if (askedAt >= since + engine.limits.reportInterval + reportSlack) {
             ended.push_back(incarnation);
         } else {
             missingSince[incarnation] = since;
