Give the life of a worker's incarnation a file of its own

worker_events.cpp had grown past 500 lines with two ideas: what a worker answers, and how it is registered, restarts and ends. No behaviour changes; one copy of ageMs is left.

--- a/bench/owner_world.cpp
+++ b/bench/owner_world.cpp
@@ -8,9 +8,10 @@
 
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt
 #include "poplarstream/engine/batches.hpp"  // for collectBatch, applyStored
+#include "poplarstream/engine/incarnations.hpp"  // for registerWorker
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, tickJobs
 #include "poplarstream/engine/planning.hpp"  // for planStarts
-#include "poplarstream/engine/worker_events.hpp"  // for registerWorker, handlePollResponse
+#include "poplarstream/engine/worker_events.hpp"  // for handlePollResponse
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
 #include "poplarstream/engine/worker_polling.hpp"  // for pollWorkers
 #include "poplarstream/pools/planning.hpp"  // for planMachines, applyMachineList
--- a/include/poplarstream/engine/attempts.hpp
+++ b/include/poplarstream/engine/attempts.hpp
@@ -67,6 +67,13 @@
 // Stops all attempts of a job.
 void stopJob(Engine &engine, const JobId &id, TimePoint now);
 
+// Raises the token, so that the worker rejects all earlier commands once it has seen the next poll.
+// Attempts that are missing from the response to that poll won't start any more.
+void invalidateSentCommands(Engine &engine, Worker &worker);
+
+// Milliseconds since `since`, or -1 if it never was; for the decision log.
+std::int64_t ageMs(TimePoint since, TimePoint now);
+
 // The fencing token for the next command to this worker.
 std::int64_t currentToken(const Engine &engine, const Worker &worker);
 
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -14,11 +14,12 @@
 #include "poplarstream/edge/progress_writer.hpp"  // for ProgressWriter
 #include "poplarstream/edge/stored_jobs.hpp"  // for tombstones
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
+#include "poplarstream/engine/incarnations.hpp"  // for registerWorker, deregisterWorker
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
 #include "poplarstream/engine/plan_pacing.hpp"  // for PlanPacing
 #include "poplarstream/engine/planning.hpp"  // for planStarts
-#include "poplarstream/engine/worker_events.hpp"  // for registerWorker, deregisterWorker
+#include "poplarstream/engine/worker_events.hpp"  // for dropCommands
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
 #include "poplarstream/engine/worker_polling.hpp"  // for pollWorkers
 #include "poplarstream/ownership/start_permission.hpp"  // for planningHold, sendingHold
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -1,5 +1,6 @@
 #include "poplarstream/engine/attempts.hpp"
 
+#include <algorithm>  // for min
 #include <utility>  // for move
 
 #include <fmt/format.h>  // for format
@@ -167,6 +168,20 @@
     }
 }
 
+void invalidateSentCommands(Engine &engine, Worker &worker)
+{
+    worker.tokenBump = ++engine.token.lastBump;
+    worker.wantsPromptPoll = true;
+    for (auto &[ref, decisivePoll] : worker.attempts) {
+        decisivePoll = std::min(decisivePoll, worker.pollNumber + 1);
+    }
+}
+
+std::int64_t ageMs(TimePoint since, TimePoint now)
+{
+    return since == TimePoint{} ? -1 : (now - since).count();
+}
+
 std::int64_t currentToken(const Engine &engine, const Worker &worker)
 {
     return engine.token.epoch * OwnerToken::bumpsPerEpoch + worker.tokenBump;
--- a/src/poplarstream/engine/crashes.cpp
+++ b/src/poplarstream/engine/crashes.cpp
@@ -29,11 +29,6 @@
 constexpr Milliseconds commonCauseWindow{2000};
 constexpr Milliseconds silenceMemory{30'000};
 
-std::int64_t ageMs(TimePoint since, TimePoint now)
-{
-    return since == TimePoint{} ? -1 : (now - since).count();
-}
-
 // How long the worker has demonstrably survived the run, by its own clock: until its last response
 // of any kind.
 Milliseconds survived(const jobs::Attempt &attempt, const Worker &worker)
--- a/src/poplarstream/engine/engine_fixture.hpp
+++ b/src/poplarstream/engine/engine_fixture.hpp
@@ -6,9 +6,10 @@
 
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt
 #include "poplarstream/engine/batches.hpp"  // for collectBatch, applyStored
+#include "poplarstream/engine/incarnations.hpp"  // for registerWorker
 #include "poplarstream/engine/job_events.hpp"  // for submitJob
 #include "poplarstream/engine/planning.hpp"  // for planStarts
-#include "poplarstream/engine/worker_events.hpp"  // for registerWorker, handlePollResponse
+#include "poplarstream/engine/worker_events.hpp"  // for handlePollResponse
 #include "poplarstream/engine/worker_polling.hpp"  // for pollWorkers
 
 namespace poplarstream::engine::test {
--- /dev/null
+++ b/src/poplarstream/engine/incarnations.cpp
@@ -0,0 +1,151 @@
+#include "poplarstream/engine/incarnations.hpp"
+
+#include <algorithm>  // for max
+
+#include <fmt/format.h>  // for format
+
+#include "poplarstream/engine/attempts.hpp"  // for attach, detach, releaseAll, noteClock, ageMs
+#include "poplarstream/engine/crashes.hpp"  // for recordCrash
+
+namespace poplarstream::engine {
+
+namespace {
+
+std::string_view evidenceText(EndEvidence evidence)
+{
+    switch (evidence) {
+    case EndEvidence::RejectedCommand:
+        return "rejected-command";
+    case EndEvidence::Registry:
+        return "registry";
+    case EndEvidence::PollResponse:
+        return "poll-response";
+    case EndEvidence::MachineAbsent:
+        return "machine-absent";
+    case EndEvidence::MachineCommand:
+        break;
+    }
+    return "machine-command";
+}
+
+// Ends an incarnation in the engine, and counts an unplanned end for the tasks that ran on it.
+void markEnded(Engine &engine, Worker &worker, EndEvidence evidence, TimePoint now)
+{
+    const bool isPlanned = isPlannedEnd(worker, evidence);
+    worker.isGone = true;
+    worker.isListed = false;
+    recordDecision(engine, DecisionKind::WorkerEnded, {}, worker.entry.incarnation.id,
+                   fmt::format("tasks={} evidence={} planned={} answered_ms_ago={}",
+                               worker.attempts.size(), evidenceText(evidence), isPlanned,
+                               ageMs(worker.answeredAt, now)));
+    if (!isPlanned) {
+        recordCrash(engine, worker, now);
+    }
+    worker.lapsedRuns.clear();
+}
+
+// Moves the attempts whose start was sent from an incarnation to the next one under its id, which
+// may have carried the command out. Its first poll settles them.
+void moveAttempts(Engine &engine, const Worker &previous, Worker &next, TimePoint now)
+{
+    const WorkerIncarnation from = previous.entry.incarnation;
+    const auto attempts = previous.attempts;
+    for (const auto &[ref, decisivePoll] : attempts) {
+        jobs::Attempt *const attempt = findAttempt(engine, ref);
+        if (attempt == nullptr || !attempt->mayRun) {
+            continue;
+        }
+        jobs::Job &job = engine.jobs.at(ref.task.job);
+        detach(engine, ref, from, now);
+        attempt->worker = next.entry.incarnation;
+        attempt->confirmedAt = {};
+        attach(next, stepOf(job, ref.task), ref, next.pollNumber + 1);
+        markDirty(engine, job);
+    }
+    next.leaseUntil = std::max(
+            {next.leaseUntil, previous.leaseUntil, lapseAfter(engine.limits.longestLease, now)});
+    invalidateSentCommands(engine, next);
+}
+
+}  // namespace
+
+void registerWorker(Engine &engine, const WorkerEntry &entry, TimePoint now)
+{
+    const WorkerId &id = entry.incarnation.id;
+    const auto known = engine.newestIncarnations.find(id);
+    if (known != engine.newestIncarnations.end()
+        && known->second.startedUnixMs > entry.incarnation.startedUnixMs) {
+        return;  // an outdated entry of a previous incarnation
+    }
+    if (known != engine.newestIncarnations.end() && known->second != entry.incarnation) {
+        const WorkerIncarnation previous = known->second;
+        restartWorker(engine, previous, entry.incarnation, EndEvidence::Registry, now);
+    }
+    engine.newestIncarnations[id] = entry.incarnation;
+    const auto [place, isNew] = engine.workers.try_emplace(entry.incarnation);
+    Worker &worker = place->second;
+    if (isNew) {
+        worker.knownSince = now;
+        worker.idleSince = now;
+        // Commands for an earlier incarnation of the id must not be taken for this one's.
+        worker.tokenBump = ++engine.token.lastBump;
+    }
+    noteClock(worker, entry.clockMs, now);
+    const bool changed = !worker.isListed || worker.entry.isDraining != entry.isDraining
+                         || worker.entry.service != entry.service
+                         || worker.entry.capacity != entry.capacity;
+    worker.entry = entry;
+    worker.isListed = true;
+    worker.registeredAt = now;
+    engine.needsPlan = engine.needsPlan || changed;
+}
+
+void deregisterWorker(Engine &engine, const WorkerId &id)
+{
+    const auto known = engine.newestIncarnations.find(id);
+    if (known == engine.newestIncarnations.end()) {
+        return;
+    }
+    if (Worker *const worker = findWorker(engine, known->second)) {
+        worker->isListed = false;
+    }
+}
+
+bool isPlannedEnd(const Worker &worker, EndEvidence evidence)
+{
+    return evidence == EndEvidence::MachineCommand || worker.entry.isDraining || worker.isCordoned;
+}
+
+void endIncarnation(Engine &engine, const WorkerIncarnation &incarnation, EndEvidence evidence,
+                    TimePoint now)
+{
+    Worker *const worker = findWorker(engine, incarnation);
+    if (worker == nullptr || worker->isGone) {
+        return;
+    }
+    markEnded(engine, *worker, evidence, now);
+    releaseAll(engine, incarnation, now, "cause=worker-ended");
+}
+
+void restartWorker(Engine &engine, const WorkerIncarnation &from, const WorkerIncarnation &to,
+                   EndEvidence evidence, TimePoint now)
+{
+    Worker *const previous = findWorker(engine, from);
+    if (previous == nullptr || previous->isGone) {
+        return;
+    }
+    markEnded(engine, *previous, evidence, now);
+    const auto [place, isNew] = engine.workers.try_emplace(to);
+    Worker &next = place->second;
+    if (isNew) {
+        next.entry = previous->entry;
+        next.entry.incarnation = to;
+        next.knownSince = now;
+        next.idleSince = now;
+    }
+    engine.newestIncarnations[to.id] = to;
+    moveAttempts(engine, *previous, next, now);
+    releaseAll(engine, from, now, "cause=worker-ended");
+}
+
+}  // namespace poplarstream::engine
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -4,7 +4,7 @@
 #include <utility>  // for exchange, move
 
 #include "poplarstream/engine/attempts.hpp"  // for findWorker
-#include "poplarstream/engine/worker_events.hpp"  // for endIncarnation
+#include "poplarstream/engine/incarnations.hpp"  // for endIncarnation
 #include "poplarstream/pools/forecast.hpp"  // for recordArrivals
 #include "poplarstream/pools/moves.hpp"  // for planMoves
 #include "poplarstream/pools/waves.hpp"  // for planMaintenance
