End workers without tasks by one list of machines again

With the interval of missing reports for all of them, a worker whose machine had moved, and whose move had lost its response, was polled ten times a second for two seconds. Nothing runs on it, so nothing can run twice; if it lives, its next report brings it back. Moves.EmptyWorkerWithoutAMachineIsEndedByOneList failed before.

--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -40,7 +40,9 @@
 
 // Ends the incarnations of unreachable workers that the lists have lacked for a whole interval of
 // their reports, without a sign of life meanwhile. Otherwise their tasks would wait for the longest
-// lease. One list alone proves nothing: it is read in pages while machines move.
+// lease. One list alone proves nothing: it is read in pages while machines move. It does for
+// workers without tasks, which would be polled in vain; if one lives, its next report brings it
+// back.
 void endIncarnationsWithoutMachine(Pools &pools, engine::Engine &engine,
                                    const std::vector<Machine> &machines, TimePoint askedAt,
                                    TimePoint now)
@@ -61,7 +63,7 @@
         const bool isStillMissing =
                 before != pools.missingSince.end() && lastHeardFrom(worker) < before->second;
         const TimePoint since = isStillMissing ? before->second : askedAt;
-        if (askedAt >= since + engine.limits.reportInterval + reportSlack) {
+        if (isEmpty(&worker) || askedAt >= since + engine.limits.reportInterval + reportSlack) {
             ended.push_back(incarnation);
         } else {
             missingSince[incarnation] = since;
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -414,6 +414,29 @@
     }
 }
 
+// Guards against an owner that polls hundreds of dead workers ten times a second, after machines
+// have moved and the responses were lost.
+TEST(Moves, EmptyWorkerWithoutAMachineIsEndedByOneList)
+{
+    SCOPED_TRACE("given a worker without tasks that does not answer");
+    Deployment deployment(2, 0);
+    engine::test::EngineFixture &fixture = deployment.fixture;
+    fixture.worker("w2").reachability = engine::Reachability::Unreachable;
+    {
+        SCOPED_TRACE("when a list lacks its machine");
+        fixture.now += Milliseconds{400};
+        deployment.machines.pop_back();
+        deployment.list();
+        EXPECT_TRUE(fixture.worker("w2").isGone);
+        {
+            SCOPED_TRACE("then a report brings it back if it lives");
+            pollWorkers(fixture.engine, fixture.now);
+            fixture.addWorker("w2");
+            EXPECT_FALSE(fixture.worker("w2").isGone);
+        }
+    }
+}
+
 // Guards against a second run beside the first: a list that still shows the previous worker of a
 // machine says nothing about a worker that has joined since.
 TEST(Moves, ListWithPreviousWorkerKeepsTasksOfTheNewOne)
