--- a/include/poplarstream/pools/planning.hpp
+++ b/include/poplarstream/pools/planning.hpp
@@ -21,8 +21,8 @@
 // Whether a command that was decided a moment ago still interrupts no task.
 bool mayBeSent(const Pools &pools, engine::Engine &engine, const MachineCommand &command);
 
-// Handles the platform's response to a command; NotDone also if it was not sent after all. Returns the wave whose record has to be written, if
-// any.
+// Handles the platform's response to a command; NotDone also if it was not sent after all. Returns
+// the wave whose record has to be written, if any.
 std::optional<std::int64_t> handleCommandResult(Pools &pools, engine::Engine &engine,
                                                 const MachineCommand &command, CommandResult result,
                                                 TimePoint now);
