Learn the end of a worker from the row of its machine

Change: a list that shows the worker's machine with another worker, or with none, ends the worker at once if it has given no sign of life since the list was requested. If the machine is missing as well, the next report must be missing too. A row that goes back to the worker before is out of date. Moves.WorkerWhoseMachineIsListedWithoutItIsEndedByOneList failed before.

--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -38,11 +38,23 @@
     return std::max(worker.answeredAt, worker.registeredAt);
 }
 
-// Ends the incarnations of unreachable workers that the lists have lacked for a whole interval of
-// their reports, without a sign of life meanwhile. Otherwise their tasks would wait for the longest
-// lease. One list alone proves nothing: it is read in pages while machines move. It does for
-// workers without tasks, which would be polled in vain; if one lives, its next report brings it
-// back.
+// Workers whose machine is in the list without them: each has ended if it has given no sign of life
+// since the list was requested.
+std::set<jobs::WorkerId> replacedWorkers(const std::map<MachineId, MachineView> &listed)
+{
+    std::set<jobs::WorkerId> replaced;
+    for (const auto &[id, view] : listed) {
+        if (!view.isMissing && !view.formerWorker.isEmpty()) {
+            replaced.insert(view.formerWorker);
+        }
+    }
+    return replaced;
+}
+
+// Ends the incarnations of unreachable workers that the list lacks. Otherwise their tasks would
+// wait for the longest lease. That the machine is missing as well proves nothing by itself, since
+// the list is read in pages while machines move: then the worker's next report must be missing,
+// too. A worker without tasks would be polled in vain; if it lives, its next report brings it back.
 void endIncarnationsWithoutMachine(Pools &pools, engine::Engine &engine,
                                    const std::vector<Machine> &machines, TimePoint askedAt,
                                    TimePoint now)
@@ -51,6 +63,12 @@
     for (const Machine &machine : machines) {
         present.insert(machine.worker);
     }
+    for (const auto &[id, view] : pools.machines) {
+        if (!view.isMissing) {
+            present.insert(view.machine.worker);
+        }
+    }
+    const std::set<jobs::WorkerId> replaced = replacedWorkers(pools.machines);
     std::map<jobs::WorkerIncarnation, TimePoint> missingSince;
     std::vector<jobs::WorkerIncarnation> ended;
     for (const auto &[incarnation, worker] : engine.workers) {
@@ -63,7 +81,8 @@
         const bool isStillMissing =
                 before != pools.missingSince.end() && lastHeardFrom(worker) < before->second;
         const TimePoint since = isStillMissing ? before->second : askedAt;
-        if (isEmpty(&worker) || askedAt >= since + engine.limits.reportInterval + reportSlack) {
+        if (isEmpty(&worker) || replaced.contains(incarnation.id)
+            || askedAt >= since + engine.limits.reportInterval + reportSlack) {
             ended.push_back(incarnation);
         } else {
             missingSince[incarnation] = since;
@@ -75,6 +94,23 @@
     }
 }
 
+// Takes over what a list says of a machine. A list that names the worker before the present one, of
+// which nothing says that it has ended, is out of date in this.
+void applyRow(MachineView &view, engine::Engine &engine, const Machine &machine)
+{
+    const jobs::WorkerId known = view.machine.worker;
+    const engine::Worker *const worker = workerOf(engine, view.machine);
+    view.machine = machine;
+    if (machine.worker == known || known.isEmpty()) {
+        return;
+    }
+    if (machine.worker == view.formerWorker && worker != nullptr && !worker->isGone) {
+        view.machine.worker = known;
+    } else {
+        view.formerWorker = known;
+    }
+}
+
 bool isUp(const Machine &machine)
 {
     return machine.state == MachineState::Up;
@@ -109,7 +145,7 @@
         }
         // A list that was requested before a command was carried out may show the earlier state.
         if (view.changedAt < askedAt || view.changedAt == TimePoint{}) {
-            view.machine = machine;
+            applyRow(view, engine, machine);
             if (showsMove(view, askedAt)) {
                 view.pending.reset();
                 view.isCordonKept = true;
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -414,6 +414,33 @@
     }
 }
 
+// Guards against tasks of a crashed worker that wait although the platform shows its machine with
+// another worker, and against a second run beside the first on a list that is out of date.
+TEST(Moves, WorkerWhoseMachineIsListedWithoutItIsEndedByOneList)
+{
+    SCOPED_TRACE("given a task on a worker that does not answer");
+    Deployment deployment(2, 0);
+    engine::test::EngineFixture &fixture = deployment.fixture;
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = fixture.startAll();
+    const std::string id = starts.at(0).target.worker.id.text();
+    fixture.poll();
+    fixture.now += Milliseconds{100};
+    fixture.leavePollUnanswered(id);
+    Machine &machine = deployment.machines.at(id == "w1" ? 0 : 1);
+    {
+        SCOPED_TRACE("when a list that was requested since shows its machine without it");
+        fixture.now += Milliseconds{100};
+        machine.worker = jobs::WorkerId("w3");
+        deployment.list();
+        {
+            SCOPED_TRACE("then the task starts elsewhere");
+            EXPECT_TRUE(fixture.worker(id).isGone);
+            EXPECT_EQ(fixture.start().size(), 1U);
+        }
+    }
+}
+
 // Guards against an owner that polls hundreds of dead workers ten times a second, after machines
 // have moved and the responses were lost.
 TEST(Moves, EmptyWorkerWithoutAMachineIsEndedByOneList)
