Believe a row with another worker only if that one has started later

Callers saw a task run twice. A list of machines whose row named another worker than the owner knew ended the known one at once, and released its runs, if it had just missed a poll. If the row was out of date and named a worker that this owner had never listed, a living worker lost its runs to a second start.

Cause: evidence that is older than what it is used against. The row says which worker the machine has, not that it came after the known one. Ruled out: the response to machine commands (fixed before), and rows that go back to the worker before, which were recognised if it had been listed.

Change: while nothing says that the known worker has ended, a row with another worker counts only if that one is known to have started later. Otherwise the known worker stays, the machine gets no command meant for an empty one, and the worker ends only if its next report is missing as well. A row without a worker still ends it at once, as after a crash.

Moves.ListWithUnknownEarlierWorkerKeepsTasks failed before. Moves.WorkerWhoseMachineIsListedWithoutItIsEndedByOneList took a row with a worker that nobody had ever seen for proof, which is the fault; it now asks for the same effect by one list for both proofs, a later worker and none.

--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -33,6 +33,7 @@
     std::set<ServiceId> rejectedPools;  // target pools that the platform called invalid
     bool isDueForMaintenance = false;  // part of a wave, and its maintenance has not begun
     bool isMissing = false;  // the last list lacked it
+    bool isWorkerDoubted = false;  // the last list named another worker, perhaps an earlier one
     jobs::WorkerId formerWorker;  // the last one that lists have named before the present one
     bool isCordonKept = false;  // until a list shows whether its worker has ended
 };
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -52,9 +52,10 @@
 }
 
 // Ends the incarnations of unreachable workers that the list lacks. Otherwise their tasks would
-// wait for the longest lease. That the machine is missing as well proves nothing by itself, since
-// the list is read in pages while machines move: then the worker's next report must be missing,
-// too. A worker without tasks would be polled in vain; if it lives, its next report brings it back.
+// wait for the longest lease. It proves nothing by itself if the machine is missing as well, since
+// the list is read in pages while machines move, or if its row names a worker that may be an
+// earlier one: then the worker's next report must be missing, too. A worker without tasks would be
+// polled in vain; if it lives, its next report brings it back.
 void endIncarnationsWithoutMachine(Pools &pools, engine::Engine &engine,
                                    const std::vector<Machine> &machines, TimePoint askedAt,
                                    TimePoint now)
@@ -64,7 +65,7 @@
         present.insert(machine.worker);
     }
     for (const auto &[id, view] : pools.machines) {
-        if (!view.isMissing) {
+        if (!view.isMissing && !view.isWorkerDoubted) {
             present.insert(view.machine.worker);
         }
     }
@@ -94,20 +95,33 @@
     }
 }
 
-// Takes over what a list says of a machine. A list that names the worker before the present one, of
-// which nothing says that it has ended, is out of date in this.
+// Whether the worker `id` is known to have started after `worker`.
+bool hasStartedAfter(const engine::Engine &engine, const jobs::WorkerId &id,
+                     const engine::Worker &worker)
+{
+    const auto found = engine.newestIncarnations.find(id);
+    const std::int64_t startedUnixMs = worker.entry.incarnation.startedUnixMs;
+    return found != engine.newestIncarnations.end() && startedUnixMs != 0
+           && found->second.startedUnixMs > startedUnixMs;
+}
+
+// Takes over what a list says of a machine. While nothing says that the known worker has ended, a
+// row with another one counts only if that has started later: lists may be out of date.
 void applyRow(MachineView &view, engine::Engine &engine, const Machine &machine)
 {
     const jobs::WorkerId known = view.machine.worker;
     const engine::Worker *const worker = workerOf(engine, view.machine);
     view.machine = machine;
+    view.isWorkerDoubted = false;
     if (machine.worker == known || known.isEmpty()) {
         return;
     }
-    if (machine.worker == view.formerWorker && worker != nullptr && !worker->isGone) {
-        view.machine.worker = known;
-    } else {
+    if (worker == nullptr || worker->isGone || machine.worker.isEmpty()
+        || hasStartedAfter(engine, machine.worker, *worker)) {
         view.formerWorker = known;
+    } else {
+        view.machine.worker = known;
+        view.isWorkerDoubted = true;
     }
 }
 
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -414,31 +414,84 @@
     }
 }
 
+// A task on a worker that has just missed a poll. "machine" is the worker's.
+struct SilentWorker
+{
+    Deployment deployment{2, 0};
+    engine::test::EngineFixture &fixture = deployment.fixture;
+    std::string id;
+    Machine *machine = nullptr;
+
+    SilentWorker()
+    {
+        fixture.submit(submission(firstJob, step(1, 1000)));
+        id = fixture.startAll().at(0).target.worker.id.text();
+        fixture.poll();
+        fixture.now += Milliseconds{100};
+        fixture.leavePollUnanswered(id);
+        machine = &deployment.machines.at(id == "w1" ? 0 : 1);
+        fixture.now += Milliseconds{100};
+    }
+};
+
 // Guards against tasks of a crashed worker that wait although the platform shows its machine with
-// another worker, and against a second run beside the first on a list that is out of date.
+// a later worker, or with none.
 TEST(Moves, WorkerWhoseMachineIsListedWithoutItIsEndedByOneList)
+{
+    for (const bool hasSuccessor : {true, false}) {
+        SCOPED_TRACE("given a task on a worker that does not answer");
+        SilentWorker silent;
+        {
+            SCOPED_TRACE(hasSuccessor ? "when a list shows its machine with a worker that has "
+                                        "registered since"
+                                      : "when a list shows its machine without a worker");
+            if (hasSuccessor) {
+                silent.fixture.addWorker("w3", 2);
+            }
+            silent.machine->worker = jobs::WorkerId(hasSuccessor ? "w3" : "");
+            silent.deployment.list();
+            {
+                SCOPED_TRACE("then the task starts elsewhere");
+                EXPECT_TRUE(silent.fixture.worker(silent.id).isGone);
+                EXPECT_EQ(silent.fixture.start().size(), 1U);
+            }
+        }
+    }
+}
+
+// Guards against a second run beside the first: a list that is out of date names a worker that the
+// machine had before, and which this owner has never seen.
+TEST(Moves, ListWithUnknownEarlierWorkerKeepsTasks)
 {
     SCOPED_TRACE("given a task on a worker that does not answer");
-    Deployment deployment(2, 0);
-    engine::test::EngineFixture &fixture = deployment.fixture;
-    fixture.submit(submission(firstJob, step(1, 1000)));
-    const auto starts = fixture.startAll();
-    const std::string id = starts.at(0).target.worker.id.text();
-    fixture.poll();
-    fixture.now += Milliseconds{100};
-    fixture.leavePollUnanswered(id);
-    Machine &machine = deployment.machines.at(id == "w1" ? 0 : 1);
+    SilentWorker silent;
+    engine::test::EngineFixture &fixture = silent.fixture;
     {
-        SCOPED_TRACE("when a list that was requested since shows its machine without it");
-        fixture.now += Milliseconds{100};
-        machine.worker = jobs::WorkerId("w3");
-        deployment.list();
+        SCOPED_TRACE("when a list names another worker of its machine, which is not registered");
+        silent.machine->worker = jobs::WorkerId("w0");
+        silent.deployment.list();
         {
-            SCOPED_TRACE("then the task starts elsewhere");
-            EXPECT_TRUE(fixture.worker(id).isGone);
-            EXPECT_EQ(fixture.start().size(), 1U);
+            SCOPED_TRACE("then the task is not started again and the machine gets no command");
+            EXPECT_FALSE(fixture.worker(silent.id).isGone);
+            EXPECT_TRUE(fixture.start().empty());
+            silent.deployment.wave({silent.machine->id.text()}, 1);
+            EXPECT_TRUE(silent.deployment.plan().empty());
         }
     }
+    {
+        SCOPED_TRACE("when that worker turns out to have started earlier");
+        fixture.addWorker("w0", 0);
+        fixture.now += Milliseconds{400};
+        silent.deployment.list();
+        EXPECT_FALSE(fixture.worker(silent.id).isGone);
+    }
+    {
+        SCOPED_TRACE("then it ends once its next report is missing as well");
+        fixture.now += fixture.engine.limits.reportInterval + Milliseconds{500};
+        silent.deployment.list();
+        EXPECT_TRUE(fixture.worker(silent.id).isGone);
+        EXPECT_EQ(fixture.start().size(), 1U);
+    }
 }
 
 // Guards against an owner that polls hundreds of dead workers ten times a second, after machines
