Take a rejection at an address as evidence about that address only

A poll or stop that is answered with "another incarnation" ended the worker that it was meant for, and released its runs at once. If the address came from an entry that another writer had changed, or had not been confirmed yet by a new owner, another process had answered, and the worker ran on: its tasks were started a second time.

Cause: evidence about another process than the one it was used against. Ruled out by reading: rejected starts, which release only the run that the process at the address has not begun.

Change: a worker keeps the address at which it has responded for its whole life, whatever a later entry says. A rejection ends a worker that has tasks only at that address; elsewhere it counts as no response, so that leases, lists and the registry decide.

Reachability.EntryWithAnotherAddressKeepsTasks and Reachability.RejectionAtUnconfirmedAddressKeepsTasks fail with the former rule (tried by putting it back).

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -129,6 +129,8 @@
     std::int64_t pollNumber = 0;  // of the last poll sent
     bool isPolling = false;
     TimePoint pollSentAt{};
+    std::string polledAddress;  // where the last poll was sent
+    std::string answeredAddress;  // where the worker has responded; the same for its whole life
     TimePoint nextPollAt{};
     TimePoint leaseUntil{};  // no lease there outlives this, whatever commands were lost
     TimePoint firstAnsweredAt{};  // the worker rejects commands of previous owners from then on
--- a/src/poplarstream/edge/command_sender.cpp
+++ b/src/poplarstream/edge/command_sender.cpp
@@ -75,15 +75,14 @@
     };
     const WorkerPort &workers = state_->runtime.workers;
     if (const auto *const poll = std::get_if<engine::PollCommand>(&command)) {
-        workers.poll(*poll, guarded([&engine, incarnation = poll->target.worker,
-                                     number = poll->number, wait = poll->wait,
+        workers.poll(*poll, guarded([&engine, sent = *poll,
                                      state = state_](const WorkerPort::PollOutcome &outcome) {
-            state->runtime.load.count(endOf(wait, outcome));
+            state->runtime.load.count(endOf(sent.wait, outcome));
             if (outcome.isOtherIncarnation) {
-                engine::handleOtherIncarnation(engine, incarnation, steadyNow());
+                engine::handleMisdirectedPoll(engine, sent, steadyNow());
             } else {
-                engine::handlePollResponse(engine, incarnation, number, outcome.response,
-                                           steadyNow());
+                engine::handlePollResponse(engine, sent.target.worker, sent.number,
+                                           outcome.response, steadyNow());
             }
         }));
     } else if (const auto *const start = std::get_if<engine::StartCommand>(&command)) {
@@ -97,12 +96,11 @@
                                       steadyNow());
         }));
     } else if (const auto *const stop = std::get_if<engine::StopCommand>(&command)) {
-        const engine::AttemptRef ref{stop->task, stop->run};
-        workers.stop(*stop, guarded([&engine, ref, state = state_,
-                                     incarnation = stop->target.worker](engine::StopResult result) {
-            state->runtime.load.count(WorkerCallEnd::Stop);
-            engine::handleStopResult(engine, ref, incarnation, result, steadyNow());
-        }));
+        workers.stop(*stop,
+                     guarded([&engine, sent = *stop, state = state_](engine::StopResult result) {
+                         state->runtime.load.count(WorkerCallEnd::Stop);
+                         engine::handleStopResult(engine, sent, result, steadyNow());
+                     }));
     }
 }
 
--- a/src/poplarstream/engine/incarnations.cpp
+++ b/src/poplarstream/engine/incarnations.cpp
@@ -95,6 +95,9 @@
                          || worker.entry.service != entry.service
                          || worker.entry.capacity != entry.capacity;
     worker.entry = entry;
+    if (!worker.answeredAddress.empty()) {
+        worker.entry.address = worker.answeredAddress;
+    }
     worker.isListed = true;
     worker.registeredAt = now;
     engine.needsPlan = engine.needsPlan || changed;
--- a/src/poplarstream/engine/reachability_test.cpp
+++ b/src/poplarstream/engine/reachability_test.cpp
@@ -601,5 +601,63 @@
     EXPECT_EQ(fixture.worker("w1").attempts.size(), 1U);
 }
 
+// Guards against a task that runs twice: an entry of the registry with a wrong address leads polls
+// to another worker, whose rejection says nothing of the one that runs the task.
+TEST(Reachability, EntryWithAnotherAddressKeepsTasks)
+{
+    SCOPED_TRACE("given a worker that runs a task, and a second worker");
+    EngineFixture fixture(2);
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = fixture.startAll();
+    ASSERT_EQ(starts.size(), 1U);
+    const WorkerIncarnation busy = starts[0].target.worker;
+    {
+        SCOPED_TRACE("when an entry gives it the address of another process");
+        WorkerEntry entry = fixture.engine.workers.at(busy).entry;
+        entry.address = "10.0.0.2:80";
+        registerWorker(fixture.engine, entry, fixture.now);
+        fixture.now += Milliseconds{20};
+        {
+            SCOPED_TRACE("then polls go to the address at which it has responded");
+            const auto polls = fixture.poll();
+            ASSERT_FALSE(polls.empty());
+            for (const PollCommand &poll : polls) {
+                EXPECT_EQ(poll.target.address, "10.0.0.1:80");
+            }
+        }
+    }
+}
+
+// Guards against a task that runs twice after a change of owner: a poll that reaches another
+// process does not show that the worker has ended, if it has never responded at that address.
+TEST(Reachability, RejectionAtUnconfirmedAddressKeepsTasks)
+{
+    SCOPED_TRACE("given a task of an earlier owner on a worker whose address is not confirmed");
+    EngineFixture earlier(1);
+    earlier.submit(submission(firstJob, step(1, 1000)));
+    earlier.startAll();
+    const std::string progress = jobs::encodeProgress(earlier.job());
+    EngineFixture fixture(0);
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const TimePoint lapsedAt = fixture.now + Milliseconds{10'000};
+    ASSERT_TRUE(adoptProgress(fixture.engine, JobId(firstJob), progress, lapsedAt, fixture.now));
+    fixture.addWorker("w1");
+    fixture.addWorker("w2");
+    const auto polls = fixture.poll();
+    ASSERT_EQ(polls.size(), 2U);
+    fixture.answer("w2");
+    {
+        SCOPED_TRACE("when the process at that address is another one");
+        handleMisdirectedPoll(fixture.engine, polls[0], fixture.now);
+        {
+            SCOPED_TRACE("then the task is not started again before its lease has expired");
+            EXPECT_TRUE(fixture.start().empty());
+            fixture.now = lapsedAt + Milliseconds{1};
+            fixture.poll();
+            EXPECT_EQ(fixture.start().size(), 1U);
+        }
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::engine
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -209,11 +209,26 @@
     }
 }
 
+// Handles the response of another incarnation than the target. It is about the address: the worker
+// may live at another one, unless it has responded there itself.
+void handleOtherIncarnation(Engine &engine, const CommandTarget &target, TimePoint now)
+{
+    const Worker *const worker = findWorker(engine, target.worker);
+    if (worker == nullptr) {
+        return;
+    }
+    const bool hasWork = !worker->attempts.empty() || !worker->unexpectedAttempts.empty();
+    if (!hasWork || worker->answeredAddress == target.address) {
+        endIncarnation(engine, target.worker, EndEvidence::RejectedCommand, now);
+    }
+}
+
 }  // namespace
 
-void handleOtherIncarnation(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now)
+void handleMisdirectedPoll(Engine &engine, const PollCommand &poll, TimePoint now)
 {
-    endIncarnation(engine, incarnation, EndEvidence::RejectedCommand, now);
+    handleOtherIncarnation(engine, poll.target, now);
+    handlePollResponse(engine, poll.target.worker, poll.number, {}, now);
 }
 
 void handlePollResponse(Engine &engine, const WorkerIncarnation &incarnation,
@@ -247,6 +262,7 @@
         return;
     }
     worker->answeredAt = now;
+    worker->answeredAddress = worker->polledAddress;
     worker->lapsedRuns.clear();
     if (worker->firstAnsweredAt == TimePoint{}) {
         worker->firstAnsweredAt = now;
@@ -327,15 +343,16 @@
             fmt::format("cause=start-rejected result={}", resultText(result)));
 }
 
-void handleStopResult(Engine &engine, const AttemptRef &ref, const WorkerIncarnation &incarnation,
-                      StopResult result, TimePoint now)
+void handleStopResult(Engine &engine, const StopCommand &stop, StopResult result, TimePoint now)
 {
-    Worker *const worker = findWorker(engine, incarnation);
+    Worker *const worker = findWorker(engine, stop.target.worker);
     if (worker == nullptr || worker->isGone) {
         return;
     }
     if (result == StopResult::OtherIncarnation) {
-        endIncarnation(engine, incarnation, EndEvidence::RejectedCommand, now);
+        handleOtherIncarnation(engine, stop.target, now);
+    }
+    if (worker->isGone) {
         return;
     }
     if (result != StopResult::Accepted) {
@@ -347,7 +364,7 @@
         worker->nextPollAt = now;
         return;
     }
-    const auto place = worker->attempts.find(ref);
+    const auto place = worker->attempts.find(AttemptRef{stop.task, stop.run});
     if (place != worker->attempts.end()) {
         place->second = std::min(place->second, worker->pollNumber + 1);
     }
@@ -362,8 +379,7 @@
             handleStartResult(engine, {start->task, start->run}, start->target.worker,
                               StartResult::Unknown, 0, now);
         } else if (const auto *const stop = std::get_if<StopCommand>(&command)) {
-            handleStopResult(engine, {stop->task, stop->run}, stop->target.worker,
-                             StopResult::Unknown, now);
+            handleStopResult(engine, *stop, StopResult::Unknown, now);
         }
     }
 }
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -58,6 +58,7 @@
     worker.wantsPromptPoll = false;
     worker.isPolling = true;
     worker.pollSentAt = now;
+    worker.polledAddress = poll.target.address;
     engine.commands.emplace_back(std::move(poll));
 }
 
--- a/src/poplarstream/pools/simulated_deployment.hpp
+++ b/src/poplarstream/pools/simulated_deployment.hpp
@@ -309,8 +309,8 @@
         SimulatedWorker *const worker = workerAt(poll.target, isOther);
         const auto incarnation = poll.target.worker;
         if (isOther) {
-            respond([this, incarnation](Owner &owner) {
-                handleOtherIncarnation(owner.engine, incarnation, now_);
+            respond([this, poll](Owner &owner) {
+                handleMisdirectedPoll(owner.engine, poll, now_);
             });
         } else if (worker != nullptr) {
             worker->poll(poll, now_,
@@ -355,7 +355,7 @@
         const auto result = isOther ? engine::StopResult::OtherIncarnation
                                     : worker->stop(stop, ms(0, 900), now_);
         respond([this, stop, result](Owner &owner) {
-            handleStopResult(owner.engine, {stop.task, stop.run}, stop.target.worker, result, now_);
+            handleStopResult(owner.engine, stop, result, now_);
         });
     }
 
@@ -371,8 +371,7 @@
                                            : engine::StartResult::Unknown,
                                   0, now_);
             } else if (const auto *const stop = std::get_if<engine::StopCommand>(&command)) {
-                handleStopResult(owner.engine, {stop->task, stop->run}, stop->target.worker,
-                                 engine::StopResult::Unknown, now_);
+                handleStopResult(owner.engine, *stop, engine::StopResult::Unknown, now_);
             }
         };
     }
