--- a/src/poplarstream/pools/simulated_deployment.hpp
+++ b/src/poplarstream/pools/simulated_deployment.hpp
@@ -38,8 +38,9 @@
     IdleMinute = 1U << 15,
     LongLeases = 1U << 16,  // workers allow more than the owner asks for
     Maintenance = 1U << 17,  // waves that the owner carries out
+    WrongAddresses = 1U << 18,  // entries that lead to another worker
 };
-inline constexpr unsigned faultKinds = 18;
+inline constexpr unsigned faultKinds = 19;
 inline constexpr unsigned allFaults = (1U << faultKinds) - 1;
 
 inline constexpr Milliseconds stepTime{5};
@@ -277,7 +278,8 @@
         engine::WorkerEntry entry;
         entry.incarnation = slot.worker->incarnation;
         entry.service = ServiceId("shop");
-        entry.address = std::to_string(number);
+        entry.address = std::to_string(strikes(WrongAddresses, 500) ? between(0, machineCount - 1)
+                                                                    : number);
         entry.rack = RackId("rack");
         entry.capacity = slot.worker->capacity;
         if (strikes(ChangingCapacity, 3000)) {
@@ -309,8 +311,8 @@
         SimulatedWorker *const worker = workerAt(poll.target, isOther);
         const auto incarnation = poll.target.worker;
         if (isOther) {
-            respond([this, incarnation](Owner &owner) {
-                handleOtherIncarnation(owner.engine, incarnation, now_);
+            respond([this, poll](Owner &owner) {
+                handleMisdirectedPoll(owner.engine, poll, now_);
             });
         } else if (worker != nullptr) {
             worker->poll(poll, now_,
@@ -355,7 +357,7 @@
         const auto result = isOther ? engine::StopResult::OtherIncarnation
                                     : worker->stop(stop, ms(0, 900), now_);
         respond([this, stop, result](Owner &owner) {
-            handleStopResult(owner.engine, {stop.task, stop.run}, stop.target.worker, result, now_);
+            handleStopResult(owner.engine, stop, result, now_);
         });
     }
 
@@ -371,8 +373,7 @@
                                            : engine::StartResult::Unknown,
                                   0, now_);
             } else if (const auto *const stop = std::get_if<engine::StopCommand>(&command)) {
-                handleStopResult(owner.engine, {stop->task, stop->run}, stop->target.worker,
-                                 engine::StopResult::Unknown, now_);
+                handleStopResult(owner.engine, *stop, engine::StopResult::Unknown, now_);
             }
         };
     }
