Parse foreign documents with a bounded depth

Callers saw processes end (signal 11) by one deeply nested response body. Cause: parseObject in platform/ copied the parsed document, and copying, comparing and serializing a nlohmann::json recurse. The test of the responses (400,000 levels, 800 kB) ended with signal 11 before. Class: each place that builds a document of text that others wrote. The depth is counted by a scan of the text outside strings instead of a second run of the parser. Ruled out: the parser and the destructor of the library, and the event readers of polls and stored jobs; they do not recurse, and the test covers them. The test of the documents failed before on documents whose unknown members are deep: these were accepted, and none of them crashed there. Not measured: the cost of the scan. The programs of node, console, fleet, records and membership were compiled here, their tests were not run.

--- a/src/poplarstream/adapters/peer_socket.cpp
+++ b/src/poplarstream/adapters/peer_socket.cpp
@@ -12,7 +12,7 @@
 // The protocol headers require nng.h first.
 #include <nng/protocol/reqrep0/req.h>  // for NNG_OPT_REQ_RESENDTIME
 
-#include "poplarstream/adapters/bounded_json.hpp"  // for parseBoundedMessagePack
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedMessagePack
 
 namespace poplarstream {
 
--- a/src/poplarstream/adapters/peer_transport_test.cpp
+++ b/src/poplarstream/adapters/peer_transport_test.cpp
@@ -11,7 +11,7 @@
 
 #include <nng/protocol/pipeline0/push.h>  // for nng_push0_open
 
-#include "poplarstream/adapters/bounded_json.hpp"  // for parseBoundedMessagePack
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedMessagePack
 
 namespace poplarstream {
 namespace {
--- a/src/poplarstream/adapters/platform_client.cpp
+++ b/src/poplarstream/adapters/platform_client.cpp
@@ -1,7 +1,7 @@
 #include "poplarstream/adapters/platform_client.hpp"
 
-#include "poplarstream/adapters/bounded_json.hpp"  // for parseBoundedJson
 #include "poplarstream/adapters/http_client.hpp"  // for HttpClient, HttpOutcome
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJson
 
 namespace poplarstream {
 
--- a/src/poplarstream/adapters/worker_protocol.cpp
+++ b/src/poplarstream/adapters/worker_protocol.cpp
@@ -4,7 +4,7 @@
 #include <limits>  // for numeric_limits
 #include <stdexcept>  // for invalid_argument
 
-#include "poplarstream/adapters/bounded_json.hpp"  // for parseBoundedJson
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJson
 
 namespace poplarstream {
 
--- a/src/poplarstream/adapters/bounded_json.cpp
+++ b/src/poplarstream/base/bounded_json.cpp
@@ -1,6 +1,8 @@
-#include "poplarstream/adapters/bounded_json.hpp"
+#include "poplarstream/base/bounded_json.hpp"
 
-#include <stdexcept>  // for exception
+#include <stdexcept>  // for exception, runtime_error
+
+#include <fmt/format.h>  // for format
 
 namespace poplarstream {
 
@@ -8,8 +10,6 @@
 
 using nlohmann::json;
 
-constexpr int maxDepth = 64;
-
 // Accepts all parser events until the nesting exceeds the depth limit.
 class DepthCheck : public nlohmann::json_sax<json>
 {
@@ -21,10 +21,10 @@
     bool number_float(number_float_t, const string_t &) override { return true; }
     bool string(string_t &) override { return true; }
     bool binary(binary_t &) override { return true; }
-    bool start_object(std::size_t) override { return ++depth_ <= maxDepth; }
+    bool start_object(std::size_t) override { return ++depth_ <= maxJsonDepth; }
     bool key(string_t &) override { return true; }
     bool end_object() override { return --depth_ >= 0; }
-    bool start_array(std::size_t) override { return ++depth_ <= maxDepth; }
+    bool start_array(std::size_t) override { return ++depth_ <= maxJsonDepth; }
     bool end_array() override { return --depth_ >= 0; }
     bool parse_error(std::size_t, const std::string &, const json::exception &) override
     {
@@ -35,14 +35,49 @@
     int depth_ = 0;
 };
 
+// Whether the arrays and objects in `text` are nested within the limit. Counts the brackets outside
+// strings, which is exact up to the first byte that is no JSON; there the parser fails.
+bool isWithinDepth(std::string_view text)
+{
+    int depth = 0;
+    bool isInString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (isInString) {
+            if (c == '\\') {
+                ++i;
+            } else if (c == '"') {
+                isInString = false;
+            }
+        } else if (c == '"') {
+            isInString = true;
+        } else if (c == '[' || c == '{') {
+            if (++depth > maxJsonDepth) {
+                return false;
+            }
+        } else if (c == ']' || c == '}') {
+            --depth;
+        }
+    }
+    return true;
+}
+
 }  // namespace
 
 std::optional<json> parseBoundedJson(std::string_view text)
 {
-    DepthCheck check;
-    if (!json::sax_parse(text, &check)) {
+    if (!isWithinDepth(text)) {
         return std::nullopt;
     }
+    json value = json::parse(text, nullptr, false);
+    return value.is_discarded() ? std::nullopt : std::optional(std::move(value));
+}
+
+json parseBoundedJsonOrThrow(std::string_view text)
+{
+    if (!isWithinDepth(text)) {
+        throw std::runtime_error(fmt::format("nested deeper than {} levels", maxJsonDepth));
+    }
     return json::parse(text);
 }
 
--- a/src/poplarstream/console/draft.cpp
+++ b/src/poplarstream/console/draft.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJson
 #include "poplarstream/config/edits.hpp"  // for applyEdits, difference
 #include "poplarstream/config/validation.hpp"  // for readConfiguration
 
@@ -68,7 +69,7 @@
 
 std::optional<Draft> decodeDraft(std::string_view text)
 {
-    const json body = json::parse(text, nullptr, false);
+    const json body = parseBoundedJson(text).value_or(json());
     try {
         Draft draft;
         draft.baseVersion = body.at("base").get<std::uint64_t>();
--- a/src/poplarstream/edge/peer_calls.cpp
+++ b/src/poplarstream/edge/peer_calls.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJsonOrThrow
 #include "poplarstream/base/json_value.hpp"  // for integerFrom
 
 namespace poplarstream::edge {
@@ -30,7 +31,7 @@
         return {};
     }
     try {
-        const json value = json::parse(response.body);
+        const json value = parseBoundedJsonOrThrow(response.body);
         PeerResponse peerResponse;
         peerResponse.kind = enumFrom(value.at("kind"), Kind::NoResponse);
         peerResponse.state = enumFrom(value.at("state"), jobs::JobState::Cancelled);
@@ -84,7 +85,7 @@
         return {};
     }
     try {
-        const json value = json::parse(request.body);
+        const json value = parseBoundedJsonOrThrow(request.body);
         PeerRequest peerRequest;
         peerRequest.kind = enumFrom(value.at("kind"), PeerRequest::Kind::Store);
         peerRequest.queue = jobs::QueueId(value.at("queue").get<std::string>());
--- a/src/poplarstream/edge/stored_waves.cpp
+++ b/src/poplarstream/edge/stored_waves.cpp
@@ -6,6 +6,8 @@
 #include <fmt/format.h>  // for format
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJson
+
 namespace poplarstream::edge {
 
 namespace {
@@ -38,7 +40,7 @@
         || std::from_chars(key.data() + waveKeyPrefix.size(), end, wave.number).ptr != end) {
         return Failure{"not the key of a wave", record.key};
     }
-    const json value = json::parse(record.value.value_or(std::string()), nullptr, false);
+    const json value = parseBoundedJson(record.value.value_or(std::string())).value_or(json());
     if (!value.is_object() || !value.contains("begun") || !value.at("begun").is_array()) {
         return Failure{"not the record of a wave", record.key};
     }
--- a/src/poplarstream/fleet/state_codec.cpp
+++ b/src/poplarstream/fleet/state_codec.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>  // for format_to
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJsonOrThrow
 #include "poplarstream/config/ini.hpp"  // for parseDocument, formatDocument
 #include "poplarstream/config/validation.hpp"  // for readConfiguration
 #include "poplarstream/fleet/pool_usage.hpp"  // for recomputePoolUsage
@@ -288,7 +289,7 @@
 Result<FleetState> decodeState(std::string_view text)
 {
     try {
-        return stateFrom(json::parse(text));
+        return stateFrom(parseBoundedJsonOrThrow(text));
     } catch (const std::exception &error) {
         return Failure{error.what(), "state"};
     }
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -8,6 +8,7 @@
 #include <fmt/ranges.h>  // for join
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJsonOrThrow
 #include "poplarstream/base/json_value.hpp"  // for integerFrom
 #include "poplarstream/jobs/commands.hpp"  // for openOccurrence
 
@@ -304,7 +305,7 @@
 Result<Submission> decodeSubmission(std::string_view text)
 {
     try {
-        const json value = json::parse(text);
+        const json value = parseBoundedJsonOrThrow(text);
         Submission submission;
         submission.id = JobId(value.at("id").get<std::string>());
         QueuePolicy &policy = submission.policy;
@@ -345,7 +346,7 @@
         return {};
     }
     try {
-        const json value = json::parse(progress);
+        const json value = parseBoundedJsonOrThrow(progress);
         const JobState state = stateFrom(value.at("state").get<std::string>());
         for (const json &occurrence : value.at("runs")) {
             for (const json &step : occurrence.at(2)) {
@@ -378,7 +379,7 @@
 {
     Job changed = job;
     try {
-        const json value = json::parse(text);
+        const json value = parseBoundedJsonOrThrow(text);
         changed.state = stateFrom(value.at("state").get<std::string>());
         changed.hasBegun = value.at("begun").get<bool>();
         for (const json &row : value.at("runs")) {
--- a/src/poplarstream/membership/messages.cpp
+++ b/src/poplarstream/membership/messages.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedMessagePack
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
 
 namespace poplarstream::membership {
@@ -86,12 +87,12 @@
 template <class Message, class Read>
 Result<Message> decode(std::span<const std::uint8_t> bytes, Read read)
 {
-    const Json json = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-    if (json.is_discarded()) {
+    const std::optional<Json> json = parseBoundedMessagePack(bytes);
+    if (!json) {
         return Failure{"not MessagePack", ""};
     }
     try {
-        return read(json);
+        return read(*json);
     } catch (const DecodeError &error) {
         return Failure{error.message, ""};
     }
--- a/src/poplarstream/node/caller_request.cpp
+++ b/src/poplarstream/node/caller_request.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>  // for format
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJson
+
 namespace poplarstream {
 
 namespace {
@@ -70,8 +72,8 @@
 
 std::variant<RawFields, CallerRejection> fieldsFromJson(const HttpRequest &request)
 {
-    const json body = json::parse(request.body, nullptr, false);
-    if (body.is_discarded() || !body.is_object()) {
+    const json body = parseBoundedJson(request.body).value_or(json());
+    if (!body.is_object()) {
         return rejection("body", "expected a JSON object");
     }
     RawFields fields;
--- a/src/poplarstream/node/operators_duty.cpp
+++ b/src/poplarstream/node/operators_duty.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>  // for json
 
 #include "poplarstream/adapters/http_server.hpp"  // for HttpServer
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJson
 #include "poplarstream/config/ini.hpp"  // for parseDocument, formatDocument
 #include "poplarstream/config/stages.hpp"  // for stagedEdits
 #include "poplarstream/config/validation.hpp"  // for readConfiguration
@@ -326,7 +327,7 @@
     void publishEdits(const HttpRequest &request, const std::string &author,
                       const HttpRespond &respond)
     {
-        const json body = json::parse(request.body, nullptr, false);
+        const json body = parseBoundedJson(request.body).value_or(json());
         try {
             ConfigChange change;
             change.baseVersion = body.at("base_version").get<std::uint64_t>();
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJson
 #include "poplarstream/base/json_value.hpp"  // for integerFrom
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
 
@@ -67,7 +68,7 @@
 
 std::optional<OwnershipRecord> decodeOwnership(std::string_view text)
 {
-    const json value = json::parse(text, nullptr, false);
+    const json value = parseBoundedJson(text).value_or(json());
     if (!value.is_object()) {
         return {};
     }
--- a/src/poplarstream/records/codec.cpp
+++ b/src/poplarstream/records/codec.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJsonOrThrow
+
 namespace nlohmann {
 
 template <class Tag>
@@ -163,7 +165,7 @@
 Result<Record> decode(std::string_view text, Read read)
 {
     try {
-        const json j = json::parse(text);
+        const json j = parseBoundedJsonOrThrow(text);
         Record record;
         record.header = j.get<RecordHeader>();
         read(j, record);
