Use a worker again that a false entry showed as restarted

Found by a test, not seen at work: an entry of another writer that gives a later start for a living worker makes the owner go over to an incarnation that doesn't exist. If a poll of the true one is then on its way, which takes up to 1.5 s, its record is still there, marked as ended, when a response shows the true start. The task was moved back to that record, which is never polled or dropped again: the task is never settled and the worker gets no further task. Change: a worker that shows itself that it lives is no longer marked as ended; its next poll settles the moved tasks, and one that it lists goes on. Remains: such a claim still counts as one crash for the tasks there.

--- a/src/poplarstream/engine/incarnations.cpp
+++ b/src/poplarstream/engine/incarnations.cpp
@@ -142,6 +142,11 @@
         next.entry.incarnation = to;
         next.knownSince = now;
         next.idleSince = now;
+    } else if (next.isGone) {
+        // An entry of another writer made it count as ended; it has shown itself that it lives.
+        next.isGone = false;
+        next.isPolling = false;
+        next.reachability = Reachability::Unconfirmed;
     }
     engine.newestIncarnations[to.id] = to;
     moveAttempts(engine, *previous, next, now);
--- a/src/poplarstream/engine/reachability_test.cpp
+++ b/src/poplarstream/engine/reachability_test.cpp
@@ -342,6 +342,49 @@
     }
 }
 
+// Guards against a worker that is never polled again, and a task that is never settled, after an
+// entry of another writer gave a later start of a living worker: its own response shows the true
+// one.
+TEST(Reachability, FalseRestartInTheRegistryIsTakenBack)
+{
+    SCOPED_TRACE("given a task on a worker, and a poll on its way");
+    EngineFixture fixture(1);
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = fixture.startAll();
+    ASSERT_EQ(starts.size(), 1U);
+    ASSERT_EQ(fixture.poll().size(), 1U);
+    {
+        SCOPED_TRACE("when the registry gives a later start, and a response the true one");
+        fixture.addWorker("w1", 2);
+        const auto second = fixture.poll();
+        ASSERT_EQ(second.size(), 1U);
+        EXPECT_EQ(second[0].target.worker, EngineFixture::incarnation("w1", 2));
+        handlePollResponse(fixture.engine, second[0].target.worker, second[0].number,
+                           PollResponse{1, fixture.workerClockMs(), {running(0, 1)}, {}, false},
+                           fixture.now);
+        {
+            SCOPED_TRACE("then the worker is polled, and its task goes on as the same run");
+            const auto third = fixture.poll();
+            ASSERT_EQ(third.size(), 1U);
+            EXPECT_EQ(third[0].target.worker, EngineFixture::incarnation("w1"));
+            EXPECT_GT(third[0].target.fencingToken, second[0].target.fencingToken);
+            fixture.answer("w1", {running(0, 1)});
+            fixture.now += Milliseconds{10'000};
+            EXPECT_TRUE(fixture.start().empty());
+            const auto &attempts = fixture.job().occurrences.at(0).steps[0][0].attempts;
+            ASSERT_EQ(attempts.size(), 1U);
+            EXPECT_EQ(attempts[0].run, 1);
+            EXPECT_EQ(attempts[0].worker, EngineFixture::incarnation("w1"));
+        }
+        {
+            SCOPED_TRACE("and it gets further tasks once its own entry is read");
+            fixture.addWorker("w1");
+            fixture.submit(submission(secondJob, step(1, 1000)));
+            EXPECT_EQ(fixture.start().size(), 1U);
+        }
+    }
+}
+
 // Guards against a run that is never stopped, and a task that is never started again, after an
 // owner could not send its commands for a while.
 TEST(Reachability, DroppedCommandsAreSettled)
