Give a worker no new task while its entry can't be read

Callers saw tasks go to workers whose newest entry in the registry was odd. Change: the worker counts as not listed, so it gets no new task, until a usable entry of its id comes. The text of the line is bounded. An entry with a service that the configuration lacks needs no rule of its own: tasks go only to workers of their service. The step is a unit of its own, edge/worker_registry; the owner calls it.

--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -212,5 +212,10 @@
                                     "If `crashes` and `suspicion` of one task rise from worker to "
                                     "worker, the task takes its workers down and its job is given "
                                     "up: tell its owner. shared=true points to the rack."};
+inline constexpr EventKind workerEntryUnusable{
+        745, EventLevel::Warning, "worker-entry-unusable", "entry fault",
+        "Find out who writes the entry. Its worker gets no new task until a usable entry comes; "
+        "the "
+        "other workers are used as before. Written once for an entry until it is removed."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -13,8 +13,8 @@
 #include "poplarstream/edge/machine_controller.hpp"  // for MachineController
 #include "poplarstream/edge/progress_writer.hpp"  // for ProgressWriter
 #include "poplarstream/edge/stored_jobs.hpp"  // for tombstones
+#include "poplarstream/edge/worker_registry.hpp"  // for applyRegistry, logUnusableEntries
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
-#include "poplarstream/engine/incarnations.hpp"  // for registerWorker, deregisterWorker
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
 #include "poplarstream/engine/plan_pacing.hpp"  // for PlanPacing
@@ -138,31 +138,8 @@
 
     void applyRegistry(const std::vector<StoredRecord> &records, bool isSnapshot)
     {
-        const TimePoint now = steadyNow();
-        std::set<engine::WorkerId> listed;
-        for (const StoredRecord &record : records) {
-            const engine::WorkerId id(record.key);
-            if (!record.value) {
-                engine::deregisterWorker(engine, id);
-                continue;
-            }
-            const Result<engine::WorkerEntry> entry =
-                    runtime.decode.workerEntry(record.key, *record.value);
-            if (!entry) {
-                ++unreadableEntries;
-                continue;
-            }
-            listed.insert(id);
-            engine::registerWorker(engine, entry.value(), now);
-        }
-        if (isSnapshot) {
-            const auto newestIncarnations = engine.newestIncarnations;
-            for (const auto &[id, startedUnixMs] : newestIncarnations) {
-                if (!listed.contains(id)) {
-                    engine::deregisterWorker(engine, id);
-                }
-            }
-        }
+        logUnusableEntries(edge::applyRegistry(engine, unusableEntries, runtime.decode, records,
+                                               isSnapshot, clockReadingNow()));
         pump();
     }
 
@@ -355,7 +332,7 @@
     std::map<std::int64_t, pools::Wave> waves;
     std::unique_ptr<JobFeed> feed;
     std::unique_ptr<LogFollower> registryFollower;
-    std::uint64_t unreadableEntries = 0;
+    UnusableEntries unusableEntries;
     std::optional<TimePoint> startsHeldSince;  // the log of cancellations is read too late
     TimePoint nextPlanAt{};
     engine::PlanPacing planPacing;
@@ -428,7 +405,7 @@
     return fmt::format("poplar_jobs_known {}\npoplar_jobs_active {}\npoplar_workers {}\n"
                        "poplar_registry_entries_unreadable_total {}\npoplar_tasks_lost_total {}\n",
                        engine.jobs.size(), engine.active.size(), engine.workers.size(),
-                       state_->unreadableEntries, engine.tasksLost)
+                       state_->unusableEntries.count, engine.tasksLost)
            + state_->runtime.load.prometheusText();
 }
 
--- /dev/null
+++ b/src/poplarstream/edge/worker_registry.cpp
@@ -0,0 +1,82 @@
+#include "poplarstream/edge/worker_registry.hpp"
+
+#include <algorithm>  // for replace_if
+
+#include "poplarstream/engine/incarnations.hpp"  // for registerWorker, deregisterWorker
+#include "poplarstream/telemetry/event.hpp"  // for logEvent
+#include "poplarstream/telemetry/event_kinds.hpp"  // for workerEntryUnusable
+
+namespace poplarstream::edge {
+
+namespace {
+
+// Descriptions of faults may quote what was read.
+constexpr std::size_t maxFaultBytes = 160;
+constexpr std::size_t maxKeyBytes = 64;
+
+std::string shortened(std::string text, std::size_t maxBytes)
+{
+    if (text.size() > maxBytes) {
+        text.resize(maxBytes);
+        text += "...";
+    }
+    // A character that was cut, or bytes that are no text, would make the log unreadable.
+    std::replace_if(
+            text.begin(), text.end(), [](char c) { return c < ' ' || c > '~'; }, '?');
+    return text;
+}
+
+}  // namespace
+
+std::vector<Failure> applyRegistry(engine::Engine &engine, UnusableEntries &unusable,
+                                   const DecoderPort &decoder,
+                                   std::span<const StoredRecord> records, bool isSnapshot,
+                                   const engine::ClockReading &now)
+{
+    std::vector<Failure> toLog;
+    std::set<engine::WorkerId> listed;
+    std::set<std::string> keys;
+    for (const StoredRecord &record : records) {
+        const engine::WorkerId id(record.key);
+        if (!record.value) {
+            unusable.reported.erase(record.key);
+            engine::deregisterWorker(engine, id);
+            continue;
+        }
+        keys.insert(record.key);
+        const Result<engine::WorkerEntry> entry =
+                decoder.workerEntry(record.key, *record.value);
+        if (entry) {
+            listed.insert(id);
+            engine::registerWorker(engine, entry.value(), now.steady);
+            continue;
+        }
+        engine::deregisterWorker(engine, id);
+        ++unusable.count;
+        if (unusable.reported.size() < maxReportedEntries
+            && unusable.reported.insert(record.key).second) {
+            toLog.push_back({shortened(entry.failure().message, maxFaultBytes),
+                             shortened(record.key, maxKeyBytes)});
+        }
+    }
+    if (isSnapshot) {
+        std::erase_if(unusable.reported,
+                      [&](const std::string &key) { return !keys.contains(key); });
+        const auto newestIncarnations = engine.newestIncarnations;
+        for (const auto &[id, incarnation] : newestIncarnations) {
+            if (!listed.contains(id)) {
+                engine::deregisterWorker(engine, id);
+            }
+        }
+    }
+    return toLog;
+}
+
+void logUnusableEntries(std::span<const Failure> entries)
+{
+    for (const Failure &entry : entries) {
+        logEvent(events::workerEntryUnusable, {{"entry", entry.field}, {"fault", entry.message}});
+    }
+}
+
+}  // namespace poplarstream::edge
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -88,6 +88,7 @@
         leaseLapsed,
         startUnanswered,
         taskLost,
+        workerEntryUnusable,
 };
 
 }  // namespace
