Take no absurd start from an entry of a worker

Found by tests, not seen at work: `born` of an entry decides which incarnation of a worker an owner deals with. A start far in the future made the living worker count as ended, its tasks move and count a crash, and hid each later entry of its id. An older one was ignored before, too; the test covers it.

--- a/include/poplarstream/edge/worker_registry.hpp
+++ b/include/poplarstream/edge/worker_registry.hpp
@@ -27,7 +27,8 @@
 // Applies entries that were read from the registry, of which each is the newest of its key. A
 // snapshot names all workers; the others are no longer listed.
 //
-// An entry that cannot be read names no worker to use: the worker gets no new task until a usable entry of its id comes. This is no
+// An entry that cannot be read, or that says the worker will start more than a day from now, names
+// no worker to use: the worker gets no new task until a usable entry of its id comes. This is no
 // evidence that it has ended, so its tasks stay there and it is polled as before. The same holds if
 // its entry was removed.
 //
--- a/src/poplarstream/edge/worker_registry.cpp
+++ b/src/poplarstream/edge/worker_registry.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// An incarnation with a start in the far future would hide all later ones of its id, and would make
+// the living one count as ended. Clocks of a deployment differ by less than this.
+constexpr std::int64_t maxClockDifferenceMs = 24LL * 3600 * 1000;
 // Descriptions of faults may quote what was read.
 constexpr std::size_t maxFaultBytes = 160;
 constexpr std::size_t maxKeyBytes = 64;
@@ -26,6 +29,16 @@
     return text;
 }
 
+Result<engine::WorkerEntry> usableEntry(const DecoderPort &decoder, const StoredRecord &record,
+                                        const engine::ClockReading &now)
+{
+    Result<engine::WorkerEntry> entry = decoder.workerEntry(record.key, *record.value);
+    if (entry && entry.value().incarnation.startedUnixMs > now.unixMs + maxClockDifferenceMs) {
+        return Failure{"the start lies in the future", {}};
+    }
+    return entry;
+}
+
 }  // namespace
 
 std::vector<Failure> applyRegistry(engine::Engine &engine, UnusableEntries &unusable,
@@ -44,8 +57,7 @@
             continue;
         }
         keys.insert(record.key);
-        const Result<engine::WorkerEntry> entry =
-                decoder.workerEntry(record.key, *record.value);
+        const Result<engine::WorkerEntry> entry = usableEntry(decoder, record, now);
         if (entry) {
             listed.insert(id);
             engine::registerWorker(engine, entry.value(), now.steady);
--- a/src/poplarstream/edge/worker_registry_test.cpp
+++ b/src/poplarstream/edge/worker_registry_test.cpp
@@ -13,6 +13,7 @@
 using engine::test::submission;
 
 constexpr std::int64_t nowUnixMs = 1'700'000'000'000;
+constexpr std::int64_t dayMs = 24LL * 3600 * 1000;
 
 // An entry "START SERVICE" is readable; one that does not begin with a digit is odd.
 DecoderPort testDecoder()
@@ -154,5 +155,28 @@
     }
 }
 
+// Guards against a living worker that counts as ended, so that its tasks start a second time,
+// because an entry of another writer gives an absurd start for its id.
+TEST(WorkerRegistry, AbsurdStartEndsNoWorker)
+{
+    for (const std::int64_t born :
+         {nowUnixMs + 2 * dayMs, std::int64_t{1} << 50, std::int64_t{0}}) {
+        SCOPED_TRACE(born);
+        RegistryFixture fixture;
+        fixture.apply({{"w1", "1 shop", 1}, {"w2", "1 shop", 2}}, true);
+        fixture.submit(submission(firstJob, step(1, 1000)));
+        const auto starts = fixture.startAll();
+        ASSERT_EQ(starts.size(), 1U);
+        const std::string id = starts[0].target.worker.id.text();
+        fixture.apply({{id, std::to_string(born) + " shop", 3}});
+        fixture.now += Milliseconds{500};
+        fixture.poll();
+        EXPECT_FALSE(fixture.worker(id).isGone);
+        EXPECT_EQ(fixture.job().occurrences.at(0).steps[0][0].attempts.size(), 1U);
+        EXPECT_EQ(fixture.engine.newestIncarnations.at(engine::WorkerId(id)),
+                  EngineFixture::incarnation(id));
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::edge
