Claim the ownership only while the log can be read

What callers saw: after an outage of the partition that holds the ownership log, jobs waited on for seconds, as another process than the owner had to load all of them first, often a small one.

Cause: nothing ended a process's contact with the log. `inContactSince` is set when a read succeeds after a gap, so through an outage it keeps the time before it. Each process that had waited for the owner timeout went on claiming every 300 ms, small ones too after their delay, and at the end of the outage the first write of many claimants won against the owner's renewal. The time for recovery that `recoveryGrace` gives the owner never applied.

Ruled out, by a simulation of 147 processes (15 of 0.5 cores, 132 of 0.12) on one clock: a log that rejects a third of the processes, the owner among them, for 9 s leaves the jobs without a confirmed owner for 0.5 s beyond the validity and a large process takes over, whether it answers 503 or not at all; the delays and the seldom readers are no cause there.

Change: a process claims only if its newest read of the log succeeded and the next one is not overdue. The rule of contact is a file of its own, and counts the pause between two reads: a process that pauses 1.5 s and waits 1 s took each of its pauses for an outage.

Not changed: if all large processes are rejected, a small one is the owner 3.0 s after the last renewal (1.7 s of confirmed outage), as its delay leaves large ones time.

--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -139,6 +139,7 @@
         const TimePoint now = steadyNow();
         logConfirmation(now);
         leadership.inContactSince = follower->reachableSince();
+        leadership.isInContact = follower->isReachable();
         const LeadershipStep step = ownership::nextStep(leadership, now);
         if (step != LeadershipStep::None) {
             confirmationsInWrite = std::exchange(pendingConfirmations, {});
--- a/src/poplarstream/edge/log_follower.cpp
+++ b/src/poplarstream/edge/log_follower.cpp
@@ -3,13 +3,13 @@
 #include <map>  // for map
 #include <optional>  // for optional
 
+#include "poplarstream/ownership/log_contact.hpp"  // for LogContact, recordRead
+
 namespace poplarstream::edge {
 
 namespace {
 
 constexpr Milliseconds retryDelay{100};
-// A read that fails and succeeds when it is retried does not count as a gap.
-constexpr Milliseconds reachabilitySlack{800};
 
 }  // namespace
 
@@ -88,11 +88,7 @@
 
     void recordReachability(bool isSuccess)
     {
-        const TimePoint now = steadyNow();
-        if (isSuccess && now > lastSuccessAt + settings.wait + reachabilitySlack) {
-            reachableSince = now;
-        }
-        lastSuccessAt = isSuccess ? now : lastSuccessAt;
+        ownership::recordRead(contact, isSuccess, steadyNow(), settings.wait + settings.pause);
     }
 
     void read()
@@ -158,8 +154,7 @@
     TimePoint snapshotStartedAt{};
     std::int64_t next = 0;
     TimePoint currentAsOf{};
-    TimePoint reachableSince{};
-    TimePoint lastSuccessAt{};
+    ownership::LogContact contact;
     std::optional<TimePoint> pausedSince;
     std::uint64_t pauseNumber = 0;  // increases when the end of a pause is set
     bool hasSnapshot = false;
@@ -197,7 +192,13 @@
 
 TimePoint LogFollower::reachableSince() const
 {
-    return state_->reachableSince;
+    return state_->contact.reachableSince;
+}
+
+bool LogFollower::isReachable() const
+{
+    return ownership::isReachable(state_->contact, steadyNow(),
+                                  state_->settings.wait + state_->settings.pause);
 }
 
 bool LogFollower::hasSnapshot() const
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -176,7 +176,10 @@
     if (isOwner(leadership)) {
         return LeadershipStep::Renew;
     }
-    return now >= earliestClaim(leadership) ? LeadershipStep::Claim : LeadershipStep::None;
+    // A claim sent during an outage of the log may be the first write after it, before the owner's
+    // next renewal, and nearly all processes are smaller than the owner.
+    return leadership.isInContact && now >= earliestClaim(leadership) ? LeadershipStep::Claim
+                                                                      : LeadershipStep::None;
 }
 
 OwnershipRecord beginWrite(Leadership &leadership, LeadershipStep step, TimePoint now)
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -290,6 +290,24 @@
     EXPECT_EQ(nextStep(b, now + Milliseconds{4000}), LeadershipStep::Claim);
 }
 
+// Guards against a claim that is the first write after an outage, before the owner's next renewal.
+TEST(Leadership, NoClaimWithoutContact)
+{
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    Leadership b = process("b");
+    log.show(a, now);
+    now += Milliseconds{200};
+    ASSERT_TRUE(log.step(a, now));
+    log.show(b, now);
+    now += Milliseconds{5000};
+    b.isInContact = false;
+    EXPECT_EQ(nextStep(b, now), LeadershipStep::None);
+    b.isInContact = true;
+    EXPECT_EQ(nextStep(b, now), LeadershipStep::Claim);
+}
+
 // Guards against an owner that issues no commands although its renewals are in the log and keep
 // others from claiming, because the responses to its writes were lost or late.
 TEST(Leadership, OwnRecordInTheLogConfirmsItsWrite)
