Believe no clock of an entry that the worker can't have reached

Found by a test, not seen at work: `clockMs` of an entry in the registry was taken for the worker's clock whenever it was higher than the owner's estimate. By an entry of another writer whose clock is an hour ahead, the owner granted leases until an hour ahead and never took a lower reading again. A worker holds a task for as long as its longest lease, the owner waits for its own lease only, so that the task could run twice on a deployment where the former is longer. Change: once the worker has answered, a reading of the registry counts only if the clock can have reached it since the last one; the error that is allowed for clocks (4%) is added. A reading that is ignored only makes the estimate lower, which is safe. The first response replaces what the registry said before. Ruled out: ignoring the registry's clock altogether. An idle worker isn't polled, and the estimate of its clock would fall behind. The test failed before: the lease ended at 3,611,500 ms of the worker's clock, the owner's wait at 12,100. Remains: a new owner renews leases of adopted tasks by the registry's clock until the worker's first response. Tests of engine, pools, edge and platform pass.

--- a/include/poplarstream/engine/attempts.hpp
+++ b/include/poplarstream/engine/attempts.hpp
@@ -93,4 +93,9 @@
 // is known already.
 void noteClock(Worker &worker, std::int64_t clockMs, TimePoint now);
 
+// As above for a reading from an entry of the registry, which another writer may have left. Once
+// the worker has answered, a reading that it can't have reached by now is ignored: by a clock that
+// is too high, leases would outlive lapseAfter().
+void noteListedClock(Worker &worker, std::int64_t clockMs, TimePoint now);
+
 }  // namespace poplarstream::engine
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -216,4 +216,13 @@
     }
 }
 
+void noteListedClock(Worker &worker, std::int64_t clockMs, TimePoint now)
+{
+    const std::int64_t elapsed = (now - worker.clockSeenAt).count();
+    const std::int64_t latest = worker.clockMs + elapsed + elapsed / clockErrorDivisor;
+    if (worker.firstAnsweredAt == TimePoint{} || clockMs <= latest) {
+        noteClock(worker, clockMs, now);
+    }
+}
+
 }  // namespace poplarstream::engine
--- a/src/poplarstream/engine/incarnations.cpp
+++ b/src/poplarstream/engine/incarnations.cpp
@@ -4,7 +4,7 @@
 
 #include <fmt/format.h>  // for format
 
-#include "poplarstream/engine/attempts.hpp"  // for attach, detach, releaseAll, noteClock, ageMs
+#include "poplarstream/engine/attempts.hpp"  // for attach, detach, releaseAll, noteListedClock, ageMs
 #include "poplarstream/engine/crashes.hpp"  // for recordCrash
 
 namespace poplarstream::engine {
@@ -90,7 +90,7 @@
         // Commands for an earlier incarnation of the id must not be taken for this one's.
         worker.tokenBump = ++engine.token.lastBump;
     }
-    noteClock(worker, entry.clockMs, now);
+    noteListedClock(worker, entry.clockMs, now);
     const bool changed = !worker.isListed || worker.entry.isDraining != entry.isDraining
                          || worker.entry.service != entry.service
                          || worker.entry.capacity != entry.capacity;
--- a/src/poplarstream/engine/reachability_test.cpp
+++ b/src/poplarstream/engine/reachability_test.cpp
@@ -279,6 +279,46 @@
     }
 }
 
+// Guards against a task that runs twice: by a clock that is too high, from an entry of another
+// writer, a worker would hold a task for longer than the owner waits.
+TEST(Reachability, ClockOfAnEntryIsNoLaterThanItCanBe)
+{
+    SCOPED_TRACE("given a worker that has answered, and whose entry was wrong from the first");
+    EngineFixture fixture(0);
+    fixture.addWorker("w1");
+    Worker &worker = fixture.worker("w1");
+    WorkerEntry entry = worker.entry;
+    constexpr std::int64_t hourMs = 3'600'000;
+    entry.clockMs = hourMs;
+    registerWorker(fixture.engine, entry, fixture.now);
+    fixture.poll();
+    fixture.answerPolls();
+    EXPECT_EQ(worker.clockMs, fixture.workerClockMs());
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    ASSERT_EQ(fixture.startAll().size(), 1U);
+    {
+        SCOPED_TRACE("when an entry gives a clock that is an hour ahead");
+        fixture.now += Milliseconds{500};
+        entry.clockMs = fixture.workerClockMs() + hourMs;
+        registerWorker(fixture.engine, entry, fixture.now);
+        {
+            SCOPED_TRACE("then the lease is over when the owner takes it for expired");
+            const auto polls = fixture.poll();
+            ASSERT_EQ(polls.size(), 1U);
+            ASSERT_TRUE(polls[0].leaseUntilClockMs);
+            EXPECT_LE(*polls[0].leaseUntilClockMs,
+                      fixture.workerClockMs() + (worker.leaseUntil - fixture.now).count());
+        }
+    }
+    {
+        SCOPED_TRACE("then a clock that can be right is used, as of a worker without work");
+        fixture.now += Milliseconds{60'000};
+        entry.clockMs = fixture.workerClockMs();
+        registerWorker(fixture.engine, entry, fixture.now);
+        EXPECT_EQ(worker.clockMs, fixture.workerClockMs());
+    }
+}
+
 // Guards against losing the end of a run: a worker that has restarted under the same id numbers its
 // ends anew, and a poll for its previous incarnation acknowledges some that were never read.
 TEST(Reachability, FirstPollAfterIdleTimeAcknowledgesNothing)
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -250,6 +250,7 @@
     worker->lapsedRuns.clear();
     if (worker->firstAnsweredAt == TimePoint{}) {
         worker->firstAnsweredAt = now;
+        worker->clockMs = 0;  // a reading from the registry may be wrong
     }
     noteClock(*worker, response->clockMs, now);
     for (const CompletionReport &report : response->completed) {
