Test the depth of ownership records beside their decoder

scripts/check-platform-names failed since: platform/, which only translates, must not include what decides, and its new test did. The same check, with a record that is whole but for a deep member, is now in the tests of ownership. It wasn't seen to fail, since the decoder had been changed.

--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -450,5 +450,19 @@
     });
 }
 
+// Guards against a process, and each next owner, that is ended by a deeply nested record, since
+// copying a document recurses.
+TEST(Leadership, DeeplyNestedRecord)
+{
+    constexpr std::size_t levels = 400'000;
+    const std::string nested = std::string(levels, '[') + std::string(levels, ']');
+    OwnershipRecord record;
+    record.owner = EntryHostId("a");
+    const std::string text = encodeOwnership(record);
+    ASSERT_TRUE(decodeOwnership(text));
+    EXPECT_FALSE(decodeOwnership(nested));
+    EXPECT_FALSE(decodeOwnership(R"({"reason":)" + nested + "," + text.substr(1)));
+}
+
 }  // namespace
 }  // namespace poplarstream::ownership
