--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,10 +4,15 @@
 import json
 import signal
 
+from soak.odd_entries import odd_entries
+
 KINDS = ("kill", "pause", "restart", "kill_all", "store_busy", "store_reset", "store_silent",
          "store_slow", "answers_lost", "cut_up", "cut_down", "cut_off", "cut_reset", "link_slow",
          "machines_cut", "worker_crash", "worker_silent", "worker_grey", "orders_late", "config",
          "wave", "machines_slow")
+# Share of the soaks in which another writer leaves odd entries among those of the workers.
+ODD_ENTRIES_RATIO = 0.5
+ODD_ENTRY_PAUSE_S = 0.1
 
 
 class Fault:
@@ -29,6 +34,9 @@
         faults.append(Fault(kind, start_s, random.uniform(0.5, 4.0), random.random()))
         if random.random() < 0.2:
             faults.append(Fault(kind, start_s + random.uniform(0.2, 2.0), 1.0, random.random()))
+    # Drawn last, so that the other faults of a seed stay the same.
+    if random.random() < ODD_ENTRIES_RATIO:
+        faults.append(Fault("odd_entries", random.uniform(0.5, seconds), 4.0, random.random()))
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
@@ -143,6 +151,15 @@
     async def worker_grey(self, fault):
         await self._set_worker_attribute(fault, "fails_all", True, False)
 
+    async def odd_entries(self, fault):
+        """Each odd entry is left under a key of its own and once under the id of a worker."""
+        for number, entry in enumerate(odd_entries()):
+            await self.store.put("keyed.servers", "odd-%d" % number, entry)
+            machine = self._chosen_machine(fault)
+            if machine is not None:
+                await self.store.put("keyed.servers", machine.worker.id, entry)
+            await asyncio.sleep(ODD_ENTRY_PAUSE_S)
+
     async def orders_late(self, fault):
         workers = self.fleet.workers()
         for worker in workers:
