--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>  // for int64_t
 #include <map>  // for map
 #include <optional>  // for optional
+#include <set>  // for set
 #include <string>  // for string
 #include <string_view>  // for string_view
 #include <vector>  // for vector
@@ -12,7 +13,7 @@
 
 namespace poplarstream::ownership {
 
-// A record by which a process claims, renews or resigns the ownership of all jobs. Each record is
+// A record by which a process claims, renews or resigns the ownership of a shard. Each record is
 // appended on the condition that nothing else was appended since the log was read.
 struct OwnershipRecord
 {
@@ -29,6 +30,8 @@
     // Age of the last command to each machine, by this owner or a previous one; 0 for machines that
     // the owner commands once this record is confirmed.
     std::map<std::string, Milliseconds> recentMachineCommands;
+    // The waves whose maintenance is over in this shard, as this owner or a previous one found.
+    std::set<std::int64_t> carriedOutWaves;
 };
 
 std::string encodeOwnership(const OwnershipRecord &record);
@@ -67,6 +70,9 @@
     // Delay of the first claim in an empty log, divided by the processor share, as processes start
     // at different times.
     Milliseconds firstClaimDelay{200};
+    // Largest extra delay of the first claim of a shard other than 0; it differs by process and
+    // shard, so that the processes that read an empty log together do not all claim the same shard.
+    Milliseconds firstClaimSpread{400};
 };
 
 enum class LeadershipStep { None, Claim, Renew, Resign };
@@ -79,7 +85,8 @@
     EntryHostId self;
     std::string address;
     std::string incarnation;
-    double processorShare = 1.0;  // processor time, in cores
+    int shard = 0;
+    double processorShare = 1.0;  // processor time for this shard, in cores
 
     std::optional<OwnershipRecord> last;  // newest record of the log
     TimePoint lastSeenAt{};  // when it was read by this process
@@ -98,12 +105,16 @@
     bool wantsRenewal = false;  // renew before the interval has passed
     std::vector<std::string> machinesToCommand;  // listed in the next renewal
     std::map<std::string, TimePoint> recentMachineCommands;  // by any owner
+    std::set<std::int64_t> carriedOutWaves;  // as any owner found
     bool isLeaving = false;  // resigns and makes no more claims
     std::int64_t abandonedEpoch = 0;  // the ownership of this epoch is resigned
 };
 
 bool isOwner(const Leadership &leadership);
 
+// Whether this process is the owner or has sent a claim whose outcome it does not know.
+bool isHolding(const Leadership &leadership);
+
 // Whether this process may issue commands at `now`.
 bool mayIssueCommands(const Leadership &leadership, TimePoint now);
 
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -61,7 +61,8 @@
                 {"sequence", record.sequence},
                 {"share", record.processorShare},
                 {"largestShare", record.largestShare},
-                {"machines", std::move(machines)}}
+                {"machines", std::move(machines)},
+                {"waves", record.carriedOutWaves}}
             .dump();
 }
 
@@ -90,6 +91,12 @@
             record.recentMachineCommands[id] =
                     Milliseconds(integerFrom<std::int64_t>(age, 0, maxAgeMs));
         }
+        // Records of earlier versions have no waves.
+        if (const auto waves = value.find("waves"); waves != value.end()) {
+            for (const json &wave : *waves) {
+                record.carriedOutWaves.insert(integerFrom<std::int64_t>(wave, 0));
+            }
+        }
         return record;
     } catch (const std::exception &) {
         return {};
@@ -102,6 +109,11 @@
            && isOwn(leadership, *leadership.last);
 }
 
+bool isHolding(const Leadership &leadership)
+{
+    return isOwner(leadership) || leadership.isWriting;
+}
+
 bool mayIssueCommands(const Leadership &leadership, TimePoint now)
 {
     return isOwner(leadership) && !leadership.isLeaving
@@ -116,11 +128,15 @@
     const auto scaled = [](Milliseconds unit, double factor) {
         return Milliseconds(static_cast<std::int64_t>(static_cast<double>(unit.count()) * factor));
     };
+    const auto seed = static_cast<std::uint64_t>(leadership.shard);
+    const auto spread =
+            static_cast<double>(stableHash(leadership.self.text(), seed) % claimSpreadSteps)
+            / claimSpreadSteps;
     if (!leadership.last) {
-        return scaled(settings.firstClaimDelay, 1 / share);
+        return scaled(settings.firstClaimDelay, 1 / share)
+               + (leadership.shard == 0 ? Milliseconds{0}
+                                        : scaled(settings.firstClaimSpread, spread));
     }
-    const auto spread = static_cast<double>(stableHash(leadership.self.text()) % claimSpreadSteps)
-                        / claimSpreadSteps;
     const double shareDeficit = std::max(leadership.last->largestShare / share - 1, 0.0);
     return scaled(settings.claimSpread, spread)
            + std::min(scaled(settings.smallShareDelay, shareDeficit), settings.maxSmallShareDelay);
@@ -208,6 +224,7 @@
     std::erase_if(leadership.recentMachineCommands, [&](const auto &entry) {
         return entry.second + leadership.settings.machineCommandRetention < now;
     });
+    record.carriedOutWaves = leadership.carriedOutWaves;
     for (const auto &[id, commandedAt] : leadership.recentMachineCommands) {
         record.recentMachineCommands[id] = now - commandedAt;
     }
@@ -246,6 +263,8 @@
     }
     leadership.endOffset = std::max(leadership.endOffset, endOffset);
     if (newest) {
+        leadership.carriedOutWaves.insert(newest->carriedOutWaves.begin(),
+                                          newest->carriedOutWaves.end());
         for (const auto &[id, age] : newest->recentMachineCommands) {
             TimePoint &commandedAt = leadership.recentMachineCommands[id];
             commandedAt = std::max(commandedAt, now - age);
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -423,6 +423,7 @@
     record.processorShare = 0.25;
     record.largestShare = 0.5;
     record.recentMachineCommands = {{"m-1", Milliseconds{7}}};
+    record.carriedOutWaves = {3, 5};
     const auto read = decodeOwnership(encodeOwnership(record));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->kind, record.kind);
@@ -433,6 +434,7 @@
     EXPECT_EQ(read->sequence, record.sequence);
     EXPECT_EQ(read->largestShare, record.largestShare);
     EXPECT_EQ(read->recentMachineCommands, record.recentMachineCommands);
+    EXPECT_EQ(read->carriedOutWaves, record.carriedOutWaves);
     EXPECT_FALSE(decodeOwnership("{\"kind\":\"other\"}"));
     EXPECT_FALSE(decodeOwnership("not JSON"));
 }
