--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -14,7 +14,9 @@
 {
     // Null until a configuration has been read.
     std::function<const Configuration *()> configuration;
-    // Sends a request to the owner of the jobs, which may be this process.
+    // The number of shards of the deployment; 0 while it is not known.
+    std::function<int()> shardCount;
+    // Sends a request to the owner of its shard, which may be this process.
     std::function<void(const PeerRequest &, Milliseconds, std::function<void(PeerResponse)>)>
             sendToOwner;
 };
@@ -35,6 +37,8 @@
     void cancel(const jobs::JobId &id, const Call &call, const Respond &respond);
     void lookUp(const Route &route, const jobs::JobId &id, const Call &call,
                 const Respond &respond);
+    // The shard of a partition of the job log; 0 while the number of shards is not known.
+    int shardOf(int partition) const;
     void count(const Route &route, const Call &call, const Respond &respond);
     void store(const StoredRecord &record, ResponseKind successKind, Milliseconds remaining,
                const Respond &respond);
--- a/include/poplarstream/edge/job_feed.hpp
+++ b/include/poplarstream/edge/job_feed.hpp
@@ -6,6 +6,7 @@
 #include "poplarstream/edge/ports.hpp"  // for StoredRecord
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/engine/state.hpp"  // for Engine
+#include "poplarstream/ownership/division.hpp"  // for Shard
 
 namespace poplarstream::edge {
 
@@ -19,14 +20,15 @@
     std::function<void()> changed;
 };
 
-// Loads all jobs and their progress into an engine, then applies the submissions and cancellations
-// that entry hosts store. Loads a few records at a time: an owner that reads thousands of jobs has
-// to renew its ownership meanwhile.
+// Loads the jobs of a shard and their progress into an engine, then applies the submissions and
+// cancellations that entry hosts store. Loads a few records at a time: an owner that reads
+// thousands of jobs has to renew its ownership meanwhile.
 class JobFeed
 {
 public:
     // `renewedAt` is the latest time at which an earlier owner may have renewed leases.
-    JobFeed(Runtime &runtime, engine::Engine &engine, TimePoint renewedAt, JobFeedEvents events);
+    JobFeed(Runtime &runtime, ownership::Shard shard, engine::Engine &engine, TimePoint renewedAt,
+            JobFeedEvents events);
     JobFeed(const JobFeed &) = delete;
     JobFeed &operator=(const JobFeed &) = delete;
     // Calls no event afterwards.
--- a/include/poplarstream/edge/leadership_controller.hpp
+++ b/include/poplarstream/edge/leadership_controller.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>  // for int64_t
 #include <functional>  // for function
 #include <map>  // for map
 #include <memory>  // for shared_ptr
@@ -15,13 +16,18 @@
 {
     // Called after each read and write of the ownership log: the owner may have changed.
     std::function<void()> changed;
+    // The number of shards of the deployment has been read from the log of shard 0, or stored.
+    std::function<void(int shardCount)> divided;
+    // The processor time that this process has for the shard, in cores.
+    std::function<double()> processorShare;
 };
 
-// Follows the ownership log, and writes the claims, renewals and the resignation of this process.
+// Follows the ownership log of one shard, and writes the claims, renewals and the resignation of
+// this process.
 class LeadershipController
 {
 public:
-    LeadershipController(Runtime &runtime, LeadershipEvents events);
+    LeadershipController(Runtime &runtime, int shard, LeadershipEvents events);
     LeadershipController(const LeadershipController &) = delete;
     LeadershipController &operator=(const LeadershipController &) = delete;
     ~LeadershipController();
@@ -39,6 +45,12 @@
     // When any owner last sent a command for each machine.
     const std::map<std::string, TimePoint> &recentMachineCommands() const;
 
+    // Stores the number of shards with the next renewal, and repeats it until it is stored.
+    void storeDivision(int shardCount);
+
+    // Says in the renewals that the shard has carried out a wave.
+    void recordCarriedOut(std::int64_t wave);
+
     // Resigns the ownership and does not claim it again.
     void leave();
 
--- a/include/poplarstream/edge/machine_controller.hpp
+++ b/include/poplarstream/edge/machine_controller.hpp
@@ -5,6 +5,7 @@
 
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/engine/state.hpp"  // for Engine
+#include "poplarstream/ownership/division.hpp"  // for Shard
 
 namespace poplarstream::edge {
 
@@ -16,16 +17,20 @@
     // fencing tokens, so commands of an owner that was replaced during a network partition must be
     // unlikely.
     std::function<void(std::vector<std::string> machines, std::function<void(bool)>)> confirm;
+    // Whether a shard has carried out a wave, as far as its owners have said.
+    std::function<bool(int shard, std::int64_t wave)> hasCarriedOut;
+    // This shard has carried out a wave: other shards may take its places.
+    std::function<void(std::int64_t wave)> carriedOut;
 };
 
-// The owner's work on machines: polls the platform's machine list, sends the planned commands, and
-// stores and reports the progress of waves.
+// The owner's work on the machines of a shard: polls the platform's machine list, sends the planned
+// commands, and stores the progress of waves. The owner of shard 0 reports them to the operator.
 class MachineController
 {
 public:
     // The engine must outlive the controller.
-    MachineController(Runtime &runtime, engine::Engine &engine, std::int64_t epoch,
-                      MachineControllerHooks hooks);
+    MachineController(Runtime &runtime, ownership::Shard shard, engine::Engine &engine,
+                      std::int64_t epoch, MachineControllerHooks hooks);
     MachineController(const MachineController &) = delete;
     MachineController &operator=(const MachineController &) = delete;
     ~MachineController();
--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -7,6 +7,7 @@
 
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/engine/state.hpp"  // for JobId, QueueId
+#include "poplarstream/ownership/division.hpp"  // for Shard
 
 namespace poplarstream::edge {
 
@@ -36,14 +37,19 @@
     std::function<void(std::vector<std::string> machines, std::function<void(bool)>)> confirm;
     // The store has a record of a higher epoch: this session must end.
     std::function<void()> superseded;
+    // Whether a shard has carried out a wave, as far as its owners have said.
+    std::function<bool(int shard, std::int64_t wave)> hasCarriedOut;
+    // This shard has carried out a wave.
+    std::function<void(std::int64_t wave)> carriedOut;
 };
 
-// The work of a process while it owns the jobs: loads them from the store, follows the submissions
-// and cancellations that entry hosts store, and runs the jobs on the workers.
+// The work of a process while it owns a shard: loads the shard's jobs from the store, follows the
+// submissions and cancellations that entry hosts store, and runs the jobs on the shard's workers.
 class OwnerSession
 {
 public:
-    OwnerSession(Runtime &runtime, const PredecessorState &predecessor, OwnerSessionHooks hooks);
+    OwnerSession(Runtime &runtime, ownership::Shard shard, const PredecessorState &predecessor,
+                 OwnerSessionHooks hooks);
     OwnerSession(const OwnerSession &) = delete;
     OwnerSession &operator=(const OwnerSession &) = delete;
     ~OwnerSession();
@@ -63,7 +69,7 @@
                                           const engine::JobId &id) const;
     int waitingJobs(const engine::QueueId &queue) const;
 
-    // Metrics in the Prometheus text format.
+    // Metrics of the shard in the Prometheus text format.
     std::string metrics() const;
 
 private:
--- a/include/poplarstream/edge/peer_calls.hpp
+++ b/include/poplarstream/edge/peer_calls.hpp
@@ -12,12 +12,13 @@
 
 namespace poplarstream::edge {
 
-// A request of an entry host to the owner of the jobs.
+// A request of an entry host to the owner of a shard.
 struct PeerRequest
 {
     enum class Kind { State, Count, Store };
 
     Kind kind = Kind::State;
+    int shard = 0;  // whose owner is meant
     jobs::QueueId queue;
     jobs::JobId job;
     std::vector<StoredRecord> records;  // for Store: to be appended to the job log
--- a/include/poplarstream/edge/progress_writer.hpp
+++ b/include/poplarstream/edge/progress_writer.hpp
@@ -21,7 +21,8 @@
 public:
     using MaySend = std::function<bool(TimePoint recordedAt)>;
 
-    ProgressWriter(Runtime &runtime, std::int64_t epoch, MaySend maySend);
+    // Writes to the partition of the progress log that has the number of the shard.
+    ProgressWriter(Runtime &runtime, int shard, std::int64_t epoch, MaySend maySend);
     ProgressWriter(const ProgressWriter &) = delete;
     ProgressWriter &operator=(const ProgressWriter &) = delete;
     ~ProgressWriter();
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -117,25 +117,26 @@
                                     "None."};
 
 inline constexpr EventKind ownershipSeen{700, EventLevel::Info, "ownership-seen",
-                                         "owner epoch resigned", "None."};
-inline constexpr EventKind ownershipLost{701, EventLevel::Info, "ownership-lost", "epoch",
+                                         "owner epoch resigned shard", "None."};
+inline constexpr EventKind ownershipLost{701, EventLevel::Info, "ownership-lost", "epoch shard",
                                          "None; another entry host takes over."};
-inline constexpr EventKind ownerLoaded{702, EventLevel::Info, "owner-loaded", "epoch jobs active",
-                                       "None."};
+inline constexpr EventKind ownerLoaded{702, EventLevel::Info, "owner-loaded",
+                                       "epoch jobs active shard", "None."};
 inline constexpr EventKind progressNotStored{
         703, EventLevel::Warning, "progress-not-stored", "reason",
         "Check the platform's store. Nothing new starts until the write is repeated."};
 inline constexpr EventKind ownershipUnconfirmed{
-        704, EventLevel::Warning, "ownership-unconfirmed", "epoch confirmed_ms_ago last_write",
+        704, EventLevel::Warning, "ownership-unconfirmed",
+        "epoch confirmed_ms_ago last_write shard",
         "Nothing new starts until 705 or 701; look at the store's response time."};
 inline constexpr EventKind ownershipConfirmed{705, EventLevel::Info, "ownership-confirmed",
-                                              "epoch unconfirmed_ms", "None."};
+                                              "epoch unconfirmed_ms shard", "None."};
 inline constexpr EventKind startsHeld{
-        706, EventLevel::Warning, "starts-held", "epoch read_ms_ago",
+        706, EventLevel::Warning, "starts-held", "epoch read_ms_ago shard",
         "Nothing new starts until 707: cancellations may be unread. Check the store, and the "
         "processor time of this process."};
-inline constexpr EventKind startsResumed{707, EventLevel::Info, "starts-resumed", "epoch held_ms",
-                                         "None."};
+inline constexpr EventKind startsResumed{707, EventLevel::Info, "starts-resumed",
+                                         "epoch held_ms shard", "None."};
 inline constexpr EventKind callbackFailed{
         708, EventLevel::Error, "callback-failed", "error",
         "Report it with the log before it. The process goes on; if it owned the jobs, another "
@@ -176,20 +177,23 @@
         722, EventLevel::Info, "pool-sized",
         "pool wanted kept present open coming silent leaving running_milli waiting_milli "
         "late_milli "
-        "expected_milli",
+        "expected_milli shard",
         "If `wanted` stays above `present`, look for refused machine commands (720)."};
-inline constexpr EventKind waveUnderWay{723, EventLevel::Info, "wave-under-way",
-                                        "wave left away hosts not_up oldest oldest_ms held_by",
-                                        "If `oldest_ms` keeps rising, see `held_by`: tasks of the "
-                                        "step are missing, or no worker has free capacity."};
+inline constexpr EventKind waveUnderWay{
+        723, EventLevel::Info, "wave-under-way",
+        "wave left away hosts not_up oldest oldest_ms held_by shard",
+        "If `oldest_ms` keeps rising, see `held_by`: tasks of the "
+        "step are missing, or no worker has free capacity."};
 inline constexpr EventKind ownerLoad{
-        724, EventLevel::Info, "owner-load", "active waiting work calls",
+        724, EventLevel::Info, "owner-load", "active waiting work calls shard",
         "`work` gives elapsed milliseconds and number of each kind of work since the last line. If "
         "their sum nears the processor share of the machine, let a larger machine own the jobs. "
         "`calls` gives the calls to workers by what they led to: polls with ends, long ones "
         "without, "
         "those for the progress of starting tasks, those that did not wait, those without a "
         "response; starts; stops."};
+inline constexpr EventKind deploymentDivided{725, EventLevel::Info, "deployment-divided", "shards",
+                                             "None; the number never changes afterwards."};
 inline constexpr EventKind workerSuspected{730, EventLevel::Warning, "worker-suspected",
                                            "task run worker inputs",
                                            "If it repeats, take the worker out of its pool."};
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -1,9 +1,11 @@
 #include "poplarstream/edge/caller_handler.hpp"
 
 #include <algorithm>  // for min, max
+#include <memory>  // for make_shared
 
 #include "poplarstream/edge/routes.hpp"  // for findRoute, jobIdFrom
 #include "poplarstream/edge/stored_jobs.hpp"  // for submissionRecord, cancellationRecord
+#include "poplarstream/ownership/division.hpp"  // for shardOfPartition
 #include "poplarstream/telemetry/event_kinds.hpp"  // for jobAccepted, jobRefused
 
 namespace poplarstream::edge {
@@ -56,6 +58,14 @@
     return "answered";
 }
 
+// The counts of the shards that have answered.
+struct CountSum
+{
+    int count = 0;
+    int missing = 0;  // shards that have not answered
+    bool isComplete = true;  // each that answered has told its count
+};
+
 Response makeResponse(ResponseKind kind, std::string message = {})
 {
     Response response;
@@ -155,6 +165,7 @@
 {
     PeerRequest request;
     request.kind = PeerRequest::Kind::State;
+    request.shard = shardOf(jobPartition(id, runtime_.settings.jobPartitions));
     request.queue = route.policy.queue;
     request.job = id;
     hooks_.sendToOwner(request, boundedDeadline(ownerDeadline, call.remaining),
@@ -172,22 +183,42 @@
                        });
 }
 
+int CallerHandler::shardOf(int partition) const
+{
+    const int shardCount = hooks_.shardCount();
+    return shardCount == 0 ? 0 : ownership::shardOfPartition(partition, shardCount);
+}
+
 void CallerHandler::count(const Route &route, const Call &call, const Respond &respond)
 {
-    PeerRequest request;
-    request.kind = PeerRequest::Kind::Count;
-    request.queue = route.policy.queue;
-    hooks_.sendToOwner(request, boundedDeadline(ownerDeadline, call.remaining),
-                       [respond](PeerResponse response) {
-                           if (response.kind == PeerResponse::Kind::Count) {
-                               Response found = makeResponse(ResponseKind::Count);
-                               found.count = response.count;
-                               respond(found);
-                           } else {
-                               respond(makeResponse(ResponseKind::Unavailable,
-                                                    "the owner of the queue does not answer"));
-                           }
-                       });
+    const int shardCount = hooks_.shardCount();
+    if (shardCount == 0) {
+        respond(makeResponse(ResponseKind::Unavailable, "the deployment is not divided yet"));
+        return;
+    }
+    const auto sum = std::make_shared<CountSum>();
+    sum->missing = shardCount;
+    for (int shard = 0; shard < shardCount; ++shard) {
+        PeerRequest request;
+        request.kind = PeerRequest::Kind::Count;
+        request.shard = shard;
+        request.queue = route.policy.queue;
+        hooks_.sendToOwner(
+                request, boundedDeadline(ownerDeadline, call.remaining),
+                [respond, sum](const PeerResponse &response) {
+                    sum->isComplete = sum->isComplete && response.kind == PeerResponse::Kind::Count;
+                    sum->count += response.count;
+                    if (--sum->missing > 0) {
+                        return;
+                    }
+                    Response found = makeResponse(ResponseKind::Count);
+                    found.count = sum->count;
+                    respond(sum->isComplete ? found
+                                            : makeResponse(ResponseKind::Unavailable,
+                                                           "an owner of the queue does not "
+                                                           "answer"));
+                });
+    }
 }
 
 void CallerHandler::store(const StoredRecord &record, ResponseKind successKind,
@@ -228,6 +259,7 @@
 {
     PeerRequest request;
     request.kind = PeerRequest::Kind::Store;
+    request.shard = shardOf(jobPartition(record, runtime_.settings.jobPartitions));
     request.records = {record};
     hooks_.sendToOwner(
             request, boundedDeadline(ownerDeadline, remaining), [=, this](PeerResponse response) {
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -1,13 +1,16 @@
 #include "poplarstream/edge/entry_process.hpp"
 
+#include <algorithm>  // for max
+
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/edge/caller_handler.hpp"  // for CallerHandler
+#include "poplarstream/edge/division_choice.hpp"  // for DivisionChoice
 #include "poplarstream/edge/group_append.hpp"  // for GroupAppend
-#include "poplarstream/edge/leadership_controller.hpp"  // for LeadershipController
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
-#include "poplarstream/edge/owner_session.hpp"  // for OwnerSession
+#include "poplarstream/edge/shard_owner.hpp"  // for ShardOwner
 #include "poplarstream/edge/stored_jobs.hpp"  // for jobPartition
+#include "poplarstream/ownership/shard_claims.hpp"  // for shareForShard
 #include "poplarstream/telemetry/event_kinds.hpp"  // for configurationInForce
 
 namespace poplarstream::edge {
@@ -28,6 +31,7 @@
         : runtime(sharedRuntime)
         , peers(peerClient)
         , callers(sharedRuntime, {[this] { return hasConfiguration ? &configuration : nullptr; },
+                                  [this] { return shardCount; },
                                   [this](const PeerRequest &request, Milliseconds deadline,
                                          std::function<void(PeerResponse)> done) {
                                       sendToOwner(request, deadline, std::move(done));
@@ -48,12 +52,10 @@
         events.records = events.snapshot;
         operatorFollower = std::make_unique<LogFollower>(runtime, Log::Operator, FollowerSettings{},
                                                          std::move(events));
-        leadership = std::make_unique<LeadershipController>(
-                runtime, LeadershipEvents{[weak = weak_from_this()] {
-                    if (const auto self = weak.lock()) {
-                        self->handleLeadershipChange();
-                    }
-                }});
+        shards.push_back(std::make_unique<ShardOwner>(runtime, 0, shardHooks()));
+        if (runtime.settings.jobPartitions == 1) {
+            divide(1);
+        }
     }
 
     void applyOperatorRecords(const std::vector<StoredRecord> &records)
@@ -87,8 +89,8 @@
         logEvent(events::configurationInForce, {{"config", fmt::to_string(configuration.version)},
                                                 {"offset", fmt::to_string(record.offset)},
                                                 {"author", "operator"}});
-        if (session) {
-            session->configure(configuration);
+        for (const auto &shard : shards) {
+            shard->configure(configuration);
         }
     }
 
@@ -102,104 +104,122 @@
             return;
         }
         waves[wave.value().number] = wave.value();
-        if (session) {
-            session->applyWave(wave.value());
+        for (const auto &shard : shards) {
+            shard->applyWave(wave.value());
         }
     }
 
-    // Begins or ends the owner session after a change of the ownership log.
-    void handleLeadershipChange()
+    ShardOwnerHooks shardHooks()
     {
-        if (!leadership) {
-            return;
-        }
-        const ownership::Leadership &view = leadership->leadership();
-        const bool isOwner = ownership::isOwner(view) && !isSuperseded(view.last->epoch);
-        if (session && (!isOwner || sessionEpoch != view.last->epoch)) {
-            logEvent(events::ownershipLost, {{"epoch", fmt::to_string(sessionEpoch)}});
-            // The session may be on the call stack.
-            closeSession(std::move(session));
-        }
-        if (isOwner && !session) {
-            beginSession(view.last->epoch);
-        }
+        ShardOwnerHooks made;
+        made.configuration = [this] { return hasConfiguration ? &configuration : nullptr; };
+        made.waves = [this]() -> const std::map<std::int64_t, pools::Wave> & { return waves; };
+        made.hasCarriedOut = [this](int shard, std::int64_t wave) {
+            return shards.at(static_cast<std::size_t>(shard))->hasCarriedOut(wave);
+        };
+        made.changed = [this] {
+            if (shardCount == 0 && !shards.empty()) {
+                chooseDivision();
+            }
+        };
+        made.processorShare = [this](int shard) { return processorShareOf(shard); };
+        made.divided = [weak = weak_from_this()](int count) {
+            // The call comes out of the first shard's controller.
+            if (const auto self = weak.lock()) {
+                callAfter(self->runtime, Milliseconds{0}, [weak, count] {
+                    if (const auto later = weak.lock(); later && !later->isClosed) {
+                        later->divide(count);
+                    }
+                });
+            }
+        };
+        return made;
     }
 
-    // Ends the owner session, whose state may be inconsistent. The next owner, possibly this
-    // process again, loads the state from the store.
-    void abandonOwnership()
+    double processorShareOf(int shard) const
     {
-        if (session) {
-            leadership->abandon(sessionEpoch);
-            supersededEpoch = sessionEpoch;
-            handleLeadershipChange();
+        std::vector<bool> held(static_cast<std::size_t>(std::max(shardCount, 1)), false);
+        for (std::size_t each = 0; each < shards.size(); ++each) {
+            held[each] = shards[each]->isHolding();
         }
+        return ownership::shareForShard(runtime.settings.processorShare, held, shard);
     }
 
-    bool isSuperseded(std::int64_t epoch) const { return epoch <= supersededEpoch; }
-
-    void closeSession(std::unique_ptr<OwnerSession> old)
+    // As the owner of the first shard, decides on the division that nobody has stored yet.
+    void chooseDivision()
     {
-        const std::shared_ptr<OwnerSession> closing = std::move(old);
-        closing->close();
-        callAfter(runtime, Milliseconds{0}, [closing] {});
+        if (!shards[0]->isOwner()) {
+            divisionChoice.reset();
+        } else if (!divisionChoice) {
+            divisionChoice = std::make_unique<DivisionChoice>(runtime, [this](int count) {
+                if (shardCount == 0) {
+                    shards[0]->storeDivision(count);
+                }
+            });
+        }
     }
 
-    void beginSession(std::int64_t epoch)
+    // Begins to compete for all shards. The number of shards never changes afterwards.
+    void divide(int count)
     {
-        sessionEpoch = epoch;
-        PredecessorState predecessor;
-        predecessor.epoch = epoch;
-        predecessor.isHandover =
-                leadership->hasPredecessorResigned() || !leadership->hasPredecessor();
-        predecessor.unresignedUntil = leadership->leadership().unresignedUntil;
-        predecessor.recentMachineCommands = leadership->recentMachineCommands();
-        OwnerSessionHooks hooks;
-        hooks.isOwner = [this] {
-            return leadership && ownership::isOwner(leadership->leadership())
-                   && !leadership->leadership().isLeaving;
-        };
-        hooks.mayIssueCommands = [this] {
-            return leadership && ownership::mayIssueCommands(leadership->leadership(), steadyNow());
-        };
-        hooks.confirmedAt = [this] { return leadership->leadership().confirmedAt; };
-        hooks.confirm = [this](std::vector<std::string> machines, std::function<void(bool)> done) {
-            leadership->confirm(std::move(machines), std::move(done));
-        };
-        hooks.superseded = [this, epoch] {
-            supersededEpoch = epoch;
-            handleLeadershipChange();
-        };
-        session = std::make_unique<OwnerSession>(runtime, predecessor, std::move(hooks));
-        if (hasConfiguration) {
-            session->configure(configuration);
+        if (shardCount != 0) {
+            return;
+        }
+        shardCount = count;
+        divisionChoice.reset();
+        logEvent(events::deploymentDivided, {{"shards", fmt::to_string(count)}});
+        for (int shard = 1; shard < count; ++shard) {
+            shards.push_back(std::make_unique<ShardOwner>(runtime, shard, shardHooks()));
+            if (isLeaving) {
+                shards.back()->leave();
+            }
+        }
+        for (const auto &shard : shards) {
+            shard->setShardCount(count);
         }
-        for (const auto &[number, wave] : waves) {
-            session->applyWave(wave);
+    }
+
+    // Gives up all shards: it is not known whose state the broken callback has changed.
+    void abandonOwnership()
+    {
+        for (const auto &shard : shards) {
+            shard->abandon();
         }
     }
 
+    // Null if there is no such shard.
+    ShardOwner *shardOf(const PeerRequest &request) const
+    {
+        const auto index = static_cast<std::size_t>(request.shard);
+        return shardCount > 0 && index < shards.size() ? shards[index].get() : nullptr;
+    }
+
     void sendToOwner(const PeerRequest &request, Milliseconds deadline,
                      std::function<void(PeerResponse)> done)
     {
-        const auto &last = leadership->leadership().last;
-        if (session) {
+        ShardOwner *const shard = shardOf(request);
+        if (shard == nullptr) {
+            done({PeerResponse::Kind::NotOwner});
+            return;
+        }
+        if (shard->session() != nullptr) {
             respondAsOwner(request, std::move(done));
             return;
         }
-        const auto address = last ? endpointFromText(last->address) : std::nullopt;
+        const auto address = shard->ownerAddress();
         if (!address || *address == runtime.settings.control) {
             done({PeerResponse::Kind::NotOwner});
             return;
         }
         sendToPeer(peers, *address, request, deadline,
-                   [weak = weak_from_this(), done = std::move(done)](const PeerResponse &response) {
+                   [weak = weak_from_this(), request,
+                    done = std::move(done)](const PeerResponse &response) {
                        const auto self = weak.lock();
                        if (self && response.kind != PeerResponse::Kind::NoResponse
                            && response.kind != PeerResponse::Kind::NotOwner) {
                            self->ownerRespondedAt = steadyNow();
-                       } else if (self && self->leadership) {
-                           self->leadership->refresh();
+                       } else if (self && !self->isClosed) {
+                           self->shardOf(request)->refresh();
                        }
                        done(response);
                    });
@@ -208,7 +228,9 @@
     // Handles a request as the owner.
     void respondAsOwner(const PeerRequest &request, std::function<void(PeerResponse)> done)
     {
-        if (!session || !session->isLoaded()) {
+        const ShardOwner *const shard = shardOf(request);
+        const OwnerSession *const session = shard != nullptr ? shard->session() : nullptr;
+        if (session == nullptr || !session->isLoaded()) {
             done({PeerResponse::Kind::NotOwner});
             return;
         }
@@ -258,13 +280,13 @@
     std::vector<std::unique_ptr<GroupAppend>> peerAppends;
     CallerHandler callers;
     std::unique_ptr<LogFollower> operatorFollower;
-    std::unique_ptr<LeadershipController> leadership;
-    std::unique_ptr<OwnerSession> session;
-    std::int64_t sessionEpoch = 0;
-    std::int64_t supersededEpoch = 0;
+    std::unique_ptr<DivisionChoice> divisionChoice;
+    int shardCount = 0;  // 0 while it is not known
+    std::vector<std::unique_ptr<ShardOwner>> shards;  // the first alone while it is not known
     TimePoint ownerRespondedAt{};
     std::uint64_t failures = 0;  // callbacks that threw an exception
     bool isLeaving = false;
+    bool isClosed = false;
 };
 
 EntryProcess::EntryProcess(Runtime &runtime, HttpClient &peers)
@@ -275,8 +297,9 @@
 
 EntryProcess::~EntryProcess()
 {
-    state_->session.reset();
-    state_->leadership.reset();
+    state_->isClosed = true;
+    state_->divisionChoice.reset();
+    state_->shards.clear();
     state_->operatorFollower.reset();
 }
 
@@ -314,17 +337,25 @@
 void EntryProcess::leave()
 {
     state_->isLeaving = true;
-    state_->leadership->leave();
+    for (const auto &shard : state_->shards) {
+        shard->leave();
+    }
 }
 
 std::string EntryProcess::metrics() const
 {
+    std::string sessions;
+    for (const auto &shard : state_->shards) {
+        if (const OwnerSession *const session = shard->session()) {
+            sessions += session->metrics();
+        }
+    }
     std::string text =
             fmt::format("poplar_configuration_version {}\npoplar_is_owner {}\n"
                         "poplar_callbacks_failed_total {}\n",
-                        state_->configuration.version, state_->session ? 1 : 0, state_->failures);
-    if (state_->session) {
-        text += state_->session->metrics();
+                        state_->configuration.version, sessions.empty() ? 0 : 1, state_->failures);
+    if (!sessions.empty()) {
+        text += sessions + state_->runtime.load.prometheusText();
     }
     return text + state_->runtime.durations.prometheusText();
 }
--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -23,9 +23,10 @@
 
 struct JobFeed::State : Closable<JobFeed::State>
 {
-    State(Runtime &sharedRuntime, engine::Engine &jobEngine, TimePoint latestRenewal,
-          JobFeedEvents receivers)
+    State(Runtime &sharedRuntime, ownership::Shard ownShard, engine::Engine &jobEngine,
+          TimePoint latestRenewal, JobFeedEvents receivers)
         : runtime(sharedRuntime)
+        , shard(ownShard)
         , engine(jobEngine)
         , renewedAt(latestRenewal)
         , events(std::move(receivers))
@@ -43,7 +44,9 @@
                               self.guarded([](State &later) { later.loadJobs(); }));
                 });
         received.records = [](const std::vector<StoredRecord> &, std::int64_t) {};
-        progressFollower = std::make_unique<LogFollower>(runtime, Log::Progress, FollowerSettings{},
+        FollowerSettings settings;
+        settings.partition = shard.index;
+        progressFollower = std::make_unique<LogFollower>(runtime, Log::Progress, settings,
                                                          std::move(received));
     }
 
@@ -53,6 +56,9 @@
     {
         progressFollower.reset();
         for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
+            if (ownership::shardOfPartition(partition, shard.count) != shard.index) {
+                continue;
+            }
             FollowerEvents received;
             received.snapshot =
                     guarded([](State &self, std::vector<StoredRecord> records, std::int64_t) {
@@ -83,7 +89,7 @@
         }
         submissions.insert(submissions.end(), std::make_move_iterator(records.begin()),
                            std::make_move_iterator(records.end()));
-        if (!isLoading && snapshots >= runtime.settings.jobPartitions) {
+        if (!isLoading && snapshots >= runtime.settings.jobPartitions / shard.count) {
             isLoading = true;
             loadSlice();
         }
@@ -167,11 +173,13 @@
     }
 
     Runtime &runtime;
+    ownership::Shard shard;
     engine::Engine &engine;
     TimePoint renewedAt;
     JobFeedEvents events;
     std::unique_ptr<LogFollower> progressFollower;
-    std::vector<std::unique_ptr<LogFollower>> followers;  // of the job log, by partition
+    std::vector<std::unique_ptr<LogFollower>>
+            followers;  // of the shard's partitions of the job log
     int snapshots = 0;  // partitions of which a snapshot has been read
     std::vector<StoredRecord> progress;
     std::vector<StoredRecord> submissions;
@@ -183,9 +191,9 @@
     bool isLoaded = false;
 };
 
-JobFeed::JobFeed(Runtime &runtime, engine::Engine &engine, TimePoint renewedAt,
-                 JobFeedEvents events)
-    : state_(std::make_shared<State>(runtime, engine, renewedAt, std::move(events)))
+JobFeed::JobFeed(Runtime &runtime, ownership::Shard shard, engine::Engine &engine,
+                 TimePoint renewedAt, JobFeedEvents events)
+    : state_(std::make_shared<State>(runtime, shard, engine, renewedAt, std::move(events)))
 {
     state_->loadProgress();
 }
--- a/src/poplarstream/edge/job_feed_test.cpp
+++ b/src/poplarstream/edge/job_feed_test.cpp
@@ -82,7 +82,7 @@
     events.otherRecord = [](const StoredRecord &) {};
     events.loaded = [&isLoaded] { isLoaded = true; };
     events.changed = [] {};
-    const JobFeed feed(runtime, engine, timePoint(0), std::move(events));
+    const JobFeed feed(runtime, {}, engine, timePoint(0), std::move(events));
     io.run();
     {
         SCOPED_TRACE("then the state of each is known");
@@ -108,6 +108,54 @@
     }
 }
 
+// Guards against a job that two owners run: the owner of a shard loads the jobs of its partitions
+// only, and their progress from the shard's partition of the progress log.
+TEST(JobFeed, OwnersLoadTheJobsOfTheirShard)
+{
+    SCOPED_TRACE("given many jobs in as many partitions as there are shards");
+    std::vector<StoredRecord> jobRecords;
+    for (int i = 0; i < 60; ++i) {
+        const std::string id = fmt::format("{:016x}", i * 7919);
+        jobRecords.push_back(submissionRecord(submission(id, step(1, 1000))));
+    }
+    std::map<jobs::JobId, int> owners;
+    for (int shard = 0; shard < partitions; ++shard) {
+        boost::asio::io_context io;
+        Runtime runtime{io, {}, storeOf(jobRecords, {}), {}, {}, {}, {}};
+        runtime.settings.jobPartitions = partitions;
+        std::vector<int> progressPartitions;
+        runtime.store.newest = [newest = runtime.store.newest, &progressPartitions](
+                                       Log log, int partition, const std::string &afterKey,
+                                       const auto &done) {
+            if (log == Log::Progress) {
+                progressPartitions.push_back(partition);
+            }
+            newest(log, partition, afterKey, done);
+        };
+        engine::Engine engine;
+        bool isLoaded = false;
+        JobFeedEvents events;
+        events.otherRecord = [](const StoredRecord &) {};
+        events.loaded = [&isLoaded] { isLoaded = true; };
+        events.changed = [] {};
+        const JobFeed feed(runtime, {shard, partitions}, engine, timePoint(0), std::move(events));
+        io.run();
+        ASSERT_TRUE(isLoaded);
+        EXPECT_EQ(progressPartitions, std::vector<int>{shard});
+        for (const auto &[id, job] : engine.jobs) {
+            ++owners[id];
+            EXPECT_EQ(jobPartition(id, partitions), shard);
+        }
+    }
+    {
+        SCOPED_TRACE("then each job has one owner");
+        EXPECT_EQ(owners.size(), jobRecords.size());
+        for (const auto &[id, count] : owners) {
+            EXPECT_EQ(count, 1) << id.text();
+        }
+    }
+}
+
 // Guards against a cancellation that overtakes its submission in another partition, and against a
 // job log of which one partition carries everything: appends to it are carried out one by one.
 TEST(JobFeed, RecordsOfAJobShareAPartition)
--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -4,6 +4,7 @@
 
 #include "poplarstream/adapters/http_message.hpp"  // for endpointText
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
+#include "poplarstream/ownership/division.hpp"  // for encodeDivision, decodeDivision
 #include "poplarstream/telemetry/event_kinds.hpp"  // for ownershipSeen
 
 namespace poplarstream::edge {
@@ -14,6 +15,7 @@
 using ownership::OwnershipRecord;
 
 constexpr std::string_view ownerKey = "owner";
+constexpr std::string_view divisionKey = "division";
 constexpr Milliseconds tickPeriod{50};
 // Longer than a slow store takes. If a response is lost, the record is seen earlier, in the log.
 constexpr Milliseconds writeDeadline{1200};
@@ -24,14 +26,15 @@
 
 struct LeadershipController::State : std::enable_shared_from_this<LeadershipController::State>
 {
-    State(Runtime &sharedRuntime, LeadershipEvents receivers)
+    State(Runtime &sharedRuntime, int shard, LeadershipEvents receivers)
         : runtime(sharedRuntime)
         , events(std::move(receivers))
     {
+        leadership.shard = shard;
         leadership.self = runtime.settings.name;
         leadership.address = endpointText(runtime.settings.control);
         leadership.incarnation = fmt::format("{:x}", unixNowMs());
-        leadership.processorShare = runtime.settings.processorShare;
+        leadership.processorShare = events.processorShare();
     }
 
     void start()
@@ -44,6 +47,7 @@
             handleRecords(records, end);
         };
         FollowerSettings settings;
+        settings.partition = leadership.shard;
         // Without a pause the number of reads would grow with the renewals, which an owner that
         // moves machines writes often.
         settings.pause = ownership::readInterval(leadership);
@@ -58,6 +62,8 @@
         for (const StoredRecord &record : records) {
             if (record.key == ownerKey && record.value) {
                 newest = ownership::decodeOwnership(*record.value);
+            } else if (record.key == divisionKey && record.value) {
+                readDivision(record);
             }
         }
         recordPredecessor(newest);
@@ -74,6 +80,20 @@
         events.changed();
     }
 
+    void readDivision(const StoredRecord &record)
+    {
+        const std::optional<int> count =
+                ownership::decodeDivision(*record.value, runtime.settings.jobPartitions);
+        if (!count) {
+            logEvent(events::recordUnreadable, {{"stream", "ownership"},
+                                                {"offset", fmt::to_string(record.offset)},
+                                                {"fault", "not a division of this deployment"}});
+            return;
+        }
+        divisionToStore.reset();
+        events.divided(*count);
+    }
+
     void completeConfirmations(bool isConfirmed)
     {
         for (const auto &done : std::exchange(confirmationsInWrite, {})) {
@@ -100,7 +120,8 @@
         const bool resigned = last->kind == OwnershipRecord::Kind::Resignation;
         logEvent(events::ownershipSeen, {{"owner", last->owner.text()},
                                          {"epoch", fmt::to_string(last->epoch)},
-                                         {"resigned", resigned ? "yes" : "no"}});
+                                         {"resigned", resigned ? "yes" : "no"},
+                                         {"shard", fmt::to_string(leadership.shard)}});
     }
 
     void tick()
@@ -125,11 +146,13 @@
             logEvent(events::ownershipUnconfirmed,
                      {{"epoch", fmt::to_string(leadership.last->epoch)},
                       {"confirmed_ms_ago", fmt::to_string((now - leadership.confirmedAt).count())},
-                      {"last_write", std::string(resultText(lastResult))}});
+                      {"last_write", std::string(resultText(lastResult))},
+                      {"shard", fmt::to_string(leadership.shard)}});
         } else if (mayIssueCommands && unconfirmedSince) {
             logEvent(events::ownershipConfirmed,
                      {{"epoch", fmt::to_string(leadership.last->epoch)},
-                      {"unconfirmed_ms", fmt::to_string((now - *unconfirmedSince).count())}});
+                      {"unconfirmed_ms", fmt::to_string((now - *unconfirmedSince).count())},
+                      {"shard", fmt::to_string(leadership.shard)}});
             unconfirmedSince.reset();
         }
     }
@@ -139,6 +162,7 @@
         const TimePoint now = steadyNow();
         logConfirmation(now);
         leadership.inContactSince = follower->reachableSince();
+        leadership.processorShare = events.processorShare();
         const LeadershipStep step = ownership::nextStep(leadership, now);
         if (step != LeadershipStep::None) {
             confirmationsInWrite = std::exchange(pendingConfirmations, {});
@@ -150,21 +174,31 @@
     {
         AppendRequest request;
         request.log = Log::Ownership;
+        request.partition = leadership.shard;
         request.records.push_back({std::string(ownerKey), ownership::encodeOwnership(record), 0});
+        // Only an owner divides the deployment: with its renewal, on the same condition.
+        const std::optional<int> division =
+                record.kind == OwnershipRecord::Kind::Renewal ? divisionToStore : std::nullopt;
+        if (division) {
+            request.records.push_back(
+                    {std::string(divisionKey), ownership::encodeDivision(*division), 0});
+        }
         request.atOffset = leadership.endOffset;
         request.deadline = writeDeadline;
-        runtime.store.append(std::move(request),
-                             [weak = weak_from_this(), record](const AppendOutcome &outcome) {
-                                 if (const auto self = weak.lock(); self && !self->isClosed) {
-                                     self->handleWriteResult(record, outcome);
-                                 }
-                             });
+        runtime.store.append(std::move(request), [weak = weak_from_this(), record,
+                                                  division](const AppendOutcome &outcome) {
+            if (const auto self = weak.lock(); self && !self->isClosed) {
+                self->handleWriteResult(record, division, outcome);
+            }
+        });
     }
 
-    void handleWriteResult(const OwnershipRecord &record, const AppendOutcome &outcome)
+    void handleWriteResult(const OwnershipRecord &record, std::optional<int> division,
+                           const AppendOutcome &outcome)
     {
         lastResult = outcome.result;
-        if (outcome.result == AppendResult::Stored) {
+        const bool isStored = outcome.result == AppendResult::Stored;
+        if (isStored) {
             const auto before = leadership.last;
             ownership::confirmWrite(leadership, record, outcome.endOffset, steadyNow());
             logChange(before);
@@ -172,7 +206,11 @@
             ownership::failWrite(leadership, record);
         }
         if (!leadership.isWriting) {
-            completeConfirmations(outcome.result == AppendResult::Stored);
+            completeConfirmations(isStored);
+        }
+        if (isStored && division && divisionToStore) {
+            divisionToStore.reset();
+            events.divided(*division);
         }
         events.changed();
         writeIfDue();
@@ -181,6 +219,7 @@
     Runtime &runtime;
     LeadershipEvents events;
     ownership::Leadership leadership;
+    std::optional<int> divisionToStore;
     AppendResult lastResult = AppendResult::Stored;
     std::optional<TimePoint> unconfirmedSince;
     bool hasPredecessor = false;
@@ -191,8 +230,8 @@
     bool isClosed = false;
 };
 
-LeadershipController::LeadershipController(Runtime &runtime, LeadershipEvents events)
-    : state_(std::make_shared<State>(runtime, std::move(events)))
+LeadershipController::LeadershipController(Runtime &runtime, int shard, LeadershipEvents events)
+    : state_(std::make_shared<State>(runtime, shard, std::move(events)))
 {
     state_->start();
 }
@@ -234,6 +273,18 @@
     state_->writeIfDue();
 }
 
+void LeadershipController::storeDivision(int shardCount)
+{
+    state_->divisionToStore = shardCount;
+    state_->leadership.wantsRenewal = true;
+    state_->writeIfDue();
+}
+
+void LeadershipController::recordCarriedOut(std::int64_t wave)
+{
+    state_->leadership.carriedOutWaves.insert(wave);
+}
+
 void LeadershipController::refresh()
 {
     state_->follower->readSoon(minReadPause);
--- a/src/poplarstream/edge/machine_controller.cpp
+++ b/src/poplarstream/edge/machine_controller.cpp
@@ -1,11 +1,15 @@
 #include "poplarstream/edge/machine_controller.hpp"
 
+#include <algorithm>  // for copy_if, max
+#include <iterator>  // for back_inserter
+
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/decision_log.hpp"  // for taskText
 #include "poplarstream/edge/stored_waves.hpp"  // for waveRecord, decodeWaveRecord, seenAt
 #include "poplarstream/pools/planning.hpp"  // for planMachines, handleCommandResult
+#include "poplarstream/pools/wave_shares.hpp"  // for waveShare, isMaintenanceOver
 #include "poplarstream/telemetry/event_kinds.hpp"  // for machineOrdered
 
 namespace poplarstream::edge {
@@ -13,10 +17,16 @@
 namespace {
 
 // The list shows when a machine that was moved is up again.
-constexpr Milliseconds listPeriod{400};
+constexpr Milliseconds shortestListPeriod{400};
 constexpr Milliseconds planPeriod{100};
 constexpr Milliseconds logPeriod{1000};
 
+// The platform limits the reads of all owners together, and each reads the whole list.
+Milliseconds listPeriod(int shardCount)
+{
+    return std::max(shortestListPeriod, shortestListPeriod * shardCount / 2);
+}
+
 std::string_view resultText(pools::CommandResult result)
 {
     switch (result) {
@@ -52,8 +62,10 @@
 
 struct MachineController::State : Closable<MachineController::State>
 {
-    State(Runtime &sharedRuntime, engine::Engine &jobEngine, MachineControllerHooks given)
+    State(Runtime &sharedRuntime, ownership::Shard ownShard, engine::Engine &jobEngine,
+          MachineControllerHooks given)
         : runtime(sharedRuntime)
+        , shard(ownShard)
         , engine(jobEngine)
         , hooks(std::move(given))
     {}
@@ -79,7 +91,10 @@
 
     void handlePage(MachinePage page)
     {
-        listed.insert(listed.end(), page.machines.begin(), page.machines.end());
+        std::copy_if(page.machines.begin(), page.machines.end(), std::back_inserter(listed),
+                     [this](const pools::Machine &machine) {
+                         return ownership::shardOfRack(machine.rack, shard.count) == shard.index;
+                     });
         if (page.isRead && !page.nextPage.empty()) {
             listPage(page.nextPage);
             return;
@@ -89,13 +104,14 @@
             pools::applyMachineList(machines, engine, listed, listRequestedAt, steadyNow());
             hasList = true;
         }
-        after(listPeriod, &State::list);
+        after(listPeriod(shard.count), &State::list);
     }
 
     void plan()
     {
         const LoadMeter::Section section(runtime.load, OwnerWork::Machines);
         if (hasList && hooks.mayIssueCommands()) {
+            divideWaves();
             sendConfirmed(pools::planMachines(machines, engine, steadyNow()));
             reportWaves();
             logProgress();
@@ -103,6 +119,16 @@
         after(planPeriod, &State::plan);
     }
 
+    // Gives each wave this shard's part of the machines that may be out of service.
+    void divideWaves()
+    {
+        for (auto &[number, wave] : machines.waves) {
+            wave.wave.cap = pools::waveShare(
+                    requestedCaps.at(number), shard.index, shard.count,
+                    [this, wave = number](int of) { return hooks.hasCarriedOut(of, wave); });
+        }
+    }
+
     // Commands that are not sent count as commands without a response, and are retried.
     void sendConfirmed(std::vector<pools::MachineCommand> commands)
     {
@@ -180,7 +206,8 @@
                                             {"not_up", fmt::to_string(progress.blocked)},
                                             {"oldest", progress.longestDraining.text()},
                                             {"oldest_ms", fmt::to_string(age.count())},
-                                            {"held_by", holdText(progress.longestDrainingHold)}});
+                                            {"held_by", holdText(progress.longestDrainingHold)},
+                                            {"shard", fmt::to_string(shard.index)}});
         }
     }
 
@@ -199,67 +226,91 @@
                       {"running_milli", fmt::to_string(need.demand.running.cpuMilli)},
                       {"waiting_milli", fmt::to_string(need.demand.waiting.cpuMilli)},
                       {"late_milli", fmt::to_string(need.demand.late.cpuMilli)},
-                      {"expected_milli", fmt::format("{:.0f}", need.expected.cpuMilli)}});
+                      {"expected_milli", fmt::format("{:.0f}", need.expected.cpuMilli)},
+                      {"shard", fmt::to_string(shard.index)}});
+        }
+    }
+
+    // Whether this shard's part of a wave is done. With several shards, its last machines have to
+    // be back as well, since another shard may take their places.
+    bool isDone(const pools::WaveView &wave) const
+    {
+        return shard.count == 1 ? pools::isCarriedOut(machines, wave)
+                                : pools::isMaintenanceOver(machines, wave);
+    }
+
+    bool isDoneEverywhere(const pools::WaveView &wave) const
+    {
+        bool isDone = wave.isCompleted;
+        for (int of = 0; of < shard.count && isDone; ++of) {
+            isDone = of == shard.index || hooks.hasCarriedOut(of, wave.wave.number);
         }
+        return isDone;
     }
 
     // Reports the state of waves to the operator, and repeats a report until it is stored.
     void reportWaves()
     {
         for (auto &[number, wave] : machines.waves) {
-            const bool isDone = pools::isCarriedOut(machines, wave);
-            if (isDone && !wave.isCompleted) {
+            if (!wave.isCompleted && isDone(wave)) {
                 wave.isCompleted = true;
                 engine.pendingRecords.push_back(waveRecord(wave, clockReadingNow()));
+                hooks.carriedOut(number);
             }
+            if (shard.index != 0) {
+                continue;
+            }
+            const bool isCompleted = isDoneEverywhere(wave);
             const auto reported = reportedWaves.find(number);
-            if (reported == reportedWaves.end() || reported->second != wave.isCompleted) {
-                report(wave);
+            if (reported == reportedWaves.end() || reported->second != isCompleted) {
+                report(wave.wave, isCompleted);
             }
         }
     }
 
-    void report(const pools::WaveView &wave)
+    void report(const pools::Wave &wave, bool isCompleted)
     {
-        const std::int64_t number = wave.wave.number;
+        const std::int64_t number = wave.number;
         if (!reportsInFlight.insert(number).second) {
             return;
         }
         AppendRequest request;
         request.log = Log::Status;
-        request.records = {runtime.decode.waveStatus(wave.wave, wave.isCompleted)};
-        runtime.store.append(
-                std::move(request), [weak = weak_from_this(), number,
-                                     isCompleted = wave.isCompleted](const AppendOutcome &outcome) {
-                    const auto self = weak.lock();
-                    if (!self || self->isClosed) {
-                        return;
-                    }
-                    self->reportsInFlight.erase(number);
-                    if (outcome.result == AppendResult::Stored) {
-                        self->reportedWaves[number] = isCompleted;
-                        logEvent(events::waveReported, {{"wave", fmt::to_string(number)},
-                                                        {"completed", isCompleted ? "yes" : "no"}});
-                    }
-                });
+        request.records = {runtime.decode.waveStatus(wave, isCompleted)};
+        runtime.store.append(std::move(request), [weak = weak_from_this(), number,
+                                                  isCompleted](const AppendOutcome &outcome) {
+            const auto self = weak.lock();
+            if (!self || self->isClosed) {
+                return;
+            }
+            self->reportsInFlight.erase(number);
+            if (outcome.result == AppendResult::Stored) {
+                self->reportedWaves[number] = isCompleted;
+                logEvent(events::waveReported, {{"wave", fmt::to_string(number)},
+                                                {"completed", isCompleted ? "yes" : "no"}});
+            }
+        });
     }
 
     Runtime &runtime;
+    ownership::Shard shard;
     engine::Engine &engine;
     MachineControllerHooks hooks;
     pools::Pools machines;
     std::vector<pools::Machine> listed;
     TimePoint listRequestedAt{};  // when the list in progress was begun
     std::map<std::int64_t, StoredWave> storedWaves;  // by number
+    std::map<std::int64_t, int> requestedCaps;  // for all shards together, by wave
     std::map<std::int64_t, bool> reportedWaves;  // whether the stored report says completed
     std::set<std::int64_t> reportsInFlight;
     TimePoint loggedAt{};
     bool hasList = false;
 };
 
-MachineController::MachineController(Runtime &runtime, engine::Engine &engine, std::int64_t epoch,
+MachineController::MachineController(Runtime &runtime, ownership::Shard shard,
+                                     engine::Engine &engine, std::int64_t epoch,
                                      MachineControllerHooks hooks)
-    : state_(std::make_shared<State>(runtime, engine, std::move(hooks)))
+    : state_(std::make_shared<State>(runtime, shard, engine, std::move(hooks)))
 {
     state_->machines.holder = runtime.settings.name.text();
     state_->machines.fencingToken = epoch;
@@ -288,6 +339,12 @@
     const StoredWave &stored = state_->storedWaves[wave.number];
     const bool isNew = !state_->machines.waves.contains(wave.number);
     pools::applyWave(state_->machines, wave, stored.begun, seenAt(wave, stored, clockReadingNow()));
+    state_->requestedCaps[wave.number] = wave.cap;
+    // Another shard may have this shard's places since.
+    pools::WaveView &view = state_->machines.waves.at(wave.number);
+    view.isCompleted = view.isCompleted
+                       || (state_->shard.count > 1
+                           && state_->hooks.hasCarriedOut(state_->shard.index, wave.number));
     if (isNew && !stored.seenUnixMs) {
         // A successor needs the start of the wave's time.
         state_->engine.pendingRecords.push_back(
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -65,18 +65,22 @@
 
 struct OwnerSession::State : Closable<OwnerSession::State>
 {
-    State(Runtime &sharedRuntime, const PredecessorState &previous, OwnerSessionHooks given)
+    State(Runtime &sharedRuntime, ownership::Shard ownShard, const PredecessorState &previous,
+          OwnerSessionHooks given)
         : runtime(sharedRuntime)
+        , shard(ownShard)
         , predecessor(previous)
         , hooks(std::move(given))
-        , writer(sharedRuntime, previous.epoch,
+        , writer(sharedRuntime, ownShard.index, previous.epoch,
                  [this](TimePoint recordedAt) { return mayStart(recordedAt); })
         , sender(sharedRuntime)
-        , machines(sharedRuntime, engine, previous.epoch,
+        , machines(sharedRuntime, ownShard, engine, previous.epoch,
                    {[this] { return isLoaded && hooks.mayIssueCommands(); },
                     [this](std::vector<std::string> machineIds, std::function<void(bool)> done) {
                         hooks.confirm(std::move(machineIds), std::move(done));
-                    }})
+                    },
+                    [this](int of, std::int64_t wave) { return hooks.hasCarriedOut(of, wave); },
+                    [this](std::int64_t wave) { hooks.carriedOut(wave); }})
     {
         engine.limits = runtime.settings.limits;
         engine.token.epoch = predecessor.epoch;
@@ -106,7 +110,7 @@
                 [](State &self, const StoredRecord &record) { self.machines.adopt(record); });
         events.loaded = guarded([](State &self) { self.handleLoaded(); });
         events.changed = guarded([](State &self) { self.pump(); });
-        feed = std::make_unique<JobFeed>(runtime, engine, renewedAt, std::move(events));
+        feed = std::make_unique<JobFeed>(runtime, shard, engine, renewedAt, std::move(events));
     }
 
     void handleLoaded()
@@ -118,7 +122,8 @@
         machines.start(machineCooldowns(predecessor, engine.limits));
         logEvent(events::ownerLoaded, {{"epoch", fmt::to_string(predecessor.epoch)},
                                        {"jobs", fmt::to_string(engine.jobs.size())},
-                                       {"active", fmt::to_string(engine.active.size())}});
+                                       {"active", fmt::to_string(engine.active.size())},
+                                       {"shard", fmt::to_string(shard.index)}});
         followRegistry();
         tick();
     }
@@ -152,6 +157,9 @@
                 ++unreadableEntries;
                 continue;
             }
+            if (ownership::shardOfRack(entry.value().rack, shard.count) != shard.index) {
+                continue;
+            }
             listed.insert(id);
             engine::registerWorker(engine, entry.value(), now);
         }
@@ -246,12 +254,13 @@
             startsHeldSince = now;
             logEvent(events::startsHeld,
                      {{"epoch", fmt::to_string(predecessor.epoch)},
-                      {"read_ms_ago",
-                       fmt::to_string((now - evidence.cancellationsReadAt).count())}});
+                      {"read_ms_ago", fmt::to_string((now - evidence.cancellationsReadAt).count())},
+                      {"shard", fmt::to_string(shard.index)}});
         } else if (hold == ownership::StartHold::None && startsHeldSince) {
             logEvent(events::startsResumed,
                      {{"epoch", fmt::to_string(predecessor.epoch)},
-                      {"held_ms", fmt::to_string((now - *startsHeldSince).count())}});
+                      {"held_ms", fmt::to_string((now - *startsHeldSince).count())},
+                      {"shard", fmt::to_string(shard.index)}});
             startsHeldSince.reset();
         }
         return hold == ownership::StartHold::None;
@@ -320,7 +329,8 @@
         logEvent(events::ownerLoad, {{"active", fmt::to_string(engine.active.size())},
                                      {"waiting", fmt::to_string(engine.waiting.size())},
                                      {"work", runtime.load.takeSummary()},
-                                     {"calls", runtime.load.takeCalls()}});
+                                     {"calls", runtime.load.takeCalls()},
+                                     {"shard", fmt::to_string(shard.index)}});
     }
 
     void sendCommands()
@@ -344,6 +354,7 @@
     }
 
     Runtime &runtime;
+    ownership::Shard shard;
     PredecessorState predecessor;
     OwnerSessionHooks hooks;
     TimePoint loadLoggedAt{};
@@ -365,9 +376,9 @@
     bool isPumpPending = false;
 };
 
-OwnerSession::OwnerSession(Runtime &runtime, const PredecessorState &predecessor,
-                           OwnerSessionHooks hooks)
-    : state_(std::make_shared<State>(runtime, predecessor, std::move(hooks)))
+OwnerSession::OwnerSession(Runtime &runtime, ownership::Shard shard,
+                           const PredecessorState &predecessor, OwnerSessionHooks hooks)
+    : state_(std::make_shared<State>(runtime, shard, predecessor, std::move(hooks)))
 {
     state_->start();
 }
@@ -425,11 +436,13 @@
 std::string OwnerSession::metrics() const
 {
     const engine::Engine &engine = state_->engine;
-    return fmt::format("poplar_jobs_known {}\npoplar_jobs_active {}\npoplar_workers {}\n"
-                       "poplar_registry_entries_unreadable_total {}\npoplar_tasks_lost_total {}\n",
-                       engine.jobs.size(), engine.active.size(), engine.workers.size(),
-                       state_->unreadableEntries, engine.tasksLost)
-           + state_->runtime.load.prometheusText();
+    return fmt::format("poplar_jobs_known{{shard=\"{0}\"}} {1}\n"
+                       "poplar_jobs_active{{shard=\"{0}\"}} {2}\n"
+                       "poplar_workers{{shard=\"{0}\"}} {3}\n"
+                       "poplar_registry_entries_unreadable_total{{shard=\"{0}\"}} {4}\n"
+                       "poplar_tasks_lost_total{{shard=\"{0}\"}} {5}\n",
+                       state_->shard.index, engine.jobs.size(), engine.active.size(),
+                       engine.workers.size(), state_->unreadableEntries, engine.tasksLost);
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/peer_calls.cpp
+++ b/src/poplarstream/edge/peer_calls.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>  // for json
 
 #include "poplarstream/base/json_value.hpp"  // for integerFrom
+#include "poplarstream/edge/settings.hpp"  // for maxJobPartitions
 
 namespace poplarstream::edge {
 
@@ -56,6 +57,7 @@
                 Milliseconds deadline, std::function<void(PeerResponse)> done)
 {
     const json body = {{"kind", static_cast<int>(peerRequest.kind)},
+                       {"shard", peerRequest.shard},
                        {"queue", peerRequest.queue.text()},
                        {"job", peerRequest.job.text()},
                        {"records", recordsJson(peerRequest.records)}};
@@ -87,6 +89,10 @@
         const json value = json::parse(request.body);
         PeerRequest peerRequest;
         peerRequest.kind = enumFrom(value.at("kind"), PeerRequest::Kind::Store);
+        // Entry hosts of earlier versions name no shard.
+        if (const auto shard = value.find("shard"); shard != value.end()) {
+            peerRequest.shard = integerFrom<int>(*shard, 0, maxJobPartitions - 1);
+        }
         peerRequest.queue = jobs::QueueId(value.at("queue").get<std::string>());
         peerRequest.job = jobs::JobId(value.at("job").get<std::string>());
         for (const json &row : value.at("records")) {
--- a/src/poplarstream/edge/progress_writer.cpp
+++ b/src/poplarstream/edge/progress_writer.cpp
@@ -25,8 +25,9 @@
 
 struct ProgressWriter::State : std::enable_shared_from_this<ProgressWriter::State>
 {
-    State(Runtime &sharedRuntime, std::int64_t ownEpoch, MaySend permission)
+    State(Runtime &sharedRuntime, int ownShard, std::int64_t ownEpoch, MaySend permission)
         : runtime(sharedRuntime)
+        , shard(ownShard)
         , epoch(ownEpoch)
         , maySend(std::move(permission))
     {}
@@ -37,6 +38,7 @@
     {
         AppendRequest request;
         request.log = Log::Progress;
+        request.partition = shard;
         request.records = records;
         request.producer = Producer{std::string(producerName), epoch, sequence};
         runtime.store.append(std::move(request), [weak = weak_from_this(), sentAt = steadyNow(),
@@ -118,6 +120,7 @@
     }
 
     Runtime &runtime;
+    int shard;
     std::int64_t epoch;
     MaySend maySend;
     TimePoint confirmedAt{};
@@ -127,8 +130,8 @@
     bool isClosed = false;
 };
 
-ProgressWriter::ProgressWriter(Runtime &runtime, std::int64_t epoch, MaySend maySend)
-    : state_(std::make_shared<State>(runtime, epoch, std::move(maySend)))
+ProgressWriter::ProgressWriter(Runtime &runtime, int shard, std::int64_t epoch, MaySend maySend)
+    : state_(std::make_shared<State>(runtime, shard, epoch, std::move(maySend)))
 {}
 
 ProgressWriter::~ProgressWriter()
--- a/src/poplarstream/edge/progress_writer_test.cpp
+++ b/src/poplarstream/edge/progress_writer_test.cpp
@@ -39,7 +39,7 @@
 struct Owner
 {
     explicit Owner(bool mayStart)
-        : writer(runtime, 7, [this, mayStart](TimePoint recordedAt) {
+        : writer(runtime, 0, 7, [this, mayStart](TimePoint recordedAt) {
             recordedAt_ = recordedAt;
             return mayStart;
         })
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -81,6 +81,7 @@
         poolSized,
         waveUnderWay,
         ownerLoad,
+        deploymentDivided,
         workerSuspected,
         workerEnded,
         workerUnanswered,
