--- a/include/poplarstream/edge/worker_registry.hpp
+++ b/include/poplarstream/edge/worker_registry.hpp
@@ -10,6 +10,7 @@
 #include "poplarstream/edge/ports.hpp"  // for DecoderPort, StoredRecord
 #include "poplarstream/engine/job_events.hpp"  // for ClockReading
 #include "poplarstream/engine/state.hpp"  // for Engine
+#include "poplarstream/ownership/division.hpp"  // for Shard
 
 namespace poplarstream::edge {
 
@@ -25,7 +26,8 @@
 inline constexpr std::size_t maxReportedEntries = 256;
 
 // Applies entries that were read from the registry, of which each is the newest of its key. A
-// snapshot names all workers; the others are no longer listed.
+// snapshot names all workers; the others are no longer listed. Workers of other shards than `shard`
+// are left out.
 //
 // An entry that cannot be read, or that says the worker will start more than a day from now, names
 // no worker to use: the worker gets no new task until a usable entry of its id comes. This is no
@@ -35,7 +37,7 @@
 // Returns the unusable entries to log, each key once until its entry is removed: a description of
 // bounded length, and the key as `field`.
 std::vector<Failure> applyRegistry(engine::Engine &engine, UnusableEntries &unusable,
-                                   const DecoderPort &decoder,
+                                   const DecoderPort &decoder, const ownership::Shard &shard,
                                    std::span<const StoredRecord> records, bool isSnapshot,
                                    const engine::ClockReading &now);
 
--- a/src/poplarstream/edge/worker_registry.cpp
+++ b/src/poplarstream/edge/worker_registry.cpp
@@ -42,7 +42,7 @@
 }  // namespace
 
 std::vector<Failure> applyRegistry(engine::Engine &engine, UnusableEntries &unusable,
-                                   const DecoderPort &decoder,
+                                   const DecoderPort &decoder, const ownership::Shard &shard,
                                    std::span<const StoredRecord> records, bool isSnapshot,
                                    const engine::ClockReading &now)
 {
@@ -58,6 +58,10 @@
         }
         keys.insert(record.key);
         const Result<engine::WorkerEntry> entry = usableEntry(decoder, record, now);
+        if (entry && ownership::shardOfRack(entry.value().rack, shard.count) != shard.index) {
+            engine::deregisterWorker(engine, id);
+            continue;
+        }
         if (entry) {
             listed.insert(id);
             engine::registerWorker(engine, entry.value(), now.steady);
--- a/src/poplarstream/edge/worker_registry_test.cpp
+++ b/src/poplarstream/edge/worker_registry_test.cpp
@@ -1,5 +1,6 @@
 #include "poplarstream/edge/worker_registry.hpp"
 
+#include <fmt/format.h>  // for format
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
 #include "poplarstream/engine/engine_fixture.hpp"  // for EngineFixture
@@ -40,11 +41,13 @@
 struct RegistryFixture : EngineFixture
 {
     DecoderPort decoder = testDecoder();
+    ownership::Shard shard;
     UnusableEntries unusable;
 
     std::vector<Failure> apply(const std::vector<StoredRecord> &records, bool isSnapshot = false)
     {
-        return applyRegistry(engine, unusable, decoder, records, isSnapshot, {now, nowUnixMs});
+        return applyRegistry(engine, unusable, decoder, shard, records, isSnapshot,
+                             {now, nowUnixMs});
     }
 
     // The workers on which the tasks of a new job start.
@@ -178,5 +181,39 @@
     }
 }
 
+// Guards against two owners that command the same worker: each uses only the workers of its shard.
+TEST(WorkerRegistry, WorkersOfOtherShardsAreLeftOut)
+{
+    SCOPED_TRACE("given a deployment of four shards");
+    std::map<std::string, int> owners;
+    for (int index = 0; index < 4; ++index) {
+        RegistryFixture fixture;
+        fixture.shard = {index, 4};
+        fixture.decoder.workerEntry = [](const std::string &key, const std::string &rack) {
+            engine::WorkerEntry entry;
+            entry.incarnation = {engine::WorkerId(key), 1};
+            entry.rack = RackId(rack);
+            return Result<engine::WorkerEntry>(entry);
+        };
+        {
+            SCOPED_TRACE("when the owner of each reads the same entries");
+            std::vector<StoredRecord> entries;
+            for (int rack = 0; rack < 8; ++rack) {
+                entries.push_back({fmt::format("x{}", rack), fmt::format("r1-{}", rack), rack});
+            }
+            EXPECT_TRUE(fixture.apply(entries, true).empty());
+            for (const auto &[incarnation, worker] : fixture.engine.workers) {
+                owners[incarnation.id.text()] += worker.isListed ? 1 : 0;
+            }
+        }
+    }
+    {
+        SCOPED_TRACE("then each worker is used by one of them");
+        for (int rack = 0; rack < 8; ++rack) {
+            EXPECT_EQ(owners[fmt::format("x{}", rack)], 1);
+        }
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::edge
