Count a crash only for tasks that had just started for certain

Ends of workers were counted for runs whose start had never been confirmed, and for runs that their worker had outlived by seconds before a cut or a crash of its own.

A deadly task kills within 10 ms of its start and the poll breaks off within 50 ms, so a crash counts only if the start was confirmed and the worker stopped responding within 500 ms of it. As fewer crashes count, the likelihoods at which the second and third end a job are lower.

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -95,7 +95,7 @@
     TimePoint recordedAt{};
     Milliseconds aliveFor{0};
     int percent = -1;
-    bool isKnownToStart = false;  // sent by this owner, or seen by it
+    bool isKnownToStart = false;  // the worker has confirmed the start or listed the run
 };
 
 // A worker that stopped responding.
--- a/include/poplarstream/jobs/commands.hpp
+++ b/include/poplarstream/jobs/commands.hpp
@@ -37,10 +37,12 @@
 {
     int suspicion = 0;  // likelihood that the run caused it, in thousandths
     int jobSuspicion = 0;  // the same for all runs of the job on the worker together
+    bool mayHaveCaused = true;  // the run was known to have just started when the worker ended
 };
 
 // Records the unplanned end of a worker under a run. Returns whether this ended the job: a task
 // is given up at its second crash if it almost certainly caused it, and later with less certainty.
+// A run that cannot have caused the end, or may never have started, raises the suspicion only.
 bool recordCrash(Job &job, const TaskRef &ref, const CrashEvidence &evidence, TimePoint now);
 
 // Remembers a run whose attempt is dropped because its lease has expired. It may still be reported
--- a/src/poplarstream/engine/crashes.cpp
+++ b/src/poplarstream/engine/crashes.cpp
@@ -17,6 +17,11 @@
 // after this time did not cause a crash.
 constexpr Milliseconds provenAfter{5000};
 
+// A task that takes its worker down does so within some 10 ms of its start, and the owner sees the
+// poll break off within 50 ms. A worker that stops responding later than this after a confirmed
+// start ended for another reason.
+constexpr Milliseconds silenceWindow{500};
+
 // The likelihood that a run of a given age causes a crash falls with 1 / (age + this).
 constexpr Milliseconds ageScale{20};
 
@@ -39,6 +44,13 @@
                            std::max<std::int64_t>(worker.clockMs - attempt.confirmedClockMs, 0)};
 }
 
+// How long after the confirmed start the worker stopped responding, by this owner's clock.
+Milliseconds silentAfter(const ExposedRun &run, const Worker &worker, TimePoint now)
+{
+    const TimePoint silentAt = worker.silentSince == TimePoint{} ? now : worker.silentSince;
+    return silentAt - run.confirmedAt;
+}
+
 ExposedRun exposedRun(const AttemptRef &ref, const jobs::Attempt &attempt, const Worker &worker,
                       TimePoint now)
 {
@@ -49,7 +61,7 @@
     run.aliveAt = attempt.aliveAt;
     run.percent = attempt.percent;
     run.aliveFor = survived(attempt, worker);
-    run.isKnownToStart = !attempt.isFromPreviousOwner || attempt.confirmedAt != TimePoint{};
+    run.isKnownToStart = attempt.confirmedAt != TimePoint{};
     run.recordedAt = now;
     return run;
 }
@@ -143,17 +155,22 @@
         // has not had its last crash.
         const int jobSuspicion =
                 isShared || total <= 0 ? suspicion : static_cast<int>(1000 * weights[id] / total);
-        const bool ended = candidate.weight > 0 && run.isKnownToStart
-                           && jobs::recordCrash(*candidate.job, run.ref.task,
-                                                {suspicion, isShared ? 0 : jobSuspicion}, now);
+        const bool mayHaveCaused =
+                run.isKnownToStart && silentAfter(run, worker, now) <= silenceWindow;
+        const bool ended =
+                candidate.weight > 0
+                && jobs::recordCrash(*candidate.job, run.ref.task,
+                                     {suspicion, isShared ? 0 : jobSuspicion, mayHaveCaused}, now);
         recordDecision(engine, DecisionKind::TaskLost, run.ref, worker.entry.incarnation.id,
                        fmt::format("crashes={} suspicion={} others={} shared={} survived_ms={} "
-                                   "sent_ms_ago={} confirmed_ms_ago={} alive_ms_ago={} percent={}",
+                                   "silent_after_ms={} sent_ms_ago={} confirmed_ms_ago={} "
+                                   "alive_ms_ago={} percent={}",
                                    candidate.task->crashes, suspicion, candidates.size() - 1,
-                                   isShared, run.aliveFor.count(), ageMs(run.sentAt, now),
-                                   ageMs(run.confirmedAt, now), ageMs(run.aliveAt, now),
-                                   run.percent));
-        if (candidate.weight > 0 && run.isKnownToStart) {
+                                   isShared, run.aliveFor.count(),
+                                   run.isKnownToStart ? silentAfter(run, worker, now).count() : -1,
+                                   ageMs(run.sentAt, now), ageMs(run.confirmedAt, now),
+                                   ageMs(run.aliveAt, now), run.percent));
+        if (candidate.weight > 0) {
             markDirty(engine, *candidate.job);
         }
         if (isSuspect(*candidate.task)) {
--- a/src/poplarstream/jobs/commands.cpp
+++ b/src/poplarstream/jobs/commands.cpp
@@ -24,7 +24,7 @@
     int crashes = 0;
     int suspicion = 0;  // at least, in thousandths
 };
-constexpr CrashLimit crashLimits[] = {{2, 800}, {3, 500}, {4, 250}, {5, 0}};
+constexpr CrashLimit crashLimits[] = {{2, 650}, {3, 250}, {5, 0}};
 
 // A crash does not count for tasks that are less likely to have caused it: on a full worker most
 // are innocent, and those that it survived for long are far below this.
@@ -220,8 +220,11 @@
         return false;
     }
     task->suspicion = std::max(task->suspicion, evidence.suspicion);
-    task->crashes += evidence.suspicion >= minSuspicion ? 1 : 0;
     job.isDirty = true;
+    if (!evidence.mayHaveCaused) {
+        return false;
+    }
+    task->crashes += evidence.suspicion >= minSuspicion ? 1 : 0;
     if (isFinal(job.state) || !isAtCrashLimit(*task, evidence.jobSuspicion)) {
         return false;
     }
--- a/src/poplarstream/pools/simulated_deployment.hpp
+++ b/src/poplarstream/pools/simulated_deployment.hpp
@@ -4,6 +4,7 @@
 #include <functional>  // for function
 #include <map>  // for map, multimap
 #include <memory>  // for shared_ptr, unique_ptr
+#include <optional>  // for optional
 #include <random>  // for mt19937_64
 
 #include "poplarstream/engine/engine_fixture.hpp"  // for submission, step
@@ -42,6 +43,12 @@
 inline constexpr unsigned faultKinds = 18;
 inline constexpr unsigned allFaults = (1U << faultKinds) - 1;
 
+// Faults for the tests of crashes alone, beyond `allFaults`.
+inline constexpr unsigned deadlyTasks = 1U << 18;  // a tenth of the jobs crash their workers
+inline constexpr unsigned rackCrashes = 1U << 19;  // all workers of a rack crash at once
+inline constexpr int workersOfRack = 2;
+inline constexpr int jobsPerDeadlyJob = 10;
+
 inline constexpr Milliseconds stepTime{5};
 inline constexpr Milliseconds faultTime{60'000};
 inline constexpr Milliseconds settleTime{90'000};
@@ -52,6 +59,18 @@
 inline constexpr int machineCount = 6;
 inline constexpr int jobCount = 60;
 
+// What became of the jobs of one simulation, as far as crashes decide it.
+struct CrashOutcome
+{
+    int jobs = 0;
+    int innocentFailed = 0;  // innocent, with or without cause
+    int failedWithoutCause = 0;
+    int deadlyJobs = 0;
+    int deadlyUnlimited = 0;  // deadly, with more starts than are allowed
+    std::string trace;  // of the first job that failed without cause
+    std::string deadlyTrace;  // of the first deadly task with more starts than are allowed
+};
+
 struct Slot
 {
     std::unique_ptr<SimulatedWorker> worker;  // null while the machine is down
@@ -62,6 +81,7 @@
     TimePoint cutTo{};  // commands don't arrive before
     TimePoint cutFrom{};  // responses don't arrive before
     int boots = 0;
+    bool isInMaintenance = false;
     std::set<std::int64_t> begunWaves;
 };
 
@@ -149,6 +169,44 @@
         return rules_.violation;
     }
 
+    // Counts the jobs that were shown as failed without cause, and the deadly ones that were not
+    // given up in time.
+    CrashOutcome crashOutcome() const
+    {
+        CrashOutcome outcome;
+        if (owners_.empty()) {
+            return outcome;
+        }
+        for (auto &[id, job] : owners_.back()->engine.jobs) {
+            bool mayFail = false;
+            bool isUnlimited = false;
+            for (int i = 0; i < job.submission.spec.steps[0].count; ++i) {
+                mayFail = mayFail || rules_.mayBeGivenUp({id, 0, 0, i});
+                isUnlimited = isUnlimited || rules_.startsAfterThirdCrash({id, 0, 0, i}) >= 3;
+            }
+            const bool isFailed = job.state == jobs::JobState::Failed;
+            ++outcome.jobs;
+            outcome.deadlyJobs += isDeadly(id) ? 1 : 0;
+            outcome.innocentFailed += !isDeadly(id) && isFailed ? 1 : 0;
+            outcome.deadlyUnlimited += isDeadly(id) && isUnlimited ? 1 : 0;
+            if (isDeadly(id) && isUnlimited && outcome.deadlyTrace.empty()) {
+                outcome.deadlyTrace =
+                        fmt::format("job {}\n", id.text()) + rules_.traceOf({id, 0, 0, 0});
+            }
+            if (isFailed && !mayFail) {
+                ++outcome.failedWithoutCause;
+                for (int i = 0; i < job.submission.spec.steps[0].count && outcome.trace.empty();
+                     ++i) {
+                    if (jobs::findTask(job, {id, 0, 0, i})->crashes > 1) {
+                        outcome.trace = fmt::format("job {} task {}\n", id.text(), i)
+                                        + rules_.traceOf({id, 0, 0, i});
+                    }
+                }
+            }
+        }
+        return outcome;
+    }
+
 private:
     int between(int least, int most)
     {
@@ -201,6 +259,9 @@
             wave.duration = Milliseconds{4000};
             waves_.push_back(std::move(wave));
         }
+        if ((faults_ & rackCrashes) != 0 && isFaulty_ && chance(4)) {
+            crashRack(between(0, machineCount / workersOfRack - 1));
+        }
         if (strikes(Handovers, 4)) {
             handOver();
         }
@@ -229,15 +290,35 @@
         slot.nextHeartbeat = now_ + ms(0, 300);
     }
 
-    void crash(int number)
+    bool isDeadly(const engine::JobId &id) const
+    {
+        return (faults_ & deadlyTasks) != 0
+               && std::stoul(id.text(), nullptr, 16) % jobsPerDeadlyJob == 0;
+    }
+
+    void crash(int number, bool isPlanned = false)
     {
         Slot &slot = slots_[static_cast<std::size_t>(number)];
         slot.previousId = slot.worker->incarnation.id.text();
-        slot.worker->crash(now_);
+        slot.worker->crash(isPlanned, now_);
+        slot.isInMaintenance = isPlanned;
         slot.worker.reset();
         slot.restartsAt = now_ + ms(100, 4000);
     }
 
+    // Crashes all workers of a rack, which stay down for a while.
+    void crashRack(int rack)
+    {
+        const Milliseconds duration = ms(2000, 8000);
+        for (int number = rack * workersOfRack; number < (rack + 1) * workersOfRack; ++number) {
+            Slot &slot = slots_[static_cast<std::size_t>(number)];
+            if (slot.worker) {
+                crash(number);
+                slot.restartsAt = now_ + duration;
+            }
+        }
+    }
+
     void advance(int number)
     {
         Slot &slot = slots_[static_cast<std::size_t>(number)];
@@ -278,7 +359,7 @@
         entry.incarnation = slot.worker->incarnation;
         entry.service = ServiceId("shop");
         entry.address = std::to_string(number);
-        entry.rack = RackId("rack");
+        entry.rack = RackId(fmt::format("rack-{}", number / workersOfRack));
         entry.capacity = slot.worker->capacity;
         if (strikes(ChangingCapacity, 3000)) {
             entry.capacity.cpuMilli = between(1, 4) * 1000;
@@ -314,8 +395,8 @@
             });
         } else if (worker != nullptr) {
             worker->poll(poll, now_,
-                         [this, respond, incarnation,
-                          number = poll.number](const engine::PollResponse &response) {
+                         [this, respond, incarnation, number = poll.number](
+                                 const std::optional<engine::PollResponse> &response) {
                              respond([this, incarnation, number, response](Owner &owner) {
                                  handlePollResponse(owner.engine, incarnation, number, response,
                                                     now_);
@@ -336,6 +417,10 @@
                                                              : jobs::AttemptResult::Done;
             result = worker->start(start, length, end, needOf(start.task.job), now_);
             clock = worker->clock(now_);
+            if (result == engine::StartResult::Started && start.task.index == 0
+                && isDeadly(start.task.job)) {
+                killSoon(static_cast<int>(std::stoul(start.target.address)));
+            }
         }
         if (worker != nullptr || isOther) {
             respond([this, start, result, clock](Owner &owner) {
@@ -345,6 +430,16 @@
         }
     }
 
+    // Crashes a worker under a task that takes workers down.
+    void killSoon(int number)
+    {
+        at(now_ + ms(4, 10), [this, number, boots = slots_.at(number).boots] {
+            if (slots_.at(number).boots == boots && slots_.at(number).worker) {
+                crash(number);
+            }
+        });
+    }
+
     void carryOutOne(const engine::StopCommand &stop, const auto &respond)
     {
         bool isOther = false;
@@ -565,7 +660,9 @@
             Machine machine;
             machine.id = MachineId(fmt::format("m{}", i));
             machine.pool = ServiceId("shop");
-            machine.state = slot.worker ? MachineState::Up : MachineState::Down;
+            machine.state = slot.worker            ? MachineState::Up
+                            : slot.isInMaintenance ? MachineState::InMaintenance
+                                                   : MachineState::Down;
             machine.worker = slot.worker ? slot.worker->incarnation.id : engine::WorkerId();
             if (slot.bornAt + Milliseconds{2000} > now_ && !slot.previousId.empty()
                 && strikes(PreviousWorkers, 5000)) {
@@ -631,7 +728,7 @@
             return CommandResult::Busy;
         }
         slot.begunWaves.insert(command.wave);
-        crash(number);
+        crash(number, true);
         slot.restartsAt = now_ + Milliseconds{2000};
         return CommandResult::Done;
     }
--- a/src/poplarstream/pools/simulated_worker.hpp
+++ b/src/poplarstream/pools/simulated_worker.hpp
@@ -4,6 +4,7 @@
 #include <functional>  // for function
 #include <map>  // for map
 #include <memory>  // for shared_ptr
+#include <optional>  // for optional
 #include <set>  // for set
 #include <string>  // for string
 #include <utility>  // for move, pair
@@ -49,6 +50,7 @@
     {
         History &history = tasks_[ref.task];
         note(ref.task, now, fmt::format("run {} started on {}", ref.run, worker));
+        history.startsAfterThirdCrash += history.crashes >= 3 ? 1 : 0;
         if (!history.running.empty()) {
             violate(ref.task, "two runs at the same time");
         }
@@ -76,10 +78,45 @@
         return history.ends.back();
     }
 
-    void crashed(const AttemptRef &ref, const std::string &worker, TimePoint now)
+    void crashed(const AttemptRef &ref, const std::string &worker, bool isPlanned, TimePoint now)
     {
+        History &history = tasks_[ref.task];
         note(ref.task, now, fmt::format("run {} died with {}", ref.run, worker));
-        tasks_[ref.task].running.erase({ref.run, worker});
+        history.running.erase({ref.run, worker});
+        history.crashes += isPlanned ? 0 : 1;
+    }
+
+    // Whether a job may be shown as failed because of this task: two workers have crashed under it,
+    // or it has used up its attempts.
+    bool mayBeGivenUp(const TaskRef &task) const
+    {
+        const auto found = tasks_.find(task);
+        if (found == tasks_.end()) {
+            return false;
+        }
+        const auto &ends = found->second.ends;
+        const auto failures = std::count_if(ends.begin(), ends.end(), [](const auto &end) {
+            return end->report.result == jobs::AttemptResult::Failed;
+        });
+        return found->second.crashes >= 2 || failures >= maxAttempts_;
+    }
+
+    // The starts of a task after a third worker has crashed under it.
+    int startsAfterThirdCrash(const TaskRef &task) const
+    {
+        const auto found = tasks_.find(task);
+        return found == tasks_.end() ? 0 : found->second.startsAfterThirdCrash;
+    }
+
+    std::string traceOf(const TaskRef &task) const
+    {
+        std::string text;
+        if (const auto found = tasks_.find(task); found != tasks_.end()) {
+            for (const std::string &line : found->second.trace) {
+                text += line + "\n";
+            }
+        }
+        return text;
     }
 
     void acknowledged(RunEnd &end, TimePoint now)
@@ -98,10 +135,8 @@
     void violate(const TaskRef &task, const std::string &rule)
     {
         if (violation.empty()) {
-            violation = fmt::format("{}: job {} task {}\n", rule, task.job.text(), task.index);
-            for (const std::string &line : tasks_[task].trace) {
-                violation += line + "\n";
-            }
+            violation = fmt::format("{}: job {} task {}\n", rule, task.job.text(), task.index)
+                        + traceOf(task);
         }
     }
 
@@ -114,6 +149,8 @@
         std::vector<std::shared_ptr<RunEnd>> ends;
         std::vector<std::shared_ptr<RunEnd>> failedBeforeStart;
         std::vector<std::string> trace;
+        int crashes = 0;  // of workers, without planned ends
+        int startsAfterThirdCrash = 0;
     };
 
     void checkFollowed(const RunEnd &end)
@@ -132,7 +169,7 @@
 class SimulatedWorker
 {
 public:
-    using Respond = std::function<void(const PollResponse &)>;
+    using Respond = std::function<void(const std::optional<PollResponse> &)>;  // none if broken off
 
     SimulatedWorker(WorkerIncarnation own, double ownClockRate, Milliseconds longestLease,
                     TimePoint now, RunRules &observer)
@@ -254,13 +291,15 @@
         }
     }
 
-    void crash(TimePoint now)
+    void crash(bool isPlanned, TimePoint now)
     {
         for (const auto &[ref, run] : running_) {
-            rules_->crashed(ref, name, now);
+            rules_->crashed(ref, name, isPlanned, now);
         }
         running_.clear();
-        polls_.clear();
+        for (const WaitingPoll &poll : std::exchange(polls_, {})) {
+            poll.respond({});
+        }
     }
 
     WorkerIncarnation incarnation;
