--- /dev/null
+++ b/src/poplarstream/edge/entry_process_test.cpp
@@ -0,0 +1,168 @@
+#include "poplarstream/edge/entry_process.hpp"
+
+#include <boost/asio/steady_timer.hpp>  // for steady_timer
+#include <fmt/format.h>  // for format
+#include <gtest/gtest.h>  // for TEST, EXPECT_TRUE
+
+#include "poplarstream/adapters/http_client.hpp"  // for HttpClient
+
+namespace poplarstream::edge {
+namespace {
+
+constexpr int partitions = 4;
+constexpr Milliseconds pollTime{10};
+// A process of one core claims the last of four shards after 200 ms times 4 and the spread.
+constexpr Milliseconds maxClaimTime{5000};
+
+// Keyed logs in memory.
+struct Store
+{
+    boost::asio::io_context &io;
+    std::map<std::pair<Log, int>, std::vector<StoredRecord>> logs;
+
+    AppendOutcome append(const AppendRequest &request)
+    {
+        std::vector<StoredRecord> &log = logs[{request.log, request.partition}];
+        AppendOutcome outcome;
+        if (request.atOffset && *request.atOffset != static_cast<std::int64_t>(log.size())) {
+            outcome.result = AppendResult::ConditionFailed;
+        } else {
+            for (StoredRecord record : request.records) {
+                record.offset = static_cast<std::int64_t>(log.size());
+                log.push_back(std::move(record));
+            }
+            outcome.result = AppendResult::Stored;
+        }
+        outcome.endOffset = static_cast<std::int64_t>(log.size());
+        return outcome;
+    }
+
+    ReadOutcome read(const ReadRequest &request)
+    {
+        const std::vector<StoredRecord> &log = logs[{request.log, request.partition}];
+        ReadOutcome outcome;
+        outcome.result = ReadResult::Records;
+        outcome.records.assign(log.begin() + request.from, log.end());
+        outcome.nextOffset = static_cast<std::int64_t>(log.size());
+        outcome.endOffset = outcome.nextOffset;
+        return outcome;
+    }
+
+    NewestOutcome newest(Log name, int partition)
+    {
+        const std::vector<StoredRecord> &log = logs[{name, partition}];
+        std::map<std::string, StoredRecord> byKey;
+        for (const StoredRecord &record : log) {
+            byKey[record.key] = record;
+        }
+        NewestOutcome outcome;
+        outcome.isRead = true;
+        outcome.endOffset = static_cast<std::int64_t>(log.size());
+        for (const auto &[key, record] : byKey) {
+            outcome.records.push_back(record);
+        }
+        return outcome;
+    }
+
+    // Responds after a moment, as any store does.
+    template <class Outcome>
+    void respond(std::function<void(Outcome)> done, std::function<Outcome()> make)
+    {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(io, pollTime);
+        timer->async_wait([timer, done = std::move(done), make = std::move(make)](const auto &) {
+            done(make());
+        });
+    }
+
+    StorePort port()
+    {
+        StorePort port;
+        port.append = [this](AppendRequest request, auto done) {
+            respond<AppendOutcome>(std::move(done), [this, request] { return append(request); });
+        };
+        port.read = [this](ReadRequest request, auto done) {
+            respond<ReadOutcome>(std::move(done), [this, request] { return read(request); });
+        };
+        port.newest = [this](Log log, int partition, const std::string &, auto done) {
+            respond<NewestOutcome>(std::move(done),
+                                   [this, log, partition] { return newest(log, partition); });
+        };
+        return port;
+    }
+};
+
+// One entry host, alone in a deployment with that many machines.
+struct Host
+{
+    Host(int jobPartitions, int machineCount)
+        : runtime{io, {}, store.port(), {}, {}, {}, {}}
+    {
+        runtime.settings.name = EntryHostId("edge-1");
+        runtime.settings.jobPartitions = jobPartitions;
+        runtime.settings.machines.port = 1;
+        runtime.machines.list = [this, machineCount](const std::string &, auto done) {
+            store.respond<MachinePage>(std::move(done), [machineCount] {
+                MachinePage page;
+                page.isRead = true;
+                for (int i = 0; i < machineCount; ++i) {
+                    page.machines.emplace_back().id = pools::MachineId(fmt::format("m-{}", i));
+                }
+                return page;
+            });
+        };
+        process.emplace(runtime, peers);
+    }
+
+    // Whether the process serves the metrics of a session for each of the shards, in time.
+    bool ownsInTime(int shards)
+    {
+        for (const TimePoint end = steadyNow() + maxClaimTime; steadyNow() < end;) {
+            io.run_for(std::chrono::milliseconds(pollTime.count()));
+            io.restart();
+            int owned = 0;
+            for (int shard = 0; shard < partitions; ++shard) {
+                const std::string metric = fmt::format("poplar_workers{{shard=\"{}\"}}", shard);
+                owned += process->metrics().find(metric) != std::string::npos ? 1 : 0;
+            }
+            if (owned == shards) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    boost::asio::io_context io;
+    Store store{io, {}};
+    Runtime runtime;
+    HttpClient peers{io};
+    std::optional<EntryProcess> process;
+};
+
+// Guards against a shard that nobody owns because the only process that is left has another one.
+TEST(EntryProcess, OneProcessOwnsAllShards)
+{
+    Host host(partitions, 1100);
+    EXPECT_TRUE(host.ownsInTime(partitions));
+    for (int shard = 0; shard < partitions; ++shard) {
+        const std::pair<Log, int> log{Log::Ownership, shard};
+        EXPECT_FALSE(host.store.logs[log].empty()) << shard;
+    }
+}
+
+// Guards against a small deployment without an owner, or with the cost of several.
+TEST(EntryProcess, SmallDeploymentHasOneShard)
+{
+    SCOPED_TRACE("given a job log with one partition, which cannot be divided");
+    Host single(1, 1100);
+    EXPECT_TRUE(single.ownsInTime(1));
+    {
+        SCOPED_TRACE("and a job log with several partitions, but few machines");
+        Host small(partitions, 30);
+        EXPECT_TRUE(small.ownsInTime(1));
+        const std::pair<Log, int> second{Log::Ownership, 1};
+        EXPECT_TRUE(small.store.logs[second].empty());
+    }
+}
+
+}  // namespace
+}  // namespace poplarstream::edge
