--- a/src/poplarstream/pools/crashes_simulation_test.cpp
+++ b/src/poplarstream/pools/crashes_simulation_test.cpp
@@ -26,6 +26,16 @@
     return faults;
 }
 
+// Guards against a task that must run once and runs twice when workers crash under deadly tasks, in
+// whole racks or beside cuts and changes of owner.
+TEST(CrashesSimulation, TasksRunOnce)
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        EXPECT_EQ(test::SimulatedDeployment(seed, crashFaultsOf(seed)).run(), "")
+                << "seed " << seed;
+    }
+}
+
 // Guards against giving up jobs under whose tasks fewer than two workers have crashed, and against
 // starting a task again and again that crashes each worker.
 // POPLAR_CRASHES="FIRST COUNT" runs other seeds by hand.
