Use a worker again that reports after it was taken for ended

A living worker that a list or a rejection had ended by mistake was never used again if its next report was read while a poll of the old record was in flight: the record stayed, listed and marked as ended, and was neither forgotten nor polled.

A report whose clock is ahead of the clock at that time was written since, so the worker lives: it is polled again, under a new token. A report from before changes nothing, so that workers that a machine command has ended are not called in vain.

Reachability.ReportDuringPollBringsWorkerBack failed before.

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -113,6 +113,7 @@
     TimePoint knownSince{};  // when this owner learned of it, from the registry or a record
     bool isListed = false;  // present in the registry
     bool isGone = false;  // the incarnation has ended
+    std::int64_t endedClockMs = 0;  // its clock when it was taken for ended; 0 if unknown
     Reachability reachability = Reachability::Unconfirmed;
     bool isCordoned = false;  // being emptied for maintenance or a move
     bool isDueForMaintenance = false;  // will be emptied soon; other workers are preferred
--- a/src/poplarstream/engine/incarnations.cpp
+++ b/src/poplarstream/engine/incarnations.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+// A report with a clock that is ahead by this much was written after the worker had been taken for
+// ended: its clock is extrapolated from its last reading for two report intervals at most.
+constexpr std::int64_t clockUncertaintyMs = 250;
+
 std::string_view evidenceText(EndEvidence evidence)
 {
     switch (evidence) {
@@ -32,6 +36,7 @@
 void markEnded(Engine &engine, Worker &worker, EndEvidence evidence, TimePoint now)
 {
     const bool isPlanned = isPlannedEnd(worker, evidence);
+    worker.endedClockMs = worker.clockMs == 0 ? 0 : clockNow(worker, now);
     worker.isGone = true;
     worker.isListed = false;
     recordDecision(engine, DecisionKind::WorkerEnded, {}, worker.entry.incarnation.id,
@@ -90,6 +95,11 @@
         // Commands for an earlier incarnation of the id must not be taken for this one's.
         worker.tokenBump = ++engine.token.lastBump;
     }
+    if (worker.isGone && entry.clockMs > worker.endedClockMs + clockUncertaintyMs) {
+        worker.isGone = false;
+        worker.reachability = Reachability::Unconfirmed;
+        worker.tokenBump = ++engine.token.lastBump;
+    }
     noteListedClock(worker, entry.clockMs, now);
     const bool changed = !worker.isListed || worker.entry.isDraining != entry.isDraining
                          || worker.entry.service != entry.service
--- a/src/poplarstream/engine/reachability_test.cpp
+++ b/src/poplarstream/engine/reachability_test.cpp
@@ -742,5 +742,36 @@
     }
 }
 
+// Guards against a living worker that is never used again: its report is read while a poll of the
+// record that was taken for ended is in flight, so that the record is not forgotten before.
+TEST(Reachability, ReportDuringPollBringsWorkerBack)
+{
+    SCOPED_TRACE("given a worker that is wrongly taken for ended while a poll is in flight");
+    EngineFixture fixture(1);
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    fixture.startAll();
+    fixture.poll();
+    endIncarnation(fixture.engine, EngineFixture::incarnation("w1"), EndEvidence::MachineAbsent,
+                   fixture.now);
+    WorkerEntry entry = fixture.worker("w1").entry;
+    entry.clockMs = fixture.workerClockMs();
+    const auto report = [&] { registerWorker(fixture.engine, entry, fixture.now); };
+    {
+        SCOPED_TRACE("when a report is read that it wrote before, then it stays ended");
+        report();
+        EXPECT_TRUE(fixture.worker("w1").isGone);
+    }
+    {
+        SCOPED_TRACE("when its next report is read, then it is polled and gets tasks again");
+        fixture.now += Milliseconds{1500};
+        entry.clockMs = fixture.workerClockMs();
+        report();
+        fixture.answer("w1");
+        fixture.poll();
+        fixture.answerPolls();
+        EXPECT_EQ(fixture.start().size(), 1U);
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::engine
