Let a list say nothing of starts that were sent after it was requested

Cause: evidence used against something newer than what it is about. Signs of life were polls and reports only, not the responses to starts. No wrong list is needed, so this path is open wherever workers come back under their id.

Change: a list ends no worker to which a start may have come after the list was requested: one that was confirmed since, or has no response and was still on its way. The next list decides.

Moves.ListFromBeforeTheStartKeepsTheRun failed before.

--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>  // for max
 #include <utility>  // for exchange, move
 
-#include "poplarstream/engine/attempts.hpp"  // for findWorker
+#include "poplarstream/engine/attempts.hpp"  // for findWorker, findAttempt
 #include "poplarstream/engine/incarnations.hpp"  // for endIncarnation
 #include "poplarstream/pools/forecast.hpp"  // for recordArrivals
 #include "poplarstream/pools/moves.hpp"  // for planMoves
@@ -17,6 +17,9 @@
 constexpr Milliseconds resendDelay{1500};
 // The reports of workers come about in their interval, and are read a little later.
 constexpr Milliseconds reportSlack{500};
+// A command to a worker without a response is not carried out by another process after this time:
+// its connection is reset earlier.
+constexpr Milliseconds commandFlightTime{400};
 // A command whose outcome has not been reported for this long is taken for lost.
 constexpr Milliseconds outcomeTimeout{6000};
 
@@ -51,6 +54,24 @@
     return replaced;
 }
 
+// Whether a start may have reached the worker's id after a list was requested. The next incarnation
+// under the id may have carried it out.
+bool mayHaveStartedSince(engine::Engine &engine, const engine::Worker &worker, TimePoint askedAt)
+{
+    for (const auto &[ref, decisivePoll] : worker.attempts) {
+        const jobs::Attempt *const attempt = engine::findAttempt(engine, ref);
+        if (attempt == nullptr || !attempt->mayRun) {
+            continue;
+        }
+        const bool isConfirmed = attempt->confirmedAt != TimePoint{};
+        if (isConfirmed ? attempt->confirmedAt >= askedAt
+                        : attempt->startedAt + commandFlightTime >= askedAt) {
+            return true;
+        }
+    }
+    return false;
+}
+
 // Ends the incarnations of unreachable workers that the list lacks. Otherwise their tasks would
 // wait for the longest lease. It proves nothing by itself if the machine is missing as well, since
 // the list is read in pages while machines move, or if its row names a worker that may be an
@@ -75,7 +96,7 @@
     for (const auto &[incarnation, worker] : engine.workers) {
         if (worker.reachability == engine::Reachability::Reachable || worker.isGone
             || worker.knownSince >= askedAt || lastHeardFrom(worker) >= askedAt
-            || present.contains(incarnation.id)) {
+            || present.contains(incarnation.id) || mayHaveStartedSince(engine, worker, askedAt)) {
             continue;
         }
         const auto before = pools.missingSince.find(incarnation);
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -524,6 +524,39 @@
     }
 }
 
+// Guards against a second run: a list that was requested while a worker restarted under its id ends
+// the old incarnation, and releases the run that the new one has begun since.
+TEST(Moves, ListFromBeforeTheStartKeepsTheRun)
+{
+    SCOPED_TRACE("given a list that was requested before a start, and shows no worker there");
+    Deployment deployment(2, 0);
+    engine::test::EngineFixture &fixture = deployment.fixture;
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = fixture.start();
+    ASSERT_EQ(starts.size(), 1U);
+    const std::string id = starts[0].target.worker.id.text();
+    fixture.poll();
+    fixture.now += Milliseconds{200};
+    const TimePoint askedAt = fixture.now;
+    deployment.machines.at(id == "w1" ? 0 : 1).worker = jobs::WorkerId("");
+    fixture.now += Milliseconds{20};
+    fixture.answerStart(starts[0]);
+    fixture.now += Milliseconds{20};
+    fixture.leavePollUnanswered(id);
+    {
+        SCOPED_TRACE("when it arrives after the start was confirmed, then the run is kept");
+        applyMachineList(deployment.pools, fixture.engine, deployment.machines, askedAt,
+                         fixture.now);
+        EXPECT_TRUE(fixture.start().empty());
+    }
+    {
+        SCOPED_TRACE("when a list that was requested since shows none, then the task starts again");
+        fixture.now += Milliseconds{400};
+        deployment.list();
+        EXPECT_EQ(fixture.start().size(), 1U);
+    }
+}
+
 // Guards against an owner that polls hundreds of dead workers ten times a second, after machines
 // have moved and the responses were lost.
 TEST(Moves, EmptyWorkerWithoutAMachineIsEndedByOneList)
