Note which incarnation of a worker a machine has replaced

A worker that was replaced once and came back under its id kept the mark of it for good: one list that was out of date ended it with its tasks as soon as it missed a poll, and these could run twice.

The mark names an incarnation now, and goes when a list shows its id again.

Moves.ReplacedWorkerThatIsBackKeepsTasks failed before.

--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -34,7 +34,7 @@
     bool isDueForMaintenance = false;  // part of a wave, and its maintenance has not begun
     bool isMissing = false;  // the last list lacked it
     bool isWorkerDoubted = false;  // the last list named another worker, perhaps an earlier one
-    jobs::WorkerId formerWorker;  // the last one that lists have named before the present one
+    std::optional<jobs::WorkerIncarnation> formerWorker;  // that the present one has replaced
     bool isCordonKept = false;  // until a list shows whether its worker has ended
 };
 
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -43,12 +43,12 @@
 
 // Workers whose machine is in the list without them: each has ended if it has given no sign of life
 // since the list was requested.
-std::set<jobs::WorkerId> replacedWorkers(const std::map<MachineId, MachineView> &listed)
+std::set<jobs::WorkerIncarnation> replacedWorkers(const std::map<MachineId, MachineView> &listed)
 {
-    std::set<jobs::WorkerId> replaced;
+    std::set<jobs::WorkerIncarnation> replaced;
     for (const auto &[id, view] : listed) {
-        if (!view.isMissing && !view.formerWorker.isEmpty()) {
-            replaced.insert(view.formerWorker);
+        if (!view.isMissing && view.formerWorker) {
+            replaced.insert(*view.formerWorker);
         }
     }
     return replaced;
@@ -90,7 +90,7 @@
             present.insert(view.machine.worker);
         }
     }
-    const std::set<jobs::WorkerId> replaced = replacedWorkers(pools.machines);
+    const std::set<jobs::WorkerIncarnation> replaced = replacedWorkers(pools.machines);
     std::map<jobs::WorkerIncarnation, TimePoint> missingSince;
     std::vector<jobs::WorkerIncarnation> ended;
     for (const auto &[incarnation, worker] : engine.workers) {
@@ -103,7 +103,7 @@
         const bool isStillMissing =
                 before != pools.missingSince.end() && lastHeardFrom(worker) < before->second;
         const TimePoint since = isStillMissing ? before->second : askedAt;
-        if (isEmpty(&worker) || replaced.contains(incarnation.id)
+        if (isEmpty(&worker) || replaced.contains(incarnation)
             || askedAt >= since + engine.limits.reportInterval + reportSlack) {
             ended.push_back(incarnation);
         } else {
@@ -134,13 +134,16 @@
     const engine::Worker *const worker = workerOf(engine, view.machine);
     view.machine = machine;
     view.isWorkerDoubted = false;
+    if (view.formerWorker && view.formerWorker->id == machine.worker) {
+        view.formerWorker.reset();
+    }
     // A worker that is not registered yet has no tasks, and may be the present one.
     if (machine.worker == known || worker == nullptr) {
         return;
     }
     if (worker->isGone || machine.worker.isEmpty()
         || hasStartedAfter(engine, machine.worker, *worker)) {
-        view.formerWorker = known;
+        view.formerWorker = worker->entry.incarnation;
     } else {
         view.machine.worker = known;
         view.isWorkerDoubted = true;
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -557,6 +557,49 @@
     }
 }
 
+// Guards against a second run: a worker that was replaced once is back under its id when a list
+// that is out of date names an earlier one.
+TEST(Moves, ReplacedWorkerThatIsBackKeepsTasks)
+{
+    SCOPED_TRACE("given a worker with a task that crashed, and is back under its id");
+    Deployment deployment(1, 0);
+    engine::test::EngineFixture &fixture = deployment.fixture;
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    fixture.startAll();
+    fixture.poll();
+    fixture.now += Milliseconds{100};
+    fixture.leavePollUnanswered("w1");
+    fixture.now += Milliseconds{400};
+    deployment.machines.back().worker = jobs::WorkerId("");
+    deployment.list();
+    ASSERT_TRUE(fixture.worker("w1").isGone);
+    fixture.now += Milliseconds{1000};
+    fixture.addWorker("w1", 2);
+    deployment.machines.back().worker = jobs::WorkerId("w1");
+    deployment.list();
+    const auto next = engine::test::EngineFixture::incarnation("w1", 2);
+    const auto endPoll = [&](bool isAnswered) {
+        engine::PollResponse response;
+        response.clockMs = fixture.workerClockMs();
+        handlePollResponse(fixture.engine, next, fixture.engine.workers.at(next).pollNumber,
+                           isAnswered ? std::optional(response) : std::nullopt, fixture.now);
+    };
+    fixture.poll();
+    endPoll(true);
+    ASSERT_EQ(fixture.startAll().size(), 1U);
+    {
+        SCOPED_TRACE("when it misses a poll and a list names an earlier worker, then it stays");
+        fixture.poll();
+        fixture.now += Milliseconds{100};
+        endPoll(false);
+        fixture.now += Milliseconds{100};
+        deployment.machines.back().worker = jobs::WorkerId("w0");
+        deployment.list();
+        EXPECT_FALSE(fixture.engine.workers.at(next).isGone);
+        EXPECT_TRUE(fixture.start().empty());
+    }
+}
+
 // Guards against an owner that polls hundreds of dead workers ten times a second, after machines
 // have moved and the responses were lost.
 TEST(Moves, EmptyWorkerWithoutAMachineIsEndedByOneList)
