Keep doubt about a machine's worker from hiding a busy successor

A machine whose idle worker had crashed got a command although its next worker had tasks, which ended them: the row that named the successor had been doubted until it registered, and the machine was taken for empty meanwhile.

A worker without tasks loses none by a row that names another one, so that row counts at once. A machine whose worker is in doubt gets no command.

Moves.SuccessorOfIdleWorkerKeepsTasks failed before.

--- a/src/poplarstream/pools/moves.cpp
+++ b/src/poplarstream/pools/moves.cpp
@@ -27,7 +27,8 @@
 
 bool isMovable(const MachineView &view, TimePoint now)
 {
-    return !view.pending && view.cooldownUntil <= now && view.machine.state == MachineState::Up;
+    return !view.pending && !view.isWorkerDoubted && view.cooldownUntil <= now
+           && view.machine.state == MachineState::Up;
 }
 
 void countReadiness(PoolReadiness &readiness, engine::Engine &engine, const MachineView &view)
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -137,12 +137,11 @@
     if (view.formerWorker && view.formerWorker->id == machine.worker) {
         view.formerWorker.reset();
     }
-    // A worker that is not registered yet has no tasks, and may be the present one.
-    if (machine.worker == known || worker == nullptr) {
+    // A worker that is not registered yet, or has no tasks, loses none.
+    if (machine.worker == known || isEmpty(worker)) {
         return;
     }
-    if (worker->isGone || machine.worker.isEmpty()
-        || hasStartedAfter(engine, machine.worker, *worker)) {
+    if (machine.worker.isEmpty() || hasStartedAfter(engine, machine.worker, *worker)) {
         view.formerWorker = worker->entry.incarnation;
     } else {
         view.machine.worker = known;
@@ -237,7 +236,7 @@
         const Milliseconds delay = view.pending->isInFlight ? outcomeTimeout : resendDelay;
         const bool isDue = !view.pending->isSent || view.pending->sentAt + delay < now;
         const engine::Worker *const worker = workerOf(engine, view.machine);
-        if (isDue && isUp(view.machine) && isEmpty(worker)) {
+        if (isDue && isUp(view.machine) && !view.isWorkerDoubted && isEmpty(worker)) {
             if (!view.pending->isSent && worker != nullptr) {
                 view.pending->worker = worker->entry.incarnation;
             }
@@ -297,7 +296,7 @@
 bool mayBeSent(const Pools &pools, engine::Engine &engine, const MachineCommand &command)
 {
     const auto found = pools.machines.find(command.machine);
-    return found != pools.machines.end() && found->second.pending
+    return found != pools.machines.end() && found->second.pending && !found->second.isWorkerDoubted
            && isEmpty(workerOf(engine, found->second.machine));
 }
 
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -600,6 +600,32 @@
     }
 }
 
+// Guards against a machine command that ends tasks: a worker that crashed without tasks is still
+// taken for the machine's, although its successor is listed and has tasks.
+TEST(Moves, SuccessorOfIdleWorkerKeepsTasks)
+{
+    SCOPED_TRACE("given a list that names the successor of an idle worker before it registers");
+    Deployment deployment(1, 0);
+    engine::test::EngineFixture &fixture = deployment.fixture;
+    fixture.worker("w1").quarantinedUntil = fixture.now + Milliseconds{10'000};
+    fixture.now += Milliseconds{400};
+    deployment.machines.back().worker = jobs::WorkerId("w2");
+    deployment.list();
+    {
+        SCOPED_TRACE("when the successor runs a task, then no wave takes its machine");
+        fixture.now += Milliseconds{100};
+        fixture.addWorker("w2");
+        fixture.poll();
+        fixture.answerPolls();
+        fixture.submit(submission(firstJob, step(1, 1000)));
+        const auto starts = fixture.startAll();
+        ASSERT_EQ(starts.size(), 1U);
+        ASSERT_EQ(starts[0].target.worker.id.text(), "w2");
+        deployment.wave({"m1"}, 1);
+        EXPECT_TRUE(deployment.plan().empty());
+    }
+}
+
 // Guards against an owner that polls hundreds of dead workers ten times a second, after machines
 // have moved and the responses were lost.
 TEST(Moves, EmptyWorkerWithoutAMachineIsEndedByOneList)
