Let all small processes read the ownership logs seldom

Each process reads the log of each shard. Processes whose claim waits for larger ones were to read every 1.5 s, but the limit for this, two reads before a claim, lay within the spread of the claims of entry hosts with 0.12 of a core: 55 of 200 read every 250 ms like the candidates.

They read every 1.45 s, so that two reads fit into the shortest of these claim delays. The new test failed before for 55 of the 200 processes.

--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -65,8 +65,9 @@
     Milliseconds machineCommandRetention{5000};
     // Interval at which a process reads the log if it may be the next owner.
     Milliseconds candidateReadInterval{250};
-    // The same for a process whose claim waits for larger ones. Its claim delay exceeds it.
-    Milliseconds otherReadInterval{1500};
+    // The same for a process whose claim waits for larger ones: short enough for two reads before a
+    // claim of the smallest entry hosts (0.12 of a core beside 0.5), whatever their spread.
+    Milliseconds otherReadInterval{1450};
     // Delay of the first claim in an empty log, divided by the processor share, as processes start
     // at different times.
     Milliseconds firstClaimDelay{200};
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -92,6 +92,25 @@
     EXPECT_EQ(nextStep(small, now), LeadershipStep::None) << "a renewal is read before it claims";
 }
 
+// Guards against calls to the store that cost more than the work of several owners: each of the
+// many small processes of a deployment reads the log of each shard.
+TEST(Leadership, NoSmallProcessReadsAsOftenAsACandidate)
+{
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership large = process("large");
+    large.processorShare = 0.5;
+    log.show(large, now);
+    now += Milliseconds{400};
+    ASSERT_TRUE(log.step(large, now));
+    for (int i = 0; i < 200; ++i) {
+        Leadership small = process("small-" + std::to_string(i));
+        small.processorShare = 0.12;
+        log.show(small, now);
+        EXPECT_EQ(readInterval(small), small.settings.otherReadInterval) << i;
+    }
+}
+
 // Guards against jobs that nobody runs: an owner whose session has failed must not keep renewing.
 TEST(Leadership, AbandonedOwnershipIsResigned)
 {
