Resign the ownership when the store refuses the owner's progress

Found by reading, for the time in which nobody ran the jobs of the large fleet: an owner whose write of progress was refused (fenced, or out of sequence) closed its session but went on renewing the ownership, so that no other process claimed it.

The owner resigns now, and any process may claim. A refused write to the ownership log is followed by a read instead of the next attempt at once, as a resignation is not paced by the renewal interval.

EntryProcess.OwnerWhoseProgressIsRefusedResigns failed before.

--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -96,7 +96,8 @@
     // had confirmations.
     TimePoint unresignedUntil{};
     TimePoint inContactSince{};  // since when the log has been readable
-    // Whether the log is readable now. Without contact, `inContactSince` is that of the time before.
+    // Whether the log is readable now. Without contact, `inContactSince` is that of the time
+    // before.
     bool isInContact = true;
     std::int64_t endOffset = 0;  // of the log, as far as it was read
     bool hasRead = false;
--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -214,7 +214,12 @@
             events.divided(*division);
         }
         events.changed();
-        writeIfDue();
+        if (isStored) {
+            writeIfDue();
+        } else {
+            // What was written instead decides the next step.
+            follower->readSoon(minReadPause);
+        }
     }
 
     Runtime &runtime;
--- a/src/poplarstream/edge/shard_owner.cpp
+++ b/src/poplarstream/edge/shard_owner.cpp
@@ -97,6 +97,9 @@
             leadership->confirm(std::move(machines), std::move(done));
         };
         made.superseded = [this, epoch] {
+            // A write may also be refused although nobody has claimed the ownership. Then this
+            // process would go on renewing it and run nothing.
+            leadership->abandon(epoch);
             supersededEpoch = epoch;
             handleLeadershipChange();
         };
