--- a/src/poplarstream/pools/run_once_simulation_test.cpp
+++ b/src/poplarstream/pools/run_once_simulation_test.cpp
@@ -47,9 +47,9 @@
         unsigned faults;
     };
     // Lists that name an earlier worker of a machine ended the present one.
-    constexpr unsigned withoutWrongAddresses = test::WrongAddresses - 1;
     for (const auto &[seed, faults] :
-         {Regression{20740, withoutWrongAddresses}, Regression{31184, withoutWrongAddresses}}) {
+         {Regression{52, 524287}, Regression{108, 524287}, Regression{344, 524287},
+          Regression{2075, 155656}, Regression{20740, 262143}, Regression{31184, 262143}}) {
         EXPECT_EQ(test::SimulatedDeployment(seed, faults).run(), "")
                 << "seed " << seed << " faults " << faults;
     }
