Parse the record of the division with a bounded depth

scripts/check-json-parsing found a direct call of the parser in the file that came with the shards: an ownership log with a deeply nested record would have been read by every process.

--- a/src/poplarstream/ownership/division.cpp
+++ b/src/poplarstream/ownership/division.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>  // for json
 
+#include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJson
 #include "poplarstream/base/json_value.hpp"  // for integerFrom
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
 
@@ -69,7 +70,7 @@
 
 std::optional<int> decodeDivision(std::string_view text, int partitions)
 {
-    const json value = json::parse(text, nullptr, false);
+    const json value = parseBoundedJson(text).value_or(json());
     if (!value.is_object()) {
         return {};
     }
