Load a shard only when each of its partitions has been read

A partition whose history the store had dropped is read from its beginning again and was counted like another one, so the owner loaded without the partition that was away, dropped the progress of its jobs (event 202), and took the jobs for new ones when the partition was back.

Evidence: in the record of the case the events 202 of exactly these jobs stand 2 s before the partition is back.

Progress without a job is kept and applied when its submission is read.

Why it works: no number of repeated reads makes the set empty while a partition is silent, and a submission with stored progress can no longer look like a job that has never run.

--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -1,7 +1,10 @@
 #include "poplarstream/edge/job_feed.hpp"
 
 #include <algorithm>  // for min
+#include <map>  // for map
+#include <set>  // for set
 #include <unordered_map>  // for unordered_map
+#include <utility>  // for exchange
 
 #include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
@@ -56,45 +59,84 @@
     {
         progressFollower.reset();
         for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
-            if (ownership::shardOfPartition(partition, shard.count) != shard.index) {
-                continue;
+            if (ownership::shardOfPartition(partition, shard.count) == shard.index) {
+                unreadPartitions.insert(partition);
             }
-            FollowerEvents received;
-            received.snapshot =
-                    guarded([](State &self, std::vector<StoredRecord> records, std::int64_t) {
-                        ++self.snapshots;
-                        self.handleJobRecords(std::move(records));
-                    });
-            received.records =
-                    guarded([](State &self, std::vector<StoredRecord> records, std::int64_t) {
-                        self.handleJobRecords(std::move(records));
-                    });
-            FollowerSettings settings;
-            settings.partition = partition;
-            settings.pause = readPause;
-            followers.push_back(std::make_unique<LogFollower>(runtime, Log::Jobs, settings,
-                                                              std::move(received)));
         }
+        // A partition may be read while the others are still being followed.
+        for (const int partition : std::set<int>(unreadPartitions)) {
+            followPartition(partition);
+        }
+    }
+
+    void followPartition(int partition)
+    {
+        FollowerEvents received;
+        received.snapshot = guarded(
+                [partition](State &self, std::vector<StoredRecord> records, std::int64_t) {
+                    self.handleSnapshot(partition, std::move(records));
+                });
+        received.records = guarded(
+                [partition](State &self, std::vector<StoredRecord> records, std::int64_t) {
+                    self.handleJobRecords(partition, std::move(records));
+                });
+        FollowerSettings settings;
+        settings.partition = partition;
+        settings.pause = readPause;
+        followers.push_back(
+                std::make_unique<LogFollower>(runtime, Log::Jobs, settings, std::move(received)));
+    }
+
+    // A partition may be read from its beginning again at any time, also while another one has not
+    // been read at all.
+    void handleSnapshot(int partition, std::vector<StoredRecord> records)
+    {
+        unreadPartitions.erase(partition);
+        recordsRead[partition].clear();
+        handleJobRecords(partition, std::move(records));
     }
 
-    void handleJobRecords(std::vector<StoredRecord> records)
+    void handleJobRecords(int partition, std::vector<StoredRecord> records)
     {
         if (isLoaded) {
             const LoadMeter::Section section(runtime.load, OwnerWork::Feed);
             for (const StoredRecord &record : records) {
                 applyJobRecord(engine, record, clockReadingNow());
+                adoptLateJob(record);
             }
             events.changed();
             return;
         }
-        submissions.insert(submissions.end(), std::make_move_iterator(records.begin()),
-                           std::make_move_iterator(records.end()));
-        if (!isLoading && snapshots >= runtime.settings.jobPartitions / shard.count) {
-            isLoading = true;
-            loadSlice();
+        std::vector<StoredRecord> &read = isLoading ? submissions : recordsRead[partition];
+        read.insert(read.end(), std::make_move_iterator(records.begin()),
+                    std::make_move_iterator(records.end()));
+        if (!isLoading && unreadPartitions.empty()) {
+            beginLoading();
         }
     }
 
+    void beginLoading()
+    {
+        isLoading = true;
+        for (auto &[partition, records] : std::exchange(recordsRead, {})) {
+            submissions.insert(submissions.end(), std::make_move_iterator(records.begin()),
+                               std::make_move_iterator(records.end()));
+        }
+        loadSlice();
+    }
+
+    // A job whose progress was stored before its submission was read has run.
+    void adoptLateJob(const StoredRecord &record)
+    {
+        const auto found = progressWithoutJob.find(record.key);
+        if (found == progressWithoutJob.end() || !record.value) {
+            return;
+        }
+        adoptStoredProgress(engine, found->second, renewedAt, steadyNow());
+        progressWithoutJob.erase(found);
+        stopEndedJobs(engine, steadyNow());
+    }
+
     // All partitions have been read up to here.
     TimePoint currentAsOf() const
     {
@@ -156,6 +198,9 @@
             }
         }
         if (isJobRecord(record)) {
+            if (record.value && engine::findJob(engine, jobs::JobId(record.key)) == nullptr) {
+                progressWithoutJob.emplace(record.key, record);
+            }
             adoptStoredProgress(engine, record, renewedAt, steadyNow());
         } else {
             events.otherRecord(record);
@@ -180,7 +225,9 @@
     std::unique_ptr<LogFollower> progressFollower;
     std::vector<std::unique_ptr<LogFollower>>
             followers;  // of the shard's partitions of the job log
-    int snapshots = 0;  // partitions of which a snapshot has been read
+    std::set<int> unreadPartitions;  // those of which no snapshot has been read
+    std::map<int, std::vector<StoredRecord>> recordsRead;  // by partition, until all are read
+    std::unordered_map<std::string, StoredRecord> progressWithoutJob;  // by the key of the job
     std::vector<StoredRecord> progress;
     std::vector<StoredRecord> submissions;
     std::unordered_map<std::string, jobs::JobState> settled;  // by the key of the job
--- a/src/poplarstream/edge/job_feed_test.cpp
+++ b/src/poplarstream/edge/job_feed_test.cpp
@@ -1,5 +1,9 @@
 #include "poplarstream/edge/job_feed.hpp"
 
+#include <algorithm>  // for any_of
+#include <map>  // for map
+#include <utility>  // for exchange
+
 #include <fmt/format.h>  // for format
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
@@ -108,6 +112,178 @@
     }
 }
 
+// A store whose reads of the job log are answered by the test, one partition at a time.
+struct SlowStore
+{
+    std::map<int, std::function<void(NewestOutcome)>> snapshotReads;
+    std::map<int, std::function<void(ReadOutcome)>> reads;
+    std::vector<StoredRecord> jobRecords;
+
+    StorePort port(std::vector<StoredRecord> progress)
+    {
+        StorePort made;
+        made.newest = [this, progress = std::move(progress)](Log log, int partition,
+                                                             const std::string &, auto done) {
+            if (log == Log::Jobs) {
+                snapshotReads[partition] = std::move(done);
+                return;
+            }
+            NewestOutcome outcome;
+            outcome.isRead = true;
+            outcome.records = progress;
+            done(outcome);
+        };
+        made.read = [this](const ReadRequest &request, auto done) {
+            if (request.log == Log::Jobs) {
+                reads[request.partition] = std::move(done);
+            }
+        };
+        return made;
+    }
+
+    void answerSnapshot(int partition)
+    {
+        NewestOutcome outcome;
+        outcome.isRead = true;
+        for (const StoredRecord &record : jobRecords) {
+            if (jobPartition(record, partitions) == partition) {
+                outcome.records.push_back(record);
+            }
+        }
+        std::exchange(snapshotReads.at(partition), {})(outcome);
+    }
+
+    void forgetHistory(int partition)
+    {
+        ReadOutcome outcome;
+        outcome.result = ReadResult::Expired;
+        std::exchange(reads.at(partition), {})(outcome);
+    }
+
+    void appendRecord(const StoredRecord &record)
+    {
+        ReadOutcome outcome;
+        outcome.result = ReadResult::Records;
+        outcome.records = {record};
+        std::exchange(reads.at(jobPartition(record, partitions)), {})(outcome);
+    }
+};
+
+// A feed of the only shard and the engine that it loads into.
+struct LoadingFeed
+{
+    boost::asio::io_context io;
+    Runtime runtime{io, {}, {}, {}, {}, {}, {}};
+    engine::Engine engine;
+    bool isLoaded = false;
+    std::unique_ptr<JobFeed> feed;
+
+    explicit LoadingFeed(StorePort store)
+    {
+        runtime.store = std::move(store);
+        runtime.settings.jobPartitions = partitions;
+        JobFeedEvents events;
+        events.otherRecord = [](const StoredRecord &) {};
+        events.loaded = [this] { isLoaded = true; };
+        events.changed = [] {};
+        feed = std::make_unique<JobFeed>(runtime, ownership::Shard{}, engine, timePoint(0),
+                                         std::move(events));
+        settle();
+    }
+
+    void settle()
+    {
+        io.restart();
+        io.poll();
+    }
+
+    std::optional<jobs::JobState> stateOf(const std::string &id) const
+    {
+        return engine::stateOf(engine, engine::QueueId("proofs"), jobs::JobId(id));
+    }
+};
+
+// One id for each partition of the job log.
+std::vector<std::string> idsByPartition()
+{
+    std::vector<std::string> ids(partitions);
+    for (int number = 0; std::any_of(ids.begin(), ids.end(),
+                                     [](const std::string &id) { return id.empty(); });
+         ++number) {
+        const std::string id = fmt::format("{:016x}", number);
+        ids[static_cast<std::size_t>(jobPartition(jobs::JobId(id), partitions))] = id;
+    }
+    return ids;
+}
+
+// Guards against completed jobs that run again: a new owner must not take over before it has read
+// each partition, however often the store makes it read another one anew.
+TEST(JobFeed, EachPartitionIsReadBeforeTheTakeover)
+{
+    SCOPED_TRACE("given a completed job in each partition of the job log");
+    SlowStore store;
+    std::vector<StoredRecord> progress;
+    const std::vector<std::string> ids = idsByPartition();
+    for (const std::string &id : ids) {
+        store.jobRecords.push_back(submissionRecord(submission(id, step(2, 1000))));
+        progress.push_back({id, progressOf(id, jobs::JobState::Completed, false), 0});
+    }
+    for (int awayCount = 1; awayCount < partitions; ++awayCount) {
+        LoadingFeed loading(store.port(progress));
+        {
+            SCOPED_TRACE(fmt::format("when {} partitions are away and the store forgets the "
+                                     "history of the others several times",
+                                     awayCount));
+            for (int partition = awayCount; partition < partitions; ++partition) {
+                store.answerSnapshot(partition);
+                for (int time = 0; time < 2 * partitions; ++time) {
+                    store.forgetHistory(partition);
+                    store.answerSnapshot(partition);
+                }
+            }
+            loading.settle();
+            EXPECT_FALSE(loading.isLoaded);
+        }
+        {
+            SCOPED_TRACE("then the feed has loaded once the others have been read");
+            for (int partition = 0; partition < awayCount; ++partition) {
+                EXPECT_FALSE(loading.isLoaded);
+                store.answerSnapshot(partition);
+                loading.settle();
+            }
+            EXPECT_TRUE(loading.isLoaded);
+        }
+        {
+            SCOPED_TRACE("and each job is known as completed, with nothing to run");
+            for (const std::string &id : ids) {
+                EXPECT_EQ(loading.stateOf(id), jobs::JobState::Completed) << id;
+            }
+            EXPECT_TRUE(loading.engine.active.empty());
+        }
+    }
+}
+
+// Guards against a second run of a job whose submission is read later than its stored progress.
+TEST(JobFeed, ProgressWithoutAJobIsKeptForIt)
+{
+    SCOPED_TRACE("given stored progress of a completed job whose submission is not in the log");
+    SlowStore store;
+    LoadingFeed loading(store.port({{firstJob, progressOf(firstJob, jobs::JobState::Completed,
+                                                          false),
+                                     0}}));
+    for (int partition = 0; partition < partitions; ++partition) {
+        store.answerSnapshot(partition);
+    }
+    loading.settle();
+    ASSERT_TRUE(loading.isLoaded);
+    EXPECT_FALSE(loading.stateOf(firstJob));
+    {
+        SCOPED_TRACE("when the submission is read");
+        store.appendRecord(submissionRecord(submission(firstJob, step(2, 1000))));
+        EXPECT_EQ(loading.stateOf(firstJob), jobs::JobState::Completed);
+    }
+}
+
 // Guards against a job that two owners run: the owner of a shard loads the jobs of its partitions
 // only, and their progress from the shard's partition of the progress log.
 TEST(JobFeed, OwnersLoadTheJobsOfTheirShard)
