Ignore submissions of jobs that are being deleted

What callers could see: a job that was completed long ago runs again.

An owner forgets a job at the end of its retention and deletes its submission afterwards. If the store takes the deletion late and the partition is read from its beginning meanwhile (its history was dropped), the submission is read again and was taken for a new job.

Change: the engine remembers the jobs that are being deleted and ignores their submissions until the feed has read the deletion, or the newest records of the partition without the job.

Why it works: a submission that is read before its deletion belongs to the forgotten job; one that follows the deletion in the log does not.

Tests: JobFeed.JobsBeingDeletedDoNotReturn failed without the change of submitJob.

--- a/include/poplarstream/edge/stored_jobs.hpp
+++ b/include/poplarstream/edge/stored_jobs.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <span>  // for span
 #include <string>  // for string
 #include <vector>  // for vector
 
@@ -25,6 +26,10 @@
 void applyJobRecord(engine::Engine &engine, const StoredRecord &record,
                     const engine::ClockReading &now);
 
+// Confirms the deletion of forgotten jobs of a partition that are not in its newest records.
+void confirmDeletions(engine::Engine &engine, std::span<const StoredRecord> newest, int partition,
+                      int partitions);
+
 // Whether a record of the progress log belongs to a job.
 bool isJobRecord(const StoredRecord &record);
 
--- a/include/poplarstream/engine/job_events.hpp
+++ b/include/poplarstream/engine/job_events.hpp
@@ -15,12 +15,15 @@
     std::int64_t unixMs = 0;
 };
 
-// Adds an accepted job. Does nothing if the job is already known.
+// Adds an accepted job. Does nothing if the job is already known or is being deleted.
 void submitJob(Engine &engine, jobs::Submission submission, const ClockReading &now);
 
 // Cancels a job. A cancellation that is read before its submission applies once that is read.
 void cancelJob(Engine &engine, const JobId &id, TimePoint now);
 
+// Notes that the submission of a forgotten job is no longer in the job log.
+void confirmDeletion(Engine &engine, const JobId &id);
+
 // Applies the progress that a previous owner stored. The attempts in it may still run: each counts
 // as running until its worker responds, at the latest until `lapsedAt`.
 Result<bool> adoptProgress(Engine &engine, const JobId &id, std::string_view text,
--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -72,12 +72,12 @@
     void followPartition(int partition)
     {
         FollowerEvents received;
-        received.snapshot = guarded(
-                [partition](State &self, std::vector<StoredRecord> records, std::int64_t) {
+        received.snapshot =
+                guarded([partition](State &self, std::vector<StoredRecord> records, std::int64_t) {
                     self.handleSnapshot(partition, std::move(records));
                 });
-        received.records = guarded(
-                [partition](State &self, std::vector<StoredRecord> records, std::int64_t) {
+        received.records =
+                guarded([partition](State &self, std::vector<StoredRecord> records, std::int64_t) {
                     self.handleJobRecords(partition, std::move(records));
                 });
         FollowerSettings settings;
@@ -93,6 +93,7 @@
     {
         unreadPartitions.erase(partition);
         recordsRead[partition].clear();
+        confirmDeletions(engine, records, partition, runtime.settings.jobPartitions);
         handleJobRecords(partition, std::move(records));
     }
 
--- a/src/poplarstream/edge/job_feed_test.cpp
+++ b/src/poplarstream/edge/job_feed_test.cpp
@@ -9,6 +9,7 @@
 
 #include "poplarstream/edge/stored_jobs.hpp"  // for submissionRecord, cancellationRecord
 #include "poplarstream/engine/engine_fixture.hpp"  // for submission, step
+#include "poplarstream/engine/job_events.hpp"  // for tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf
 #include "poplarstream/jobs/codec.hpp"  // for encodeProgress
 #include "poplarstream/jobs/commands.hpp"  // for makeJob
@@ -178,9 +179,9 @@
     bool isLoaded = false;
     std::unique_ptr<JobFeed> feed;
 
-    explicit LoadingFeed(StorePort store)
+    LoadingFeed(SlowStore &store, std::vector<StoredRecord> progress)
     {
-        runtime.store = std::move(store);
+        runtime.store = store.port(std::move(progress));
         runtime.settings.jobPartitions = partitions;
         JobFeedEvents events;
         events.otherRecord = [](const StoredRecord &) {};
@@ -188,13 +189,15 @@
         events.changed = [] {};
         feed = std::make_unique<JobFeed>(runtime, ownership::Shard{}, engine, timePoint(0),
                                          std::move(events));
-        settle();
+        runUntil([&store] { return store.snapshotReads.size() == partitions; });
     }
 
-    void settle()
+    void runUntil(const std::function<bool()> &isReached)
     {
         io.restart();
-        io.poll();
+        while (!isReached()) {
+            io.run_one();
+        }
     }
 
     std::optional<jobs::JobState> stateOf(const std::string &id) const
@@ -207,8 +210,8 @@
 std::vector<std::string> idsByPartition()
 {
     std::vector<std::string> ids(partitions);
-    for (int number = 0; std::any_of(ids.begin(), ids.end(),
-                                     [](const std::string &id) { return id.empty(); });
+    for (int number = 0;
+         std::any_of(ids.begin(), ids.end(), [](const std::string &id) { return id.empty(); });
          ++number) {
         const std::string id = fmt::format("{:016x}", number);
         ids[static_cast<std::size_t>(jobPartition(jobs::JobId(id), partitions))] = id;
@@ -221,15 +224,17 @@
 TEST(JobFeed, EachPartitionIsReadBeforeTheTakeover)
 {
     SCOPED_TRACE("given a completed job in each partition of the job log");
-    SlowStore store;
+    std::vector<StoredRecord> jobRecords;
     std::vector<StoredRecord> progress;
     const std::vector<std::string> ids = idsByPartition();
     for (const std::string &id : ids) {
-        store.jobRecords.push_back(submissionRecord(submission(id, step(2, 1000))));
+        jobRecords.push_back(submissionRecord(submission(id, step(2, 1000))));
         progress.push_back({id, progressOf(id, jobs::JobState::Completed, false), 0});
     }
     for (int awayCount = 1; awayCount < partitions; ++awayCount) {
-        LoadingFeed loading(store.port(progress));
+        SlowStore store;
+        store.jobRecords = jobRecords;
+        LoadingFeed loading(store, progress);
         {
             SCOPED_TRACE(fmt::format("when {} partitions are away and the store forgets the "
                                      "history of the others several times",
@@ -241,7 +246,6 @@
                     store.answerSnapshot(partition);
                 }
             }
-            loading.settle();
             EXPECT_FALSE(loading.isLoaded);
         }
         {
@@ -249,7 +253,6 @@
             for (int partition = 0; partition < awayCount; ++partition) {
                 EXPECT_FALSE(loading.isLoaded);
                 store.answerSnapshot(partition);
-                loading.settle();
             }
             EXPECT_TRUE(loading.isLoaded);
         }
@@ -268,13 +271,11 @@
 {
     SCOPED_TRACE("given stored progress of a completed job whose submission is not in the log");
     SlowStore store;
-    LoadingFeed loading(store.port({{firstJob, progressOf(firstJob, jobs::JobState::Completed,
-                                                          false),
-                                     0}}));
+    LoadingFeed loading(store,
+                        {{firstJob, progressOf(firstJob, jobs::JobState::Completed, false), 0}});
     for (int partition = 0; partition < partitions; ++partition) {
         store.answerSnapshot(partition);
     }
-    loading.settle();
     ASSERT_TRUE(loading.isLoaded);
     EXPECT_FALSE(loading.stateOf(firstJob));
     {
@@ -284,6 +285,60 @@
     }
 }
 
+// A feed that has loaded a completed job and whose owner has forgotten it since.
+std::unique_ptr<LoadingFeed> feedWithForgottenJob(SlowStore &store)
+{
+    store.jobRecords = {submissionRecord(submission(firstJob, step(2, 1000)))};
+    auto loading = std::make_unique<LoadingFeed>(
+            store, std::vector<StoredRecord>{
+                           {firstJob, progressOf(firstJob, jobs::JobState::Completed, false), 0}});
+    for (int partition = 0; partition < partitions; ++partition) {
+        store.answerSnapshot(partition);
+    }
+    engine::Engine &engine = loading->engine;
+    engine::tickJobs(engine, {steadyNow() + engine.limits.statusRetention * 3, 0});
+    return loading;
+}
+
+// Guards against a second run of a job that is being deleted: its submission may be read again
+// before the deletion is stored.
+TEST(JobFeed, JobsBeingDeletedDoNotReturn)
+{
+    SCOPED_TRACE("given a completed job that its owner has forgotten");
+    const int partition = jobPartition(jobs::JobId(firstJob), partitions);
+    {
+        SCOPED_TRACE("when the store forgets its history before the deletion is stored");
+        SlowStore store;
+        const auto loading = feedWithForgottenJob(store);
+        ASSERT_FALSE(loading->stateOf(firstJob));
+        store.forgetHistory(partition);
+        store.answerSnapshot(partition);
+        {
+            SCOPED_TRACE("then the job does not return");
+            EXPECT_FALSE(loading->stateOf(firstJob));
+            EXPECT_TRUE(loading->engine.active.empty());
+        }
+        {
+            SCOPED_TRACE("but its id can be used again once the deletion has been read");
+            store.appendRecord({firstJob, {}, 0});
+            loading->runUntil([&] { return store.reads[partition] != nullptr; });
+            store.appendRecord(store.jobRecords[0]);
+            EXPECT_EQ(loading->stateOf(firstJob), jobs::JobState::Queued);
+        }
+    }
+    {
+        SCOPED_TRACE("when a snapshot without the job is read, its id can be used again, too");
+        SlowStore store;
+        const auto loading = feedWithForgottenJob(store);
+        const StoredRecord submitted = store.jobRecords[0];
+        store.jobRecords.clear();
+        store.forgetHistory(partition);
+        store.answerSnapshot(partition);
+        store.appendRecord(submitted);
+        EXPECT_EQ(loading->stateOf(firstJob), jobs::JobState::Queued);
+    }
+}
+
 // Guards against a job that two owners run: the owner of a shard loads the jobs of its partitions
 // only, and their progress from the shard's partition of the progress log.
 TEST(JobFeed, OwnersLoadTheJobsOfTheirShard)
--- a/src/poplarstream/edge/stored_jobs.cpp
+++ b/src/poplarstream/edge/stored_jobs.cpp
@@ -1,5 +1,7 @@
 #include "poplarstream/edge/stored_jobs.hpp"
 
+#include <set>  // for set
+
 #include <fmt/format.h>  // for to_string
 
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
@@ -56,7 +58,8 @@
                     const engine::ClockReading &now)
 {
     if (!record.value) {
-        return;  // deleted by an owner after the retention of the job
+        engine::confirmDeletion(engine, jobs::JobId(record.key));
+        return;
     }
     if (record.key.ends_with(cancellationSuffix)) {
         engine::cancelJob(engine, jobs::JobId(record.key.substr(0, record.key.size() - 1)),
@@ -71,6 +74,21 @@
     engine::submitJob(engine, std::move(submission).value(), now);
 }
 
+void confirmDeletions(engine::Engine &engine, std::span<const StoredRecord> newest, int partition,
+                      int partitions)
+{
+    std::set<std::string> keys;
+    for (const StoredRecord &record : newest) {
+        keys.insert(record.key);
+    }
+    const std::set<jobs::JobId> beingDeleted = engine.beingDeleted;
+    for (const jobs::JobId &id : beingDeleted) {
+        if (jobPartition(id, partitions) == partition && !keys.contains(id.text())) {
+            engine::confirmDeletion(engine, id);
+        }
+    }
+}
+
 bool isJobRecord(const StoredRecord &record)
 {
     return record.key.find('/') == std::string::npos;
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -63,6 +63,7 @@
         engine.waiting.erase(job);
         engine.jobs.erase(id);
         engine.forgotten.push_back(id);
+        engine.beingDeleted.insert(id);
     }
 }
 
@@ -101,7 +102,7 @@
 void submitJob(Engine &engine, jobs::Submission submission, const ClockReading &now)
 {
     const JobId id = submission.id;
-    if (engine.jobs.contains(id)) {
+    if (engine.jobs.contains(id) || engine.beingDeleted.contains(id)) {
         return;
     }
     jobs::Job &job = engine.jobs[id];
@@ -136,7 +137,8 @@
 {
     jobs::Job *const job = findJob(engine, id);
     if (job == nullptr) {
-        if (engine.cancelledEarly.size() < maxEarlyCancellations) {
+        if (!engine.beingDeleted.contains(id)
+            && engine.cancelledEarly.size() < maxEarlyCancellations) {
             engine.cancelledEarly.insert(id);
         }
         return;
@@ -149,6 +151,11 @@
     }
 }
 
+void confirmDeletion(Engine &engine, const JobId &id)
+{
+    engine.beingDeleted.erase(id);
+}
+
 Result<bool> adoptProgress(Engine &engine, const JobId &id, std::string_view text,
                            TimePoint lapsedAt, TimePoint now)
 {
