Store the progress of large jobs in records that the store takes

Cause: the progress of a job was one record that grew with its tasks, and the limit of the store was not known. The store refused the record for good; the owner took that for an outage and repeated the batch every 100 ms, while everything else waited behind it.

Ruled out: the size of the call, and an owner that is too slow (it renewed in time).

Change: progress of large jobs is stored in several records, of which only those that change are written; batches are split by the size of a call; a refusal for good is told from an outage, traced to the record by halving the call, and costs that job alone; submissions that can't be stored are refused with 400. maxRecordBytes and maxCallBytes come from the settings.

Why it works: no record grows beyond a group of tasks of bounded size, and no record can hold up another one.

--- a/include/poplarstream/edge/group_append.hpp
+++ b/include/poplarstream/edge/group_append.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>  // for size_t
 #include <functional>  // for function
 #include <memory>  // for shared_ptr
 #include <vector>  // for vector
@@ -10,11 +11,13 @@
 
 // Appends to one partition of the job log with a few calls at a time; records that arrive meanwhile
 // share the next call. The store processes the appends of a log one by one, so a slow store would
-// reject callers if each had a call of its own.
+// reject callers if each had a call of its own. Records that the store refuses for good do not
+// affect those that shared their call.
 class GroupAppend
 {
 public:
-    GroupAppend(StorePort store, int partition, Milliseconds deadline);
+    // `maxCallBytes` is what the store takes in one call.
+    GroupAppend(StorePort store, int partition, Milliseconds deadline, std::size_t maxCallBytes);
     GroupAppend(const GroupAppend &) = delete;
     GroupAppend &operator=(const GroupAppend &) = delete;
     ~GroupAppend();
--- a/include/poplarstream/edge/ports.hpp
+++ b/include/poplarstream/edge/ports.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>  // for size_t
 #include <cstdint>  // for int64_t
 #include <functional>  // for function
 #include <map>  // for map
@@ -32,6 +33,9 @@
     std::int64_t offset = 0;
 };
 
+// The bytes that a record takes of those that one write to the store may have.
+std::size_t storedBytes(const StoredRecord &record);
+
 // Identifies the writer, so that the store rejects writes of a superseded owner and deduplicates
 // retries.
 struct Producer
@@ -57,6 +61,7 @@
     Fenced,  // a producer with a higher epoch has written
     OutOfSequence,
     NotDone,  // nothing was written and nothing will be
+    Refused,  // as NotDone, and the same records will never be written
     Unknown,  // no response: it was written, will be, or was lost
 };
 
--- a/include/poplarstream/edge/settings.hpp
+++ b/include/poplarstream/edge/settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>  // for size_t
 #include <string>  // for string
 #include <vector>  // for vector
 
@@ -27,6 +28,7 @@
     HttpEndpoint advisor;
     std::vector<HttpEndpoint> seeds;  // control addresses of some entry hosts
     int jobPartitions = 1;  // of the job log; the same for all entry hosts
+    std::size_t maxCallBytes = 2'097'152;  // of the records of a write to the store, all together
     double processorShare = 1.0;  // of a core
     engine::EngineLimits limits;
     Milliseconds grace{6000};  // between the stop signal and the kill signal
--- a/include/poplarstream/edge/stored_jobs.hpp
+++ b/include/poplarstream/edge/stored_jobs.hpp
@@ -33,10 +33,14 @@
 // Whether a record of the progress log belongs to a job.
 bool isJobRecord(const StoredRecord &record);
 
-// Applies the progress of a job that an earlier owner stored. The attempts may run on until their
-// leases expire, which were renewed at `renewedAt` at the latest.
-void adoptStoredProgress(engine::Engine &engine, const StoredRecord &record, TimePoint renewedAt,
-                         TimePoint now);
+// Whether it is the one under the id of the job.
+bool isHeadRecord(const StoredRecord &record);
+
+// Applies the progress of a job that an earlier owner stored: all of its records, ordered by key.
+// The attempts may run on until their leases expire, which were renewed at `renewedAt` at the
+// latest.
+void adoptStoredProgress(engine::Engine &engine, std::span<const StoredRecord> records,
+                         TimePoint renewedAt, TimePoint now);
 
 // Stops the attempts that are left of jobs that have ended.
 void stopEndedJobs(engine::Engine &engine, TimePoint now);
--- a/include/poplarstream/engine/job_events.hpp
+++ b/include/poplarstream/engine/job_events.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>  // for int64_t
+#include <span>  // for span
 #include <string_view>  // for string_view
 
 #include "poplarstream/base/result.hpp"  // for Result
@@ -26,8 +27,11 @@
 
 // Applies the progress that a previous owner stored. The attempts in it may still run: each counts
 // as running until its worker responds, at the latest until `lapsedAt`.
-Result<bool> adoptProgress(Engine &engine, const JobId &id, std::string_view text,
-                           TimePoint lapsedAt, TimePoint now);
+//
+// `head` is the value under the id of the job, `parts` are its other records, the oldest first.
+Result<bool> adoptProgress(Engine &engine, const JobId &id, std::string_view head,
+                           TimePoint lapsedAt, TimePoint now,
+                           std::span<const ProgressRecord> parts = {});
 
 // Adds a job of which only the state is of interest, since it has ended and nothing of it runs.
 void adoptSettledJob(Engine &engine, const JobId &id, const QueueId &queue, jobs::JobState state,
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -14,16 +14,18 @@
 #include "poplarstream/engine/job_set.hpp"  // for JobSet
 #include "poplarstream/engine/worker_commands.hpp"  // for Command
 #include "poplarstream/jobs/model.hpp"  // for Job, JobId, WorkerIncarnation, Resources, TaskRef
+#include "poplarstream/jobs/progress_records.hpp"  // for ProgressRecord
 
 namespace poplarstream::engine {
 
 using jobs::JobId;
+using jobs::ProgressRecord;
 using jobs::QueueId;
 using jobs::TaskRef;
 using jobs::WorkerId;
 using jobs::WorkerIncarnation;
 
-// Time limits of the deployment.
+// Limits of the deployment.
 struct EngineLimits
 {
     Milliseconds lease{5000};  // a worker without renewal stops its tasks after this
@@ -34,6 +36,7 @@
     Milliseconds machineLease{3000};  // minimum time before another owner may command a machine
     Milliseconds migration{1500};  // duration of a machine move
     Milliseconds maintenance{2000};  // duration of a machine's maintenance
+    std::size_t maxRecordBytes = 262'144;  // that the store takes, key and value
 };
 
 // A worker's entry in the registry.
@@ -180,13 +183,6 @@
     static constexpr std::int64_t bumpsPerEpoch = std::int64_t{1} << 32;
 };
 
-// A record for the store. Without a value it deletes the key.
-struct ProgressRecord
-{
-    std::string key;
-    std::optional<std::string> value;
-};
-
 // Changes that are written together. They take effect when the write is durable.
 struct Batch
 {
--- a/include/poplarstream/jobs/commands.hpp
+++ b/include/poplarstream/jobs/commands.hpp
@@ -14,6 +14,10 @@
 // Adds one occurrence.
 Occurrence &openOccurrence(Job &job, int number, TimePoint dueAt);
 
+// Counts the occurrences that are done anew, after their tasks have been read. Completes the job if
+// all of them are.
+void recountOccurrences(Job &job);
+
 // The effect of a completion on its job.
 struct CompletionEffect
 {
@@ -52,4 +56,7 @@
 // Marks the job as cancelled. Returns false if it was already final.
 bool cancelJob(Job &job, TimePoint now);
 
+// Ends a job that can't be carried out. Returns false if it had ended.
+bool failJob(Job &job, TimePoint now);
+
 }  // namespace poplarstream::jobs
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -163,6 +163,8 @@
     TimePoint acceptedAt{};
     TimePoint endedAt{};
     bool isDirty = false;  // differs from the stored progress
+    // Hashes of the stored records of its progress, but for the one under its id.
+    std::map<std::string, std::uint64_t> storedParts;
     std::array<std::size_t, jobIndexes> places{notInIndex, notInIndex, notInIndex};  // by JobIndex
 };
 
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -221,5 +221,9 @@
         "Find out who writes the entry. Its worker gets no new task until a usable entry comes; "
         "the "
         "other workers are used as before. Written once for an entry until it is removed."};
+inline constexpr EventKind progressRefused{
+        746, EventLevel::Error, "progress-refused", "key",
+        "Report it: the store refuses this record of the progress for good. If it belongs to a "
+        "job, the job fails; all others go on."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -151,7 +151,12 @@
         }
         respond(response);
     };
-    store(submissionRecord(submission), ResponseKind::Accepted, call.remaining, logAndRespond);
+    const StoredRecord record = submissionRecord(submission);
+    if (storedBytes(record) > runtime_.settings.limits.maxRecordBytes) {
+        logAndRespond(makeResponse(ResponseKind::BadRequest, "the job is too large to be stored"));
+        return;
+    }
+    store(record, ResponseKind::Accepted, call.remaining, logAndRespond);
 }
 
 void CallerHandler::cancel(const jobs::JobId &id, const Call &call, const Respond &respond)
@@ -248,6 +253,10 @@
             respond(makeResponse(successKind));
             return;
         }
+        if (outcome.result == AppendResult::Refused) {
+            respond(makeResponse(ResponseKind::BadRequest, "the store refuses the record"));
+            return;
+        }
         storeThroughOwner(record, successKind, outcome.result, remaining - (steadyNow() - sentAt),
                           respond);
     });
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -38,8 +38,8 @@
                                   }})
     {
         for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
-            peerAppends.push_back(
-                    std::make_unique<GroupAppend>(runtime.store, partition, peerStoreDeadline));
+            peerAppends.push_back(std::make_unique<GroupAppend>(
+                    runtime.store, partition, peerStoreDeadline, runtime.settings.maxCallBytes));
         }
     }
 
@@ -265,9 +265,10 @@
         GroupAppend &appends = *peerAppends[static_cast<std::size_t>(partition)];
         appends.append(request.records, [done = std::move(done)](const AppendOutcome &outcome) {
             const AppendResult result = outcome.result;
-            done({result == AppendResult::Stored    ? PeerResponse::Kind::Stored
-                  : result == AppendResult::NotDone ? PeerResponse::Kind::NotStored
-                                                    : PeerResponse::Kind::NoResponse});
+            done({result == AppendResult::Stored ? PeerResponse::Kind::Stored
+                  : result == AppendResult::NotDone || result == AppendResult::Refused
+                          ? PeerResponse::Kind::NotStored
+                          : PeerResponse::Kind::NoResponse});
         });
     }
 
--- a/src/poplarstream/edge/group_append.cpp
+++ b/src/poplarstream/edge/group_append.cpp
@@ -1,7 +1,7 @@
 #include "poplarstream/edge/group_append.hpp"
 
+#include <algorithm>  // for min
 #include <deque>  // for deque
-#include <iterator>  // for make_move_iterator
 
 #include "poplarstream/edge/closable.hpp"  // for Closable
 
@@ -11,14 +11,14 @@
 
 // More than one, so that a lost response does not delay the records after it.
 constexpr int maxCallsInFlight = 4;
-// A call takes further records until it has this size. The store accepts up to 2 MB.
+// A call takes further records up to this size, so that none waits for the transfer of many others.
 constexpr std::size_t targetBytesPerCall = 1'000'000;
 
 std::size_t sizeOf(const std::vector<StoredRecord> &records)
 {
     std::size_t bytes = 0;
     for (const StoredRecord &record : records) {
-        bytes += record.key.size() + (record.value ? record.value->size() : 0);
+        bytes += storedBytes(record);
     }
     return bytes;
 }
@@ -33,14 +33,34 @@
     {
         std::vector<StoredRecord> records;
         Done done;
+        bool isAlone = false;  // shares no call
     };
 
-    State(StorePort port, int part, Milliseconds callDeadline)
+    State(StorePort port, int part, Milliseconds callDeadline, std::size_t maxCallBytes)
         : store(std::move(port))
         , partition(part)
         , deadline(callDeadline)
+        , maxBytes(std::min(maxCallBytes, targetBytesPerCall))
     {}
 
+    // Removes the entries that share the next call: a single one has any size.
+    std::vector<Entry> takeEntries()
+    {
+        std::vector<Entry> entries;
+        std::size_t bytes = 0;
+        while (!waiting.empty()) {
+            bytes += sizeOf(waiting.front().records);
+            const bool mayShare = bytes <= maxBytes && !waiting.front().isAlone
+                                  && (entries.empty() || !entries.front().isAlone);
+            if (!entries.empty() && !mayShare) {
+                break;
+            }
+            entries.push_back(std::move(waiting.front()));
+            waiting.pop_front();
+        }
+        return entries;
+    }
+
     void sendNext()
     {
         if (waiting.empty() || callsInFlight >= maxCallsInFlight) {
@@ -50,38 +70,46 @@
         request.log = Log::Jobs;
         request.partition = partition;
         request.deadline = deadline;
-        std::vector<Done> callbacks;
-        std::size_t bytes = 0;
-        while (!waiting.empty() && bytes < targetBytesPerCall) {
-            Entry entry = std::move(waiting.front());
-            waiting.pop_front();
-            bytes += sizeOf(entry.records);
-            request.records.insert(request.records.end(),
-                                   std::make_move_iterator(entry.records.begin()),
-                                   std::make_move_iterator(entry.records.end()));
-            callbacks.push_back(std::move(entry.done));
+        std::vector<Entry> entries = takeEntries();
+        for (const Entry &entry : entries) {
+            request.records.insert(request.records.end(), entry.records.begin(),
+                                   entry.records.end());
         }
         ++callsInFlight;
         store.append(std::move(request),
-                     this->guarded([callbacks = std::move(callbacks)](
-                                           State &self, const AppendOutcome &outcome) {
+                     this->guarded([entries = std::move(entries)](State &self,
+                                                                  const AppendOutcome &outcome) {
                          --self.callsInFlight;
-                         for (const Done &done : callbacks) {
-                             done(outcome);
-                         }
+                         self.finish(entries, outcome);
                          self.sendNext();
                      }));
     }
 
+    // If the store refuses what shared a call, one record may be the cause: each is sent again in a
+    // call of its own.
+    void finish(const std::vector<Entry> &entries, const AppendOutcome &outcome)
+    {
+        const bool isShared = entries.size() > 1;
+        for (const Entry &entry : entries) {
+            if (outcome.result == AppendResult::Refused && isShared) {
+                waiting.push_back({entry.records, entry.done, true});
+            } else {
+                entry.done(outcome);
+            }
+        }
+    }
+
     StorePort store;
     int partition;
     Milliseconds deadline;
+    std::size_t maxBytes;  // of a shared call
     std::deque<Entry> waiting;
     int callsInFlight = 0;
 };
 
-GroupAppend::GroupAppend(StorePort store, int partition, Milliseconds deadline)
-    : state_(std::make_shared<State>(std::move(store), partition, deadline))
+GroupAppend::GroupAppend(StorePort store, int partition, Milliseconds deadline,
+                         std::size_t maxCallBytes)
+    : state_(std::make_shared<State>(std::move(store), partition, deadline, maxCallBytes))
 {}
 
 GroupAppend::~GroupAppend()
--- a/src/poplarstream/edge/group_append_test.cpp
+++ b/src/poplarstream/edge/group_append_test.cpp
@@ -1,5 +1,7 @@
 #include "poplarstream/edge/group_append.hpp"
 
+#include <algorithm>  // for any_of, count
+
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
 #include "poplarstream/edge/store_health.hpp"  // for StoreHealth
@@ -27,7 +29,7 @@
 struct Callers
 {
     Store store;
-    GroupAppend appends{store.port(), 2, Milliseconds{800}};
+    GroupAppend appends{store.port(), 2, Milliseconds{800}, 2'097'152};
     std::vector<AppendResult> results;
 
     void append(const std::string &key, std::size_t bytes = 10)
@@ -65,6 +67,26 @@
     }
 }
 
+// Guards against one submission that takes others with it: the store refuses a call as a whole.
+TEST(GroupAppend, RefusedRecordAffectsNoOther)
+{
+    Callers callers;
+    for (int i = 0; i < 10; ++i) {
+        callers.append("job" + std::to_string(i));
+    }
+    const auto isRefused = [](const AppendRequest &request) {
+        return std::any_of(request.records.begin(), request.records.end(),
+                           [](const StoredRecord &record) { return record.key == "job7"; });
+    };
+    for (std::size_t i = 0; i < callers.store.callbacks.size(); ++i) {
+        callers.store.callbacks[i]({isRefused(callers.store.requests[i]) ? AppendResult::Refused
+                                                                         : AppendResult::Stored,
+                                    1});
+    }
+    EXPECT_EQ(callers.results.size(), 10U);
+    EXPECT_EQ(std::count(callers.results.begin(), callers.results.end(), AppendResult::Refused), 1);
+}
+
 // Guards against calls that the store rejects because they are too large.
 TEST(GroupAppend, LargeRecordsAreSplit)
 {
--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for min
 #include <map>  // for map
 #include <set>  // for set
+#include <span>  // for span
 #include <unordered_map>  // for unordered_map
 #include <utility>  // for exchange
 
@@ -11,6 +12,7 @@
 #include "poplarstream/edge/stored_jobs.hpp"  // for applyJobRecord, adoptStoredProgress
 #include "poplarstream/engine/attempts.hpp"  // for findJob
 #include "poplarstream/jobs/codec.hpp"  // for settledState, queueOfSubmission
+#include "poplarstream/jobs/progress_records.hpp"  // for jobOfRecord
 #include "poplarstream/jobs/queries.hpp"  // for isFinal
 
 namespace poplarstream::edge {
@@ -156,7 +158,7 @@
             } else if (nextJob < submissions.size()) {
                 applyStoredJob(submissions[nextJob++]);
             } else if (nextProgress < progress.size()) {
-                applyProgress(progress[nextProgress++]);
+                applyNextProgress();
             } else {
                 finish();
                 return;
@@ -168,7 +170,7 @@
     // Most stored jobs have ended; only their state is loaded, which takes a fraction of the time.
     void noteIfSettled(const StoredRecord &record)
     {
-        if (!record.value || !isJobRecord(record)) {
+        if (!record.value || !isHeadRecord(record)) {
             return;
         }
         if (const auto state = jobs::settledState(*record.value)) {
@@ -190,21 +192,42 @@
         }
     }
 
-    void applyProgress(const StoredRecord &record)
+    // Applies the next record that belongs to no job, or all records of the next job.
+    void applyNextProgress()
     {
-        if (settled.contains(record.key)) {
-            const jobs::Job *const job = engine::findJob(engine, jobs::JobId(record.key));
-            if (job != nullptr && jobs::isFinal(job->state)) {
-                return;
-            }
+        const std::size_t first = nextProgress++;
+        if (!isJobRecord(progress[first])) {
+            events.otherRecord(progress[first]);
+            return;
+        }
+        const std::string_view key = jobs::jobOfRecord(progress[first].key);
+        while (nextProgress < progress.size() && isJobRecord(progress[nextProgress])
+               && jobs::jobOfRecord(progress[nextProgress].key) == key) {
+            ++nextProgress;
+        }
+        applyProgress(std::string(key), std::span(progress).subspan(first, nextProgress - first));
+    }
+
+    void applyProgress(const std::string &key, std::span<const StoredRecord> records)
+    {
+        const jobs::Job *const job = engine::findJob(engine, jobs::JobId(key));
+        if (settled.contains(key) && job != nullptr && jobs::isFinal(job->state)) {
+            deleteParts(records);
+            return;
         }
-        if (isJobRecord(record)) {
-            if (record.value && engine::findJob(engine, jobs::JobId(record.key)) == nullptr) {
-                progressWithoutJob.emplace(record.key, record);
+        if (job == nullptr) {
+            progressWithoutJob[key].assign(records.begin(), records.end());
+        }
+        adoptStoredProgress(engine, records, renewedAt, steadyNow());
+    }
+
+    // Nothing is left to read in the parts of a job that has ended.
+    void deleteParts(std::span<const StoredRecord> records)
+    {
+        for (const StoredRecord &record : records) {
+            if (!isHeadRecord(record)) {
+                engine.pendingRecords.push_back({record.key, {}});
             }
-            adoptStoredProgress(engine, record, renewedAt, steadyNow());
-        } else {
-            events.otherRecord(record);
         }
     }
 
@@ -228,7 +251,8 @@
             followers;  // of the shard's partitions of the job log
     std::set<int> unreadPartitions;  // those of which no snapshot has been read
     std::map<int, std::vector<StoredRecord>> recordsRead;  // by partition, until all are read
-    std::unordered_map<std::string, StoredRecord> progressWithoutJob;  // by the key of the job
+    std::unordered_map<std::string, std::vector<StoredRecord>>
+            progressWithoutJob;  // by the key of the job
     std::vector<StoredRecord> progress;
     std::vector<StoredRecord> submissions;
     std::unordered_map<std::string, jobs::JobState> settled;  // by the key of the job
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -45,6 +45,8 @@
 // From a machine command until other processes have read the renewal that names the machine.
 constexpr Milliseconds renewalPropagation{500};
 constexpr ownership::StartLimits startLimits;
+// Jobs that end their retention together, as after a takeover, are deleted in several writes.
+constexpr std::size_t maxDeletionsPerCall = 1000;
 // A job is reported as unknown only if the job log has been read up to this long ago: an older view
 // may miss a job that was accepted since.
 constexpr Milliseconds maxFeedAge{2500};
@@ -183,7 +185,8 @@
         std::vector<engine::JobId> ids;
         std::erase_if(engine.forgotten, [&](const engine::JobId &id) {
             const bool isHere =
-                    jobPartition(id, runtime.settings.jobPartitions) == request.partition;
+                    ids.size() < maxDeletionsPerCall
+                    && jobPartition(id, runtime.settings.jobPartitions) == request.partition;
             if (isHere) {
                 ids.push_back(id);
             }
--- a/src/poplarstream/edge/ports.cpp
+++ b/src/poplarstream/edge/ports.cpp
@@ -2,6 +2,12 @@
 
 namespace poplarstream::edge {
 
+std::size_t storedBytes(const StoredRecord &record)
+{
+    constexpr std::size_t lengthBytes = 5;  // of the record and of its key
+    return lengthBytes + record.key.size() + (record.value ? record.value->size() : 0);
+}
+
 std::string_view resultText(AppendResult result)
 {
     switch (result) {
@@ -15,6 +21,8 @@
         return "out-of-sequence";
     case AppendResult::NotDone:
         return "not-done";
+    case AppendResult::Refused:
+        return "refused";
     case AppendResult::Unknown:
         break;
     }
--- a/src/poplarstream/edge/progress_writer.cpp
+++ b/src/poplarstream/edge/progress_writer.cpp
@@ -1,9 +1,12 @@
 #include "poplarstream/edge/progress_writer.hpp"
 
 #include <algorithm>  // for any_of, max
+#include <deque>  // for deque
+#include <iterator>  // for make_move_iterator
+#include <utility>  // for exchange
 
 #include "poplarstream/engine/batches.hpp"  // for collectBatch, applyStored
-#include "poplarstream/telemetry/event_kinds.hpp"  // for progressNotStored
+#include "poplarstream/telemetry/event_kinds.hpp"  // for progressNotStored, progressRefused
 
 namespace poplarstream::edge {
 
@@ -21,6 +24,25 @@
     });
 }
 
+// The records of a batch, in their order, in calls that the store takes.
+std::deque<std::vector<StoredRecord>> splitIntoCalls(std::vector<engine::ProgressRecord> records,
+                                                     std::size_t maxCallBytes)
+{
+    std::deque<std::vector<StoredRecord>> calls;
+    std::size_t bytes = 0;
+    for (engine::ProgressRecord &record : records) {
+        StoredRecord stored{std::move(record.key), std::move(record.value), 0};
+        const std::size_t size = storedBytes(stored);
+        if (calls.empty() || bytes + size > maxCallBytes) {
+            calls.emplace_back();
+            bytes = 0;
+        }
+        bytes += size;
+        calls.back().push_back(std::move(stored));
+    }
+    return calls;
+}
+
 }  // namespace
 
 struct ProgressWriter::State : std::enable_shared_from_this<ProgressWriter::State>
@@ -52,14 +74,18 @@
             const AppendResult result = outcome.result;
             self->runtime.durations.record("progress-write", resultText(result),
                                            steadyNow() - sentAt);
-            if (result == AppendResult::Unknown || result == AppendResult::NotDone) {
+            // A refusal is about the records; without any, it may pass.
+            const bool mayPass = result == AppendResult::Unknown || result == AppendResult::NotDone
+                                 || (result == AppendResult::Refused && records.empty());
+            if (mayPass) {
                 self->scheduleRetry(std::move(records), firstSentAt, std::move(done), result);
                 return;
             }
             if (result == AppendResult::Stored) {
                 self->confirmedAt = std::max(self->confirmedAt, firstSentAt);
             }
-            ++self->sequence;
+            // Nothing was written under the sequence number of refused records.
+            self->sequence += result == AppendResult::Refused ? 0 : 1;
             self->isFailing = false;
             done(result);
         });
@@ -89,32 +115,63 @@
             isWriting = false;
             return;
         }
-        std::vector<StoredRecord> records;
-        for (engine::ProgressRecord &record : batch.records) {
-            records.push_back({std::move(record.key), std::move(record.value), 0});
+        calls = splitIntoCalls(std::exchange(batch.records, {}), runtime.settings.maxCallBytes);
+        refusedKeys.clear();
+        writeNextCall([this, &engine, batch = std::move(batch), done](bool isStored) mutable {
+            if (isStored) {
+                finish(engine, batch, done);
+            } else {
+                done(WriteResult::Superseded);
+            }
+        });
+    }
+
+    // Writes the calls of a batch one after the other. Calls `done` when the store has all records
+    // but those that it refuses, or with false when this owner is superseded.
+    void writeNextCall(std::function<void(bool isStored)> done)
+    {
+        if (calls.empty()) {
+            done(true);
+            return;
         }
-        batch.records.clear();
-        if (records.empty()) {
-            finish(engine, batch, done);
+        append(calls.front(), steadyNow(), [this, done = std::move(done)](AppendResult result) {
+            if (result == AppendResult::Stored) {
+                calls.pop_front();
+            } else if (result == AppendResult::Refused) {
+                splitRefusedCall();
+            } else {
+                logEvent(events::progressNotStored, {{"reason", std::string(resultText(result))}});
+                done(false);
+                return;
+            }
+            writeNextCall(done);
+        });
+    }
+
+    // Halves a call that the store refuses, until it is known which record is the cause: the others
+    // must not wait for it.
+    void splitRefusedCall()
+    {
+        std::vector<StoredRecord> records = std::move(calls.front());
+        calls.pop_front();
+        if (records.size() == 1) {
+            logEvent(events::progressRefused, {{"key", records[0].key}});
+            refusedKeys.push_back(std::move(records[0].key));
             return;
         }
-        append(std::move(records), steadyNow(),
-               [this, &engine, batch = std::move(batch), done](AppendResult result) {
-                   if (result == AppendResult::Stored) {
-                       finish(engine, batch, done);
-                   } else {
-                       logEvent(events::progressNotStored,
-                                {{"reason", std::string(resultText(result))}});
-                       done(WriteResult::Superseded);
-                   }
-               });
+        const auto middle = records.begin() + static_cast<std::ptrdiff_t>(records.size() / 2);
+        calls.emplace_front(std::make_move_iterator(middle),
+                            std::make_move_iterator(records.end()));
+        calls.emplace_front(std::make_move_iterator(records.begin()),
+                            std::make_move_iterator(middle));
     }
 
-    void finish(engine::Engine &engine, const engine::Batch &batch,
+    void finish(engine::Engine &engine, engine::Batch &batch,
                 const std::function<void(WriteResult)> &done)
     {
         isWriting = false;
         engine.mayStart = maySend(confirmedAt);
+        engine::dropRefused(engine, batch, refusedKeys, steadyNow());
         engine::applyStored(engine, batch, steadyNow());
         done(WriteResult::Stored);
     }
@@ -125,6 +182,8 @@
     MaySend maySend;
     TimePoint confirmedAt{};
     std::int64_t sequence = 0;
+    std::deque<std::vector<StoredRecord>> calls;  // of the batch in flight, that are not stored yet
+    std::vector<std::string> refusedKeys;  // of the batch in flight
     bool isWriting = false;
     bool isFailing = false;
     bool isClosed = false;
--- a/src/poplarstream/edge/stored_jobs.cpp
+++ b/src/poplarstream/edge/stored_jobs.cpp
@@ -1,5 +1,6 @@
 #include "poplarstream/edge/stored_jobs.hpp"
 
+#include <algorithm>  // for sort
 #include <set>  // for set
 
 #include <fmt/format.h>  // for to_string
@@ -7,6 +8,7 @@
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
 #include "poplarstream/engine/attempts.hpp"  // for lapseAfter, stopJob
 #include "poplarstream/jobs/codec.hpp"  // for encodeSubmission, decodeSubmission
+#include "poplarstream/jobs/progress_records.hpp"  // for jobOfRecord, ProgressRecord
 #include "poplarstream/jobs/queries.hpp"  // for isFinal
 #include "poplarstream/telemetry/event_kinds.hpp"  // for recordUnreadable
 
@@ -94,19 +96,34 @@
     return record.key.find('/') == std::string::npos;
 }
 
-void adoptStoredProgress(engine::Engine &engine, const StoredRecord &record, TimePoint renewedAt,
-                         TimePoint now)
+bool isHeadRecord(const StoredRecord &record)
 {
-    if (!record.value) {
+    return isJobRecord(record) && jobs::jobOfRecord(record.key) == record.key;
+}
+
+void adoptStoredProgress(engine::Engine &engine, std::span<const StoredRecord> records,
+                         TimePoint renewedAt, TimePoint now)
+{
+    const StoredRecord &head = records.front();
+    if (!isHeadRecord(head) || !head.value) {
+        logUnreadable("progress", head, "a part of the progress of a job without the rest");
         return;
     }
-    const jobs::JobId id(record.key);
+    std::vector<StoredRecord> byAge(records.begin() + 1, records.end());
+    std::sort(byAge.begin(), byAge.end(), [](const StoredRecord &left, const StoredRecord &right) {
+        return left.offset < right.offset;
+    });
+    std::vector<jobs::ProgressRecord> parts;
+    for (StoredRecord &record : byAge) {
+        parts.push_back({std::move(record.key), std::move(record.value)});
+    }
+    const jobs::JobId id(head.key);
     const jobs::Job *const known = engine::findJob(engine, id);
     const bool wasCancelled = known != nullptr && known->state == jobs::JobState::Cancelled;
-    const Result<bool> applied = engine::adoptProgress(engine, id, *record.value,
-                                                       engine::lapseAfter(engine, renewedAt), now);
+    const Result<bool> applied = engine::adoptProgress(
+            engine, id, *head.value, engine::lapseAfter(engine, renewedAt), now, parts);
     if (!applied) {
-        logUnreadable("progress", record, applied.failure().message);
+        logUnreadable("progress", head, applied.failure().message);
     }
     if (wasCancelled) {
         engine::cancelJob(engine, id, now);
--- a/src/poplarstream/engine/batches.cpp
+++ b/src/poplarstream/engine/batches.cpp
@@ -4,15 +4,17 @@
 #include <set>  // for set
 #include <tuple>  // for make_tuple
 
-#include "poplarstream/engine/attempts.hpp"  // for findAttempt, release
-#include "poplarstream/jobs/codec.hpp"  // for encodeProgress
+#include "poplarstream/engine/attempts.hpp"  // for findAttempt, release, stopJob
+#include "poplarstream/jobs/commands.hpp"  // for failJob
+#include "poplarstream/jobs/progress_records.hpp"  // for takeChangedRecords
 #include "poplarstream/jobs/queries.hpp"  // for findTask, isFinal
 
 namespace poplarstream::engine {
 
 namespace {
 
-// Well below the size limit of a write to the store.
+// A batch takes further jobs until it has this size, so that the starts in it are not delayed by
+// many others.
 constexpr std::size_t maxBatchBytes = 1'000'000;
 
 void collectStarts(const jobs::Job &job, std::vector<AttemptRef> &starts)
@@ -125,11 +127,11 @@
         engine.dirty.erase(job);
         job.isDirty = false;
         collectStarts(job, batch.starts);
-        std::string value = jobs::encodeProgress(job);
-        bytes += value.size();
-        const JobId &id = job.submission.id;
-        batch.records.push_back({id.text(), std::move(value)});
-        batch.states.emplace_back(id, job.state);
+        for (ProgressRecord &record : jobs::takeChangedRecords(job, engine.limits.maxRecordBytes)) {
+            bytes += record.key.size() + (record.value ? record.value->size() : 0);
+            batch.records.push_back(std::move(record));
+        }
+        batch.states.emplace_back(job.submission.id, job.state);
     }
     if (engine.dirty.empty()) {
         // The effects of all completions so far are in this batch or already stored.
@@ -146,6 +148,22 @@
     return batch;
 }
 
+void dropRefused(Engine &engine, Batch &batch, std::span<const std::string> keys, TimePoint now)
+{
+    for (const std::string &key : keys) {
+        const JobId id{std::string(jobs::jobOfRecord(key))};
+        std::erase_if(batch.states, [&id](const auto &entry) { return entry.first == id; });
+        jobs::Job *const job = findJob(engine, id);
+        if (job == nullptr || !jobs::failJob(*job, now)) {
+            continue;
+        }
+        recordDecision(engine, DecisionKind::JobEnded, {{id, 0, 0, 0}, 0}, {},
+                       "state=failed cause=not-storable");
+        markDirty(engine, *job);
+        stopJob(engine, id, now);
+    }
+}
+
 void applyStored(Engine &engine, const Batch &batch, TimePoint now)
 {
     for (const auto &[id, state] : batch.states) {
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -5,7 +5,6 @@
 #include "poplarstream/engine/attempts.hpp"  // for attach, stopJob, markDirty, capacityUsedBy
 #include "poplarstream/engine/crashes.hpp"  // for isSuspect
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
-#include "poplarstream/jobs/codec.hpp"  // for applyProgress
 #include "poplarstream/jobs/commands.hpp"  // for makeJob, cancelJob
 #include "poplarstream/jobs/queries.hpp"  // for isFinal
 
@@ -156,16 +155,19 @@
     engine.beingDeleted.erase(id);
 }
 
-Result<bool> adoptProgress(Engine &engine, const JobId &id, std::string_view text,
-                           TimePoint lapsedAt, TimePoint now)
+Result<bool> adoptProgress(Engine &engine, const JobId &id, std::string_view head,
+                           TimePoint lapsedAt, TimePoint now, std::span<const ProgressRecord> parts)
 {
     jobs::Job *const job = findJob(engine, id);
     if (job == nullptr) {
         return Failure{"progress of an unknown job", id.text()};
     }
-    Result<bool> applied = jobs::applyProgress(*job, text);
+    Result<bool> applied = jobs::applyProgressRecords(*job, head, parts);
     if (applied) {
         job->endedAt = now;
+        if (job->isDirty) {
+            markDirty(engine, *job);
+        }
         adoptAttempts(engine, *job, lapsedAt, now);
     }
     return applied;
--- a/src/poplarstream/engine/starts_test.cpp
+++ b/src/poplarstream/engine/starts_test.cpp
@@ -375,5 +375,41 @@
     }
 }
 
+// Guards against a large job of which the store refuses the progress, so that nothing of any job
+// starts any more: review/1 hands in 19,000 tasks.
+TEST(Starts, RecordsOfALargeJobFitTheStore)
+{
+    constexpr std::size_t storeLimit = 262'144;
+    constexpr int taskCount = 19'000;
+    SCOPED_TRACE("given a job of 19,000 tasks that have all been started");
+    EngineFixture fixture(20);
+    jobs::StepSpec small = step(taskCount, 4);
+    small.need.memoryMb = 0;
+    fixture.submit(submission(firstJob, small));
+    planStarts(fixture.engine, fixture.now);
+    const Batch batch = collectBatch(fixture.engine);
+    EXPECT_GT(batch.starts.size(), static_cast<std::size_t>(taskCount / 2));
+    {
+        SCOPED_TRACE("then each of its records fits into the store");
+        for (const ProgressRecord &record : batch.records) {
+            EXPECT_LE(record.key.size() + record.value.value_or("").size(), storeLimit);
+        }
+    }
+    {
+        SCOPED_TRACE("and the end of one task writes a small part of them");
+        applyStored(fixture.engine, batch, fixture.now);
+        const StartCommand start = fixture.take<StartCommand>().front();
+        fixture.answerStart(start);
+        fixture.poll();
+        fixture.answer(start.target.worker.id.text(), {},
+                       {{1, start.task, start.run, jobs::AttemptResult::Done, ""}});
+        std::size_t bytes = 0;
+        for (const ProgressRecord &record : collectBatch(fixture.engine).records) {
+            bytes += record.value.value_or("").size();
+        }
+        EXPECT_LT(bytes, 16'384U);
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::engine
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -1,16 +1,15 @@
 #include "poplarstream/jobs/codec.hpp"
 
-#include <algorithm>  // for all_of
 #include <iterator>  // for back_inserter
 #include <optional>  // for optional
 
 #include <fmt/format.h>  // for format
-#include <fmt/ranges.h>  // for join
 #include <nlohmann/json.hpp>  // for json
 
 #include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJsonOrThrow
 #include "poplarstream/base/json_value.hpp"  // for integerFrom
 #include "poplarstream/jobs/commands.hpp"  // for openOccurrence
+#include "poplarstream/jobs/task_codec.hpp"  // for appendTasks, taskFrom, stateText
 
 namespace poplarstream::jobs {
 
@@ -18,8 +17,6 @@
 
 using nlohmann::json;
 
-constexpr std::string_view stateTexts[] = {"queued", "running", "completed", "failed", "cancelled"};
-
 json resourcesJson(const Resources &need)
 {
     return json::array({need.cpuMilli, need.memoryMb, need.gpus});
@@ -37,19 +34,39 @@
            | (step.speculative ? 8 : 0) | (step.longRunning ? 16 : 0) | (step.fills ? 32 : 0);
 }
 
+// Members with their default values are left out.
 json stepJson(const StepSpec &step)
 {
-    return {{"n", step.count},
-            {"need", resourcesJson(step.need)},
-            {"estimate", step.estimate.count()},
-            {"after", step.after},
-            {"flags", flagsOf(step)},
-            {"label", step.requiredLabel},
-            {"rack", step.affinityRack},
-            {"apart", step.antiAffinity},
-            {"image", step.image},
-            {"target", step.target.count()},
-            {"away", step.mayMiss}};
+    json value = {{"n", step.count}, {"need", resourcesJson(step.need)}};
+    const auto addNumber = [&value](const char *name, std::int64_t number) {
+        if (number != 0) {
+            value[name] = number;
+        }
+    };
+    const auto addText = [&value](const char *name, const std::string &text) {
+        if (!text.empty()) {
+            value[name] = text;
+        }
+    };
+    addNumber("estimate", step.estimate.count());
+    addNumber("flags", flagsOf(step));
+    addNumber("apart", step.antiAffinity);
+    addNumber("target", step.target.count());
+    addNumber("away", step.mayMiss);
+    addText("label", step.requiredLabel);
+    addText("rack", step.affinityRack);
+    addText("image", step.image);
+    if (!step.after.empty()) {
+        value["after"] = step.after;
+    }
+    return value;
+}
+
+template <class Number>
+Number numberOrZero(const json &value, const char *name)
+{
+    const auto found = value.find(name);
+    return found == value.end() ? Number{} : integerFrom<Number>(*found);
 }
 
 StepSpec stepFrom(const json &value)
@@ -57,114 +74,33 @@
     StepSpec step;
     step.count = integerFrom<int>(value.at("n"));
     step.need = resourcesFrom(value.at("need"));
-    step.estimate = Milliseconds(integerFrom<std::int64_t>(value.at("estimate")));
-    step.after = value.at("after").get<std::vector<int>>();
-    const int flags = integerFrom<int>(value.at("flags"));
+    step.estimate = Milliseconds(numberOrZero<std::int64_t>(value, "estimate"));
+    step.after = value.value("after", std::vector<int>());
+    const int flags = numberOrZero<int>(value, "flags");
     step.checkpointing = (flags & 1) != 0;
     step.gang = (flags & 2) != 0;
     step.sameRack = (flags & 4) != 0;
     step.speculative = (flags & 8) != 0;
     step.longRunning = (flags & 16) != 0;
     step.fills = (flags & 32) != 0;
-    step.requiredLabel = value.at("label").get<std::string>();
-    step.affinityRack = value.at("rack").get<std::string>();
-    step.antiAffinity = integerFrom<int>(value.at("apart"));
-    step.image = value.at("image").get<std::string>();
-    step.target = Milliseconds(integerFrom<std::int64_t>(value.at("target")));
-    step.mayMiss = integerFrom<int>(value.at("away"));
+    step.requiredLabel = value.value("label", std::string());
+    step.affinityRack = value.value("rack", std::string());
+    step.antiAffinity = numberOrZero<int>(value, "apart");
+    step.image = value.value("image", std::string());
+    step.target = Milliseconds(numberOrZero<std::int64_t>(value, "target"));
+    step.mayMiss = numberOrZero<int>(value, "away");
     return step;
 }
 
-// Appends a text as a JSON string. Ids and checkpoints rarely need escaping.
-void appendText(std::string &out, const std::string &text)
-{
-    const bool isPlain = std::all_of(text.begin(), text.end(), [](char c) {
-        return c >= ' ' && c <= '~' && c != '"' && c != '\\';
-    });
-    if (isPlain) {
-        out.append(1, '"').append(text).append(1, '"');
-    } else {
-        out.append(json(text).dump(-1, ' ', false, json::error_handler_t::replace));
-    }
-}
-
-// Separates the elements of a JSON array.
-void appendSeparator(std::string &out, std::size_t index)
-{
-    if (index > 0) {
-        out.push_back(',');
-    }
-}
-
-// Format: [isDone, lastRun, failures, checkpoint, [[run, worker, startedUnixMs], ...]]. A task that
-// may have crashed workers or has lapsed runs has `crashes, suspicion, [run, ...]` after that.
-void appendTask(std::string &out, const Task &task)
-{
-    fmt::format_to(std::back_inserter(out), "[{},{},{},", task.isDone ? 1 : 0, task.lastRun,
-                   task.failures);
-    appendText(out, task.checkpoint);
-    out.append(",[");
-    for (std::size_t i = 0; i < task.attempts.size(); ++i) {
-        const Attempt &attempt = task.attempts[i];
-        appendSeparator(out, i);
-        fmt::format_to(std::back_inserter(out), "[{},", attempt.run);
-        appendText(out, attempt.worker.id.text());
-        fmt::format_to(std::back_inserter(out), ",{}]", attempt.worker.startedUnixMs);
-    }
-    out.push_back(']');
-    if (task.suspicion > 0 || task.crashes > 0 || !task.lapsedRuns.empty()) {
-        fmt::format_to(std::back_inserter(out), ",{},{},[{}]", task.crashes, task.suspicion,
-                       fmt::join(task.lapsedRuns, ","));
-    }
-    out.push_back(']');
-}
-
-Task taskFrom(const json &value)
-{
-    Task task;
-    task.isDone = integerFrom<int>(value.at(0)) != 0;
-    task.lastRun = integerFrom<int>(value.at(1));
-    task.failures = integerFrom<int>(value.at(2));
-    task.checkpoint = value.at(3).get<std::string>();
-    for (const json &row : value.at(4)) {
-        Attempt attempt;
-        attempt.run = integerFrom<int>(row.at(0));
-        attempt.worker = {WorkerId(row.at(1).get<std::string>()),
-                          integerFrom<std::int64_t>(row.at(2))};
-        attempt.phase = AttemptPhase::StartSent;
-        attempt.mayRun = true;
-        attempt.isFromPreviousOwner = true;
-        task.attempts.push_back(std::move(attempt));
-    }
-    if (value.size() > 5) {
-        task.crashes = integerFrom<int>(value.at(5));
-        task.suspicion = integerFrom<int>(value.at(6));
-        for (const json &run : value.at(7)) {
-            task.lapsedRuns.push_back(integerFrom<int>(run));
-        }
-    }
-    return task;
-}
-
 // Format of a step: 1 if it is done and settled, 0 if it is untouched, else its tasks.
 void appendStep(std::string &out, const std::vector<Task> &tasks, int remaining)
 {
-    const bool isSettled = remaining == 0
-                           && std::all_of(tasks.begin(), tasks.end(),
-                                          [](const Task &task) { return task.attempts.empty(); });
-    const bool isUntouched = std::all_of(tasks.begin(), tasks.end(), [](const Task &task) {
-        return task.lastRun == 0 && !task.isDone;
-    });
-    if (isSettled || isUntouched) {
-        out.push_back(isSettled ? '1' : '0');
+    const bool isDone = remaining == 0 && isSettled(tasks);
+    if (isDone || isUntouched(tasks)) {
+        out.push_back(isDone ? '1' : '0');
         return;
     }
-    out.push_back('[');
-    for (std::size_t i = 0; i < tasks.size(); ++i) {
-        appendSeparator(out, i);
-        appendTask(out, tasks[i]);
-    }
-    out.push_back(']');
+    appendTasks(out, tasks);
 }
 
 // Format: [number, isDone, [step, ...]].
@@ -207,16 +143,6 @@
     job.finishedOccurrences += occurrence.isDone ? 1 : 0;
 }
 
-JobState stateFrom(std::string_view text)
-{
-    for (std::size_t i = 0; i < std::size(stateTexts); ++i) {
-        if (stateTexts[i] == text) {
-            return static_cast<JobState>(i);
-        }
-    }
-    throw std::invalid_argument(fmt::format("unknown job state {}", text));
-}
-
 // Reads one text member of a document and skips the rest.
 class MemberReader : public nlohmann::json_sax<json>
 {
@@ -348,6 +274,9 @@
     try {
         const json value = parseBoundedJsonOrThrow(progress);
         const JobState state = stateFrom(value.at("state").get<std::string>());
+        if (value.value("open", 0) > 0) {
+            return {};
+        }
         for (const json &occurrence : value.at("runs")) {
             for (const json &step : occurrence.at(2)) {
                 if (!step.is_number() || integerFrom<int>(step) != 1) {
@@ -366,7 +295,7 @@
     // Written without a document in memory: an owner encodes a job after each change.
     std::string out;
     fmt::format_to(std::back_inserter(out), R"({{"state":"{}","begun":{},"runs":[)",
-                   stateTexts[static_cast<std::size_t>(job.state)], job.hasBegun);
+                   stateText(job.state), job.hasBegun);
     std::size_t index = 0;
     for (const auto &[number, occurrence] : job.occurrences) {
         appendSeparator(out, index++);
--- a/src/poplarstream/jobs/commands.cpp
+++ b/src/poplarstream/jobs/commands.cpp
@@ -139,6 +139,18 @@
     return occurrence;
 }
 
+void recountOccurrences(Job &job)
+{
+    job.finishedOccurrences = 0;
+    for (auto &[number, occurrence] : job.occurrences) {
+        occurrence.isDone = isOccurrenceDone(occurrence);
+        job.finishedOccurrences += occurrence.isDone ? 1 : 0;
+    }
+    if (!isFinal(job.state) && job.finishedOccurrences == occurrenceCount(job.submission.spec)) {
+        finishJob(job, JobState::Completed, job.acceptedAt);
+    }
+}
+
 bool openDueOccurrences(Job &job, TimePoint now, std::int64_t nowUnixMs)
 {
     const JobSpec &spec = job.submission.spec;
@@ -254,4 +266,13 @@
     return true;
 }
 
+bool failJob(Job &job, TimePoint now)
+{
+    if (isFinal(job.state)) {
+        return false;
+    }
+    finishJob(job, JobState::Failed, now);
+    return true;
+}
+
 }  // namespace poplarstream::jobs
