--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -87,16 +87,15 @@
     const auto &tasks =
             job.occurrences.at(done.occurrence).steps[static_cast<std::size_t>(done.step)];
     const bool isGang = stepOf(job, done).gang;
+    const int first = isGang ? 0 : done.index;
+    const int end = isGang ? static_cast<int>(tasks.size()) : done.index + 1;
     std::vector<AttemptRef> needless;
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
-        TaskRef task = done;
-        task.index = static_cast<int>(index);
-        if (!isGang && task.index != done.index) {
-            continue;
-        }
-        for (const jobs::Attempt &attempt : tasks[index].attempts) {
+    for (int index = first; index < end; ++index) {
+        for (const jobs::Attempt &attempt : tasks[static_cast<std::size_t>(index)].attempts) {
             if (attempt.run != report.run) {
-                needless.push_back({task, attempt.run});
+                TaskRef task = done;
+                task.index = index;
+                needless.push_back({std::move(task), attempt.run});
             }
         }
     }
