End all permissions before a resignation is sent

Cause: a successor takes a resignation for a proof that its writer renews no lease any more. A leaving owner went on renewing until it read that it had resigned; when the store took the resignation and the response was lost, that was never.

Ruled out: a renewal that is carried out late (its deadline is fixed when it is sent), and a wrong count of the lease by the successor.

Change: once a resignation is sent, the owner plans nothing and sends no poll, start, stop or machine command, unless the store says that nothing was written or another record of the owner is in its place. A leaving owner resigns while it is confirmed, and otherwise renews first, so that an outage does not cost the leases of its workers.

Why it works: what a successor concludes from a resignation holds from the moment at which its writer sent it, whatever happens to the response.

Leadership.ResignationSaysNothingOfEarlierOwners now has one step more, since its owner leaves 4 s after its last confirmation and renews first; what it checks is unchanged.

--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -29,6 +29,9 @@
     // Whether this process is the owner, as far as it has read the ownership log, and is not
     // leaving.
     std::function<bool()> isOwner;
+    // Whether a resignation of this process may be stored. It renews no lease and sends no command
+    // from then on.
+    std::function<bool()> mayHaveResigned;
     // Whether a renewal was confirmed recently enough to send commands.
     std::function<bool()> mayIssueCommands;
     // When the newest confirmed renewal was sent.
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -111,6 +111,8 @@
     std::map<std::string, TimePoint> recentMachineCommands;  // by any owner
     std::set<std::int64_t> carriedOutWaves;  // as any owner found
     bool isLeaving = false;  // resigns and makes no more claims
+    // The sequences of this process's resignations that are or may yet be stored.
+    std::set<std::int64_t> openResignations;
     std::int64_t abandonedEpoch = 0;  // the ownership of this epoch is resigned
 };
 
@@ -119,6 +121,11 @@
 // Whether this process is the owner or has sent a claim whose outcome it does not know.
 bool isHolding(const Leadership &leadership);
 
+// Whether a resignation of this process has been sent and may be stored. A successor that reads it
+// relies on it that this process renews no lease and sends no command any more, so both end before
+// it is sent.
+bool mayHaveResigned(const Leadership &leadership);
+
 // Whether this process may issue commands at `now`.
 bool mayIssueCommands(const Leadership &leadership, TimePoint now);
 
@@ -132,7 +139,8 @@
 // When this process claims the ownership unless it reads another record.
 TimePoint earliestClaim(const Leadership &leadership);
 
-// What this process has to write now.
+// What this process has to write now. A leaving owner resigns while its ownership is confirmed: in
+// an outage its resignation would reach nobody, and the leases of the workers would expire.
 LeadershipStep nextStep(const Leadership &leadership, TimePoint now);
 
 // Returns the record for a step, to be appended at the end of the log as it was read. At most one
@@ -144,7 +152,8 @@
                   TimePoint now);
 
 // Handles a write that was refused or got no response. The log shows whether it was stored.
-void failWrite(Leadership &leadership, const OwnershipRecord &record);
+// `mayBeStored` is false only if the store says that nothing was written.
+void failWrite(Leadership &leadership, const OwnershipRecord &record, bool mayBeStored);
 
 // Handles records read from the log; `endOffset` is the end of what was read. A record of this
 // process confirms its write, whether or not the response arrived.
--- a/src/poplarstream/edge/entry_process_test.cpp
+++ b/src/poplarstream/edge/entry_process_test.cpp
@@ -23,6 +23,7 @@
     boost::asio::io_context &io;
     std::map<std::pair<Log, int>, std::vector<StoredRecord>> logs;
     int refusedWrites = 0;  // of progress, as out of sequence
+    bool isMute = false;  // carries out what is asked, but its responses are lost
 
     AppendOutcome append(const AppendRequest &request)
     {
@@ -76,9 +77,13 @@
     void respond(std::function<void(Outcome)> done, std::function<Outcome()> make)
     {
         const auto timer = std::make_shared<boost::asio::steady_timer>(io, pollTime);
-        timer->async_wait([timer, done = std::move(done), make = std::move(make)](const auto &) {
-            done(make());
-        });
+        timer->async_wait(
+                [this, timer, done = std::move(done), make = std::move(make)](const auto &) {
+                    const Outcome outcome = make();
+                    if (!isMute) {
+                        done(outcome);
+                    }
+                });
     }
 
     StorePort port()
@@ -120,6 +125,31 @@
         process.emplace(runtime, peers);
     }
 
+    // Adds a worker that does not respond, so that it is polled often.
+    void addWorker()
+    {
+        store.logs[{Log::Registry, 0}].push_back({"w1", "entry", 0});
+        runtime.decode.workerEntry = [](const std::string &key, const std::string &) {
+            engine::WorkerEntry entry;
+            entry.incarnation = {engine::WorkerId(key), 1};
+            entry.address = "10.0.0.1:80";
+            return Result<engine::WorkerEntry>(std::move(entry));
+        };
+        runtime.workers.poll = [this](const engine::PollCommand &, auto done) {
+            ++polls;
+            const auto timer = std::make_shared<boost::asio::steady_timer>(io, pollTime);
+            timer->async_wait([timer, done](const auto &) { done({}); });
+        };
+    }
+
+    bool hasResigned()
+    {
+        const std::vector<StoredRecord> &log = store.logs[{Log::Ownership, 0}];
+        return std::any_of(log.begin(), log.end(), [](const StoredRecord &record) {
+            return record.value.value_or("").find("resignation") != std::string::npos;
+        });
+    }
+
     // Runs the process until `isReached`; false if that takes too long.
     bool runUntil(const std::function<bool()> &isReached)
     {
@@ -154,6 +184,7 @@
     Runtime runtime;
     HttpClient peers{io};
     std::optional<EntryProcess> process;
+    int polls = 0;
 };
 
 // Guards against a shard that nobody owns because the only process that is left has another one.
@@ -191,16 +222,34 @@
     host.store.refusedWrites = 1;
     {
         SCOPED_TRACE("when it becomes the owner, then it resigns, claims anew and runs the jobs");
-        const auto hasResigned = [&host] {
-            const std::vector<StoredRecord> &log = host.store.logs[{Log::Ownership, 0}];
-            return std::any_of(log.begin(), log.end(), [](const StoredRecord &record) {
-                return record.value.value_or("").find("resignation") != std::string::npos;
-            });
-        };
-        EXPECT_TRUE(host.runUntil(hasResigned));
+        EXPECT_TRUE(host.runUntil([&host] { return host.hasResigned(); }));
         EXPECT_TRUE(host.ownsInTime(1));
     }
 }
 
+// Guards against tasks that run twice beside each other (review/3): a stopped owner whose
+// resignation is stored, but not answered, must not renew the leases of the workers any more.
+TEST(EntryProcess, ResignedOwnerRenewsNoLeases)
+{
+    SCOPED_TRACE("given an owner that polls a worker");
+    Host host(1, 30);
+    host.addWorker();
+    ASSERT_TRUE(host.ownsInTime(1));
+    ASSERT_TRUE(host.runUntil([&host] { return host.polls > 3; }));
+    {
+        SCOPED_TRACE("when it is stopped, and the responses of the store are lost");
+        host.store.isMute = true;
+        host.process->leave();
+        ASSERT_TRUE(host.runUntil([&host] { return host.hasResigned(); }));
+        {
+            SCOPED_TRACE("then it polls no more, although it has not read that it has resigned");
+            const int before = host.polls;
+            int turns = 0;
+            host.runUntil([&turns] { return ++turns > 50; });
+            EXPECT_EQ(host.polls, before);
+        }
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -204,7 +204,11 @@
             ownership::confirmWrite(leadership, record, outcome.endOffset, steadyNow());
             logChange(before);
         } else {
-            ownership::failWrite(leadership, record);
+            // The end of the log may be another than expected because an earlier write that got no
+            // response was stored.
+            const bool mayBeStored = outcome.result != AppendResult::NotDone
+                                     && outcome.result != AppendResult::Refused;
+            ownership::failWrite(leadership, record, mayBeStored);
         }
         if (!leadership.isWriting) {
             completeConfirmations(isStored);
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -252,7 +252,8 @@
         isPumping = true;
         const TimePoint now = steadyNow();
         engine.mayStart = mayPlan(now);
-        if (engine.needsPlan && engine::mayPlan(planPacing, now)) {
+        const bool isActing = !hooks.mayHaveResigned();
+        if (isActing && engine.needsPlan && engine::mayPlan(planPacing, now)) {
             const LoadMeter::Section section(runtime.load, OwnerWork::Plan);
             const auto begunAt = std::chrono::steady_clock::now();
             engine::evacuate(engine, now);
@@ -261,7 +262,7 @@
                                std::chrono::duration_cast<std::chrono::microseconds>(
                                        std::chrono::steady_clock::now() - begunAt));
         }
-        if (now < std::max(hooks.confirmedAt(), writer.confirmedAt()) + pollingGrace) {
+        if (isActing && now < std::max(hooks.confirmedAt(), writer.confirmedAt()) + pollingGrace) {
             {
                 const LoadMeter::Section section(runtime.load, OwnerWork::Polls);
                 engine::pollWorkers(engine, now);
--- a/src/poplarstream/edge/shard_owner.cpp
+++ b/src/poplarstream/edge/shard_owner.cpp
@@ -89,6 +89,9 @@
             return leadership && ownership::isOwner(leadership->leadership())
                    && !leadership->leadership().isLeaving;
         };
+        made.mayHaveResigned = [this] {
+            return !leadership || ownership::mayHaveResigned(leadership->leadership());
+        };
         made.mayIssueCommands = [this] {
             return leadership && ownership::mayIssueCommands(leadership->leadership(), steadyNow());
         };
--- a/src/poplarstream/ownership/claims_simulation_test.cpp
+++ b/src/poplarstream/ownership/claims_simulation_test.cpp
@@ -111,7 +111,7 @@
         const OwnershipRecord record = *host.write;
         host.write.reset();
         if (host.access != Access::Served || host.writeAtOffset != end()) {
-            failWrite(host.leadership, record);
+            failWrite(host.leadership, record, host.access == Access::Silent);
             return;
         }
         records.push_back(record);
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -41,6 +41,19 @@
     }
 }
 
+// A record of this process shows that its earlier resignations were not stored, and never will be:
+// each was to follow a record that has another successor now.
+void closeEarlierResignations(Leadership &leadership, std::int64_t sequence)
+{
+    leadership.openResignations.erase(leadership.openResignations.begin(),
+                                      leadership.openResignations.lower_bound(sequence));
+}
+
+bool isConfirmed(const Leadership &leadership, TimePoint now)
+{
+    return now < leadership.confirmedAt + leadership.settings.validity;
+}
+
 bool isOwn(const Leadership &leadership, const OwnershipRecord &record)
 {
     return record.owner == leadership.self && record.incarnation == leadership.incarnation;
@@ -115,11 +128,15 @@
     return isOwner(leadership) || leadership.isWriting;
 }
 
+bool mayHaveResigned(const Leadership &leadership)
+{
+    return !leadership.openResignations.empty();
+}
+
 bool mayIssueCommands(const Leadership &leadership, TimePoint now)
 {
     return isOwner(leadership) && !leadership.isLeaving
-           && leadership.last->epoch != leadership.abandonedEpoch
-           && now < leadership.confirmedAt + leadership.settings.validity;
+           && leadership.last->epoch != leadership.abandonedEpoch && isConfirmed(leadership, now);
 }
 
 Milliseconds claimDelay(const Leadership &leadership)
@@ -180,8 +197,11 @@
     if (!leadership.hasRead || leadership.isWriting) {
         return LeadershipStep::None;
     }
-    if (leadership.isLeaving) {
-        return isOwner(leadership) ? LeadershipStep::Resign : LeadershipStep::None;
+    if (leadership.isLeaving && !isOwner(leadership)) {
+        return LeadershipStep::None;
+    }
+    if (leadership.isLeaving && isConfirmed(leadership, now)) {
+        return LeadershipStep::Resign;
     }
     if (isOwner(leadership) && leadership.last->epoch == leadership.abandonedEpoch) {
         return LeadershipStep::Resign;
@@ -237,6 +257,7 @@
         ++record.epoch;
     } else if (step == LeadershipStep::Resign) {
         record.kind = Kind::Resignation;
+        leadership.openResignations.insert(record.sequence);
     }
     return record;
 }
@@ -245,6 +266,7 @@
                   TimePoint now)
 {
     finishWrite(leadership, record.sequence);
+    closeEarlierResignations(leadership, record.sequence);
     if (endOffset > leadership.endOffset) {
         leadership.endOffset = endOffset;
         leadership.last = record;
@@ -253,9 +275,12 @@
     recordConfirmation(leadership, record);
 }
 
-void failWrite(Leadership &leadership, const OwnershipRecord &record)
+void failWrite(Leadership &leadership, const OwnershipRecord &record, bool mayBeStored)
 {
     finishWrite(leadership, record.sequence);
+    if (!mayBeStored) {
+        leadership.openResignations.erase(record.sequence);
+    }
 }
 
 void observe(Leadership &leadership, const std::optional<OwnershipRecord> &newest,
@@ -284,6 +309,7 @@
         leadership.lastSeenAt = now;
         if (isOwn(leadership, *newest)) {
             finishWrite(leadership, newest->sequence);
+            closeEarlierResignations(leadership, newest->sequence);
             recordConfirmation(leadership, *newest);
         }
     }
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -32,7 +32,7 @@
         }
         const OwnershipRecord record = beginWrite(process, next, now);
         if (process.endOffset != end()) {
-            failWrite(process, record);
+            failWrite(process, record, true);
             return false;
         }
         records.push_back(record);
@@ -127,7 +127,7 @@
         SCOPED_TRACE("when another process has written meanwhile, so that the write fails");
         const OwnershipRecord failed = beginWrite(a, nextStep(a, now), now);
         EXPECT_EQ(failed.kind, Kind::Resignation);
-        failWrite(a, failed);
+        failWrite(a, failed, true);
     }
     {
         SCOPED_TRACE("then it resigns at the next step and may claim again under a new epoch");
@@ -194,6 +194,84 @@
     EXPECT_EQ(nextStep(a, now + Milliseconds{9000}), LeadershipStep::None);
 }
 
+// Guards against tasks that run twice beside each other: a successor that reads a resignation does
+// not wait for leases that its writer renews afterwards, because it has no response to it.
+TEST(Leadership, NothingIsPermittedOnceAResignationMayBeStored)
+{
+    SCOPED_TRACE("given an owner that leaves");
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    log.show(a, now);
+    now += Milliseconds{200};
+    ASSERT_TRUE(log.step(a, now));
+    a.isLeaving = true;
+    EXPECT_FALSE(mayHaveResigned(a)) << "its successor waits for what it renews until it resigns";
+    ASSERT_EQ(nextStep(a, now), LeadershipStep::Resign);
+    const OwnershipRecord first = beginWrite(a, LeadershipStep::Resign, now);
+    EXPECT_TRUE(mayHaveResigned(a));
+    {
+        SCOPED_TRACE("when the store says that nothing was written, it goes on");
+        Leadership refused = a;
+        failWrite(refused, first, false);
+        EXPECT_FALSE(mayHaveResigned(refused));
+    }
+    failWrite(a, first, true);
+    EXPECT_TRUE(mayHaveResigned(a));
+    {
+        SCOPED_TRACE("when the next one is refused, the first may be stored all the same");
+        Leadership refused = a;
+        const OwnershipRecord second = beginWrite(refused, LeadershipStep::Resign, now);
+        failWrite(refused, second, false);
+        EXPECT_TRUE(mayHaveResigned(refused));
+    }
+    {
+        SCOPED_TRACE("when the log does not show it, it may be stored later");
+        now += Milliseconds{500};
+        log.show(a, now);
+        EXPECT_TRUE(mayHaveResigned(a));
+    }
+    {
+        SCOPED_TRACE("when the log shows another record of the owner in its place, it goes on");
+        now += a.settings.validity;
+        ASSERT_EQ(nextStep(a, now), LeadershipStep::Renew);
+        Leadership other = a;
+        ASSERT_TRUE(log.step(a, now));
+        EXPECT_FALSE(mayHaveResigned(a));
+        {
+            SCOPED_TRACE("also if it has no response and reads the log");
+            const OwnershipRecord renewal = beginWrite(other, LeadershipStep::Renew, now);
+            failWrite(other, renewal, true);
+            EXPECT_TRUE(mayHaveResigned(other));
+            log.show(other, now);
+            EXPECT_FALSE(mayHaveResigned(other));
+        }
+    }
+}
+
+// Guards against leases that expire in an outage because their owner leaves: a resignation would
+// reach nobody.
+TEST(Leadership, LeavingOwnerResignsWhileItIsConfirmed)
+{
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    log.show(a, now);
+    now += Milliseconds{200};
+    ASSERT_TRUE(log.step(a, now));
+    a.isLeaving = true;
+    now += a.settings.validity;
+    ASSERT_EQ(nextStep(a, now), LeadershipStep::Renew);
+    const OwnershipRecord renewal = beginWrite(a, LeadershipStep::Renew, now);
+    failWrite(a, renewal, true);
+    EXPECT_FALSE(mayHaveResigned(a));
+    EXPECT_FALSE(mayIssueCommands(a, now));
+    EXPECT_EQ(nextStep(a, now), LeadershipStep::None) << "not more often than it renews";
+    now += a.settings.renewalInterval;
+    ASSERT_TRUE(log.step(a, now));
+    EXPECT_EQ(nextStep(a, now), LeadershipStep::Resign);
+}
+
 // Guards against a restarted process that waits for the timeout of its own previous incarnation.
 TEST(Leadership, RestartedOwnerClaimsAgainWithAHigherEpoch)
 {
@@ -349,9 +427,9 @@
         {
             SCOPED_TRACE("and a late failure does not finish the next write");
             const OwnershipRecord next = beginWrite(a, LeadershipStep::Renew, now);
-            failWrite(a, renewal);
+            failWrite(a, renewal, true);
             ASSERT_EQ(nextStep(a, now + Milliseconds{1000}), LeadershipStep::None);
-            failWrite(a, next);
+            failWrite(a, next, true);
         }
     }
 }
@@ -437,6 +515,7 @@
         SCOPED_TRACE("when its successor resigns");
         now += Milliseconds{4000};
         b.isLeaving = true;
+        ASSERT_TRUE(log.step(b, now)) << "its ownership is confirmed first";
         ASSERT_TRUE(log.step(b, now));
         log.show(c, now);
         EXPECT_EQ(log.records.back().kind, Kind::Resignation);
--- a/src/poplarstream/ownership/shard_claims_test.cpp
+++ b/src/poplarstream/ownership/shard_claims_test.cpp
@@ -80,7 +80,7 @@
                 ++log.end;
                 confirmWrite(view, record, log.end, now);
             } else {
-                failWrite(view, record);
+                failWrite(view, record, true);
             }
         }
     }
