Clear a run that its worker has survived, and give up one task alone

Cause: the likelihood of having caused a crash was compared among the runs on the worker only, so a run alone there got all of it, although its worker had survived it for 241 and 255 ms (event 736). And the whole job was given up for one task.

Ruled out: missing runs of other jobs (others=0), a rack as the cause (shared=false).

Change: 150 ms of survival, by the worker's own clock and counted from the response that confirms the run, clear a run (5 s before); a worker with a suspected run that is younger answers polls after 50 ms; a task is given up alone while other lasting tasks of its job may run elsewhere (event 737).

Why it works: a task that takes its workers down does so some 10 ms after each start, so it never survives that long, while the start of an innocent one is seen to have succeeded before an unrelated crash counts.

Tests: Crashes.SurvivedStartsDoNotCount and Crashes.SurvivalCountsFromTheStart failed before.

--- a/include/poplarstream/engine/decision.hpp
+++ b/include/poplarstream/engine/decision.hpp
@@ -19,6 +19,7 @@
     WorkerRecovered,
     LeaseLapsed,
     TaskLost,  // its worker ended while it ran or may have run there
+    TaskGivenUp,  // after several crashes of its workers; its job goes on
     JobEnded,
 };
 
--- a/include/poplarstream/jobs/commands.hpp
+++ b/include/poplarstream/jobs/commands.hpp
@@ -42,12 +42,20 @@
     int suspicion = 0;  // likelihood that the run caused it, in thousandths
     int jobSuspicion = 0;  // the same for all runs of the job on the worker together
     bool mayHaveCaused = true;  // the run was known to have just started when the worker ended
+    WorkerIncarnation worker;  // that has ended
 };
 
-// Records the unplanned end of a worker under a run. Returns whether this ended the job: a task
-// is given up at its second crash if it almost certainly caused it, and later with less certainty.
-// A run that cannot have caused the end, or may never have started, raises the suspicion only.
-bool recordCrash(Job &job, const TaskRef &ref, const CrashEvidence &evidence, TimePoint now);
+enum class CrashEffect {
+    None,
+    TaskGivenUp,  // the job goes on without the task
+    JobEnded,
+};
+
+// Records the unplanned end of a worker under a run. A task is given up at its second crash if it
+// almost certainly caused it, and later with less certainty. Its job fails with it, unless other
+// tasks of it serve on other workers until the job is cancelled: these go on. A run that cannot
+// have caused the end, or may never have started, raises the suspicion only.
+CrashEffect recordCrash(Job &job, const TaskRef &ref, const CrashEvidence &evidence, TimePoint now);
 
 // Remembers a run whose attempt is dropped because its lease has expired. It may still be reported
 // as failed.
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -122,6 +122,7 @@
     int failures = 0;  // runs with the result Failed
     int crashes = 0;  // unplanned ends of workers that a run of this task may have caused
     int suspicion = 0;  // likelihood that it caused the last of them, in thousandths
+    bool isGivenUp = false;  // is not started any more, though its job goes on
     std::vector<int> lapsedRuns;  // dropped as their leases had expired; their ends are not known
     std::string checkpoint;
     std::vector<Attempt> attempts;  // more than one only for speculative steps
--- a/include/poplarstream/jobs/queries.hpp
+++ b/include/poplarstream/jobs/queries.hpp
@@ -9,6 +9,9 @@
 
 bool isFinal(JobState state);
 
+// Whether a task has no run and is to get one.
+bool isWaiting(const Task &task);
+
 // Whether all steps that `step` depends on are done.
 bool isStepReady(const Job &job, const Occurrence &occurrence, int step);
 
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -41,6 +41,8 @@
         return events::workerAnswers;
     case engine::DecisionKind::TaskLost:
         return events::taskLost;
+    case engine::DecisionKind::TaskGivenUp:
+        return events::taskGivenUp;
     case engine::DecisionKind::LeaseLapsed:
         break;
     }
--- a/src/poplarstream/engine/crashes.cpp
+++ b/src/poplarstream/engine/crashes.cpp
@@ -13,13 +13,13 @@
 
 namespace {
 
-// A task that takes its worker down does so soon after its start. A run that a worker still lists
-// after this time did not cause a crash.
-constexpr Milliseconds provenAfter{5000};
+// A task that takes its worker down does so within some 10 ms of its start, or some 100 ms on a
+// slow worker. A run that its worker has survived for this long, by the worker's own clock, did not
+// cause a crash.
+constexpr Milliseconds provenAfter{150};
 
-// A task that takes its worker down does so within some 10 ms of its start, and the owner sees the
-// poll break off within 50 ms. A worker that stops responding later than this after a confirmed
-// start ended for another reason.
+// The owner sees the poll break off within 50 ms. A worker that stops responding later than this
+// after a confirmed start ended for another reason, even if nothing was heard of it in between.
 constexpr Milliseconds silenceWindow{500};
 
 // The likelihood that a run of a given age causes a crash falls with 1 / (age + this).
@@ -115,6 +115,19 @@
     return task.suspicion > priorSuspicion;
 }
 
+bool hasUnprovenSuspect(Engine &engine, const Worker &worker)
+{
+    if (engine.suspects.empty()) {
+        return false;
+    }
+    return std::any_of(worker.attempts.begin(), worker.attempts.end(), [&](const auto &entry) {
+        const AttemptRef &ref = entry.first;
+        const jobs::Attempt *const attempt = findAttempt(engine, ref);
+        return engine.suspects.contains(ref.task) && attempt != nullptr
+               && attempt->confirmedAt != TimePoint{} && survived(*attempt, worker) < provenAfter;
+    });
+}
+
 void recordCrash(Engine &engine, const Worker &worker, TimePoint now)
 {
     struct Candidate
@@ -157,10 +170,12 @@
                 isShared || total <= 0 ? suspicion : static_cast<int>(1000 * weights[id] / total);
         const bool mayHaveCaused =
                 run.isKnownToStart && silentAfter(run, worker, now) <= silenceWindow;
-        const bool ended =
-                candidate.weight > 0
-                && jobs::recordCrash(*candidate.job, run.ref.task,
-                                     {suspicion, isShared ? 0 : jobSuspicion, mayHaveCaused}, now);
+        const jobs::CrashEffect effect =
+                candidate.weight > 0 ? jobs::recordCrash(*candidate.job, run.ref.task,
+                                                         {suspicion, isShared ? 0 : jobSuspicion,
+                                                          mayHaveCaused, worker.entry.incarnation},
+                                                         now)
+                                     : jobs::CrashEffect::None;
         recordDecision(engine, DecisionKind::TaskLost, run.ref, worker.entry.incarnation.id,
                        fmt::format("crashes={} suspicion={} others={} shared={} survived_ms={} "
                                    "silent_after_ms={} sent_ms_ago={} confirmed_ms_ago={} "
@@ -176,7 +191,10 @@
         if (isSuspect(*candidate.task)) {
             engine.suspects.insert(run.ref.task);
         }
-        if (ended) {
+        if (effect == jobs::CrashEffect::TaskGivenUp) {
+            recordDecision(engine, DecisionKind::TaskGivenUp, run.ref, worker.entry.incarnation.id,
+                           fmt::format("crashes={}", candidate.task->crashes));
+        } else if (effect == jobs::CrashEffect::JobEnded) {
             recordDecision(engine, DecisionKind::JobEnded, run.ref, worker.entry.incarnation.id,
                            fmt::format("state=failed crashes={}", candidate.task->crashes));
             stopJob(engine, id, now);
--- a/src/poplarstream/engine/crashes_test.cpp
+++ b/src/poplarstream/engine/crashes_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>  // for max
+
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
 #include "engine_fixture.hpp"  // for EngineFixture
@@ -420,5 +422,151 @@
     }
 }
 
+// A lasting job of five tasks on as many workers, of which one may be missing.
+jobs::Submission servingJob()
+{
+    jobs::StepSpec lasting = step(5, 1000);
+    lasting.longRunning = true;
+    lasting.antiAffinity = 1;
+    lasting.mayMiss = 1;
+    return submission(firstJob, lasting);
+}
+
+// Responds to each poll in flight at once, as workers on which these runs are at work.
+void answerAtWork(EngineFixture &fixture, const std::vector<StartCommand> &runs)
+{
+    for (const PollCommand &poll : fixture.poll()) {
+        std::vector<RunningReport> running;
+        for (const StartCommand &run : runs) {
+            if (run.target.worker == poll.target.worker) {
+                running.push_back({run.task, run.run, "", 100, 0});
+            }
+        }
+        answerAs(fixture, poll.target.worker, running);
+    }
+}
+
+// Guards against a lasting job that is given up because two workers crash under one of its tasks
+// (review/4): a worker that has survived the start of a run for a while did not crash because of
+// it.
+TEST(Crashes, SurvivedStartsDoNotCount)
+{
+    SCOPED_TRACE("given a lasting job");
+    EngineFixture fixture(8);
+    fixture.submit(servingJob());
+    std::vector<StartCommand> runs = fixture.startAll();
+    ASSERT_EQ(runs.size(), 5U);
+    for (int crashes = 0; crashes < 4; ++crashes) {
+        SCOPED_TRACE("when the worker of its first task crashes a quarter of a second after the "
+                     "start, and was alive until then");
+        fixture.now += Milliseconds{200};
+        answerAtWork(fixture, runs);
+        fixture.poll();
+        fixture.now += Milliseconds{50};
+        const WorkerIncarnation crashed = workerOf(fixture);
+        handlePollResponse(fixture.engine, crashed, fixture.engine.workers.at(crashed).pollNumber,
+                           {}, fixture.now);
+        crash(fixture, crashed);
+        {
+            SCOPED_TRACE("then nothing is held against the job, and its task starts again");
+            EXPECT_EQ(taskOf(fixture).crashes, 0);
+            EXPECT_FALSE(jobs::isFinal(fixture.job().state));
+            EXPECT_TRUE(fixture.take<StopCommand>().empty());
+            const auto again = fixture.startAll();
+            ASSERT_EQ(again.size(), 1U);
+            runs.push_back(again[0]);
+        }
+    }
+}
+
+// Guards against sound work that is stopped with a task that takes its workers down.
+TEST(Crashes, GivenUpTaskLeavesTheOthersAtWork)
+{
+    SCOPED_TRACE("given a lasting job at work, but for a task whose workers crash at its start");
+    EngineFixture fixture(8);
+    fixture.submit(servingJob());
+    std::vector<StartCommand> runs = fixture.startAll();
+    ASSERT_EQ(runs.size(), 5U);
+    crash(fixture, workerOf(fixture));
+    ASSERT_EQ(fixture.startAll().size(), 1U);
+    crash(fixture, workerOf(fixture));
+    {
+        SCOPED_TRACE("then that task is given up alone");
+        EXPECT_FALSE(jobs::isFinal(fixture.job().state));
+        EXPECT_TRUE(taskOf(fixture).isGivenUp);
+        EXPECT_TRUE(fixture.take<StopCommand>().empty());
+        EXPECT_TRUE(fixture.startAll().empty());
+        for (std::size_t index = 1; index < 5; ++index) {
+            EXPECT_EQ(taskOf(fixture, firstJob, index).attempts.size(), 1U);
+        }
+    }
+    {
+        SCOPED_TRACE("and a new owner does not start it either");
+        EngineFixture after(8);
+        after.submit(servingJob());
+        ASSERT_TRUE(adoptProgress(after.engine, JobId(firstJob),
+                                  jobs::encodeProgress(fixture.job()), after.now, after.now));
+        EXPECT_TRUE(after.start().empty());
+    }
+    {
+        SCOPED_TRACE("and the job fails once nothing of it serves any more");
+        for (std::size_t index = 1; index < 5; ++index) {
+            // The first crash comes long after the start, and does not count.
+            for (int crashes = 0; crashes < 3; ++crashes) {
+                ASSERT_FALSE(jobs::isFinal(fixture.job().state));
+                crash(fixture, workerOf(fixture, firstJob, index));
+                fixture.startAll();
+            }
+        }
+        EXPECT_EQ(fixture.job().state, jobs::JobState::Failed);
+    }
+}
+
+// Guards against an innocent task that is taken for the cause of a second crash because nothing was
+// heard of its worker between its start and the crash.
+TEST(Crashes, SuspectIsPolledUntilItsWorkerHasSurvivedIt)
+{
+    EngineFixture fixture(8);
+    fixture.submit(servingJob());
+    ASSERT_EQ(fixture.startAll().size(), 5U);
+    crash(fixture, workerOf(fixture));
+    std::vector<StartCommand> runs = fixture.startAll();
+    ASSERT_EQ(runs.size(), 1U);
+    const auto longestWait = [&] {
+        Milliseconds longest{0};
+        for (const PollCommand &poll : fixture.poll()) {
+            if (poll.target.worker == runs[0].target.worker) {
+                longest = std::max(longest, poll.wait);
+                answerAs(fixture, poll.target.worker, {runningOf(runs[0])});
+            }
+        }
+        return longest;
+    };
+    EXPECT_LE(longestWait(), Milliseconds{50});
+    fixture.now += Milliseconds{50};
+    EXPECT_LE(longestWait(), Milliseconds{50});
+    fixture.now += Milliseconds{200};
+    longestWait();
+    EXPECT_EQ(taskOf(fixture).crashes, 0);
+    fixture.now += Milliseconds{50};
+    EXPECT_GT(longestWait(), Milliseconds{50});
+}
+
+// Guards against a task that takes its workers down and is taken for proven: the response to its
+// start may be delayed, so that the last reading of the worker's clock is from long before.
+TEST(Crashes, SurvivalCountsFromTheStart)
+{
+    EngineFixture fixture(1);
+    fixture.submit(submission(firstJob, step(1, 1000)));
+    const auto starts = fixture.start();
+    ASSERT_EQ(starts.size(), 1U);
+    fixture.now += Milliseconds{1000};
+    const std::int64_t startedClockMs = fixture.workerClockMs();
+    fixture.now += Milliseconds{100};
+    handleStartResult(fixture.engine, {starts[0].task, starts[0].run}, starts[0].target.worker,
+                      StartResult::Started, startedClockMs, fixture.now);
+    EXPECT_EQ(taskOf(fixture).attempts.at(0).confirmedClockMs, startedClockMs);
+}
+
 }  // namespace
 }  // namespace poplarstream::engine
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -8,6 +8,7 @@
 #include "poplarstream/engine/crashes.hpp"  // for isSuspect
 #include "poplarstream/engine/placement.hpp"  // for chooseCandidate, placementCandidates
 #include "poplarstream/engine/ranking.hpp"  // for rankWaitingSteps, WaitingStep
+#include "poplarstream/jobs/queries.hpp"  // for isWaiting
 
 namespace poplarstream::engine {
 
@@ -97,7 +98,7 @@
     PlacedTasks placed;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const jobs::Task &task = tasks[index];
-        if (task.isDone || !task.attempts.empty() || task.notBefore > now) {
+        if (!jobs::isWaiting(task) || task.notBefore > now) {
             continue;
         }
         PlacementCandidate *candidate =
@@ -168,7 +169,7 @@
     bool hasSuspect = false;
     std::string checkpoint;
     for (const jobs::Task &task : tasks) {
-        if (task.isDone || !task.attempts.empty() || task.notBefore > now) {
+        if (!jobs::isWaiting(task) || task.notBefore > now) {
             return {};  // a member may still be running, or must wait
         }
         run = std::max(run, task.lastRun);
--- a/src/poplarstream/engine/ranking.cpp
+++ b/src/poplarstream/engine/ranking.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>  // for sort
 #include <tuple>  // for make_tuple, tie
 
-#include "poplarstream/jobs/queries.hpp"  // for isStepReady, objective, remainingPath
+#include "poplarstream/jobs/queries.hpp"  // for isStepReady, isWaiting, objective, remainingPath
 
 namespace poplarstream::engine {
 
@@ -12,11 +12,6 @@
 // A result has no value later than this multiple of the time from due to objective.
 constexpr int expiredAfterObjectives = 3;
 
-bool isWaiting(const jobs::Task &task)
-{
-    return !task.isDone && task.attempts.empty();
-}
-
 bool hasStarted(const jobs::Occurrence &occurrence)
 {
     for (const auto &tasks : occurrence.steps) {
@@ -50,7 +45,7 @@
             hasWaiting = hasWaiting || isQueued;
             for (std::size_t index = 0; !isDue && index < occurrence.steps[i].size(); ++index) {
                 const jobs::Task &task = occurrence.steps[i][index];
-                if (isWaiting(task)) {
+                if (jobs::isWaiting(task)) {
                     hasWaiting = true;
                     isDue = task.notBefore <= now;
                 }
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -70,11 +70,13 @@
     return "unknown";
 }
 
-void confirm(jobs::Attempt &attempt, const Worker &worker, TimePoint now)
+// `clockMs` is the worker's clock in the response that confirms the run. The last reading may be
+// older, if the response was delayed.
+void confirm(jobs::Attempt &attempt, const Worker &worker, std::int64_t clockMs, TimePoint now)
 {
     if (attempt.confirmedAt == TimePoint{}) {
         attempt.confirmedAt = now;
-        attempt.confirmedClockMs = worker.clockMs;
+        attempt.confirmedClockMs = std::max(worker.clockMs, clockMs);
     }
 }
 
@@ -138,7 +140,8 @@
     }
 }
 
-void handleRunning(Engine &engine, Worker &worker, const RunningReport &report, TimePoint now)
+void handleRunning(Engine &engine, Worker &worker, const RunningReport &report,
+                   std::int64_t clockMs, TimePoint now)
 {
     const AttemptRef ref{report.task, report.run};
     jobs::Attempt *const attempt = findAttempt(engine, ref);
@@ -152,7 +155,7 @@
     if (attempt->phase == AttemptPhase::StartSent) {
         attempt->phase = AttemptPhase::Running;
     }
-    confirm(*attempt, worker, now);
+    confirm(*attempt, worker, clockMs, now);
     attempt->aliveAt = worker.pollSentAt;
     if (attempt->percent != report.percent) {
         attempt->percent = report.percent;
@@ -275,7 +278,7 @@
         }
     }
     for (const RunningReport &report : response->running) {
-        handleRunning(engine, *worker, report, now);
+        handleRunning(engine, *worker, report, response->clockMs, now);
     }
     if (!response->isPartial) {
         releaseMissing(engine, *worker, pollNumber, *response, now);
@@ -312,7 +315,7 @@
         place->second = std::min(place->second, worker->pollNumber + 1);
         if (attempt != nullptr && attempt->phase == AttemptPhase::StartSent) {
             attempt->phase = AttemptPhase::Running;
-            confirm(*attempt, *worker, now);
+            confirm(*attempt, *worker, clockMs, now);
             engine.jobs.at(ref.task.job).hasBegun = true;
         }
         return;
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -6,7 +6,7 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt, releaseAll, targetOf
-#include "poplarstream/engine/crashes.hpp"  // for rememberLapsed
+#include "poplarstream/engine/crashes.hpp"  // for rememberLapsed, hasUnprovenSuspect
 
 namespace poplarstream::engine {
 
@@ -16,6 +16,9 @@
 constexpr Milliseconds incarnationKnownFor{1000};
 // The progress of a starting long-running task is polled this often.
 constexpr Milliseconds startingTaskPollWait{250};
+// While a suspected task may be about to take its worker down, the worker's responses show in time
+// that it does not, should the worker end for another reason.
+constexpr Milliseconds suspectPollWait{50};
 constexpr int readyPercent = 100;
 // A worker that is not back after this time is forgotten; most restart within seconds.
 constexpr Milliseconds lapsedRunMemory{60'000};
@@ -53,7 +56,9 @@
     const bool hasUnstoredCompletions = worker.completionsSeen > worker.completionsStored;
     if (worker.reachability == Reachability::Reachable && hasWork && !hasUnstoredCompletions
         && !worker.wantsPromptPoll) {
-        poll.wait = hasStartingTask(engine, worker) ? startingTaskPollWait : maxPollWait;
+        poll.wait = hasUnprovenSuspect(engine, worker) ? suspectPollWait
+                    : hasStartingTask(engine, worker)  ? startingTaskPollWait
+                                                       : maxPollWait;
     }
     worker.wantsPromptPoll = false;
     worker.isPolling = true;
--- a/src/poplarstream/jobs/commands.cpp
+++ b/src/poplarstream/jobs/commands.cpp
@@ -113,6 +113,29 @@
                       != task.lapsedRuns.end();
 }
 
+// Whether another task that runs until the job is cancelled may be running on a worker that has not
+// ended. What it does for its users is sound work, whatever the task does.
+bool servesBeside(const Job &job, const TaskRef &ref, const WorkerIncarnation &ended)
+{
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const std::vector<Task> &tasks = occurrence.steps[step];
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                const TaskRef other{ref.job, number, static_cast<int>(step),
+                                    static_cast<int>(index)};
+                if (job.submission.spec.steps[step].longRunning && other != ref
+                    && std::any_of(tasks[index].attempts.begin(), tasks[index].attempts.end(),
+                                   [&ended](const Attempt &attempt) {
+                                       return attempt.mayRun && attempt.worker != ended;
+                                   })) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
 }  // namespace
 
 Job makeJob(Submission submission, TimePoint now, std::int64_t nowUnixMs)
@@ -225,23 +248,27 @@
     return true;
 }
 
-bool recordCrash(Job &job, const TaskRef &ref, const CrashEvidence &evidence, TimePoint now)
+CrashEffect recordCrash(Job &job, const TaskRef &ref, const CrashEvidence &evidence, TimePoint now)
 {
     Task *const task = findTask(job, ref);
     if (task == nullptr || task->isDone) {
-        return false;
+        return CrashEffect::None;
     }
     task->suspicion = std::max(task->suspicion, evidence.suspicion);
     job.isDirty = true;
     if (!evidence.mayHaveCaused) {
-        return false;
+        return CrashEffect::None;
     }
     task->crashes += evidence.suspicion >= minSuspicion ? 1 : 0;
     if (isFinal(job.state) || !isAtCrashLimit(*task, evidence.jobSuspicion)) {
-        return false;
+        return CrashEffect::None;
+    }
+    if (servesBeside(job, ref, evidence.worker)) {
+        task->isGivenUp = true;
+        return CrashEffect::TaskGivenUp;
     }
     finishJob(job, JobState::Failed, now);
-    return true;
+    return CrashEffect::JobEnded;
 }
 
 void rememberLapsed(Job &job, const TaskRef &ref, int run)
--- a/src/poplarstream/jobs/queries.cpp
+++ b/src/poplarstream/jobs/queries.cpp
@@ -55,6 +55,11 @@
            || state == JobState::Cancelled;
 }
 
+bool isWaiting(const Task &task)
+{
+    return !task.isDone && !task.isGivenUp && task.attempts.empty();
+}
+
 bool isStepReady(const Job &job, const Occurrence &occurrence, int step)
 {
     const auto &after = job.submission.spec.steps[static_cast<std::size_t>(step)].after;
--- a/src/poplarstream/jobs/task_codec.cpp
+++ b/src/poplarstream/jobs/task_codec.cpp
@@ -44,7 +44,8 @@
 }
 
 // Format: [isDone, lastRun, failures, checkpoint, [[run, worker, startedUnixMs], ...]]. A task that
-// may have crashed workers or has lapsed runs has `crashes, suspicion, [run, ...]` after that.
+// may have crashed workers or has lapsed runs has `crashes, suspicion, [run, ...]` after that, and
+// 1 if it is given up.
 void appendTask(std::string &out, const Task &task)
 {
     fmt::format_to(std::back_inserter(out), "[{},{},{},", task.isDone ? 1 : 0, task.lastRun,
@@ -60,8 +61,8 @@
     }
     out.push_back(']');
     if (task.suspicion > 0 || task.crashes > 0 || !task.lapsedRuns.empty()) {
-        fmt::format_to(std::back_inserter(out), ",{},{},[{}]", task.crashes, task.suspicion,
-                       fmt::join(task.lapsedRuns, ","));
+        fmt::format_to(std::back_inserter(out), ",{},{},[{}]{}", task.crashes, task.suspicion,
+                       fmt::join(task.lapsedRuns, ","), task.isGivenUp ? ",1" : "");
     }
     out.push_back(']');
 }
@@ -147,6 +148,7 @@
         for (const json &run : value.at(7)) {
             task.lapsedRuns.push_back(integerFrom<int>(run));
         }
+        task.isGivenUp = value.size() > 8 && integerFrom<int>(value.at(8)) != 0;
     }
     return task;
 }
--- a/src/poplarstream/pools/demand.cpp
+++ b/src/poplarstream/pools/demand.cpp
@@ -32,7 +32,8 @@
             if (step.longRunning) {
                 demand.longRunning += need;
             }
-        } else if (task.isDone || deadlineClass == engine::DeadlineClass::Expired) {
+        } else if (task.isDone || task.isGivenUp
+                   || deadlineClass == engine::DeadlineClass::Expired) {
             continue;
         } else if (deadlineClass == engine::DeadlineClass::Late) {
             demand.late += need;
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -89,6 +89,7 @@
         leaseLapsed,
         startUnanswered,
         taskLost,
+        taskGivenUp,
         workerEntryUnusable,
         progressRefused,
 };
