--- a/src/poplarstream/jobs/codec_test.cpp
+++ b/src/poplarstream/jobs/codec_test.cpp
@@ -152,7 +152,8 @@
     const TaskRef ref{job.submission.id, 0, 0, 0};
     findTask(job, ref)->lastRun = 4;
     for (int crashes = 0; crashes < 4; ++crashes) {
-        EXPECT_EQ(recordCrash(job, ref, {150, 200}, now), CrashEffect::None) << "crashes: " << crashes;
+        EXPECT_EQ(recordCrash(job, ref, {150, 200}, now), CrashEffect::None)
+                << "crashes: " << crashes;
     }
     Job other = makeJob(submission({stepOf(1)}), now, unixNow);
     ASSERT_TRUE(applyProgress(other, encodeProgress(job)));
@@ -168,13 +169,15 @@
     Job job = makeJob(submission({stepOf(1)}), now, unixNow);
     const TaskRef ref{job.submission.id, 0, 0, 0};
     for (int crashes = 0; crashes < 4; ++crashes) {
-        EXPECT_EQ(recordCrash(job, ref, {20, 20}, now), CrashEffect::None) << "crashes: " << crashes;
+        EXPECT_EQ(recordCrash(job, ref, {20, 20}, now), CrashEffect::None)
+                << "crashes: " << crashes;
     }
     EXPECT_EQ(recordCrash(job, ref, {20, 20}, now), CrashEffect::JobEnded);
     EXPECT_EQ(job.state, JobState::Failed);
     Job innocent = makeJob(submission({stepOf(1)}), now, unixNow);
     for (int crashes = 0; crashes < 9; ++crashes) {
-        EXPECT_EQ(recordCrash(innocent, ref, {3, 3}, now), CrashEffect::None) << "crashes: " << crashes;
+        EXPECT_EQ(recordCrash(innocent, ref, {3, 3}, now), CrashEffect::None)
+                << "crashes: " << crashes;
     }
 }
 
