Hold no failure of a lasting task that has served against its worker

Cause: two failed jobs without a success in between put a worker into quarantine, and a lasting task never ends with success, so that from the second job on each failure did so.

Change: a lasting task that becomes ready counts as a success of its worker; its failure after that is no evidence.

Why it works: what may fail at any time, on any worker, no longer adds up; failures while tasks start still do.

--- a/include/poplarstream/engine/worker_health.hpp
+++ b/include/poplarstream/engine/worker_health.hpp
@@ -9,6 +9,9 @@
 void updateWorkerHealth(Engine &engine, Worker &worker, const CompletionReport &report,
                         TimePoint now);
 
+// Clears what was held against a worker, since it has started a task that lasts, which serves now.
+void recordWorkerSuccess(Worker &worker);
+
 // Keeps new tasks off a worker for a while, longer each time.
 void quarantine(Engine &engine, Worker &worker, TimePoint now);
 
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -96,6 +96,9 @@
     Stopping,  // the stop command was sent
 };
 
+// The progress from which on a task that lasts serves its users.
+inline constexpr int readyPercent = 100;
+
 // One start of a task on one worker.
 struct Attempt
 {
--- a/src/poplarstream/edge/stored_jobs.cpp
+++ b/src/poplarstream/edge/stored_jobs.cpp
@@ -114,6 +114,7 @@
         return left.offset < right.offset;
     });
     std::vector<jobs::ProgressRecord> parts;
+    parts.reserve(byAge.size());
     for (StoredRecord &record : byAge) {
         parts.push_back({std::move(record.key), std::move(record.value)});
     }
--- a/src/poplarstream/engine/evacuation.cpp
+++ b/src/poplarstream/engine/evacuation.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr int readyPercent = 100;
 // A worker with tasks is polled more often than this.
 constexpr Milliseconds maxReportAge{2500};
 
@@ -29,7 +28,7 @@
             task.attempts.begin(), task.attempts.end(), [&](const jobs::Attempt &attempt) {
                 const auto worker = engine.workers.find(attempt.worker);
                 return attempt.phase == jobs::AttemptPhase::Running
-                       && attempt.percent >= readyPercent && worker != engine.workers.end()
+                       && attempt.percent >= jobs::readyPercent && worker != engine.workers.end()
                        && worker->second.reachability == Reachability::Reachable
                        && worker->second.answeredAt + maxReportAge >= now
                        && !mayBeStopping(engine, attempt, worker->second, now);
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -9,7 +9,7 @@
 #include "poplarstream/engine/attempts.hpp"  // for attach, detach, release
 #include "poplarstream/engine/crashes.hpp"  // for recordCrash, recordSilence, clearIfProven
 #include "poplarstream/engine/incarnations.hpp"  // for endIncarnation, restartWorker
-#include "poplarstream/engine/worker_health.hpp"  // for updateWorkerHealth, quarantine
+#include "poplarstream/engine/worker_health.hpp"  // for updateWorkerHealth, recordWorkerSuccess
 #include "poplarstream/jobs/commands.hpp"  // for recordCompletion
 #include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt
 
@@ -157,12 +157,17 @@
     }
     confirm(*attempt, worker, clockMs, now);
     attempt->aliveAt = worker.pollSentAt;
+    jobs::Job *const job = findJob(engine, report.task.job);
     if (attempt->percent != report.percent) {
+        const bool serves =
+                report.percent >= jobs::readyPercent && stepOf(*job, report.task).longRunning;
+        if (serves && attempt->percent < jobs::readyPercent) {
+            recordWorkerSuccess(worker);
+        }
         attempt->percent = report.percent;
         attempt->progressedAt = now;
     }
     attempt->load = report.load;
-    jobs::Job *const job = findJob(engine, report.task.job);
     job->hasBegun = true;
     clearIfProven(engine, *job, report.task, *attempt, worker);
     if (stepOf(*job, report.task).checkpointing && !report.checkpoint.empty()) {
--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -110,6 +110,12 @@
 
 }  // namespace
 
+void recordWorkerSuccess(Worker &worker)
+{
+    worker.failedJobs.clear();
+    worker.quarantineCount = 0;
+}
+
 void updateWorkerHealth(Engine &engine, Worker &worker, const CompletionReport &report,
                         TimePoint now)
 {
@@ -118,6 +124,11 @@
     if (attempt == nullptr) {
         return;
     }
+    const bool hasServed =
+            stepOf(job, report.task).longRunning && attempt->percent >= jobs::readyPercent;
+    if (report.result == jobs::AttemptResult::Failed && hasServed) {
+        return;  // it may fail at any time, on any worker
+    }
     if (report.result == jobs::AttemptResult::Failed) {
         worker.failedJobs.insert(report.task.job);
         if (worker.failedJobs.size() >= failedJobsBeforeQuarantine) {
--- a/src/poplarstream/engine/worker_health_test.cpp
+++ b/src/poplarstream/engine/worker_health_test.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/engine/worker_health.hpp"
 
-#include <algorithm>  // for max
+#include <algorithm>  // for find, max
 #include <random>  // for mt19937_64
 
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
@@ -111,6 +111,68 @@
     EXPECT_GT(found, 200U);
 }
 
+// Guards against workers that are all kept from new tasks because tasks that last fail now and then
+// (review/5): what has served may fail at any time, on any worker.
+TEST(WorkerHealth, FailureOfWhatHasServedIsNoEvidence)
+{
+    SCOPED_TRACE("given lasting tasks of four jobs on one worker");
+    EngineFixture fixture(1);
+    const std::vector<std::string> ids{"00000000000000d1", "00000000000000d2", "00000000000000d3",
+                                       "00000000000000d4"};
+    for (const std::string &id : ids) {
+        jobs::StepSpec lasting = step(1, 500);
+        lasting.longRunning = true;
+        fixture.submit(submission(id, lasting));
+    }
+    ASSERT_EQ(fixture.startAll().size(), ids.size());
+    std::int64_t number = 0;
+    // The given tasks fail after they have been at `percent`; the others have just begun.
+    const auto fail = [&](const std::vector<std::string> &failing, int percent) {
+        std::vector<RunningReport> before;
+        std::vector<RunningReport> after;
+        std::vector<CompletionReport> ends;
+        for (const std::string &id : ids) {
+            const int run = fixture.job(id).occurrences.at(0).steps[0][0].lastRun;
+            const AttemptRef ref = EngineFixture::ref(0, run, id);
+            const bool fails = std::find(failing.begin(), failing.end(), id) != failing.end();
+            before.push_back({ref.task, run, "", fails ? percent : 10, 0});
+            if (fails) {
+                ends.push_back({++number, ref.task, run, jobs::AttemptResult::Failed, ""});
+            } else {
+                after.push_back(before.back());
+            }
+        }
+        fixture.now += Milliseconds{100};
+        fixture.poll();
+        fixture.answer("w1", before);
+        fixture.now += Milliseconds{100};
+        fixture.poll();
+        fixture.answer("w1", after, ends);
+        fixture.now += Milliseconds{1500};
+    };
+    {
+        SCOPED_TRACE("when three fail after they have served, the worker gets their next runs");
+        fail({ids[0], ids[1], ids[2]}, jobs::readyPercent);
+        EXPECT_EQ(fixture.worker("w1").quarantinedUntil, TimePoint{});
+        EXPECT_EQ(fixture.startAll().size(), 3U);
+    }
+    {
+        SCOPED_TRACE("when one fails while it starts, and others have served since, too");
+        fail({ids[0]}, 40);
+        EXPECT_EQ(fixture.startAll().size(), 1U);
+        fail({ids[1], ids[2]}, jobs::readyPercent);
+        EXPECT_EQ(fixture.startAll().size(), 2U);
+        fail({ids[1]}, 40);
+        EXPECT_EQ(fixture.worker("w1").quarantinedUntil, TimePoint{});
+        EXPECT_EQ(fixture.startAll().size(), 1U);
+    }
+    {
+        SCOPED_TRACE("but not when those of two jobs fail while they start");
+        fail({ids[2]}, 40);
+        EXPECT_GT(fixture.worker("w1").quarantinedUntil, TimePoint{});
+    }
+}
+
 // Guards against a second run of a task that ended: an attempt that its worker no longer holds is
 // not stalled, however old its last progress is.
 TEST(WorkerHealth, DetachedAttemptIsNotStalled)
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -19,7 +19,6 @@
 // While a suspected task may be about to take its worker down, the worker's responses show in time
 // that it does not, should the worker end for another reason.
 constexpr Milliseconds suspectPollWait{50};
-constexpr int readyPercent = 100;
 // A worker that is not back after this time is forgotten; most restart within seconds.
 constexpr Milliseconds lapsedRunMemory{60'000};
 
@@ -31,7 +30,7 @@
     }
     for (const auto &[ref, decisivePoll] : worker.attempts) {
         const jobs::Attempt *const attempt = findAttempt(engine, ref);
-        if (attempt != nullptr && attempt->percent < readyPercent
+        if (attempt != nullptr && attempt->percent < jobs::readyPercent
             && stepOf(engine.jobs.at(ref.task.job), ref.task).longRunning) {
             return true;
         }
