Evacuate leaving workers before cordoned ones

Cause: one pass stopped a task on a cordoned worker, while the others were ready, and after it those on leaving workers, which do not wait for the limit.

Change: leaving workers first, cordoned ones last.

Why it works: what has been stopped in the pass counts as missing for the decision on cordoned workers.

Tests: Evacuation.LeavingWorkersGoFirst failed before (two stops instead of one).

--- a/src/poplarstream/engine/evacuation.cpp
+++ b/src/poplarstream/engine/evacuation.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/engine/evacuation.hpp"
 
 #include <algorithm>  // for max, any_of
+#include <vector>  // for vector
 
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt, stepOf, stopAttempt
 #include "poplarstream/engine/placement.hpp"  // for chooseCandidate, countPlacements
@@ -82,22 +83,35 @@
     }
 }
 
+void evacuateWorker(Engine &engine, Worker &worker, bool isLeaving, TimePoint now)
+{
+    const auto attempts = worker.attempts;
+    for (const auto &[ref, decisivePoll] : attempts) {
+        evacuateTask(engine, worker, ref, isLeaving, now);
+    }
+}
+
 }  // namespace
 
 void evacuate(Engine &engine, TimePoint now)
 {
+    std::vector<Worker *> cordoned;
     for (auto &[incarnation, worker] : engine.workers) {
         worker.heldBy.reset();
-        const bool mustLeave = worker.entry.isDraining && worker.isListed;
-        if (worker.isGone || worker.reachability != Reachability::Reachable
-            || !(mustLeave || worker.isCordoned)) {
+        const bool isLeaving = worker.entry.isDraining && worker.isListed;
+        if (worker.isGone || worker.reachability != Reachability::Reachable) {
             continue;
         }
-        const auto attempts = worker.attempts;
-        for (const auto &[ref, decisivePoll] : attempts) {
-            evacuateTask(engine, worker, ref, mustLeave, now);
+        if (isLeaving) {
+            evacuateWorker(engine, worker, true, now);
+        } else if (worker.isCordoned) {
+            cordoned.push_back(&worker);
         }
     }
+    // Last, so that the tasks that had to go off leaving workers count as missing.
+    for (Worker *const worker : cordoned) {
+        evacuateWorker(engine, *worker, false, now);
+    }
 }
 
 }  // namespace poplarstream::engine
