--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -219,7 +219,7 @@
     std::deque<RackSilence> silences;  // of the last seconds, oldest first
     std::uint64_t tasksLost = 0;  // runs that were lost with their workers, for the metrics
     std::vector<JobId> forgotten;  // jobs to delete from the store
-    std::set<JobId> beingDeleted;  // forgotten, and still in the job log as far as it was read
+    std::set<JobId> beingDeleted;  // forgotten; their deletion has not been read from the job log
     std::vector<ProgressRecord> pendingRecords;  // other records for the next batch
     std::vector<Arrival> arrivals;  // since the forecast last consumed them
     bool needsPlan = false;
--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -65,7 +65,7 @@
                 unreadPartitions.insert(partition);
             }
         }
-        // A partition may be read while the others are still being followed.
+        // A copy, since a partition leaves the set as soon as it has been read.
         for (const int partition : std::set<int>(unreadPartitions)) {
             followPartition(partition);
         }
@@ -89,8 +89,8 @@
                 std::make_unique<LogFollower>(runtime, Log::Jobs, settings, std::move(received)));
     }
 
-    // A partition may be read from its beginning again at any time, also while another one has not
-    // been read at all.
+    // Replaces what was read of the partition before. The store may drop the history of a partition
+    // at any time, also while another one has not been read at all.
     void handleSnapshot(int partition, std::vector<StoredRecord> records)
     {
         unreadPartitions.erase(partition);
--- a/src/poplarstream/jobs/progress_records.cpp
+++ b/src/poplarstream/jobs/progress_records.cpp
@@ -60,7 +60,8 @@
                        [](const Task &task) { return !task.attempts.empty(); });
 }
 
-// Whether the tasks of a job that has ended without completion are of no interest any more.
+// Whether nothing is left to do for these tasks: their job has failed or was cancelled, and none of
+// their runs is left.
 bool isObsolete(const Job &job, std::span<const Task> tasks)
 {
     return isFinal(job.state) && job.state != JobState::Completed && !hasAttempts(tasks);
