Take the incarnation of an entry process from its settings

A test of two processes with one incarnation needs to choose it; so far the controller read the clock by itself. The program still sets the time of its start.

--- a/include/poplarstream/edge/settings.hpp
+++ b/include/poplarstream/edge/settings.hpp
@@ -18,6 +18,7 @@
 struct Settings
 {
     EntryHostId name;
+    std::string incarnation;  // differs between any two processes of the deployment
     ZoneId zone;
     HttpEndpoint front;  // requests of callers
     HttpEndpoint ready;  // the load balancer's health check
--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -33,7 +33,7 @@
         leadership.shard = shard;
         leadership.self = runtime.settings.name;
         leadership.address = endpointText(runtime.settings.control);
-        leadership.incarnation = fmt::format("{:x}", unixNowMs());
+        leadership.incarnation = runtime.settings.incarnation;
         leadership.processorShare = events.processorShare();
     }
 
--- a/src/poplarstream/main/entry.cpp
+++ b/src/poplarstream/main/entry.cpp
@@ -176,10 +176,11 @@
     if (path.empty() || !commandLine.operands.empty()) {
         return exitUsage;
     }
-    const std::optional<edge::Settings> settings = readSettingsFile(path);
+    std::optional<edge::Settings> settings = readSettingsFile(path);
     if (!settings) {
         return exitFailed;
     }
+    settings->incarnation = fmt::format("{:x}", edge::unixNowMs());
     std::signal(SIGPIPE, SIG_IGN);
     logEvent(events::entryHostStarting, {{"id", settings->name.text()},
                                          {"zone", settings->zone.text()},
