Keep the record that a process's newest claim followed

After a takeover no line told which process the new owner had followed. The view of the ownership log only knows the newest record, and whether some record of another incarnation was read before, which is no record of a predecessor when two processes have started in the same millisecond.

Leadership gets the record that the newest claim of the process followed, whatever its owner or incarnation, from a confirmed write and from the log. Nothing decides by it.

--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -90,6 +90,8 @@
     double processorShare = 1.0;  // processor time for this shard, in cores
 
     std::optional<OwnershipRecord> last;  // newest record of the log
+    // The record that this process's newest claim followed; none in an empty log.
+    std::optional<OwnershipRecord> predecessor;
     TimePoint lastSeenAt{};  // when it was read by this process
     TimePoint ownerSince{};  // when this process read the first record of its epoch
     // Until when an owner before the last one, which has not resigned as far as is known, may have
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -49,6 +49,14 @@
                                       leadership.openResignations.lower_bound(sequence));
 }
 
+// Called before `record`, which is of this process, becomes the newest one.
+void recordPredecessor(Leadership &leadership, const OwnershipRecord &record)
+{
+    if (!leadership.last || leadership.last->epoch != record.epoch) {
+        leadership.predecessor = leadership.last;
+    }
+}
+
 bool isConfirmed(const Leadership &leadership, TimePoint now)
 {
     return now < leadership.confirmedAt + leadership.settings.validity;
@@ -269,6 +277,7 @@
     closeEarlierResignations(leadership, record.sequence);
     if (endOffset > leadership.endOffset) {
         leadership.endOffset = endOffset;
+        recordPredecessor(leadership, record);
         leadership.last = record;
         leadership.lastSeenAt = now;
     }
@@ -305,6 +314,9 @@
                 leadership.unresignedUntil = now;
             }
         }
+        if (isOwn(leadership, *newest)) {
+            recordPredecessor(leadership, *newest);
+        }
         leadership.last = newest;
         leadership.lastSeenAt = now;
         if (isOwn(leadership, *newest)) {
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -527,6 +527,100 @@
     }
 }
 
+// Guards against a log that shows no predecessor after a takeover, so that a run that was done
+// twice cannot be traced to what its second owner knew of the first.
+TEST(Leadership, ClaimKeepsTheRecordThatItFollowed)
+{
+    SCOPED_TRACE("given two processes that have started in the same millisecond");
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    Leadership b = process("b");
+    log.show(a, now);
+    log.show(b, now);
+    now += claimDelay(a);
+    {
+        SCOPED_TRACE("when one claims in an empty log, then its claim follows no record");
+        ASSERT_TRUE(log.step(a, now));
+        EXPECT_FALSE(a.predecessor);
+        now += Milliseconds{300};
+        ASSERT_TRUE(log.step(a, now)) << "it renews";
+        EXPECT_FALSE(a.predecessor);
+    }
+    log.show(b, now);
+    EXPECT_FALSE(b.predecessor) << "it has claimed nothing";
+    now += b.settings.ownerTimeout + claimDelay(b);
+    {
+        SCOPED_TRACE("when the other claims, then it follows the renewal, although the "
+                     "incarnations are the same");
+        ASSERT_TRUE(log.step(b, now));
+        ASSERT_TRUE(b.predecessor);
+        EXPECT_EQ(b.predecessor->owner, a.self);
+        EXPECT_EQ(b.predecessor->epoch, 1);
+        EXPECT_EQ(b.predecessor->kind, Kind::Renewal);
+    }
+    {
+        SCOPED_TRACE("and its renewals and those of others change nothing");
+        now += Milliseconds{300};
+        ASSERT_TRUE(log.step(b, now));
+        log.show(b, now);
+        EXPECT_EQ(b.predecessor->owner, a.self);
+    }
+    {
+        SCOPED_TRACE("when the first resigned and claims anew, then it follows the other's record");
+        b.isLeaving = true;
+        now += Milliseconds{300};
+        ASSERT_TRUE(log.step(b, now));
+        log.show(a, now);
+        EXPECT_FALSE(a.predecessor) << "it has not claimed yet";
+        now += claimDelay(a);
+        ASSERT_TRUE(log.step(a, now));
+        ASSERT_TRUE(a.predecessor);
+        EXPECT_EQ(a.predecessor->owner, b.self);
+        EXPECT_EQ(a.predecessor->epoch, 2);
+        EXPECT_EQ(a.predecessor->kind, Kind::Resignation);
+    }
+}
+
+// Guards against the same for a claim whose response was lost.
+TEST(Leadership, ClaimReadFromTheLogKeepsTheRecordThatItFollowed)
+{
+    SCOPED_TRACE("given a process that has read the resignation of an owner");
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    Leadership b = process("b");
+    log.show(a, now);
+    now += claimDelay(a);
+    ASSERT_TRUE(log.step(a, now));
+    a.isLeaving = true;
+    now += Milliseconds{300};
+    ASSERT_TRUE(log.step(a, now));
+    log.show(b, now);
+    now += claimDelay(b);
+    ASSERT_EQ(nextStep(b, now), LeadershipStep::Claim);
+    {
+        SCOPED_TRACE("when its claim is stored, but not answered");
+        const OwnershipRecord claim = beginWrite(b, LeadershipStep::Claim, now);
+        log.records.push_back(claim);
+        EXPECT_FALSE(b.predecessor);
+        {
+            SCOPED_TRACE("then the log shows the claim, and the record that it followed is kept");
+            now += Milliseconds{400};
+            log.show(b, now);
+            ASSERT_TRUE(isOwner(b));
+            ASSERT_TRUE(b.predecessor);
+            EXPECT_EQ(b.predecessor->owner, a.self);
+            EXPECT_EQ(b.predecessor->kind, Kind::Resignation);
+        }
+        {
+            SCOPED_TRACE("and a late response changes nothing");
+            confirmWrite(b, claim, log.end(), now);
+            EXPECT_EQ(b.predecessor->owner, a.self);
+        }
+    }
+}
+
 TEST(Leadership, RecordRoundTrip)
 {
     OwnershipRecord record;
