Log what an owner follows and takes over

* 700 gives the incarnation of the owner's process.
* 747 takeover-begun, right after the predecessor has been shut out: the record that the claim followed and for how long silent workers count as renewed by an earlier owner.
It is written where that time is computed, so a session that is refused by the store has no 747.
* 702 gives the runs that were taken over, their workers, and the jobs whose progress is stored but whose submission has not been read; 748 late-job when such a submission is read after loading.

No decision changes.

--- a/include/poplarstream/edge/job_feed.hpp
+++ b/include/poplarstream/edge/job_feed.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>  // for size_t
 #include <functional>  // for function
 #include <memory>  // for shared_ptr
 
@@ -37,6 +38,8 @@
     bool isLoaded() const;
     // Everything that was in the job log at this time has been applied.
     TimePoint currentAsOf() const;
+    // The number of jobs whose progress is stored but whose submission has not been read.
+    std::size_t progressWithoutJob() const;
 
 private:
     struct State;
--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -8,6 +8,7 @@
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/engine/state.hpp"  // for JobId, QueueId
 #include "poplarstream/ownership/division.hpp"  // for Shard
+#include "poplarstream/ownership/leadership.hpp"  // for OwnershipRecord
 
 namespace poplarstream::edge {
 
@@ -16,6 +17,8 @@
 struct PredecessorState
 {
     std::int64_t epoch = 0;
+    // The record that this process's claim followed, for the log.
+    std::optional<ownership::OwnershipRecord> record;
     // Whether the predecessor resigned or there was none.
     bool isHandover = false;
     // Until when an owner before the predecessor, which did not resign, may have had confirmations.
--- a/include/poplarstream/edge/stored_jobs.hpp
+++ b/include/poplarstream/edge/stored_jobs.hpp
@@ -42,6 +42,10 @@
 void adoptStoredProgress(engine::Engine &engine, std::span<const StoredRecord> records,
                          TimePoint renewedAt, TimePoint now);
 
+// The same for a job whose submission was read after the takeover; logs it.
+void adoptLateProgress(engine::Engine &engine, std::span<const StoredRecord> records,
+                       TimePoint renewedAt, TimePoint now);
+
 // Stops the attempts that are left of jobs that have ended.
 void stopEndedJobs(engine::Engine &engine, TimePoint now);
 
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -217,6 +217,8 @@
     std::size_t decisionsOmitted = 0;  // not queued for that reason
     std::set<TaskRef> suspects;  // tasks that may have taken a worker down
     std::deque<RackSilence> silences;  // of the last seconds, oldest first
+    std::size_t runsAdopted = 0;  // runs of earlier owners that were taken over
+    std::size_t workersAdopted = 0;  // workers that first became known by such a run
     std::uint64_t tasksLost = 0;  // runs that were lost with their workers, for the metrics
     std::vector<JobId> forgotten;  // jobs to delete from the store
     std::set<JobId> beingDeleted;  // forgotten; their deletion has not been read from the job log
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -117,11 +117,15 @@
                                     "None."};
 
 inline constexpr EventKind ownershipSeen{700, EventLevel::Info, "ownership-seen",
-                                         "owner epoch resigned shard", "None."};
+                                         "owner epoch resigned shard incarnation", "None."};
 inline constexpr EventKind ownershipLost{701, EventLevel::Info, "ownership-lost", "epoch shard",
                                          "None; another entry host takes over."};
 inline constexpr EventKind ownerLoaded{702, EventLevel::Info, "owner-loaded",
-                                       "epoch jobs active shard", "None."};
+                                       "epoch jobs active shard adopted adopted_workers "
+                                       "without_job",
+                                       "If `without_job` is not 0, look for 748: the submissions "
+                                       "of these jobs were not in the job log yet, or are no "
+                                       "longer there."};
 inline constexpr EventKind progressNotStored{
         703, EventLevel::Warning, "progress-not-stored", "reason",
         "Check the platform's store. Nothing new starts until the write is repeated."};
@@ -230,5 +234,14 @@
         746, EventLevel::Error, "progress-refused", "key",
         "Report it: the store refuses this record of the progress for good. If it belongs to a "
         "job, the job fails; all others go on."};
+inline constexpr EventKind takeoverBegun{
+        747, EventLevel::Info, "takeover-begun",
+        "epoch shard predecessor predecessor_epoch predecessor_incarnation resigned wait_ms",
+        "None; if tasks run twice, compare `predecessor` and `resigned` with 700 and 731 of the "
+        "time. A `wait_ms` below 8000 with resigned=no is a fault: report it."};
+inline constexpr EventKind lateJob{
+        748, EventLevel::Warning, "late-job", "job runs",
+        "None; the job goes on with its stored progress. If it repeats, look at the response times "
+        "of the store's job log."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/entry_process_test.cpp
+++ b/src/poplarstream/edge/entry_process_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>  // for TEST, EXPECT_TRUE
 
 #include "poplarstream/adapters/http_client.hpp"  // for HttpClient
+#include "poplarstream/ownership/leadership.hpp"  // for encodeOwnership
 
 namespace poplarstream::edge {
 namespace {
@@ -213,6 +214,43 @@
     }
 }
 
+// Guards against a takeover after which the log does not tell which process the owner has followed.
+TEST(EntryProcess, TakeoverNamesThePredecessor)
+{
+    SCOPED_TRACE("given the claim of an owner that writes no more");
+    Host host(1, 30);
+    host.addWorker();
+    ownership::OwnershipRecord claim;
+    claim.epoch = 4;
+    claim.owner = EntryHostId("edge-0");
+    claim.address = "10.0.0.1:80";
+    claim.incarnation = "abc";
+    host.store.logs[{Log::Ownership, 0}].push_back({"owner", ownership::encodeOwnership(claim), 0});
+    {
+        SCOPED_TRACE("when another process takes over");
+        ::testing::internal::CaptureStdout();
+        const bool hasBegun = host.runUntil([&host] { return host.polls > 0; });
+        const std::string text = ::testing::internal::GetCapturedStdout();
+        ASSERT_TRUE(hasBegun);
+        {
+            SCOPED_TRACE("then 700 and 747 tell the processes apart");
+            EXPECT_NE(text.find(" 700 ownership-seen owner=edge-0 epoch=4 resigned=no shard=0 "
+                                "incarnation=abc\n"),
+                      std::string::npos)
+                    << text;
+            EXPECT_NE(text.find(" 700 ownership-seen owner=edge-1 epoch=5 resigned=no shard=0 "
+                                "incarnation="),
+                      std::string::npos)
+                    << text;
+            EXPECT_NE(text.find(" 747 takeover-begun epoch=5 shard=0 predecessor=edge-0 "
+                                "predecessor_epoch=4 predecessor_incarnation=abc resigned=no "
+                                "wait_ms=8000\n"),
+                      std::string::npos)
+                    << text;
+        }
+    }
+}
+
 // Guards against a deployment whose owner goes on renewing its ownership although the store has
 // refused its progress, so that nobody runs the jobs.
 TEST(EntryProcess, OwnerWhoseProgressIsRefusedResigns)
--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -9,7 +9,7 @@
 
 #include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
-#include "poplarstream/edge/stored_jobs.hpp"  // for applyJobRecord, adoptStoredProgress
+#include "poplarstream/edge/stored_jobs.hpp"  // for applyJobRecord, adoptLateProgress
 #include "poplarstream/engine/attempts.hpp"  // for findJob
 #include "poplarstream/jobs/codec.hpp"  // for settledState, queueOfSubmission
 #include "poplarstream/jobs/progress_records.hpp"  // for jobOfRecord
@@ -135,7 +135,7 @@
         if (found == progressWithoutJob.end() || !record.value) {
             return;
         }
-        adoptStoredProgress(engine, found->second, renewedAt, steadyNow());
+        adoptLateProgress(engine, found->second, renewedAt, steadyNow());
         progressWithoutJob.erase(found);
         stopEndedJobs(engine, steadyNow());
     }
@@ -287,4 +287,9 @@
     return state_->currentAsOf();
 }
 
+std::size_t JobFeed::progressWithoutJob() const
+{
+    return state_->progressWithoutJob.size();
+}
+
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/job_feed_test.cpp
+++ b/src/poplarstream/edge/job_feed_test.cpp
@@ -285,6 +285,33 @@
     }
 }
 
+// Guards against a late submission that leaves no line: the runs that its job had before would look
+// like runs that the owner had never known.
+TEST(JobFeed, LateJobIsLogged)
+{
+    SCOPED_TRACE("given stored progress with a run, of a job whose submission is not in the log");
+    SlowStore store;
+    LoadingFeed loading(store,
+                        {{firstJob, progressOf(firstJob, jobs::JobState::Running, true), 0}});
+    for (int partition = 0; partition < partitions; ++partition) {
+        store.answerSnapshot(partition);
+    }
+    ASSERT_TRUE(loading.isLoaded);
+    EXPECT_EQ(loading.feed->progressWithoutJob(), 1U);
+    EXPECT_EQ(loading.engine.runsAdopted, 0U);
+    {
+        SCOPED_TRACE("when the submission is read, then its job and its run are named");
+        ::testing::internal::CaptureStdout();
+        store.appendRecord(submissionRecord(submission(firstJob, step(2, 1000))));
+        const std::string text = ::testing::internal::GetCapturedStdout();
+        EXPECT_NE(text.find(fmt::format(" warning 748 late-job job={} runs=1\n", firstJob)),
+                  std::string::npos)
+                << text;
+        EXPECT_EQ(loading.feed->progressWithoutJob(), 0U);
+        EXPECT_EQ(loading.engine.runsAdopted, 1U);
+    }
+}
+
 // A feed that has loaded a completed job and whose owner has forgotten it since.
 std::unique_ptr<LoadingFeed> feedWithForgottenJob(SlowStore &store)
 {
--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -121,7 +121,8 @@
         logEvent(events::ownershipSeen, {{"owner", last->owner.text()},
                                          {"epoch", fmt::to_string(last->epoch)},
                                          {"resigned", resigned ? "yes" : "no"},
-                                         {"shard", fmt::to_string(leadership.shard)}});
+                                         {"shard", fmt::to_string(leadership.shard)},
+                                         {"incarnation", last->incarnation}});
     }
 
     void tick()
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -23,7 +23,7 @@
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
 #include "poplarstream/engine/worker_polling.hpp"  // for pollWorkers
 #include "poplarstream/ownership/start_permission.hpp"  // for planningHold, sendingHold
-#include "poplarstream/telemetry/event_kinds.hpp"  // for ownerLoaded, startsHeld
+#include "poplarstream/telemetry/event_kinds.hpp"  // for ownerLoaded, takeoverBegun, startsHeld
 
 namespace poplarstream::edge {
 
@@ -107,6 +107,7 @@
         const TimePoint renewedAt =
                 predecessor.isHandover ? std::max(now, predecessor.unresignedUntil + pollingGrace)
                                        : now + pollingGrace;
+        logTakeover(renewedAt - now);
         JobFeedEvents events;
         events.otherRecord = guarded(
                 [](State &self, const StoredRecord &record) { self.machines.adopt(record); });
@@ -115,6 +116,25 @@
         feed = std::make_unique<JobFeed>(runtime, shard, engine, renewedAt, std::move(events));
     }
 
+    void logTakeover(Milliseconds wait) const
+    {
+        const std::optional<ownership::OwnershipRecord> &record = predecessor.record;
+        std::string resigned = "-";
+        if (record) {
+            const bool isResignation =
+                    record->kind == ownership::OwnershipRecord::Kind::Resignation;
+            resigned = isResignation ? "yes" : "no";
+        }
+        logEvent(events::takeoverBegun,
+                 {{"epoch", fmt::to_string(predecessor.epoch)},
+                  {"shard", fmt::to_string(shard.index)},
+                  {"predecessor", record ? record->owner.text() : "-"},
+                  {"predecessor_epoch", record ? fmt::to_string(record->epoch) : "-"},
+                  {"predecessor_incarnation", record ? record->incarnation : "-"},
+                  {"resigned", resigned},
+                  {"wait_ms", fmt::to_string(wait.count())}});
+    }
+
     void handleLoaded()
     {
         isLoaded = true;
@@ -122,10 +142,14 @@
             machines.applyWave(wave);
         }
         machines.start(machineCooldowns(predecessor, engine.limits));
-        logEvent(events::ownerLoaded, {{"epoch", fmt::to_string(predecessor.epoch)},
-                                       {"jobs", fmt::to_string(engine.jobs.size())},
-                                       {"active", fmt::to_string(engine.active.size())},
-                                       {"shard", fmt::to_string(shard.index)}});
+        logEvent(events::ownerLoaded,
+                 {{"epoch", fmt::to_string(predecessor.epoch)},
+                  {"jobs", fmt::to_string(engine.jobs.size())},
+                  {"active", fmt::to_string(engine.active.size())},
+                  {"shard", fmt::to_string(shard.index)},
+                  {"adopted", fmt::to_string(engine.runsAdopted)},
+                  {"adopted_workers", fmt::to_string(engine.workersAdopted)},
+                  {"without_job", fmt::to_string(feed->progressWithoutJob())}});
         followRegistry();
         tick();
     }
--- a/src/poplarstream/edge/stored_jobs.cpp
+++ b/src/poplarstream/edge/stored_jobs.cpp
@@ -10,7 +10,7 @@
 #include "poplarstream/jobs/codec.hpp"  // for encodeSubmission, decodeSubmission
 #include "poplarstream/jobs/progress_records.hpp"  // for jobOfRecord, ProgressRecord
 #include "poplarstream/jobs/queries.hpp"  // for isFinal
-#include "poplarstream/telemetry/event_kinds.hpp"  // for recordUnreadable
+#include "poplarstream/telemetry/event_kinds.hpp"  // for recordUnreadable, lateJob
 
 namespace poplarstream::edge {
 
@@ -131,6 +131,15 @@
     }
 }
 
+void adoptLateProgress(engine::Engine &engine, std::span<const StoredRecord> records,
+                       TimePoint renewedAt, TimePoint now)
+{
+    const std::size_t runsBefore = engine.runsAdopted;
+    adoptStoredProgress(engine, records, renewedAt, now);
+    logEvent(events::lateJob, {{"job", records.front().key},
+                               {"runs", fmt::to_string(engine.runsAdopted - runsBefore)}});
+}
+
 void stopEndedJobs(engine::Engine &engine, TimePoint now)
 {
     for (const auto &[id, job] : engine.jobs) {
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -79,7 +79,9 @@
                 for (const jobs::Attempt &attempt : occurrence.steps[step][index].attempts) {
                     const auto [place, isNew] = engine.workers.try_emplace(attempt.worker);
                     Worker &worker = place->second;
+                    ++engine.runsAdopted;
                     if (isNew) {
+                        ++engine.workersAdopted;
                         worker.entry.incarnation = attempt.worker;
                         worker.knownSince = now;
                         worker.tokenBump = engine.token.lastBump;
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -92,6 +92,8 @@
         taskGivenUp,
         workerEntryUnusable,
         progressRefused,
+        takeoverBegun,
+        lateJob,
 };
 
 }  // namespace
