Tell a predecessor by its place in the log, not by its incarnation

Users saw tasks run twice, ordered by two owners one after the other.

Cause: LeadershipController took a record for one of an earlier owner only if its incarnation was another than its own, while everything else compares owner and incarnation. The incarnation is the wall clock at the start of the process. With equal ones the session began as after a handover, and silent workers were given up after one lease instead of 8 s and a lease.

Evidence: Takeover.PredecessorWithTheSameIncarnationIsSeen failed before (hasPredecessor() false).

Change: Leadership keeps the record that its newest claim followed. A claim is appended on the condition that it was read, so that record is the newest of any earlier owner, whatever identities are in it. earlierRenewalsUntil() says from it and from unresignedUntil for how long earlier owners may renew leases; it replaces the flags of the controller and PredecessorState::isHandover. What follows a resignation, a timeout or an empty log waits as long as before.

--- a/include/poplarstream/edge/leadership_controller.hpp
+++ b/include/poplarstream/edge/leadership_controller.hpp
@@ -34,10 +34,6 @@
 
     const ownership::Leadership &leadership() const;
 
-    // Whether there was an owner before this process, and whether it resigned.
-    bool hasPredecessor() const;
-    bool hasPredecessorResigned() const;
-
     // Renews the ownership at once, in a record that names the machines that are to be commanded.
     // Calls `done` with whether the store confirmed the record.
     void confirm(std::vector<std::string> machines, std::function<void(bool isConfirmed)> done);
--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -8,21 +8,15 @@
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/engine/state.hpp"  // for JobId, QueueId
 #include "poplarstream/ownership/division.hpp"  // for Shard
-#include "poplarstream/ownership/leadership.hpp"  // for OwnershipRecord
+#include "poplarstream/ownership/leadership.hpp"  // for EarlierOwners
 
 namespace poplarstream::edge {
 
-// What a new owner knows about its predecessor. It bounds how long the predecessor's leases may
-// last on workers that do not respond.
+// What a new owner knows about those before it.
 struct PredecessorState
 {
-    std::int64_t epoch = 0;
-    // The record that this process's claim followed, for the log.
-    std::optional<ownership::OwnershipRecord> record;
-    // Whether the predecessor resigned or there was none.
-    bool isHandover = false;
-    // Until when an owner before the predecessor, which did not resign, may have had confirmations.
-    TimePoint unresignedUntil{};
+    std::int64_t epoch = 0;  // of the new owner
+    ownership::EarlierOwners owners;
     // When an earlier owner last sent a command for each machine.
     std::map<std::string, TimePoint> recentMachineCommands;
 };
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -78,6 +78,17 @@
 
 enum class LeadershipStep { None, Claim, Renew, Resign };
 
+// What the log tells a process of the owners before it.
+struct EarlierOwners
+{
+    // The record that this process's newest claim followed; none in an empty log. A claim is
+    // appended on the condition that it was read, so no earlier owner has written a later one.
+    std::optional<OwnershipRecord> predecessor;
+    // Until when an owner before the newest one, which has not resigned as far as is known, may
+    // have had confirmations.
+    TimePoint unresignedUntil{};
+};
+
 // The view of one process on the ownership. All times are of its own steady clock, which also
 // advances while the process is suspended.
 struct Leadership
@@ -90,13 +101,9 @@
     double processorShare = 1.0;  // processor time for this shard, in cores
 
     std::optional<OwnershipRecord> last;  // newest record of the log
-    // The record that this process's newest claim followed; none in an empty log.
-    std::optional<OwnershipRecord> predecessor;
     TimePoint lastSeenAt{};  // when it was read by this process
     TimePoint ownerSince{};  // when this process read the first record of its epoch
-    // Until when an owner before the last one, which has not resigned as far as is known, may have
-    // had confirmations.
-    TimePoint unresignedUntil{};
+    EarlierOwners earlier;
     TimePoint inContactSince{};  // since when the log has been readable
     // Whether the log is readable now. Without contact, `inContactSince` is that of the time
     // before.
@@ -149,6 +156,12 @@
 // write is in progress at a time.
 OwnershipRecord beginWrite(Leadership &leadership, LeadershipStep step, TimePoint now);
 
+// Until when an earlier owner may renew the leases of workers. The present owner has fenced the
+// progress of its predecessor at `fencedAt`. Owners that have not resigned renew leases for `grace`
+// after their last confirmation.
+TimePoint earlierRenewalsUntil(const EarlierOwners &earlier, TimePoint fencedAt,
+                               Milliseconds grace);
+
 // Handles a confirmed write; `endOffset` is the end of the log after it.
 void confirmWrite(Leadership &leadership, const OwnershipRecord &record, std::int64_t endOffset,
                   TimePoint now);
--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -66,7 +66,6 @@
                 readDivision(record);
             }
         }
-        recordPredecessor(newest);
         const auto before = leadership.last;
         const bool wasWriting = leadership.isWriting;
         ownership::observe(leadership, newest, endOffset, steadyNow());
@@ -101,14 +100,6 @@
         }
     }
 
-    void recordPredecessor(const std::optional<OwnershipRecord> &newest)
-    {
-        if (newest && newest->incarnation != leadership.incarnation) {
-            hasPredecessor = true;
-            predecessorResigned = newest->kind == OwnershipRecord::Kind::Resignation;
-        }
-    }
-
     void logChange(const std::optional<OwnershipRecord> &before) const
     {
         const auto &last = leadership.last;
@@ -233,8 +224,6 @@
     std::optional<int> divisionToStore;
     AppendResult lastResult = AppendResult::Stored;
     std::optional<TimePoint> unconfirmedSince;
-    bool hasPredecessor = false;
-    bool predecessorResigned = false;
     std::vector<std::function<void(bool)>> pendingConfirmations;  // for the next write
     std::vector<std::function<void(bool)>> confirmationsInWrite;  // for the write in flight
     std::unique_ptr<LogFollower> follower;
@@ -258,16 +247,6 @@
     return state_->leadership;
 }
 
-bool LeadershipController::hasPredecessor() const
-{
-    return state_->hasPredecessor;
-}
-
-bool LeadershipController::hasPredecessorResigned() const
-{
-    return state_->predecessorResigned;
-}
-
 const std::map<std::string, TimePoint> &LeadershipController::recentMachineCommands() const
 {
     return state_->leadership.recentMachineCommands;
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -103,10 +103,8 @@
     void load()
     {
         const TimePoint now = steadyNow();
-        // The predecessor was fenced just now; its ownership may have been confirmed until then.
         const TimePoint renewedAt =
-                predecessor.isHandover ? std::max(now, predecessor.unresignedUntil + pollingGrace)
-                                       : now + pollingGrace;
+                ownership::earlierRenewalsUntil(predecessor.owners, now, pollingGrace);
         logTakeover(renewedAt - now);
         JobFeedEvents events;
         events.otherRecord = guarded(
@@ -118,7 +116,7 @@
 
     void logTakeover(Milliseconds wait) const
     {
-        const std::optional<ownership::OwnershipRecord> &record = predecessor.record;
+        const std::optional<ownership::OwnershipRecord> &record = predecessor.owners.predecessor;
         std::string resigned = "-";
         if (record) {
             const bool isResignation =
--- a/src/poplarstream/edge/owner_session_test.cpp
+++ b/src/poplarstream/edge/owner_session_test.cpp
@@ -96,12 +96,11 @@
 {
     PredecessorState state;
     state.epoch = 8;
-    state.isHandover = kind == Kind::Resignation;
-    state.record.emplace();
-    state.record->kind = kind;
-    state.record->epoch = 7;
-    state.record->owner = EntryHostId("edge-0");
-    state.record->incarnation = "abc";
+    state.owners.predecessor.emplace();
+    state.owners.predecessor->kind = kind;
+    state.owners.predecessor->epoch = 7;
+    state.owners.predecessor->owner = EntryHostId("edge-0");
+    state.owners.predecessor->incarnation = "abc";
     return state;
 }
 
@@ -132,7 +131,6 @@
         SessionOverStore after;
         PredecessorState none;
         none.epoch = 1;
-        none.isHandover = true;
         const std::string text = after.logOf(none);
         EXPECT_NE(text.find(" 747 takeover-begun epoch=1 shard=0 predecessor=- "
                             "predecessor_epoch=- predecessor_incarnation=- resigned=- "
--- a/src/poplarstream/edge/shard_owner.cpp
+++ b/src/poplarstream/edge/shard_owner.cpp
@@ -68,10 +68,7 @@
         sessionEpoch = epoch;
         PredecessorState predecessor;
         predecessor.epoch = epoch;
-        predecessor.record = leadership->leadership().predecessor;
-        predecessor.isHandover =
-                leadership->hasPredecessorResigned() || !leadership->hasPredecessor();
-        predecessor.unresignedUntil = leadership->leadership().unresignedUntil;
+        predecessor.owners = leadership->leadership().earlier;
         predecessor.recentMachineCommands = leadership->recentMachineCommands();
         session = std::make_unique<OwnerSession>(runtime, ownership::Shard{shard, shardCount},
                                                  predecessor, sessionHooks(epoch));
--- a/src/poplarstream/edge/takeover_test.cpp
+++ b/src/poplarstream/edge/takeover_test.cpp
@@ -65,8 +65,18 @@
         ASSERT_TRUE(runUntil(store, [&successor] { return successor.isOwner(); }));
         {
             SCOPED_TRACE("then it knows of a predecessor that has not resigned");
-            EXPECT_TRUE(successor.controller->hasPredecessor());
-            EXPECT_FALSE(successor.controller->hasPredecessorResigned());
+            const ownership::EarlierOwners &earlier = successor.controller->leadership().earlier;
+            ASSERT_TRUE(earlier.predecessor);
+            EXPECT_EQ(earlier.predecessor->owner, EntryHostId("edge-a"));
+            EXPECT_NE(earlier.predecessor->kind, ownership::OwnershipRecord::Kind::Resignation);
+            {
+                SCOPED_TRACE(
+                        "and waits for what it may have renewed until its progress was fenced");
+                const TimePoint fencedAt = steadyNow();
+                const Milliseconds grace{8000};
+                EXPECT_EQ(ownership::earlierRenewalsUntil(earlier, fencedAt, grace),
+                          fencedAt + grace);
+            }
         }
     }
 }
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -49,14 +49,6 @@
                                       leadership.openResignations.lower_bound(sequence));
 }
 
-// Called before `record`, which is of this process, becomes the newest one.
-void recordPredecessor(Leadership &leadership, const OwnershipRecord &record)
-{
-    if (!leadership.last || leadership.last->epoch != record.epoch) {
-        leadership.predecessor = leadership.last;
-    }
-}
-
 bool isConfirmed(const Leadership &leadership, TimePoint now)
 {
     return now < leadership.confirmedAt + leadership.settings.validity;
@@ -67,6 +59,24 @@
     return record.owner == leadership.self && record.incarnation == leadership.incarnation;
 }
 
+// Called before `record`, which may be the first one of its epoch, becomes the newest one.
+void recordEpoch(Leadership &leadership, const OwnershipRecord &record, TimePoint now)
+{
+    const std::optional<OwnershipRecord> &last = leadership.last;
+    if (last && last->epoch == record.epoch) {
+        return;
+    }
+    leadership.ownerSince = now;
+    const bool followsResignation =
+            last && last->kind == Kind::Resignation && last->epoch + 1 == record.epoch;
+    if (!isOwn(leadership, record) && !followsResignation) {
+        leadership.earlier.unresignedUntil = now;
+    }
+    if (isOwn(leadership, record)) {
+        leadership.earlier.predecessor = last;
+    }
+}
+
 }  // namespace
 
 std::string encodeOwnership(const OwnershipRecord &record)
@@ -270,6 +280,15 @@
     return record;
 }
 
+TimePoint earlierRenewalsUntil(const EarlierOwners &earlier, TimePoint fencedAt, Milliseconds grace)
+{
+    // Stored progress confirms an owner as a renewal does.
+    const bool isConfirmedUntilFence =
+            earlier.predecessor && earlier.predecessor->kind != Kind::Resignation;
+    const TimePoint confirmedUntil = isConfirmedUntilFence ? fencedAt : earlier.unresignedUntil;
+    return std::max(fencedAt, confirmedUntil + grace);
+}
+
 void confirmWrite(Leadership &leadership, const OwnershipRecord &record, std::int64_t endOffset,
                   TimePoint now)
 {
@@ -277,7 +296,7 @@
     closeEarlierResignations(leadership, record.sequence);
     if (endOffset > leadership.endOffset) {
         leadership.endOffset = endOffset;
-        recordPredecessor(leadership, record);
+        recordEpoch(leadership, record, now);
         leadership.last = record;
         leadership.lastSeenAt = now;
     }
@@ -307,16 +326,7 @@
             TimePoint &commandedAt = leadership.recentMachineCommands[id];
             commandedAt = std::max(commandedAt, now - age);
         }
-        if (!leadership.last || leadership.last->epoch != newest->epoch) {
-            leadership.ownerSince = now;
-            if (!leadership.last || leadership.last->kind != Kind::Resignation
-                || leadership.last->epoch + 1 != newest->epoch) {
-                leadership.unresignedUntil = now;
-            }
-        }
-        if (isOwn(leadership, *newest)) {
-            recordPredecessor(leadership, *newest);
-        }
+        recordEpoch(leadership, *newest, now);
         leadership.last = newest;
         leadership.lastSeenAt = now;
         if (isOwn(leadership, *newest)) {
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -522,7 +522,7 @@
         {
             SCOPED_TRACE(
                     "then the next owner knows until when the first may have had confirmations");
-            EXPECT_EQ(c.unresignedUntil, claimedAt);
+            EXPECT_EQ(c.earlier.unresignedUntil, claimedAt);
         }
     }
 }
@@ -542,29 +542,29 @@
     {
         SCOPED_TRACE("when one claims in an empty log, then its claim follows no record");
         ASSERT_TRUE(log.step(a, now));
-        EXPECT_FALSE(a.predecessor);
+        EXPECT_FALSE(a.earlier.predecessor);
         now += Milliseconds{300};
         ASSERT_TRUE(log.step(a, now)) << "it renews";
-        EXPECT_FALSE(a.predecessor);
+        EXPECT_FALSE(a.earlier.predecessor);
     }
     log.show(b, now);
-    EXPECT_FALSE(b.predecessor) << "it has claimed nothing";
+    EXPECT_FALSE(b.earlier.predecessor) << "it has claimed nothing";
     now += b.settings.ownerTimeout + claimDelay(b);
     {
         SCOPED_TRACE("when the other claims, then it follows the renewal, although the "
                      "incarnations are the same");
         ASSERT_TRUE(log.step(b, now));
-        ASSERT_TRUE(b.predecessor);
-        EXPECT_EQ(b.predecessor->owner, a.self);
-        EXPECT_EQ(b.predecessor->epoch, 1);
-        EXPECT_EQ(b.predecessor->kind, Kind::Renewal);
+        ASSERT_TRUE(b.earlier.predecessor);
+        EXPECT_EQ(b.earlier.predecessor->owner, a.self);
+        EXPECT_EQ(b.earlier.predecessor->epoch, 1);
+        EXPECT_EQ(b.earlier.predecessor->kind, Kind::Renewal);
     }
     {
         SCOPED_TRACE("and its renewals and those of others change nothing");
         now += Milliseconds{300};
         ASSERT_TRUE(log.step(b, now));
         log.show(b, now);
-        EXPECT_EQ(b.predecessor->owner, a.self);
+        EXPECT_EQ(b.earlier.predecessor->owner, a.self);
     }
     {
         SCOPED_TRACE("when the first resigned and claims anew, then it follows the other's record");
@@ -572,13 +572,13 @@
         now += Milliseconds{300};
         ASSERT_TRUE(log.step(b, now));
         log.show(a, now);
-        EXPECT_FALSE(a.predecessor) << "it has not claimed yet";
+        EXPECT_FALSE(a.earlier.predecessor) << "it has not claimed yet";
         now += claimDelay(a);
         ASSERT_TRUE(log.step(a, now));
-        ASSERT_TRUE(a.predecessor);
-        EXPECT_EQ(a.predecessor->owner, b.self);
-        EXPECT_EQ(a.predecessor->epoch, 2);
-        EXPECT_EQ(a.predecessor->kind, Kind::Resignation);
+        ASSERT_TRUE(a.earlier.predecessor);
+        EXPECT_EQ(a.earlier.predecessor->owner, b.self);
+        EXPECT_EQ(a.earlier.predecessor->epoch, 2);
+        EXPECT_EQ(a.earlier.predecessor->kind, Kind::Resignation);
     }
 }
 
@@ -603,24 +603,35 @@
         SCOPED_TRACE("when its claim is stored, but not answered");
         const OwnershipRecord claim = beginWrite(b, LeadershipStep::Claim, now);
         log.records.push_back(claim);
-        EXPECT_FALSE(b.predecessor);
+        EXPECT_FALSE(b.earlier.predecessor);
         {
             SCOPED_TRACE("then the log shows the claim, and the record that it followed is kept");
             now += Milliseconds{400};
             log.show(b, now);
             ASSERT_TRUE(isOwner(b));
-            ASSERT_TRUE(b.predecessor);
-            EXPECT_EQ(b.predecessor->owner, a.self);
-            EXPECT_EQ(b.predecessor->kind, Kind::Resignation);
+            ASSERT_TRUE(b.earlier.predecessor);
+            EXPECT_EQ(b.earlier.predecessor->owner, a.self);
+            EXPECT_EQ(b.earlier.predecessor->kind, Kind::Resignation);
         }
         {
             SCOPED_TRACE("and a late response changes nothing");
             confirmWrite(b, claim, log.end(), now);
-            EXPECT_EQ(b.predecessor->owner, a.self);
+            EXPECT_EQ(b.earlier.predecessor->owner, a.self);
         }
     }
 }
 
+// Guards against a wait for leases of owners that never were.
+TEST(Leadership, FirstOwnerOfADeploymentWaitsForNobody)
+{
+    Log log;
+    const TimePoint now = timePoint(20'000);
+    Leadership a = process("a");
+    log.show(a, now - Milliseconds{2000});
+    ASSERT_TRUE(log.step(a, now));
+    EXPECT_EQ(earlierRenewalsUntil(a.earlier, now, Milliseconds{8000}), now);
+}
+
 TEST(Leadership, RecordRoundTrip)
 {
     OwnershipRecord record;
