Remember an unresigned predecessor of an own claim

Found while the trace of the doubled runs was followed, by reading: an owner that is cut off renews leases for up to 8 s. A process that claims after it, resigns, and claims again after the resignation of a third one took that resignation for all there was to wait for: it gave up silent workers one lease after its second claim, beside leases that the first owner may renew.

Cause: unresignedUntil was set only for epochs of others that were read from the log, not for an own claim that follows an owner without a resignation.

--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -67,9 +67,10 @@
         return;
     }
     leadership.ownerSince = now;
+    const bool isFirstOwner = !last && isOwn(leadership, record);
     const bool followsResignation =
             last && last->kind == Kind::Resignation && last->epoch + 1 == record.epoch;
-    if (!isOwn(leadership, record) && !followsResignation) {
+    if (!isFirstOwner && !followsResignation) {
         leadership.earlier.unresignedUntil = now;
     }
     if (isOwn(leadership, record)) {
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -621,6 +621,56 @@
     }
 }
 
+// Guards against tasks that run twice: an owner that is superseded without having resigned renews
+// leases for a while. Its successor waits for that also after it has lost the ownership and won it
+// again, when the record before its newest claim is a resignation.
+TEST(Leadership, OwnerThatReturnsWaitsForTheOneBeforeItsFirstClaim)
+{
+    constexpr Milliseconds grace{8000};
+    SCOPED_TRACE("given an owner that is cut off, and two other processes");
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership cutOff = process("a");
+    Leadership b = process("b");
+    Leadership c = process("c");
+    log.show(cutOff, now);
+    log.show(c, now);
+    now += Milliseconds{2000};
+    ASSERT_TRUE(log.step(cutOff, now));
+    log.show(b, now);
+    log.show(c, now);
+    now += b.settings.ownerTimeout + b.settings.claimSpread;
+    ASSERT_TRUE(log.step(b, now));
+    const TimePoint claimedAt = now;
+    EXPECT_EQ(earlierRenewalsUntil(b.earlier, now, grace), claimedAt + grace);
+    const auto resign = [&log, &now](Leadership &owner) {
+        owner.abandonedEpoch = log.records.back().epoch;
+        now += owner.settings.renewalInterval;
+        return log.step(owner, now) && log.records.back().kind == Kind::Resignation;
+    };
+    {
+        SCOPED_TRACE("when both own the jobs for a moment and resign");
+        ASSERT_TRUE(resign(b));
+        log.show(c, now);
+        now += c.settings.claimSpread + c.settings.renewalInterval;
+        ASSERT_TRUE(log.step(c, now));
+        ASSERT_TRUE(resign(c));
+        log.show(b, now);
+        {
+            SCOPED_TRACE("then the first of them, owner again, waits for the one that is cut off");
+            now += b.settings.claimSpread + b.settings.renewalInterval;
+            ASSERT_TRUE(log.step(b, now));
+            ASSERT_LT(now, claimedAt + grace);
+            EXPECT_EQ(earlierRenewalsUntil(b.earlier, now, grace), claimedAt + grace);
+        }
+    }
+    {
+        SCOPED_TRACE("and not longer");
+        now = claimedAt + grace + Milliseconds{1};
+        EXPECT_EQ(earlierRenewalsUntil(b.earlier, now, grace), now);
+    }
+}
+
 // Guards against a wait for leases of owners that never were.
 TEST(Leadership, FirstOwnerOfADeploymentWaitsForNobody)
 {
