Draw the incarnation of an entry process at random

Two processes that start in the same millisecond had the same incarnation, and a process that restarts after its clock was set back could repeat that of an earlier one of its entry host, whose records it would then take for its own: it would act in the earlier one's epoch without a claim.

Change: runEntry() draws 128 bits from the system's random source instead of reading the clock. Nothing orders incarnations of entry processes on the platform; they are compared for equality. ProcessIdentity.DrawsOfOneMillisecondDiffer guards the source.

--- a/src/poplarstream/main/entry.cpp
+++ b/src/poplarstream/main/entry.cpp
@@ -13,6 +13,7 @@
 #include "platform/store.hpp"  // for makeStorePort
 #include "platform/workers.hpp"  // for makeWorkerPort
 #include "poplarstream/adapters/http_server.hpp"  // for HttpServer
+#include "poplarstream/base/process_identity.hpp"  // for drawProcessIdentity
 #include "poplarstream/edge/entry_process.hpp"  // for EntryProcess
 #include "poplarstream/telemetry/event_kinds.hpp"  // for entryHostStarting
 
@@ -180,7 +181,7 @@
     if (!settings) {
         return exitFailed;
     }
-    settings->incarnation = fmt::format("{:x}", edge::unixNowMs());
+    settings->incarnation = drawProcessIdentity();
     std::signal(SIGPIPE, SIG_IGN);
     logEvent(events::entryHostStarting, {{"id", settings->name.text()},
                                          {"zone", settings->zone.text()},
