Show that restarts with an earlier clock are taken for outdated

Reachability.RestartAfterClockWasSetBackIsUsedAgain: with the address unchanged the task starts again on the worker, under its new start; with another address it doesn't within 60 s, as the entry is ignored as long as the known incarnation is listed, and it is never taken off the list.

--- a/src/poplarstream/engine/reachability_test.cpp
+++ b/src/poplarstream/engine/reachability_test.cpp
@@ -487,6 +487,103 @@
     EXPECT_EQ(fixture.engine.newestIncarnations.at(WorkerId("w1")).startedUnixMs, 2);
 }
 
+// A worker that runs one task, and restarts with an earlier start since its clock was set back.
+struct SetBackRestart
+{
+    static constexpr std::int64_t firstStart = 1000;
+    static constexpr std::int64_t secondStart = 500;
+
+    EngineFixture fixture{0};
+    std::vector<StartCommand> starts;
+
+    SetBackRestart()
+    {
+        fixture.addWorker("w1", firstStart);
+        answerPolls(true);
+        fixture.submit(submission(firstJob, step(1, 1000)));
+        starts = fixture.startAll();
+        fixture.poll();
+    }
+
+    // Responds to the polls that are due, for a worker that lives at both addresses or at its new
+    // one only.
+    void answerPolls(bool isAtFirstAddress)
+    {
+        for (const PollCommand &poll : fixture.poll()) {
+            respond(poll, isAtFirstAddress);
+        }
+    }
+
+    void respond(const PollCommand &poll, bool isAtFirstAddress)
+    {
+        const WorkerIncarnation &target = poll.target.worker;
+        const bool isSecond = target.startedUnixMs == secondStart;
+        if (!hasRestarted || isSecond) {
+            PollResponse response;
+            response.clockMs = fixture.workerClockMs();
+            response.startedUnixMs = target.startedUnixMs;
+            handlePollResponse(fixture.engine, target, poll.number, response, fixture.now);
+        } else if (isAtFirstAddress) {
+            handleMisdirectedPoll(fixture.engine, poll, fixture.now);
+        } else {
+            handlePollResponse(fixture.engine, target, poll.number, {}, fixture.now);
+        }
+    }
+
+    // The time until the task starts again, at most a minute.
+    Milliseconds timeUntilNextStart(bool isAtFirstAddress)
+    {
+        hasRestarted = true;
+        WorkerEntry entry = fixture.engine.workers.at({WorkerId("w1"), firstStart}).entry;
+        entry.incarnation.startedUnixMs = secondStart;
+        entry.address = isAtFirstAddress ? entry.address : "10.0.0.1:81";
+        const TimePoint begin = fixture.now;
+        for (const PollCommand &poll : fixture.polls) {
+            respond(poll, isAtFirstAddress);
+        }
+        while (fixture.now - begin < Milliseconds{60'000}) {
+            entry.clockMs = fixture.workerClockMs();
+            registerWorker(fixture.engine, entry, fixture.now);
+            for (int i = 0; i < 10; ++i) {
+                fixture.now += Milliseconds{100};
+                answerPolls(isAtFirstAddress);
+                const std::vector<StartCommand> next = fixture.startAll();
+                if (!next.empty()) {
+                    starts.insert(starts.end(), next.begin(), next.end());
+                    return fixture.now - begin;
+                }
+            }
+        }
+        return Milliseconds::max();
+    }
+
+    bool hasRestarted = false;
+};
+
+// Guards against a worker that gets no tasks, and a task that is lost or doubled, because the
+// worker restarted after its clock was set back and its entries seem older than it.
+TEST(Reachability, RestartAfterClockWasSetBackIsUsedAgain)
+{
+    for (const bool isAtFirstAddress : {true, false}) {
+        SCOPED_TRACE(isAtFirstAddress ? "given that its address is the same"
+                                      : "given that its address is another");
+        SetBackRestart restart;
+        ASSERT_EQ(restart.starts.size(), 1U);
+        const Milliseconds waited = restart.timeUntilNextStart(isAtFirstAddress);
+        {
+            SCOPED_TRACE("then its task starts again within 10 s, on the worker that lives");
+            EXPECT_LE(waited, Milliseconds{10'000});
+            ASSERT_EQ(restart.starts.size(), 2U);
+            EXPECT_EQ(restart.starts[1].target.worker.startedUnixMs, SetBackRestart::secondStart);
+            EXPECT_EQ(restart.starts[1].run, 2);
+        }
+        if (!isAtFirstAddress) {
+            SCOPED_TRACE("but not before its lease has expired, as nothing shows that it ended");
+            EXPECT_GE(waited, restart.fixture.engine.limits.lease);
+        }
+    }
+}
+
 // Guards against overloading a worker that still runs something the owner doesn't know.
 TEST(Reachability, UnexpectedAttemptsAreStoppedFirst)
 {
--- a/src/poplarstream/membership/peer_table_test.cpp
+++ b/src/poplarstream/membership/peer_table_test.cpp
@@ -146,6 +146,42 @@
     EXPECT_TRUE(receive(net.tables[0], back, net.now + seconds(4)));
 }
 
+// Guards against a peer that restarts after its clock was set back and is not heard for seconds: it
+// still counts as leaving, and gets no share of the work. Messages of its earlier processes that
+// arrive late must not replace it all the same.
+TEST(PeerTable, RestartAfterClockWasSetBack)
+{
+    Network net(1, 2);
+    net.run(3);
+    const EntryHostId peer = net.tables[1].self;
+    Heartbeat before = nextHeartbeat(net.tables[1], net.now, true, true);
+    before.incarnation = 5;
+    ASSERT_TRUE(receive(net.tables[0], before, net.now));
+    Heartbeat restarted = before;
+    restarted.incarnation = 3;
+    restarted.sequence = 1;
+    restarted.isLeaving = false;
+    EXPECT_TRUE(receive(net.tables[0], restarted, net.now));
+    EXPECT_FALSE(net.tables[0].peers.at(peer).isLeaving);
+    {
+        SCOPED_TRACE("when messages of its earlier processes come late, then they are outdated");
+        ++before.sequence;
+        EXPECT_FALSE(receive(net.tables[0], before, net.now));
+        before.incarnation = 1;
+        before.sequence += 100;
+        EXPECT_FALSE(receive(net.tables[0], before, net.now));
+        EXPECT_EQ(net.tables[0].peers.at(peer).incarnation, 3U);
+    }
+    {
+        SCOPED_TRACE("given more restarts than are remembered, then each is heard");
+        for (std::uint32_t incarnation = 100; incarnation > 50; --incarnation) {
+            restarted.incarnation = incarnation;
+            EXPECT_TRUE(receive(net.tables[0], restarted, net.now));
+        }
+        EXPECT_EQ(net.tables[0].peers.at(peer).incarnation, 51U);
+    }
+}
+
 // Guards against suspecting all peers after a pause of this process or a jump of its clock.
 TEST(PeerTable, ClockJumps)
 {
