Hear peers that restart with an earlier clock

Seen: peers drop the messages of an entry host that restarts after its clock was set back, until its earlier process has been silent for 3.5 s. Meanwhile its marks are those of the earlier process: one that had left stays out of the live peers, so it gets no share of the work, and what it reports of leaving endpoints is lost.

Cause: the order of two incarnations of a peer was that of its wall clock at start.

Change: the table lists the incarnations that a peer has had, the latest 8. One that is not listed is later than all that are, whatever its number, and counts at once. One that is listed counts only once the present one is suspect, as an earlier one did before, so late messages of an earlier process are dropped as they were.

--- a/include/poplarstream/membership/messages.hpp
+++ b/include/poplarstream/membership/messages.hpp
@@ -32,8 +32,9 @@
     friend bool operator==(const GossipUpdate &, const GossipUpdate &) = default;
 };
 
-// Sent each second to every peer of the own zone. `incarnation` grows with each start of the
-// process; `heard` lists the peers of the zone that the sender recently heard from.
+// Sent each second to every peer of the own zone. `incarnation` differs between starts of the
+// process and has no order; `heard` lists the peers of the zone that the sender recently heard
+// from.
 struct Heartbeat
 {
     EntryHostId from;
--- a/include/poplarstream/membership/peer_table.hpp
+++ b/include/poplarstream/membership/peer_table.hpp
@@ -39,10 +39,15 @@
     ZoneId zone;
 };
 
+// Messages of an earlier process arrive at most seconds after it has ended. Even a peer that
+// crashes in a loop starts no more often than this in that time.
+inline constexpr std::size_t maxEarlierIncarnations = 8;
+
 struct PeerEntry
 {
     ZoneId zone;
     std::uint32_t incarnation = 0;
+    std::vector<std::uint32_t> earlierIncarnations;  // the latest ones, oldest first
     std::uint32_t sequence = 0;
     std::optional<TimePoint> heardAt;  // from the peer itself
     std::optional<TimePoint> confirmedAt;  // another process reported hearing from the peer
@@ -84,8 +89,9 @@
 void setKnownPeers(PeerTable &table, std::span<const KnownPeer> known);
 
 // Applies a message. Returns false if it is outdated (an old sequence number or incarnation), from
-// an unknown peer or from self. A process that restarts after its clock was set back has a lower
-// incarnation, which is accepted once the previous one is suspect.
+// an unknown peer or from self. An incarnation that the peer has not had before replaces the known
+// one at once, whatever its number. One that it had before is accepted once the known one is
+// suspect, in case a late message of an earlier process was the first that was received of it.
 bool receive(PeerTable &table, const Heartbeat &heartbeat, TimePoint now);
 bool receive(PeerTable &table, const Digest &digest, TimePoint now);
 
--- a/src/poplarstream/membership/peer_table.cpp
+++ b/src/poplarstream/membership/peer_table.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/membership/peer_table.hpp"
 
 #include <algorithm>  // for find
+#include <utility>  // for move
 
 #include "poplarstream/membership/peer_queries.hpp"  // for stateOf, livePeers, zoneObservationOf
 
@@ -12,20 +13,48 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-// Checks the sequence number of a message and records it. Returns false for an outdated message. An
-// earlier incarnation is accepted only once the later one is suspect.
+// Keeps the incarnation that the peer has now among its earlier ones.
+void rememberEarlierIncarnation(PeerEntry &peer)
+{
+    peer.earlierIncarnations.push_back(peer.incarnation);
+    if (peer.earlierIncarnations.size() > maxEarlierIncarnations) {
+        peer.earlierIncarnations.erase(peer.earlierIncarnations.begin());
+    }
+}
+
+// Whether a message is newer than all that were received from the peer. The numbers of incarnations
+// have no order: one that was not seen before belongs to a process that has started later, and
+// messages of an earlier one count only once the present one is suspect.
+bool isNewer(const PeerTable &table, const PeerEntry &peer, std::uint32_t incarnation,
+             std::uint32_t sequence, TimePoint now)
+{
+    if (!peer.heardAt) {
+        return true;
+    }
+    if (incarnation == peer.incarnation) {
+        return sequence > peer.sequence;
+    }
+    const auto &earlier = peer.earlierIncarnations;
+    return std::find(earlier.begin(), earlier.end(), incarnation) == earlier.end()
+           || now - *peer.heardAt > table.policy.suspectAfter;
+}
+
+// Records incarnation and sequence number of a message. Returns false for an outdated message.
 bool acceptSequence(const PeerTable &table, PeerEntry &peer, std::uint32_t incarnation,
                     std::uint32_t sequence, TimePoint now)
 {
-    const bool isUnresponsive = !peer.heardAt || now - *peer.heardAt > table.policy.suspectAfter;
-    if (incarnation == peer.incarnation ? sequence <= peer.sequence && peer.heardAt
-                                        : incarnation < peer.incarnation && !isUnresponsive) {
+    if (!isNewer(table, peer, incarnation, sequence, now)) {
         return false;
     }
     if (incarnation != peer.incarnation) {
-        const ZoneId zone = peer.zone;
-        peer = PeerEntry{};
-        peer.zone = zone;
+        if (peer.heardAt) {
+            rememberEarlierIncarnation(peer);
+        }
+        PeerEntry fresh;
+        fresh.zone = peer.zone;
+        fresh.earlierIncarnations = std::move(peer.earlierIncarnations);
+        std::erase(fresh.earlierIncarnations, incarnation);
+        peer = std::move(fresh);
     }
     peer.incarnation = incarnation;
     peer.sequence = sequence;
