Use workers again that restart elsewhere with an earlier clock

Seen: a worker that restarts after its clock was set back, at another address, gets no task until the owner changes (none within 60 s in the test). Its tasks are started again after their leases, so callers see fewer workers and, where it is the only one that fits, late jobs. At the same address it is used again at once, since it rejects what is meant for its earlier start; there no task was lost or doubled.

Cause: an entry with an earlier start than the known one is ignored as outdated. The known one stays listed, so it is polled at its old address for good and never forgotten.

Change: an entry with an earlier start counts if the known incarnation doesn't respond and has no task, nor an unexpected one. Before the leases of its tasks have expired nothing changes, so nothing can be doubled. Should the entry be outdated after all, the worker's own next one replaces it, and what is sent to it meanwhile names the other start and is rejected.

Before, Reachability.RestartAfterClockWasSetBackIsUsedAgain: no second start within 60 s. Now poplar_engine_test passes, 69 tests, with OutdatedEntryIsIgnored unchanged.

--- a/src/poplarstream/engine/incarnations.cpp
+++ b/src/poplarstream/engine/incarnations.cpp
@@ -72,6 +72,16 @@
     invalidateSentCommands(engine, next);
 }
 
+// Whether an entry with an earlier start may replace this incarnation. A worker that restarts after
+// its clock was set back has one. The replaced incarnation has no tasks left that could be doubled,
+// and if it lives, its own next entry replaces the other one again.
+bool isReplaceable(Engine &engine, const WorkerIncarnation &incarnation)
+{
+    const Worker *const worker = findWorker(engine, incarnation);
+    return worker != nullptr && worker->reachability == Reachability::Unreachable
+           && worker->attempts.empty() && worker->unexpectedAttempts.empty();
+}
+
 }  // namespace
 
 void registerWorker(Engine &engine, const WorkerEntry &entry, TimePoint now)
@@ -79,7 +89,8 @@
     const WorkerId &id = entry.incarnation.id;
     const auto known = engine.newestIncarnations.find(id);
     if (known != engine.newestIncarnations.end()
-        && known->second.startedUnixMs > entry.incarnation.startedUnixMs) {
+        && known->second.startedUnixMs > entry.incarnation.startedUnixMs
+        && !isReplaceable(engine, known->second)) {
         return;  // an outdated entry of a previous incarnation
     }
     if (known != engine.newestIncarnations.end() && known->second != entry.incarnation) {
