Show what entry hosts that start at one time have in common

The incarnation of an entry host moves to node/incarnation, unchanged, so that tests reach it: the wall clock at start in milliseconds, and in seconds for the messages between entry hosts.

--- a/src/poplarstream/node/entry_host.cpp
+++ b/src/poplarstream/node/entry_host.cpp
@@ -8,6 +8,7 @@
 #include "poplarstream/node/callers_duty.hpp"  // for CallersDuty
 #include "poplarstream/node/control_duty.hpp"  // for ControlDuty
 #include "poplarstream/node/demand_probe.hpp"  // for DemandProbe
+#include "poplarstream/node/incarnation.hpp"  // for newIncarnation, peerIncarnation
 #include "poplarstream/node/mailbox.hpp"  // for Mailbox
 #include "poplarstream/node/operators_duty.hpp"  // for OperatorsDuty
 #include "poplarstream/node/peers_duty.hpp"  // for PeersDuty
@@ -54,19 +55,13 @@
     bool isOpen_ = false;
 };
 
-std::uint64_t newIncarnation(const ProcessClock &clock)
-{
-    // Milliseconds since the epoch: two starts of an entry host are at least one apart.
-    return static_cast<std::uint64_t>(millisecondsSinceEpoch(clock.now()));
-}
-
 }  // namespace
 
 struct EntryHost::Duties
 {
     explicit Duties(const EntryHostOptions &options)
         : settings(options.settings)
-        , incarnation(newIncarnation(clock))
+        , incarnation(newIncarnation())
         , runMail(controlThread, "runs", runMailboxCapacity,
                   [this](RunCall &&call) { control.handle(std::move(call)); })
         , controlMail(controlThread, "control", controlMailboxCapacity,
@@ -110,7 +105,7 @@
     {
         return {.self = settings.id,
                 .zone = settings.zone,
-                .incarnation = static_cast<std::uint32_t>(incarnation / 1'000),
+                .incarnation = peerIncarnation(incarnation),
                 .listen = settings.peersListen,
                 .peers = settings.peers};
     }
