Draw the incarnation of an entry host at random

Seen, of entry hosts that start in one millisecond, or that restart after their clock was set back to an earlier start of theirs: * The first runs of two entry hosts of a zone have one id. The log takes one, the caller of the other is told 409, that its key was used before, also without a key. * Records get ids that the log has. They are taken for repeated appends and have no effect; callers wait until their deadline and get "may have run" with the id of a run, which can be an earlier one of the same client account. * Request and attempt ids repeat, so an operator may read the reason of another request. * All draw the same random numbers, so they forward their calls to the same peers. * A peer with its earlier incarnation is not heard until it has sent as many messages as before.

Cause: the incarnation was the wall clock at start, in milliseconds, and in seconds for peers.

Change: 64 random bits, and 32 of them for peers, who compare those of one entry host only.

--- a/include/poplarstream/node/incarnation.hpp
+++ b/include/poplarstream/node/incarnation.hpp
@@ -4,8 +4,8 @@
 
 namespace poplarstream {
 
-// The incarnation of a process that starts now. Ids of its runs, records and requests begin with
-// it, so that they differ from those of other processes and of its earlier ones.
+// The incarnation of a process that starts now, drawn at random. Ids of its runs, records and
+// requests contain it, so that they differ from those of other processes and of its earlier ones.
 std::uint64_t newIncarnation();
 
 // The part of it that messages between entry hosts carry, where each byte counts.
--- a/include/poplarstream/node/peers_duty.hpp
+++ b/include/poplarstream/node/peers_duty.hpp
@@ -18,7 +18,7 @@
 {
     EntryHostId self;
     ZoneId zone;
-    std::uint32_t incarnation = 0;  // increases with each start: seconds since the epoch
+    std::uint32_t incarnation = 0;  // differs between starts of the process
     // For one-way messages; requests use the next port. Port 0 picks two consecutive free ports.
     Address listen;
     std::map<EntryHostId, PeerSetting> peers;
--- a/src/poplarstream/node/incarnation.cpp
+++ b/src/poplarstream/node/incarnation.cpp
@@ -1,18 +1,18 @@
 #include "poplarstream/node/incarnation.hpp"
 
-#include "poplarstream/node/process_clock.hpp"  // for ProcessClock
+#include "poplarstream/base/process_identity.hpp"  // for drawProcessNumber
 
 namespace poplarstream {
 
 std::uint64_t newIncarnation()
 {
-    // Milliseconds since the epoch: two starts of an entry host are at least one apart.
-    return static_cast<std::uint64_t>(millisecondsSinceEpoch(ProcessClock().now()));
+    return drawProcessNumber();
 }
 
 std::uint32_t peerIncarnation(std::uint64_t incarnation)
 {
-    return static_cast<std::uint32_t>(incarnation / 1'000);
+    // Peers compare it with the earlier ones of one entry host only, so 32 bits are enough.
+    return static_cast<std::uint32_t>(incarnation);
 }
 
 }  // namespace poplarstream
