Ask callers to repeat a run whose id is in use

Seen: the caller of a run that the log refuses, since its id is in use, is told 409 "the key was used before with another payload" without Retry-After, although it gave no key. That is a final answer to a request that succeeds when it is repeated.

Cause: each refusal of an accepted run was put down to its key.

Change: if no run has the key, the answer is 503, not run, with Retry-After; the next request gets another id. With random incarnations the case is not expected any more.

Before, RunCalls.RunWithAnIdInUseMayBeRepeated: 409 instead of 503, no Retry-After.

--- a/include/poplarstream/node/run_calls.hpp
+++ b/include/poplarstream/node/run_calls.hpp
@@ -52,7 +52,8 @@
 };
 
 // Responds to the callers whose record was read back: 202 with the run, also if the same request
-// was accepted before, or 409 if its key was used with another payload.
+// was accepted before, 409 if its key was used with another payload, or 503 if the id of the run is
+// in use.
 void respondReadBack(AcceptanceTable &table, const RecordId &record, const RunsState &state,
                      const ApplyResult &applied);
 
--- a/src/poplarstream/node/run_calls.cpp
+++ b/src/poplarstream/node/run_calls.cpp
@@ -14,6 +14,8 @@
 using nlohmann::json;
 
 constexpr Milliseconds retryAfterOutage{2'000};
+// The next request gets another id.
+constexpr Milliseconds retryAfterIdInUse{1'000};
 
 std::string dump(const json &body)
 {
@@ -37,6 +39,12 @@
         pending.reply(acceptedResponse(first->id()));
         return;
     }
+    if (first == nullptr) {
+        pending.reply(errorResponse(503, Verdict::NotRun,
+                                    "the id of the run is in use; repeat the request", {},
+                                    retryAfterIdInUse));
+        return;
+    }
     pending.reply(errorResponse(409, Verdict::NotRun,
                                 "the key was used before with another payload", "idempotency_key"));
 }
