Say which releases concern runs that were taken over, and by what cause

Hypotheses 2, 3 and 4 of docs/incidents/run-twice-around-a-takeover.md are told apart by how a run of an earlier owner was given up. 715 gets owner=previous or owner=self and takeover_ms_ago after its fields; 731 and 734 concern a worker with runs of both kinds, so they get the number of those taken over (adopted=). 734 now gives answered_ms_ago=-1 for a worker that has never answered, as 731 does; it gave the age of the clock before.

release() takes its cause as an enum, and details as text. The metrics page gets poplar_runs_adopted, poplar_progress_without_job and poplar_tasks_released_total by cause.

The decision log writes 400 decisions a second besides planned and ended runs. These are now summed up in the next second, one line 749 for each worker and cause, at most 400 a second. 719 comes at the end of its second, too, instead of with the next decision.

--- a/include/poplarstream/engine/attempts.hpp
+++ b/include/poplarstream/engine/attempts.hpp
@@ -53,13 +53,16 @@
             TimePoint now);
 
 // Removes an attempt that isn't running and can't start any more from its task and its worker.
-// `evidence` says for the decision log how that is known, as key=value pairs.
+// `details` says more for the decision log of how that is known, as key=value pairs.
 void release(Engine &engine, const AttemptRef &ref, const WorkerIncarnation &incarnation,
-             TimePoint now, std::string evidence);
+             TimePoint now, ReleaseCause cause, std::string_view details = {});
 
 // Releases all attempts on a worker whose incarnation or leases have expired.
 void releaseAll(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now,
-                std::string_view evidence);
+                ReleaseCause cause);
+
+// The number of runs on a worker that were taken over from earlier owners.
+std::size_t adoptedRuns(Engine &engine, const Worker &worker);
 
 // Sends a stop command. An attempt whose start was never sent is released at once.
 void stopAttempt(Engine &engine, const AttemptRef &ref, TimePoint now);
--- a/include/poplarstream/engine/decision.hpp
+++ b/include/poplarstream/engine/decision.hpp
@@ -1,6 +1,10 @@
 #pragma once
 
+#include <array>  // for array
+#include <cstddef>  // for size_t
+#include <optional>  // for optional
 #include <string>  // for string
+#include <string_view>  // for string_view
 
 #include "poplarstream/jobs/model.hpp"  // for TaskRef, WorkerIncarnation
 
@@ -23,6 +27,26 @@
     JobEnded,
 };
 
+// How it is known that a run isn't running and can't start any more.
+enum class ReleaseCause {
+    NotListed,  // missing from the response to its decisive poll
+    StartRejected,
+    NotSent,
+    StoppedBeforeStart,
+    LeaseLapsed,
+    WorkerEnded,
+};
+
+inline constexpr std::array allReleaseCauses = {
+        ReleaseCause::NotListed,          ReleaseCause::StartRejected, ReleaseCause::NotSent,
+        ReleaseCause::StoppedBeforeStart, ReleaseCause::LeaseLapsed,   ReleaseCause::WorkerEnded};
+
+// The number of released runs by cause.
+using ReleaseCounts = std::array<std::size_t, allReleaseCauses.size()>;
+
+// How events and metrics name a cause.
+std::string_view causeText(ReleaseCause cause);
+
 // A decision and its inputs, for the decision log.
 struct Decision
 {
@@ -31,6 +55,8 @@
     int run = 0;
     jobs::WorkerId worker;
     std::string inputs;  // key=value pairs, with ages and versions
+    std::optional<ReleaseCause> cause;  // of a release
+    bool isFromPreviousOwner = false;  // of a release: whether the run was taken over
 };
 
 }  // namespace poplarstream::engine
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -10,7 +10,7 @@
 #include <unordered_map>  // for unordered_map
 #include <vector>  // for vector
 
-#include "poplarstream/engine/decision.hpp"  // for Decision
+#include "poplarstream/engine/decision.hpp"  // for Decision, ReleaseCounts
 #include "poplarstream/engine/job_set.hpp"  // for JobSet
 #include "poplarstream/engine/worker_commands.hpp"  // for Command
 #include "poplarstream/jobs/model.hpp"  // for Job, JobId, WorkerIncarnation, Resources, TaskRef
@@ -217,6 +217,8 @@
     std::size_t decisionsOmitted = 0;  // not queued for that reason
     std::set<TaskRef> suspects;  // tasks that may have taken a worker down
     std::deque<RackSilence> silences;  // of the last seconds, oldest first
+    TimePoint takenOverAt{};  // when this owner shut out its predecessor
+    ReleaseCounts released{};  // runs by cause, for the metrics
     std::size_t runsAdopted = 0;  // runs of earlier owners that were taken over
     std::size_t workersAdopted = 0;  // workers that first became known by such a run
     std::uint64_t tasksLost = 0;  // runs that were lost with their workers, for the metrics
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -243,5 +243,10 @@
         748, EventLevel::Warning, "late-job", "job runs",
         "None; the job goes on with its stored progress. If it repeats, look at the response times "
         "of the store's job log."};
+inline constexpr EventKind releasesSuppressed{749, EventLevel::Info, "releases-suppressed",
+                                              "worker cause count previous",
+                                              "None; it stands for `count` lines 715 of the worker "
+                                              "that the log suppressed. `previous` of "
+                                              "these runs were taken over from an earlier owner."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -4,7 +4,7 @@
 
 #include <fmt/format.h>  // for format
 
-#include "poplarstream/telemetry/event_kinds.hpp"  // for taskPlanned
+#include "poplarstream/telemetry/event_kinds.hpp"  // for taskPlanned, releasesSuppressed
 
 namespace poplarstream::edge {
 
@@ -73,8 +73,15 @@
 
 void DecisionLog::write(const engine::Decision &decision, TimePoint now)
 {
-    if (!mayWrite(decision.kind, now)) {
+    advance(now);
+    int &written = isFrequent(decision.kind) ? frequentInWindow_ : othersInWindow_;
+    if (++written > maxEventsPerSecond) {
         ++suppressed_;
+        if (decision.cause) {
+            ReleaseSum &sum = releaseSums_[{decision.worker, *decision.cause}];
+            ++sum.count;
+            sum.fromPreviousOwner += decision.isFromPreviousOwner ? 1 : 0;
+        }
         return;
     }
     logEvent(kindOf(decision.kind), {{"task", taskText(decision.task)},
@@ -83,18 +90,34 @@
                                      {"inputs", decision.inputs}});
 }
 
-bool DecisionLog::mayWrite(engine::DecisionKind kind, TimePoint now)
+void DecisionLog::advance(TimePoint now)
 {
-    if (now >= windowStart_ + window) {
-        windowStart_ = now;
-        frequentInWindow_ = 0;
-        othersInWindow_ = 0;
-        if (suppressed_ > 0) {
-            logEvent(events::decisionsSuppressed, {{"count", fmt::to_string(suppressed_)}});
-            suppressed_ = 0;
-        }
+    if (now < windowStart_ + window) {
+        return;
+    }
+    windowStart_ = now;
+    frequentInWindow_ = 0;
+    othersInWindow_ = 0;
+    if (suppressed_ > 0) {
+        logEvent(events::decisionsSuppressed, {{"count", fmt::to_string(suppressed_)}});
+        suppressed_ = 0;
+    }
+    writeReleaseSums();
+}
+
+// What is more than one second may have is left for the next one.
+void DecisionLog::writeReleaseSums()
+{
+    for (int written = 0; written < maxEventsPerSecond && !releaseSums_.empty(); ++written) {
+        const auto first = releaseSums_.begin();
+        const auto &[worker, cause] = first->first;
+        logEvent(events::releasesSuppressed,
+                 {{"worker", worker.text()},
+                  {"cause", std::string(engine::causeText(cause))},
+                  {"count", fmt::to_string(first->second.count)},
+                  {"previous", fmt::to_string(first->second.fromPreviousOwner)}});
+        releaseSums_.erase(first);
     }
-    return ++(isFrequent(kind) ? frequentInWindow_ : othersInWindow_) <= maxEventsPerSecond;
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -107,6 +107,7 @@
         const TimePoint renewedAt =
                 predecessor.isHandover ? std::max(now, predecessor.unresignedUntil + pollingGrace)
                                        : now + pollingGrace;
+        engine.takenOverAt = now;
         logTakeover(renewedAt - now);
         JobFeedEvents events;
         events.otherRecord = guarded(
@@ -318,6 +319,7 @@
             }
             decisionLog.write(decision, now);
         }
+        decisionLog.advance(steadyNow());
         decisionLog.omit(std::exchange(engine.decisionsOmitted, 0));
         engine.decisionAllowance = decisionLog.allowance(steadyNow());
     }
@@ -438,13 +440,23 @@
 std::string OwnerSession::metrics() const
 {
     const engine::Engine &engine = state_->engine;
-    return fmt::format("poplar_jobs_known{{shard=\"{0}\"}} {1}\n"
-                       "poplar_jobs_active{{shard=\"{0}\"}} {2}\n"
-                       "poplar_workers{{shard=\"{0}\"}} {3}\n"
-                       "poplar_registry_entries_unreadable_total{{shard=\"{0}\"}} {4}\n"
-                       "poplar_tasks_lost_total{{shard=\"{0}\"}} {5}\n",
-                       state_->shard.index, engine.jobs.size(), engine.active.size(),
-                       engine.workers.size(), state_->unusableEntries.count, engine.tasksLost);
+    std::string text =
+            fmt::format("poplar_jobs_known{{shard=\"{0}\"}} {1}\n"
+                        "poplar_jobs_active{{shard=\"{0}\"}} {2}\n"
+                        "poplar_workers{{shard=\"{0}\"}} {3}\n"
+                        "poplar_registry_entries_unreadable_total{{shard=\"{0}\"}} {4}\n"
+                        "poplar_tasks_lost_total{{shard=\"{0}\"}} {5}\n"
+                        "poplar_runs_adopted{{shard=\"{0}\"}} {6}\n"
+                        "poplar_progress_without_job{{shard=\"{0}\"}} {7}\n",
+                        state_->shard.index, engine.jobs.size(), engine.active.size(),
+                        engine.workers.size(), state_->unusableEntries.count, engine.tasksLost,
+                        engine.runsAdopted, state_->feed ? state_->feed->progressWithoutJob() : 0);
+    for (const engine::ReleaseCause cause : engine::allReleaseCauses) {
+        text += fmt::format("poplar_tasks_released_total{{shard=\"{}\",cause=\"{}\"}} {}\n",
+                            state_->shard.index, engine::causeText(cause),
+                            engine.released.at(static_cast<std::size_t>(cause)));
+    }
+    return text;
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/owner_session_test.cpp
+++ b/src/poplarstream/edge/owner_session_test.cpp
@@ -156,6 +156,17 @@
                   std::string::npos)
                 << text;
     }
+    {
+        SCOPED_TRACE("and the metrics give them, and the releases by their causes");
+        const std::string metrics = over.session->metrics();
+        for (const char *const line :
+             {"poplar_runs_adopted{shard=\"0\"} 3\n",
+              "poplar_progress_without_job{shard=\"0\"} 1\n",
+              "poplar_tasks_released_total{shard=\"0\",cause=\"not-listed\"} 0\n",
+              "poplar_tasks_released_total{shard=\"0\",cause=\"worker-ended\"} 0\n"}) {
+            EXPECT_NE(metrics.find(line), std::string::npos) << line << metrics;
+        }
+    }
 }
 
 }  // namespace
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/engine/attempts.hpp"
 
-#include <algorithm>  // for min
+#include <algorithm>  // for count_if, min
 #include <utility>  // for move
 
 #include <fmt/format.h>  // for format
@@ -23,6 +23,20 @@
     mix.filling += step.fills ? change : 0;
 }
 
+void recordRelease(Engine &engine, const AttemptRef &ref, const WorkerId &worker,
+                   ReleaseCause cause, std::string_view details, bool isFromPreviousOwner,
+                   TimePoint now)
+{
+    ++engine.released.at(static_cast<std::size_t>(cause));
+    Decision decision{DecisionKind::TaskReleased, ref.task, ref.run, worker, {}, cause,
+                      isFromPreviousOwner};
+    decision.inputs =
+            fmt::format("cause={}{}{} owner={} takeover_ms_ago={}", causeText(cause),
+                        details.empty() ? "" : " ", details,
+                        isFromPreviousOwner ? "previous" : "self", ageMs(engine.takenOverAt, now));
+    engine.decisions.push_back(std::move(decision));
+}
+
 }  // namespace
 
 jobs::Job *findJob(Engine &engine, const JobId &id)
@@ -97,13 +111,14 @@
 }
 
 void release(Engine &engine, const AttemptRef &ref, const WorkerIncarnation &incarnation,
-             TimePoint now, std::string evidence)
+             TimePoint now, ReleaseCause cause, std::string_view details)
 {
     detach(engine, ref, incarnation, now);
+    const jobs::Attempt *const attempt = findAttempt(engine, ref);
+    const bool isFromPreviousOwner = attempt != nullptr && attempt->isFromPreviousOwner;
     if (jobs::Job *const job = findJob(engine, ref.task.job)) {
         if (jobs::dropAttempt(*job, ref.task, ref.run)) {
-            recordDecision(engine, DecisionKind::TaskReleased, ref, incarnation.id,
-                           std::move(evidence));
+            recordRelease(engine, ref, incarnation.id, cause, details, isFromPreviousOwner, now);
             markDirty(engine, *job);
         }
     }
@@ -111,7 +126,7 @@
 }
 
 void releaseAll(Engine &engine, const WorkerIncarnation &incarnation, TimePoint now,
-                std::string_view evidence)
+                ReleaseCause cause)
 {
     Worker *const worker = findWorker(engine, incarnation);
     if (worker == nullptr) {
@@ -119,11 +134,20 @@
     }
     const auto attempts = worker->attempts;
     for (const auto &[ref, decisivePoll] : attempts) {
-        release(engine, ref, incarnation, now, std::string(evidence));
+        release(engine, ref, incarnation, now, cause);
     }
     worker->unexpectedAttempts.clear();
 }
 
+std::size_t adoptedRuns(Engine &engine, const Worker &worker)
+{
+    return static_cast<std::size_t>(std::count_if(
+            worker.attempts.begin(), worker.attempts.end(), [&engine](const auto &entry) {
+                const jobs::Attempt *const attempt = findAttempt(engine, entry.first);
+                return attempt != nullptr && attempt->isFromPreviousOwner;
+            }));
+}
+
 void stopAttempt(Engine &engine, const AttemptRef &ref, TimePoint now)
 {
     jobs::Attempt *const attempt = findAttempt(engine, ref);
@@ -132,7 +156,7 @@
     }
     const WorkerIncarnation incarnation = attempt->worker;
     if (attempt->phase == jobs::AttemptPhase::Planned && !attempt->mayRun) {
-        release(engine, ref, incarnation, now, "cause=stopped-before-start");
+        release(engine, ref, incarnation, now, ReleaseCause::StoppedBeforeStart);
         return;
     }
     attempt->phase = jobs::AttemptPhase::Stopping;
--- a/src/poplarstream/engine/batches.cpp
+++ b/src/poplarstream/engine/batches.cpp
@@ -81,7 +81,7 @@
         const jobs::Attempt *const attempt = findAttempt(engine, ref);
         if (broken.contains(gangOf(ref)) && attempt != nullptr
             && attempt->phase == jobs::AttemptPhase::Planned) {
-            release(engine, ref, attempt->worker, now, "cause=not-sent");
+            release(engine, ref, attempt->worker, now, ReleaseCause::NotSent);
         }
     }
 }
@@ -95,7 +95,7 @@
     jobs::Job &job = engine.jobs.at(ref.task.job);
     Worker *const worker = findWorker(engine, attempt->worker);
     if (mustHold(engine, ref)) {
-        release(engine, ref, attempt->worker, now, "cause=not-sent");
+        release(engine, ref, attempt->worker, now, ReleaseCause::NotSent);
         return;
     }
     // The worker may respond to a poll in flight before this command arrives.
--- a/src/poplarstream/engine/incarnations.cpp
+++ b/src/poplarstream/engine/incarnations.cpp
@@ -4,7 +4,7 @@
 
 #include <fmt/format.h>  // for format
 
-#include "poplarstream/engine/attempts.hpp"  // for attach, detach, releaseAll, noteListedClock, ageMs
+#include "poplarstream/engine/attempts.hpp"  // for attach, releaseAll, noteListedClock, adoptedRuns
 #include "poplarstream/engine/crashes.hpp"  // for recordCrash
 
 namespace poplarstream::engine {
@@ -40,9 +40,9 @@
     worker.isGone = true;
     worker.isListed = false;
     recordDecision(engine, DecisionKind::WorkerEnded, {}, worker.entry.incarnation.id,
-                   fmt::format("tasks={} evidence={} planned={} answered_ms_ago={}",
+                   fmt::format("tasks={} evidence={} planned={} answered_ms_ago={} adopted={}",
                                worker.attempts.size(), evidenceText(evidence), isPlanned,
-                               ageMs(worker.answeredAt, now)));
+                               ageMs(worker.answeredAt, now), adoptedRuns(engine, worker)));
     if (!isPlanned) {
         recordCrash(engine, worker, now);
     }
@@ -137,7 +137,7 @@
         return;
     }
     markEnded(engine, *worker, evidence, now);
-    releaseAll(engine, incarnation, now, "cause=worker-ended");
+    releaseAll(engine, incarnation, now, ReleaseCause::WorkerEnded);
 }
 
 void restartWorker(Engine &engine, const WorkerIncarnation &from, const WorkerIncarnation &to,
@@ -163,7 +163,7 @@
     }
     engine.newestIncarnations[to.id] = to;
     moveAttempts(engine, *previous, next, now);
-    releaseAll(engine, from, now, "cause=worker-ended");
+    releaseAll(engine, from, now, ReleaseCause::WorkerEnded);
 }
 
 }  // namespace poplarstream::engine
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -193,10 +193,9 @@
         }
     }
     for (const auto &[ref, decisivePoll] : absent) {
-        release(engine, ref, worker.entry.incarnation, now,
-                fmt::format("cause=not-listed poll={} decisive={} sent_ms_ago={} token={}",
-                            pollNumber, decisivePoll, (now - worker.pollSentAt).count(),
-                            currentToken(engine, worker)));
+        release(engine, ref, worker.entry.incarnation, now, ReleaseCause::NotListed,
+                fmt::format("poll={} decisive={} sent_ms_ago={} token={}", pollNumber, decisivePoll,
+                            (now - worker.pollSentAt).count(), currentToken(engine, worker)));
     }
     std::erase_if(worker.unexpectedAttempts,
                   [&](const AttemptRef &ref) { return !isPresent(ref); });
@@ -347,8 +346,8 @@
     case StartResult::Refused:
         break;
     }
-    release(engine, ref, incarnation, now,
-            fmt::format("cause=start-rejected result={}", resultText(result)));
+    release(engine, ref, incarnation, now, ReleaseCause::StartRejected,
+            fmt::format("result={}", resultText(result)));
 }
 
 void handleStopResult(Engine &engine, const StopCommand &stop, StopResult result, TimePoint now)
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -5,7 +5,7 @@
 
 #include <fmt/format.h>  // for format
 
-#include "poplarstream/engine/attempts.hpp"  // for findAttempt, releaseAll, targetOf
+#include "poplarstream/engine/attempts.hpp"  // for findAttempt, releaseAll, adoptedRuns
 #include "poplarstream/engine/crashes.hpp"  // for rememberLapsed, hasUnprovenSuspect
 
 namespace poplarstream::engine {
@@ -106,10 +106,10 @@
     for (const WorkerIncarnation &incarnation : expired) {
         Worker &worker = engine.workers.at(incarnation);
         recordDecision(engine, DecisionKind::LeaseLapsed, {}, incarnation.id,
-                       fmt::format("tasks={} answered_ms_ago={}", worker.attempts.size(),
-                                   (now - worker.answeredAt).count()));
+                       fmt::format("tasks={} answered_ms_ago={} adopted={}", worker.attempts.size(),
+                                   ageMs(worker.answeredAt, now), adoptedRuns(engine, worker)));
         rememberLapsed(engine, worker, now);
-        releaseAll(engine, incarnation, now, "cause=lease-lapsed");
+        releaseAll(engine, incarnation, now, ReleaseCause::LeaseLapsed);
     }
     for (const WorkerIncarnation &incarnation : forgotten) {
         const auto known = engine.newestIncarnations.find(incarnation.id);
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -94,6 +94,7 @@
         progressRefused,
         takeoverBegun,
         lateJob,
+        releasesSuppressed,
 };
 
 }  // namespace
