Show that lists without a cut-off zone's workers end them

The tests have two zones of four workers, of which one is cut off, with three ways in which a list may show it.

--- /dev/null
+++ b/src/poplarstream/pools/zone_cut_test.cpp
@@ -0,0 +1,204 @@
+#include <set>  // for set
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_EQ
+
+#include "poplarstream/engine/engine_fixture.hpp"  // for EngineFixture
+#include "poplarstream/jobs/codec.hpp"  // for encodeProgress
+#include "poplarstream/pools/planning.hpp"  // for applyMachineList
+
+namespace poplarstream::pools {
+namespace {
+
+using engine::JobId;
+using engine::test::EngineFixture;
+using engine::test::firstJob;
+using engine::test::step;
+using engine::test::submission;
+
+constexpr int workersPerZone = 4;
+constexpr int workerCount = 2 * workersPerZone;
+constexpr Milliseconds listPeriod{400};
+
+// How a list shows the machine of a worker that the platform does not reach.
+enum class Row { WithoutWorker, Down, Missing };
+
+constexpr Row allRows[] = {Row::WithoutWorker, Row::Down, Row::Missing};
+
+// Workers "w1" to "w4" in zone "a" and "w5" to "w8" in zone "b", each on a machine of its own.
+struct TwoZones
+{
+    EngineFixture fixture;
+    Pools pools;
+    std::set<int> unlisted;  // numbers of workers
+
+    explicit TwoZones(Row unreachable)
+        : row(unreachable)
+    {
+        for (int i = 1; i <= workerCount; ++i) {
+            engine::WorkerEntry entry;
+            entry.incarnation = EngineFixture::incarnation(nameOf(i));
+            entry.service = ServiceId("shop");
+            entry.address = "10.0.0.1:80";
+            entry.zone = ZoneId(i <= workersPerZone ? "a" : "b");
+            entry.rack = RackId("rack-" + nameOf(i));
+            entry.capacity = {4000, 10'000, 0};
+            entry.clockMs = 5000;
+            engine::registerWorker(fixture.engine, entry, fixture.now);
+        }
+        fixture.poll();
+        fixture.answerPolls();
+        list();
+    }
+
+    static std::string nameOf(int worker) { return "w" + std::to_string(worker); }
+
+    void list()
+    {
+        std::vector<Machine> machines;
+        for (int i = 1; i <= workerCount; ++i) {
+            const bool isListed = !unlisted.contains(i);
+            if (!isListed && row == Row::Missing) {
+                continue;
+            }
+            Machine machine;
+            machine.id = MachineId("m" + std::to_string(i));
+            machine.pool = ServiceId("shop");
+            machine.state =
+                    isListed || row == Row::WithoutWorker ? MachineState::Up : MachineState::Down;
+            machine.capacity = {4000, 10'000, 0};
+            machine.worker = jobs::WorkerId(isListed ? nameOf(i) : "");
+            machines.push_back(machine);
+        }
+        applyMachineList(pools, fixture.engine, machines, fixture.now, fixture.now);
+    }
+
+    // Starts a task on each worker.
+    void startEverywhere()
+    {
+        fixture.submit(submission(firstJob, step(workerCount, 3000)));
+        ASSERT_EQ(fixture.startAll().size(), static_cast<std::size_t>(workerCount));
+        fixture.poll();
+        fixture.now += Milliseconds{100};
+    }
+
+    // Takes the workers of zone "a" off the list. Those of the other zone could run their tasks.
+    void cutZone()
+    {
+        for (int i = 1; i <= workersPerZone; ++i) {
+            unlisted.insert(i);
+            fixture.worker(nameOf(i + workersPerZone)).entry.capacity = {8000, 20'000, 0};
+        }
+    }
+
+    void listFor(Milliseconds time)
+    {
+        for (const TimePoint end = fixture.now + time; fixture.now < end;) {
+            fixture.now += listPeriod;
+            list();
+        }
+    }
+
+    bool isGone(int worker) { return fixture.worker(nameOf(worker)).isGone; }
+
+    Row row;
+};
+
+// Guards against tasks that run twice: a zone is cut off, its workers live on, and the platform,
+// which does not reach it either, lists its machines without workers.
+TEST(ZoneCut, WorkersThatTheListLacksKeepTheirTasks)
+{
+    for (const Row row : allRows) {
+        SCOPED_TRACE("given two zones with a task on each worker");
+        TwoZones zones(row);
+        zones.startEverywhere();
+        {
+            SCOPED_TRACE(
+                    "when a list lacks the workers of one, of which one is known to be silent");
+            zones.cutZone();
+            zones.fixture.leavePollUnanswered("w1");
+            zones.list();
+            EXPECT_FALSE(zones.isGone(1));
+            EXPECT_TRUE(zones.fixture.start().empty());
+        }
+        {
+            SCOPED_TRACE("and later ones, while all of them are silent");
+            for (int i = 2; i <= workersPerZone; ++i) {
+                zones.fixture.leavePollUnanswered(TwoZones::nameOf(i));
+            }
+            zones.listFor(Milliseconds{4000});
+            EXPECT_FALSE(zones.isGone(1));
+            EXPECT_TRUE(zones.fixture.start().empty());
+        }
+        {
+            SCOPED_TRACE("then their tasks wait until their leases have lapsed");
+            zones.fixture.now +=
+                    engine::lapseAfter(zones.fixture.engine, timePoint(0)) - timePoint(0);
+            zones.fixture.poll();
+            EXPECT_TRUE(zones.fixture.engine.jobs.at(JobId(firstJob))
+                                .occurrences.at(0)
+                                .steps[0][0]
+                                .attempts.empty());
+        }
+    }
+}
+
+// Guards against tasks that run twice after a takeover: the new owner has had no response from any
+// worker of the zone in which its predecessor lives on.
+TEST(ZoneCut, SuccessorKeepsTheTasksOfWorkersThatItsListsLack)
+{
+    for (const Row row : allRows) {
+        SCOPED_TRACE("given the progress of an owner with a task on each worker of two zones");
+        TwoZones before(row);
+        before.startEverywhere();
+        const std::string stored = jobs::encodeProgress(before.fixture.job());
+        TwoZones zones(row);
+        engine::Engine &engine = zones.fixture.engine;
+        zones.fixture.submit(submission(firstJob, step(workerCount, 3000)));
+        const TimePoint lapsedAt = zones.fixture.now + Milliseconds{13'000};
+        ASSERT_TRUE(engine::adoptProgress(engine, JobId(firstJob), stored, lapsedAt,
+                                          zones.fixture.now));
+        for (int i = 1; i <= workersPerZone; ++i) {
+            engine::Worker &worker = zones.fixture.worker(TwoZones::nameOf(i));
+            worker.reachability = engine::Reachability::Unconfirmed;
+            worker.answeredAt = {};
+        }
+        {
+            SCOPED_TRACE("when its lists lack the workers of one zone, which do not respond");
+            zones.cutZone();
+            zones.listFor(Milliseconds{4000});
+            EXPECT_TRUE(zones.fixture.start().empty());
+            EXPECT_FALSE(zones.isGone(1));
+        }
+        {
+            SCOPED_TRACE("then nothing starts again before the last lease has lapsed");
+            zones.fixture.now = lapsedAt - Milliseconds{1};
+            zones.fixture.poll();
+            EXPECT_TRUE(zones.fixture.start().empty());
+        }
+    }
+}
+
+// Guards against tasks of a crashed worker that wait for its lease although the rest of its zone
+// answers.
+TEST(ZoneCut, WorkerOfALivingZoneIsEndedByOneList)
+{
+    for (const Row row : {Row::WithoutWorker, Row::Down}) {
+        SCOPED_TRACE("given two zones with a task on each worker");
+        TwoZones zones(row);
+        zones.startEverywhere();
+        {
+            SCOPED_TRACE("when one worker is silent and its machine is listed without it");
+            zones.fixture.leavePollUnanswered("w1");
+            zones.unlisted.insert(1);
+            zones.list();
+            {
+                SCOPED_TRACE("then it has ended");
+                EXPECT_TRUE(zones.isGone(1));
+                EXPECT_FALSE(zones.isGone(2));
+            }
+        }
+    }
+}
+
+}  // namespace
+}  // namespace poplarstream::pools
