Take no worker of a silent zone for ended by lists without it

Cause: a list that shows a machine without its worker, or lacks it, was taken for proof that the worker had ended, unless it had responded since. A platform that does not reach a zone can say no more of its workers than the owner can; they live on, and the owner of the zone renews their leases.

Change: if more than half of the polled workers of a zone, and at least two, neither respond nor are listed, the zone is silent: lists end none of its workers with tasks, unless one names a later worker of the machine, and machines that are listed there without a worker get no command. Their tasks wait for their leases. Single workers that crash are still ended by one list.

Why it works: the evidence of an end has to be independent of what made the worker silent. A lease is; the list of a platform behind the same cut is not.

--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -33,7 +33,7 @@
     std::set<ServiceId> rejectedPools;  // target pools that the platform called invalid
     bool isDueForMaintenance = false;  // part of a wave, and its maintenance has not begun
     bool isMissing = false;  // the last list lacked it
-    bool isWorkerDoubted = false;  // the last list named another worker, perhaps an earlier one
+    bool isWorkerDoubted = false;  // the last list named none or perhaps an earlier one
     std::optional<jobs::WorkerIncarnation> formerWorker;  // that the present one has replaced
     bool isCordonKept = false;  // until a list shows whether its worker has ended
 };
@@ -94,6 +94,7 @@
     std::map<MachineId, TimePoint> cooldownUntil;  // of machines commanded by a previous owner
     // Unreachable workers that the lists lack, with the request of the first such list.
     std::map<jobs::WorkerIncarnation, TimePoint> missingSince;
+    std::set<ZoneId> silentZones;  // most of their polled workers neither respond nor are listed
     std::string holder;
     std::int64_t fencingToken = 0;
 };
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -8,6 +8,7 @@
 #include "poplarstream/pools/forecast.hpp"  // for recordArrivals
 #include "poplarstream/pools/moves.hpp"  // for planMoves
 #include "poplarstream/pools/waves.hpp"  // for planMaintenance
+#include "poplarstream/pools/zone_silence.hpp"  // for updateSilentZones
 
 namespace poplarstream::pools {
 
@@ -41,14 +42,15 @@
     return std::max(worker.answeredAt, worker.registeredAt);
 }
 
-// Workers whose machine is in the list without them: each has ended if it has given no sign of life
-// since the list was requested.
-std::set<jobs::WorkerIncarnation> replacedWorkers(const std::map<MachineId, MachineView> &listed)
+// Workers whose machine is in the list without them, and whether it has a later worker: each has
+// ended if it has given no sign of life since the list was requested.
+std::map<jobs::WorkerIncarnation, bool>
+replacedWorkers(const std::map<MachineId, MachineView> &listed)
 {
-    std::set<jobs::WorkerIncarnation> replaced;
+    std::map<jobs::WorkerIncarnation, bool> replaced;
     for (const auto &[id, view] : listed) {
         if (!view.isMissing && view.formerWorker) {
-            replaced.insert(*view.formerWorker);
+            replaced[*view.formerWorker] = !view.machine.worker.isEmpty();
         }
     }
     return replaced;
@@ -75,8 +77,9 @@
 // Ends the incarnations of unreachable workers that the list lacks. Otherwise their tasks would
 // wait for the longest lease. It proves nothing by itself if the machine is missing as well, since
 // the list is read in pages while machines move, or if its row names a worker that may be an
-// earlier one: then the worker's next report must be missing, too. A worker without tasks would be
-// polled in vain; if it lives, its next report brings it back.
+// earlier one: then the worker's next report must be missing, too. Of a silent zone it proves
+// nothing: the platform may not reach the zone either, and what runs there goes on. A worker
+// without tasks would be polled in vain; if it lives, its next report brings it back.
 void endIncarnationsWithoutMachine(Pools &pools, engine::Engine &engine,
                                    const std::vector<Machine> &machines, TimePoint askedAt,
                                    TimePoint now)
@@ -90,7 +93,8 @@
             present.insert(view.machine.worker);
         }
     }
-    const std::set<jobs::WorkerIncarnation> replaced = replacedWorkers(pools.machines);
+    updateSilentZones(pools.silentZones, engine, present);
+    const std::map<jobs::WorkerIncarnation, bool> replaced = replacedWorkers(pools.machines);
     std::map<jobs::WorkerIncarnation, TimePoint> missingSince;
     std::vector<jobs::WorkerIncarnation> ended;
     for (const auto &[incarnation, worker] : engine.workers) {
@@ -99,11 +103,16 @@
             || present.contains(incarnation.id) || mayHaveStartedSince(engine, worker, askedAt)) {
             continue;
         }
+        const auto replacement = replaced.find(incarnation);
+        const bool hasSuccessor = replacement != replaced.end() && replacement->second;
+        if (!isEmpty(&worker) && !hasSuccessor && pools.silentZones.contains(worker.entry.zone)) {
+            continue;
+        }
         const auto before = pools.missingSince.find(incarnation);
         const bool isStillMissing =
                 before != pools.missingSince.end() && lastHeardFrom(worker) < before->second;
         const TimePoint since = isStillMissing ? before->second : askedAt;
-        if (isEmpty(&worker) || replaced.contains(incarnation)
+        if (isEmpty(&worker) || replacement != replaced.end()
             || askedAt >= since + engine.limits.reportInterval + reportSlack) {
             ended.push_back(incarnation);
         } else {
@@ -149,6 +158,19 @@
     }
 }
 
+// Keeps machines of silent zones from commands if they are listed without a worker: tasks may run
+// there.
+void doubtMachinesOfSilentZones(Pools &pools, const std::optional<ServiceId> &standby)
+{
+    for (auto &[id, view] : pools.machines) {
+        const bool hasPool = !standby || view.machine.pool != *standby;
+        if (hasPool && view.machine.worker.isEmpty()
+            && pools.silentZones.contains(view.machine.zone)) {
+            view.isWorkerDoubted = true;
+        }
+    }
+}
+
 bool isUp(const Machine &machine)
 {
     return machine.state == MachineState::Up;
@@ -204,6 +226,7 @@
     }
     pools.machines = std::move(listed);
     endIncarnationsWithoutMachine(pools, engine, machines, askedAt, now);
+    doubtMachinesOfSilentZones(pools, standbyPool(engine));
     for (auto &[number, wave] : pools.waves) {
         std::erase_if(wave.inMaintenance, [&](const MachineId &id) {
             const auto found = pools.machines.find(id);
--- a/src/poplarstream/pools/zone_cut_test.cpp
+++ b/src/poplarstream/pools/zone_cut_test.cpp
@@ -39,7 +39,7 @@
             entry.incarnation = EngineFixture::incarnation(nameOf(i));
             entry.service = ServiceId("shop");
             entry.address = "10.0.0.1:80";
-            entry.zone = ZoneId(i <= workersPerZone ? "a" : "b");
+            entry.zone = zoneOf(i);
             entry.rack = RackId("rack-" + nameOf(i));
             entry.capacity = {4000, 10'000, 0};
             entry.clockMs = 5000;
@@ -51,6 +51,7 @@
     }
 
     static std::string nameOf(int worker) { return "w" + std::to_string(worker); }
+    static ZoneId zoneOf(int worker) { return ZoneId(worker <= workersPerZone ? "a" : "b"); }
 
     void list()
     {
@@ -65,6 +66,7 @@
             machine.pool = ServiceId("shop");
             machine.state =
                     isListed || row == Row::WithoutWorker ? MachineState::Up : MachineState::Down;
+            machine.zone = zoneOf(i);
             machine.capacity = {4000, 10'000, 0};
             machine.worker = jobs::WorkerId(isListed ? nameOf(i) : "");
             machines.push_back(machine);
@@ -178,6 +180,42 @@
     }
 }
 
+// Guards against commands that take tasks away: the machines of a zone that is cut off are listed
+// without their workers, and look empty to a new owner.
+TEST(ZoneCut, MachinesOfASilentZoneGetNoCommand)
+{
+    SCOPED_TRACE("given a task on each worker of two zones, and a wave over all machines");
+    TwoZones zones(Row::WithoutWorker);
+    zones.startEverywhere();
+    zones.cutZone();
+    Wave wave;
+    wave.number = 1;
+    wave.cap = workerCount;
+    wave.duration = Milliseconds{20'000};
+    for (int i = 1; i <= workersPerZone; ++i) {
+        wave.machines.emplace_back("m" + std::to_string(i));
+        zones.fixture.leavePollUnanswered(TwoZones::nameOf(i));
+    }
+    {
+        SCOPED_TRACE("when an owner has never seen which workers the machines of one zone have");
+        zones.pools = Pools{};
+        applyWave(zones.pools, wave, {}, zones.fixture.now);
+        zones.list();
+        EXPECT_TRUE(planMachines(zones.pools, zones.fixture.engine, zones.fixture.now).empty());
+    }
+    {
+        SCOPED_TRACE("then they get commands once the zone is back and they are listed as empty");
+        zones.unlisted.clear();
+        for (int i = 1; i <= workersPerZone; ++i) {
+            zones.fixture.poll();
+            zones.fixture.answer(TwoZones::nameOf(i));
+        }
+        zones.fixture.now += listPeriod;
+        zones.list();
+        EXPECT_FALSE(planMachines(zones.pools, zones.fixture.engine, zones.fixture.now).empty());
+    }
+}
+
 // Guards against tasks of a crashed worker that wait for its lease although the rest of its zone
 // answers.
 TEST(ZoneCut, WorkerOfALivingZoneIsEndedByOneList)
