Cut availability zones off in the soak, and start all processes together

The soak had no fault in which a zone is cut off while its processes and workers live on, so no takeover beside a living predecessor was played.

A zone cut holds back the connections between the zone and everything outside it, in both directions or inwards only. The list of machines shows the machines of the zone with or without their workers. In half of the draws the zone is that of the owner in the ownership log. All processes connect from 127.0.0.1, so the proxy of a worker finds the calling process by its socket in /proc.

In some soaks all processes are killed after the traffic and started in one loop, and the zone of the next owner is cut off 4 s later.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,6 +8,7 @@
 from soak.proxy import Proxy
 from soak.serving import serve
 from soak.workers import HEARTBEAT_S, Worker
+from soak.zone_cuts import PLATFORM, ZoneCuts
 
 MIGRATION_S = 0.6
 MAINTENANCE_S = 0.6
@@ -27,11 +28,15 @@
 
 
 class Fleet:
-    def __init__(self, store, history, describe_task, seed, pools, standby):
-        """`pools` maps pool names to numbers of machines; no workers run in pool `standby`."""
+    def __init__(self, store, history, describe_task, seed, pools, standby, client_zone):
+        """`pools` maps pool names to numbers of machines; no workers run in pool `standby`.
+
+        `client_zone` returns the zone of the process that connects from a local port.
+        """
         self.store, self.history, self.describe_task, self.seed = (
             store, history, describe_task, seed)
-        self.standby = standby
+        self.standby, self.client_zone = standby, client_zone
+        self.zone_cuts = ZoneCuts()
         self.machines = {}
         self.waves = {}  # wave -> (machine names, cap)
         self.is_slow = False
@@ -68,18 +73,33 @@
         worker = Worker(worker_id, machine.name, machine.pool, self.history, self.describe_task,
                         "%s/%s" % (self.seed, worker_id))
         runner, worker_address = await serve(worker.app)
-        link = Proxy(worker_address)
+        link = Proxy(worker_address, self._route_to(machine.zone))
         address = await link.start()
         machine.worker, machine.link, machine.runner = worker, link, runner
         self.history.add("life", worker=worker_id, machine=machine.name, service=machine.pool)
         self.spawn(self._send_heartbeats(machine, worker, address))
 
+    def _route_to(self, zone):
+        def route(port):
+            source = self.client_zone(port)
+            return lambda: self.zone_cuts.mode(source, zone)
+        return route
+
+    def _reaches_store(self, machine):
+        return self.zone_cuts.mode(machine.zone, PLATFORM) != "silent"
+
     async def _send_heartbeats(self, machine, worker, address):
-        sequence = 0
+        sequence, silent_s = 0, 0.0
         while worker.is_alive:
             sequence += 1
-            await self.store.put("keyed.servers", worker.id,
-                                 worker.server_entry(address, machine.zone, sequence))
+            if self._reaches_store(machine):
+                silent_s = 0.0
+                await self.store.put("keyed.servers", worker.id,
+                                     worker.server_entry(address, machine.zone, sequence))
+            else:
+                silent_s += HEARTBEAT_S
+                if silent_s == HEARTBEAT_TIMEOUT_S:
+                    await self.store.put("keyed.servers", worker.id, None)
             await asyncio.sleep(HEARTBEAT_S)
 
     def _end_incarnation(self, machine, result):
@@ -91,7 +111,7 @@
 
     async def _deregister_worker(self, worker, runner, link, result):
         link.set_mode("reset")
-        if result == "crashed":
+        if result == "crashed" or not self._reaches_store(machine):
             await asyncio.sleep(HEARTBEAT_TIMEOUT_S)
         await self.store.put("keyed.servers", worker.id, None)
         link.server.close()
@@ -114,7 +134,7 @@
             row = {"machine": machine.name, "pool": machine.pool, "state": machine.state,
                    "zone": machine.zone, "labels": ["plain", "rack-" + machine.zone],
                    "capacity": {"cpu": 4000, "memMb": 8000, "gpu": 0}}
-            if machine.worker is not None:
+            if machine.worker is not None and not self.zone_cuts.hides_workers(machine.zone):
                 row["id"] = machine.worker.id
             rows.append(row)
         return web.json_response({"machines": rows})
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import random
 import signal
 
 from soak.odd_entries import odd_entries
+from soak.processes import start_together
 
 KINDS = ("kill", "pause", "restart", "kill_all", "store_busy", "store_reset", "store_silent",
          "store_slow", "answers_lost", "cut_up", "cut_down", "cut_off", "cut_reset", "link_slow",
@@ -13,6 +15,17 @@
 # Share of the soaks in which another writer leaves odd entries among those of the workers.
 ODD_ENTRIES_RATIO = 0.5
 ODD_ENTRY_PAUSE_S = 0.1
+ZONES = ("z0", "z1", "z2")
+# Share of the soaks in which a zone is cut off during the traffic.
+ZONE_CUT_RATIO = 0.6
+# Share of the soaks in which, after the traffic, all processes start at the same moment and the
+# zone of the owner is cut off.
+COMMON_START_RATIO = 0.3
+# From a common start until the zone is cut off, so that there is an owner that has polled workers.
+CUT_AFTER_COMMON_START_S = 4.0
+# An owner polls for up to 8 s after its last confirmed write, and a lease lasts 6 s: cuts may end
+# in each phase of a takeover.
+ZONE_CUT_MIN_S, ZONE_CUT_MAX_S = 4.0, 15.0
 
 
 class Fault:
@@ -25,21 +38,51 @@
         return "%s at %.1f s for %.1f s" % (self.kind, self.start_s, self.duration_s)
 
 
-def draw_faults(random, seconds, count):
+class ZoneCut(Fault):
+    """A zone is cut off: that of the owner, or else the one selected by `fraction`."""
+
+    def __init__(self, rng, start_s, of_owner):
+        super().__init__("zone_cut", start_s, rng.uniform(ZONE_CUT_MIN_S, ZONE_CUT_MAX_S),
+                         rng.random())
+        self.of_owner = of_owner
+        self.is_one_way = rng.random() < 0.5
+        self.hides_workers = rng.random() < 0.5
+
+    def __str__(self):
+        return "%s of %s, %s, workers %s" % (
+            super().__str__(), "the owner" if self.of_owner else "any zone",
+            "one way" if self.is_one_way else "both ways",
+            "hidden" if self.hides_workers else "listed")
+
+
+def draw_faults(rng, seconds, count):
     """Draws an early wave and `count` faults at random times, some of which soon recur."""
-    faults = [Fault("wave", random.uniform(0.5, 2.0), 10.0, random.random())]
+    faults = [Fault("wave", rng.uniform(0.5, 2.0), 10.0, rng.random())]
     for _ in range(count):
-        kind = random.choice(KINDS[:-1])
-        start_s = random.uniform(0.5, seconds)
-        faults.append(Fault(kind, start_s, random.uniform(0.5, 4.0), random.random()))
-        if random.random() < 0.2:
-            faults.append(Fault(kind, start_s + random.uniform(0.2, 2.0), 1.0, random.random()))
+        kind = rng.choice(KINDS[:-1])
+        start_s = rng.uniform(0.5, seconds)
+        faults.append(Fault(kind, start_s, rng.uniform(0.5, 4.0), rng.random()))
+        if rng.random() < 0.2:
+            faults.append(Fault(kind, start_s + rng.uniform(0.2, 2.0), 1.0, rng.random()))
     # Drawn last, so that the other faults of a seed stay the same.
-    if random.random() < ODD_ENTRIES_RATIO:
-        faults.append(Fault("odd_entries", random.uniform(0.5, seconds), 4.0, random.random()))
+    if rng.random() < ODD_ENTRIES_RATIO:
+        faults.append(Fault("odd_entries", rng.uniform(0.5, seconds), 4.0, rng.random()))
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
+def draw_zone_cuts(seed, seconds):
+    """Draws the zone cuts and common starts by a generator of their own, so that the other faults
+    of a seed stay the same."""
+    rng = random.Random("zone cuts of %s" % seed)
+    faults = []
+    if rng.random() < ZONE_CUT_RATIO:
+        faults.append(ZoneCut(rng, rng.uniform(2.0, seconds), rng.random() < 0.5))
+    if rng.random() < COMMON_START_RATIO:
+        faults.append(Fault("common_start", seconds, 0.0, 0.0))
+        faults.append(ZoneCut(rng, seconds + CUT_AFTER_COMMON_START_S, True))
+    return faults
+
+
 class Injector:
     """Injects faults into the processes, store and machines of a soak, and reverts them.
 
@@ -69,6 +112,23 @@
         for entry in self.entries:
             entry.stop_for(signal.SIGKILL, 0.5)
 
+    async def common_start(self, _):
+        await start_together(self.entries)
+
+    def _zone_of_owner(self):
+        """Returns the zone of the newest owner in the ownership log, or None."""
+        record = self.store.topic("keyed.poplar-owner").latest().get("owner")
+        name = json.loads(record[0])["owner"] if record else None
+        return next((entry.zone for entry in self.entries if entry.name == name), None)
+
+    async def zone_cut(self, fault):
+        zone = (fault.of_owner and self._zone_of_owner()) or ZONES[int(fault.fraction * len(ZONES))]
+        self.fleet.zone_cuts.active.append((zone, fault))
+        self.fleet.history.add("zone-cut", zone=zone, fault=str(fault))
+        await asyncio.sleep(fault.duration_s)
+        self.fleet.zone_cuts.active.remove((zone, fault))
+        self.fleet.history.add("zone-reachable", zone=zone)
+
     async def pause(self, fault):
         entry = self._chosen_entry(fault)
         entry.signal(signal.SIGSTOP)
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,6 +1,7 @@
 """Entry processes of a soak: settings, proxied links to the platform, signals and restarts."""
 
 import asyncio
+import math
 import os
 import pathlib
 import signal
@@ -8,6 +9,7 @@
 import time
 
 from soak.proxy import Proxy
+from soak.zone_cuts import PLATFORM, find_process
 
 SETTINGS = """nodeName = "{name}"
 role = "entry"
@@ -51,8 +53,10 @@
     def front(self):
         return "http://%s:8624" % self.host
 
-    async def prepare(self, store, machines, seeds):
-        self.store_link, self.machine_link = Proxy(store), Proxy(machines)
+    async def prepare(self, store, machines, seeds, zone_cuts):
+        def route(_):
+            return lambda: zone_cuts.mode(self.zone, PLATFORM)
+        self.store_link, self.machine_link = Proxy(store, route), Proxy(machines, route)
         self.settings = self.folder / (self.name + ".toml")
         self.settings.write_text(SETTINGS.format(
             name=self.name, zone=self.zone, host=self.host,
@@ -68,7 +72,7 @@
         log.close()
 
     def signal(self, number):
-        if self.process is not None and self.process.poll() is None:
+        if self.is_running():
             self.process.send_signal(number)
 
     def stop_for(self, number, duration_s):
@@ -78,11 +82,14 @@
         self.signal(number)
         self.signal(signal.SIGCONT)
 
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
     async def supervise(self):
         """Restarts the process whenever it exits, and records the status of unexpected exits."""
         while True:
             await asyncio.sleep(0.05)
-            if self.process.poll() is None:
+            if self.is_running():
                 continue
             if not self.is_exit_expected:
                 self.unexpected_exits.append((self.name, self.process.returncode))
@@ -92,12 +99,30 @@
 
     def kill(self):
         """Kills the process that was started here, if it still runs, and waits for it."""
-        if self.process is not None and self.process.poll() is None:
+        if self.is_running():
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
             self.process.wait()
 
 
+async def start_together(entries):
+    """Kills all processes and starts them again within milliseconds of one another."""
+    for entry in entries:
+        entry.stop_for(signal.SIGKILL, math.inf)
+    while any(entry.is_running() for entry in entries):
+        await asyncio.sleep(0.01)
+    for entry in entries:
+        entry.start()
+        entry.restart_not_before = 0.0
+
+
+def zone_of_client(entries, port):
+    """Returns the zone of the process that connects from the local port, or None."""
+    pids = {entry.process.pid: entry for entry in entries if entry.is_running()}
+    found = find_process(port, pids)
+    return None if found is None else pids[found].zone
+
+
 def loopback_network():
     """Returns a prefix in 127/8, derived from the process id to keep parallel soaks apart."""
     pid = os.getpid()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -18,10 +18,13 @@
     reset: resets open and new connections
 
     Connections that were open in mode silent, up or down are reset when the mode changes.
+    `route` takes the client's port and returns a function that returns the mode by which zone
+    cuts restrict that connection. A connection that they have held back is reset afterwards.
     """
 
-    def __init__(self, target):
+    def __init__(self, target, route):
         self.target = target
+        self.route = route
         self.mode = "pass"
         self.delay_s = 0.0
         self.connections = set()
@@ -40,6 +43,7 @@
 
     async def _accept(self, reader, writer):
         self.connections.add(writer)
+        cut_mode = self.route(writer.get_extra_info("peername")[1])
         upstream = None
         try:
             if self.mode == "reset":
@@ -47,8 +51,8 @@
             host, port = self.target.rsplit(":", 1)
             upstream_reader, upstream = await asyncio.open_connection(host, int(port))
             self.connections.add(upstream)
-            await asyncio.gather(self._pump(reader, upstream, "up"),
-                                 self._pump(upstream_reader, writer, "down"))
+            await asyncio.gather(self._pump(reader, upstream, "up", cut_mode),
+                                 self._pump(upstream_reader, writer, "down", cut_mode))
         except OSError:
             pass  # one side closed or reset the connection; the other one is reset below
         finally:
@@ -57,9 +61,15 @@
                     self.connections.discard(end)
                     _reset(end)
 
-    async def _pump(self, reader, writer, direction):
+    async def _pump(self, reader, writer, direction, cut_mode):
         while True:
             block = await reader.read(BLOCK_BYTES)
+            is_held = False
+            while cut_mode() in ("silent", direction):
+                is_held = True
+                await asyncio.sleep(MODE_POLL_INTERVAL_S)
+            if is_held:
+                raise ConnectionResetError
             while self.mode in ("silent", direction):
                 await asyncio.sleep(MODE_POLL_INTERVAL_S)
             if self.mode == "delay":
--- a/soak/rules_test.py
+++ b/soak/rules_test.py
@@ -63,6 +63,17 @@
         self.assert_breach("run_twice",
                            self.with_events(start(0.5, "j.0.0.0", run=2, worker="w3")))
 
+    def test_run_beside_one_that_is_out_of_reach(self):
+        # Guards against a takeover while a worker that the new owner cannot reach lives on: its
+        # run counts until it ends, by the end of its lease at the latest.
+        long_running = job("k", LONG_RUNNING, is_long_running=True)
+        first, second = start(0.0, "k.0.0.0"), start(8.0, "k.0.0.0", run=2, worker="w2")
+        lapsed_before = end(7.9, "k.0.0.0", how="lapsed")
+        lapsed_after = end(8.1, "k.0.0.0", how="lapsed")
+        cut = event_at(1.0, "zone-cut", zone="z0", fault="")
+        self.assert_no_breach([first, cut, lapsed_before, second], long_running)
+        self.assert_breach("run_twice", [first, cut, second, lapsed_after], long_running)
+
     def test_start_after_acknowledged_success(self):
         self.assert_breach("run_twice",
                            self.with_events(start(1.25, "j.0.0.0", run=2, worker="w3")))
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,8 +11,8 @@
 from soak.callers import FINAL_STATES, Callers
 from soak.fleet import Fleet
 from soak.history import History
-from soak.plan import Injector, config_text, draw_faults
-from soak.processes import EntryProcess, default_binary, loopback_network
+from soak.plan import Injector, config_text, draw_faults, draw_zone_cuts
+from soak.processes import EntryProcess, default_binary, loopback_network, zone_of_client
 from soak.serving import serve
 from soak.store import Store
 
@@ -33,10 +33,11 @@
         self.random = random.Random(seed)
         self.history = History()
         self.store = Store(seed)
-        self.fleet = Fleet(self.store, self.history, self.describe_task, seed, POOLS, STANDBY)
         network = loopback_network()
         self.entries = [EntryProcess(number, network, folder, options.binary)
                         for number in range(options.processes)]
+        self.fleet = Fleet(self.store, self.history, self.describe_task, seed, POOLS, STANDBY,
+                           lambda port: zone_of_client(self.entries, port))
         self.callers = Callers(self.entries, self.history, seed)
         self.version = 0
 
@@ -73,7 +74,7 @@
         await self.fleet.start()
         seeds = [entry.host for entry in self.entries[:3]]
         for entry in self.entries:
-            await entry.prepare(store_address, machine_address, seeds)
+            await entry.prepare(store_address, machine_address, seeds, self.fleet.zone_cuts)
             entry.start()
         await self.callers.start()
         watchers = [asyncio.ensure_future(entry.supervise()) for entry in self.entries]
@@ -93,6 +94,7 @@
     async def _run_traffic(self):
         await self._submit_until_accepted()
         faults = draw_faults(self.random, self.options.seconds, self.options.faults)
+        faults += draw_zone_cuts(self.seed, self.options.seconds)
         (self.folder / "faults.txt").write_text("".join("%s\n" % fault for fault in faults))
         injector = Injector(self.entries, self.store, self.fleet, self.write_config)
         self.history.add("traffic")
--- /dev/null
+++ b/soak/zone_cuts_test.py
@@ -0,0 +1,103 @@
+"""Checks which connections a zone cut holds back, and that their clients are told apart."""
+
+import asyncio
+import os
+import types
+import unittest
+
+from soak.proxy import Proxy
+from soak.zone_cuts import PLATFORM, ZoneCuts, find_process
+
+RESPONSE_TIMEOUT_S = 2.0
+HELD_S = 0.3  # within which a connection that is not cut responds
+
+
+def cut(is_one_way, hides_workers=False):
+    return types.SimpleNamespace(is_one_way=is_one_way, hides_workers=hides_workers)
+
+
+class Modes(unittest.TestCase):
+    def test_cut_both_ways(self):
+        cuts = ZoneCuts()
+        cuts.active.append(("z1", cut(False)))
+        self.assertEqual(cuts.mode("z1", "z1"), "pass")
+        self.assertEqual(cuts.mode("z0", "z2"), "pass")
+        for source, target in (("z1", "z0"), ("z0", "z1"), ("z1", PLATFORM), (None, "z1")):
+            self.assertEqual(cuts.mode(source, target), "silent")
+
+    def test_one_way_cut_lets_requests_out_and_nothing_in(self):
+        cuts = ZoneCuts()
+        cuts.active.append(("z1", cut(True)))
+        self.assertEqual(cuts.mode("z1", PLATFORM), "down")
+        self.assertEqual(cuts.mode("z1", "z0"), "down")
+        self.assertEqual(cuts.mode("z0", "z1"), "up")
+        self.assertEqual(cuts.mode("z1", "z1"), "pass")
+
+    def test_overlapping_cuts(self):
+        cuts = ZoneCuts()
+        one_way, both_ways = cut(True), cut(False, hides_workers=True)
+        cuts.active += [("z1", one_way), ("z1", both_ways)]
+        self.assertEqual(cuts.mode("z1", PLATFORM), "silent")
+        self.assertTrue(cuts.hides_workers("z1"))
+        self.assertFalse(cuts.hides_workers("z0"))
+        cuts.active.remove(("z1", both_ways))
+        self.assertEqual(cuts.mode("z1", PLATFORM), "down")
+        self.assertFalse(cuts.hides_workers("z1"))
+
+
+class Connections(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.received = []
+        self.cuts = ZoneCuts()
+        echo = await asyncio.start_server(self.echo, "127.0.0.1", 0)
+        self.addCleanup(echo.close)
+        self.link = Proxy("%s:%d" % echo.sockets[0].getsockname(), self.route)
+        self.host, port = (await self.link.start()).split(":")
+        self.port = int(port)
+        self.addCleanup(self.link.server.close)
+
+    async def echo(self, reader, writer):
+        try:
+            while block := await reader.read(100):
+                self.received.append(block)
+                writer.write(block)
+        except ConnectionResetError:
+            pass  # the proxy resets what a cut has held back
+
+    def route(self, port):
+        """This process counts as one of z1, any other as one of no zone."""
+        source = "z1" if find_process(port, [os.getpid()]) is not None else None
+        return lambda: self.cuts.mode(source, "z0" if self.is_elsewhere else "z1")
+
+    async def exchange(self, is_elsewhere):
+        self.is_elsewhere = is_elsewhere
+        reader, writer = await asyncio.open_connection(self.host, self.port)
+        self.addCleanup(writer.close)
+        writer.write(b"request")
+        return reader
+
+    async def test_responses_are_held_and_lost(self):
+        self.cuts.active.append(("z1", cut(True)))
+        reader = await self.exchange(is_elsewhere=True)
+        with self.assertRaises(asyncio.TimeoutError):
+            await asyncio.wait_for(reader.read(100), HELD_S)
+        self.assertEqual(self.received, [b"request"])
+        self.cuts.active.clear()
+        with self.assertRaises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(100), RESPONSE_TIMEOUT_S)
+
+    async def test_connections_within_the_zone_pass(self):
+        self.cuts.active.append(("z1", cut(False)))
+        reader = await self.exchange(is_elsewhere=False)
+        self.assertEqual(await asyncio.wait_for(reader.read(100), RESPONSE_TIMEOUT_S), b"request")
+
+    async def test_connections_to_another_zone_are_held(self):
+        self.cuts.active.append(("z1", cut(False)))
+        reader = await self.exchange(is_elsewhere=True)
+        with self.assertRaises(asyncio.TimeoutError):
+            await asyncio.wait_for(reader.read(100), HELD_S)
+        self.assertEqual(self.received, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
