--- a/soak/zone_cuts.py
+++ b/soak/zone_cuts.py
@@ -45,8 +45,8 @@
         return None
     for pid in pids:
         try:
-            for descriptor in os.scandir("/proc/%d/fd" % pid):
-                if os.readlink(descriptor.path) == "socket:[%s]" % inode:
+            for descriptor in os.listdir("/proc/%d/fd" % pid):
+                if os.readlink("/proc/%d/fd/%s" % (pid, descriptor)) == "socket:[%s]" % inode:
                     return pid
         except OSError:
             pass  # the process has ended or closed the descriptor meanwhile
