--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,6 +1,7 @@
 """Simulated machines: pools, moves, maintenance, and the workers that run on them."""
 
 import asyncio
+import functools
 import json
 
 from aiohttp import web
@@ -81,8 +82,9 @@
 
     def _route_to(self, zone):
         def route(port):
-            source = self.client_zone(port)
-            return lambda: self.zone_cuts.mode(source, zone)
+            # Looked up during cuts only, since the lookup reads the tables of all connections.
+            source = functools.cache(lambda: self.client_zone(port))
+            return lambda: self.zone_cuts.mode(source(), zone) if self.zone_cuts.active else "pass"
         return route
 
     def _reaches_store(self, machine):
@@ -107,9 +109,9 @@
         if worker is None:
             return
         worker.shut_down(result)
-        self.spawn(self._deregister_worker(worker, machine.runner, machine.link, result))
+        self.spawn(self._deregister_worker(worker, machine, machine.runner, machine.link, result))
 
-    async def _deregister_worker(self, worker, runner, link, result):
+    async def _deregister_worker(self, worker, machine, runner, link, result):
         link.set_mode("reset")
         if result == "crashed" or not self._reaches_store(machine):
             await asyncio.sleep(HEARTBEAT_TIMEOUT_S)
