--- a/src/poplarstream/pools/zone_cut_test.cpp
+++ b/src/poplarstream/pools/zone_cut_test.cpp
@@ -238,5 +238,105 @@
     }
 }
 
+// Guards against tasks that run twice in a zone with little work: the idle workers of a zone that
+// is cut off are not polled, so only the list shows that they are away as well.
+TEST(ZoneCut, OnlyBusyWorkerOfAZoneKeepsItsTask)
+{
+    for (const Row row : allRows) {
+        SCOPED_TRACE("given a task on one of the four workers of a zone");
+        TwoZones zones(row);
+        zones.fixture.submit(submission(firstJob, step(1, 3000)));
+        const auto starts = zones.fixture.startAll();
+        ASSERT_EQ(starts.size(), 1U);
+        zones.fixture.poll();
+        zones.fixture.now += Milliseconds{100};
+        const std::string busy = starts[0].target.worker.id.text();
+        ASSERT_EQ(zones.fixture.worker(busy).entry.zone, ZoneId("a"));
+        {
+            SCOPED_TRACE("when it does not respond and the lists lack all workers of the zone");
+            zones.cutZone();
+            zones.fixture.leavePollUnanswered(busy);
+            zones.listFor(Milliseconds{4000});
+            {
+                SCOPED_TRACE("then its task does not start elsewhere before its lease has lapsed");
+                EXPECT_FALSE(zones.fixture.worker(busy).isGone);
+                EXPECT_TRUE(zones.fixture.start().empty());
+            }
+        }
+    }
+}
+
+// Guards against tasks that run twice after a takeover: the registry entries of a zone that is cut
+// off have expired, so the new owner knows neither zone nor address of its workers.
+TEST(ZoneCut, SuccessorKeepsTheTasksOfWorkersWithoutEntries)
+{
+    for (const Row row : allRows) {
+        SCOPED_TRACE("given the progress of an owner with a task on each worker of two zones");
+        TwoZones before(row);
+        before.startEverywhere();
+        const std::string stored = jobs::encodeProgress(before.fixture.job());
+        TwoZones zones(row);
+        engine::Engine &engine = zones.fixture.engine;
+        zones.pools = Pools{};
+        for (int i = 1; i <= workersPerZone; ++i) {
+            engine.workers.erase(EngineFixture::incarnation(TwoZones::nameOf(i)));
+            engine.newestIncarnations.erase(jobs::WorkerId(TwoZones::nameOf(i)));
+        }
+        zones.fixture.submit(submission(firstJob, step(workerCount, 3000)));
+        const TimePoint lapsedAt = zones.fixture.now + Milliseconds{13'000};
+        ASSERT_TRUE(engine::adoptProgress(engine, JobId(firstJob), stored, lapsedAt,
+                                          zones.fixture.now));
+        {
+            SCOPED_TRACE("when registry and lists lack the workers of one zone");
+            zones.cutZone();
+            zones.fixture.poll();
+            zones.listFor(Milliseconds{4000});
+            {
+                SCOPED_TRACE("then nothing starts again before the last lease has lapsed");
+                EXPECT_FALSE(zones.isGone(1));
+                EXPECT_TRUE(zones.fixture.start().empty());
+            }
+        }
+    }
+}
+
+// Guards against tasks that run twice when a cut ends: the workers of the zone respond, and are
+// listed again, one after the other.
+TEST(ZoneCut, LastWorkersOfAReturningZoneKeepTheirTasks)
+{
+    SCOPED_TRACE("given a zone that is silent");
+    TwoZones zones(Row::WithoutWorker);
+    zones.startEverywhere();
+    zones.cutZone();
+    for (int i = 1; i <= workersPerZone; ++i) {
+        zones.fixture.leavePollUnanswered(TwoZones::nameOf(i));
+    }
+    zones.listFor(Milliseconds{2000});
+    ASSERT_FALSE(zones.isGone(1));
+    {
+        SCOPED_TRACE("when half of its workers are back, and the next list lacks the others");
+        zones.fixture.poll();
+        for (int i = 3; i <= workersPerZone; ++i) {
+            std::vector<engine::RunningReport> running;
+            for (const auto &[ref, poll] : zones.fixture.worker(TwoZones::nameOf(i)).attempts) {
+                engine::RunningReport report;
+                report.task = ref.task;
+                report.run = ref.run;
+                running.push_back(report);
+            }
+            zones.fixture.answer(TwoZones::nameOf(i), running);
+            zones.unlisted.erase(i);
+        }
+        zones.fixture.now += Milliseconds{10};
+        zones.list();
+        {
+            SCOPED_TRACE("then those keep their tasks");
+            EXPECT_FALSE(zones.isGone(1));
+            EXPECT_FALSE(zones.isGone(2));
+            EXPECT_TRUE(zones.fixture.start().empty());
+        }
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::pools
