Doubt lists of a zone whose workers are unknown, idle or returning

By reading and trials: a row with an earlier worker after an empty one counted as its successor; the end of an emptied worker counted as a crash; a machine that is listed without its worker got commands beside its tasks.

Change: workers that can't be asked count as silent; idle ones that the list lacks count as away; a zone stays doubted for the longest lease after it was last silent; a successor must have started later by its own entry; workers that wait for the outcome of lapsed runs are kept as well; a machine whose former worker has not ended gets no command.

What remains: a cut of half a zone or less, or lists that drop the workers of a zone one by one.

--- a/include/poplarstream/pools/state.hpp
+++ b/include/poplarstream/pools/state.hpp
@@ -9,6 +9,7 @@
 #include "poplarstream/pools/demand.hpp"  // for Demand
 #include "poplarstream/pools/forecast.hpp"  // for Forecast, Load
 #include "poplarstream/pools/machine.hpp"  // for Machine, Wave, MachineCommand
+#include "poplarstream/pools/zone_silence.hpp"  // for SilentZones
 
 namespace poplarstream::pools {
 
@@ -94,7 +95,7 @@
     std::map<MachineId, TimePoint> cooldownUntil;  // of machines commanded by a previous owner
     // Unreachable workers that the lists lack, with the request of the first such list.
     std::map<jobs::WorkerIncarnation, TimePoint> missingSince;
-    std::set<ZoneId> silentZones;  // most of their polled workers neither respond nor are listed
+    SilentZones silentZones;
     std::string holder;
     std::int64_t fencingToken = 0;
 };
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -42,16 +42,30 @@
     return std::max(worker.answeredAt, worker.registeredAt);
 }
 
+// Whether the worker `id` is known to have started after `worker`.
+bool hasStartedAfter(const engine::Engine &engine, const jobs::WorkerId &id,
+                     const engine::Worker &worker)
+{
+    const auto found = engine.newestIncarnations.find(id);
+    const std::int64_t startedUnixMs = worker.entry.incarnation.startedUnixMs;
+    return found != engine.newestIncarnations.end() && startedUnixMs != 0
+           && found->second.startedUnixMs > startedUnixMs;
+}
+
 // Workers whose machine is in the list without them, and whether it has a later worker: each has
 // ended if it has given no sign of life since the list was requested.
 std::map<jobs::WorkerIncarnation, bool>
-replacedWorkers(const std::map<MachineId, MachineView> &listed)
+replacedWorkers(const engine::Engine &engine, const std::map<MachineId, MachineView> &listed)
 {
     std::map<jobs::WorkerIncarnation, bool> replaced;
     for (const auto &[id, view] : listed) {
-        if (!view.isMissing && view.formerWorker) {
-            replaced[*view.formerWorker] = !view.machine.worker.isEmpty();
+        if (view.isMissing || !view.formerWorker) {
+            continue;
         }
+        const auto former = engine.workers.find(*view.formerWorker);
+        replaced[*view.formerWorker] =
+                former != engine.workers.end()
+                && hasStartedAfter(engine, view.machine.worker, former->second);
     }
     return replaced;
 }
@@ -93,8 +107,9 @@
             present.insert(view.machine.worker);
         }
     }
-    updateSilentZones(pools.silentZones, engine, present);
-    const std::map<jobs::WorkerIncarnation, bool> replaced = replacedWorkers(pools.machines);
+    updateSilentZones(pools.silentZones, engine, present, now);
+    const std::map<jobs::WorkerIncarnation, bool> replaced =
+            replacedWorkers(engine, pools.machines);
     std::map<jobs::WorkerIncarnation, TimePoint> missingSince;
     std::vector<jobs::WorkerIncarnation> ended;
     for (const auto &[incarnation, worker] : engine.workers) {
@@ -105,7 +120,9 @@
         }
         const auto replacement = replaced.find(incarnation);
         const bool hasSuccessor = replacement != replaced.end() && replacement->second;
-        if (!isEmpty(&worker) && !hasSuccessor && pools.silentZones.contains(worker.entry.zone)) {
+        // The end of an empty worker counts as a crash for the runs that it lost by expired leases.
+        const bool hasRuns = !isEmpty(&worker) || !worker.lapsedRuns.empty();
+        if (hasRuns && !hasSuccessor && pools.silentZones.contains(worker.entry.zone)) {
             continue;
         }
         const auto before = pools.missingSince.find(incarnation);
@@ -125,16 +142,6 @@
     }
 }
 
-// Whether the worker `id` is known to have started after `worker`.
-bool hasStartedAfter(const engine::Engine &engine, const jobs::WorkerId &id,
-                     const engine::Worker &worker)
-{
-    const auto found = engine.newestIncarnations.find(id);
-    const std::int64_t startedUnixMs = worker.entry.incarnation.startedUnixMs;
-    return found != engine.newestIncarnations.end() && startedUnixMs != 0
-           && found->second.startedUnixMs > startedUnixMs;
-}
-
 // Takes over what a list says of a machine. While nothing says that the known worker has ended, a
 // row with another one counts only if that has started later: lists may be out of date.
 void applyRow(MachineView &view, engine::Engine &engine, const Machine &machine)
@@ -158,14 +165,20 @@
     }
 }
 
-// Keeps machines of silent zones from commands if they are listed without a worker: tasks may run
-// there.
-void doubtMachinesOfSilentZones(Pools &pools, const std::optional<ServiceId> &standby)
+// Keeps machines from commands that are listed without a worker although tasks may run there: their
+// worker has not ended, or most of their zone is silent.
+void doubtMachinesWithoutWorker(Pools &pools, const engine::Engine &engine)
 {
+    const std::optional<ServiceId> standby = standbyPool(engine);
     for (auto &[id, view] : pools.machines) {
-        const bool hasPool = !standby || view.machine.pool != *standby;
-        if (hasPool && view.machine.worker.isEmpty()
-            && pools.silentZones.contains(view.machine.zone)) {
+        if (!view.machine.worker.isEmpty() || (standby && view.machine.pool == *standby)) {
+            continue;
+        }
+        const auto former =
+                view.formerWorker ? engine.workers.find(*view.formerWorker) : engine.workers.end();
+        const bool isFormerAlive = former != engine.workers.end() && !former->second.isGone
+                                   && !isEmpty(&former->second);
+        if (isFormerAlive || pools.silentZones.contains(view.machine.zone)) {
             view.isWorkerDoubted = true;
         }
     }
@@ -226,7 +239,7 @@
     }
     pools.machines = std::move(listed);
     endIncarnationsWithoutMachine(pools, engine, machines, askedAt, now);
-    doubtMachinesOfSilentZones(pools, standbyPool(engine));
+    doubtMachinesWithoutWorker(pools, engine);
     for (auto &[number, wave] : pools.waves) {
         std::erase_if(wave.inMaintenance, [&](const MachineId &id) {
             const auto found = pools.machines.find(id);
--- a/src/poplarstream/pools/zone_silence.cpp
+++ b/src/poplarstream/pools/zone_silence.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/pools/zone_silence.hpp"
 
-#include <map>  // for map
+#include "poplarstream/engine/attempts.hpp"  // for lapseAfter
 
 namespace poplarstream::pools {
 
@@ -8,8 +8,7 @@
 
 constexpr int minAwayWorkers = 2;
 
-// The polled workers of a zone.
-struct PolledWorkers
+struct WorkerCount
 {
     int all = 0;
     int away = 0;  // not responding, or not listed
@@ -20,32 +19,36 @@
     return !worker.attempts.empty() || !worker.unexpectedAttempts.empty();
 }
 
+// Whether this owner has asked the worker without a response, or can't ask it.
+bool isSilent(const engine::Worker &worker)
+{
+    return worker.reachability != engine::Reachability::Reachable
+           && (worker.pollNumber > 0 || worker.entry.address.empty());
+}
+
 }  // namespace
 
-void updateSilentZones(std::set<ZoneId> &silentZones, const engine::Engine &engine,
-                       const std::set<jobs::WorkerId> &listed)
+void updateSilentZones(SilentZones &silentZones, const engine::Engine &engine,
+                       const std::set<jobs::WorkerId> &listed, TimePoint now)
 {
-    std::map<ZoneId, PolledWorkers> zones;
+    std::map<ZoneId, WorkerCount> zones;
     for (const auto &[incarnation, worker] : engine.workers) {
-        const bool isSilent = worker.reachability != engine::Reachability::Reachable;
-        // A worker that responds is polled while it has tasks only.
-        const bool isPolled = !worker.isGone && worker.pollNumber > 0
-                              && (hasTasks(worker) || (isSilent && worker.isListed));
-        if (isPolled) {
-            PolledWorkers &polled = zones[worker.entry.zone];
-            ++polled.all;
-            polled.away += isSilent || !listed.contains(incarnation.id) ? 1 : 0;
+        // Without tasks only a known zone tells where a worker belongs.
+        const bool counts = hasTasks(worker) || (worker.isListed && !worker.entry.zone.isEmpty());
+        if (counts && !worker.isGone) {
+            WorkerCount &count = zones[worker.entry.zone];
+            ++count.all;
+            count.away += isSilent(worker) || !listed.contains(incarnation.id) ? 1 : 0;
         }
     }
-    std::erase_if(silentZones, [&zones](const ZoneId &zone) {
-        const auto found = zones.find(zone);
-        return found == zones.end() || found->second.away * 2 <= found->second.all;
-    });
-    for (const auto &[zone, polled] : zones) {
-        if (polled.away >= minAwayWorkers && polled.away * 2 > polled.all) {
-            silentZones.insert(zone);
+    for (const auto &[zone, count] : zones) {
+        if (count.away >= minAwayWorkers && count.away * 2 > count.all) {
+            silentZones[zone] = now;
         }
     }
+    std::erase_if(silentZones, [&engine, now](const auto &entry) {
+        return engine::lapseAfter(engine.limits.longestLease, entry.second) <= now;
+    });
 }
 
 }  // namespace poplarstream::pools
