Wait for an owner of the same name at another address

A process took an owner of its own name for an earlier process of its entry host, which has ended, and claimed at once. A host that replaces another under its name can live beside it while that one is cut off, still confirmed for 1.3 s: both may command the same machines. Starts were fenced.

Change: only the same name at the same address counts, since two processes can't listen on one address. Others wait for the timeout as for any owner.

--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -196,8 +196,11 @@
         return leadership.inContactSince + delay;
     }
     const OwnershipRecord &last = *leadership.last;
-    // If the last owner was an earlier process of this entry host, that process has ended.
-    if (last.kind == Kind::Resignation || last.owner == leadership.self) {
+    // An earlier process that listened on the address of this one has ended. A name alone proves
+    // nothing: a host that replaces another may have its name while that one lives on.
+    const bool isEarlierProcess =
+            last.owner == leadership.self && last.address == leadership.address;
+    if (last.kind == Kind::Resignation || isEarlierProcess) {
         return std::max(leadership.lastSeenAt, leadership.inContactSince) + delay;
     }
     const TimePoint timeoutClaim = std::max(leadership.lastSeenAt + settings.ownerTimeout,
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -289,6 +289,25 @@
     EXPECT_EQ(log.records.back().epoch, 2);
 }
 
+// Guards against two owners that command the same machines: a host that replaces another under its
+// name claims at once, while the other one is cut off but still confirmed.
+TEST(Leadership, OwnerOfTheSameNameAtAnotherAddressIsWaitedFor)
+{
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    a.address = "10.0.0.1:8623";
+    log.show(a, now);
+    now += Milliseconds{2000};
+    ASSERT_TRUE(log.step(a, now));
+    Leadership other = process("a");
+    other.address = "10.0.0.2:8623";
+    other.incarnation = "2";
+    log.show(other, now);
+    EXPECT_GE(earliestClaim(other), now + a.settings.validity);
+    EXPECT_EQ(earliestClaim(other), now + a.settings.ownerTimeout + claimDelay(other));
+}
+
 // Guards against the smallest process winning the ownership, which is the largest workload.
 TEST(Leadership, SmallerCandidatesWaitLonger)
 {
