Log when a zone is silent and when it is heard again

750 says that the lists lack most workers of a zone and these don't respond, so that what it does to tasks and machine commands can be explained; 751 that the doubt has ended.

--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -248,5 +248,10 @@
                                               "None; it stands for `count` lines 715 of the worker "
                                               "that the log suppressed. `previous` of "
                                               "these runs were taken over from an earlier owner."};
+inline constexpr EventKind zoneSilent{
+        750, EventLevel::Warning, "zone-silent", "zone shard",
+        "Check the network to the zone, also the platform's. Its tasks start elsewhere once their "
+        "leases have lapsed, and its machines without a known worker get no command."};
+inline constexpr EventKind zoneHeard{751, EventLevel::Info, "zone-heard", "zone shard", "None."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/machine_controller.cpp
+++ b/src/poplarstream/edge/machine_controller.cpp
@@ -101,12 +101,26 @@
         }
         if (page.isRead) {
             const LoadMeter::Section section(runtime.load, OwnerWork::Machines);
+            const pools::SilentZones silentBefore = machines.silentZones;
             pools::applyMachineList(machines, engine, listed, listRequestedAt, steadyNow());
             hasList = true;
+            logZones(events::zoneSilent, machines.silentZones, silentBefore);
+            logZones(events::zoneHeard, silentBefore, machines.silentZones);
         }
         after(listPeriod(shard.count), &State::list);
     }
 
+    // Logs the zones of the first argument that the other one lacks.
+    void logZones(const EventKind &event, const pools::SilentZones &zones,
+                  const pools::SilentZones &others) const
+    {
+        for (const auto &[zone, silentAt] : zones) {
+            if (!others.contains(zone)) {
+                logEvent(event, {{"zone", zone.text()}, {"shard", fmt::to_string(shard.index)}});
+            }
+        }
+    }
+
     void plan()
     {
         const LoadMeter::Section section(runtime.load, OwnerWork::Machines);
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -95,6 +95,8 @@
         takeoverBegun,
         lateJob,
         releasesSuppressed,
+        zoneSilent,
+        zoneHeard,
 };
 
 }  // namespace
