Wait for an owner that a resigned one had not fenced

Change: records tell whether their owner has fenced the progress of those before it. A resignation without that is no resignation for what is waited for. Records of earlier versions lack the field, so the first takeover after an upgrade waits.

--- a/include/poplarstream/edge/leadership_controller.hpp
+++ b/include/poplarstream/edge/leadership_controller.hpp
@@ -47,6 +47,9 @@
     // Says in the renewals that the shard has carried out a wave.
     void recordCarriedOut(std::int64_t wave);
 
+    // The progress of earlier owners has been fenced in this epoch.
+    void recordFence(std::int64_t epoch);
+
     // Resigns the ownership and does not claim it again.
     void leave();
 
--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -35,6 +35,8 @@
     std::function<TimePoint()> confirmedAt;
     // Renews the ownership at once, in a record that names the machines to be commanded.
     std::function<void(std::vector<std::string> machines, std::function<void(bool)>)> confirm;
+    // The progress of earlier owners has been fenced.
+    std::function<void()> fenced;
     // The store has a record of a higher epoch: this session must end.
     std::function<void()> superseded;
     // Whether a shard has carried out a wave, as far as its owners have said.
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -32,6 +32,8 @@
     std::map<std::string, Milliseconds> recentMachineCommands;
     // The waves whose maintenance is over in this shard, as this owner or a previous one found.
     std::set<std::int64_t> carriedOutWaves;
+    // Whether the owner has fenced the progress of earlier owners.
+    bool hasFenced = false;
 };
 
 std::string encodeOwnership(const OwnershipRecord &record);
@@ -123,6 +125,7 @@
     // The sequences of this process's resignations that are or may yet be stored.
     std::set<std::int64_t> openResignations;
     std::int64_t abandonedEpoch = 0;  // the ownership of this epoch is resigned
+    std::int64_t fencedEpoch = 0;  // this process has fenced the progress of earlier ones
 };
 
 bool isOwner(const Leadership &leadership);
@@ -158,7 +161,8 @@
 
 // Until when an earlier owner may renew the leases of workers. The present owner has fenced the
 // progress of its predecessor at `fencedAt`. Owners that have not resigned renew leases for `grace`
-// after their last confirmation.
+// after their last confirmation. A resignation says nothing of the owner before it unless its
+// writer had fenced that one.
 TimePoint earlierRenewalsUntil(const EarlierOwners &earlier, TimePoint fencedAt,
                                Milliseconds grace);
 
--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -275,6 +275,11 @@
     state_->leadership.carriedOutWaves.insert(wave);
 }
 
+void LeadershipController::recordFence(std::int64_t epoch)
+{
+    state_->leadership.fencedEpoch = epoch;
+}
+
 void LeadershipController::refresh()
 {
     state_->follower->readSoon(minReadPause);
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -93,6 +93,7 @@
     {
         writer.fence(guarded([](State &self, bool isFenced) {
             if (isFenced) {
+                self.hooks.fenced();
                 self.load();
             } else {
                 self.hooks.superseded();
--- a/src/poplarstream/edge/owner_session_test.cpp
+++ b/src/poplarstream/edge/owner_session_test.cpp
@@ -80,6 +80,7 @@
         hooks.mayIssueCommands = [] { return true; };
         hooks.confirmedAt = [] { return steadyNow(); };
         hooks.confirm = [](const auto &, const auto &) {};
+        hooks.fenced = [] {};
         hooks.superseded = [] {};
         hooks.hasCarriedOut = [](int, std::int64_t) { return false; };
         hooks.carriedOut = [](std::int64_t) {};
@@ -98,6 +99,7 @@
     state.epoch = 8;
     state.owners.predecessor.emplace();
     state.owners.predecessor->kind = kind;
+    state.owners.predecessor->hasFenced = true;
     state.owners.predecessor->epoch = 7;
     state.owners.predecessor->owner = EntryHostId("edge-0");
     state.owners.predecessor->incarnation = "abc";
--- a/src/poplarstream/edge/shard_owner.cpp
+++ b/src/poplarstream/edge/shard_owner.cpp
@@ -97,6 +97,7 @@
         made.confirm = [this](std::vector<std::string> machines, std::function<void(bool)> done) {
             leadership->confirm(std::move(machines), std::move(done));
         };
+        made.fenced = [this, epoch] { leadership->recordFence(epoch); };
         made.superseded = [this, epoch] {
             // A write may also be refused although nobody has claimed the ownership. Then this
             // process would go on renewing it and run nothing.
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -95,7 +95,8 @@
                 {"share", record.processorShare},
                 {"largestShare", record.largestShare},
                 {"machines", std::move(machines)},
-                {"waves", record.carriedOutWaves}}
+                {"waves", record.carriedOutWaves},
+                {"fenced", record.hasFenced}}
             .dump();
 }
 
@@ -130,6 +131,9 @@
                 record.carriedOutWaves.insert(integerFrom<std::int64_t>(wave, 0));
             }
         }
+        // Records of earlier versions do not say it.
+        const auto fenced = value.find("fenced");
+        record.hasFenced = fenced != value.end() && fenced->get<bool>();
         return record;
     } catch (const std::exception &) {
         return {};
@@ -271,6 +275,7 @@
         return entry.second + leadership.settings.machineCommandRetention < now;
     });
     record.carriedOutWaves = leadership.carriedOutWaves;
+    record.hasFenced = leadership.fencedEpoch == record.epoch;
     for (const auto &[id, commandedAt] : leadership.recentMachineCommands) {
         record.recentMachineCommands[id] = now - commandedAt;
     }
@@ -287,8 +292,9 @@
 TimePoint earlierRenewalsUntil(const EarlierOwners &earlier, TimePoint fencedAt, Milliseconds grace)
 {
     // Stored progress confirms an owner as a renewal does.
+    const auto &predecessor = earlier.predecessor;
     const bool isConfirmedUntilFence =
-            earlier.predecessor && earlier.predecessor->kind != Kind::Resignation;
+            predecessor && (predecessor->kind != Kind::Resignation || !predecessor->hasFenced);
     const TimePoint confirmedUntil = isConfirmedUntilFence ? fencedAt : earlier.unresignedUntil;
     return std::max(fencedAt, confirmedUntil + grace);
 }
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -663,7 +663,8 @@
     const TimePoint claimedAt = now;
     EXPECT_EQ(earlierRenewalsUntil(b.earlier, now, grace), claimedAt + grace);
     const auto resign = [&log, &now](Leadership &owner) {
-        owner.abandonedEpoch = log.records.back().epoch;
+        owner.fencedEpoch = log.records.back().epoch;
+        owner.abandonedEpoch = owner.fencedEpoch;
         now += owner.settings.renewalInterval;
         return log.step(owner, now) && log.records.back().kind == Kind::Resignation;
     };
@@ -690,6 +691,41 @@
     }
 }
 
+// Guards against tasks that run twice: an owner that has resigned before it had fenced the progress
+// of the one before it leaves that one confirmed by what it stores.
+TEST(Leadership, ResignationBeforeAFenceEndsNoConfirmations)
+{
+    constexpr Milliseconds grace{8000};
+    SCOPED_TRACE("given an owner that is superseded without having resigned");
+    Log log;
+    TimePoint now = timePoint(10'000);
+    Leadership a = process("a");
+    Leadership b = process("b");
+    Leadership c = process("c");
+    log.show(a, now);
+    log.show(c, now);
+    now += Milliseconds{2000};
+    ASSERT_TRUE(log.step(a, now));
+    log.show(b, now);
+    now += Milliseconds{10'000};
+    ASSERT_TRUE(log.step(b, now));
+    log.show(c, now);
+    {
+        SCOPED_TRACE("when its successor is stopped before the progress log accepts its fence");
+        now += Milliseconds{4000};
+        b.isLeaving = true;
+        ASSERT_TRUE(log.step(b, now)) << "its ownership is confirmed first";
+        ASSERT_TRUE(log.step(b, now));
+        log.show(c, now);
+        now += c.settings.claimSpread + c.settings.renewalInterval;
+        ASSERT_TRUE(log.step(c, now));
+        {
+            SCOPED_TRACE("then the next owner waits from its own fence on");
+            EXPECT_EQ(earlierRenewalsUntil(c.earlier, now, grace), now + grace);
+        }
+    }
+}
+
 // Guards against a wait for leases of owners that never were.
 TEST(Leadership, FirstOwnerOfADeploymentWaitsForNobody)
 {
@@ -714,6 +750,7 @@
     record.largestShare = 0.5;
     record.recentMachineCommands = {{"m-1", Milliseconds{7}}};
     record.carriedOutWaves = {3, 5};
+    record.hasFenced = true;
     const auto read = decodeOwnership(encodeOwnership(record));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->kind, record.kind);
@@ -725,6 +762,7 @@
     EXPECT_EQ(read->largestShare, record.largestShare);
     EXPECT_EQ(read->recentMachineCommands, record.recentMachineCommands);
     EXPECT_EQ(read->carriedOutWaves, record.carriedOutWaves);
+    EXPECT_EQ(read->hasFenced, record.hasFenced);
     EXPECT_FALSE(decodeOwnership("{\"kind\":\"other\"}"));
     EXPECT_FALSE(decodeOwnership("not JSON"));
 }
