--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -33,7 +33,7 @@
         leadership.shard = shard;
         leadership.self = runtime.settings.name;
         leadership.address = endpointText(runtime.settings.control);
-        leadership.incarnation = fmt::format("{:x}", unixNowMs());
+        leadership.incarnation = runtime.settings.incarnation;
         leadership.processorShare = events.processorShare();
     }
 
@@ -66,7 +66,6 @@
                 readDivision(record);
             }
         }
-        recordPredecessor(newest);
         const auto before = leadership.last;
         const bool wasWriting = leadership.isWriting;
         ownership::observe(leadership, newest, endOffset, steadyNow());
@@ -101,14 +100,6 @@
         }
     }
 
-    void recordPredecessor(const std::optional<OwnershipRecord> &newest)
-    {
-        if (newest && newest->incarnation != leadership.incarnation) {
-            hasPredecessor = true;
-            predecessorResigned = newest->kind == OwnershipRecord::Kind::Resignation;
-        }
-    }
-
     void logChange(const std::optional<OwnershipRecord> &before) const
     {
         const auto &last = leadership.last;
@@ -121,7 +112,8 @@
         logEvent(events::ownershipSeen, {{"owner", last->owner.text()},
                                          {"epoch", fmt::to_string(last->epoch)},
                                          {"resigned", resigned ? "yes" : "no"},
-                                         {"shard", fmt::to_string(leadership.shard)}});
+                                         {"shard", fmt::to_string(leadership.shard)},
+                                         {"incarnation", last->incarnation}});
     }
 
     void tick()
@@ -232,8 +224,6 @@
     std::optional<int> divisionToStore;
     AppendResult lastResult = AppendResult::Stored;
     std::optional<TimePoint> unconfirmedSince;
-    bool hasPredecessor = false;
-    bool predecessorResigned = false;
     std::vector<std::function<void(bool)>> pendingConfirmations;  // for the next write
     std::vector<std::function<void(bool)>> confirmationsInWrite;  // for the write in flight
     std::unique_ptr<LogFollower> follower;
@@ -257,16 +247,6 @@
     return state_->leadership;
 }
 
-bool LeadershipController::hasPredecessor() const
-{
-    return state_->hasPredecessor;
-}
-
-bool LeadershipController::hasPredecessorResigned() const
-{
-    return state_->predecessorResigned;
-}
-
 const std::map<std::string, TimePoint> &LeadershipController::recentMachineCommands() const
 {
     return state_->leadership.recentMachineCommands;
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -23,7 +23,7 @@
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
 #include "poplarstream/engine/worker_polling.hpp"  // for pollWorkers
 #include "poplarstream/ownership/start_permission.hpp"  // for planningHold, sendingHold
-#include "poplarstream/telemetry/event_kinds.hpp"  // for ownerLoaded, startsHeld
+#include "poplarstream/telemetry/event_kinds.hpp"  // for ownerLoaded, takeoverBegun, startsHeld
 
 namespace poplarstream::edge {
 
@@ -103,10 +103,10 @@
     void load()
     {
         const TimePoint now = steadyNow();
-        // The predecessor was fenced just now; its ownership may have been confirmed until then.
         const TimePoint renewedAt =
-                predecessor.isHandover ? std::max(now, predecessor.unresignedUntil + pollingGrace)
-                                       : now + pollingGrace;
+                ownership::earlierRenewalsUntil(predecessor.owners, now, pollingGrace);
+        engine.takenOverAt = now;
+        logTakeover(renewedAt - now);
         JobFeedEvents events;
         events.otherRecord = guarded(
                 [](State &self, const StoredRecord &record) { self.machines.adopt(record); });
@@ -115,6 +115,25 @@
         feed = std::make_unique<JobFeed>(runtime, shard, engine, renewedAt, std::move(events));
     }
 
+    void logTakeover(Milliseconds wait) const
+    {
+        const std::optional<ownership::OwnershipRecord> &record = predecessor.owners.predecessor;
+        std::string resigned = "-";
+        if (record) {
+            const bool isResignation =
+                    record->kind == ownership::OwnershipRecord::Kind::Resignation;
+            resigned = isResignation ? "yes" : "no";
+        }
+        logEvent(events::takeoverBegun,
+                 {{"epoch", fmt::to_string(predecessor.epoch)},
+                  {"shard", fmt::to_string(shard.index)},
+                  {"predecessor", record ? record->owner.text() : "-"},
+                  {"predecessor_epoch", record ? fmt::to_string(record->epoch) : "-"},
+                  {"predecessor_incarnation", record ? record->incarnation : "-"},
+                  {"resigned", resigned},
+                  {"wait_ms", fmt::to_string(wait.count())}});
+    }
+
     void handleLoaded()
     {
         isLoaded = true;
@@ -122,10 +141,14 @@
             machines.applyWave(wave);
         }
         machines.start(machineCooldowns(predecessor, engine.limits));
-        logEvent(events::ownerLoaded, {{"epoch", fmt::to_string(predecessor.epoch)},
-                                       {"jobs", fmt::to_string(engine.jobs.size())},
-                                       {"active", fmt::to_string(engine.active.size())},
-                                       {"shard", fmt::to_string(shard.index)}});
+        logEvent(events::ownerLoaded,
+                 {{"epoch", fmt::to_string(predecessor.epoch)},
+                  {"jobs", fmt::to_string(engine.jobs.size())},
+                  {"active", fmt::to_string(engine.active.size())},
+                  {"shard", fmt::to_string(shard.index)},
+                  {"adopted", fmt::to_string(engine.runsAdopted)},
+                  {"adopted_workers", fmt::to_string(engine.workersAdopted)},
+                  {"without_job", fmt::to_string(feed->progressWithoutJob())}});
         followRegistry();
         tick();
     }
@@ -294,6 +317,7 @@
             }
             decisionLog.write(decision, now);
         }
+        decisionLog.advance(steadyNow());
         decisionLog.omit(std::exchange(engine.decisionsOmitted, 0));
         engine.decisionAllowance = decisionLog.allowance(steadyNow());
     }
@@ -414,13 +438,23 @@
 std::string OwnerSession::metrics() const
 {
     const engine::Engine &engine = state_->engine;
-    return fmt::format("poplar_jobs_known{{shard=\"{0}\"}} {1}\n"
-                       "poplar_jobs_active{{shard=\"{0}\"}} {2}\n"
-                       "poplar_workers{{shard=\"{0}\"}} {3}\n"
-                       "poplar_registry_entries_unreadable_total{{shard=\"{0}\"}} {4}\n"
-                       "poplar_tasks_lost_total{{shard=\"{0}\"}} {5}\n",
-                       state_->shard.index, engine.jobs.size(), engine.active.size(),
-                       engine.workers.size(), state_->unusableEntries.count, engine.tasksLost);
+    std::string text =
+            fmt::format("poplar_jobs_known{{shard=\"{0}\"}} {1}\n"
+                        "poplar_jobs_active{{shard=\"{0}\"}} {2}\n"
+                        "poplar_workers{{shard=\"{0}\"}} {3}\n"
+                        "poplar_registry_entries_unreadable_total{{shard=\"{0}\"}} {4}\n"
+                        "poplar_tasks_lost_total{{shard=\"{0}\"}} {5}\n"
+                        "poplar_runs_adopted{{shard=\"{0}\"}} {6}\n"
+                        "poplar_progress_without_job{{shard=\"{0}\"}} {7}\n",
+                        state_->shard.index, engine.jobs.size(), engine.active.size(),
+                        engine.workers.size(), state_->unusableEntries.count, engine.tasksLost,
+                        engine.runsAdopted, state_->feed ? state_->feed->progressWithoutJob() : 0);
+    for (const engine::ReleaseCause cause : engine::allReleaseCauses) {
+        text += fmt::format("poplar_tasks_released_total{{shard=\"{}\",cause=\"{}\"}} {}\n",
+                            state_->shard.index, engine::causeText(cause),
+                            engine.released.at(static_cast<std::size_t>(cause)));
+    }
+    return text;
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/engine/incarnations.cpp
+++ b/src/poplarstream/engine/incarnations.cpp
@@ -4,7 +4,7 @@
 
 #include <fmt/format.h>  // for format
 
-#include "poplarstream/engine/attempts.hpp"  // for attach, detach, releaseAll, noteListedClock, ageMs
+#include "poplarstream/engine/attempts.hpp"  // for attach, releaseAll, noteListedClock, adoptedRuns
 #include "poplarstream/engine/crashes.hpp"  // for recordCrash
 
 namespace poplarstream::engine {
@@ -40,9 +40,9 @@
     worker.isGone = true;
     worker.isListed = false;
     recordDecision(engine, DecisionKind::WorkerEnded, {}, worker.entry.incarnation.id,
-                   fmt::format("tasks={} evidence={} planned={} answered_ms_ago={}",
+                   fmt::format("tasks={} evidence={} planned={} answered_ms_ago={} adopted={}",
                                worker.attempts.size(), evidenceText(evidence), isPlanned,
-                               ageMs(worker.answeredAt, now)));
+                               ageMs(worker.answeredAt, now), adoptedRuns(engine, worker)));
     if (!isPlanned) {
         recordCrash(engine, worker, now);
     }
@@ -72,6 +72,16 @@
     invalidateSentCommands(engine, next);
 }
 
+// Whether an entry with an earlier start may replace this incarnation. A worker that restarts after
+// its clock was set back has one. The replaced incarnation has no tasks left that could be doubled,
+// and if it lives, its own next entry replaces the other one again.
+bool isReplaceable(Engine &engine, const WorkerIncarnation &incarnation)
+{
+    const Worker *const worker = findWorker(engine, incarnation);
+    return worker != nullptr && worker->reachability == Reachability::Unreachable
+           && worker->attempts.empty() && worker->unexpectedAttempts.empty();
+}
+
 }  // namespace
 
 void registerWorker(Engine &engine, const WorkerEntry &entry, TimePoint now)
@@ -79,7 +89,8 @@
     const WorkerId &id = entry.incarnation.id;
     const auto known = engine.newestIncarnations.find(id);
     if (known != engine.newestIncarnations.end()
-        && known->second.startedUnixMs > entry.incarnation.startedUnixMs) {
+        && known->second.startedUnixMs > entry.incarnation.startedUnixMs
+        && !isReplaceable(engine, known->second)) {
         return;  // an outdated entry of a previous incarnation
     }
     if (known != engine.newestIncarnations.end() && known->second != entry.incarnation) {
@@ -137,7 +148,7 @@
         return;
     }
     markEnded(engine, *worker, evidence, now);
-    releaseAll(engine, incarnation, now, "cause=worker-ended");
+    releaseAll(engine, incarnation, now, ReleaseCause::WorkerEnded);
 }
 
 void restartWorker(Engine &engine, const WorkerIncarnation &from, const WorkerIncarnation &to,
@@ -163,7 +174,7 @@
     }
     engine.newestIncarnations[to.id] = to;
     moveAttempts(engine, *previous, next, now);
-    releaseAll(engine, from, now, "cause=worker-ended");
+    releaseAll(engine, from, now, ReleaseCause::WorkerEnded);
 }
 
 }  // namespace poplarstream::engine
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -59,6 +59,25 @@
     return record.owner == leadership.self && record.incarnation == leadership.incarnation;
 }
 
+// Called before `record`, which may be the first one of its epoch, becomes the newest one.
+void recordEpoch(Leadership &leadership, const OwnershipRecord &record, TimePoint now)
+{
+    const std::optional<OwnershipRecord> &last = leadership.last;
+    if (last && last->epoch == record.epoch) {
+        return;
+    }
+    leadership.ownerSince = now;
+    const bool isFirstOwner = !last && isOwn(leadership, record);
+    const bool followsResignation =
+            last && last->kind == Kind::Resignation && last->epoch + 1 == record.epoch;
+    if (!isFirstOwner && !followsResignation) {
+        leadership.earlier.unresignedUntil = now;
+    }
+    if (isOwn(leadership, record)) {
+        leadership.earlier.predecessor = last;
+    }
+}
+
 }  // namespace
 
 std::string encodeOwnership(const OwnershipRecord &record)
@@ -177,8 +196,11 @@
         return leadership.inContactSince + delay;
     }
     const OwnershipRecord &last = *leadership.last;
-    // If the last owner was an earlier process of this entry host, that process has ended.
-    if (last.kind == Kind::Resignation || last.owner == leadership.self) {
+    // An earlier process that listened on the address of this one has ended. A name alone proves
+    // nothing: a host that replaces another may have its name while that one lives on.
+    const bool isEarlierProcess =
+            last.owner == leadership.self && last.address == leadership.address;
+    if (last.kind == Kind::Resignation || isEarlierProcess) {
         return std::max(leadership.lastSeenAt, leadership.inContactSince) + delay;
     }
     const TimePoint timeoutClaim = std::max(leadership.lastSeenAt + settings.ownerTimeout,
@@ -262,6 +284,15 @@
     return record;
 }
 
+TimePoint earlierRenewalsUntil(const EarlierOwners &earlier, TimePoint fencedAt, Milliseconds grace)
+{
+    // Stored progress confirms an owner as a renewal does.
+    const bool isConfirmedUntilFence =
+            earlier.predecessor && earlier.predecessor->kind != Kind::Resignation;
+    const TimePoint confirmedUntil = isConfirmedUntilFence ? fencedAt : earlier.unresignedUntil;
+    return std::max(fencedAt, confirmedUntil + grace);
+}
+
 void confirmWrite(Leadership &leadership, const OwnershipRecord &record, std::int64_t endOffset,
                   TimePoint now)
 {
@@ -269,6 +300,7 @@
     closeEarlierResignations(leadership, record.sequence);
     if (endOffset > leadership.endOffset) {
         leadership.endOffset = endOffset;
+        recordEpoch(leadership, record, now);
         leadership.last = record;
         leadership.lastSeenAt = now;
     }
@@ -298,13 +330,7 @@
             TimePoint &commandedAt = leadership.recentMachineCommands[id];
             commandedAt = std::max(commandedAt, now - age);
         }
-        if (!leadership.last || leadership.last->epoch != newest->epoch) {
-            leadership.ownerSince = now;
-            if (!leadership.last || leadership.last->kind != Kind::Resignation
-                || leadership.last->epoch + 1 != newest->epoch) {
-                leadership.unresignedUntil = now;
-            }
-        }
+        recordEpoch(leadership, *newest, now);
         leadership.last = newest;
         leadership.lastSeenAt = now;
         if (isOwn(leadership, *newest)) {
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -8,6 +8,7 @@
 #include "poplarstream/pools/forecast.hpp"  // for recordArrivals
 #include "poplarstream/pools/moves.hpp"  // for planMoves
 #include "poplarstream/pools/waves.hpp"  // for planMaintenance
+#include "poplarstream/pools/zone_silence.hpp"  // for updateSilentZones
 
 namespace poplarstream::pools {
 
@@ -41,15 +42,30 @@
     return std::max(worker.answeredAt, worker.registeredAt);
 }
 
-// Workers whose machine is in the list without them: each has ended if it has given no sign of life
-// since the list was requested.
-std::set<jobs::WorkerIncarnation> replacedWorkers(const std::map<MachineId, MachineView> &listed)
+// Whether the worker `id` is known to have started after `worker`.
+bool hasStartedAfter(const engine::Engine &engine, const jobs::WorkerId &id,
+                     const engine::Worker &worker)
+{
+    const auto found = engine.newestIncarnations.find(id);
+    const std::int64_t startedUnixMs = worker.entry.incarnation.startedUnixMs;
+    return found != engine.newestIncarnations.end() && startedUnixMs != 0
+           && found->second.startedUnixMs > startedUnixMs;
+}
+
+// Workers whose machine is in the list without them, and whether it has a later worker: each has
+// ended if it has given no sign of life since the list was requested.
+std::map<jobs::WorkerIncarnation, bool>
+replacedWorkers(const engine::Engine &engine, const std::map<MachineId, MachineView> &listed)
 {
-    std::set<jobs::WorkerIncarnation> replaced;
+    std::map<jobs::WorkerIncarnation, bool> replaced;
     for (const auto &[id, view] : listed) {
-        if (!view.isMissing && view.formerWorker) {
-            replaced.insert(*view.formerWorker);
+        if (view.isMissing || !view.formerWorker) {
+            continue;
         }
+        const auto former = engine.workers.find(*view.formerWorker);
+        replaced[*view.formerWorker] =
+                former != engine.workers.end()
+                && hasStartedAfter(engine, view.machine.worker, former->second);
     }
     return replaced;
 }
@@ -75,8 +91,9 @@
 // Ends the incarnations of unreachable workers that the list lacks. Otherwise their tasks would
 // wait for the longest lease. It proves nothing by itself if the machine is missing as well, since
 // the list is read in pages while machines move, or if its row names a worker that may be an
-// earlier one: then the worker's next report must be missing, too. A worker without tasks would be
-// polled in vain; if it lives, its next report brings it back.
+// earlier one: then the worker's next report must be missing, too. Of a silent zone it proves
+// nothing: the platform may not reach the zone either, and what runs there goes on. A worker
+// without tasks would be polled in vain; if it lives, its next report brings it back.
 void endIncarnationsWithoutMachine(Pools &pools, engine::Engine &engine,
                                    const std::vector<Machine> &machines, TimePoint askedAt,
                                    TimePoint now)
@@ -90,7 +107,9 @@
             present.insert(view.machine.worker);
         }
     }
-    const std::set<jobs::WorkerIncarnation> replaced = replacedWorkers(pools.machines);
+    updateSilentZones(pools.silentZones, engine, present, now);
+    const std::map<jobs::WorkerIncarnation, bool> replaced =
+            replacedWorkers(engine, pools.machines);
     std::map<jobs::WorkerIncarnation, TimePoint> missingSince;
     std::vector<jobs::WorkerIncarnation> ended;
     for (const auto &[incarnation, worker] : engine.workers) {
@@ -99,11 +118,18 @@
             || present.contains(incarnation.id) || mayHaveStartedSince(engine, worker, askedAt)) {
             continue;
         }
+        const auto replacement = replaced.find(incarnation);
+        const bool hasSuccessor = replacement != replaced.end() && replacement->second;
+        // The end of an empty worker counts as a crash for the runs that it lost by expired leases.
+        const bool hasRuns = !isEmpty(&worker) || !worker.lapsedRuns.empty();
+        if (hasRuns && !hasSuccessor && pools.silentZones.contains(worker.entry.zone)) {
+            continue;
+        }
         const auto before = pools.missingSince.find(incarnation);
         const bool isStillMissing =
                 before != pools.missingSince.end() && lastHeardFrom(worker) < before->second;
         const TimePoint since = isStillMissing ? before->second : askedAt;
-        if (isEmpty(&worker) || replaced.contains(incarnation)
+        if (isEmpty(&worker) || replacement != replaced.end()
             || askedAt >= since + engine.limits.reportInterval + reportSlack) {
             ended.push_back(incarnation);
         } else {
@@ -116,16 +142,6 @@
     }
 }
 
-// Whether the worker `id` is known to have started after `worker`.
-bool hasStartedAfter(const engine::Engine &engine, const jobs::WorkerId &id,
-                     const engine::Worker &worker)
-{
-    const auto found = engine.newestIncarnations.find(id);
-    const std::int64_t startedUnixMs = worker.entry.incarnation.startedUnixMs;
-    return found != engine.newestIncarnations.end() && startedUnixMs != 0
-           && found->second.startedUnixMs > startedUnixMs;
-}
-
 // Takes over what a list says of a machine. While nothing says that the known worker has ended, a
 // row with another one counts only if that has started later: lists may be out of date.
 void applyRow(MachineView &view, engine::Engine &engine, const Machine &machine)
@@ -149,6 +165,25 @@
     }
 }
 
+// Keeps machines from commands that are listed without a worker although tasks may run there: their
+// worker has not ended, or most of their zone is silent.
+void doubtMachinesWithoutWorker(Pools &pools, const engine::Engine &engine)
+{
+    const std::optional<ServiceId> standby = standbyPool(engine);
+    for (auto &[id, view] : pools.machines) {
+        if (!view.machine.worker.isEmpty() || (standby && view.machine.pool == *standby)) {
+            continue;
+        }
+        const auto former =
+                view.formerWorker ? engine.workers.find(*view.formerWorker) : engine.workers.end();
+        const bool isFormerAlive = former != engine.workers.end() && !former->second.isGone
+                                   && !isEmpty(&former->second);
+        if (isFormerAlive || pools.silentZones.contains(view.machine.zone)) {
+            view.isWorkerDoubted = true;
+        }
+    }
+}
+
 bool isUp(const Machine &machine)
 {
     return machine.state == MachineState::Up;
@@ -204,6 +239,7 @@
     }
     pools.machines = std::move(listed);
     endIncarnationsWithoutMachine(pools, engine, machines, askedAt, now);
+    doubtMachinesWithoutWorker(pools, engine);
     for (auto &[number, wave] : pools.waves) {
         std::erase_if(wave.inMaintenance, [&](const MachineId &id) {
             const auto found = pools.machines.find(id);
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -92,6 +92,11 @@
         taskGivenUp,
         workerEntryUnusable,
         progressRefused,
+        takeoverBegun,
+        lateJob,
+        releasesSuppressed,
+        zoneSilent,
+        zoneHeard,
 };
 
 }  // namespace
