Say of a claim that nothing is fenced yet

A claim after an own fenced epoch was written as fenced. Nothing reads that of claims; the record now says what is true of its own epoch.

--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -275,7 +275,6 @@
         return entry.second + leadership.settings.machineCommandRetention < now;
     });
     record.carriedOutWaves = leadership.carriedOutWaves;
-    record.hasFenced = leadership.fencedEpoch == record.epoch;
     for (const auto &[id, commandedAt] : leadership.recentMachineCommands) {
         record.recentMachineCommands[id] = now - commandedAt;
     }
@@ -286,6 +285,7 @@
         record.kind = Kind::Resignation;
         leadership.openResignations.insert(record.sequence);
     }
+    record.hasFenced = record.epoch == leadership.fencedEpoch;
     return record;
 }
 
