--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -12,6 +12,7 @@
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
 #include "poplarstream/edge/machine_controller.hpp"  // for MachineController
 #include "poplarstream/edge/progress_writer.hpp"  // for ProgressWriter
+#include "poplarstream/edge/session_metrics.hpp"  // for sessionMetrics
 #include "poplarstream/edge/stored_jobs.hpp"  // for tombstones
 #include "poplarstream/edge/worker_registry.hpp"  // for applyRegistry, logUnusableEntries
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
@@ -438,24 +439,8 @@
 
 std::string OwnerSession::metrics() const
 {
-    const engine::Engine &engine = state_->engine;
-    std::string text =
-            fmt::format("poplar_jobs_known{{shard=\"{0}\"}} {1}\n"
-                        "poplar_jobs_active{{shard=\"{0}\"}} {2}\n"
-                        "poplar_workers{{shard=\"{0}\"}} {3}\n"
-                        "poplar_registry_entries_unreadable_total{{shard=\"{0}\"}} {4}\n"
-                        "poplar_tasks_lost_total{{shard=\"{0}\"}} {5}\n"
-                        "poplar_runs_adopted{{shard=\"{0}\"}} {6}\n"
-                        "poplar_progress_without_job{{shard=\"{0}\"}} {7}\n",
-                        state_->shard.index, engine.jobs.size(), engine.active.size(),
-                        engine.workers.size(), state_->unusableEntries.count, engine.tasksLost,
-                        engine.runsAdopted, state_->feed ? state_->feed->progressWithoutJob() : 0);
-    for (const engine::ReleaseCause cause : engine::allReleaseCauses) {
-        text += fmt::format("poplar_tasks_released_total{{shard=\"{}\",cause=\"{}\"}} {}\n",
-                            state_->shard.index, engine::causeText(cause),
-                            engine.released.at(static_cast<std::size_t>(cause)));
-    }
-    return text;
+    return sessionMetrics(state_->engine, state_->shard.index, state_->unusableEntries.count,
+                          state_->feed ? state_->feed->progressWithoutJob() : 0);
 }
 
 }  // namespace poplarstream::edge
--- /dev/null
+++ b/src/poplarstream/edge/session_metrics.cpp
@@ -0,0 +1,28 @@
+#include "poplarstream/edge/session_metrics.hpp"
+
+#include <fmt/format.h>  // for format
+
+namespace poplarstream::edge {
+
+std::string sessionMetrics(const engine::Engine &engine, int shard, std::uint64_t unusableEntries,
+                           std::size_t withoutJob)
+{
+    std::string text =
+            fmt::format("poplar_jobs_known{{shard=\"{0}\"}} {1}\n"
+                        "poplar_jobs_active{{shard=\"{0}\"}} {2}\n"
+                        "poplar_workers{{shard=\"{0}\"}} {3}\n"
+                        "poplar_registry_entries_unreadable_total{{shard=\"{0}\"}} {4}\n"
+                        "poplar_tasks_lost_total{{shard=\"{0}\"}} {5}\n"
+                        "poplar_runs_adopted{{shard=\"{0}\"}} {6}\n"
+                        "poplar_progress_without_job{{shard=\"{0}\"}} {7}\n",
+                        shard, engine.jobs.size(), engine.active.size(), engine.workers.size(),
+                        unusableEntries, engine.tasksLost, engine.runsAdopted, withoutJob);
+    for (const engine::ReleaseCause cause : engine::allReleaseCauses) {
+        text += fmt::format("poplar_tasks_released_total{{shard=\"{}\",cause=\"{}\"}} {}\n", shard,
+                            engine::causeText(cause),
+                            engine.released.at(static_cast<std::size_t>(cause)));
+    }
+    return text;
+}
+
+}  // namespace poplarstream::edge
