Doubt machines without a worker while silent workers of unknown zone are known

By reading: the registry entries had expired, so the new owner knew neither zone nor machine of the workers, and machines listed without a worker looked empty. They get no command now.

--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -178,7 +178,9 @@
                 view.formerWorker ? engine.workers.find(*view.formerWorker) : engine.workers.end();
         const bool isFormerAlive = former != engine.workers.end() && !former->second.isGone
                                    && !isEmpty(&former->second);
-        if (isFormerAlive || pools.silentZones.contains(view.machine.zone)) {
+        // Silent workers of an unknown zone may run on any of them.
+        if (isFormerAlive || pools.silentZones.contains(view.machine.zone)
+            || pools.silentZones.contains(ZoneId())) {
             view.isWorkerDoubted = true;
         }
     }
