Keep the parsed progress alive while its finished occurrences are read

Cause: applyParts() looped over a member of a temporary document, which a range-based for loop of C++20 does not keep alive. In the release build the freed memory showed no range, so that a successor took every task of the finished occurrences for untouched. Nothing was logged.

Evidence: with the address sanitizer the first property of ProgressRecords ends with a heap-use-after-free in applyParts(). ProgressRecords.SuccessorKeepsFinishedOccurrences finishes five of six occurrences one after the other and compares task by task: before this change it failed in that build, with 0 finished occurrences read instead of 1.

Change: the document is parsed once, into a variable, and handed to applyParts() by reference.

--- a/src/poplarstream/jobs/progress_records.cpp
+++ b/src/poplarstream/jobs/progress_records.cpp
@@ -190,11 +190,11 @@
     }
 }
 
-void applyParts(Job &job, std::string_view head, std::span<const ProgressRecord> parts)
+void applyParts(Job &job, const json &head, std::span<const ProgressRecord> parts)
 {
     constexpr std::size_t numbersOfSteps = 1;
     constexpr std::size_t numbersOfTasks = 3;
-    for (const json &range : parseBoundedJsonOrThrow(head).at("done")) {
+    for (const json &range : head.at("done")) {
         const int last = integerFrom<int>(range.at(1));
         for (int number = integerFrom<int>(range.at(0), 0); number <= last; ++number) {
             for (std::vector<Task> &tasks : occurrenceAt(job, number).steps) {
@@ -271,9 +271,10 @@
         return applied;
     }
     try {
-        const bool isInParts = parseBoundedJsonOrThrow(head).contains("done");
+        const json document = parseBoundedJsonOrThrow(head);
+        const bool isInParts = document.contains("done");
         if (isInParts) {
-            applyParts(changed, head, parts);
+            applyParts(changed, document, parts);
             recountOccurrences(changed);
         }
         for (const ProgressRecord &part : parts) {
--- a/src/poplarstream/jobs/progress_records_test.cpp
+++ b/src/poplarstream/jobs/progress_records_test.cpp
@@ -179,6 +179,60 @@
     });
 }
 
+// Ends all tasks of an occurrence with the second run of each.
+void finishOccurrence(Job &job, int number)
+{
+    Occurrence &occurrence = job.occurrences.at(number);
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+            Task &task = occurrence.steps[step][index];
+            task.lastRun = 2;
+            Attempt attempt;
+            attempt.run = task.lastRun;
+            task.attempts.push_back(attempt);
+            recordCompletion(
+                    job,
+                    {job.submission.id, number, static_cast<int>(step), static_cast<int>(index)},
+                    task.lastRun, AttemptResult::Done, "", now);
+        }
+    }
+}
+
+// Guards against a successor that starts the finished occurrences of a repeating job again.
+TEST(ProgressRecords, SuccessorKeepsFinishedOccurrences)
+{
+    constexpr int repeatCount = 6;
+    SCOPED_TRACE("given a repeating job that is stored in parts");
+    const Submission submitted = submission({7, 2}, repeatCount);
+    Job job = makeJob(submitted, now, unixNow);
+    Stored stored;
+    for (const int number : {0, 1, 2, 4, 5}) {
+        SCOPED_TRACE("when occurrence " + std::to_string(number) + " has finished");
+        finishOccurrence(job, number);
+        for (const ProgressRecord &record : takeChangedRecords(job, maxRecordBytes)) {
+            stored.write(record);
+        }
+        Job successor = makeJob(submitted, now, unixNow);
+        ASSERT_TRUE(stored.read(successor));
+        {
+            SCOPED_TRACE("then a successor knows each task of the finished occurrences as done");
+            EXPECT_EQ(successor.finishedOccurrences, job.finishedOccurrences);
+            for (int each = 0; each < repeatCount; ++each) {
+                const Occurrence &written = job.occurrences.at(each);
+                const Occurrence &read = successor.occurrences.at(each);
+                EXPECT_EQ(read.isDone, written.isDone) << each;
+                EXPECT_EQ(read.remaining, written.remaining) << each;
+                for (std::size_t step = 0; step < written.steps.size(); ++step) {
+                    for (std::size_t index = 0; index < written.steps[step].size(); ++index) {
+                        EXPECT_EQ(read.steps[step][index].isDone, written.steps[step][index].isDone)
+                                << each << "." << step << "." << index;
+                    }
+                }
+            }
+        }
+    }
+}
+
 // Guards against records that stay in the store for good, and against an ended job that each new
 // owner loads in full.
 TEST(ProgressRecords, NothingButTheStateIsLeftOfAnEndedJob)
