Hold a job whose stored progress cannot be read in full

What callers saw: the reader of the doubled times noticed nothing. applyProgressRecords() reported success although it had read none of the finished times that the record names, and a job whose progress is malformed was started anew from its beginning, finished tasks included; the only line was 202, which says that a record is skipped.

Cause: the record under the id of a job did not say how much of it is done in any second way, and the engine took unreadable progress for no progress.

Change: the record states the number of finished occurrences, and a reader that finds fewer fails; records of earlier versions state none and are read as before, and earlier versions ignore the number. A job whose progress cannot be read in full, or of which only a part without the record under its id is stored, is held: nothing of it starts, its records stay for an owner that can read them, and its cancellation ends it and deletes them. Event 752 and poplar_jobs_held say so. The number of open occurrences is no check: the records of a change may be stored in part, and then some are missing that nothing was sent for.

Why it works: a task starts only through rankWaitingSteps(), which leaves held jobs out, and nothing but a cancellation makes a held job dirty.

--- a/include/poplarstream/engine/job_events.hpp
+++ b/include/poplarstream/engine/job_events.hpp
@@ -28,11 +28,17 @@
 // Applies the progress that a previous owner stored. The attempts in it may still run: each counts
 // as running until its worker responds, at the latest until `lapsedAt`.
 //
-// `head` is the value under the id of the job, `parts` are its other records, the oldest first.
+// `head` is the value under the id of the job, `parts` are its other records, the oldest first. If
+// they cannot be read in full, the job is held, see holdJob().
 Result<bool> adoptProgress(Engine &engine, const JobId &id, std::string_view head,
                            TimePoint lapsedAt, TimePoint now,
                            std::span<const ProgressRecord> parts = {});
 
+// Keeps a job from starting because its stored progress could not be read in full: tasks that have
+// ended might run again. Its records stay as they are until it is cancelled, so that a later owner
+// can read them. `parts` are those besides the one under its id. Does nothing for an unknown job.
+void holdJob(Engine &engine, const JobId &id, std::span<const ProgressRecord> parts);
+
 // Adds a job of which only the state is of interest, since it has ended and nothing of it runs.
 void adoptSettledJob(Engine &engine, const JobId &id, const QueueId &queue, jobs::JobState state,
                      TimePoint now);
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -221,6 +221,7 @@
     ReleaseCounts released{};  // runs by cause, for the metrics
     std::size_t runsAdopted = 0;  // runs of earlier owners that were taken over
     std::size_t workersAdopted = 0;  // workers that first became known by such a run
+    std::size_t jobsHeld = 0;  // their stored progress could not be read in full
     std::uint64_t tasksLost = 0;  // runs that were lost with their workers, for the metrics
     std::vector<JobId> forgotten;  // jobs to delete from the store
     std::set<JobId> beingDeleted;  // forgotten; their deletion has not been read from the job log
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -167,6 +167,9 @@
     TimePoint acceptedAt{};
     TimePoint endedAt{};
     bool isDirty = false;  // differs from the stored progress
+    // Its stored progress could not be read in full. Nothing of it starts, since it is not known
+    // what has been done.
+    bool isHeld = false;
     // Hashes of the stored records of its progress, but for the one under its id.
     std::map<std::string, std::uint64_t> storedParts;
     std::array<std::size_t, jobIndexes> places{notInIndex, notInIndex, notInIndex};  // by JobIndex
--- a/include/poplarstream/jobs/progress_records.hpp
+++ b/include/poplarstream/jobs/progress_records.hpp
@@ -22,7 +22,7 @@
 // Progress is stored in records of limited size. A job of few tasks has one, under its id. A larger
 // one has
 //
-//     ID                      its state and the occurrences that are done,
+//     ID                      its state, the occurrences that are done and their number,
 //     ID.OCCURRENCE           the steps of an open occurrence that are done,
 //     ID.OCCURRENCE.STEP.N    tasks of an open step, from number N on,
 //
@@ -38,8 +38,9 @@
 std::string_view jobOfRecord(std::string_view key);
 
 // Applies the stored progress to a job fresh from makeJob(), like applyProgress(): `head` is the
-// value under its id, `parts` are its other records, the oldest first. Fails without changing the
-// job if one is malformed or doesn't match the job.
+// value under its id, `parts` are its other records, the oldest first. Of tasks that are done, only
+// that is stored, not the number of their last run. Fails without changing the job if a record is
+// malformed or doesn't match the job, or if the records lack finished occurrences.
 Result<bool> applyProgressRecords(Job &job, std::string_view head,
                                   std::span<const ProgressRecord> parts);
 
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -253,5 +253,10 @@
         "Check the network to the zone, also the platform's. Its tasks start elsewhere once their "
         "leases have lapsed, and its machines without a known worker get no command."};
 inline constexpr EventKind zoneHeard{751, EventLevel::Info, "zone-heard", "zone shard", "None."};
+inline constexpr EventKind jobHeld{
+        752, EventLevel::Error, "job-held", "job fault",
+        "Report it: the stored progress of the job could not be read in full, so nothing of it "
+        "starts. Let a process that can read it become the owner, or cancel the job and submit it "
+        "again under another id if running tasks again does no harm."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/session_metrics.cpp
+++ b/src/poplarstream/edge/session_metrics.cpp
@@ -7,16 +7,17 @@
 std::string sessionMetrics(const engine::Engine &engine, int shard, std::uint64_t unusableEntries,
                            std::size_t withoutJob)
 {
-    std::string text =
-            fmt::format("poplar_jobs_known{{shard=\"{0}\"}} {1}\n"
-                        "poplar_jobs_active{{shard=\"{0}\"}} {2}\n"
-                        "poplar_workers{{shard=\"{0}\"}} {3}\n"
-                        "poplar_registry_entries_unreadable_total{{shard=\"{0}\"}} {4}\n"
-                        "poplar_tasks_lost_total{{shard=\"{0}\"}} {5}\n"
-                        "poplar_runs_adopted{{shard=\"{0}\"}} {6}\n"
-                        "poplar_progress_without_job{{shard=\"{0}\"}} {7}\n",
-                        shard, engine.jobs.size(), engine.active.size(), engine.workers.size(),
-                        unusableEntries, engine.tasksLost, engine.runsAdopted, withoutJob);
+    std::string text = fmt::format("poplar_jobs_known{{shard=\"{0}\"}} {1}\n"
+                                   "poplar_jobs_active{{shard=\"{0}\"}} {2}\n"
+                                   "poplar_workers{{shard=\"{0}\"}} {3}\n"
+                                   "poplar_registry_entries_unreadable_total{{shard=\"{0}\"}} {4}\n"
+                                   "poplar_tasks_lost_total{{shard=\"{0}\"}} {5}\n"
+                                   "poplar_runs_adopted{{shard=\"{0}\"}} {6}\n"
+                                   "poplar_progress_without_job{{shard=\"{0}\"}} {7}\n"
+                                   "poplar_jobs_held{{shard=\"{0}\"}} {8}\n",
+                                   shard, engine.jobs.size(), engine.active.size(),
+                                   engine.workers.size(), unusableEntries, engine.tasksLost,
+                                   engine.runsAdopted, withoutJob, engine.jobsHeld);
     for (const engine::ReleaseCause cause : engine::allReleaseCauses) {
         text += fmt::format("poplar_tasks_released_total{{shard=\"{}\",cause=\"{}\"}} {}\n", shard,
                             engine::causeText(cause),
--- a/src/poplarstream/edge/stored_jobs.cpp
+++ b/src/poplarstream/edge/stored_jobs.cpp
@@ -10,7 +10,7 @@
 #include "poplarstream/jobs/codec.hpp"  // for encodeSubmission, decodeSubmission
 #include "poplarstream/jobs/progress_records.hpp"  // for jobOfRecord, ProgressRecord
 #include "poplarstream/jobs/queries.hpp"  // for isFinal
-#include "poplarstream/telemetry/event_kinds.hpp"  // for recordUnreadable, lateJob
+#include "poplarstream/telemetry/event_kinds.hpp"  // for recordUnreadable, jobHeld, lateJob
 
 namespace poplarstream::edge {
 
@@ -105,11 +105,9 @@
                          TimePoint renewedAt, TimePoint now)
 {
     const StoredRecord &head = records.front();
-    if (!isHeadRecord(head) || !head.value) {
-        logUnreadable("progress", head, "a part of the progress of a job without the rest");
-        return;
-    }
-    std::vector<StoredRecord> byAge(records.begin() + 1, records.end());
+    const bool hasHead = isHeadRecord(head) && head.value;
+    const jobs::JobId id{std::string(jobs::jobOfRecord(head.key))};
+    std::vector<StoredRecord> byAge(records.begin() + (hasHead ? 1 : 0), records.end());
     std::sort(byAge.begin(), byAge.end(), [](const StoredRecord &left, const StoredRecord &right) {
         return left.offset < right.offset;
     });
@@ -118,12 +116,18 @@
     for (StoredRecord &record : byAge) {
         parts.push_back({std::move(record.key), std::move(record.value)});
     }
-    const jobs::JobId id(head.key);
     const jobs::Job *const known = engine::findJob(engine, id);
     const bool wasCancelled = known != nullptr && known->state == jobs::JobState::Cancelled;
-    const Result<bool> applied = engine::adoptProgress(
-            engine, id, *head.value, engine::lapseAfter(engine, renewedAt), now, parts);
-    if (!applied) {
+    Result<bool> applied = Failure{"a part of the progress of a job without the rest", {}};
+    if (hasHead) {
+        applied = engine::adoptProgress(engine, id, *head.value,
+                                        engine::lapseAfter(engine, renewedAt), now, parts);
+    } else {
+        engine::holdJob(engine, id, parts);
+    }
+    if (!applied && known != nullptr) {
+        logEvent(events::jobHeld, {{"job", id.text()}, {"fault", applied.failure().message}});
+    } else if (!applied) {
         logUnreadable("progress", head, applied.failure().message);
     }
     if (wasCancelled) {
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -165,16 +165,31 @@
         return Failure{"progress of an unknown job", id.text()};
     }
     Result<bool> applied = jobs::applyProgressRecords(*job, head, parts);
-    if (applied) {
-        job->endedAt = now;
-        if (job->isDirty) {
-            markDirty(engine, *job);
-        }
-        adoptAttempts(engine, *job, lapsedAt, now);
+    if (!applied) {
+        holdJob(engine, id, parts);
+        return applied;
+    }
+    job->endedAt = now;
+    if (job->isDirty) {
+        markDirty(engine, *job);
     }
+    adoptAttempts(engine, *job, lapsedAt, now);
     return applied;
 }
 
+void holdJob(Engine &engine, const JobId &id, std::span<const ProgressRecord> parts)
+{
+    jobs::Job *const job = findJob(engine, id);
+    if (job == nullptr) {
+        return;
+    }
+    engine.jobsHeld += job->isHeld ? 0 : 1;
+    job->isHeld = true;
+    for (const ProgressRecord &part : parts) {
+        job->storedParts[part.key] = 0;
+    }
+}
+
 void tickJobs(Engine &engine, const ClockReading &now)
 {
     std::vector<jobs::Job *> settled;
--- a/src/poplarstream/engine/ranking.cpp
+++ b/src/poplarstream/engine/ranking.cpp
@@ -96,7 +96,8 @@
     std::map<ServiceId, std::vector<WaitingStep>> waiting;
     std::vector<jobs::Job *> served;
     for (jobs::Job *const job : engine.waiting) {
-        if (jobs::isFinal(job->state) || !addWaitingSteps(engine, *job, waiting, now)) {
+        if (jobs::isFinal(job->state) || job->isHeld
+            || !addWaitingSteps(engine, *job, waiting, now)) {
             served.push_back(job);
         }
     }
--- a/src/poplarstream/jobs/progress_records.cpp
+++ b/src/poplarstream/jobs/progress_records.cpp
@@ -103,8 +103,10 @@
     std::vector<ProgressRecord> records(1);
     std::vector<std::pair<int, int>> done;  // ranges of occurrences
     int open = 0;
+    int finished = 0;
     for (const auto &[number, occurrence] : job.occurrences) {
         if (isSettled(occurrence)) {
+            ++finished;
             if (!done.empty() && done.back().second == number - 1) {
                 done.back().second = number;
             } else {
@@ -115,8 +117,8 @@
             appendOccurrence(records, job, number, occurrence, tasksPerRecord(maxBytes));
         }
     }
-    std::string head = fmt::format(R"({{"state":"{}","begun":{},"open":{},"done":[)",
-                                   stateText(job.state), job.hasBegun, open);
+    std::string head = fmt::format(R"({{"state":"{}","begun":{},"open":{},"finished":{},"done":[)",
+                                   stateText(job.state), job.hasBegun, open, finished);
     for (std::size_t i = 0; i < done.size(); ++i) {
         appendSeparator(head, i);
         fmt::format_to(std::back_inserter(head), "[{},{}]", done[i].first, done[i].second);
@@ -125,6 +127,17 @@
     return records;
 }
 
+// Fails if fewer occurrences have been read as finished than `head` states. Records of earlier
+// versions state none.
+void requireFinished(const Job &job, const json &head)
+{
+    const auto stated = head.find("finished");
+    if (stated != head.end() && job.finishedOccurrences < integerFrom<int>(*stated, 0)) {
+        throw std::invalid_argument(fmt::format("{} finished occurrences were read, not {}",
+                                                job.finishedOccurrences, stated->dump()));
+    }
+}
+
 // The occurrence with that number. Opens those before it, too: they are numbered without gaps.
 Occurrence &occurrenceAt(Job &job, int number)
 {
@@ -276,6 +289,7 @@
         if (isInParts) {
             applyParts(changed, document, parts);
             recountOccurrences(changed);
+            requireFinished(changed, document);
         }
         for (const ProgressRecord &part : parts) {
             changed.storedParts[part.key] = part.value ? stableHash(*part.value, 0) : 0;
--- a/src/poplarstream/jobs/progress_records_test.cpp
+++ b/src/poplarstream/jobs/progress_records_test.cpp
@@ -233,6 +233,30 @@
     }
 }
 
+// Guards against a successor that misses finished occurrences without noticing.
+TEST(ProgressRecords, MissingFinishedOccurrencesAreNoticed)
+{
+    const Submission submitted = submission({7, 2}, 6);
+    const auto read = [&submitted](const std::string &finished) {
+        Job job = makeJob(submitted, now, unixNow);
+        const std::string head = R"({"state":"running","begun":true,"open":0,)" + finished
+                                 + R"("done":[[0,1],[4,4]],"runs":[]})";
+        const bool isApplied = static_cast<bool>(applyProgressRecords(job, head, {}));
+        EXPECT_EQ(job.finishedOccurrences, isApplied ? 3 : 0);
+        return isApplied;
+    };
+    SCOPED_TRACE("given a head with three finished occurrences");
+    EXPECT_TRUE(read(R"("finished":3,)"));
+    {
+        SCOPED_TRACE("when it states more of them");
+        EXPECT_FALSE(read(R"("finished":4,)"));
+    }
+    {
+        SCOPED_TRACE("when it was written by a version that does not state their number");
+        EXPECT_TRUE(read(""));
+    }
+}
+
 // Guards against records that stay in the store for good, and against an ended job that each new
 // owner loads in full.
 TEST(ProgressRecords, NothingButTheStateIsLeftOfAnEndedJob)
--- a/src/poplarstream/pools/demand.cpp
+++ b/src/poplarstream/pools/demand.cpp
@@ -80,6 +80,9 @@
     std::map<ServiceId, Demand> demands;
     for (const jobs::Job *const each : engine.active) {
         const jobs::Job &job = *each;
+        if (job.isHeld) {
+            continue;
+        }
         Demand &demand = demands[engine::serviceOf(engine, job)];
         for (const auto &[number, occurrence] : job.occurrences) {
             const engine::DeadlineClass deadlineClass =
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -97,6 +97,7 @@
         releasesSuppressed,
         zoneSilent,
         zoneHeard,
+        jobHeld,
 };
 
 }  // namespace
