Take no zone for silent before its workers could respond to a new owner

A worker counted as silent as soon as a poll had been sent to it, so at its first list of machines an owner saw only silent workers. A silent zone is remembered for a lease, and its dead workers keep their tasks.

Change: a worker counts as silent once a poll to it went unanswered, or if it cannot be asked. Until its first poll is decided, a list ends no worker. 750 and 751 give the number of workers that were counted and of those away, which no line showed.

Why it works: workers of a zone that is cut off fail their first poll within 300 ms, and those that a list lacks count as away at once, so the zone is still doubted before a list may end any of them.

--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -249,10 +249,12 @@
                                               "that the log suppressed. `previous` of "
                                               "these runs were taken over from an earlier owner."};
 inline constexpr EventKind zoneSilent{
-        750, EventLevel::Warning, "zone-silent", "zone shard",
+        750, EventLevel::Warning, "zone-silent", "zone shard workers away",
         "Check the network to the zone, also the platform's. Its tasks start elsewhere once their "
         "leases have lapsed, and its machines without a known worker get no command."};
-inline constexpr EventKind zoneHeard{751, EventLevel::Info, "zone-heard", "zone shard", "None."};
+inline constexpr EventKind zoneHeard{
+        751, EventLevel::Info, "zone-heard", "zone shard workers away",
+        "None; `workers` and `away` are those when the zone was last silent."};
 inline constexpr EventKind jobHeld{
         752, EventLevel::Error, "job-held", "job fault",
         "Report it: the stored progress of the job could not be read in full, so nothing of it "
--- a/src/poplarstream/edge/machine_controller.cpp
+++ b/src/poplarstream/edge/machine_controller.cpp
@@ -114,9 +114,12 @@
     void logZones(const EventKind &event, const pools::SilentZones &zones,
                   const pools::SilentZones &others) const
     {
-        for (const auto &[zone, silentAt] : zones) {
+        for (const auto &[zone, silence] : zones) {
             if (!others.contains(zone)) {
-                logEvent(event, {{"zone", zone.text()}, {"shard", fmt::to_string(shard.index)}});
+                logEvent(event, {{"zone", zone.text()},
+                                 {"shard", fmt::to_string(shard.index)},
+                                 {"workers", fmt::to_string(silence.workers)},
+                                 {"away", fmt::to_string(silence.away)}});
             }
         }
     }
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -88,6 +88,13 @@
     return false;
 }
 
+// Whether it is not known yet if the worker responds to this owner.
+bool awaitsFirstResponse(const engine::Worker &worker)
+{
+    return worker.reachability == engine::Reachability::Unconfirmed && !worker.entry.address.empty()
+           && worker.isPolling;
+}
+
 // Ends the incarnations of unreachable workers that the list lacks. Otherwise their tasks would
 // wait for the longest lease. It proves nothing by itself if the machine is missing as well, since
 // the list is read in pages while machines move, or if its row names a worker that may be an
@@ -115,7 +122,8 @@
     for (const auto &[incarnation, worker] : engine.workers) {
         if (worker.reachability == engine::Reachability::Reachable || worker.isGone
             || worker.knownSince >= askedAt || lastHeardFrom(worker) >= askedAt
-            || present.contains(incarnation.id) || mayHaveStartedSince(engine, worker, askedAt)) {
+            || present.contains(incarnation.id) || mayHaveStartedSince(engine, worker, askedAt)
+            || awaitsFirstResponse(worker)) {
             continue;
         }
         const auto replacement = replaced.find(incarnation);
--- a/src/poplarstream/pools/zone_cut_test.cpp
+++ b/src/poplarstream/pools/zone_cut_test.cpp
@@ -35,21 +35,26 @@
         : row(unreachable)
     {
         for (int i = 1; i <= workerCount; ++i) {
-            engine::WorkerEntry entry;
-            entry.incarnation = EngineFixture::incarnation(nameOf(i));
-            entry.service = ServiceId("shop");
-            entry.address = "10.0.0.1:80";
-            entry.zone = zoneOf(i);
-            entry.rack = RackId("rack-" + nameOf(i));
-            entry.capacity = {4000, 10'000, 0};
-            entry.clockMs = 5000;
-            engine::registerWorker(fixture.engine, entry, fixture.now);
+            registerWorker(i, EngineFixture::incarnation(nameOf(i)));
         }
         fixture.poll();
         fixture.answerPolls();
         list();
     }
 
+    void registerWorker(int number, const jobs::WorkerIncarnation &incarnation)
+    {
+        engine::WorkerEntry entry;
+        entry.incarnation = incarnation;
+        entry.service = ServiceId("shop");
+        entry.address = "10.0.0.1:80";
+        entry.zone = zoneOf(number);
+        entry.rack = RackId("rack-" + nameOf(number));
+        entry.capacity = {4000, 10'000, 0};
+        entry.clockMs = 5000;
+        engine::registerWorker(fixture.engine, entry, fixture.now);
+    }
+
     static std::string nameOf(int worker) { return "w" + std::to_string(worker); }
     static ZoneId zoneOf(int worker) { return ZoneId(worker <= workersPerZone ? "a" : "b"); }
 
@@ -100,6 +105,40 @@
         }
     }
 
+    // The view of an owner that has just taken over: no worker has responded to it.
+    void forgetResponses()
+    {
+        pools = Pools{};
+        for (int i = 1; i <= workerCount; ++i) {
+            engine::Worker &worker = fixture.worker(nameOf(i));
+            worker.reachability = engine::Reachability::Unconfirmed;
+            worker.answeredAt = {};
+        }
+        fixture.poll();
+    }
+
+    // Answers the outstanding poll with the runs that the worker is known to have.
+    void answerWithRuns(int worker)
+    {
+        std::vector<engine::RunningReport> running;
+        for (const auto &[ref, poll] : fixture.worker(nameOf(worker)).attempts) {
+            engine::RunningReport report;
+            report.task = ref.task;
+            report.run = ref.run;
+            running.push_back(report);
+        }
+        fixture.answer(nameOf(worker), running);
+    }
+
+    // Removes what registry entries told of the workers of zone "a".
+    void forgetEntries()
+    {
+        for (int i = 1; i <= workersPerZone; ++i) {
+            fixture.engine.workers.erase(EngineFixture::incarnation(nameOf(i)));
+            fixture.engine.newestIncarnations.erase(jobs::WorkerId(nameOf(i)));
+        }
+    }
+
     bool isGone(int worker) { return fixture.worker(nameOf(worker)).isGone; }
 
     Row row;
@@ -278,10 +317,7 @@
         TwoZones zones(row);
         engine::Engine &engine = zones.fixture.engine;
         zones.pools = Pools{};
-        for (int i = 1; i <= workersPerZone; ++i) {
-            engine.workers.erase(EngineFixture::incarnation(TwoZones::nameOf(i)));
-            engine.newestIncarnations.erase(jobs::WorkerId(TwoZones::nameOf(i)));
-        }
+        zones.forgetEntries();
         zones.fixture.submit(submission(firstJob, step(workerCount, 3000)));
         const TimePoint lapsedAt = zones.fixture.now + Milliseconds{13'000};
         ASSERT_TRUE(engine::adoptProgress(engine, JobId(firstJob), stored, lapsedAt,
@@ -300,6 +336,79 @@
     }
 }
 
+// Guards against tasks of dead workers that wait for their leases after a takeover: no worker has
+// responded to the new owner when it reads its first list, so that each zone looked silent.
+TEST(ZoneCut, SuccessorEndsDeadWorkersOfLivingZones)
+{
+    for (const Row row : allRows) {
+        SCOPED_TRACE("given the progress of an owner with a task on each worker of two zones");
+        TwoZones before(row);
+        before.startEverywhere();
+        const std::string stored = jobs::encodeProgress(before.fixture.job());
+        TwoZones zones(row);
+        zones.fixture.submit(submission(firstJob, step(workerCount, 3000)));
+        ASSERT_TRUE(engine::adoptProgress(zones.fixture.engine, JobId(firstJob), stored,
+                                          zones.fixture.now + Milliseconds{13'000},
+                                          zones.fixture.now));
+        zones.forgetResponses();
+        {
+            SCOPED_TRACE("when its first list lacks a worker before any has responded");
+            zones.unlisted.insert(1);
+            zones.list();
+            {
+                SCOPED_TRACE("then that worker is given the time to respond");
+                EXPECT_FALSE(zones.isGone(1));
+            }
+        }
+        {
+            SCOPED_TRACE("when all others have responded, and later lists lack it as well");
+            for (int i = 2; i <= workerCount; ++i) {
+                zones.answerWithRuns(i);
+            }
+            zones.fixture.leavePollUnanswered("w1");
+            zones.listFor(Milliseconds{4000});
+            {
+                SCOPED_TRACE("then it has ended, and no other");
+                EXPECT_TRUE(zones.isGone(1));
+                EXPECT_FALSE(zones.isGone(2));
+            }
+        }
+    }
+}
+
+// Guards against commands that take lasting tasks away after a takeover: the registry entries of a
+// zone that is cut off have expired, and its machines are listed without workers.
+TEST(ZoneCut, SuccessorSendsNoCommandToMachinesThatMayHaveUnknownWorkers)
+{
+    SCOPED_TRACE("given the progress of an owner with a task on each worker of two zones");
+    TwoZones before(Row::WithoutWorker);
+    before.startEverywhere();
+    const std::string stored = jobs::encodeProgress(before.fixture.job());
+    TwoZones zones(Row::WithoutWorker);
+    zones.pools = Pools{};
+    zones.forgetEntries();
+    zones.fixture.submit(submission(firstJob, step(workerCount, 3000)));
+    ASSERT_TRUE(engine::adoptProgress(zones.fixture.engine, JobId(firstJob), stored,
+                                      zones.fixture.now + Milliseconds{13'000}, zones.fixture.now));
+    Wave wave;
+    wave.number = 1;
+    wave.cap = workerCount;
+    wave.duration = Milliseconds{20'000};
+    for (int i = 1; i <= workersPerZone; ++i) {
+        wave.machines.emplace_back("m" + std::to_string(i));
+    }
+    applyWave(zones.pools, wave, {}, zones.fixture.now);
+    {
+        SCOPED_TRACE("when it knows neither zone nor machine of the workers of one zone");
+        zones.cutZone();
+        zones.list();
+        {
+            SCOPED_TRACE("then the machines that look empty get no command");
+            EXPECT_TRUE(planMachines(zones.pools, zones.fixture.engine, zones.fixture.now).empty());
+        }
+    }
+}
+
 // Guards against tasks that run twice when a cut ends: the workers of the zone respond, and are
 // listed again, one after the other.
 TEST(ZoneCut, LastWorkersOfAReturningZoneKeepTheirTasks)
@@ -317,14 +426,7 @@
         SCOPED_TRACE("when half of its workers are back, and the next list lacks the others");
         zones.fixture.poll();
         for (int i = 3; i <= workersPerZone; ++i) {
-            std::vector<engine::RunningReport> running;
-            for (const auto &[ref, poll] : zones.fixture.worker(TwoZones::nameOf(i)).attempts) {
-                engine::RunningReport report;
-                report.task = ref.task;
-                report.run = ref.run;
-                running.push_back(report);
-            }
-            zones.fixture.answer(TwoZones::nameOf(i), running);
+            zones.answerWithRuns(i);
             zones.unlisted.erase(i);
         }
         zones.fixture.now += Milliseconds{10};
--- a/src/poplarstream/pools/zone_silence.cpp
+++ b/src/poplarstream/pools/zone_silence.cpp
@@ -22,8 +22,9 @@
 // Whether this owner has asked the worker without a response, or can't ask it.
 bool isSilent(const engine::Worker &worker)
 {
-    return worker.reachability != engine::Reachability::Reachable
-           && (worker.pollNumber > 0 || worker.entry.address.empty());
+    return worker.reachability == engine::Reachability::Unreachable
+           || (worker.reachability == engine::Reachability::Unconfirmed
+               && worker.entry.address.empty());
 }
 
 }  // namespace
@@ -43,11 +44,11 @@
     }
     for (const auto &[zone, count] : zones) {
         if (count.away >= minAwayWorkers && count.away * 2 > count.all) {
-            silentZones[zone] = now;
+            silentZones[zone] = {now, count.all, count.away};
         }
     }
     std::erase_if(silentZones, [&engine, now](const auto &entry) {
-        return engine::lapseAfter(engine.limits.longestLease, entry.second) <= now;
+        return engine::lapseAfter(engine.limits.longestLease, entry.second.at) <= now;
     });
 }
 
