Store the machine of a run, so that a new owner knows whose place a later worker has taken

Cause: a new owner knows dead workers from the stored progress only. It has no entry of them, so that it knew neither their zone nor their machine, and a list that shows a later worker on the machine, the one thing that proves their end while their zone looks silent, told it nothing.

Change: a run is stored with the machine of its worker, if a list has shown it. A new owner begins with that worker on the machine, so that its first list is compared with what the owner before knew, and takes the zone from the machine. Records of earlier versions have no machine and are read as before; earlier versions ignore it. A run takes some ten bytes more.

Evidence: ZoneCut.SuccessorEndsWorkersWhoseMachinesHaveLaterOnes fails if the machine is not taken over.

Why it works: a machine has one worker at a time. A list that names one with a later start proves that the earlier one has ended, also behind a cut; machines without a worker still prove nothing there.

--- a/include/poplarstream/base/id.hpp
+++ b/include/poplarstream/base/id.hpp
@@ -35,6 +35,7 @@
 using ServiceId = Id<struct ServiceTag>;
 using TenantId = Id<struct TenantTag>;
 using ZoneId = Id<struct ZoneTag>;
+using MachineId = Id<struct MachineTag>;
 using RegionId = Id<struct RegionTag>;
 using RackId = Id<struct RackTag>;
 using RunId = Id<struct RunTag>;
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -114,6 +114,7 @@
 {
     WorkerEntry entry;
     TimePoint knownSince{};  // when this owner learned of it, from the registry or a record
+    MachineId machine;  // on which it runs, from a list of machines or a record; empty if unknown
     bool isListed = false;  // present in the registry
     bool isGone = false;  // the incarnation has ended
     std::int64_t endedClockMs = 0;  // its clock when it was taken for ended; 0 if unknown
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -9,7 +9,7 @@
 #include <string>  // for string
 #include <vector>  // for vector
 
-#include "poplarstream/base/id.hpp"  // for Id
+#include "poplarstream/base/id.hpp"  // for Id, MachineId
 #include "poplarstream/base/time.hpp"  // for TimePoint, Milliseconds
 
 namespace poplarstream::jobs {
@@ -104,6 +104,7 @@
 {
     int run = 0;  // increases with each start of the task
     WorkerIncarnation worker;
+    MachineId machine;  // of the worker; empty if unknown
     AttemptPhase phase = AttemptPhase::Planned;
     bool mayRun = false;  // this or a previous owner may have sent the start command
     bool isFromPreviousOwner = false;  // started by a previous owner
--- a/include/poplarstream/pools/machine.hpp
+++ b/include/poplarstream/pools/machine.hpp
@@ -10,7 +10,7 @@
 
 namespace poplarstream::pools {
 
-using MachineId = Id<struct MachineTag>;
+using poplarstream::MachineId;
 
 enum class MachineState { Up, Moving, InMaintenance, Down, Other };
 
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -88,6 +88,9 @@
                         WorkerIncarnation &newest = engine.newestIncarnations[attempt.worker.id];
                         newest = std::max(newest, attempt.worker);
                     }
+                    if (worker.machine.isEmpty()) {
+                        worker.machine = attempt.machine;
+                    }
                     worker.leaseUntil = std::max(worker.leaseUntil, lapsedAt);
                     const TaskRef task{id, number, static_cast<int>(step), static_cast<int>(index)};
                     // This owner's first poll of the worker is decisive.
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -43,6 +43,7 @@
     jobs::Attempt attempt;
     attempt.run = run;
     attempt.worker = candidate.worker->entry.incarnation;
+    attempt.machine = candidate.worker->machine;
     attempt.startedAt = now;
     task.lastRun = run;
     task.attempts.push_back(std::move(attempt));
--- a/src/poplarstream/jobs/task_codec.cpp
+++ b/src/poplarstream/jobs/task_codec.cpp
@@ -43,9 +43,9 @@
     }
 }
 
-// Format: [isDone, lastRun, failures, checkpoint, [[run, worker, startedUnixMs], ...]]. A task that
-// may have crashed workers or has lapsed runs has `crashes, suspicion, [run, ...]` after that, and
-// 1 if it is given up.
+// Format: [isDone, lastRun, failures, checkpoint, [[run, worker, startedUnixMs], ...]]. A run on a
+// known machine has that after its start. A task that may have crashed workers or has lapsed runs
+// has `crashes, suspicion, [run, ...]` after the runs, and 1 if it is given up.
 void appendTask(std::string &out, const Task &task)
 {
     fmt::format_to(std::back_inserter(out), "[{},{},{},", task.isDone ? 1 : 0, task.lastRun,
@@ -57,7 +57,12 @@
         appendSeparator(out, i);
         fmt::format_to(std::back_inserter(out), "[{},", attempt.run);
         appendText(out, attempt.worker.id.text());
-        fmt::format_to(std::back_inserter(out), ",{}]", attempt.worker.startedUnixMs);
+        fmt::format_to(std::back_inserter(out), ",{}", attempt.worker.startedUnixMs);
+        if (!attempt.machine.isEmpty()) {
+            out.push_back(',');
+            appendText(out, attempt.machine.text());
+        }
+        out.push_back(']');
     }
     out.push_back(']');
     if (task.suspicion > 0 || task.crashes > 0 || !task.lapsedRuns.empty()) {
@@ -137,6 +142,9 @@
         attempt.run = integerFrom<int>(row.at(0));
         attempt.worker = {WorkerId(row.at(1).get<std::string>()),
                           integerFrom<std::int64_t>(row.at(2))};
+        if (row.size() > 3) {  // records of earlier versions have no machine
+            attempt.machine = MachineId(row.at(3).get<std::string>());
+        }
         attempt.phase = AttemptPhase::StartSent;
         attempt.mayRun = true;
         attempt.isFromPreviousOwner = true;
--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -194,6 +194,64 @@
     }
 }
 
+// The workers with tasks that are known to run or to have run on a machine, the newest of each.
+std::map<MachineId, jobs::WorkerIncarnation> busyWorkersByMachine(const engine::Engine &engine)
+{
+    std::map<MachineId, jobs::WorkerIncarnation> busy;
+    for (const auto &[incarnation, worker] : engine.workers) {
+        if (worker.machine.isEmpty() || worker.isGone || isEmpty(&worker)) {
+            continue;
+        }
+        jobs::WorkerIncarnation &newest =
+                busy.try_emplace(worker.machine, incarnation).first->second;
+        if (newest.startedUnixMs < incarnation.startedUnixMs) {
+            newest = incarnation;
+        }
+    }
+    return busy;
+}
+
+// The view of a machine that this owner has not seen before. Its worker is the one that the stored
+// progress names, so that the list is compared with what the previous owner knew.
+MachineView newView(const Pools &pools, const engine::Engine &engine, const Machine &machine,
+                    const std::map<MachineId, jobs::WorkerIncarnation> &busyWorkers)
+{
+    MachineView view;
+    if (const auto busy = busyWorkers.find(machine.id); busy != busyWorkers.end()) {
+        const auto newest = engine.newestIncarnations.find(busy->second.id);
+        if (newest != engine.newestIncarnations.end() && newest->second == busy->second) {
+            view.machine.worker = busy->second.id;
+        }
+    }
+    if (const auto cooldown = pools.cooldownUntil.find(machine.id);
+        cooldown != pools.cooldownUntil.end()) {
+        view.cooldownUntil = cooldown->second;
+    }
+    return view;
+}
+
+void noteMachine(engine::Worker &worker, const Machine &machine)
+{
+    worker.machine = machine.id;
+    // Of a worker that is known from the stored progress only, nothing else tells the zone.
+    if (worker.entry.zone.isEmpty()) {
+        worker.entry.zone = machine.zone;
+    }
+}
+
+// Notes for the workers of a machine on which one they run.
+void noteMachine(engine::Engine &engine, const MachineView &view)
+{
+    if (engine::Worker *const worker = workerOf(engine, view.machine)) {
+        noteMachine(*worker, view.machine);
+    }
+    const auto former =
+            view.formerWorker ? engine.workers.find(*view.formerWorker) : engine.workers.end();
+    if (former != engine.workers.end()) {
+        noteMachine(former->second, view.machine);
+    }
+}
+
 bool isUp(const Machine &machine)
 {
     return machine.state == MachineState::Up;
@@ -213,18 +271,15 @@
 void applyMachineList(Pools &pools, engine::Engine &engine, const std::vector<Machine> &machines,
                       TimePoint askedAt, TimePoint now)
 {
+    const std::map<MachineId, jobs::WorkerIncarnation> busyWorkers = busyWorkersByMachine(engine);
     std::map<MachineId, MachineView> listed;
     for (const Machine &machine : machines) {
         const auto [place, isFirst] = listed.try_emplace(machine.id);
         MachineView &view = place->second;
         if (isFirst) {
-            if (const auto cooldown = pools.cooldownUntil.find(machine.id);
-                cooldown != pools.cooldownUntil.end()) {
-                view.cooldownUntil = cooldown->second;
-            }
-            if (const auto known = pools.machines.find(machine.id); known != pools.machines.end()) {
-                view = std::move(known->second);
-            }
+            const auto known = pools.machines.find(machine.id);
+            view = known != pools.machines.end() ? std::move(known->second)
+                                                 : newView(pools, engine, machine, busyWorkers);
         }
         // A list that was requested before a command was carried out may show the earlier state.
         if (view.changedAt < askedAt || view.changedAt == TimePoint{}) {
@@ -239,6 +294,7 @@
             }
         }
         view.isMissing = false;
+        noteMachine(engine, view);
     }
     // A machine without a place in one list may have changed its page while the list was read.
     for (auto &[id, view] : pools.machines) {
--- a/src/poplarstream/pools/zone_cut_test.cpp
+++ b/src/poplarstream/pools/zone_cut_test.cpp
@@ -30,6 +30,7 @@
     EngineFixture fixture;
     Pools pools;
     std::set<int> unlisted;  // numbers of workers
+    std::set<int> replaced;  // numbers of workers whose machines have later ones
 
     explicit TwoZones(Row unreachable)
         : row(unreachable)
@@ -55,6 +56,13 @@
         engine::registerWorker(fixture.engine, entry, fixture.now);
     }
 
+    // Registers the worker that has followed another one on its machine.
+    void registerLater(int number)
+    {
+        registerWorker(number, EngineFixture::incarnation(laterNameOf(number), 2));
+    }
+
+    static std::string laterNameOf(int worker) { return nameOf(worker) + "-later"; }
     static std::string nameOf(int worker) { return "w" + std::to_string(worker); }
     static ZoneId zoneOf(int worker) { return ZoneId(worker <= workersPerZone ? "a" : "b"); }
 
@@ -73,7 +81,9 @@
                     isListed || row == Row::WithoutWorker ? MachineState::Up : MachineState::Down;
             machine.zone = zoneOf(i);
             machine.capacity = {4000, 10'000, 0};
-            machine.worker = jobs::WorkerId(isListed ? nameOf(i) : "");
+            machine.worker = jobs::WorkerId(replaced.contains(i) ? laterNameOf(i)
+                                            : isListed           ? nameOf(i)
+                                                                 : "");
             machines.push_back(machine);
         }
         applyMachineList(pools, fixture.engine, machines, fixture.now, fixture.now);
@@ -130,6 +140,14 @@
         fixture.answer(nameOf(worker), running);
     }
 
+    // As after records of a version that did not store the machines of runs.
+    void forgetMachines()
+    {
+        for (auto &[incarnation, worker] : fixture.engine.workers) {
+            worker.machine = {};
+        }
+    }
+
     // Removes what registry entries told of the workers of zone "a".
     void forgetEntries()
     {
@@ -376,12 +394,50 @@
     }
 }
 
+// Guards against tasks of dead workers that wait for their leases after a takeover: their registry
+// entries have expired, so that the new owner could not tell which machines they had run on.
+TEST(ZoneCut, SuccessorEndsWorkersWhoseMachinesHaveLaterOnes)
+{
+    SCOPED_TRACE("given the progress of an owner with a task on each worker of two zones");
+    TwoZones before(Row::WithoutWorker);
+    before.startEverywhere();
+    const std::string stored = jobs::encodeProgress(before.fixture.job());
+    TwoZones zones(Row::WithoutWorker);
+    zones.pools = Pools{};
+    zones.forgetEntries();
+    zones.fixture.submit(submission(firstJob, step(workerCount, 3000)));
+    ASSERT_TRUE(engine::adoptProgress(zones.fixture.engine, JobId(firstJob), stored,
+                                      zones.fixture.now + Milliseconds{13'000}, zones.fixture.now));
+    {
+        SCOPED_TRACE("when the lists lack all workers of one zone");
+        zones.cutZone();
+        zones.listFor(Milliseconds{4000});
+        {
+            SCOPED_TRACE("then they may live on");
+            EXPECT_FALSE(zones.isGone(1));
+            EXPECT_FALSE(zones.isGone(2));
+        }
+    }
+    {
+        SCOPED_TRACE("when a list shows a later worker on the machine of one of them");
+        zones.replaced.insert(1);
+        zones.registerLater(1);
+        zones.listFor(listPeriod);
+        {
+            SCOPED_TRACE("then that one has ended, and no other");
+            EXPECT_TRUE(zones.isGone(1));
+            EXPECT_FALSE(zones.isGone(2));
+        }
+    }
+}
+
 // Guards against commands that take lasting tasks away after a takeover: the registry entries of a
 // zone that is cut off have expired, and its machines are listed without workers.
 TEST(ZoneCut, SuccessorSendsNoCommandToMachinesThatMayHaveUnknownWorkers)
 {
-    SCOPED_TRACE("given the progress of an owner with a task on each worker of two zones");
+    SCOPED_TRACE("given progress that does not name the machines of its runs");
     TwoZones before(Row::WithoutWorker);
+    before.forgetMachines();
     before.startEverywhere();
     const std::string stored = jobs::encodeProgress(before.fixture.job());
     TwoZones zones(Row::WithoutWorker);
