Store the machine of a lasting run that was started before a list had shown it

Change: once a list shows the machine of a worker, its runs get it; a job with lasting runs among them is written again. Other runs end soon, and their jobs are written with the next change.

--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>  // for max
 #include <utility>  // for exchange, move
 
-#include "poplarstream/engine/attempts.hpp"  // for findWorker, findAttempt
+#include "poplarstream/engine/attempts.hpp"  // for findAttempt, findWorker, markDirty, stepOf
 #include "poplarstream/engine/incarnations.hpp"  // for endIncarnation
 #include "poplarstream/pools/forecast.hpp"  // for recordArrivals
 #include "poplarstream/pools/moves.hpp"  // for planMoves
@@ -230,9 +230,29 @@
     return view;
 }
 
-void noteMachine(engine::Worker &worker, const Machine &machine)
+// Completes the runs that were started before a list had shown the machine of their worker. Those
+// that run until their job is cancelled are stored again, as little else of them would be.
+void completeRuns(engine::Engine &engine, const engine::Worker &worker)
 {
-    worker.machine = machine.id;
+    for (const auto &[ref, decisivePoll] : worker.attempts) {
+        jobs::Attempt *const attempt = engine::findAttempt(engine, ref);
+        if (attempt == nullptr || !attempt->machine.isEmpty()) {
+            continue;
+        }
+        attempt->machine = worker.machine;
+        jobs::Job &job = engine.jobs.at(ref.task.job);
+        if (engine::stepOf(job, ref.task).longRunning) {
+            engine::markDirty(engine, job);
+        }
+    }
+}
+
+void noteMachine(engine::Engine &engine, engine::Worker &worker, const Machine &machine)
+{
+    if (worker.machine != machine.id) {
+        worker.machine = machine.id;
+        completeRuns(engine, worker);
+    }
     // Of a worker that is known from the stored progress only, nothing else tells the zone.
     if (worker.entry.zone.isEmpty()) {
         worker.entry.zone = machine.zone;
@@ -243,12 +263,12 @@
 void noteMachine(engine::Engine &engine, const MachineView &view)
 {
     if (engine::Worker *const worker = workerOf(engine, view.machine)) {
-        noteMachine(*worker, view.machine);
+        noteMachine(engine, *worker, view.machine);
     }
     const auto former =
             view.formerWorker ? engine.workers.find(*view.formerWorker) : engine.workers.end();
     if (former != engine.workers.end()) {
-        noteMachine(former->second, view.machine);
+        noteMachine(engine, former->second, view.machine);
     }
 }
 
--- a/src/poplarstream/pools/zone_cut_test.cpp
+++ b/src/poplarstream/pools/zone_cut_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
+#include "poplarstream/engine/batches.hpp"  // for Batch
 #include "poplarstream/engine/engine_fixture.hpp"  // for EngineFixture
 #include "poplarstream/jobs/codec.hpp"  // for encodeProgress
 #include "poplarstream/pools/planning.hpp"  // for applyMachineList
@@ -431,6 +432,34 @@
     }
 }
 
+// Guards against lasting tasks of dead workers that wait for their leases after a takeover because
+// they were started before a list had shown the machine of their worker.
+TEST(ZoneCut, MachineOfALastingRunIsStoredOnceAListShowsIt)
+{
+    SCOPED_TRACE("given a lasting task on each worker, started while no machine was known");
+    TwoZones zones(Row::WithoutWorker);
+    zones.forgetMachines();
+    jobs::StepSpec lasting = step(workerCount, 3000);
+    lasting.longRunning = true;
+    zones.fixture.submit(submission(firstJob, lasting));
+    ASSERT_EQ(zones.fixture.startAll().size(), static_cast<std::size_t>(workerCount));
+    zones.fixture.store();
+    {
+        SCOPED_TRACE("when a list shows the machines");
+        zones.fixture.now += listPeriod;
+        zones.list();
+        {
+            SCOPED_TRACE("then they are stored, once");
+            const engine::Batch batch = zones.fixture.store();
+            ASSERT_EQ(batch.records.size(), 1U);
+            EXPECT_NE(batch.records[0].value.value_or("").find("\"m8\""), std::string::npos);
+            zones.fixture.now += listPeriod;
+            zones.list();
+            EXPECT_TRUE(zones.fixture.store().records.empty());
+        }
+    }
+}
+
 // Guards against commands that take lasting tasks away after a takeover: the registry entries of a
 // zone that is cut off have expired, and its machines are listed without workers.
 TEST(ZoneCut, SuccessorSendsNoCommandToMachinesThatMayHaveUnknownWorkers)
