Refuse an unknown queue for good only while the configuration is current

A process that had not read the operator's log for seconds answered like one that knows that there is no such queue.

Queues that are known are served on.

Why it works: a change that was accepted longer ago than the bound is in what has been read, if the reading is no older than the bound.

--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -14,6 +14,8 @@
 {
     // Null until a configuration has been read.
     std::function<const Configuration *()> configuration;
+    // The time up to which all changes of the configuration have been read.
+    std::function<TimePoint()> configurationAsOf;
     // The number of shards of the deployment; 0 while it is not known.
     std::function<int()> shardCount;
     // Sends a request to the owner of its shard, which may be this process.
--- a/include/poplarstream/edge/settings.hpp
+++ b/include/poplarstream/edge/settings.hpp
@@ -32,6 +32,8 @@
     std::size_t maxCallBytes = 2'097'152;  // of the records of a write to the store, all together
     double processorShare = 1.0;  // of a core
     engine::EngineLimits limits;
+    // An accepted change of the configuration is in force everywhere after this.
+    Milliseconds configurationDelay{2000};
     Milliseconds grace{6000};  // between the stop signal and the kill signal
 };
 
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -99,7 +99,13 @@
     }
     const Route *const route = findRoute(configuration->routes, call.host, call.path);
     if (route == nullptr) {
-        respond(makeResponse(ResponseKind::NoSuchQueue, "no such queue"));
+        // A queue that was added since may be missing. Its callers would not try again after a
+        // final answer.
+        const bool isCurrent =
+                hooks_.configurationAsOf() + runtime_.settings.configurationDelay >= steadyNow();
+        respond(isCurrent ? makeResponse(ResponseKind::NoSuchQueue, "no such queue")
+                          : makeResponse(ResponseKind::Unavailable,
+                                         "the configuration may be out of date"));
         return;
     }
     const std::string_view rest = std::string_view(call.path).substr(route->pathPrefix.size());
--- a/src/poplarstream/edge/caller_handler_test.cpp
+++ b/src/poplarstream/edge/caller_handler_test.cpp
@@ -24,12 +24,12 @@
         };
     }
 
-    ResponseKind submit(std::size_t steps)
+    ResponseKind submit(std::size_t steps, const std::string &path = "/proofs/00000000000000a1")
     {
         Call call;
         call.kind = CallKind::Submit;
         call.host = "shop.example";
-        call.path = "/proofs/00000000000000a1";
+        call.path = path;
         call.body.assign(steps, 'x');
         ResponseKind kind = ResponseKind::Unknown;
         handler.handleCall(call, [&kind](const Response &response) { kind = response.kind; });
@@ -39,10 +39,12 @@
     boost::asio::io_context io;
     Runtime runtime{io, {}, {}, {}, {}, {}, {}};
     Configuration configuration;
+    TimePoint configurationAsOf = steadyNow();
     int writes = 0;
     CallerHandler handler{
             runtime,
-            {[this] { return &configuration; }, [] { return 1; },
+            {[this] { return &configuration; }, [this] { return configurationAsOf; },
+             [] { return 1; },
              [](const PeerRequest &, Milliseconds, const std::function<void(PeerResponse)> &done) {
                  done({PeerResponse::Kind::NotOwner});
              }}};
@@ -73,5 +75,24 @@
     }
 }
 
+// Guards against a final refusal of a queue that was added while this process could not read the
+// operator's log.
+TEST(CallerHandler, UnknownQueueIsRefusedForGoodOnlyByACurrentConfiguration)
+{
+    const std::string unknownQueue = "/plates/00000000000000a1";
+    Callers callers(AppendResult::Stored);
+    {
+        SCOPED_TRACE("given a configuration that has just been read");
+        EXPECT_EQ(callers.submit(1, unknownQueue), ResponseKind::NoSuchQueue);
+    }
+    {
+        SCOPED_TRACE("given one that was read longer ago than a change takes to be in force");
+        callers.configurationAsOf =
+                steadyNow() - callers.runtime.settings.configurationDelay - Milliseconds{1};
+        EXPECT_EQ(callers.submit(1, unknownQueue), ResponseKind::Unavailable);
+        EXPECT_EQ(callers.submit(1), ResponseKind::Accepted) << "known queues are served on";
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -31,6 +31,7 @@
         : runtime(sharedRuntime)
         , peers(peerClient)
         , callers(sharedRuntime, {[this] { return hasConfiguration ? &configuration : nullptr; },
+                                  [this] { return operatorFollower->currentAsOf(); },
                                   [this] { return shardCount; },
                                   [this](const PeerRequest &request, Milliseconds deadline,
                                          std::function<void(PeerResponse)> done) {
