Close idle connections that have not responded lately when another one times out

Cause: when a call times out, the client closes the idle connections that have not responded since that call was sent. A long poll lasts 2.5 s until then; a connection that responded after it was sent and before the silence was kept, and the next poll hung on it as long again.

Change: a connection must also have responded within the last 500 ms to be kept.

Evidence: HttpClientTest.SilenceOfOneConnectionCondemnsThoseNotHeardOfLately fails without it: the next call is sent on the connection that had responded, and waits.

--- a/src/poplarstream/adapters/http_call.hpp
+++ b/src/poplarstream/adapters/http_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>  // for steady_clock
 #include <functional>  // for function
 #include <memory>  // for shared_ptr, enable_shared_from_this
 #include <optional>  // for optional
@@ -76,7 +77,13 @@
 
     // Number of the newest call of the client when this connection last became idle.
     std::uint64_t confirmedAtCall() const { return confirmedAtCall_; }
-    void confirmAlive(std::uint64_t newestCall) { confirmedAtCall_ = newestCall; }
+    // When that was.
+    std::chrono::steady_clock::time_point confirmedAt() const { return confirmedAt_; }
+    void confirmAlive(std::uint64_t newestCall)
+    {
+        confirmedAtCall_ = newestCall;
+        confirmedAt_ = std::chrono::steady_clock::now();
+    }
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -102,6 +109,7 @@
     std::optional<Parser> parser_;
     std::shared_ptr<HttpCall> call_;
     std::uint64_t confirmedAtCall_ = 0;
+    std::chrono::steady_clock::time_point confirmedAt_{};
     Phase phase_ = Phase::Connecting;
     HttpError connectError_ = HttpError::None;
     bool isRetired_ = false;
--- a/src/poplarstream/adapters/http_client.cpp
+++ b/src/poplarstream/adapters/http_client.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/adapters/http_client.hpp"
 
 #include <algorithm>  // for count_if, find
+#include <chrono>  // for steady_clock
 #include <deque>  // for deque
 #include <functional>  // for hash
 #include <unordered_map>  // for unordered_map
@@ -21,6 +22,8 @@
 using Connection = std::shared_ptr<HttpClientConnection>;
 using Call = std::shared_ptr<HttpCall>;
 
+// How long a response shows that its connection works.
+constexpr Milliseconds confirmationLifetime{500};
 // For reading a response that has arrived by the deadline.
 constexpr Milliseconds readExtension{200};
 
@@ -117,13 +120,16 @@
     }
 
     // When one connection times out, the others to the same endpoint may be dead as well. Closes
-    // the idle ones that have neither connected nor responded since the call was made; trying them
-    // in turn would cost one deadline each.
+    // the idle ones that have neither connected nor responded since the call was made, or not
+    // lately; trying them in turn would cost one deadline each.
     void closeUnconfirmed(const HttpCall &call)
     {
         const auto connections = pools[call.endpoint].connections;
         for (const Connection &connection : connections) {
-            if (connection->phase() == Phase::Idle && connection->confirmedAtCall() < call.number) {
+            const bool isConfirmed = connection->confirmedAtCall() >= call.number
+                                     && connection->confirmedAt() + confirmationLifetime
+                                                >= std::chrono::steady_clock::now();
+            if (connection->phase() == Phase::Idle && !isConfirmed) {
                 ++counts.staleConnections;
                 drop(*connection);
                 connection->close(HttpError::None);
--- a/src/poplarstream/adapters/http_client_test.cpp
+++ b/src/poplarstream/adapters/http_client_test.cpp
@@ -138,6 +138,30 @@
     }
 }
 
+// Guards against a second deadline that is lost on a connection that went silent with the first
+// one, though it had responded after the first call was made.
+TEST_F(HttpClientTest, SilenceOfOneConnectionCondemnsThoseNotHeardOfLately)
+{
+    SCOPED_TRACE("given a call without a response, and a connection that responded beside it");
+    send(Milliseconds{1500});
+    ASSERT_TRUE(runUntilReceived(0, "GET /0 "));
+    send();
+    ASSERT_TRUE(runUntilReceived(1, "GET /1 "));
+    server.peers[1]->send(okResponse("a"));
+    ASSERT_TRUE(runUntilEnded(1));
+    {
+        SCOPED_TRACE("when the call times out");
+        ASSERT_TRUE(runUntilEnded(0));
+        expect(0, HttpDelivery::MayHaveBeenSent, HttpError::DeadlinePassed);
+        {
+            SCOPED_TRACE("then the next call uses a new connection");
+            send();
+            ASSERT_TRUE(runUntilReceived(2, "GET /2 "));
+            EXPECT_FALSE(server.peers[1]->has("GET /2 "));
+        }
+    }
+}
+
 // A request must not be delivered after it timed out: an orderly close would still send its bytes.
 TEST_F(HttpClientTest, TimedOutRequestIsCancelledByReset)
 {
