Give a pool the machines that a gang or a late task of most of a machine needs

Cause: the size of a pool follows the sum of what its tasks need, and sums hide what has to be on one machine, or on several at the same time. Lasting tasks had rules for both, others had none, and a job that is far too late asked for nothing at all.

Change: a gang asks for the workers that its anti-affinity needs for as long as it is to run. A task that takes more than half of a machine and whose job will be late asks for one machine more than there are.

Why it works: the plan places a waiting task at once where it fits, so one that is still waiting found no worker; an empty machine holds it. One machine at a time is asked for, so a burst costs little.

--- a/include/poplarstream/pools/demand.hpp
+++ b/include/poplarstream/pools/demand.hpp
@@ -15,6 +15,7 @@
     jobs::Resources waiting;  // tasks that could start now and still finish in time
     jobs::Resources late;  // tasks that could start now, will be late, and still earn something
     jobs::Resources unplaced;  // long-running tasks that could start now but found no worker
+    jobs::Resources largestLate;  // the most that one waiting task needs whose job will be late
     int minWorkers = 0;  // distinct workers that the anti-affinity of one step needs
 };
 
@@ -24,7 +25,9 @@
 int machinesFor(const jobs::Resources &total, const jobs::Resources &capacity);
 
 // The number of machines of `capacity` needed for the demand. `available` machines accept tasks
-// now. Tasks that will be late count only if `includeLate` is set.
+// now. Tasks that will be late count only if `includeLate` is set, but one that takes most of a
+// machine gets another one: it may find no worker with that much room for as long as smaller tasks
+// arrive.
 int machinesFor(const Demand &demand, const jobs::Resources &capacity, int available,
                 bool includeLate);
 
--- a/src/poplarstream/pools/demand.cpp
+++ b/src/poplarstream/pools/demand.cpp
@@ -5,7 +5,7 @@
 
 #include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf, deadlineClassOf
-#include "poplarstream/jobs/queries.hpp"  // for isFinal, isStepReady
+#include "poplarstream/jobs/queries.hpp"  // for isFinal, isStepReady, isWaiting
 
 namespace poplarstream::pools {
 
@@ -14,19 +14,42 @@
 // Tasks rarely add up to the exact capacity of a machine.
 constexpr double fillableShare = 0.9;
 
-void addMinWorkers(Demand &demand, const jobs::StepSpec &step)
+// How far a step of a job has come.
+struct StepProgress
 {
-    if (step.longRunning && step.antiAffinity > 0) {
+    bool canStart = false;  // its turn has come, and its job goes on
+    engine::DeadlineClass deadlineClass = engine::DeadlineClass::Expired;
+};
+
+// The members of a gang start together, so that they need their workers at the same time, like
+// tasks that run on and on.
+void addMinWorkers(Demand &demand, const jobs::StepSpec &step, const StepProgress &progress)
+{
+    if ((step.longRunning || (step.gang && progress.canStart)) && step.antiAffinity > 0) {
         const int workers = (step.count + step.antiAffinity - 1) / step.antiAffinity;
         demand.minWorkers = std::max(demand.minWorkers, workers);
     }
 }
 
+void addLateTask(Demand &demand, const jobs::Resources &need, const StepProgress &progress)
+{
+    if (progress.canStart
+        && (progress.deadlineClass == engine::DeadlineClass::Late
+            || progress.deadlineClass == engine::DeadlineClass::Expired)) {
+        demand.largestLate.cpuMilli = std::max(demand.largestLate.cpuMilli, need.cpuMilli);
+        demand.largestLate.memoryMb = std::max(demand.largestLate.memoryMb, need.memoryMb);
+    }
+}
+
 void addStep(Demand &demand, const jobs::Occurrence &occurrence, const jobs::StepSpec &step,
-             std::size_t index, engine::DeadlineClass deadlineClass, TimePoint now)
+             std::size_t index, const StepProgress &progress, TimePoint now)
 {
+    const engine::DeadlineClass deadlineClass = progress.deadlineClass;
     const jobs::Resources need = engine::capacityUsedBy(step);
     for (const jobs::Task &task : occurrence.steps[index]) {
+        if (jobs::isWaiting(task) && task.notBefore <= now) {
+            addLateTask(demand, need, progress);
+        }
         if (!task.attempts.empty()) {
             demand.running += need;
             if (step.longRunning) {
@@ -44,14 +67,16 @@
             }
         }
     }
-    addMinWorkers(demand, step);
+    const bool isDone = occurrence.remaining[index] == 0;
+    addMinWorkers(demand, step, {progress.canStart && !isDone, deadlineClass});
 }
 
 // The same for a job that has not started a task: all of them are alike.
-void addUntouchedStep(Demand &demand, const jobs::StepSpec &step,
-                      engine::DeadlineClass deadlineClass)
+void addUntouchedStep(Demand &demand, const jobs::StepSpec &step, const StepProgress &progress)
 {
+    const engine::DeadlineClass deadlineClass = progress.deadlineClass;
     jobs::Resources need = engine::capacityUsedBy(step);
+    addLateTask(demand, need, progress);
     need.cpuMilli *= step.count;
     need.memoryMb *= step.count;
     need.gpus *= step.count;
@@ -63,7 +88,13 @@
             demand.unplaced += need;
         }
     }
-    addMinWorkers(demand, step);
+    addMinWorkers(demand, step, progress);
+}
+
+// Whether only one such task fits on a machine of that capacity.
+bool takesMostOfAMachine(const jobs::Resources &need, const jobs::Resources &capacity)
+{
+    return need.cpuMilli * 2 > capacity.cpuMilli || need.memoryMb * 2 > capacity.memoryMb;
 }
 
 int ceilDiv(double amount, std::int64_t capacity)
@@ -90,14 +121,14 @@
                                              : engine::deadlineClassOf(job, occurrence, now);
             for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
                 const jobs::StepSpec &step = job.submission.spec.steps[i];
-                const engine::DeadlineClass stepClass =
-                        jobs::isStepReady(job, occurrence, static_cast<int>(i))
-                                ? deadlineClass
-                                : engine::DeadlineClass::Expired;
+                StepProgress progress;
+                if (jobs::isStepReady(job, occurrence, static_cast<int>(i))) {
+                    progress = {!jobs::isFinal(job.state), deadlineClass};
+                }
                 if (job.state == jobs::JobState::Queued) {
-                    addUntouchedStep(demand, step, stepClass);
+                    addUntouchedStep(demand, step, progress);
                 } else {
-                    addStep(demand, occurrence, step, i, stepClass, now);
+                    addStep(demand, occurrence, step, i, progress, now);
                 }
             }
         }
@@ -121,7 +152,8 @@
         total += demand.late;
     }
     // Unplaced tasks fit on no available machine, even if the totals suggest that they do.
-    const int extra = machinesFor(demand.unplaced, capacity);
+    const int extra = std::max(machinesFor(demand.unplaced, capacity),
+                               takesMostOfAMachine(demand.largestLate, capacity) ? 1 : 0);
     return std::max(
             {machinesFor(total, capacity), demand.minWorkers, extra > 0 ? available + extra : 0});
 }
