--- a/include/poplarstream/pools/demand.hpp
+++ b/include/poplarstream/pools/demand.hpp
@@ -15,7 +15,7 @@
     jobs::Resources waiting;  // tasks that could start now and still finish in time
     jobs::Resources late;  // tasks that could start now, will be late, and still earn something
     jobs::Resources unplaced;  // long-running tasks that could start now but found no worker
-    jobs::Resources largestLate;  // the most that one waiting task needs whose job will be late
+    jobs::Resources largestLate;  // of each, the most that a waiting task of a late job needs
     int minWorkers = 0;  // distinct workers that the anti-affinity of one step needs
 };
 
