Keep the runs of a worker whose zone a new owner's list does not show at all

Since runs are stored with their machine, a new owner takes the worker for one that the machine had before, and a row without a worker then ends it at once instead of after the 2 s that an unlisted worker has. Its zone became known as well, and in it no other worker was, so that the zone was not silent (line 731 with answered_ms_ago=-1 at 00:10:30.995, no line 750).

Change: of a worker that this owner has never heard, a row without a worker counts as little as a list without it. If the list shows no worker in the whole zone of its machine, it ends nothing: the platform may not reach the zone. The zone of a worker is no longer taken from its machine, so that workers of unknown zones count together as before. A later worker on the machine still ends it at once.

--- a/src/poplarstream/pools/planning.cpp
+++ b/src/poplarstream/pools/planning.cpp
@@ -95,6 +95,16 @@
            && worker.isPolling;
 }
 
+// Whether a worker that this owner has never heard was on a machine of a zone in which the list
+// shows no worker at all: the platform may not reach that zone.
+bool isInUnseenZone(const Pools &pools, const engine::Worker &worker,
+                    const std::set<ZoneId> &seenZones)
+{
+    const auto view = pools.machines.find(worker.machine);
+    return worker.answeredAt == TimePoint{} && view != pools.machines.end()
+           && !seenZones.contains(view->second.machine.zone);
+}
+
 // Ends the incarnations of unreachable workers that the list lacks. Otherwise their tasks would
 // wait for the longest lease. It proves nothing by itself if the machine is missing as well, since
 // the list is read in pages while machines move, or if its row names a worker that may be an
@@ -106,8 +116,12 @@
                                    TimePoint now)
 {
     std::set<jobs::WorkerId> present;
+    std::set<ZoneId> seenZones;
     for (const Machine &machine : machines) {
         present.insert(machine.worker);
+        if (!machine.worker.isEmpty()) {
+            seenZones.insert(machine.zone);
+        }
     }
     for (const auto &[id, view] : pools.machines) {
         if (!view.isMissing && !view.isWorkerDoubted) {
@@ -130,14 +144,20 @@
         const bool hasSuccessor = replacement != replaced.end() && replacement->second;
         // The end of an empty worker counts as a crash for the runs that it lost by expired leases.
         const bool hasRuns = !isEmpty(&worker) || !worker.lapsedRuns.empty();
-        if (hasRuns && !hasSuccessor && pools.silentZones.contains(worker.entry.zone)) {
+        if (hasRuns && !hasSuccessor
+            && (pools.silentZones.contains(worker.entry.zone)
+                || isInUnseenZone(pools, worker, seenZones))) {
             continue;
         }
         const auto before = pools.missingSince.find(incarnation);
         const bool isStillMissing =
                 before != pools.missingSince.end() && lastHeardFrom(worker) < before->second;
         const TimePoint since = isStillMissing ? before->second : askedAt;
-        if (isEmpty(&worker) || replacement != replaced.end()
+        // Of a worker that this owner has never heard, a machine without one tells nothing more
+        // than a list without it.
+        const bool isReplaced =
+                replacement != replaced.end() && (hasSuccessor || worker.answeredAt != TimePoint{});
+        if (isEmpty(&worker) || isReplaced
             || askedAt >= since + engine.limits.reportInterval + reportSlack) {
             ended.push_back(incarnation);
         } else {
@@ -253,10 +273,6 @@
         worker.machine = machine.id;
         completeRuns(engine, worker);
     }
-    // Of a worker that is known from the stored progress only, nothing else tells the zone.
-    if (worker.entry.zone.isEmpty()) {
-        worker.entry.zone = machine.zone;
-    }
 }
 
 // Notes for the workers of a machine on which one they run.
--- a/src/poplarstream/pools/zone_takeover_test.cpp
+++ b/src/poplarstream/pools/zone_takeover_test.cpp
@@ -65,6 +65,40 @@
     }
 }
 
+// Guards against a task that runs twice after a takeover: its worker is the only one with tasks in
+// a zone that is cut off, its registry entry has expired, and the list shows its machine without
+// it.
+TEST(ZoneCut, SuccessorKeepsTheOnlyTaskOfAZoneWithoutEntries)
+{
+    for (const Row row : {Row::WithoutWorker, Row::Down}) {
+        SCOPED_TRACE("given the progress of an owner with one task, on a worker of zone a");
+        TwoZones before(row);
+        before.fixture.submit(submission(firstJob, step(1, 3000)));
+        const auto starts = before.fixture.startAll();
+        ASSERT_EQ(starts.size(), 1U);
+        const std::string busy = starts[0].target.worker.id.text();
+        ASSERT_EQ(before.fixture.worker(busy).entry.zone, ZoneId("a"));
+        const std::string stored = jobs::encodeProgress(before.fixture.job());
+        {
+            SCOPED_TRACE("when registry and lists of the next one lack the workers of the zone");
+            TwoZones zones(row);
+            zones.pools = Pools{};
+            zones.forgetEntries();
+            zones.fixture.submit(submission(firstJob, step(1, 3000)));
+            ASSERT_TRUE(engine::adoptProgress(zones.fixture.engine, JobId(firstJob), stored,
+                                              zones.fixture.now + Milliseconds{13'000},
+                                              zones.fixture.now));
+            zones.cutZone();
+            zones.listFor(Milliseconds{4000});
+            {
+                SCOPED_TRACE("then the task does not start elsewhere");
+                EXPECT_FALSE(zones.fixture.worker(busy).isGone);
+                EXPECT_TRUE(zones.fixture.start().empty());
+            }
+        }
+    }
+}
+
 // Guards against tasks of dead workers that wait for their leases after a takeover: no worker has
 // responded to the new owner when it reads its first list, so that each zone looked silent.
 TEST(ZoneCut, SuccessorEndsDeadWorkersOfLivingZones)
