Define the interfaces of client accounts

Cause: the configuration's accounts, keys and caps are not read, so calls without a valid key run and accounts pass their caps. Nothing decides by them yet. Conclusion: the ground on which the parts are built side by side.

--- a/bench/agreement_world.cpp
+++ b/bench/agreement_world.cpp
@@ -42,7 +42,7 @@
 
 std::string weightOf(const FleetState &state, std::size_t tenant)
 {
-    const TenantConfig *found = state.configuration->tenants.find(TenantId(tenantName(tenant)));
+    const TenantConfig *found = state.configuration->tenants.find(AccountId(tenantName(tenant)));
     return found != nullptr ? fmt::format("{:g}", found->weight) : std::string();
 }
 
--- a/bench/capacity_parts.cpp
+++ b/bench/capacity_parts.cpp
@@ -28,7 +28,7 @@
 {
     const std::string number = std::to_string(100'000'000'000 + index);
     return {RunId("z00-" + number),
-            TenantId("t" + std::to_string(index % 340)),
+            AccountId("t" + std::to_string(index % 340)),
             ServiceId("s01"),
             "order-" + number,
             index,
@@ -208,7 +208,7 @@
     RequestHistograms histograms;
     for (std::size_t i = 0; i < tenants; ++i) {
         for (const WorkClass work : {WorkClass::Urgent, WorkClass::Slow}) {
-            histograms.record(TenantId("t" + std::to_string(i)), work, RequestOutcome::OnTime,
+            histograms.record(AccountId("t" + std::to_string(i)), work, RequestOutcome::OnTime,
                               Milliseconds{40});
         }
     }
--- a/bench/runs_benchmark.cpp
+++ b/bench/runs_benchmark.cpp
@@ -18,7 +18,7 @@
 {
     const std::string number = std::to_string(index);
     return {RunId("a-" + number),
-            TenantId("tenant-" + std::to_string(index % tenants)),
+            AccountId("tenant-" + std::to_string(index % tenants)),
             ServiceId("service-" + std::to_string(index % 10)),
             "key-" + number,
             index,
--- a/bench/runs_cases.cpp
+++ b/bench/runs_cases.cpp
@@ -44,7 +44,7 @@
 {
     FakeCall call;
     RunAccepted &accepted = call.accepted;
-    accepted.tenant = TenantId("t" + std::to_string(index % tenants));
+    accepted.tenant = AccountId("t" + std::to_string(index % tenants));
     accepted.service = serviceName(random.below(services));
     accepted.idempotencyKey = "k" + std::to_string(index);
     accepted.payload = accepted.idempotencyKey;
--- a/bench/traffic_benchmark.cpp
+++ b/bench/traffic_benchmark.cpp
@@ -28,7 +28,7 @@
         }
         settings.pools = {pool};
         for (std::size_t i = 0; i < tenants; ++i) {
-            settings.tenants.push_back({TenantId("tenant-" + std::to_string(i)), 1, 1e9});
+            settings.tenants.push_back({AccountId("tenant-" + std::to_string(i)), 1, 1e9});
         }
         for (int i = 0; i < 40; ++i) {
             settings.minions.push_back(
--- a/bench/traffic_setup.cpp
+++ b/bench/traffic_setup.cpp
@@ -24,7 +24,7 @@
 {
     const std::size_t first = setup.settings.tenants.size();
     for (std::size_t i = 0; i < count; ++i) {
-        setup.settings.tenants.push_back({TenantId("t" + std::to_string(first + i)), 1, 0});
+        setup.settings.tenants.push_back({AccountId("t" + std::to_string(first + i)), 1, 0});
     }
     return first;
 }
--- a/include/poplarstream/config/configuration.hpp
+++ b/include/poplarstream/config/configuration.hpp
@@ -5,7 +5,7 @@
 #include <string>  // for string
 #include <vector>  // for vector
 
-#include "poplarstream/base/id.hpp"  // for HostId, PoolId, ServiceId, TenantId, WaveId, ZoneId
+#include "poplarstream/base/id.hpp"  // for HostId, PoolId, ServiceId, AccountId, WaveId, ZoneId
 #include "poplarstream/base/time.hpp"  // for Milliseconds
 #include "poplarstream/config/address.hpp"  // for Address
 #include "poplarstream/config/shared_table.hpp"  // for SharedTable
@@ -76,7 +76,7 @@
 // message.
 struct TenantConfig
 {
-    TenantId id;
+    AccountId id;
     double weight = 1;
     double quota = 0;
     std::string token;
--- a/include/poplarstream/edge/peer_calls.hpp
+++ b/include/poplarstream/edge/peer_calls.hpp
@@ -15,13 +15,15 @@
 // A request of an entry host to the owner of a shard.
 struct PeerRequest
 {
-    enum class Kind { State, Count, Store };
+    enum class Kind { State, Count, Store, Loans };
 
     Kind kind = Kind::State;
     int shard = 0;  // whose owner is meant
     jobs::QueueId queue;
     jobs::JobId job;
+    AccountId account;  // of the caller; empty on a public queue
     std::vector<StoredRecord> records;  // for Store: to be appended to the job log
+    std::string loans;  // for Loans: the text of accounts::LoanRequest
 };
 
 struct PeerResponse
@@ -32,6 +34,7 @@
         Count,
         Stored,
         NotStored,  // nothing was written
+        Loans,
         NotOwner,  // not the owner, or the owner is still loading: retry
         NoResponse,
     };
@@ -39,6 +42,7 @@
     Kind kind = Kind::NoResponse;
     jobs::JobState state = jobs::JobState::Queued;
     int count = 0;
+    std::string loans;  // for Loans: the text of accounts::LoanResponse
 };
 
 // Sends a request to the entry host at `address`. Calls `done` once.
--- a/include/poplarstream/edge/ports.hpp
+++ b/include/poplarstream/edge/ports.hpp
@@ -9,6 +9,7 @@
 #include <string_view>  // for string_view
 #include <vector>  // for vector
 
+#include "poplarstream/accounts/client_account.hpp"  // for ClientAccounts
 #include "poplarstream/base/result.hpp"  // for Result
 #include "poplarstream/engine/state.hpp"  // for WorkerEntry, Queue, Service
 #include "poplarstream/jobs/model.hpp"  // for JobSpec
@@ -152,6 +153,7 @@
     std::string host;
     std::string pathPrefix;
     jobs::QueuePolicy policy;
+    bool isPublic = true;  // callers need no key
 };
 
 struct Configuration
@@ -159,6 +161,7 @@
     std::int64_t version = 0;
     std::vector<Route> routes;
     std::map<ServiceId, engine::Service> services;
+    accounts::ClientAccounts accounts;  // none: all queues are public
     std::uint64_t maxBodyBytes = 262'144;
 };
 
@@ -183,6 +186,8 @@
     CallKind kind = CallKind::Other;
     std::string host;
     std::string path;
+    std::string key;  // of the caller's account; a secret; empty if there is none
+    bool hasMalformedKey = false;  // the credentials cannot be read
     std::string body;
     Milliseconds remaining{3000};  // how long the caller waits for the response
 };
@@ -195,6 +200,8 @@
     NoSuchQueue,
     NoSuchJob,
     BadRequest,
+    Unauthorized,  // the key belongs to no account; nothing was done
+    Overloaded,  // the account has more than it is owed; nothing was done
     Unavailable,  // nothing was done; retry later
     Unknown,  // it may have been done
 };
@@ -204,6 +211,7 @@
     ResponseKind kind = ResponseKind::Unavailable;
     jobs::JobState state = jobs::JobState::Queued;
     int count = 0;
+    Milliseconds retryAfter{1000};  // of Overloaded and Unavailable
     std::string message;
 };
 
--- a/include/poplarstream/engine/job_events.hpp
+++ b/include/poplarstream/engine/job_events.hpp
@@ -46,6 +46,11 @@
 // Opens occurrences that are due and removes finished jobs after their retention time.
 void tickJobs(Engine &engine, const ClockReading &now);
 
+// Replaces the client accounts with those of a new configuration. `limits` has this owner's part of
+// each account's cap.
+void configureAccounts(Engine &engine, accounts::ClientAccounts accounts,
+                       std::map<AccountId, jobs::Resources> limits);
+
 // Replaces the queues and services with those of a new configuration.
 void configure(Engine &engine, std::map<QueueId, Queue> queues,
                std::map<ServiceId, Service> services);
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>  // for unordered_map
 #include <vector>  // for vector
 
+#include "poplarstream/accounts/client_account.hpp"  // for ClientAccounts
 #include "poplarstream/engine/decision.hpp"  // for Decision, ReleaseCounts
 #include "poplarstream/engine/job_set.hpp"  // for JobSet
 #include "poplarstream/engine/worker_commands.hpp"  // for Command
@@ -37,6 +38,7 @@
     Milliseconds migration{1500};  // duration of a machine move
     Milliseconds maintenance{2000};  // duration of a machine's maintenance
     std::size_t maxRecordBytes = 262'144;  // that the store takes, key and value
+    double capOvershoot = 0;  // share by which what an account has running may pass its cap
 };
 
 // A worker's entry in the registry.
@@ -203,6 +205,13 @@
     OwnerToken token;
     std::map<QueueId, Queue> queues;
     std::map<ServiceId, Service> services;
+    accounts::ClientAccounts accounts;
+    // What the runs of each account reserve on this owner's workers, from their planned start until
+    // they are known to have ended.
+    std::map<AccountId, jobs::Resources> accountUse;
+    // What each account may have running on this owner's workers: its part of the cap, as
+    // accounts::limitsOf gives it. An account without an entry may start nothing.
+    std::map<AccountId, jobs::Resources> accountLimits;
     std::unordered_map<JobId, jobs::Job> jobs;
     JobSet active{jobs::JobIndex::Active};
     JobSet waiting{jobs::JobIndex::Waiting};
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -9,7 +9,7 @@
 #include <string>  // for string
 #include <vector>  // for vector
 
-#include "poplarstream/base/id.hpp"  // for Id, MachineId
+#include "poplarstream/base/id.hpp"  // for AccountId, Id, MachineId
 #include "poplarstream/base/time.hpp"  // for TimePoint, Milliseconds
 
 namespace poplarstream::jobs {
@@ -85,6 +85,7 @@
 {
     JobId id;
     QueuePolicy policy;
+    AccountId account;  // whose key the caller had; empty on a public queue
     JobSpec spec;
     std::int64_t acceptedUnixMs = 0;
 };
--- a/include/poplarstream/node/caller_request.hpp
+++ b/include/poplarstream/node/caller_request.hpp
@@ -5,7 +5,7 @@
 #include <variant>  // for variant
 
 #include "poplarstream/adapters/http_message.hpp"  // for HttpRequest, HttpResponse
-#include "poplarstream/base/id.hpp"  // for ServiceId, TenantId, RequestId
+#include "poplarstream/base/id.hpp"  // for ServiceId, AccountId, RequestId
 #include "poplarstream/base/result.hpp"  // for Result
 #include "poplarstream/base/time.hpp"  // for Milliseconds
 #include "poplarstream/base/verdict.hpp"  // for Verdict
--- a/include/poplarstream/node/request_log.hpp
+++ b/include/poplarstream/node/request_log.hpp
@@ -5,7 +5,7 @@
 #include <string_view>  // for string_view
 #include <vector>  // for vector
 
-#include "poplarstream/base/id.hpp"  // for ServiceId, TenantId
+#include "poplarstream/base/id.hpp"  // for ServiceId, AccountId
 #include "poplarstream/base/time.hpp"  // for TimePoint
 #include "poplarstream/base/verdict.hpp"  // for Verdict
 
@@ -16,7 +16,7 @@
 {
     std::string request;
     ServiceId service;
-    TenantId tenant;
+    AccountId tenant;
     Verdict verdict = Verdict::NotRun;
     std::string reason;
     TimePoint at;
--- a/include/poplarstream/node/run_calls.hpp
+++ b/include/poplarstream/node/run_calls.hpp
@@ -25,7 +25,7 @@
 
 // The zone that accepts a submission. Rendezvous hashing over the configured zones sends two
 // submissions with the same key to the same stream. Without a key it is `ownZone`, to save a hop.
-ZoneId homeZone(const Configuration &configuration, const ZoneId &ownZone, const TenantId &tenant,
+ZoneId homeZone(const Configuration &configuration, const ZoneId &ownZone, const AccountId &tenant,
                 const std::string &idempotencyKey);
 
 // Builds the entry that accepts the submission. `number` must be unique among the runs of this
@@ -38,7 +38,7 @@
 {
     RunId run;
     std::uint32_t index = 0;  // index of the entry within its record
-    TenantId tenant;
+    AccountId tenant;
     std::string idempotencyKey;
     std::uint64_t payloadHash = 0;
     TimePoint respondBy;
@@ -64,7 +64,7 @@
 void respondOverdue(AcceptanceTable &table, TimePoint now);
 
 // State of a run for its tenant: 200, or 404 if the tenant has no such run.
-HttpResponse runResponse(const RunsState &state, const RunId &run, const TenantId &tenant);
+HttpResponse runResponse(const RunsState &state, const RunId &run, const AccountId &tenant);
 
 // The response to an accepted submission.
 HttpResponse acceptedResponse(const RunId &run);
--- a/include/poplarstream/node/run_interface.hpp
+++ b/include/poplarstream/node/run_interface.hpp
@@ -6,7 +6,7 @@
 #include <variant>  // for variant
 
 #include "poplarstream/adapters/http_message.hpp"  // for HttpResponse
-#include "poplarstream/base/id.hpp"  // for RunId, ServiceId, TenantId
+#include "poplarstream/base/id.hpp"  // for RunId, ServiceId, AccountId
 #include "poplarstream/base/time.hpp"  // for TimePoint
 
 namespace poplarstream {
@@ -22,7 +22,7 @@
 struct RunSubmission
 {
     ServiceId service;
-    TenantId tenant;
+    AccountId tenant;
     std::string idempotencyKey;
     std::string payload;
     TimePoint deadline;  // of the run
@@ -35,7 +35,7 @@
 struct RunQuery
 {
     RunId run;
-    TenantId tenant;
+    AccountId tenant;
     Reply reply;
     std::uint32_t hops = 0;  // times forwarded between entry hosts
 };
@@ -44,7 +44,7 @@
 struct RunCancellation
 {
     RunId run;
-    TenantId tenant;
+    AccountId tenant;
     Reply reply;
     std::uint32_t hops = 0;  // times forwarded between entry hosts
 };
--- a/include/poplarstream/records/run_record.hpp
+++ b/include/poplarstream/records/run_record.hpp
@@ -6,7 +6,7 @@
 #include <variant>  // for variant
 #include <vector>  // for vector
 
-#include "poplarstream/base/id.hpp"  // for RunId, TenantId, HostId
+#include "poplarstream/base/id.hpp"  // for RunId, AccountId, HostId
 #include "poplarstream/base/time.hpp"  // for Milliseconds, TimePoint
 #include "poplarstream/records/control_record.hpp"  // for SnapshotPart
 #include "poplarstream/records/record.hpp"  // for RecordHeader, Offset
@@ -39,7 +39,7 @@
 struct RunAccepted
 {
     RunId run;
-    TenantId tenant;
+    AccountId tenant;
     ServiceId service;
     std::string idempotencyKey;
     std::uint64_t payloadHash = 0;
--- a/include/poplarstream/runs/queries.hpp
+++ b/include/poplarstream/runs/queries.hpp
@@ -12,7 +12,7 @@
 
 // Returns the run, or null if it was never accepted in this zone or has been evicted.
 const Run *findRun(const RunsState &state, const RunId &run);
-const Run *findRunByKey(const RunsState &state, const TenantId &tenant, std::string_view key);
+const Run *findRunByKey(const RunsState &state, const AccountId &tenant, std::string_view key);
 
 // Whether `token` belongs to the current claim or to a lost attempt of the run. Worker reports
 // about other tasks are ignored, since a task of another zone can have the same token.
@@ -38,6 +38,6 @@
 
 // The hashes by which RunsState indexes runs.
 std::uint64_t idHash(const RunId &run);
-std::uint64_t keyHash(const TenantId &tenant, std::string_view key);
+std::uint64_t keyHash(const AccountId &tenant, std::string_view key);
 
 }  // namespace poplarstream
--- a/include/poplarstream/runs/runs_state.hpp
+++ b/include/poplarstream/runs/runs_state.hpp
@@ -9,7 +9,7 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>  // for unordered_flat_map
 
-#include "poplarstream/base/id.hpp"  // for RunId, TenantId, HostId, ServiceId
+#include "poplarstream/base/id.hpp"  // for RunId, AccountId, HostId, ServiceId
 #include "poplarstream/base/time.hpp"  // for TimePoint, Milliseconds
 #include "poplarstream/runs/run.hpp"  // for Run
 
@@ -105,7 +105,7 @@
     // compare the strings.
     HashIndex byId;
     HashIndex byKey;
-    std::map<TenantId, std::set<std::uint64_t>> waiting;
+    std::map<AccountId, std::set<std::uint64_t>> waiting;
     // Runs that are claimed, started or being cancelled.
     std::set<std::uint64_t> active;
     // Runs that were handed over and whose arrival is not confirmed yet.
--- a/include/poplarstream/runs/worker_view.hpp
+++ b/include/poplarstream/runs/worker_view.hpp
@@ -61,7 +61,7 @@
 {
     std::vector<WorkerView> workers;
     std::vector<ZoneOffer> otherZones;
-    std::map<TenantId, double> weights;
+    std::map<AccountId, double> weights;
     bool isComplete = false;
 };
 
--- a/include/poplarstream/telemetry/request_histograms.hpp
+++ b/include/poplarstream/telemetry/request_histograms.hpp
@@ -5,7 +5,7 @@
 #include <string>  // for string
 #include <vector>  // for vector
 
-#include "poplarstream/base/id.hpp"  // for TenantId
+#include "poplarstream/base/id.hpp"  // for AccountId
 #include "poplarstream/base/time.hpp"  // for Milliseconds
 
 namespace poplarstream {
@@ -39,17 +39,17 @@
     RequestHistograms(RequestHistograms &&) noexcept;
     RequestHistograms &operator=(RequestHistograms &&) noexcept;
 
-    void record(const TenantId &tenant, WorkClass workClass, RequestOutcome outcome,
+    void record(const AccountId &tenant, WorkClass workClass, RequestOutcome outcome,
                 Milliseconds latency);
 
     // Adds the counts of another entry host.
     void merge(const RequestHistograms &other);
 
-    std::uint64_t count(const TenantId &tenant, WorkClass workClass, RequestOutcome outcome) const;
+    std::uint64_t count(const AccountId &tenant, WorkClass workClass, RequestOutcome outcome) const;
     std::size_t tenantCount() const;
 
     // All bins in ascending order; empty if the tenant has no requests of the class.
-    std::vector<LatencyBin> latencies(const TenantId &tenant, WorkClass workClass) const;
+    std::vector<LatencyBin> latencies(const AccountId &tenant, WorkClass workClass) const;
 
     // Prometheus text exposition (format 0.0.4): one histogram
     // `poplarstream_request_duration_seconds` and one counter `poplarstream_requests_total`,
--- a/include/poplarstream/traffic/messages.hpp
+++ b/include/poplarstream/traffic/messages.hpp
@@ -6,7 +6,7 @@
 #include <variant>  // for variant
 #include <vector>  // for vector
 
-#include "poplarstream/base/id.hpp"  // for ServiceId, TenantId, MinionId
+#include "poplarstream/base/id.hpp"  // for ServiceId, AccountId, MinionId
 #include "poplarstream/base/time.hpp"  // for Milliseconds, TimePoint
 #include "poplarstream/base/verdict.hpp"  // for Verdict
 
@@ -21,7 +21,7 @@
 struct Request
 {
     ServiceId service;
-    TenantId tenant;
+    AccountId tenant;
     std::uint8_t urgency = 0;
     TimePoint deadline;
     std::uint64_t bytes = 0;
--- a/include/poplarstream/traffic/settings.hpp
+++ b/include/poplarstream/traffic/settings.hpp
@@ -5,7 +5,7 @@
 #include <string>  // for string
 #include <vector>  // for vector
 
-#include "poplarstream/base/id.hpp"  // for ServiceId, TenantId, MinionId, PoolId, ZoneId
+#include "poplarstream/base/id.hpp"  // for ServiceId, AccountId, MinionId, PoolId, ZoneId
 #include "poplarstream/base/time.hpp"  // for Milliseconds
 
 namespace poplarstream::traffic {
@@ -23,7 +23,7 @@
 
 struct TenantSettings
 {
-    TenantId id;
+    AccountId id;
     double weight = 1;
     double quota = 0;  // requests per second across all entry hosts; 0 means unlimited
 };
--- a/src/poplarstream/config/sections.cpp
+++ b/src/poplarstream/config/sections.cpp
@@ -77,7 +77,7 @@
 TenantConfig readTenant(const ConfigSection &section, SectionReader &reader)
 {
     TenantConfig tenant;
-    tenant.id = TenantId(nameOf(section));
+    tenant.id = AccountId(nameOf(section));
     tenant.weight = reader.number("weight", 0.001, maxWeight, 1);
     tenant.quota = reader.number("quota", 0, maxQuotaPerSecond);
     tenant.token = reader.text("token");
@@ -203,7 +203,7 @@
         configuration.services.remove(ServiceId(name));
         return;
     case SectionKind::Tenant:
-        configuration.tenants.remove(TenantId(name));
+        configuration.tenants.remove(AccountId(name));
         return;
     case SectionKind::Host:
         configuration.hosts.remove(HostId(name));
--- a/src/poplarstream/console/console_test.cpp
+++ b/src/poplarstream/console/console_test.cpp
@@ -125,7 +125,7 @@
     pages.alerts = {hostile};
     poplarstream::Run run;
     run.accepted.run = RunId("a-1");
-    run.accepted.tenant = TenantId(hostile);
+    run.accepted.tenant = AccountId(hostile);
     run.accepted.service = ServiceId(hostile);
     run.accepted.payload = "payload-of-a-customer";
     run.accepted.idempotencyKey = "key-of-a-customer";
@@ -187,7 +187,7 @@
 TEST(Charts, LatencyBinsCoverAllRequests)
 {
     RequestHistograms histograms;
-    const TenantId tenant("t");
+    const AccountId tenant("t");
     EXPECT_TRUE(histograms.latencies(tenant, WorkClass::Urgent).empty());
     for (const int ms : {0, 1, 30, 30, 1'000'000}) {
         histograms.record(tenant, WorkClass::Urgent, RequestOutcome::OnTime, Milliseconds{ms});
--- a/src/poplarstream/console/run_pages.cpp
+++ b/src/poplarstream/console/run_pages.cpp
@@ -52,13 +52,13 @@
     return makeTable("Runs of this zone by state", {"State", "Runs"}, rows);
 }
 
-std::size_t waitingRunCount(const RunsState &runs, const TenantId &tenant)
+std::size_t waitingRunCount(const RunsState &runs, const AccountId &tenant)
 {
     const auto found = runs.waiting.find(tenant);
     return found != runs.waiting.end() ? found->second.size() : 0;
 }
 
-std::uint64_t requestCount(const RequestHistograms &histograms, const TenantId &tenant,
+std::uint64_t requestCount(const RequestHistograms &histograms, const AccountId &tenant,
                            RequestOutcome outcome)
 {
     return histograms.count(tenant, WorkClass::Urgent, outcome)
@@ -179,7 +179,7 @@
 
 std::optional<std::string> tenantPage(const StateView &view, std::string_view id)
 {
-    const TenantConfig *tenant = view.fleet.configuration->tenants.find(TenantId(std::string(id)));
+    const TenantConfig *tenant = view.fleet.configuration->tenants.find(AccountId(std::string(id)));
     if (tenant == nullptr) {
         return std::nullopt;
     }
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -44,6 +44,8 @@
     case ResponseKind::Accepted:
     case ResponseKind::Cancelled:
         return "stored";
+    case ResponseKind::Unauthorized:
+    case ResponseKind::Overloaded:
     case ResponseKind::Unavailable:
         return "refused";
     case ResponseKind::Unknown:
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/accounts/cap.hpp"  // for equalPart, limitsOf
 #include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/command_sender.hpp"  // for CommandSender
 #include "poplarstream/edge/decision_log.hpp"  // for DecisionLog
@@ -406,6 +407,12 @@
         queues[route.policy.queue] = {route.policy};
     }
     engine::configure(state_->engine, std::move(queues), configuration.services);
+    std::map<AccountId, jobs::Resources> limits;
+    for (const auto &[id, account] : configuration.accounts) {
+        limits[id] = accounts::equalPart(accounts::limitsOf(account.cap), state_->shard.index,
+                                         state_->shard.count);
+    }
+    engine::configureAccounts(state_->engine, configuration.accounts, std::move(limits));
 }
 
 void OwnerSession::applyWave(const pools::Wave &wave)
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -213,6 +213,14 @@
     forgetOldJobs(engine, now.steady);
 }
 
+void configureAccounts(Engine &engine, accounts::ClientAccounts accounts,
+                       std::map<AccountId, jobs::Resources> limits)
+{
+    engine.accounts = std::move(accounts);
+    engine.accountLimits = std::move(limits);
+    engine.needsPlan = true;
+}
+
 void configure(Engine &engine, std::map<QueueId, Queue> queues,
                std::map<ServiceId, Service> services)
 {
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -212,19 +212,22 @@
     for (const StepSpec &step : submission.spec.steps) {
         steps.push_back(stepJson(step));
     }
-    const json value = {{"queue", policy.queue.text()},
-                        {"service", policy.service.text()},
-                        {"priority", policy.priority},
-                        {"attempts", policy.maxAttempts},
-                        {"stretch", policy.stretch},
-                        {"target", policy.completionTarget.count()},
-                        {"accepted", submission.acceptedUnixMs},
-                        {"payload", submission.spec.payload},
-                        {"repeat", submission.spec.repeatCount},
-                        {"first", submission.spec.firstRunUnixMs},
-                        {"interval", submission.spec.intervalMs},
-                        {"steps", std::move(steps)},
-                        {"id", submission.id.text()}};
+    json value = {{"queue", policy.queue.text()},
+                  {"service", policy.service.text()},
+                  {"priority", policy.priority},
+                  {"attempts", policy.maxAttempts},
+                  {"stretch", policy.stretch},
+                  {"target", policy.completionTarget.count()},
+                  {"accepted", submission.acceptedUnixMs},
+                  {"payload", submission.spec.payload},
+                  {"repeat", submission.spec.repeatCount},
+                  {"first", submission.spec.firstRunUnixMs},
+                  {"interval", submission.spec.intervalMs},
+                  {"steps", std::move(steps)},
+                  {"id", submission.id.text()}};
+    if (!submission.account.isEmpty()) {
+        value["account"] = submission.account.text();
+    }
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -241,6 +244,7 @@
         policy.maxAttempts = integerFrom<int>(value.at("attempts"));
         policy.stretch = value.at("stretch").get<double>();
         policy.completionTarget = Milliseconds(integerFrom<std::int64_t>(value.at("target")));
+        submission.account = AccountId(value.value("account", std::string()));
         submission.acceptedUnixMs = integerFrom<std::int64_t>(value.at("accepted"));
         submission.spec.payload = value.at("payload").get<std::string>();
         submission.spec.repeatCount = integerFrom<int>(value.at("repeat"));
--- a/src/poplarstream/node/caller_request.cpp
+++ b/src/poplarstream/node/caller_request.cpp
@@ -145,7 +145,7 @@
     }
     RawFields &fields = std::get<RawFields>(parsed);
     CallerRequest result;
-    result.tenant = configuration.tenants.find(TenantId(fields.tenant));
+    result.tenant = configuration.tenants.find(AccountId(fields.tenant));
     if (result.tenant == nullptr) {
         return rejection("tenant", "expected the name of a tenant of the configuration");
     }
--- a/src/poplarstream/node/callers_duty.cpp
+++ b/src/poplarstream/node/callers_duty.cpp
@@ -37,7 +37,7 @@
     HttpRespond respond;
     std::string payload;
     ServiceId service;
-    TenantId tenant;
+    AccountId tenant;
     TimePoint receivedAt;
     TimePoint deadline;
 };
@@ -188,7 +188,7 @@
     }
 
     // Records the outcome of a submission in the histograms before responding.
-    HttpRespond withMetrics(const HttpRespond &respond, const TenantId &tenant)
+    HttpRespond withMetrics(const HttpRespond &respond, const AccountId &tenant)
     {
         return [self = shared_from_this(), respond, tenant,
                 receivedAt = clock.now()](HttpResponse response) {
@@ -227,7 +227,7 @@
             respond(errorResponse(*rejected));
             return;
         }
-        const TenantId id = std::get<const TenantConfig *>(tenant)->id;
+        const AccountId id = std::get<const TenantConfig *>(tenant)->id;
         const Reply reply = replyOnThisThread(respond);
         if (request.method == "GET") {
             sendRunCall(RunQuery{run, id, reply}, respond);
--- a/src/poplarstream/node/incarnation_test.cpp
+++ b/src/poplarstream/node/incarnation_test.cpp
@@ -21,7 +21,7 @@
 {
     RunSubmission submission;
     submission.service = ServiceId("s");
-    submission.tenant = TenantId("t");
+    submission.tenant = AccountId("t");
     submission.payload = "payload";
     return makeAcceptance(submission, ServiceConfig{.id = ServiceId("s")}, ZoneId("quay"),
                           incarnation, 1);
--- a/src/poplarstream/node/peer_messages.cpp
+++ b/src/poplarstream/node/peer_messages.cpp
@@ -92,7 +92,7 @@
     switch (static_cast<RequestKind>(number(item(value, 0), 255))) {
     case RequestKind::Submission:
         return RunCall(RunSubmission{.service = ServiceId(text(item(value, 2))),
-                                     .tenant = TenantId(text(item(value, 3))),
+                                     .tenant = AccountId(text(item(value, 3))),
                                      .idempotencyKey = text(item(value, 4)),
                                      .payload = text(item(value, 5)),
                                      .deadline = now + duration(item(value, 6)),
@@ -101,12 +101,12 @@
                                      .hops = readHops(item(value, 1))});
     case RequestKind::Question:
         return RunCall(RunQuery{.run = RunId(text(item(value, 2))),
-                                .tenant = TenantId(text(item(value, 3))),
+                                .tenant = AccountId(text(item(value, 3))),
                                 .reply = {},
                                 .hops = readHops(item(value, 1))});
     case RequestKind::Cancellation:
         return RunCall(RunCancellation{.run = RunId(text(item(value, 2))),
-                                       .tenant = TenantId(text(item(value, 3))),
+                                       .tenant = AccountId(text(item(value, 3))),
                                        .reply = {},
                                        .hops = readHops(item(value, 1))});
     case RequestKind::State:
--- a/src/poplarstream/node/peer_messages_test.cpp
+++ b/src/poplarstream/node/peer_messages_test.cpp
@@ -12,7 +12,7 @@
 RunSubmission exampleSubmission(std::uint32_t hops)
 {
     return {.service = ServiceId("invoices"),
-            .tenant = TenantId("t"),
+            .tenant = AccountId("t"),
             .idempotencyKey = "key",
             .payload = std::string("\xff\x00 raw", 6),
             .deadline = timePoint(61'000),
@@ -36,7 +36,7 @@
     ASSERT_TRUE(read);
     const auto &call = std::get<RunSubmission>(std::get<RunCall>(read.value()));
     EXPECT_EQ(call.service, ServiceId("invoices"));
-    EXPECT_EQ(call.tenant, TenantId("t"));
+    EXPECT_EQ(call.tenant, AccountId("t"));
     EXPECT_EQ(call.idempotencyKey, "key");
     EXPECT_EQ(call.payload, exampleSubmission(0).payload);
     EXPECT_EQ(call.deadline, timePoint(560'000));
@@ -90,8 +90,8 @@
             peerMessageJson(
                     membership::Digest{EntryHostId("e"), ZoneId("z"), 1, 2, {}, {3}, {}, {}}),
             peerRequestJson(RunCall(exampleSubmission(0)), timePoint(0)),
-            peerRequestJson(RunCall(RunQuery{RunId("z-1"), TenantId("t"), {}}), timePoint(0)),
-            peerRequestJson(RunCall(RunCancellation{RunId("z-1"), TenantId("t"), {}}),
+            peerRequestJson(RunCall(RunQuery{RunId("z-1"), AccountId("t"), {}}), timePoint(0)),
+            peerRequestJson(RunCall(RunCancellation{RunId("z-1"), AccountId("t"), {}}),
                             timePoint(0)),
             peerRequestJson(StateRequest{"control"}),
             responseJson({200, {{"a", "b"}}, "c"}),
--- a/src/poplarstream/node/peer_requests_test.cpp
+++ b/src/poplarstream/node/peer_requests_test.cpp
@@ -46,7 +46,7 @@
     const PeerReply reply = [&](const nlohmann::json &json) {
         responses.push_back(readResponse(json).value());
     };
-    const RunQuery question{.run = RunId("z-1"), .tenant = TenantId("t"), .reply = {}};
+    const RunQuery question{.run = RunId("z-1"), .tenant = AccountId("t"), .reply = {}};
     handlePeerRequest(fullMailbox, peerRequestJson(RunCall(question), timePoint(0)), reply);
     handlePeerRequest(fullMailbox, nlohmann::json::array({99, "a later release"}), reply);
     ASSERT_EQ(responses.size(), 2U);
--- a/src/poplarstream/node/peers_duty_test.cpp
+++ b/src/poplarstream/node/peers_duty_test.cpp
@@ -95,7 +95,7 @@
 {
     const TimePoint now = ProcessClock().now();
     return {.service = ServiceId("s"),
-            .tenant = TenantId("t"),
+            .tenant = AccountId("t"),
             .idempotencyKey = "k",
             .payload = "payload",
             .deadline = now + Milliseconds{60'000},
--- a/src/poplarstream/node/run_calls.cpp
+++ b/src/poplarstream/node/run_calls.cpp
@@ -22,7 +22,7 @@
     return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-const Run *findTenantRun(const RunsState &state, const RunId &id, const TenantId &tenant)
+const Run *findTenantRun(const RunsState &state, const RunId &id, const AccountId &tenant)
 {
     const Run *run = findRun(state, id);
     return run != nullptr && run->accepted.tenant == tenant ? run : nullptr;
@@ -60,7 +60,7 @@
     return ZoneId(run.text().substr(0, dash));
 }
 
-ZoneId homeZone(const Configuration &configuration, const ZoneId &ownZone, const TenantId &tenant,
+ZoneId homeZone(const Configuration &configuration, const ZoneId &ownZone, const AccountId &tenant,
                 const std::string &idempotencyKey)
 {
     std::vector<ZoneId> zones;
@@ -149,7 +149,7 @@
     return response;
 }
 
-HttpResponse runResponse(const RunsState &state, const RunId &id, const TenantId &tenant)
+HttpResponse runResponse(const RunsState &state, const RunId &id, const AccountId &tenant)
 {
     const Run *run = findTenantRun(state, id, tenant);
     if (run == nullptr) {
--- a/src/poplarstream/node/run_calls_test.cpp
+++ b/src/poplarstream/node/run_calls_test.cpp
@@ -16,7 +16,7 @@
     for (Offset offset = 0; offset < 2; ++offset) {
         RunAccepted accepted;
         accepted.run = RunId("quay-1.1");
-        accepted.tenant = TenantId("t");
+        accepted.tenant = AccountId("t");
         accepted.payload = "payload " + std::to_string(offset);
         const RecordId record("r" + std::to_string(offset));
         table.byRecord[record].push_back(
--- a/src/poplarstream/node/status.cpp
+++ b/src/poplarstream/node/status.cpp
@@ -138,7 +138,7 @@
 
 json tenants(const ControlView &view)
 {
-    std::map<TenantId, std::size_t> waiting;
+    std::map<AccountId, std::size_t> waiting;
     for (const auto &[tenant, ordinals] : view.runs.waiting) {
         waiting[tenant] = ordinals.size();
     }
--- a/src/poplarstream/records/codec_test.cpp
+++ b/src/poplarstream/records/codec_test.cpp
@@ -8,8 +8,8 @@
 
 RunRecord exampleRunRecord()
 {
-    RunAccepted accepted{RunId("a-1"), TenantId("t"), ServiceId("invoices"), "key", 7,
-                         "payload",    {2.5, 512, 1}, Milliseconds{900},     false, timePoint(12)};
+    RunAccepted accepted{RunId("a-1"), AccountId("t"), ServiceId("invoices"), "key", 7,
+                         "payload",    {2.5, 512, 1},  Milliseconds{900},     false, timePoint(12)};
     return {{RecordId("r1"), EntryHostId("e1")},
             {accepted, RunClaimed{RunId("a-1"), EntryHostId("e1"), HostId("h1"), {2.5, 512, 1}},
              RunFinished{RunId("a-1"), {4, 1}, RunOutcome::Failed, "result"},
--- a/src/poplarstream/runs/candidates.hpp
+++ b/src/poplarstream/runs/candidates.hpp
@@ -26,7 +26,7 @@
     std::map<ServiceId, ServiceBias> biases;
     std::map<RackId, std::map<ServiceId, std::uint32_t>> rackRuns;
     // Each tenant's dominant share of the zone, by its open claims.
-    std::map<TenantId, double> shares;
+    std::map<AccountId, double> shares;
     Resources total;
 };
 
--- a/src/poplarstream/runs/decide_test.cpp
+++ b/src/poplarstream/runs/decide_test.cpp
@@ -51,7 +51,7 @@
     }
     void accept(const std::string &run, bool isIdempotent = false, Resources declared = {1, 100, 0})
     {
-        append({RunAccepted{RunId(run), TenantId("t"), ServiceId("s"), run, 1, "payload", declared,
+        append({RunAccepted{RunId(run), AccountId("t"), ServiceId("s"), run, 1, "payload", declared,
                             Milliseconds{60'000}, isIdempotent, now}});
     }
     RunDecision decide() { return decideRuns(state, fleet, ownerState, policy, now, random); }
--- a/src/poplarstream/runs/interleaving_test.cpp
+++ b/src/poplarstream/runs/interleaving_test.cpp
@@ -55,7 +55,7 @@
 {
     FakeCall call;
     const std::string key = "k" + std::to_string(index);
-    call.accepted.tenant = TenantId("t" + std::to_string(index % 3));
+    call.accepted.tenant = AccountId("t" + std::to_string(index % 3));
     call.accepted.service = ServiceId("s");
     call.accepted.idempotencyKey = key;
     call.accepted.payload = key;
--- a/src/poplarstream/runs/outage_test.cpp
+++ b/src/poplarstream/runs/outage_test.cpp
@@ -28,7 +28,7 @@
     for (std::size_t i = 0; i < runCount; ++i) {
         FakeCall call;
         const std::string key = "k" + std::to_string(i);
-        call.accepted.tenant = TenantId("t");
+        call.accepted.tenant = AccountId("t");
         call.accepted.service = ServiceId("s");
         call.accepted.idempotencyKey = key;
         call.accepted.payload = key;
--- a/src/poplarstream/runs/queries.cpp
+++ b/src/poplarstream/runs/queries.cpp
@@ -44,7 +44,7 @@
                        [&](const Run &found) { return found.id() == run; });
 }
 
-const Run *findRunByKey(const RunsState &state, const TenantId &tenant, std::string_view key)
+const Run *findRunByKey(const RunsState &state, const AccountId &tenant, std::string_view key)
 {
     return findIndexed(state, state.byKey, keyHash(tenant, key), [&](const Run &found) {
         return found.accepted.tenant == tenant && found.accepted.idempotencyKey == key;
@@ -144,7 +144,7 @@
     return stableHash(run.text());
 }
 
-std::uint64_t keyHash(const TenantId &tenant, std::string_view key)
+std::uint64_t keyHash(const AccountId &tenant, std::string_view key)
 {
     return stableHash(key, stableHash(tenant.text()));
 }
--- a/src/poplarstream/runs/random_records.hpp
+++ b/src/poplarstream/runs/random_records.hpp
@@ -47,7 +47,7 @@
     RunAccepted accepted()
     {
         return {run(),
-                TenantId("t" + std::to_string(random_.below(2))),
+                AccountId("t" + std::to_string(random_.below(2))),
                 ServiceId("s" + std::to_string(random_.below(2))),
                 random_.below(2) == 0 ? "" : "k" + std::to_string(random_.below(6)),
                 random_.below(2),
--- a/src/poplarstream/runs/replay_test.cpp
+++ b/src/poplarstream/runs/replay_test.cpp
@@ -75,8 +75,8 @@
 
 RunAccepted accepted(const std::string &run, const std::string &key, std::uint64_t hash)
 {
-    return {RunId(run), TenantId("t"), ServiceId("s"),  key,   hash,
-            "payload",  {1, 1, 0},     Milliseconds{1}, false, timePoint(0)};
+    return {RunId(run), AccountId("t"), ServiceId("s"),  key,   hash,
+            "payload",  {1, 1, 0},      Milliseconds{1}, false, timePoint(0)};
 }
 
 // Guards against duplicate runs: a repeated request must resolve to the first run, and a key that
@@ -90,7 +90,7 @@
         SCOPED_TRACE("when the same request is repeated with another run id");
         const ApplyResult same = apply(state, logged(1, 11, {accepted("a-2", "k", 7)}));
         EXPECT_FALSE(same.isGranted(0));
-        EXPECT_EQ(findRunByKey(state, TenantId("t"), "k")->id(), RunId("a-1"));
+        EXPECT_EQ(findRunByKey(state, AccountId("t"), "k")->id(), RunId("a-1"));
     }
     {
         SCOPED_TRACE("when the key is reused with another payload");
--- a/src/poplarstream/runs/snapshot_test.cpp
+++ b/src/poplarstream/runs/snapshot_test.cpp
@@ -59,7 +59,7 @@
     for (Offset i = 0; i < 300; ++i) {
         RunAccepted accepted;
         accepted.run = RunId("a-" + std::to_string(i));
-        accepted.tenant = TenantId("t");
+        accepted.tenant = AccountId("t");
         accepted.payload = std::string(500, '\x01') + "ü\"";
         apply(state,
               {i, timePoint(1), {{RecordId(std::to_string(i)), EntryHostId("e")}, {accepted}}});
--- a/src/poplarstream/telemetry/request_histograms.cpp
+++ b/src/poplarstream/telemetry/request_histograms.cpp
@@ -100,15 +100,15 @@
 struct RequestHistograms::Content
 {
     std::size_t maxTenants = 0;
-    std::map<TenantId, TenantHistogram> byTenant;
+    std::map<AccountId, TenantHistogram> byTenant;
 
-    TenantHistogram &histogramOf(const TenantId &tenant)
+    TenantHistogram &histogramOf(const AccountId &tenant)
     {
         const auto found = byTenant.find(tenant);
         if (found != byTenant.end()) {
             return found->second;
         }
-        const TenantId name = byTenant.size() < maxTenants ? tenant : TenantId("other");
+        const AccountId name = byTenant.size() < maxTenants ? tenant : AccountId("other");
         return byTenant.try_emplace(name, makeTenantHistogram()).first->second;
     }
 };
@@ -135,7 +135,7 @@
     return *this;
 }
 
-void RequestHistograms::record(const TenantId &tenant, WorkClass workClass, RequestOutcome outcome,
+void RequestHistograms::record(const AccountId &tenant, WorkClass workClass, RequestOutcome outcome,
                                Milliseconds latency)
 {
     content_->histogramOf(tenant)(static_cast<int>(workClass), static_cast<int>(outcome),
@@ -149,7 +149,7 @@
     }
 }
 
-std::uint64_t RequestHistograms::count(const TenantId &tenant, WorkClass workClass,
+std::uint64_t RequestHistograms::count(const AccountId &tenant, WorkClass workClass,
                                        RequestOutcome outcome) const
 {
     const auto found = content_->byTenant.find(tenant);
@@ -169,7 +169,7 @@
     return content_->byTenant.size();
 }
 
-std::vector<LatencyBin> RequestHistograms::latencies(const TenantId &tenant,
+std::vector<LatencyBin> RequestHistograms::latencies(const AccountId &tenant,
                                                      WorkClass workClass) const
 {
     const auto found = content_->byTenant.find(tenant);
--- a/src/poplarstream/telemetry/request_histograms_test.cpp
+++ b/src/poplarstream/telemetry/request_histograms_test.cpp
@@ -12,22 +12,23 @@
     SCOPED_TRACE("given histograms for at most two tenants");
     RequestHistograms first(2);
     for (const char *tenant : {"a", "b", "c", "d"}) {
-        first.record(TenantId(tenant), WorkClass::Urgent, RequestOutcome::OnTime, Milliseconds{5});
+        first.record(AccountId(tenant), WorkClass::Urgent, RequestOutcome::OnTime, Milliseconds{5});
     }
     {
         SCOPED_TRACE("then further tenants share one name");
         EXPECT_EQ(first.tenantCount(), 3U);
-        EXPECT_EQ(first.count(TenantId("other"), WorkClass::Urgent, RequestOutcome::OnTime), 2U);
+        EXPECT_EQ(first.count(AccountId("other"), WorkClass::Urgent, RequestOutcome::OnTime), 2U);
     }
     {
         SCOPED_TRACE(
                 "when the histograms of another entry host are merged, then the counts add up");
         RequestHistograms second(2);
-        second.record(TenantId("a"), WorkClass::Urgent, RequestOutcome::OnTime, Milliseconds{900});
-        second.record(TenantId("a"), WorkClass::Slow, RequestOutcome::Failed, Milliseconds{900000});
+        second.record(AccountId("a"), WorkClass::Urgent, RequestOutcome::OnTime, Milliseconds{900});
+        second.record(AccountId("a"), WorkClass::Slow, RequestOutcome::Failed,
+                      Milliseconds{900000});
         first.merge(second);
-        EXPECT_EQ(first.count(TenantId("a"), WorkClass::Urgent, RequestOutcome::OnTime), 2U);
-        EXPECT_EQ(first.count(TenantId("a"), WorkClass::Slow, RequestOutcome::Failed), 1U);
+        EXPECT_EQ(first.count(AccountId("a"), WorkClass::Urgent, RequestOutcome::OnTime), 2U);
+        EXPECT_EQ(first.count(AccountId("a"), WorkClass::Slow, RequestOutcome::Failed), 1U);
     }
 }
 
@@ -35,7 +36,7 @@
 TEST(RequestHistograms, PrometheusText)
 {
     RequestHistograms histograms;
-    histograms.record(TenantId("a\"b\n"), WorkClass::Urgent, RequestOutcome::Late,
+    histograms.record(AccountId("a\"b\n"), WorkClass::Urgent, RequestOutcome::Late,
                       Milliseconds{40});
     const std::string text = histograms.prometheusText();
     EXPECT_NE(text.find("requests_total{tenant=\"a\\\"b\\n\",class=\"urgent\",outcome=\"late\"} 1"),
--- a/src/poplarstream/traffic/test_network.hpp
+++ b/src/poplarstream/traffic/test_network.hpp
@@ -34,7 +34,7 @@
         settings.pools = {{PoolId("p"), {ServiceId("once"), ServiceId("again")}}};
         settings.zones = {{ZoneId("a"), Milliseconds{0}}, {ZoneId("b"), Milliseconds{1}}};
         for (std::size_t i = 0; i < 4; ++i) {
-            settings.tenants.push_back({TenantId("t" + std::to_string(i)), 1, 0});
+            settings.tenants.push_back({AccountId("t" + std::to_string(i)), 1, 0});
         }
         for (std::size_t i = 0; i < minions; ++i) {
             settings.minions.push_back({MinionId("m" + std::to_string(i)), PoolId("p"),
@@ -78,7 +78,7 @@
         const bool isNonIdempotent = service == "once";
         const RequestNumber number =
                 admit(state,
-                      {ServiceId(service), TenantId("t" + std::to_string(tenant)), 0,
+                      {ServiceId(service), AccountId("t" + std::to_string(tenant)), 0,
                        now + Milliseconds{deadline}, 10},
                       now, actions);
         deadlines[number] = now + Milliseconds{deadline};
