Stop short tasks that would make a wave late

Cause: a draining machine waits for its last task however long that takes. Change: when the maintenance would otherwise end after the wave's duration, the tasks that end by themselves are stopped on its draining machines and start elsewhere, from their checkpoints.

--- a/include/poplarstream/engine/evacuation.hpp
+++ b/include/poplarstream/engine/evacuation.hpp
@@ -9,4 +9,8 @@
 // workers leave in any case.
 void evacuate(Engine &engine, TimePoint now);
 
+// Stops the tasks on a worker that end by themselves. They start again elsewhere, from their last
+// checkpoint if they have one. Long-running tasks are left to `evacuate`.
+void stopShortTasks(Engine &engine, const Worker &worker, TimePoint now);
+
 }  // namespace poplarstream::engine
--- a/src/poplarstream/engine/evacuation.cpp
+++ b/src/poplarstream/engine/evacuation.cpp
@@ -114,4 +114,16 @@
     }
 }
 
+void stopShortTasks(Engine &engine, const Worker &worker, TimePoint now)
+{
+    const auto attempts = worker.attempts;
+    for (const auto &[ref, decisivePoll] : attempts) {
+        const jobs::Attempt *const attempt = findAttempt(engine, ref);
+        const bool isRunning = attempt != nullptr && attempt->phase == jobs::AttemptPhase::Running;
+        if (isRunning && !stepOf(engine.jobs.at(ref.task.job), ref.task).longRunning) {
+            stopAttempt(engine, ref, now);
+        }
+    }
+}
+
 }  // namespace poplarstream::engine
--- a/src/poplarstream/pools/planning_test.cpp
+++ b/src/poplarstream/pools/planning_test.cpp
@@ -159,6 +159,41 @@
     EXPECT_TRUE(isCarriedOut(deployment.pools, deployment.pools.waves.at(1)));
 }
 
+// Guards against a wave that is late because one task takes many times its estimate.
+TEST(Waves, LongTaskDoesNotHoldUpTheWave)
+{
+    SCOPED_TRACE("given a machine of a wave of 10 s that drains and still runs a short task");
+    Deployment deployment(1, 0);
+    deployment.fixture.submit(submission(firstJob, step(1, 1000)));
+    deployment.fixture.startAll();
+    deployment.wave({"m1"}, 1, Milliseconds{10'000});
+    EXPECT_TRUE(deployment.plan().empty());
+    const auto stops = [&] { return deployment.fixture.take<engine::StopCommand>().size(); };
+    {
+        SCOPED_TRACE("then the task goes on while there is time");
+        deployment.fixture.now += Milliseconds{6000};
+        EXPECT_TRUE(deployment.plan().empty());
+        EXPECT_EQ(stops(), 0U);
+    }
+    {
+        SCOPED_TRACE("then it is stopped when the maintenance would otherwise end too late");
+        deployment.fixture.now += Milliseconds{200};
+        EXPECT_TRUE(deployment.plan().empty());
+        EXPECT_EQ(stops(), 1U);
+    }
+    {
+        SCOPED_TRACE("then the maintenance begins, and the task waits for another worker");
+        deployment.fixture.poll();
+        deployment.fixture.answer("w1", {},
+                                  {{1, engine::test::EngineFixture::ref().task, 1,
+                                    jobs::AttemptResult::Stopped, "saved"}});
+        EXPECT_EQ(count(deployment.plan(), MachineCommand::Kind::Maintenance), 1);
+        const jobs::Job &job = deployment.fixture.engine.jobs.at(JobId(firstJob));
+        EXPECT_EQ(job.occurrences.at(0).steps[0][0].checkpoint, "saved");
+        EXPECT_TRUE(job.occurrences.at(0).steps[0][0].attempts.empty());
+    }
+}
+
 // Guards against a wave that drains the slowest machines last, and against moving tasks from one
 // machine of a wave to another.
 TEST(Waves, LongRunningHostsAreDrainedFromTheStart)
--- a/src/poplarstream/pools/waves.cpp
+++ b/src/poplarstream/pools/waves.cpp
@@ -6,6 +6,7 @@
 #include <utility>  // for exchange
 
 #include "poplarstream/engine/attempts.hpp"  // for findWorker, stepOf
+#include "poplarstream/engine/evacuation.hpp"  // for stopShortTasks
 
 namespace poplarstream::pools {
 
@@ -23,6 +24,9 @@
 constexpr Milliseconds longRunningDrainTime{4500};
 // Short tasks run for about a second; any other machine takes about as long to drain.
 constexpr Milliseconds drainTime{1500};
+// From the last task of a machine until its maintenance has begun: the end has to be reported and
+// stored, and the ownership to be renewed.
+constexpr Milliseconds commandTime{1000};
 // A wave aims to be done after this share of its duration, to leave time for lost machines and
 // changes of the owner.
 constexpr double targetDurationShare = 0.7;
@@ -120,6 +124,31 @@
     }
 }
 
+// Until when a machine may wait for its tasks if its maintenance is to be over in time.
+TimePoint latestDrain(const engine::Engine &engine, const WaveView &wave)
+{
+    const engine::EngineLimits &limits = engine.limits;
+    return wave.seenAt + wave.wave.duration - limits.maintenance - commandTime - limits.stopTimeout;
+}
+
+// Stops what still runs on the draining machines of a wave once it would make the wave late. One
+// task that takes many times its estimate would otherwise hold up its machine for as long.
+void stopLateTasks(Pools &pools, engine::Engine &engine, const WaveView &wave, TimePoint now)
+{
+    if (now < latestDrain(engine, wave)) {
+        return;
+    }
+    for (const MachineId &id : wave.wave.machines) {
+        const auto found = pools.machines.find(id);
+        if (found == pools.machines.end() || !isPendingForWave(found->second, wave.wave.number)) {
+            continue;
+        }
+        if (const engine::Worker *const worker = workerOf(engine, found->second.machine)) {
+            engine::stopShortTasks(engine, *worker, now);
+        }
+    }
+}
+
 // How many machines have to be out of service at the same time to finish all of `machines` in time,
 // if each machine takes `each`.
 int concurrencyNeeded(const WaveView &wave, int machines, Milliseconds each, TimePoint now)
@@ -225,6 +254,7 @@
     for (auto &[number, wave] : pools.waves) {
         if (!wave.isCompleted) {
             planWave(pools, engine, wave, now);
+            stopLateTasks(pools, engine, wave, now);
         }
     }
     markWorkers(pools, engine);
