Report an entry host without contact as not ready after 1 s

Cause: an entry host that was cut off with its zone stayed ready for 3 s after its last read, and the load balancer needs up to 2 s more, so callers of the zone were refused until their time was over. Change: contact is a pure decision of its own: the newest read of the store succeeded, or a read or a response of the owner is at most 1 s old.

--- a/include/poplarstream/edge/log_follower.hpp
+++ b/include/poplarstream/edge/log_follower.hpp
@@ -44,6 +44,8 @@
     TimePoint currentAsOf() const;
     // Since when reads of the log have succeeded without a long gap.
     TimePoint reachableSince() const;
+    // When the newest successful read ended.
+    TimePoint lastReadAt() const;
     // Whether the newest read succeeded and the next one is not overdue.
     bool isReachable() const;
     bool hasSnapshot() const;
--- /dev/null
+++ b/include/poplarstream/edge/readiness.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "poplarstream/base/time.hpp"  // for TimePoint
+
+namespace poplarstream::edge {
+
+// What an entry host knows of its contact with the rest of the deployment.
+struct ContactEvidence
+{
+    bool isStoreReachable = false;  // the newest read succeeded and the next one is not overdue
+    TimePoint storeReadAt{};  // when the newest successful read ended
+    TimePoint ownerRespondedAt{};
+};
+
+// Whether an entry host can serve callers. One that reaches neither the store nor an owner may be
+// cut off with its availability zone; callers that the load balancer sends to another zone are
+// served there.
+bool isInContact(const ContactEvidence &evidence, TimePoint now);
+
+}  // namespace poplarstream::edge
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -8,6 +8,7 @@
 #include "poplarstream/edge/division_choice.hpp"  // for DivisionChoice
 #include "poplarstream/edge/group_append.hpp"  // for GroupAppend
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
+#include "poplarstream/edge/readiness.hpp"  // for isInContact
 #include "poplarstream/edge/shard_owner.hpp"  // for ShardOwner
 #include "poplarstream/edge/stored_jobs.hpp"  // for jobPartition
 #include "poplarstream/ownership/shard_claims.hpp"  // for shareForShard
@@ -17,9 +18,6 @@
 
 namespace {
 
-// If neither the store could be read nor the owner has responded for this long, the process is not
-// ready: other entry hosts can serve callers better.
-constexpr Milliseconds readinessTimeout{3000};
 // For appends on behalf of other entry hosts, which wait 1 s for the response.
 constexpr Milliseconds peerStoreDeadline{800};
 
@@ -324,10 +322,10 @@
 
 bool EntryProcess::isReady() const
 {
-    const TimePoint now = steadyNow();
-    const bool isConnected = state_->operatorFollower->currentAsOf() + readinessTimeout >= now
-                             || state_->ownerRespondedAt + readinessTimeout >= now;
-    return state_->hasConfiguration && isConnected && !state_->isLeaving;
+    const LogFollower &follower = *state_->operatorFollower;
+    const ContactEvidence evidence{follower.isReachable(), follower.lastReadAt(),
+                                   state_->ownerRespondedAt};
+    return state_->hasConfiguration && !state_->isLeaving && isInContact(evidence, steadyNow());
 }
 
 void EntryProcess::abandonOwnership()
--- a/src/poplarstream/edge/log_follower.cpp
+++ b/src/poplarstream/edge/log_follower.cpp
@@ -195,6 +195,11 @@
     return state_->contact.reachableSince;
 }
 
+TimePoint LogFollower::lastReadAt() const
+{
+    return state_->contact.lastSuccessAt;
+}
+
 bool LogFollower::isReachable() const
 {
     return ownership::isReachable(state_->contact, steadyNow(),
--- /dev/null
+++ b/src/poplarstream/edge/readiness_test.cpp
@@ -0,0 +1,45 @@
+#include "poplarstream/edge/readiness.hpp"
+
+#include <gtest/gtest.h>  // for TEST, EXPECT_TRUE
+
+namespace poplarstream::edge {
+namespace {
+
+// Guards against callers of a zone that has been cut off who are sent to its entry hosts until
+// their time is over.
+TEST(Readiness, ZoneCutOff)
+{
+    SCOPED_TRACE("given an entry host that reads the store and hears the owner");
+    const TimePoint cutAt = timePoint(50'000);
+    ContactEvidence evidence{true, cutAt, cutAt};
+    EXPECT_TRUE(isInContact(evidence, cutAt));
+    {
+        SCOPED_TRACE("when its reads fail and the owner is silent");
+        evidence.isStoreReachable = false;
+        EXPECT_TRUE(isInContact(evidence, cutAt + Milliseconds{1000}));
+        EXPECT_FALSE(isInContact(evidence, cutAt + Milliseconds{1001}));
+    }
+    {
+        SCOPED_TRACE("when the zone is back");
+        evidence.isStoreReachable = true;
+        EXPECT_TRUE(isInContact(evidence, cutAt + Milliseconds{6000}));
+    }
+}
+
+// Guards against a deployment of which no entry host is ready while the store alone is away.
+TEST(Readiness, StoreAway)
+{
+    SCOPED_TRACE("given an entry host whose reads fail");
+    const TimePoint now = timePoint(50'000);
+    ContactEvidence evidence;
+    evidence.storeReadAt = now - Milliseconds{10'000};
+    {
+        SCOPED_TRACE("then it is ready as long as the owner responds");
+        evidence.ownerRespondedAt = now - Milliseconds{300};
+        EXPECT_TRUE(isInContact(evidence, now));
+        EXPECT_FALSE(isInContact(evidence, now + Milliseconds{1000}));
+    }
+}
+
+}  // namespace
+}  // namespace poplarstream::edge
