Count only writes through the owner as contact

Cause: with an owner in a zone that is cut off, its entry hosts hear each other and stay ready, though none of them reaches the store. Change: a response of the owner counts only if it has stored something for this process. Conclusion: kept; a store that is away from all leaves no entry host ready, which the load balancer answers by using all.

--- a/include/poplarstream/edge/readiness.hpp
+++ b/include/poplarstream/edge/readiness.hpp
@@ -9,12 +9,12 @@
 {
     bool isStoreReachable = false;  // the newest read succeeded and the next one is not overdue
     TimePoint storeReadAt{};  // when the newest successful read ended
-    TimePoint ownerRespondedAt{};
+    TimePoint ownerStoredAt{};  // when an owner last wrote something to the store for this process
 };
 
-// Whether an entry host can serve callers. One that reaches neither the store nor an owner may be
-// cut off with its availability zone; callers that the load balancer sends to another zone are
-// served there.
+// Whether an entry host can serve callers. One that reaches neither the store nor an owner that
+// reaches it may be cut off with its availability zone, and its owner with it; callers that the
+// load balancer sends to another zone are served there.
 bool isInContact(const ContactEvidence &evidence, TimePoint now);
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -214,10 +214,12 @@
                    [weak = weak_from_this(), request,
                     done = std::move(done)](const PeerResponse &response) {
                        const auto self = weak.lock();
-                       if (self && response.kind != PeerResponse::Kind::NoResponse
-                           && response.kind != PeerResponse::Kind::NotOwner) {
-                           self->ownerRespondedAt = steadyNow();
-                       } else if (self && !self->isClosed) {
+                       if (self && response.kind == PeerResponse::Kind::Stored) {
+                           self->ownerStoredAt = steadyNow();
+                       }
+                       const bool isFromOwner = response.kind != PeerResponse::Kind::NoResponse
+                                                && response.kind != PeerResponse::Kind::NotOwner;
+                       if (self && !self->isClosed && !isFromOwner) {
                            self->shardOf(request)->refresh();
                        }
                        done(response);
@@ -283,7 +285,7 @@
     std::unique_ptr<DivisionChoice> divisionChoice;
     int shardCount = 0;  // 0 while it is not known
     std::vector<std::unique_ptr<ShardOwner>> shards;  // the first alone while it is not known
-    TimePoint ownerRespondedAt{};
+    TimePoint ownerStoredAt{};  // when the owner last wrote something for this process
     std::uint64_t failures = 0;  // callbacks that threw an exception
     bool isLeaving = false;
     bool isClosed = false;
@@ -324,7 +326,7 @@
 {
     const LogFollower &follower = *state_->operatorFollower;
     const ContactEvidence evidence{follower.isReachable(), follower.lastReadAt(),
-                                   state_->ownerRespondedAt};
+                                   state_->ownerStoredAt};
     return state_->hasConfiguration && !state_->isLeaving && isInContact(evidence, steadyNow());
 }
 
--- a/src/poplarstream/edge/readiness.cpp
+++ b/src/poplarstream/edge/readiness.cpp
@@ -13,7 +13,7 @@
 bool isInContact(const ContactEvidence &evidence, TimePoint now)
 {
     return evidence.isStoreReachable || evidence.storeReadAt + contactTimeout >= now
-           || evidence.ownerRespondedAt + contactTimeout >= now;
+           || evidence.ownerStoredAt + contactTimeout >= now;
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/readiness_test.cpp
+++ b/src/poplarstream/edge/readiness_test.cpp
@@ -9,12 +9,12 @@
 // their time is over.
 TEST(Readiness, ZoneCutOff)
 {
-    SCOPED_TRACE("given an entry host that reads the store and hears the owner");
+    SCOPED_TRACE("given an entry host that reads the store and stores through the owner");
     const TimePoint cutAt = timePoint(50'000);
     ContactEvidence evidence{true, cutAt, cutAt};
     EXPECT_TRUE(isInContact(evidence, cutAt));
     {
-        SCOPED_TRACE("when its reads fail and the owner is silent");
+        SCOPED_TRACE("when its reads fail and the owner stores nothing for it");
         evidence.isStoreReachable = false;
         EXPECT_TRUE(isInContact(evidence, cutAt + Milliseconds{1000}));
         EXPECT_FALSE(isInContact(evidence, cutAt + Milliseconds{1001}));
@@ -26,16 +26,16 @@
     }
 }
 
-// Guards against a deployment of which no entry host is ready while the store alone is away.
-TEST(Readiness, StoreAway)
+// Guards against taking an entry host that the store turns away out of rotation.
+TEST(Readiness, StoreServesOthersOnly)
 {
     SCOPED_TRACE("given an entry host whose reads fail");
     const TimePoint now = timePoint(50'000);
     ContactEvidence evidence;
     evidence.storeReadAt = now - Milliseconds{10'000};
     {
-        SCOPED_TRACE("then it is ready as long as the owner responds");
-        evidence.ownerRespondedAt = now - Milliseconds{300};
+        SCOPED_TRACE("then it is ready as long as the owner stores for it");
+        evidence.ownerStoredAt = now - Milliseconds{300};
         EXPECT_TRUE(isInContact(evidence, now));
         EXPECT_FALSE(isInContact(evidence, now + Milliseconds{1000}));
     }
