Try submissions on while their callers wait for the store

Change: edge/submission_retry decides, without a clock or network, when a record is tried again and what a caller is told; edge/store_circuit judges a partition of the job log from the attempts of the process; edge/submission_store carries it out. A record waits as long as its caller, half as long on a host that reaches neither the store nor the owner. While a circuit is open one record at a time probes the store. What waits returns by the callers' remaining time, in one append call at a time for each partition. 503 is only answered when no attempt may be stored. At most 2000 records and 16 MB wait. Lookups are repeated while a shard has no owner that responds. The test of a store that does not take a record now gives its caller no time left, since with time left the record is tried again; it expects the same answer as before.

--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
 #include <functional>  // for function
-#include <optional>  // for optional
+#include <string>  // for string
 
+#include "poplarstream/edge/owner_requests.hpp"  // for OwnerRequests
 #include "poplarstream/edge/peer_calls.hpp"  // for PeerRequest, PeerResponse
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
-#include "poplarstream/edge/store_health.hpp"  // for StoreHealth
+#include "poplarstream/edge/submission_store.hpp"  // for SubmissionStore
 
 namespace poplarstream::edge {
 
@@ -21,6 +22,8 @@
     // Sends a request to the owner of its shard, which may be this process.
     std::function<void(const PeerRequest &, Milliseconds, std::function<void(PeerResponse)>)>
             sendToOwner;
+    // Whether this process is the owner of a shard. Without it, it is taken not to be.
+    std::function<bool(int shard)> isOwner = {};
 };
 
 // Handles the requests of callers: stores submissions and cancellations, and gets the state of jobs
@@ -32,6 +35,9 @@
 
     void handleCall(const Call &call, const Respond &respond);
 
+    // Metrics in the Prometheus text format.
+    std::string metrics() const;
+
 private:
     void dispatch(const Call &call, const Respond &respond);
     void submit(const Route &route, const jobs::JobId &id, const Call &call,
@@ -42,18 +48,11 @@
     // The shard of a partition of the job log; 0 while the number of shards is not known.
     int shardOf(int partition) const;
     void count(const Route &route, const Call &call, const Respond &respond);
-    void store(const StoredRecord &record, ResponseKind successKind, Milliseconds remaining,
-               const Respond &respond);
-    void storeDirectly(const StoredRecord &record, ResponseKind successKind, Milliseconds remaining,
-                       const Respond &respond);
-    // `firstResult` is the result of a direct call to the store before, if there was one.
-    void storeThroughOwner(const StoredRecord &record, ResponseKind successKind,
-                           std::optional<AppendResult> firstResult, Milliseconds remaining,
-                           const Respond &respond);
 
     Runtime &runtime_;
     CallerHooks hooks_;
-    StoreHealth health_;
+    SubmissionStore submissions_;
+    OwnerRequests owners_;
 };
 
 }  // namespace poplarstream::edge
--- a/include/poplarstream/edge/group_append.hpp
+++ b/include/poplarstream/edge/group_append.hpp
@@ -16,13 +16,18 @@
 class GroupAppend
 {
 public:
+    // More than one call in flight, so that a lost response does not delay the records after it.
+    static constexpr int defaultCallsInFlight = 4;
+
     // `maxCallBytes` is what the store takes in one call.
-    GroupAppend(StorePort store, int partition, Milliseconds deadline, std::size_t maxCallBytes);
+    GroupAppend(StorePort store, int partition, Milliseconds deadline, std::size_t maxCallBytes,
+                int maxCallsInFlight = defaultCallsInFlight);
     GroupAppend(const GroupAppend &) = delete;
     GroupAppend &operator=(const GroupAppend &) = delete;
     ~GroupAppend();
 
-    // Calls `done` with the outcome of the call that contained the records.
+    // Calls `done` with the outcome of the call that contained the records; with NotDone at once if
+    // too much waits already.
     void append(std::vector<StoredRecord> records, std::function<void(AppendOutcome)> done);
 
 private:
--- a/include/poplarstream/edge/peer_calls.hpp
+++ b/include/poplarstream/edge/peer_calls.hpp
@@ -43,6 +43,7 @@
     jobs::JobState state = jobs::JobState::Queued;
     int count = 0;
     std::string loans;  // for Loans: the text of accounts::LoanResponse
+    bool isAnswered = false;  // the other entry host has responded, whatever it said; not sent
 };
 
 // Sends a request to the entry host at `address`. Calls `done` once.
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -260,5 +260,12 @@
         "Report it: the stored progress of the job could not be read in full, so nothing of it "
         "starts. Let a process that can read it become the owner, or cancel the job and submit it "
         "again under another id if running tasks again does no harm."};
+inline constexpr EventKind storeCircuitOpened{
+        770, EventLevel::Warning, "store-circuit-opened", "partition result owner_reached waiting",
+        "Check the platform's store. Submissions wait while their callers do. owner_reached=no "
+        "points to the network of this host."};
+inline constexpr EventKind storeCircuitClosed{771, EventLevel::Info, "store-circuit-closed",
+                                              "partition away_ms waiting",
+                                              "None; what waits is stored now."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -1,6 +1,5 @@
 #include "poplarstream/edge/caller_handler.hpp"
 
-#include <algorithm>  // for min, max
 #include <memory>  // for make_shared
 
 #include "poplarstream/edge/routes.hpp"  // for findRoute, jobIdFrom
@@ -12,16 +11,10 @@
 
 namespace {
 
-// Part of the caller's remaining time that is reserved for the response.
-constexpr Milliseconds responseMargin{200};
-constexpr Milliseconds storeDeadline{1000};
-constexpr Milliseconds ownerDeadline{1000};
-constexpr Milliseconds minDeadline{50};
-
-Milliseconds boundedDeadline(Milliseconds limit, Milliseconds remaining)
-{
-    return std::max(std::min(limit, remaining - responseMargin), minDeadline);
-}
+// When a caller should come back, by the cause. A process reads its first configuration within a
+// second of its start if the store is well; the division of a new deployment takes about as long.
+constexpr Milliseconds returnWhenStarted{1000};
+constexpr Milliseconds returnWhenOwned{1000};
 
 std::string_view kindText(CallKind kind)
 {
@@ -76,11 +69,21 @@
     return response;
 }
 
+Response unavailable(Milliseconds retryAfter, std::string message)
+{
+    Response response = makeResponse(ResponseKind::Unavailable, std::move(message));
+    response.retryAfter = retryAfter;
+    return response;
+}
+
 }  // namespace
 
 CallerHandler::CallerHandler(Runtime &runtime, CallerHooks hooks)
     : runtime_(runtime)
     , hooks_(std::move(hooks))
+    , submissions_(runtime, {[this](int partition) { return shardOf(partition); },
+                             hooks_.sendToOwner, hooks_.isOwner})
+    , owners_(runtime, {hooks_.sendToOwner, hooks_.configurationAsOf})
 {}
 
 void CallerHandler::handleCall(const Call &call, const Respond &respond)
@@ -96,7 +99,7 @@
 {
     const Configuration *const configuration = hooks_.configuration();
     if (configuration == nullptr) {
-        respond(makeResponse(ResponseKind::Unavailable, "no configuration yet"));
+        respond(unavailable(returnWhenStarted, "no configuration yet"));
         return;
     }
     const Route *const route = findRoute(configuration->routes, call.host, call.path);
@@ -106,8 +109,8 @@
         const bool isCurrent =
                 hooks_.configurationAsOf() + runtime_.settings.configurationDelay >= steadyNow();
         respond(isCurrent ? makeResponse(ResponseKind::NoSuchQueue, "no such queue")
-                          : makeResponse(ResponseKind::Unavailable,
-                                         "the configuration may be out of date"));
+                          : unavailable(runtime_.settings.configurationDelay,
+                                        "the configuration may be out of date"));
         return;
     }
     const std::string_view rest = std::string_view(call.path).substr(route->pathPrefix.size());
@@ -164,13 +167,13 @@
         logAndRespond(makeResponse(ResponseKind::BadRequest, "the job is too large to be stored"));
         return;
     }
-    store(record, ResponseKind::Accepted, call.remaining, logAndRespond);
+    submissions_.store(record, ResponseKind::Accepted, call.remaining, logAndRespond);
 }
 
 void CallerHandler::cancel(const jobs::JobId &id, const Call &call, const Respond &respond)
 {
     logEvent(events::jobCancelled, {{"job", id.text()}});
-    store(cancellationRecord(id), ResponseKind::Cancelled, call.remaining, respond);
+    submissions_.store(cancellationRecord(id), ResponseKind::Cancelled, call.remaining, respond);
 }
 
 void CallerHandler::lookUp(const Route &route, const jobs::JobId &id, const Call &call,
@@ -181,19 +184,17 @@
     request.shard = shardOf(jobPartition(id, runtime_.settings.jobPartitions));
     request.queue = route.policy.queue;
     request.job = id;
-    hooks_.sendToOwner(request, boundedDeadline(ownerDeadline, call.remaining),
-                       [respond](PeerResponse response) {
-                           if (response.kind == PeerResponse::Kind::State) {
-                               Response found = makeResponse(ResponseKind::State);
-                               found.state = response.state;
-                               respond(found);
-                           } else if (response.kind == PeerResponse::Kind::UnknownJob) {
-                               respond(makeResponse(ResponseKind::NoSuchJob, "no such job"));
-                           } else {
-                               respond(makeResponse(ResponseKind::Unavailable,
-                                                    "the owner of the job does not answer"));
-                           }
-                       });
+    owners_.ask(request, call.remaining, [respond](const PeerResponse &response) {
+        if (response.kind == PeerResponse::Kind::State) {
+            Response found = makeResponse(ResponseKind::State);
+            found.state = response.state;
+            respond(found);
+        } else if (response.kind == PeerResponse::Kind::UnknownJob) {
+            respond(makeResponse(ResponseKind::NoSuchJob, "no such job"));
+        } else {
+            respond(unavailable(returnWhenOwned, "the owner of the job does not answer"));
+        }
+    });
 }
 
 int CallerHandler::shardOf(int partition) const
@@ -206,7 +207,7 @@
 {
     const int shardCount = hooks_.shardCount();
     if (shardCount == 0) {
-        respond(makeResponse(ResponseKind::Unavailable, "the deployment is not divided yet"));
+        respond(unavailable(returnWhenStarted, "the deployment is not divided yet"));
         return;
     }
     const auto sum = std::make_shared<CountSum>();
@@ -216,82 +217,24 @@
         request.kind = PeerRequest::Kind::Count;
         request.shard = shard;
         request.queue = route.policy.queue;
-        hooks_.sendToOwner(
-                request, boundedDeadline(ownerDeadline, call.remaining),
-                [respond, sum](const PeerResponse &response) {
-                    sum->isComplete = sum->isComplete && response.kind == PeerResponse::Kind::Count;
-                    sum->count += response.count;
-                    if (--sum->missing > 0) {
-                        return;
-                    }
-                    Response found = makeResponse(ResponseKind::Count);
-                    found.count = sum->count;
-                    respond(sum->isComplete ? found
-                                            : makeResponse(ResponseKind::Unavailable,
-                                                           "an owner of the queue does not "
-                                                           "answer"));
-                });
+        owners_.ask(request, call.remaining, [respond, sum](const PeerResponse &response) {
+            sum->isComplete = sum->isComplete && response.kind == PeerResponse::Kind::Count;
+            sum->count += response.count;
+            if (--sum->missing > 0) {
+                return;
+            }
+            Response found = makeResponse(ResponseKind::Count);
+            found.count = sum->count;
+            respond(sum->isComplete ? found
+                                    : unavailable(returnWhenOwned,
+                                                  "an owner of the queue does not answer"));
+        });
     }
 }
 
-void CallerHandler::store(const StoredRecord &record, ResponseKind successKind,
-                          Milliseconds remaining, const Respond &respond)
+std::string CallerHandler::metrics() const
 {
-    if (health_.isDegraded(steadyNow())) {
-        storeThroughOwner(record, successKind, {}, remaining, respond);
-    } else {
-        storeDirectly(record, successKind, remaining, respond);
-    }
-}
-
-void CallerHandler::storeDirectly(const StoredRecord &record, ResponseKind successKind,
-                                  Milliseconds remaining, const Respond &respond)
-{
-    AppendRequest request;
-    request.log = Log::Jobs;
-    request.partition = jobPartition(record, runtime_.settings.jobPartitions);
-    request.records = {record};
-    request.deadline = boundedDeadline(storeDeadline, remaining);
-    const TimePoint sentAt = steadyNow();
-    health_.begin(sentAt);
-    runtime_.store.append(std::move(request), [=, this](const AppendOutcome &outcome) {
-        const bool isStored = outcome.result == AppendResult::Stored;
-        health_.end(sentAt, isStored, steadyNow());
-        if (isStored) {
-            respond(makeResponse(successKind));
-            return;
-        }
-        if (outcome.result == AppendResult::Refused) {
-            respond(makeResponse(ResponseKind::BadRequest, "the store refuses the record"));
-            return;
-        }
-        storeThroughOwner(record, successKind, outcome.result, remaining - (steadyNow() - sentAt),
-                          respond);
-    });
-}
-
-void CallerHandler::storeThroughOwner(const StoredRecord &record, ResponseKind successKind,
-                                      std::optional<AppendResult> firstResult,
-                                      Milliseconds remaining, const Respond &respond)
-{
-    PeerRequest request;
-    request.kind = PeerRequest::Kind::Store;
-    request.shard = shardOf(jobPartition(record, runtime_.settings.jobPartitions));
-    request.records = {record};
-    hooks_.sendToOwner(
-            request, boundedDeadline(ownerDeadline, remaining), [=, this](PeerResponse response) {
-                const bool isOutcomeUnknown = firstResult == AppendResult::Unknown
-                                              || response.kind == PeerResponse::Kind::NoResponse;
-                if (response.kind == PeerResponse::Kind::Stored) {
-                    respond(makeResponse(successKind));
-                } else if (!firstResult && response.kind == PeerResponse::Kind::NotOwner) {
-                    storeDirectly(record, successKind, remaining, respond);
-                } else if (isOutcomeUnknown) {
-                    respond(makeResponse(ResponseKind::Unknown, "the store does not answer"));
-                } else {
-                    respond(makeResponse(ResponseKind::Unavailable, "the store cannot be reached"));
-                }
-            });
+    return submissions_.metrics() + owners_.metrics();
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/caller_handler_test.cpp
+++ b/src/poplarstream/edge/caller_handler_test.cpp
@@ -1,14 +1,19 @@
 #include "poplarstream/edge/caller_handler.hpp"
 
+#include <optional>  // for optional
+
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
+#include "poplarstream/edge/submission_retry.hpp"  // for responseMargin
+
 namespace poplarstream::edge {
 namespace {
 
 // A process that hands submissions of any size to a store, which answers with `result`.
 struct Callers
 {
-    explicit Callers(AppendResult result)
+    explicit Callers(AppendResult given)
+        : result(given)
     {
         configuration.routes.push_back({"shop.example", "/proofs/", {}});
         runtime.decode.jobSpec = [](const std::string &body) {
@@ -18,10 +23,6 @@
             }
             return Result<jobs::JobSpec>(std::move(spec));
         };
-        runtime.store.append = [this, result](const AppendRequest &, auto done) {
-            ++writes;
-            done({result, 0});
-        };
     }
 
     ResponseKind submit(std::size_t steps, const std::string &path = "/proofs/00000000000000a1")
@@ -31,13 +32,34 @@
         call.host = "shop.example";
         call.path = path;
         call.body.assign(steps, 'x');
-        ResponseKind kind = ResponseKind::Unknown;
+        call.remaining = remaining;
+        std::optional<ResponseKind> kind;
         handler.handleCall(call, [&kind](const Response &response) { kind = response.kind; });
-        return kind;
+        while (!kind && io.run_one() > 0) {}
+        return kind.value();
+    }
+
+    StorePort port()
+    {
+        StorePort made;
+        made.append = [this](const AppendRequest &request, auto done) {
+            ++writes;
+            if (writes > failingWrites) {
+                written.insert(written.end(), request.records.begin(), request.records.end());
+                done({result, 0});
+            } else {
+                done({AppendResult::Unknown, 0});
+            }
+        };
+        return made;
     }
 
     boost::asio::io_context io;
-    Runtime runtime{io, {}, {}, {}, {}, {}, {}};
+    AppendResult result;
+    int failingWrites = 0;  // the first ones, whose outcome is not known
+    std::vector<StoredRecord> written;
+    Milliseconds remaining{3000};
+    Runtime runtime{io, {}, port(), {}, {}, {}, {}};
     Configuration configuration;
     TimePoint configurationAsOf = steadyNow();
     int writes = 0;
@@ -69,12 +91,43 @@
         EXPECT_EQ(callers.submit(1), ResponseKind::BadRequest);
     }
     {
-        SCOPED_TRACE("given a store that does not take it now");
+        SCOPED_TRACE("given a store that does not take it now, and a caller without time left");
         Callers callers(AppendResult::NotDone);
+        callers.remaining = responseMargin;
         EXPECT_EQ(callers.submit(1), ResponseKind::Unavailable);
     }
 }
 
+// Guards against a caller that is told at once that the outcome is not known, although it would
+// wait until the store is back.
+TEST(CallerHandler, TriesOnWhileTheCallerWaits)
+{
+    {
+        SCOPED_TRACE("given a store that resets the first connections");
+        Callers callers(AppendResult::Stored);
+        callers.failingWrites = 3;
+        EXPECT_EQ(callers.submit(1), ResponseKind::Accepted);
+        EXPECT_EQ(callers.writes, 4);
+        ASSERT_EQ(callers.written.size(), 1U);
+        EXPECT_EQ(callers.written[0].key, "00000000000000a1");
+        {
+            SCOPED_TRACE("then the next caller is served without a delay");
+            EXPECT_EQ(callers.submit(1, "/proofs/00000000000000a2"), ResponseKind::Accepted);
+            EXPECT_EQ(callers.writes, 5);
+        }
+    }
+    {
+        SCOPED_TRACE("given a store that stays away, a caller that was sent is not refused");
+        Callers callers(AppendResult::Stored);
+        callers.failingWrites = 1000;
+        callers.remaining = Milliseconds{500};
+        EXPECT_EQ(callers.submit(1), ResponseKind::Unknown);
+        EXPECT_GT(callers.writes, 2);
+        EXPECT_NE(callers.handler.metrics().find("given_up_total{answer=\"unknown\"} 1"),
+                  std::string::npos);
+    }
+}
+
 // Guards against a final refusal of a queue that was added while this process could not read the
 // operator's log.
 TEST(CallerHandler, UnknownQueueIsRefusedForGoodOnlyByACurrentConfiguration)
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -36,7 +36,8 @@
                                   [this](const PeerRequest &request, Milliseconds deadline,
                                          std::function<void(PeerResponse)> done) {
                                       sendToOwner(request, deadline, std::move(done));
-                                  }})
+                                  },
+                                  [this](int shard) { return isOwnerOf(shard); }})
     {
         for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
             peerAppends.push_back(std::make_unique<GroupAppend>(
@@ -195,6 +196,12 @@
         return shardCount > 0 && index < shards.size() ? shards[index].get() : nullptr;
     }
 
+    bool isOwnerOf(int shard) const
+    {
+        const auto index = static_cast<std::size_t>(shard);
+        return shardCount > 0 && index < shards.size() && shards[index]->session() != nullptr;
+    }
+
     void sendToOwner(const PeerRequest &request, Milliseconds deadline,
                      std::function<void(PeerResponse)> done)
     {
@@ -359,7 +366,7 @@
     if (!sessions.empty()) {
         text += sessions + state_->runtime.load.prometheusText();
     }
-    return text + state_->runtime.durations.prometheusText();
+    return text + state_->callers.metrics() + state_->runtime.durations.prometheusText();
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/group_append.cpp
+++ b/src/poplarstream/edge/group_append.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// More than one, so that a lost response does not delay the records after it.
-constexpr int maxCallsInFlight = 4;
+// Of 160 MB that an entry host has. Entry hosts whose callers still wait send their records again.
+constexpr std::size_t maxWaitingBytes = 16'000'000;
 // A call takes further records up to this size, so that none waits for the transfer of many others.
 constexpr std::size_t targetBytesPerCall = 1'000'000;
 
@@ -36,13 +36,21 @@
         bool isAlone = false;  // shares no call
     };
 
-    State(StorePort port, int part, Milliseconds callDeadline, std::size_t maxCallBytes)
+    State(StorePort port, int part, Milliseconds callDeadline, std::size_t maxCallBytes,
+          int callLimit)
         : store(std::move(port))
         , partition(part)
         , deadline(callDeadline)
         , maxBytes(std::min(maxCallBytes, targetBytesPerCall))
+        , maxCallsInFlight(callLimit)
     {}
 
+    void add(Entry entry)
+    {
+        waitingBytes += sizeOf(entry.records);
+        waiting.push_back(std::move(entry));
+    }
+
     // Removes the entries that share the next call: a single one has any size.
     std::vector<Entry> takeEntries()
     {
@@ -55,6 +63,7 @@
             if (!entries.empty() && !mayShare) {
                 break;
             }
+            waitingBytes -= sizeOf(waiting.front().records);
             entries.push_back(std::move(waiting.front()));
             waiting.pop_front();
         }
@@ -92,7 +101,7 @@
         const bool isShared = entries.size() > 1;
         for (const Entry &entry : entries) {
             if (outcome.result == AppendResult::Refused && isShared) {
-                waiting.push_back({entry.records, entry.done, true});
+                add({entry.records, entry.done, true});
             } else {
                 entry.done(outcome);
             }
@@ -103,13 +112,16 @@
     int partition;
     Milliseconds deadline;
     std::size_t maxBytes;  // of a shared call
+    int maxCallsInFlight;
     std::deque<Entry> waiting;
+    std::size_t waitingBytes = 0;
     int callsInFlight = 0;
 };
 
 GroupAppend::GroupAppend(StorePort store, int partition, Milliseconds deadline,
-                         std::size_t maxCallBytes)
-    : state_(std::make_shared<State>(std::move(store), partition, deadline, maxCallBytes))
+                         std::size_t maxCallBytes, int maxCallsInFlight)
+    : state_(std::make_shared<State>(std::move(store), partition, deadline, maxCallBytes,
+                                     maxCallsInFlight))
 {}
 
 GroupAppend::~GroupAppend()
@@ -119,7 +131,11 @@
 
 void GroupAppend::append(std::vector<StoredRecord> records, std::function<void(AppendOutcome)> done)
 {
-    state_->waiting.push_back({std::move(records), std::move(done)});
+    if (state_->waitingBytes > maxWaitingBytes) {
+        done({AppendResult::NotDone});
+        return;
+    }
+    state_->add({std::move(records), std::move(done)});
     state_->sendNext();
 }
 
--- a/src/poplarstream/edge/peer_calls.cpp
+++ b/src/poplarstream/edge/peer_calls.cpp
@@ -70,7 +70,9 @@
     client.send(address, std::move(request), {deadline, {}},
                 [done = std::move(done)](const HttpOutcome &outcome) {
                     if (outcome.delivery == HttpDelivery::Answered) {
-                        done(peerResponseFrom(outcome.response));
+                        PeerResponse answer = peerResponseFrom(outcome.response);
+                        answer.isAnswered = true;
+                        done(answer);
                         return;
                     }
                     PeerResponse peerResponse;
