--- a/include/poplarstream/edge/submission_store.hpp
+++ b/include/poplarstream/edge/submission_store.hpp
@@ -23,7 +23,7 @@
 
 // Stores submissions and cancellations of callers in the job log, directly or through the owner of
 // the shard, and tries again while their callers wait if the store is away (edge/submission_retry
-// decides). Repeated appends of a record are one submission, since the log is keyed.
+// decides). Repeated appends of a record are one submission, since records have keys.
 class SubmissionStore
 {
 public:
--- a/src/poplarstream/edge/group_append_test.cpp
+++ b/src/poplarstream/edge/group_append_test.cpp
@@ -106,6 +106,20 @@
     EXPECT_EQ(callers.results.size(), 24U);
 }
 
+// Guards against an owner that fills its memory with what other entry hosts send it while the store
+// is slow.
+TEST(GroupAppend, WhatWaitsIsBounded)
+{
+    Callers callers;
+    for (int i = 0; i < 300; ++i) {
+        callers.append("job" + std::to_string(i), 100'000);
+    }
+    const auto refused =
+            std::count(callers.results.begin(), callers.results.end(), AppendResult::NotDone);
+    EXPECT_GT(refused, 100);
+    EXPECT_LT(refused, 150) << "16 MB wait";
+}
+
 TEST(StoreHealth, SlowAndFailedCallsAreTrouble)
 {
     StoreHealth health;
