Hold accounts that send more than they are owed and cannot be on time

Cause: an account that sends several times what it is owed fills the pools, and its jobs and those of others are late. An entry host sees only its part of the arrivals. Change: the owner of a shard computes what each account waits for with its share of the capacity (engine/account_loads), decides every 2 s which accounts are held and which part of their submissions is admitted (accounts/admission), and publishes that in its renewals. Entry hosts answer 429 with a Retry-After spread over the time that the surplus takes to drain. Records without the field are read as before; nothing is computed without accounts.

--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <functional>  // for function
+#include <optional>  // for optional
 #include <string>  // for string
 
+#include "poplarstream/accounts/admission.hpp"  // for Hold
 #include "poplarstream/edge/owner_requests.hpp"  // for OwnerRequests
 #include "poplarstream/edge/peer_calls.hpp"  // for PeerRequest, PeerResponse
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
@@ -24,6 +26,8 @@
             sendToOwner;
     // Whether this process is the owner of a shard. Without it, it is taken not to be.
     std::function<bool(int shard)> isOwner = {};
+    // What the owner of a shard has said about an account. Without it, all is accepted.
+    std::function<std::optional<accounts::Hold>(int shard, const AccountId &)> holdOf = {};
 };
 
 // Handles the requests of callers: stores submissions and cancellations, and gets the state of jobs
@@ -45,6 +49,8 @@
     void cancel(const jobs::JobId &id, const Call &call, const Respond &respond);
     void lookUp(const Route &route, const jobs::JobId &id, const Call &call,
                 const Respond &respond);
+    // When a submission should come back that is rejected since its account is beyond its share.
+    std::optional<Milliseconds> rejectionOf(const jobs::Submission &submission) const;
     // The shard of a partition of the job log; 0 while the number of shards is not known.
     int shardOf(int partition) const;
     void count(const Route &route, const Call &call, const Respond &respond);
@@ -53,6 +59,7 @@
     CallerHooks hooks_;
     SubmissionStore submissions_;
     OwnerRequests owners_;
+    std::uint64_t rejectedOverShare_ = 0;
 };
 
 }  // namespace poplarstream::edge
--- a/include/poplarstream/edge/leadership_controller.hpp
+++ b/include/poplarstream/edge/leadership_controller.hpp
@@ -47,6 +47,9 @@
     // Says in the renewals that the shard has carried out a wave.
     void recordCarriedOut(std::int64_t wave);
 
+    // Says in the renewals of which client accounts less is to be accepted.
+    void publishAccountHolds(std::string holds);
+
     // The progress of earlier owners has been fenced in this epoch.
     void recordFence(std::int64_t epoch);
 
--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -5,6 +5,7 @@
 #include <memory>  // for shared_ptr
 #include <optional>  // for optional
 
+#include "poplarstream/accounts/admission.hpp"  // for Holds
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/engine/state.hpp"  // for JobId, QueueId
 #include "poplarstream/ownership/division.hpp"  // for Shard
@@ -43,6 +44,8 @@
     std::function<bool(int shard, std::int64_t wave)> hasCarriedOut;
     // This shard has carried out a wave.
     std::function<void(std::int64_t wave)> carriedOut;
+    // Tells the entry hosts of which accounts less is to be accepted.
+    std::function<void(const accounts::Holds &)> publishHolds;
 };
 
 // The work of a process while it owns a shard: loads the shard's jobs from the store, follows the
--- a/include/poplarstream/edge/shard_owner.hpp
+++ b/include/poplarstream/edge/shard_owner.hpp
@@ -6,6 +6,7 @@
 #include <memory>  // for shared_ptr
 #include <optional>  // for optional
 
+#include "poplarstream/accounts/admission.hpp"  // for Hold
 #include "poplarstream/adapters/http_message.hpp"  // for HttpEndpoint
 #include "poplarstream/edge/owner_session.hpp"  // for OwnerSession
 
@@ -52,6 +53,8 @@
     bool hasCarriedOut(std::int64_t wave) const;
     // The address of the owner, if one is known.
     std::optional<HttpEndpoint> ownerAddress() const;
+    // What the owner has said about an account, if it said so lately.
+    std::optional<accounts::Hold> holdOf(const AccountId &account) const;
     // Null unless this process owns the shard.
     const OwnerSession *session() const;
 
--- a/include/poplarstream/ownership/leadership.hpp
+++ b/include/poplarstream/ownership/leadership.hpp
@@ -34,6 +34,9 @@
     std::set<std::int64_t> carriedOutWaves;
     // Whether the owner has fenced the progress of earlier owners.
     bool hasFenced = false;
+    // Of a renewal: the client accounts of which less is to be accepted, as accounts::encodeHolds
+    // writes them.
+    std::string accountHolds;
 };
 
 std::string encodeOwnership(const OwnershipRecord &record);
@@ -121,6 +124,7 @@
     std::vector<std::string> machinesToCommand;  // listed in the next renewal
     std::map<std::string, TimePoint> recentMachineCommands;  // by any owner
     std::set<std::int64_t> carriedOutWaves;  // as any owner found
+    std::string accountHolds;  // for the renewals
     bool isLeaving = false;  // resigns and makes no more claims
     // The sequences of this process's resignations that are or may yet be stored.
     std::set<std::int64_t> openResignations;
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -267,5 +267,12 @@
 inline constexpr EventKind storeCircuitClosed{771, EventLevel::Info, "store-circuit-closed",
                                               "partition away_ms waiting",
                                               "None; what waits is stored now."};
+inline constexpr EventKind accountHeld{
+        772, EventLevel::Warning, "account-held",
+        "account shard accepted_per_s owed_per_s wait_ms objective_ms admitted_permille",
+        "None; its submissions beyond its share are rejected with 429. If it repeats, raise the "
+        "account's weight or add machines."};
+inline constexpr EventKind accountAdmitted{773, EventLevel::Info, "account-admitted",
+                                           "account shard", "None."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -2,6 +2,8 @@
 
 #include <memory>  // for make_shared
 
+#include <fmt/format.h>  // for format
+
 #include "poplarstream/edge/routes.hpp"  // for findRoute, jobIdFrom
 #include "poplarstream/edge/stored_jobs.hpp"  // for submissionRecord, cancellationRecord
 #include "poplarstream/ownership/division.hpp"  // for shardOfPartition
@@ -167,9 +169,27 @@
         logAndRespond(makeResponse(ResponseKind::BadRequest, "the job is too large to be stored"));
         return;
     }
+    if (const auto retryAfter = rejectionOf(submission)) {
+        ++rejectedOverShare_;
+        Response response =
+                makeResponse(ResponseKind::Overloaded, "the account is beyond its share");
+        response.retryAfter = *retryAfter;
+        logAndRespond(response);
+        return;
+    }
     submissions_.store(record, ResponseKind::Accepted, call.remaining, logAndRespond);
 }
 
+std::optional<Milliseconds> CallerHandler::rejectionOf(const jobs::Submission &submission) const
+{
+    if (submission.account.isEmpty() || !hooks_.holdOf) {
+        return {};
+    }
+    const int shard = shardOf(jobPartition(submission.id, runtime_.settings.jobPartitions));
+    const std::optional<accounts::Hold> hold = hooks_.holdOf(shard, submission.account);
+    return hold ? accounts::rejectionOf(*hold, submission.id.text()) : std::nullopt;
+}
+
 void CallerHandler::cancel(const jobs::JobId &id, const Call &call, const Respond &respond)
 {
     logEvent(events::jobCancelled, {{"job", id.text()}});
@@ -234,7 +254,8 @@
 
 std::string CallerHandler::metrics() const
 {
-    return submissions_.metrics() + owners_.metrics();
+    return submissions_.metrics() + owners_.metrics()
+           + fmt::format("poplar_submissions_over_share_total {}\n", rejectedOverShare_);
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -30,14 +30,16 @@
     State(Runtime &sharedRuntime, HttpClient &peerClient)
         : runtime(sharedRuntime)
         , peers(peerClient)
-        , callers(sharedRuntime, {[this] { return hasConfiguration ? &configuration : nullptr; },
-                                  [this] { return operatorFollower->currentAsOf(); },
-                                  [this] { return shardCount; },
-                                  [this](const PeerRequest &request, Milliseconds deadline,
-                                         std::function<void(PeerResponse)> done) {
-                                      sendToOwner(request, deadline, std::move(done));
-                                  },
-                                  [this](int shard) { return isOwnerOf(shard); }})
+        , callers(sharedRuntime,
+                  {[this] { return hasConfiguration ? &configuration : nullptr; },
+                   [this] { return operatorFollower->currentAsOf(); },
+                   [this] { return shardCount; },
+                   [this](const PeerRequest &request, Milliseconds deadline,
+                          std::function<void(PeerResponse)> done) {
+                       sendToOwner(request, deadline, std::move(done));
+                   },
+                   [this](int shard) { return isOwnerOf(shard); },
+                   [this](int shard, const AccountId &account) { return holdOf(shard, account); }})
     {
         for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
             peerAppends.push_back(std::make_unique<GroupAppend>(
@@ -196,6 +198,12 @@
         return shardCount > 0 && index < shards.size() ? shards[index].get() : nullptr;
     }
 
+    std::optional<accounts::Hold> holdOf(int shard, const AccountId &account) const
+    {
+        const auto index = static_cast<std::size_t>(shard);
+        return index < shards.size() ? shards[index]->holdOf(account) : std::nullopt;
+    }
+
     bool isOwnerOf(int shard) const
     {
         const auto index = static_cast<std::size_t>(shard);
--- a/src/poplarstream/edge/leadership_controller.cpp
+++ b/src/poplarstream/edge/leadership_controller.cpp
@@ -275,6 +275,11 @@
     state_->leadership.carriedOutWaves.insert(wave);
 }
 
+void LeadershipController::publishAccountHolds(std::string holds)
+{
+    state_->leadership.accountHolds = std::move(holds);
+}
+
 void LeadershipController::recordFence(std::int64_t epoch)
 {
     state_->leadership.fencedEpoch = epoch;
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/accounts/admission.hpp"  // for updateAdmission
 #include "poplarstream/accounts/cap.hpp"  // for equalPart, limitsOf
 #include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/command_sender.hpp"  // for CommandSender
@@ -16,6 +17,7 @@
 #include "poplarstream/edge/session_metrics.hpp"  // for sessionMetrics
 #include "poplarstream/edge/stored_jobs.hpp"  // for tombstones
 #include "poplarstream/edge/worker_registry.hpp"  // for applyRegistry, logUnusableEntries
+#include "poplarstream/engine/account_loads.hpp"  // for accountLoads
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
@@ -192,11 +194,47 @@
             deleteForgottenJobs();
             engine.needsPlan = true;
         }
+        decideAdmission(now);
         logLoad(now);
         pump();
         callAfter(runtime, tickPeriod, guarded([](State &self) { self.tick(); }));
     }
 
+    // Once in each window, if accounts are configured.
+    void decideAdmission(TimePoint now)
+    {
+        if (now < nextAdmissionAt || (engine.accounts.empty() && admission.holds.empty())) {
+            return;
+        }
+        nextAdmissionAt = now + accounts::admissionWindow;
+        const LoadMeter::Section section(runtime.load, OwnerWork::Jobs);
+        const accounts::Holds before = admission.holds;
+        const auto loads = engine::accountLoads(engine, shard.count, now);
+        accounts::updateAdmission(admission, loads);
+        for (const auto &[id, hold] : admission.holds) {
+            if (!before.contains(id)) {
+                const accounts::AccountLoad &load = loads.at(id);
+                logEvent(events::accountHeld,
+                         {{"account", id.text()},
+                          {"shard", fmt::to_string(shard.index)},
+                          {"accepted_per_s", fmt::format("{:.1f}", load.acceptedPerS)},
+                          {"owed_per_s", fmt::format("{:.1f}", load.owedPerS)},
+                          {"wait_ms", fmt::to_string(load.wait.count())},
+                          {"objective_ms", fmt::to_string(load.objective.count())},
+                          {"admitted_permille", fmt::to_string(hold.admittedPermille)}});
+            }
+        }
+        for (const auto &[id, hold] : before) {
+            if (!admission.holds.contains(id)) {
+                logEvent(events::accountAdmitted,
+                         {{"account", id.text()}, {"shard", fmt::to_string(shard.index)}});
+            }
+        }
+        if (admission.holds != before) {
+            hooks.publishHolds(admission.holds);
+        }
+    }
+
     // Deletes jobs from the store whose retention has ended. The submission is deleted before the
     // progress: a job without progress looks like one that has never run.
     void deleteForgottenJobs()
@@ -374,6 +412,8 @@
     UnusableEntries unusableEntries;
     std::optional<TimePoint> startsHeldSince;  // the log of cancellations is read too late
     TimePoint nextPlanAt{};
+    TimePoint nextAdmissionAt{};
+    accounts::Admission admission;
     engine::PlanPacing planPacing;
     bool isLoaded = false;
     bool isDeleting = false;
--- a/src/poplarstream/edge/shard_owner.cpp
+++ b/src/poplarstream/edge/shard_owner.cpp
@@ -7,6 +7,14 @@
 
 namespace poplarstream::edge {
 
+namespace {
+
+// A renewal that is older says nothing about accounts: entry hosts read the renewals of a shard
+// at least every 1450 ms, and an owner that is away does not publish the end of a hold.
+constexpr Milliseconds holdLifetime{3000};
+
+}  // namespace
+
 struct ShardOwner::State : std::enable_shared_from_this<ShardOwner::State>
 {
     State(Runtime &sharedRuntime, int ownShard, ShardOwnerHooks given)
@@ -47,6 +55,7 @@
                      {{"epoch", fmt::to_string(sessionEpoch)}, {"shard", fmt::to_string(shard)}});
             // The session may be on the call stack.
             closeSession(std::move(session));
+            leadership->publishAccountHolds({});
         }
         if (isOwner && !session && shardCount > 0) {
             beginSession(view.last->epoch);
@@ -107,6 +116,9 @@
         };
         made.hasCarriedOut = hooks.hasCarriedOut;
         made.carriedOut = [this](std::int64_t wave) { leadership->recordCarriedOut(wave); };
+        made.publishHolds = [this](const accounts::Holds &decided) {
+            leadership->publishAccountHolds(accounts::encodeHolds(decided));
+        };
         return made;
     }
 
@@ -118,6 +130,8 @@
     std::unique_ptr<OwnerSession> session;
     std::int64_t sessionEpoch = 0;
     std::int64_t supersededEpoch = 0;
+    std::string holdsText;  // the holds that were read last, and their text
+    accounts::Holds holds;
 };
 
 ShardOwner::ShardOwner(Runtime &runtime, int shard, ShardOwnerHooks hooks)
@@ -178,6 +192,21 @@
     return last ? endpointFromText(last->address) : std::nullopt;
 }
 
+std::optional<accounts::Hold> ShardOwner::holdOf(const AccountId &account) const
+{
+    const ownership::Leadership &view = state_->leadership->leadership();
+    if (!view.last || view.last->accountHolds.empty()
+        || view.lastSeenAt + holdLifetime < steadyNow()) {
+        return {};
+    }
+    if (view.last->accountHolds != state_->holdsText) {
+        state_->holdsText = view.last->accountHolds;
+        state_->holds = accounts::decodeHolds(state_->holdsText);
+    }
+    const auto found = state_->holds.find(account);
+    return found != state_->holds.end() ? std::optional(found->second) : std::nullopt;
+}
+
 const OwnerSession *ShardOwner::session() const
 {
     return state_->session.get();
--- a/src/poplarstream/ownership/leadership.cpp
+++ b/src/poplarstream/ownership/leadership.cpp
@@ -86,18 +86,21 @@
     for (const auto &[id, age] : record.recentMachineCommands) {
         machines[id] = age.count();
     }
-    return json{{"kind", kindTexts[static_cast<std::size_t>(record.kind)]},
-                {"epoch", record.epoch},
-                {"owner", record.owner.text()},
-                {"address", record.address},
-                {"incarnation", record.incarnation},
-                {"sequence", record.sequence},
-                {"share", record.processorShare},
-                {"largestShare", record.largestShare},
-                {"machines", std::move(machines)},
-                {"waves", record.carriedOutWaves},
-                {"fenced", record.hasFenced}}
-            .dump();
+    json value = {{"kind", kindTexts[static_cast<std::size_t>(record.kind)]},
+                  {"epoch", record.epoch},
+                  {"owner", record.owner.text()},
+                  {"address", record.address},
+                  {"incarnation", record.incarnation},
+                  {"sequence", record.sequence},
+                  {"share", record.processorShare},
+                  {"largestShare", record.largestShare},
+                  {"machines", std::move(machines)},
+                  {"waves", record.carriedOutWaves},
+                  {"fenced", record.hasFenced}};
+    if (!record.accountHolds.empty()) {
+        value["accounts"] = record.accountHolds;
+    }
+    return value.dump();
 }
 
 std::optional<OwnershipRecord> decodeOwnership(std::string_view text)
@@ -134,6 +137,9 @@
         // Records of earlier versions do not say it.
         const auto fenced = value.find("fenced");
         record.hasFenced = fenced != value.end() && fenced->get<bool>();
+        if (const auto holds = value.find("accounts"); holds != value.end()) {
+            record.accountHolds = holds->get<std::string>();
+        }
         return record;
     } catch (const std::exception &) {
         return {};
@@ -267,6 +273,7 @@
         record.largestShare = std::max(record.largestShare, leadership.last->largestShare);
     }
     if (step == LeadershipStep::Renew) {
+        record.accountHolds = leadership.accountHolds;
         for (const std::string &machine : std::exchange(leadership.machinesToCommand, {})) {
             leadership.recentMachineCommands[machine] = now;
         }
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -751,6 +751,7 @@
     record.recentMachineCommands = {{"m-1", Milliseconds{7}}};
     record.carriedOutWaves = {3, 5};
     record.hasFenced = true;
+    record.accountHolds = R"([["hot",200,4000]])";
     const auto read = decodeOwnership(encodeOwnership(record));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->kind, record.kind);
@@ -763,6 +764,7 @@
     EXPECT_EQ(read->recentMachineCommands, record.recentMachineCommands);
     EXPECT_EQ(read->carriedOutWaves, record.carriedOutWaves);
     EXPECT_EQ(read->hasFenced, record.hasFenced);
+    EXPECT_EQ(read->accountHolds, record.accountHolds);
     EXPECT_FALSE(decodeOwnership("{\"kind\":\"other\"}"));
     EXPECT_FALSE(decodeOwnership("not JSON"));
 }
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -100,6 +100,8 @@
         jobHeld,
         storeCircuitOpened,
         storeCircuitClosed,
+        accountHeld,
+        accountAdmitted,
 };
 
 }  // namespace
