Separate the attempts to store a record from the decision to try again

Change: edge/store_attempts sends a record by one way or both. A submission that is stored at its first attempt starts no planning.

--- a/include/poplarstream/edge/submission_store.hpp
+++ b/include/poplarstream/edge/submission_store.hpp
@@ -1,26 +1,13 @@
 #pragma once
 
-#include <functional>  // for function
 #include <memory>  // for shared_ptr
 #include <string>  // for string
 
-#include "poplarstream/edge/peer_calls.hpp"  // for PeerRequest, PeerResponse
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
+#include "poplarstream/edge/store_attempts.hpp"  // for SubmissionHooks
 
 namespace poplarstream::edge {
 
-// What the store of submissions needs from the rest of the process.
-struct SubmissionHooks
-{
-    // The shard of a partition of the job log; 0 while the number of shards is not known.
-    std::function<int(int partition)> shardOf;
-    // Sends a request to the owner of its shard, which may be this process.
-    std::function<void(const PeerRequest &, Milliseconds, std::function<void(PeerResponse)>)>
-            sendToOwner;
-    // Whether this process is the owner of a shard. Without it, it is taken not to be.
-    std::function<bool(int shard)> isOwner;
-};
-
 // Stores submissions and cancellations of callers in the job log, directly or through the owner of
 // the shard, and tries again while their callers wait if the store is away (edge/submission_retry
 // decides). Repeated appends of a record are one submission, since records have keys.
--- a/src/poplarstream/edge/submission_store.cpp
+++ b/src/poplarstream/edge/submission_store.cpp
@@ -1,82 +1,33 @@
 #include "poplarstream/edge/submission_store.hpp"
 
-#include <algorithm>  // for max, min
 #include <map>  // for map
 #include <vector>  // for vector
 
 #include <fmt/format.h>  // for format, to_string
 
 #include "poplarstream/edge/closable.hpp"  // for Closable
-#include "poplarstream/edge/group_append.hpp"  // for GroupAppend
-#include "poplarstream/edge/store_health.hpp"  // for StoreHealth
 #include "poplarstream/edge/stored_jobs.hpp"  // for jobPartition
 #include "poplarstream/edge/submission_retry.hpp"  // for planRetries, PendingRecord
 #include "poplarstream/telemetry/event_kinds.hpp"  // for storeCircuitOpened, storeCircuitClosed
 
 namespace poplarstream::edge {
 
-namespace {
-
-constexpr Milliseconds storeDeadline{1000};
-constexpr Milliseconds ownerDeadline{1000};
-constexpr Milliseconds minDeadline{50};
-// One call at a time for what waited: the first tells whether the store is back, the second takes
-// everything else.
-constexpr int retryCallsInFlight = 1;
-
-Milliseconds boundedDeadline(Milliseconds limit, Milliseconds remaining)
-{
-    return std::max(std::min(limit, remaining - responseMargin), minDeadline);
-}
-
-// The result of an attempt by the owner.
-AppendResult resultOf(const PeerResponse &response)
-{
-    switch (response.kind) {
-    case PeerResponse::Kind::Stored:
-        return AppendResult::Stored;
-    case PeerResponse::Kind::NoResponse:
-        return AppendResult::Unknown;
-    default:
-        return AppendResult::NotDone;
-    }
-}
-
-}  // namespace
-
 struct SubmissionStore::State : Closable<SubmissionStore::State>
 {
     struct Entry
     {
         PendingRecord pending;
-        StoredRecord record;
+        std::shared_ptr<const StoredRecord> record;
         ResponseKind successKind = ResponseKind::Accepted;
         Respond respond;
         bool isWaiting = false;  // counted in `load`
     };
 
-    // How an attempt ended.
-    struct Attempt
-    {
-        TimePoint startedAt{};
-        AppendResult result = AppendResult::NotDone;
-        StorePath path = StorePath::Direct;  // by which it ended
-        std::optional<bool> hasReachedOwner;
-        bool isOwnerMissing = false;  // nobody took the record for the owner
-    };
-    using AttemptDone = std::function<void(Attempt)>;
-
-    State(Runtime &sharedRuntime, SubmissionHooks given)
+    State(Runtime &sharedRuntime, SubmissionHooks hooks)
         : runtime(sharedRuntime)
-        , hooks(std::move(given))
+        , attempts(sharedRuntime, std::move(hooks))
         , circuits(static_cast<std::size_t>(runtime.settings.jobPartitions))
-    {
-        for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
-            retryAppends.push_back(std::make_unique<GroupAppend>(
-                    runtime.store, partition, storeDeadline, runtime.settings.maxCallBytes,
-                    retryCallsInFlight));
-        }
-    }
+    {}
 
     StoreCircuit &circuitOf(const PendingRecord &pending)
     {
@@ -167,140 +118,51 @@
         }
     }
 
-    // By the way that is expected to work, and then by the other one.
-    void tryFirst(Entry &entry)
-    {
-        const std::uint64_t number = entry.pending.number;
-        const AttemptDone done = attemptDone(entry);
-        if (health.isDegraded(steadyNow())) {
-            throughOwner(entry, this->guarded([number, done](State &self, const Attempt &first) {
-                const auto found = self.entries.find(number);
-                if (first.isOwnerMissing && found != self.entries.end()) {
-                    self.directly(found->second, [first, done](Attempt second) {
-                        second.hasReachedOwner = first.hasReachedOwner;
-                        done(second);
-                    });
-                } else {
-                    done(first);
-                }
-            }));
-            return;
-        }
-        directly(entry, this->guarded([number, done](State &self, const Attempt &first) {
-            const auto found = self.entries.find(number);
-            const bool isFinal =
-                    first.result == AppendResult::Stored || first.result == AppendResult::Refused;
-            // As the owner, this process would ask the same store again.
-            if (isFinal || found == self.entries.end() || self.isOwner(found->second)) {
-                done(first);
-                return;
-            }
-            self.throughOwner(found->second, [first, done](Attempt second) {
-                if (second.result == AppendResult::NotDone) {
-                    second.result = first.result;
-                }
-                done(second);
-            });
-        }));
-    }
+    void tryFirst(Entry &entry) { attempts.tryFirst(recordOf(entry), attemptDone(entry)); }
 
-    bool isOwner(const Entry &entry) const
+    void tryAgain(Entry &entry)
     {
-        return hooks.isOwner && hooks.isOwner(hooks.shardOf(entry.pending.partition));
+        ++retries;
+        const StorePath path = nextPath(entry.pending, circuitOf(entry.pending));
+        attempts.tryAgain(recordOf(entry), path, attemptDone(entry));
     }
 
-    void tryAgain(Entry &entry)
+    static RecordToStore recordOf(const Entry &entry)
     {
-        ++retries;
-        const std::uint64_t number = entry.pending.number;
-        const AttemptDone done = attemptDone(entry);
-        if (nextPath(entry.pending, circuitOf(entry.pending)) == StorePath::Direct) {
-            directlyWithOthers(entry, {}, done);
-            return;
-        }
-        throughOwner(entry, this->guarded([number, done](State &self, const Attempt &first) {
-            const auto found = self.entries.find(number);
-            if (first.isOwnerMissing && found != self.entries.end()) {
-                self.directlyWithOthers(found->second, first.hasReachedOwner, done);
-            } else {
-                done(first);
-            }
-        }));
+        return {entry.record, entry.pending.partition, entry.pending.endsAt};
     }
 
     // Marks an entry as under way until the callback is called.
-    AttemptDone attemptDone(Entry &entry)
+    StoreAttemptDone attemptDone(Entry &entry)
     {
         entry.pending.isUnderWay = true;
         entry.pending.startedAt = steadyNow();
-        return this->guarded([number = entry.pending.number, partition = entry.pending.partition,
-                              startedAt = entry.pending.startedAt](State &self, Attempt attempt) {
-            attempt.startedAt = startedAt;
-            self.endAttempt(number, partition, attempt);
-        });
-    }
-
-    void directly(const Entry &entry, AttemptDone done)
-    {
-        AppendRequest request;
-        request.log = Log::Jobs;
-        request.partition = entry.pending.partition;
-        request.records = {entry.record};
-        const TimePoint startedAt = steadyNow();
-        request.deadline = boundedDeadline(storeDeadline, entry.pending.endsAt - startedAt);
-        health.begin(startedAt);
-        runtime.store.append(std::move(request),
-                             this->guarded([startedAt, done = std::move(done)](
-                                                   State &self, const AppendOutcome &outcome) {
-                                 self.health.end(startedAt, outcome.result == AppendResult::Stored,
-                                                 steadyNow());
-                                 done({startedAt, outcome.result, StorePath::Direct, {}, false});
-                             }));
-    }
-
-    // Shares calls with other records that are tried again.
-    void directlyWithOthers(const Entry &entry, std::optional<bool> hasReachedOwner,
-                            const AttemptDone &done)
-    {
-        const auto partition = static_cast<std::size_t>(entry.pending.partition);
-        const TimePoint startedAt = steadyNow();
-        retryAppends[partition]->append(
-                {entry.record}, [startedAt, hasReachedOwner, done](const AppendOutcome &outcome) {
-                    done({startedAt, outcome.result, StorePath::Direct, hasReachedOwner, false});
+        return this->guarded(
+                [number = entry.pending.number, partition = entry.pending.partition,
+                 startedAt = entry.pending.startedAt](State &self, const StoreAttempt &attempt) {
+                    if (attempt.result != AppendResult::Refused) {
+                        self.observe(partition, attempt, startedAt);
+                    }
+                    self.endAttempt(number, attempt);
                 });
     }
 
-    void throughOwner(const Entry &entry, AttemptDone done)
+    void endAttempt(std::uint64_t number, const StoreAttempt &attempt)
     {
-        PeerRequest request;
-        request.kind = PeerRequest::Kind::Store;
-        request.shard = hooks.shardOf(entry.pending.partition);
-        request.records = {entry.record};
-        const bool isOwnRequest = isOwner(entry);
-        const TimePoint startedAt = steadyNow();
-        hooks.sendToOwner(
-                request, boundedDeadline(ownerDeadline, entry.pending.endsAt - startedAt),
-                [startedAt, isOwnRequest, done = std::move(done)](const PeerResponse &response) {
-                    done({startedAt, resultOf(response), StorePath::ThroughOwner,
-                          isOwnRequest || response.isAnswered,
-                          response.kind == PeerResponse::Kind::NotOwner});
-                });
+        const auto found = entries.find(number);
+        if (found != entries.end()) {
+            endAttempt(found->second, attempt);
+        }
+        if (load.records > 0) {
+            planSoon();
+        }
     }
 
-    void endAttempt(std::uint64_t number, int partition, const Attempt &attempt)
+    void endAttempt(Entry &entry, const StoreAttempt &attempt)
     {
-        const bool isStored = attempt.result == AppendResult::Stored;
-        if (attempt.result != AppendResult::Refused) {
-            observe(partition, attempt, isStored);
-        }
-        planSoon();
-        const auto found = entries.find(number);
-        if (found == entries.end()) {
-            return;
-        }
-        Entry &entry = found->second;
+        const std::uint64_t number = entry.pending.number;
         entry.pending.isUnderWay = false;
-        if (isStored) {
+        if (attempt.result == AppendResult::Stored) {
             storedAfterRetry += entry.pending.failedAttempts > 0 ? 1 : 0;
             Response response;
             response.kind = entry.successKind;
@@ -322,9 +184,6 @@
     // Plans once for all attempts that end together.
     void planSoon()
     {
-        if (load.records == 0 && entries.empty()) {
-            return;
-        }
         if (!isPlanDue) {
             isPlanDue = true;
             callAfter(runtime, Milliseconds{0}, this->guarded([](State &self) {
@@ -335,16 +194,16 @@
     }
 
     // Adds an attempt to what is known of the partition.
-    void observe(int partition, const Attempt &attempt, bool isStored)
+    void observe(int partition, const StoreAttempt &attempt, TimePoint startedAt)
     {
+        const bool isStored = attempt.result == AppendResult::Stored;
         const TimePoint now = steadyNow();
         StoreCircuit &circuit = circuits[static_cast<std::size_t>(partition)];
         const TimePoint failingSince = circuit.failingSince;
         const std::string &name = runtime.settings.name.text();
         const CircuitChange change =
                 isStored ? recordSuccess(circuit, attempt.path, now)
-                         : recordFailure(circuit, {attempt.startedAt, attempt.hasReachedOwner},
-                                         name, now);
+                         : recordFailure(circuit, {startedAt, attempt.hasReachedOwner}, name, now);
         if (change == CircuitChange::Opened) {
             ++circuitOpenings;
             logEvent(events::storeCircuitOpened,
@@ -366,11 +225,8 @@
     }
 
     Runtime &runtime;
-    SubmissionHooks hooks;
-    StoreHealth health;  // of the direct way
+    StoreAttempts attempts;
     std::vector<StoreCircuit> circuits;  // by partition
-    // For attempts after the first one; by partition.
-    std::vector<std::unique_ptr<GroupAppend>> retryAppends;
     std::map<std::uint64_t, Entry> entries;  // by number
     std::uint64_t lastNumber = 0;
     WaitingLoad load;
@@ -402,7 +258,7 @@
     entry.pending.bytes = storedBytes(record);
     entry.pending.receivedAt = steadyNow();
     entry.pending.endsAt = entry.pending.receivedAt + remaining;
-    entry.record = std::move(record);
+    entry.record = std::make_shared<const StoredRecord>(std::move(record));
     entry.successKind = successKind;
     entry.respond = std::move(respond);
     state_->begin(std::move(entry));
