Bound the time for which a caller says that it waits

Cause: the time until which a caller waits is now computed from its header, and a header with an absurd value would overflow it. Change: the time is bounded to 0 to 30 s.

--- a/include/poplarstream/edge/submission_retry.hpp
+++ b/include/poplarstream/edge/submission_retry.hpp
@@ -16,6 +16,10 @@
 // Part of a caller's remaining time that is reserved for the response.
 inline constexpr Milliseconds responseMargin{200};
 
+// Until when a caller waits that says how long it will. Nothing waits here for longer than half a
+// minute, whatever a caller says.
+TimePoint callerEnd(TimePoint receivedAt, Milliseconds remaining);
+
 // A submission or cancellation of a caller that is not stored yet.
 struct PendingRecord
 {
--- a/src/poplarstream/edge/owner_requests.cpp
+++ b/src/poplarstream/edge/owner_requests.cpp
@@ -6,7 +6,7 @@
 
 #include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/store_circuit.hpp"  // for retryDelay
-#include "poplarstream/edge/submission_retry.hpp"  // for responseMargin
+#include "poplarstream/edge/submission_retry.hpp"  // for responseMargin, callerEnd
 
 namespace poplarstream::edge {
 
@@ -104,7 +104,7 @@
     const auto asked = std::make_shared<State::Asked>();
     asked->request = request;
     asked->receivedAt = steadyNow();
-    asked->endsAt = asked->receivedAt + remaining;
+    asked->endsAt = callerEnd(asked->receivedAt, remaining);
     asked->done = std::move(done);
     state_->send(asked);
 }
--- a/src/poplarstream/edge/submission_retry.cpp
+++ b/src/poplarstream/edge/submission_retry.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/edge/submission_retry.hpp"
 
-#include <algorithm>  // for min, sort
+#include <algorithm>  // for clamp, min, sort
 #include <tuple>  // for tuple
 
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
@@ -12,6 +12,7 @@
 // An entry host has 160 MB, and a waiting record of some kB has its caller's connection besides.
 constexpr std::size_t maxWaitingRecords = 2000;
 constexpr std::size_t maxWaitingBytes = 16'000'000;
+constexpr Milliseconds longestWait{30'000};
 // A caller whose time has passed may come back at once: it waits here then, and costs no call.
 constexpr Milliseconds returnAfterWait{1000};
 // Callers for whom there is no room come back within this time; most outages end meanwhile.
@@ -118,6 +119,11 @@
 
 }  // namespace
 
+TimePoint callerEnd(TimePoint receivedAt, Milliseconds remaining)
+{
+    return receivedAt + std::clamp(remaining, Milliseconds{0}, longestWait);
+}
+
 bool mayWait(const WaitingLoad &load, std::size_t bytes)
 {
     return load.records < maxWaitingRecords && load.bytes + bytes <= maxWaitingBytes;
--- a/src/poplarstream/edge/submission_retry_test.cpp
+++ b/src/poplarstream/edge/submission_retry_test.cpp
@@ -213,6 +213,14 @@
     }
 }
 
+// Guards against a header of a caller that overflows the time until which it waits.
+TEST(SubmissionRetry, AbsurdRemainingTime)
+{
+    EXPECT_EQ(callerEnd(start, Milliseconds::max()), start + Milliseconds{30'000});
+    EXPECT_EQ(callerEnd(start, Milliseconds::min()), start);
+    EXPECT_EQ(callerEnd(start, Milliseconds{2500}), start + Milliseconds{2500});
+}
+
 // Guards against a process that fills its memory with what waits, and against callers that it
 // turned away and that come back together.
 TEST(SubmissionRetry, WhatWaitsIsBounded)
--- a/src/poplarstream/edge/submission_store.cpp
+++ b/src/poplarstream/edge/submission_store.cpp
@@ -257,7 +257,7 @@
     entry.pending.partition = jobPartition(record, state_->runtime.settings.jobPartitions);
     entry.pending.bytes = storedBytes(record);
     entry.pending.receivedAt = steadyNow();
-    entry.pending.endsAt = entry.pending.receivedAt + remaining;
+    entry.pending.endsAt = callerEnd(entry.pending.receivedAt, remaining);
     entry.record = std::make_shared<const StoredRecord>(std::move(record));
     entry.successKind = successKind;
     entry.respond = std::move(respond);
