--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -2,10 +2,13 @@
 
 #include <functional>  // for function
 #include <optional>  // for optional
+#include <string>  // for string
 
+#include "poplarstream/accounts/admission.hpp"  // for Hold
+#include "poplarstream/edge/owner_requests.hpp"  // for OwnerRequests
 #include "poplarstream/edge/peer_calls.hpp"  // for PeerRequest, PeerResponse
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
-#include "poplarstream/edge/store_health.hpp"  // for StoreHealth
+#include "poplarstream/edge/submission_store.hpp"  // for SubmissionStore
 
 namespace poplarstream::edge {
 
@@ -21,6 +24,10 @@
     // Sends a request to the owner of its shard, which may be this process.
     std::function<void(const PeerRequest &, Milliseconds, std::function<void(PeerResponse)>)>
             sendToOwner;
+    // Whether this process is the owner of a shard. Without it, it is taken not to be.
+    std::function<bool(int shard)> isOwner = {};
+    // What the owner of a shard has said about an account. Without it, all is accepted.
+    std::function<std::optional<accounts::Hold>(int shard, const AccountId &)> holdOf = {};
 };
 
 // Handles the requests of callers: stores submissions and cancellations, and gets the state of jobs
@@ -32,6 +39,9 @@
 
     void handleCall(const Call &call, const Respond &respond);
 
+    // Metrics in the Prometheus text format.
+    std::string metrics() const;
+
 private:
     void dispatch(const Call &call, const Respond &respond);
     void submit(const Route &route, const jobs::JobId &id, const Call &call,
@@ -39,21 +49,17 @@
     void cancel(const jobs::JobId &id, const Call &call, const Respond &respond);
     void lookUp(const Route &route, const jobs::JobId &id, const Call &call,
                 const Respond &respond);
+    // When a submission should come back that is rejected since its account is beyond its share.
+    std::optional<Milliseconds> rejectionOf(const jobs::Submission &submission) const;
     // The shard of a partition of the job log; 0 while the number of shards is not known.
     int shardOf(int partition) const;
     void count(const Route &route, const Call &call, const Respond &respond);
-    void store(const StoredRecord &record, ResponseKind successKind, Milliseconds remaining,
-               const Respond &respond);
-    void storeDirectly(const StoredRecord &record, ResponseKind successKind, Milliseconds remaining,
-                       const Respond &respond);
-    // `firstResult` is the result of a direct call to the store before, if there was one.
-    void storeThroughOwner(const StoredRecord &record, ResponseKind successKind,
-                           std::optional<AppendResult> firstResult, Milliseconds remaining,
-                           const Respond &respond);
 
     Runtime &runtime_;
     CallerHooks hooks_;
-    StoreHealth health_;
+    SubmissionStore submissions_;
+    OwnerRequests owners_;
+    std::uint64_t rejectedOverShare_ = 0;
 };
 
 }  // namespace poplarstream::edge
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -260,5 +260,19 @@
         "Report it: the stored progress of the job could not be read in full, so nothing of it "
         "starts. Let a process that can read it become the owner, or cancel the job and submit it "
         "again under another id if running tasks again does no harm."};
+inline constexpr EventKind storeCircuitOpened{
+        770, EventLevel::Warning, "store-circuit-opened", "partition result owner_reached waiting",
+        "Check the platform's store. Submissions wait while their callers do. owner_reached=no "
+        "points to the network of this host."};
+inline constexpr EventKind storeCircuitClosed{771, EventLevel::Info, "store-circuit-closed",
+                                              "partition away_ms waiting",
+                                              "None; what waits is stored now."};
+inline constexpr EventKind accountHeld{
+        772, EventLevel::Warning, "account-held",
+        "account shard accepted_per_s owed_per_s wait_ms objective_ms admitted_permille",
+        "None; its submissions beyond its share are rejected with 429. If it repeats, raise the "
+        "account's weight or add machines."};
+inline constexpr EventKind accountAdmitted{773, EventLevel::Info, "account-admitted",
+                                           "account shard", "None."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -28,13 +28,16 @@
     State(Runtime &sharedRuntime, HttpClient &peerClient)
         : runtime(sharedRuntime)
         , peers(peerClient)
-        , callers(sharedRuntime, {[this] { return hasConfiguration ? &configuration : nullptr; },
-                                  [this] { return operatorFollower->currentAsOf(); },
-                                  [this] { return shardCount; },
-                                  [this](const PeerRequest &request, Milliseconds deadline,
-                                         std::function<void(PeerResponse)> done) {
-                                      sendToOwner(request, deadline, std::move(done));
-                                  }})
+        , callers(sharedRuntime,
+                  {[this] { return hasConfiguration ? &configuration : nullptr; },
+                   [this] { return operatorFollower->currentAsOf(); },
+                   [this] { return shardCount; },
+                   [this](const PeerRequest &request, Milliseconds deadline,
+                          std::function<void(PeerResponse)> done) {
+                       sendToOwner(request, deadline, std::move(done));
+                   },
+                   [this](int shard) { return isOwnerOf(shard); },
+                   [this](int shard, const AccountId &account) { return holdOf(shard, account); }})
     {
         for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
             peerAppends.push_back(std::make_unique<GroupAppend>(
@@ -193,6 +196,18 @@
         return shardCount > 0 && index < shards.size() ? shards[index].get() : nullptr;
     }
 
+    std::optional<accounts::Hold> holdOf(int shard, const AccountId &account) const
+    {
+        const auto index = static_cast<std::size_t>(shard);
+        return index < shards.size() ? shards[index]->holdOf(account) : std::nullopt;
+    }
+
+    bool isOwnerOf(int shard) const
+    {
+        const auto index = static_cast<std::size_t>(shard);
+        return shardCount > 0 && index < shards.size() && shards[index]->session() != nullptr;
+    }
+
     void sendToOwner(const PeerRequest &request, Milliseconds deadline,
                      std::function<void(PeerResponse)> done)
     {
@@ -359,7 +374,7 @@
     if (!sessions.empty()) {
         text += sessions + state_->runtime.load.prometheusText();
     }
-    return text + state_->runtime.durations.prometheusText();
+    return text + state_->callers.metrics() + state_->runtime.durations.prometheusText();
 }
 
 }  // namespace poplarstream::edge
