Keep what each client account runs within its cap

Change: the engine keeps the use of each account with the attempts on its workers, in full need, from the planned start until the release; runs that a worker lists without an attempt count too. A plan starts a task only within the limits that this owner has of the cap, or below half of them. That last start passes the cap by one task only where one owner holds the whole cap: owners that each pass their parts by a task break the cap together. A gang is checked whole, and keeps room free behind itself if it fits at all. A stored start is sent only if the account is still within its limits; nothing is stopped for a cap, and no task is moved that could not start again. Two events name the accounts that are held. Owners do not share a cap yet.

--- a/include/poplarstream/accounts/cap.hpp
+++ b/include/poplarstream/accounts/cap.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string>  // for string
+
 #include "poplarstream/jobs/model.hpp"  // for Resources
 
 namespace poplarstream::accounts {
@@ -11,4 +13,38 @@
 // up to the limits; those that cannot be divided go to the first shards.
 jobs::Resources equalPart(const jobs::Resources &limits, int shard, int shards);
 
+// What an owner knows of an account when it decides about a start.
+struct OwnedCap
+{
+    jobs::Resources limits;  // what the account may have running on this owner's workers
+    jobs::Resources whole;  // the cap of the deployment, as limitsOf gives it
+    double overshoot = 0;  // share by which the cap may be passed
+};
+
+// Whether the owner has all of the cap, so that no other owner starts anything of the account.
+bool holdsWholeCap(const OwnedCap &cap);
+
+// Whether a task that needs `need` may start beside `use`, what the account has running.
+//
+// In each resource the task fits into the limit, or less than half of the limit is used. The second
+// is for tasks wider than half of the cap, which would wait behind narrow ones for ever. It passes
+// the limit by less than one task if the owner holds the whole cap, and otherwise at most by the
+// overshoot: the sum over several owners that each pass theirs by a task would break the cap.
+bool mayStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need);
+
+// The same for a gang, whose tasks start together. It fits into the limits as a whole. If the
+// account runs nothing, the limits are raised as far as they may be passed.
+bool mayStartGang(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need,
+                  int members);
+
+// Whether the gang may start if the account runs nothing and this owner holds the whole cap.
+bool canGangFit(const OwnedCap &cap, const jobs::Resources &need, int members);
+
+// Whether a start that was decided earlier may be sent. `use` includes it. The limits may have
+// dropped since.
+bool maySendStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need);
+
+// Amounts as key=value pairs for the decision log; a resource without a limit is `-`.
+std::string capText(const jobs::Resources &use, const jobs::Resources &limits);
+
 }  // namespace poplarstream::accounts
--- a/include/poplarstream/engine/attempts.hpp
+++ b/include/poplarstream/engine/attempts.hpp
@@ -44,11 +44,14 @@
 
 void markDirty(Engine &engine, jobs::Job &job);
 
-// Adds an attempt of a task of `step` to its worker and reserves its capacity. A response to poll
-// `decisivePoll` or a later one that lacks the attempt shows that it doesn't run.
-void attach(Worker &worker, const jobs::StepSpec &step, AttemptRef ref, std::int64_t decisivePoll);
-
-// Removes an attempt from its worker and frees its capacity. The task keeps the attempt.
+// Adds an attempt of a task of `job` to its worker, reserves its capacity and counts it for the
+// account of the job. A response to poll `decisivePoll` or a later one that lacks the attempt shows
+// that it doesn't run.
+void attach(Engine &engine, Worker &worker, const jobs::Job &job, AttemptRef ref,
+            std::int64_t decisivePoll);
+
+// Removes an attempt from its worker, frees its capacity and no longer counts it for its account.
+// The task keeps the attempt.
 void detach(Engine &engine, const AttemptRef &ref, const WorkerIncarnation &incarnation,
             TimePoint now);
 
--- a/include/poplarstream/engine/decision.hpp
+++ b/include/poplarstream/engine/decision.hpp
@@ -25,6 +25,8 @@
     TaskLost,  // its worker ended while it ran or may have run there
     TaskGivenUp,  // after several crashes of its workers; its job goes on
     JobEnded,
+    AccountHeld,  // something of it may not start because of its cap
+    AccountFree,  // nothing has been held back for some time
 };
 
 // How it is known that a run isn't running and can't start any more.
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -111,6 +111,20 @@
     TimePoint at{};
 };
 
+// What a run counts for in the use of its account.
+struct AccountNeed
+{
+    AccountId account;  // empty: counted for none
+    jobs::Resources need;
+};
+
+// An account of which something may not start because of its cap.
+struct CapHold
+{
+    TimePoint since{};
+    TimePoint heldAt{};  // of the last plan that held something back
+};
+
 // The owner's view of one incarnation of a worker.
 struct Worker
 {
@@ -128,7 +142,8 @@
     // Each with the number of its decisive poll: the first whose response must list the attempt if
     // it runs.
     std::map<AttemptRef, std::int64_t> attempts;
-    std::set<AttemptRef> unexpectedAttempts;  // running but in no job; being stopped
+    // Running but in no job; being stopped.
+    std::map<AttemptRef, AccountNeed> unexpectedAttempts;
     TaskMix mix;  // of `attempts`
 
     std::int64_t tokenBump = 0;  // raised to fence commands that got no response
@@ -212,6 +227,7 @@
     // What each account may have running on this owner's workers: its part of the cap, as
     // accounts::limitsOf gives it. An account without an entry may start nothing.
     std::map<AccountId, jobs::Resources> accountLimits;
+    std::map<AccountId, CapHold> capHolds;  // of the accounts that are held by their caps now
     std::unordered_map<JobId, jobs::Job> jobs;
     JobSet active{jobs::JobIndex::Active};
     JobSet waiting{jobs::JobIndex::Waiting};
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -260,5 +260,14 @@
         "Report it: the stored progress of the job could not be read in full, so nothing of it "
         "starts. Let a process that can read it become the owner, or cancel the job and submit it "
         "again under another id if running tasks again does no harm."};
+inline constexpr EventKind accountHeld{
+        756, EventLevel::Info, "account-held", "task run worker inputs",
+        "None if the account has what it pays for: its cap keeps further tasks waiting. "
+        "reason=gang-wider-than-cap: raise the cap or tell the customer, since the gang never "
+        "starts. reason=account-not-configured: the account was removed while jobs of it wait; add "
+        "it again or cancel them."};
+inline constexpr EventKind accountFree{757, EventLevel::Info, "account-free",
+                                       "task run worker inputs",
+                                       "None; the cap keeps nothing of the account waiting."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/accounts/cap.cpp
+++ b/src/poplarstream/accounts/cap.cpp
@@ -1,8 +1,12 @@
 #include "poplarstream/accounts/cap.hpp"
 
+#include <algorithm>  // for all_of
+#include <array>  // for array
 #include <cstdint>  // for int64_t
 #include <limits>  // for numeric_limits
 
+#include <fmt/format.h>  // for format
+
 namespace poplarstream::accounts {
 
 namespace {
@@ -19,6 +23,45 @@
     return limit == unlimited ? unlimited : limit / shards + (shard < limit % shards ? 1 : 0);
 }
 
+using Amount = std::int64_t jobs::Resources::*;
+constexpr std::array<Amount, 3> amounts = {&jobs::Resources::cpuMilli, &jobs::Resources::memoryMb,
+                                           &jobs::Resources::gpus};
+
+template <class Predicate>
+bool holdsForEach(Predicate predicate)
+{
+    return std::all_of(amounts.begin(), amounts.end(), predicate);
+}
+
+std::int64_t raised(std::int64_t limit, double overshoot)
+{
+    return limit == unlimited
+                   ? unlimited
+                   : limit + static_cast<std::int64_t>(static_cast<double>(limit) * overshoot);
+}
+
+// Whether `use` passes the limit no further than it may. An owner of the whole cap may pass it by
+// one task more.
+bool isWithinOvershoot(const OwnedCap &cap, Amount amount, std::int64_t use,
+                       const jobs::Resources &need)
+{
+    const std::int64_t oneTask = holdsWholeCap(cap) ? need.*amount : 0;
+    return use - oneTask <= raised(cap.limits.*amount, cap.overshoot);
+}
+
+jobs::Resources timesCount(jobs::Resources need, int count)
+{
+    for (const Amount amount : amounts) {
+        need.*amount *= count;
+    }
+    return need;
+}
+
+std::string limitText(std::int64_t limit)
+{
+    return limit == unlimited ? "-" : fmt::to_string(limit);
+}
+
 }  // namespace
 
 jobs::Resources limitsOf(const jobs::Resources &cap)
@@ -32,4 +75,50 @@
             partOf(limits.gpus, shard, shards)};
 }
 
+bool holdsWholeCap(const OwnedCap &cap)
+{
+    return cap.whole.fits(cap.limits);
+}
+
+bool mayStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need)
+{
+    return holdsForEach([&](Amount amount) {
+        const std::int64_t limit = cap.limits.*amount;
+        const std::int64_t after = use.*amount + need.*amount;
+        return after <= limit
+               || (use.*amount * 2 < limit && isWithinOvershoot(cap, amount, after, need));
+    });
+}
+
+bool mayStartGang(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need,
+                  int members)
+{
+    jobs::Resources after = timesCount(need, members);
+    const bool isIdle = use == jobs::Resources{};
+    after += use;
+    return holdsForEach([&](Amount amount) {
+        return after.*amount <= cap.limits.*amount
+               || (isIdle && isWithinOvershoot(cap, amount, after.*amount, need));
+    });
+}
+
+bool canGangFit(const OwnedCap &cap, const jobs::Resources &need, int members)
+{
+    return mayStartGang({cap.whole, cap.whole, cap.overshoot}, {}, need, members);
+}
+
+bool maySendStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need)
+{
+    return holdsForEach(
+            [&](Amount amount) { return isWithinOvershoot(cap, amount, use.*amount, need); });
+}
+
+std::string capText(const jobs::Resources &use, const jobs::Resources &limits)
+{
+    return fmt::format("used_milli={} limit_milli={} used_mb={} limit_mb={} used_gpus={} "
+                       "limit_gpus={}",
+                       use.cpuMilli, limitText(limits.cpuMilli), use.memoryMb,
+                       limitText(limits.memoryMb), use.gpus, limitText(limits.gpus));
+}
+
 }  // namespace poplarstream::accounts
--- a/src/poplarstream/accounts/cap_test.cpp
+++ b/src/poplarstream/accounts/cap_test.cpp
@@ -1,8 +1,10 @@
 #include "poplarstream/accounts/cap.hpp"
 
 #include <limits>  // for numeric_limits
+#include <vector>  // for vector
 
 #include <gtest/gtest.h>  // for TEST
+#include <rapidcheck.h>  // for check, gen
 
 namespace poplarstream::accounts {
 namespace {
@@ -27,5 +29,48 @@
     }
 }
 
+// Guards against a cap that is broken by the sum of several owners: whoever starts tasks and gangs
+// of any width, and however the cap is divided, no start finds more than the cap and its overshoot
+// in use.
+TEST(Cap, HoldsOverAllOwners)
+{
+    EXPECT_TRUE(rc::check([] {
+        constexpr double overshoot = 0.1;
+        const std::int64_t whole = *rc::gen::inRange(1, 10'000);
+        const int owners = *rc::gen::inRange(1, 5);
+        std::vector<OwnedCap> caps;
+        std::int64_t left = whole;
+        for (int owner = 0; owner < owners; ++owner) {
+            const std::int64_t part =
+                    owner + 1 == owners ? left : *rc::gen::inRange<std::int64_t>(0, left + 1);
+            left -= part;
+            caps.push_back({limitsOf({0, 0, 0}), limitsOf({whole, 0, 0}), overshoot});
+            caps.back().limits.cpuMilli = part;
+        }
+        std::vector<jobs::Resources> uses(caps.size());
+        for (int start = 0; start < 30; ++start) {
+            const auto owner = *rc::gen::inRange<std::size_t>(0, caps.size());
+            const std::int64_t width = *rc::gen::inRange<std::int64_t>(1, whole * 2 + 1);
+            const jobs::Resources need{1 + width / *rc::gen::inRange(1, 20), 0, 0};
+            const int members = *rc::gen::inRange(1, 5);
+            const bool isGang = members > 1;
+            if (!(isGang ? mayStartGang(caps[owner], uses[owner], need, members)
+                         : mayStart(caps[owner], uses[owner], need))) {
+                continue;
+            }
+            for (int member = 0; member < members; ++member) {
+                std::int64_t running = 0;
+                for (const jobs::Resources &use : uses) {
+                    running += use.cpuMilli;
+                }
+                RC_ASSERT(static_cast<double>(running)
+                          <= static_cast<double>(whole) * (1 + overshoot));
+                uses[owner] += need;
+            }
+            RC_ASSERT(maySendStart(caps[owner], uses[owner], need));
+        }
+    }));
+}
+
 }  // namespace
 }  // namespace poplarstream::accounts
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -43,6 +43,10 @@
         return events::taskLost;
     case engine::DecisionKind::TaskGivenUp:
         return events::taskGivenUp;
+    case engine::DecisionKind::AccountHeld:
+        return events::accountHeld;
+    case engine::DecisionKind::AccountFree:
+        return events::accountFree;
     case engine::DecisionKind::LeaseLapsed:
         break;
     }
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/engine/account_use.hpp"  // for countUse, uncountUse
 #include "poplarstream/jobs/commands.hpp"  // for dropAttempt
 #include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt, isFinal
 
@@ -85,11 +86,14 @@
     engine.waiting.insert(job);
 }
 
-void attach(Worker &worker, const jobs::StepSpec &step, AttemptRef ref, std::int64_t decisivePoll)
+void attach(Engine &engine, Worker &worker, const jobs::Job &job, AttemptRef ref,
+            std::int64_t decisivePoll)
 {
+    const jobs::StepSpec &step = stepOf(job, ref.task);
     if (worker.attempts.emplace(std::move(ref), decisivePoll).second) {
         worker.used += capacityUsedBy(step);
         countInMix(worker.mix, step, 1);
+        countUse(engine, {job.submission.account, step.need});
     }
 }
 
@@ -104,6 +108,7 @@
     const jobs::StepSpec &step = stepOf(*job, ref.task);
     worker->used -= capacityUsedBy(step);
     countInMix(worker->mix, step, -1);
+    uncountUse(engine, {job->submission.account, step.need});
     if (worker->attempts.empty()) {
         worker->idleSince = now;
     }
@@ -136,6 +141,9 @@
     for (const auto &[ref, decisivePoll] : attempts) {
         release(engine, ref, incarnation, now, cause);
     }
+    for (const auto &[ref, counted] : worker->unexpectedAttempts) {
+        uncountUse(engine, counted);
+    }
     worker->unexpectedAttempts.clear();
 }
 
--- a/src/poplarstream/engine/batches.cpp
+++ b/src/poplarstream/engine/batches.cpp
@@ -4,7 +4,8 @@
 #include <set>  // for set
 #include <tuple>  // for make_tuple
 
-#include "poplarstream/engine/attempts.hpp"  // for findAttempt, release, stopJob
+#include "poplarstream/engine/account_caps.hpp"  // for isWithinCap
+#include "poplarstream/engine/attempts.hpp"  // for findAttempt, release, stopJob, stepOf
 #include "poplarstream/jobs/commands.hpp"  // for failJob
 #include "poplarstream/jobs/progress_records.hpp"  // for takeChangedRecords
 #include "poplarstream/jobs/queries.hpp"  // for findTask, isFinal
@@ -56,7 +57,9 @@
         return false;
     }
     const Worker *const worker = findWorker(engine, attempt->worker);
-    return !maySend(engine, engine.jobs.at(ref.task.job), worker) || isOverCapacity(*worker);
+    const jobs::Job &job = engine.jobs.at(ref.task.job);
+    return !maySend(engine, job, worker) || isOverCapacity(*worker)
+           || !isWithinCap(engine, job, stepOf(job, ref.task));
 }
 
 // Releases the planned members of each gang of which one must not start: the others would wait for
--- a/src/poplarstream/engine/evacuation.cpp
+++ b/src/poplarstream/engine/evacuation.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for max, any_of
 #include <vector>  // for vector
 
+#include "poplarstream/engine/account_caps.hpp"  // for mayRestart
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt, stepOf, stopAttempt
 #include "poplarstream/engine/placement.hpp"  // for chooseCandidate, countPlacements
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
@@ -76,7 +77,9 @@
     std::vector<PlacementCandidate> candidates =
             placementCandidates(engine, serviceOf(engine, job), now);
     const PlacementCounts counts = countPlacements(engine, occurrence, ref.task.step);
-    if (chooseCandidate(candidates, step, counts, {attempt->worker}, nullptr) != nullptr) {
+    // Beyond its account's cap, as after a change of the cap, it could not start elsewhere.
+    if (mayRestart(engine, job, step)
+        && chooseCandidate(candidates, step, counts, {attempt->worker}, nullptr) != nullptr) {
         stopAttempt(engine, ref, now);
     } else {
         hold(worker, {ref.task, missing, false});
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -24,6 +24,10 @@
     if (job.isLongRunning || spec.repeatCount > 0 || engine.arrivals.size() >= maxArrivals) {
         return;
     }
+    // It waits until runs of its account end, so that it does not need more workers than they.
+    if (engine.capHolds.contains(job.submission.account)) {
+        return;
+    }
     Arrival arrival{serviceOf(engine, job), job.acceptedAt, 0, 0, job.criticalPath};
     for (const jobs::StepSpec &step : spec.steps) {
         const auto time = static_cast<double>(step.count * step.estimate.count());
@@ -94,7 +98,7 @@
                     worker.leaseUntil = std::max(worker.leaseUntil, lapsedAt);
                     const TaskRef task{id, number, static_cast<int>(step), static_cast<int>(index)};
                     // This owner's first poll of the worker is decisive.
-                    attach(worker, job.submission.spec.steps[step], {task, attempt.run}, 1);
+                    attach(engine, worker, job, {task, attempt.run}, 1);
                 }
             }
         }
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/engine/account_caps.hpp"  // for passesGate, AccountGates
 #include "poplarstream/engine/attempts.hpp"  // for attach, markDirty, capacityUsedBy
 #include "poplarstream/engine/crashes.hpp"  // for isSuspect
 #include "poplarstream/engine/placement.hpp"  // for chooseCandidate, placementCandidates
@@ -29,6 +30,13 @@
     int step;
 };
 
+// What tasks are placed by during one plan.
+struct Plan
+{
+    std::map<ServiceId, std::vector<PlacementCandidate>> candidates;
+    AccountGates gates;
+};
+
 TaskRef taskRefOf(const StepRef &place, std::size_t index)
 {
     return {place.job.submission.id, place.occurrenceNumber, place.step, static_cast<int>(index)};
@@ -58,12 +66,13 @@
         ++counts.onRack[candidate.worker->entry.rack];
     }
     AttemptRef ref{taskRefOf(place, index), run};
-    recordDecision(engine, DecisionKind::TaskPlanned, ref, candidate.worker->entry.incarnation.id,
-                   [&] {
-                       return fmt::format("room_milli={} token={}", candidate.freeCapacity.cpuMilli,
-                                          currentToken(engine, *candidate.worker));
-                   });
-    attach(*candidate.worker, step, std::move(ref), noDecisivePoll);
+    recordDecision(
+            engine, DecisionKind::TaskPlanned, ref, candidate.worker->entry.incarnation.id, [&] {
+                return fmt::format("room_milli={} token={}{}", candidate.freeCapacity.cpuMilli,
+                                   currentToken(engine, *candidate.worker),
+                                   accountText(engine, place.job));
+            });
+    attach(engine, *candidate.worker, place.job, std::move(ref), noDecisivePoll);
     if (place.job.state == jobs::JobState::Queued) {
         place.job.state = jobs::JobState::Running;
     }
@@ -88,10 +97,14 @@
 };
 
 PlacedTasks planTasks(Engine &engine, const StepRef &place,
-                      std::vector<PlacementCandidate> &candidates, TimePoint now)
+                      std::vector<PlacementCandidate> &candidates, AccountGates &gates,
+                      TimePoint now)
 {
     const jobs::StepSpec &step =
             place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
+    if (!passesGate(engine, gates, place.job, step)) {
+        return {};
+    }
     PlacementCounts counts = needsCounts(step)
                                      ? countPlacements(engine, place.occurrence, place.step)
                                      : PlacementCounts{};
@@ -102,6 +115,9 @@
         if (!jobs::isWaiting(task) || task.notBefore > now) {
             continue;
         }
+        if (!passesGate(engine, gates, place.job, step)) {
+            return placed;  // as tasks of the account end, the others follow
+        }
         PlacementCandidate *candidate =
                 chooseCandidate(candidates, step, counts, task.failedOn, nullptr, isSuspect(task));
         if (candidate == nullptr && mayRetryOnFailedWorker(task, step, candidates, now)) {
@@ -161,7 +177,8 @@
 }
 
 PlacedTasks planGang(Engine &engine, const StepRef &place,
-                     std::vector<PlacementCandidate> &candidates, TimePoint now)
+                     std::vector<PlacementCandidate> &candidates, AccountGates &gates,
+                     TimePoint now)
 {
     const jobs::StepSpec &step =
             place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
@@ -177,6 +194,9 @@
         hasSuspect = hasSuspect || isSuspect(task);
         checkpoint = checkpoint.empty() ? task.checkpoint : checkpoint;
     }
+    if (!passesGateAsGang(engine, gates, place.job, step)) {
+        return {};
+    }
     const std::vector<std::size_t> chosen =
             candidatesForGang(candidates, step, tasks.size(), hasSuspect);
     if (chosen.empty()) {
@@ -200,17 +220,15 @@
 }
 
 // Plans copies of slow speculative tasks with the remaining capacity.
-void planSpeculativeCopies(Engine &engine,
-                           std::map<ServiceId, std::vector<PlacementCandidate>> &candidates,
-                           TimePoint now)
+void planSpeculativeCopies(Engine &engine, Plan &plan, TimePoint now)
 {
     for (jobs::Job *const each : engine.active) {
         jobs::Job &job = *each;
         if (!job.hasSpeculative || job.state != jobs::JobState::Running) {
             continue;
         }
-        const auto own = candidates.find(serviceOf(engine, job));
-        if (own == candidates.end()) {
+        const auto own = plan.candidates.find(serviceOf(engine, job));
+        if (own == plan.candidates.end()) {
             continue;
         }
         for (auto &[number, occurrence] : job.occurrences) {
@@ -224,7 +242,8 @@
                     const jobs::Task &task = occurrence.steps[i][index];
                     // A copy of a suspected task would endanger a second worker.
                     if (task.isDone || task.attempts.size() != 1 || isSuspect(task)
-                        || !needsCopy(engine, task.attempts[0], now)) {
+                        || !needsCopy(engine, task.attempts[0], now)
+                        || !passesGate(engine, plan.gates, job, step)) {
                         continue;
                     }
                     PlacementCounts counts = countPlacements(engine, occurrence, place.step);
@@ -265,10 +284,10 @@
     for (const auto &[service, steps] : ranked) {
         services.push_back(&service);
     }
-    std::map<ServiceId, std::vector<PlacementCandidate>> candidates =
-            placementCandidates(engine, services, now);
+    Plan plan;
+    plan.candidates = placementCandidates(engine, services, now);
     for (const auto &[service, steps] : ranked) {
-        auto &own = candidates.at(service);
+        auto &own = plan.candidates.at(service);
         jobs::Resources largest = largestFreeCapacity(own);
         bool hasPlaced = false;  // since `largest` was computed
         for (const WaitingStep &waiting : steps) {
@@ -279,8 +298,8 @@
                 continue;
             }
             const PlacedTasks placed = waiting.job->submission.spec.steps[index].gang
-                                               ? planGang(engine, place, own, now)
-                                               : planTasks(engine, place, own, now);
+                                               ? planGang(engine, place, own, plan.gates, now)
+                                               : planTasks(engine, place, own, plan.gates, now);
             hasPlaced = hasPlaced || placed.any;
             // Capacity only shrinks during a plan. Without this, each of the many steps that no
             // longer fit visits all candidates.
@@ -290,7 +309,8 @@
             }
         }
     }
-    planSpeculativeCopies(engine, candidates, now);
+    planSpeculativeCopies(engine, plan, now);
+    recordHolds(engine, plan.gates, now);
 }
 
 }  // namespace poplarstream::engine
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/engine/account_use.hpp"  // for addUnexpected, forgetUnexpected, uncountUse
 #include "poplarstream/engine/attempts.hpp"  // for attach, detach, release
 #include "poplarstream/engine/crashes.hpp"  // for recordCrash, recordSilence, clearIfProven
 #include "poplarstream/engine/incarnations.hpp"  // for endIncarnation, restartWorker
@@ -109,7 +110,7 @@
 void handleCompletion(Engine &engine, Worker &worker, const CompletionReport &report, TimePoint now)
 {
     const AttemptRef ref{report.task, report.run};
-    worker.unexpectedAttempts.erase(ref);
+    forgetUnexpected(engine, worker, ref);
     jobs::Job *const job = findJob(engine, report.task.job);
     if (job == nullptr) {
         return;
@@ -146,7 +147,7 @@
     const AttemptRef ref{report.task, report.run};
     jobs::Attempt *const attempt = findAttempt(engine, ref);
     if (attempt == nullptr || attempt->worker != worker.entry.incarnation) {
-        if (worker.unexpectedAttempts.insert(ref).second) {
+        if (addUnexpected(engine, worker, ref)) {
             engine.commands.emplace_back(
                     StopCommand{targetOf(engine, worker), report.task, report.run});
         }
@@ -197,8 +198,14 @@
                 fmt::format("poll={} decisive={} sent_ms_ago={} token={}", pollNumber, decisivePoll,
                             (now - worker.pollSentAt).count(), currentToken(engine, worker)));
     }
-    std::erase_if(worker.unexpectedAttempts,
-                  [&](const AttemptRef &ref) { return !isPresent(ref); });
+    std::erase_if(worker.unexpectedAttempts, [&](const auto &entry) {
+        const auto &[ref, counted] = entry;
+        if (isPresent(ref)) {
+            return false;
+        }
+        uncountUse(engine, counted);
+        return true;
+    });
 }
 
 // Resends the stop commands that haven't taken effect yet.
@@ -210,7 +217,7 @@
             engine.commands.emplace_back(StopCommand{targetOf(engine, worker), ref.task, ref.run});
         }
     }
-    for (const AttemptRef &ref : worker.unexpectedAttempts) {
+    for (const auto &[ref, counted] : worker.unexpectedAttempts) {
         engine.commands.emplace_back(StopCommand{targetOf(engine, worker), ref.task, ref.run});
     }
 }
--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/engine/account_caps.hpp"  // for mayRestart
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt, stopAttempt, stepOf
 #include "poplarstream/engine/placement.hpp"  // for placementCandidates, chooseCandidate
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
@@ -103,7 +104,8 @@
             placementCandidates(engine, serviceOf(engine, job), now);
     const PlacementCounts counts =
             countPlacements(engine, job.occurrences.at(ref.task.occurrence), ref.task.step);
-    if (chooseCandidate(candidates, step, counts, {attempt.worker}, nullptr) != nullptr) {
+    if (mayRestart(engine, job, step)
+        && chooseCandidate(candidates, step, counts, {attempt.worker}, nullptr) != nullptr) {
         stopAttempt(engine, ref, now);
     }
 }
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -98,6 +98,8 @@
         zoneSilent,
         zoneHeard,
         jobHeld,
+        accountHeld,
+        accountFree,
 };
 
 }  // namespace
