Size pools for what the caps of accounts let start

Cause: the demand of a pool counts all waiting work, also of accounts whose caps let none of it start, so that machines come and stand idle. Change: the waiting demand of an account is scaled to what its cap leaves beside what it runs.

--- a/src/poplarstream/pools/demand.cpp
+++ b/src/poplarstream/pools/demand.cpp
@@ -1,8 +1,9 @@
 #include "poplarstream/pools/demand.hpp"
 
-#include <algorithm>  // for max
+#include <algorithm>  // for count_if, max, min
 #include <cmath>  // for ceil
 
+#include "poplarstream/engine/account_caps.hpp"  // for ownedCap, useOf
 #include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf, deadlineClassOf
 #include "poplarstream/jobs/queries.hpp"  // for isFinal, isStepReady, isWaiting
@@ -41,6 +42,92 @@
     }
 }
 
+// What the waiting tasks of an account need in full, and by service.
+struct AccountDemand
+{
+    jobs::Resources needed;
+    jobs::Resources widest;  // of each, the most that one of them needs
+    std::map<ServiceId, Demand> byService;
+};
+
+void addNeed(AccountDemand &account, const jobs::Resources &need, int count)
+{
+    account.needed.cpuMilli += need.cpuMilli * count;
+    account.needed.memoryMb += need.memoryMb * count;
+    account.needed.gpus += need.gpus * count;
+    account.widest.cpuMilli = std::max(account.widest.cpuMilli, need.cpuMilli);
+    account.widest.memoryMb = std::max(account.widest.memoryMb, need.memoryMb);
+    account.widest.gpus = std::max(account.widest.gpus, need.gpus);
+}
+
+void addWaitingNeeds(AccountDemand &account, const jobs::Job &job,
+                     const jobs::Occurrence &occurrence)
+{
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+        const jobs::StepSpec &step = job.submission.spec.steps[i];
+        const auto &tasks = occurrence.steps[i];
+        const auto count = job.state == jobs::JobState::Queued
+                                   ? static_cast<std::ptrdiff_t>(tasks.size())
+                                   : std::count_if(tasks.begin(), tasks.end(), jobs::isWaiting);
+        if (count > 0) {
+            addNeed(account, step.need, static_cast<int>(count));
+        }
+    }
+}
+
+// The part of the account's waiting tasks that its cap lets start beside what it has running, 0 to
+// 1. One task may start even if it is wider than what is left, see accounts::mayStart.
+double startableShare(const engine::Engine &engine, const AccountId &id,
+                      const AccountDemand &account)
+{
+    const auto cap = engine::ownedCap(engine, id);
+    if (!cap) {
+        return 0;
+    }
+    const jobs::Resources use = engine::useOf(engine, id);
+    double share = 1;
+    for (const auto amount :
+         {&jobs::Resources::cpuMilli, &jobs::Resources::memoryMb, &jobs::Resources::gpus}) {
+        const std::int64_t limit = cap->limits.*amount;
+        std::int64_t left = std::max<std::int64_t>(limit - use.*amount, 0);
+        if (use.*amount * 2 < limit) {
+            left = std::max(left, account.widest.*amount);
+        }
+        if (account.needed.*amount > left) {
+            share = std::min(share, static_cast<double>(left)
+                                            / static_cast<double>(account.needed.*amount));
+        }
+    }
+    return share;
+}
+
+jobs::Resources scaled(const jobs::Resources &amount, double share)
+{
+    const auto part = [share](std::int64_t each) {
+        return static_cast<std::int64_t>(std::ceil(static_cast<double>(each) * share));
+    };
+    return {part(amount.cpuMilli), part(amount.memoryMb), part(amount.gpus)};
+}
+
+void addAccount(Demand &demand, const Demand &own, double share)
+{
+    demand.running += own.running;
+    demand.longRunning += own.longRunning;
+    demand.waiting += scaled(own.waiting, share);
+    demand.late += scaled(own.late, share);
+    demand.unplaced += scaled(own.unplaced, share);
+    if (share > 0) {
+        demand.largestLate.cpuMilli =
+                std::max(demand.largestLate.cpuMilli, own.largestLate.cpuMilli);
+        demand.largestLate.memoryMb =
+                std::max(demand.largestLate.memoryMb, own.largestLate.memoryMb);
+    }
+    // Workers on which the account has tasks are kept, whether it may start more or not.
+    if (share > 0 || own.running != jobs::Resources{}) {
+        demand.minWorkers = std::max(demand.minWorkers, own.minWorkers);
+    }
+}
+
 void addStep(Demand &demand, const jobs::Occurrence &occurrence, const jobs::StepSpec &step,
              std::size_t index, const StepProgress &progress, TimePoint now)
 {
@@ -109,16 +196,23 @@
 std::map<ServiceId, Demand> demandByService(const engine::Engine &engine, TimePoint now)
 {
     std::map<ServiceId, Demand> demands;
+    std::map<AccountId, AccountDemand> accounts;
     for (const jobs::Job *const each : engine.active) {
         const jobs::Job &job = *each;
         if (job.isHeld) {
             continue;
         }
-        Demand &demand = demands[engine::serviceOf(engine, job)];
+        const ServiceId &service = engine::serviceOf(engine, job);
+        AccountDemand *const account =
+                job.submission.account.isEmpty() ? nullptr : &accounts[job.submission.account];
+        Demand &demand = account == nullptr ? demands[service] : account->byService[service];
         for (const auto &[number, occurrence] : job.occurrences) {
             const engine::DeadlineClass deadlineClass =
                     jobs::isFinal(job.state) ? engine::DeadlineClass::Expired
                                              : engine::deadlineClassOf(job, occurrence, now);
+            if (account != nullptr && deadlineClass != engine::DeadlineClass::Expired) {
+                addWaitingNeeds(*account, job, occurrence);
+            }
             for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
                 const jobs::StepSpec &step = job.submission.spec.steps[i];
                 StepProgress progress;
@@ -133,6 +227,12 @@
             }
         }
     }
+    for (const auto &[id, account] : accounts) {
+        const double share = startableShare(engine, id, account);
+        for (const auto &[service, own] : account.byService) {
+            addAccount(demands[service], own, share);
+        }
+    }
     return demands;
 }
 
--- a/src/poplarstream/pools/demand_test.cpp
+++ b/src/poplarstream/pools/demand_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
+#include "poplarstream/accounts/cap.hpp"  // for limitsOf
 #include "poplarstream/engine/engine_fixture.hpp"  // for EngineFixture, submission, step
 
 namespace poplarstream::pools {
@@ -60,5 +61,37 @@
     }
 }
 
+// Guards against machines for work that no cap lets start: they would stand idle. Load: one account
+// with 40 cores of waiting work under a cap of 8, beside a quiet one.
+TEST(Demand, WorkBeyondACapAsksForNoMachine)
+{
+    SCOPED_TRACE("given an account that submits five times its cap");
+    EngineFixture fixture(2);
+    const AccountId account("harbour");
+    const jobs::Resources cap{8000, 0, 0};
+    configureAccounts(fixture.engine, {{account, {account, 1, cap}}},
+                      {{account, accounts::limitsOf(cap)}});
+    jobs::Submission flood = submission(firstJob, step(40, 1000));
+    flood.account = account;
+    fixture.submit(flood);
+    EXPECT_EQ(machinesFor(fixture, 2), 3);  // 8 cores; not all of a machine is counted on
+    {
+        SCOPED_TRACE("when it runs, then it asks for what is left of its cap");
+        fixture.startAll();
+        EXPECT_EQ(machinesFor(fixture, 2), 3);
+    }
+    {
+        SCOPED_TRACE("when the quiet account's work waits, then it asks for all of it");
+        fixture.submit(submission(engine::test::secondJob, step(8, 1000)));
+        EXPECT_EQ(machinesFor(fixture, 2), 5);
+    }
+    {
+        SCOPED_TRACE("when the account is removed, then only what runs counts");
+        configureAccounts(fixture.engine, {}, {});
+        EXPECT_EQ(demandByService(fixture.engine, fixture.now).at(ServiceId("shop")).waiting,
+                  (jobs::Resources{8000, 800, 0}));
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::pools
