Rank the work of accounts by what each has got of late

Change: between priority and the previous order, steps within their account's share go before those that use what others leave idle, and these before excess. A job is in excess for good if its account exceeded the jobs a second that it is owed when the job arrived (token bucket, divided among the owners). Otherwise the recent processor time of the accounts that wait for a pool decides, against their weight's part of all use there, and of the use of those that wait. Runs are visited every 500 ms. Nothing is kept free for anyone, and without accounts the order is as before.

--- /dev/null
+++ b/include/poplarstream/engine/account_shares.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "poplarstream/engine/ranking.hpp"  // for WaitingStep
+#include "poplarstream/engine/state.hpp"  // for Engine
+
+namespace poplarstream::engine {
+
+// Counts a job that has arrived, and notes in it whether its account submits more than it is owed.
+void countArrival(Engine &engine, jobs::Job &job);
+
+// Sets the share of each step that waits, by what its account has got of the pool lately. Does
+// nothing without accounts.
+void rankShares(Engine &engine, std::map<ServiceId, std::vector<WaitingStep>> &waiting,
+                TimePoint now);
+
+// Drops what is known of accounts that are no longer configured.
+void pruneShares(Engine &engine);
+
+}  // namespace poplarstream::engine
--- a/include/poplarstream/engine/job_events.hpp
+++ b/include/poplarstream/engine/job_events.hpp
@@ -47,9 +47,9 @@
 void tickJobs(Engine &engine, const ClockReading &now);
 
 // Replaces the client accounts with those of a new configuration. `limits` has this owner's part of
-// each account's cap.
+// each account's cap, and `jobShare` is the part of the deployment's jobs that it gets.
 void configureAccounts(Engine &engine, accounts::ClientAccounts accounts,
-                       std::map<AccountId, jobs::Resources> limits);
+                       std::map<AccountId, jobs::Resources> limits, double jobShare = 1);
 
 // Replaces the queues and services with those of a new configuration.
 void configure(Engine &engine, std::map<QueueId, Queue> queues,
--- a/include/poplarstream/engine/ranking.hpp
+++ b/include/poplarstream/engine/ranking.hpp
@@ -3,6 +3,7 @@
 #include <tuple>  // for tuple
 #include <vector>  // for vector
 
+#include "poplarstream/accounts/shares.hpp"  // for ShareRank
 #include "poplarstream/engine/state.hpp"  // for Engine, JobId
 
 namespace poplarstream::engine {
@@ -23,6 +24,7 @@
     int step = 0;
     DeadlineClass deadlineClass = DeadlineClass::OnTime;
     int priority = 0;
+    accounts::ShareRank share = accounts::ShareRank::Within;  // of its account in its pool
     bool hasStarted = false;  // preferred, since leaving it unfinished wastes the work done
     TimePoint objective{};
 };
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -11,6 +11,7 @@
 #include <vector>  // for vector
 
 #include "poplarstream/accounts/client_account.hpp"  // for ClientAccounts
+#include "poplarstream/accounts/shares.hpp"  // for ArrivalBucket, PoolClaim
 #include "poplarstream/engine/decision.hpp"  // for Decision, ReleaseCounts
 #include "poplarstream/engine/job_set.hpp"  // for JobSet
 #include "poplarstream/engine/worker_commands.hpp"  // for Command
@@ -125,6 +126,15 @@
     TimePoint heldAt{};  // of the last plan that held something back
 };
 
+// What accounts have got lately. A new owner begins with what runs then.
+struct AccountShares
+{
+    std::map<AccountId, accounts::ArrivalBucket> arrivals;
+    // By pool, with the processor time of the last seconds in millicores.
+    std::map<ServiceId, std::map<AccountId, accounts::PoolClaim>> pools;
+    TimePoint sampledAt{};
+};
+
 // The owner's view of one incarnation of a worker.
 struct Worker
 {
@@ -228,6 +238,8 @@
     // accounts::limitsOf gives it. An account without an entry may start nothing.
     std::map<AccountId, jobs::Resources> accountLimits;
     std::map<AccountId, CapHold> capHolds;  // of the accounts that are held by their caps now
+    AccountShares shares;
+    double jobShare = 1;  // part of the deployment's jobs that this owner gets
     std::unordered_map<JobId, jobs::Job> jobs;
     JobSet active{jobs::JobIndex::Active};
     JobSet waiting{jobs::JobIndex::Waiting};
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -172,6 +172,7 @@
     // Its stored progress could not be read in full. Nothing of it starts, since it is not known
     // what has been done.
     bool isHeld = false;
+    bool isBeyondRate = false;  // its account submitted more than it is owed when it arrived
     // Hashes of the stored records of its progress, but for the one under its id.
     std::map<std::string, std::uint64_t> storedParts;
     std::array<std::size_t, jobIndexes> places{notInIndex, notInIndex, notInIndex};  // by JobIndex
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -412,7 +412,8 @@
         limits[id] = accounts::equalPart(accounts::limitsOf(account.cap), state_->shard.index,
                                          state_->shard.count);
     }
-    engine::configureAccounts(state_->engine, configuration.accounts, std::move(limits));
+    engine::configureAccounts(state_->engine, configuration.accounts, std::move(limits),
+                              1.0 / state_->shard.count);
 }
 
 void OwnerSession::applyWave(const pools::Wave &wave)
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for max
 
+#include "poplarstream/engine/account_shares.hpp"  // for countArrival, pruneShares
 #include "poplarstream/engine/attempts.hpp"  // for attach, stopJob, markDirty, capacityUsedBy
 #include "poplarstream/engine/crashes.hpp"  // for isSuspect
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
@@ -119,6 +120,7 @@
     engine.waiting.insert(job);
     engine.needsPlan = true;
     recordArrival(engine, job);
+    countArrival(engine, job);
     if (engine.cancelledEarly.erase(id) != 0) {
         cancelJob(engine, id, now.steady);
     }
@@ -218,10 +220,12 @@
 }
 
 void configureAccounts(Engine &engine, accounts::ClientAccounts accounts,
-                       std::map<AccountId, jobs::Resources> limits)
+                       std::map<AccountId, jobs::Resources> limits, double jobShare)
 {
     engine.accounts = std::move(accounts);
     engine.accountLimits = std::move(limits);
+    engine.jobShare = jobShare;
+    pruneShares(engine);
     engine.needsPlan = true;
 }
 
--- a/src/poplarstream/engine/ranking.cpp
+++ b/src/poplarstream/engine/ranking.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for sort
 #include <tuple>  // for make_tuple, tie
 
+#include "poplarstream/engine/account_shares.hpp"  // for rankShares
 #include "poplarstream/jobs/queries.hpp"  // for isStepReady, isWaiting, objective, remainingPath
 
 namespace poplarstream::engine {
@@ -53,8 +54,8 @@
             if (isDue) {
                 waiting[serviceOf(engine, job)].push_back(
                         {&job, number, step, deadlineClassOf(job, occurrence, now),
-                         job.submission.policy.priority, !isQueued && hasStarted(occurrence),
-                         jobs::objective(job, occurrence)});
+                         job.submission.policy.priority, accounts::ShareRank::Within,
+                         !isQueued && hasStarted(occurrence), jobs::objective(job, occurrence)});
             }
         }
     }
@@ -64,7 +65,8 @@
 bool isRankedHigher(const WaitingStep &a, const WaitingStep &b)
 {
     const auto rank = [](const WaitingStep &step) {
-        return std::make_tuple(step.deadlineClass, step.priority, !step.hasStarted, step.objective);
+        return std::make_tuple(step.deadlineClass, step.priority, step.share, !step.hasStarted,
+                               step.objective);
     };
     const auto rankA = rank(a);
     const auto rankB = rank(b);
@@ -104,6 +106,7 @@
     for (jobs::Job *const job : served) {
         engine.waiting.erase(*job);
     }
+    rankShares(engine, waiting, now);
     for (auto &[service, steps] : waiting) {
         std::sort(steps.begin(), steps.end(), isRankedHigher);
     }
