--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -11,6 +11,7 @@
 #include <vector>  // for vector
 
 #include "poplarstream/accounts/client_account.hpp"  // for ClientAccounts
+#include "poplarstream/accounts/shares.hpp"  // for ArrivalBucket, PoolClaim
 #include "poplarstream/engine/decision.hpp"  // for Decision, ReleaseCounts
 #include "poplarstream/engine/job_set.hpp"  // for JobSet
 #include "poplarstream/engine/worker_commands.hpp"  // for Command
@@ -111,6 +112,29 @@
     TimePoint at{};
 };
 
+// What a run counts for in the use of its account.
+struct AccountNeed
+{
+    AccountId account;  // empty: counted for none
+    jobs::Resources need;
+};
+
+// An account of which something may not start because of its cap.
+struct CapHold
+{
+    TimePoint since{};
+    TimePoint heldAt{};  // of the last plan that held something back
+};
+
+// What accounts have got lately. A new owner begins with what runs then.
+struct AccountShares
+{
+    std::map<AccountId, accounts::ArrivalBucket> arrivals;
+    // By pool, with the processor time of the last seconds in millicores.
+    std::map<ServiceId, std::map<AccountId, accounts::PoolClaim>> pools;
+    TimePoint sampledAt{};
+};
+
 // The owner's view of one incarnation of a worker.
 struct Worker
 {
@@ -128,7 +152,8 @@
     // Each with the number of its decisive poll: the first whose response must list the attempt if
     // it runs.
     std::map<AttemptRef, std::int64_t> attempts;
-    std::set<AttemptRef> unexpectedAttempts;  // running but in no job; being stopped
+    // Running but in no job; being stopped.
+    std::map<AttemptRef, AccountNeed> unexpectedAttempts;
     TaskMix mix;  // of `attempts`
 
     std::int64_t tokenBump = 0;  // raised to fence commands that got no response
@@ -212,6 +237,9 @@
     // What each account may have running on this owner's workers: its part of the cap, as
     // accounts::limitsOf gives it. An account without an entry may start nothing.
     std::map<AccountId, jobs::Resources> accountLimits;
+    std::map<AccountId, CapHold> capHolds;  // of the accounts that are held by their caps now
+    AccountShares shares;
+    double jobShare = 1;  // part of the deployment's jobs that this owner gets
     std::unordered_map<JobId, jobs::Job> jobs;
     JobSet active{jobs::JobIndex::Active};
     JobSet waiting{jobs::JobIndex::Waiting};
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -260,6 +260,15 @@
         "Report it: the stored progress of the job could not be read in full, so nothing of it "
         "starts. Let a process that can read it become the owner, or cancel the job and submit it "
         "again under another id if running tasks again does no harm."};
+inline constexpr EventKind accountCapped{
+        756, EventLevel::Info, "account-capped", "task run worker inputs",
+        "None if the account has what it pays for: its cap keeps further tasks waiting. "
+        "reason=gang-wider-than-cap: raise the cap or tell the customer, since the gang never "
+        "starts. reason=account-not-configured: the account was removed while jobs of it wait; add "
+        "it again or cancel them."};
+inline constexpr EventKind accountUncapped{757, EventLevel::Info, "account-uncapped",
+                                           "task run worker inputs",
+                                           "None; the cap keeps nothing of the account waiting."};
 inline constexpr EventKind storeCircuitOpened{
         770, EventLevel::Warning, "store-circuit-opened", "partition result owner_reached waiting",
         "Check the platform's store. Submissions wait while their callers do. owner_reached=no "
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for max
 
+#include "poplarstream/engine/account_shares.hpp"  // for countArrival, pruneShares
 #include "poplarstream/engine/attempts.hpp"  // for attach, stopJob, markDirty, capacityUsedBy
 #include "poplarstream/engine/crashes.hpp"  // for isSuspect
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
@@ -24,6 +25,10 @@
     if (job.isLongRunning || spec.repeatCount > 0 || engine.arrivals.size() >= maxArrivals) {
         return;
     }
+    // It waits until runs of its account end, so that it does not need more workers than they.
+    if (engine.capHolds.contains(job.submission.account)) {
+        return;
+    }
     Arrival arrival{serviceOf(engine, job), job.acceptedAt, 0, 0, job.criticalPath};
     for (const jobs::StepSpec &step : spec.steps) {
         const auto time = static_cast<double>(step.count * step.estimate.count());
@@ -94,7 +99,7 @@
                     worker.leaseUntil = std::max(worker.leaseUntil, lapsedAt);
                     const TaskRef task{id, number, static_cast<int>(step), static_cast<int>(index)};
                     // This owner's first poll of the worker is decisive.
-                    attach(worker, job.submission.spec.steps[step], {task, attempt.run}, 1);
+                    attach(engine, worker, job, {task, attempt.run}, 1);
                 }
             }
         }
@@ -115,6 +120,7 @@
     engine.waiting.insert(job);
     engine.needsPlan = true;
     recordArrival(engine, job);
+    countArrival(engine, job);
     if (engine.cancelledEarly.erase(id) != 0) {
         cancelJob(engine, id, now.steady);
     }
@@ -214,10 +220,12 @@
 }
 
 void configureAccounts(Engine &engine, accounts::ClientAccounts accounts,
-                       std::map<AccountId, jobs::Resources> limits)
+                       std::map<AccountId, jobs::Resources> limits, double jobShare)
 {
     engine.accounts = std::move(accounts);
     engine.accountLimits = std::move(limits);
+    engine.jobShare = jobShare;
+    pruneShares(engine);
     engine.needsPlan = true;
 }
 
