--- a/cmake/compiler.cmake
+++ b/cmake/compiler.cmake
@@ -17,6 +17,7 @@
 find_package(nlohmann_json REQUIRED)
 find_package(nng REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_library(SODIUM_LIBRARY sodium REQUIRED)
 find_package(tomlplusplus REQUIRED)
 
 option(POPLAR_TESTS "Build tests, stand-ins and benchmarks" ON)
