--- a/include/poplarstream/adapters/http_message.hpp
+++ b/include/poplarstream/adapters/http_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>  // for strong_ordering
+#include <cstddef>  // for size_t
 #include <cstdint>  // for uint16_t
 #include <optional>  // for optional
 #include <string>  // for string
@@ -50,6 +51,9 @@
 // The value of the first header with this name, ignoring ASCII case; empty if there is none.
 std::optional<std::string_view> headerValue(const HttpHeaders &headers, std::string_view name);
 
+// The number of headers with this name, ignoring ASCII case.
+std::size_t headerCount(const HttpHeaders &headers, std::string_view name);
+
 // The value of `name` in the query of a request target, without percent-decoding.
 std::optional<std::string_view> queryValue(std::string_view target, std::string_view name);
 
--- a/include/poplarstream/edge/ports.hpp
+++ b/include/poplarstream/edge/ports.hpp
@@ -10,6 +10,7 @@
 #include <vector>  // for vector
 
 #include "poplarstream/accounts/client_account.hpp"  // for ClientAccounts
+#include "poplarstream/accounts/key_ring.hpp"  // for KeyRing
 #include "poplarstream/base/result.hpp"  // for Result
 #include "poplarstream/engine/state.hpp"  // for WorkerEntry, Queue, Service
 #include "poplarstream/jobs/model.hpp"  // for JobSpec
@@ -162,6 +163,7 @@
     std::vector<Route> routes;
     std::map<ServiceId, engine::Service> services;
     accounts::ClientAccounts accounts;  // none: all queues are public
+    accounts::KeyRing keys;  // of the accounts
     std::uint64_t maxBodyBytes = 262'144;
 };
 
--- a/src/poplarstream/adapters/http_message.cpp
+++ b/src/poplarstream/adapters/http_message.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/adapters/http_message.hpp"
 
-#include <algorithm>  // for all_of, equal, find_if
+#include <algorithm>  // for all_of, count_if, equal
 #include <charconv>  // for from_chars
 
 namespace poplarstream {
@@ -25,19 +25,31 @@
     return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
 }
 
+bool isNamed(const HttpHeader &header, std::string_view name)
+{
+    return std::equal(header.name.begin(), header.name.end(), name.begin(), name.end(),
+                      [](char a, char b) { return lower(a) == lower(b); });
+}
+
 }  // namespace
 
 std::optional<std::string_view> headerValue(const HttpHeaders &headers, std::string_view name)
 {
     for (const HttpHeader &header : headers) {
-        if (std::equal(header.name.begin(), header.name.end(), name.begin(), name.end(),
-                       [](char a, char b) { return lower(a) == lower(b); })) {
+        if (isNamed(header, name)) {
             return header.value;
         }
     }
     return std::nullopt;
 }
 
+std::size_t headerCount(const HttpHeaders &headers, std::string_view name)
+{
+    return static_cast<std::size_t>(
+            std::count_if(headers.begin(), headers.end(),
+                          [name](const HttpHeader &header) { return isNamed(header, name); }));
+}
+
 std::optional<std::string_view> queryValue(std::string_view target, std::string_view name)
 {
     const std::size_t mark = target.find('?');
