Authenticate calls and keep jobs to their account

Cause: calls without a valid key were carried out, and each caller could see and cancel any job. Change: an entry host authenticates a call before it looks at anything else of it. A missing or unknown key gets 401 if the configuration is current, else 503; malformed credentials get 400. Without accounts all calls are accepted as before. The account goes into submissions, cancellations and lookups; an owner shows a job to its account only, ignores the cancellations of others, also early ones, and knows the account of jobs of which it has loaded the state only. A cancellation names no queue, so one without an account does not cancel the job of an account. Rejected calls are counted by outcome and logged once a second (760); a configuration that cannot be used has an event of its own (761) in place of 202. Known gap, in the design note: a submission by another account under the id of a job replaces its record in the job log, so the next owner knows the second one.

--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -2,7 +2,9 @@
 
 #include <functional>  // for function
 #include <optional>  // for optional
+#include <string>  // for string
 
+#include "poplarstream/edge/authentication_log.hpp"  // for AuthenticationLog
 #include "poplarstream/edge/peer_calls.hpp"  // for PeerRequest, PeerResponse
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/edge/store_health.hpp"  // for StoreHealth
@@ -32,13 +34,17 @@
 
     void handleCall(const Call &call, const Respond &respond);
 
+    // Metrics of the calls in the Prometheus text format.
+    std::string metrics() const;
+
 private:
     void dispatch(const Call &call, const Respond &respond);
-    void submit(const Route &route, const jobs::JobId &id, const Call &call,
-                const Respond &respond);
-    void cancel(const jobs::JobId &id, const Call &call, const Respond &respond);
-    void lookUp(const Route &route, const jobs::JobId &id, const Call &call,
+    void submit(const Route &route, const jobs::JobId &id, const AccountId &account,
+                const Call &call, const Respond &respond);
+    void cancel(const jobs::JobId &id, const AccountId &account, const Call &call,
                 const Respond &respond);
+    void lookUp(const Route &route, const jobs::JobId &id, const AccountId &account,
+                const Call &call, const Respond &respond);
     // The shard of a partition of the job log; 0 while the number of shards is not known.
     int shardOf(int partition) const;
     void count(const Route &route, const Call &call, const Respond &respond);
@@ -54,6 +60,7 @@
     Runtime &runtime_;
     CallerHooks hooks_;
     StoreHealth health_;
+    AuthenticationLog authentications_;
 };
 
 }  // namespace poplarstream::edge
--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -67,8 +67,9 @@
     // Whether the job log has been read up to shortly before `now`.
     bool isCurrent(TimePoint now) const;
 
-    std::optional<jobs::JobState> stateOf(const engine::QueueId &queue,
-                                          const engine::JobId &id) const;
+    // The state to report to a caller, see engine::stateOf.
+    std::optional<jobs::JobState> stateOf(const engine::QueueId &queue, const engine::JobId &id,
+                                          const AccountId &caller) const;
     int waitingJobs(const engine::QueueId &queue) const;
 
     // Metrics of the shard in the Prometheus text format.
--- a/include/poplarstream/edge/stored_jobs.hpp
+++ b/include/poplarstream/edge/stored_jobs.hpp
@@ -10,9 +10,10 @@
 
 namespace poplarstream::edge {
 
-// The record of the job log that submits a job, and the one that cancels it.
+// The record of the job log that submits a job, and the one that cancels it for a caller of
+// `account`, which is empty on a public queue.
 StoredRecord submissionRecord(const jobs::Submission &submission);
-StoredRecord cancellationRecord(const jobs::JobId &id);
+StoredRecord cancellationRecord(const jobs::JobId &id, const AccountId &account = {});
 
 // The partition of the job log that holds the records of a job.
 int jobPartition(const jobs::JobId &id, int partitions);
--- a/include/poplarstream/engine/job_events.hpp
+++ b/include/poplarstream/engine/job_events.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>  // for int64_t
+#include <optional>  // for optional
 #include <span>  // for span
 #include <string_view>  // for string_view
 
@@ -20,7 +21,12 @@
 void submitJob(Engine &engine, jobs::Submission submission, const ClockReading &now);
 
 // Cancels a job. A cancellation that is read before its submission applies once that is read.
-void cancelJob(Engine &engine, const JobId &id, TimePoint now);
+//
+// `caller` is the account of the caller who cancels it, empty on a public queue. A job that belongs
+// to an account is cancelled by its callers only: the cancellation does not name the queue, so a
+// caller of a public queue could give the id of any job. Without `caller` each job is cancelled.
+void cancelJob(Engine &engine, const JobId &id, TimePoint now,
+               const std::optional<AccountId> &caller = {});
 
 // Notes that the submission of a forgotten job is no longer in the job log.
 void confirmDeletion(Engine &engine, const JobId &id);
@@ -40,8 +46,8 @@
 void holdJob(Engine &engine, const JobId &id, std::span<const ProgressRecord> parts);
 
 // Adds a job of which only the state is of interest, since it has ended and nothing of it runs.
-void adoptSettledJob(Engine &engine, const JobId &id, const QueueId &queue, jobs::JobState state,
-                     TimePoint now);
+void adoptSettledJob(Engine &engine, const JobId &id, const jobs::SubmissionOrigin &origin,
+                     jobs::JobState state, TimePoint now);
 
 // Opens occurrences that are due and removes finished jobs after their retention time.
 void tickJobs(Engine &engine, const ClockReading &now);
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -217,7 +217,8 @@
     JobSet waiting{jobs::JobIndex::Waiting};
     JobSet dirty{jobs::JobIndex::Unstored};
     std::deque<JobId> settled;  // no longer active, in this order
-    std::set<JobId> cancelledEarly;  // cancelled before their submission was read
+    // Cancelled, as cancelJob() was called, before their submission was read.
+    std::set<std::pair<JobId, std::optional<AccountId>>> cancelledEarly;
     std::map<WorkerIncarnation, Worker> workers;
     std::map<WorkerId, WorkerIncarnation> newestIncarnations;
     std::vector<Command> commands;
--- a/include/poplarstream/jobs/codec.hpp
+++ b/include/poplarstream/jobs/codec.hpp
@@ -13,9 +13,9 @@
 std::string encodeSubmission(const Submission &submission);
 Result<Submission> decodeSubmission(std::string_view text);
 
-// The queue of an encoded submission, without decoding the rest. Empty if the text has none or
-// cannot be read.
-std::optional<QueueId> queueOfSubmission(std::string_view text);
+// The queue and the account of an encoded submission, without decoding the rest. Empty if the text
+// has no queue or cannot be read.
+std::optional<SubmissionOrigin> originOfSubmission(std::string_view text);
 
 // The state in encoded progress if the job is completed and none of its runs is left, so that only
 // its state is of interest; empty otherwise, and for text that cannot be read.
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -90,6 +90,13 @@
     std::int64_t acceptedUnixMs = 0;
 };
 
+// What decides who may see a job.
+struct SubmissionOrigin
+{
+    QueueId queue;
+    AccountId account;  // empty on a public queue
+};
+
 enum class AttemptPhase {
     Planned,  // decided but not yet durable, so not sent
     StartSent,  // the start command was sent; its outcome is unknown
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -261,4 +261,14 @@
         "starts. Let a process that can read it become the owner, or cancel the job and submit it "
         "again under another id if running tasks again does no harm."};
 
+inline constexpr EventKind callRejected{
+        760, EventLevel::Warning, "call-rejected", "reason queue count",
+        "If the account complains, compare its key with the configuration in force (200). "
+        "reason=not-current: this process cannot read the store. Written at most once a second; "
+        "`count` is the calls since the last line, `reason` and `queue` are those of the newest."};
+inline constexpr EventKind configurationUnusable{
+        761, EventLevel::Error, "configuration-unusable", "in_force offset fault",
+        "Correct the field that is named and write a higher version; until then the version "
+        "`in_force` stays, 0 if there is none."};
+
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for min, max
 #include <memory>  // for make_shared
 
+#include "poplarstream/edge/authentication.hpp"  // for authenticate
 #include "poplarstream/edge/routes.hpp"  // for findRoute, jobIdFrom
 #include "poplarstream/edge/stored_jobs.hpp"  // for submissionRecord, cancellationRecord
 #include "poplarstream/ownership/division.hpp"  // for shardOfPartition
@@ -92,6 +93,11 @@
     });
 }
 
+std::string CallerHandler::metrics() const
+{
+    return authentications_.prometheusText();
+}
+
 void CallerHandler::dispatch(const Call &call, const Respond &respond)
 {
     const Configuration *const configuration = hooks_.configuration();
@@ -100,11 +106,18 @@
         return;
     }
     const Route *const route = findRoute(configuration->routes, call.host, call.path);
+    // A queue or key that was added since may be missing. Its callers would not try again after a
+    // final answer.
+    const bool isCurrent =
+            hooks_.configurationAsOf() + runtime_.settings.configurationDelay >= steadyNow();
+    const AuthenticatedCall authenticated = authenticate(*configuration, isCurrent, route, call);
+    authentications_.record(authenticated.authentication,
+                            route == nullptr ? "-" : route->policy.queue.text(), steadyNow());
+    if (authenticated.rejection) {
+        respond(*authenticated.rejection);
+        return;
+    }
     if (route == nullptr) {
-        // A queue that was added since may be missing. Its callers would not try again after a
-        // final answer.
-        const bool isCurrent =
-                hooks_.configurationAsOf() + runtime_.settings.configurationDelay >= steadyNow();
         respond(isCurrent ? makeResponse(ResponseKind::NoSuchQueue, "no such queue")
                           : makeResponse(ResponseKind::Unavailable,
                                          "the configuration may be out of date"));
@@ -122,13 +135,13 @@
     }
     switch (call.kind) {
     case CallKind::Submit:
-        submit(*route, *id, call, respond);
+        submit(*route, *id, authenticated.account, call, respond);
         break;
     case CallKind::Lookup:
-        lookUp(*route, *id, call, respond);
+        lookUp(*route, *id, authenticated.account, call, respond);
         break;
     case CallKind::Cancel:
-        cancel(*id, call, respond);
+        cancel(*id, authenticated.account, call, respond);
         break;
     case CallKind::Other:
         respond(makeResponse(ResponseKind::BadRequest, "no such method"));
@@ -136,8 +149,8 @@
     }
 }
 
-void CallerHandler::submit(const Route &route, const jobs::JobId &id, const Call &call,
-                           const Respond &respond)
+void CallerHandler::submit(const Route &route, const jobs::JobId &id, const AccountId &account,
+                           const Call &call, const Respond &respond)
 {
     Result<jobs::JobSpec> spec = runtime_.decode.jobSpec(call.body);
     if (!spec) {
@@ -148,6 +161,7 @@
     jobs::Submission submission;
     submission.id = id;
     submission.policy = route.policy;
+    submission.account = account;
     submission.spec = std::move(spec).value();
     submission.acceptedUnixMs = unixNowMs();
     const Respond logAndRespond = [respond, id,
@@ -167,22 +181,24 @@
     store(record, ResponseKind::Accepted, call.remaining, logAndRespond);
 }
 
-void CallerHandler::cancel(const jobs::JobId &id, const Call &call, const Respond &respond)
+void CallerHandler::cancel(const jobs::JobId &id, const AccountId &account, const Call &call,
+                           const Respond &respond)
 {
     logEvent(events::jobCancelled, {{"job", id.text()}});
-    store(cancellationRecord(id), ResponseKind::Cancelled, call.remaining, respond);
+    store(cancellationRecord(id, account), ResponseKind::Cancelled, call.remaining, respond);
 }
 
-void CallerHandler::lookUp(const Route &route, const jobs::JobId &id, const Call &call,
-                           const Respond &respond)
+void CallerHandler::lookUp(const Route &route, const jobs::JobId &id, const AccountId &account,
+                           const Call &call, const Respond &respond)
 {
     PeerRequest request;
     request.kind = PeerRequest::Kind::State;
     request.shard = shardOf(jobPartition(id, runtime_.settings.jobPartitions));
     request.queue = route.policy.queue;
     request.job = id;
+    request.account = account;
     hooks_.sendToOwner(request, boundedDeadline(ownerDeadline, call.remaining),
-                       [respond](PeerResponse response) {
+                       [respond](const PeerResponse &response) {
                            if (response.kind == PeerResponse::Kind::State) {
                                Response found = makeResponse(ResponseKind::State);
                                found.state = response.state;
--- a/src/poplarstream/edge/caller_handler_test.cpp
+++ b/src/poplarstream/edge/caller_handler_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
+#include "poplarstream/jobs/codec.hpp"  // for decodeSubmission
+
 namespace poplarstream::edge {
 namespace {
 
@@ -18,12 +20,41 @@
             }
             return Result<jobs::JobSpec>(std::move(spec));
         };
-        runtime.store.append = [this, result](const AppendRequest &, auto done) {
+        runtime.store.append = [this, result](const AppendRequest &request, auto done) {
             ++writes;
+            written = request.records.at(0);
             done({result, 0});
         };
     }
 
+    // Adds accounts with a key each, and a queue that needs one of them.
+    void addAccounts()
+    {
+        Route route{"shop.example", "/private/", {}};
+        route.isPublic = false;
+        configuration.routes.push_back(route);
+        const std::vector<accounts::AccountKeys> keys = {{AccountId("a"), {"s3cr3t-a"}},
+                                                         {AccountId("b"), {"s3cr3t-b"}}};
+        for (const accounts::AccountKeys &each : keys) {
+            configuration.accounts[each.account].id = each.account;
+        }
+        configuration.keys = accounts::KeyRing::create(keys).value();
+    }
+
+    Response call(CallKind kind, const std::string &path, const std::string &key)
+    {
+        Call call;
+        call.kind = kind;
+        call.host = "shop.example";
+        call.path = path;
+        call.key = key;
+        call.hasMalformedKey = key.find(' ') != std::string::npos;
+        call.body = "x";
+        Response response;
+        handler.handleCall(call, [&response](const Response &given) { response = given; });
+        return response;
+    }
+
     ResponseKind submit(std::size_t steps, const std::string &path = "/proofs/00000000000000a1")
     {
         Call call;
@@ -40,16 +71,23 @@
     Runtime runtime{io, {}, {}, {}, {}, {}, {}};
     Configuration configuration;
     TimePoint configurationAsOf = steadyNow();
+    bool hasConfiguration = true;
     int writes = 0;
-    CallerHandler handler{
-            runtime,
-            {[this] { return &configuration; }, [this] { return configurationAsOf; },
-             [] { return 1; },
-             [](const PeerRequest &, Milliseconds, const std::function<void(PeerResponse)> &done) {
-                 done({PeerResponse::Kind::NotOwner});
-             }}};
+    StoredRecord written;  // by the last write
+    std::vector<PeerRequest> requests;  // to owners
+    CallerHandler handler{runtime,
+                          {[this] { return hasConfiguration ? &configuration : nullptr; },
+                           [this] { return configurationAsOf; }, [] { return 1; },
+                           [this](const PeerRequest &request, Milliseconds,
+                                  const std::function<void(PeerResponse)> &done) {
+                               requests.push_back(request);
+                               done({PeerResponse::Kind::NotOwner});
+                           }}};
 };
 
+const std::string privateQueue = "/private/";
+const std::string privateJob = privateQueue + "00000000000000a1";
+
 // Guards against a job that is too large for the store and is refused as if it could be retried,
 // for ever.
 TEST(CallerHandler, WhatCannotBeStoredIsRefusedForGood)
@@ -94,5 +132,60 @@
     }
 }
 
+// Guards against a call without a valid key that has an effect or learns something, and against
+// keys in the log, the metrics or a response.
+TEST(CallerHandler, CallsWithoutAValidKeyHaveNoEffect)
+{
+    Callers callers(AppendResult::Stored);
+    callers.addAccounts();
+    std::string shown;
+    ::testing::internal::CaptureStdout();
+    const auto check = [&](const std::string &key, ResponseKind expected) {
+        for (const CallKind kind : {CallKind::Submit, CallKind::Lookup, CallKind::Cancel}) {
+            for (const std::string &path : {privateJob, privateQueue}) {
+                const Response response = callers.call(kind, path, key);
+                EXPECT_EQ(response.kind, expected) << path << " " << static_cast<int>(kind);
+                shown += response.message;
+            }
+        }
+    };
+    check("", ResponseKind::Unauthorized);
+    check("s3cr3t-other", ResponseKind::Unauthorized);
+    check("s3cr3t a", ResponseKind::BadRequest);
+    callers.configurationAsOf = steadyNow() - callers.runtime.settings.configurationDelay * 2;
+    check("s3cr3t-other", ResponseKind::Unavailable);
+    callers.hasConfiguration = false;
+    check("s3cr3t-a", ResponseKind::Unavailable);
+    shown += ::testing::internal::GetCapturedStdout() + callers.handler.metrics();
+    EXPECT_EQ(callers.writes, 0);
+    EXPECT_TRUE(callers.requests.empty());
+    EXPECT_EQ(shown.find("s3cr3t"), std::string::npos) << shown;
+    EXPECT_NE(shown.find("760 call-rejected"), std::string::npos) << shown;
+    EXPECT_NE(shown.find("{outcome=\"unknown-key\"} 6\n"), std::string::npos) << shown;
+}
+
+// Guards against a job, lookup or cancellation that loses its account on the way to the owner.
+TEST(CallerHandler, AccountOfACall)
+{
+    Callers callers(AppendResult::Stored);
+    callers.addAccounts();
+    ::testing::internal::CaptureStdout();
+    callers.call(CallKind::Submit, privateJob, "s3cr3t-b");
+    const auto submission = jobs::decodeSubmission(callers.written.value.value_or(""));
+    ASSERT_TRUE(submission);
+    EXPECT_EQ(submission.value().account, AccountId("b"));
+    callers.call(CallKind::Cancel, privateJob, "s3cr3t-a");
+    EXPECT_EQ(callers.written.value, "cancelled by a");
+    callers.call(CallKind::Lookup, privateJob, "s3cr3t-a");
+    ASSERT_EQ(callers.requests.size(), 1U);
+    EXPECT_EQ(callers.requests[0].account, AccountId("a"));
+    {
+        SCOPED_TRACE("on a public queue there is none, whatever the key");
+        callers.call(CallKind::Cancel, "/proofs/00000000000000a1", "s3cr3t-a");
+        EXPECT_EQ(callers.written.value, "cancelled");
+    }
+    EXPECT_EQ(::testing::internal::GetCapturedStdout().find("s3cr3t"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -77,9 +77,10 @@
     {
         Result<Configuration> decoded = runtime.decode.configuration(*record.value);
         if (!decoded) {
-            logEvent(events::recordUnreadable, {{"stream", "operator"},
-                                                {"offset", fmt::to_string(record.offset)},
-                                                {"fault", decoded.failure().message}});
+            logEvent(events::configurationUnusable,
+                     {{"in_force", fmt::to_string(configuration.version)},
+                      {"offset", fmt::to_string(record.offset)},
+                      {"fault", decoded.failure().message}});
             return;
         }
         if (hasConfiguration && decoded.value().version <= configuration.version) {
@@ -246,7 +247,8 @@
         } else if (request.kind == PeerRequest::Kind::Count) {
             response.kind = PeerResponse::Kind::Count;
             response.count = session->waitingJobs(request.queue);
-        } else if (const auto state = session->stateOf(request.queue, request.job)) {
+        } else if (const auto state =
+                           session->stateOf(request.queue, request.job, request.account)) {
             response.kind = PeerResponse::Kind::State;
             response.state = *state;
         } else {
@@ -359,7 +361,7 @@
     if (!sessions.empty()) {
         text += sessions + state_->runtime.load.prometheusText();
     }
-    return text + state_->runtime.durations.prometheusText();
+    return text + state_->callers.metrics() + state_->runtime.durations.prometheusText();
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/entry_process_test.cpp
+++ b/src/poplarstream/edge/entry_process_test.cpp
@@ -182,6 +182,55 @@
     }
 }
 
+// Guards against a withdrawn key that is accepted again because an old version, or one that cannot
+// be used, is read after the one that withdrew it.
+TEST(EntryProcess, ConfigurationNeverGoesBack)
+{
+    SCOPED_TRACE("given a process whose configurations are VERSION:KEY");
+    Host host(1, 30);
+    host.runtime.decode.isConfiguration = [](const std::string &key) { return key == "config"; };
+    host.runtime.decode.configuration = [](const std::string &text) -> Result<Configuration> {
+        if (text == "unusable") {
+            return Failure{"version 9: account a: weight: not a number", {}};
+        }
+        Configuration configuration;
+        configuration.version = std::stoll(text);
+        configuration.routes.push_back({"shop.example", "/proofs/", {}, false});
+        configuration.keys = accounts::KeyRing::create(
+                                     std::vector<accounts::AccountKeys>{
+                                             {AccountId("a"), {text.substr(text.find(':') + 1)}}})
+                                     .value();
+        return configuration;
+    };
+    // A call that is accepted is answered with the fault in its job id.
+    const auto accepts = [&host](const std::string &key) {
+        bool isAccepted = false;
+        host.process->handleCall({CallKind::Lookup, "shop.example", "/proofs/none", key},
+                                 [&isAccepted](const Response &response) {
+                                     isAccepted = response.kind == ResponseKind::BadRequest;
+                                 });
+        return isAccepted;
+    };
+    ::testing::internal::CaptureStdout();
+    for (const char *text : {"4:s3cr3t-1", "6:s3cr3t-2", "5:s3cr3t-1", "unusable"}) {
+        std::vector<StoredRecord> &log = host.store.logs[{Log::Operator, 0}];
+        log.push_back({"config", text, static_cast<std::int64_t>(log.size())});
+        int turns = 0;
+        EXPECT_TRUE(host.runUntil([&] {
+            return accepts(log.size() == 1 ? "s3cr3t-1" : "s3cr3t-2") && ++turns > 20;
+        }));
+    }
+    EXPECT_FALSE(accepts("s3cr3t-1"));
+    const std::string text = ::testing::internal::GetCapturedStdout();
+    EXPECT_EQ(text.find("s3cr3t"), std::string::npos) << text;
+    EXPECT_NE(
+            text.find(
+                    " 761 configuration-unusable in_force=6 offset=3 fault=\"version 9: account a: "
+                    "weight: not a number\"\n"),
+            std::string::npos)
+            << text;
+}
+
 // Guards against tasks that run twice beside each other (review/3): a stopped owner whose
 // resignation is stored, but not answered, must not renew the leases of the workers any more.
 TEST(EntryProcess, ResignedOwnerRenewsNoLeases)
--- a/src/poplarstream/edge/job_feed.cpp
+++ b/src/poplarstream/edge/job_feed.cpp
@@ -11,7 +11,7 @@
 #include "poplarstream/edge/log_follower.hpp"  // for LogFollower
 #include "poplarstream/edge/stored_jobs.hpp"  // for applyJobRecord, adoptLateProgress
 #include "poplarstream/engine/attempts.hpp"  // for findJob
-#include "poplarstream/jobs/codec.hpp"  // for settledState, queueOfSubmission
+#include "poplarstream/jobs/codec.hpp"  // for settledState, originOfSubmission
 #include "poplarstream/jobs/progress_records.hpp"  // for jobOfRecord
 #include "poplarstream/jobs/queries.hpp"  // for isFinal
 
@@ -181,11 +181,11 @@
     void applyStoredJob(const StoredRecord &record)
     {
         const auto known = settled.find(record.key);
-        const auto queue = known != settled.end() && record.value
-                                   ? jobs::queueOfSubmission(*record.value)
-                                   : std::nullopt;
-        if (queue) {
-            engine::adoptSettledJob(engine, jobs::JobId(record.key), *queue, known->second,
+        const auto origin = known != settled.end() && record.value
+                                    ? jobs::originOfSubmission(*record.value)
+                                    : std::nullopt;
+        if (origin) {
+            engine::adoptSettledJob(engine, jobs::JobId(record.key), *origin, known->second,
                                     steadyNow());
         } else {
             applyJobRecord(engine, record, clockReadingNow());
--- a/src/poplarstream/edge/job_feed_test.cpp
+++ b/src/poplarstream/edge/job_feed_test.cpp
@@ -266,6 +266,27 @@
     }
 }
 
+// Guards against a completed job that each account sees after a takeover, since only its state was
+// loaded.
+TEST(JobFeed, CompletedJobKeepsItsAccount)
+{
+    SlowStore store;
+    jobs::Submission submitted = submission(firstJob, step(2, 1000));
+    submitted.account = AccountId("a");
+    store.jobRecords = {submissionRecord(submitted)};
+    LoadingFeed loading(store,
+                        {{firstJob, progressOf(firstJob, jobs::JobState::Completed, false), 0}});
+    for (int partition = 0; partition < partitions; ++partition) {
+        store.answerSnapshot(partition);
+    }
+    const auto stateFor = [&loading](const char *account) {
+        return engine::stateOf(loading.engine, engine::QueueId("proofs"), jobs::JobId(firstJob),
+                               AccountId(account));
+    };
+    EXPECT_EQ(stateFor("a"), jobs::JobState::Completed);
+    EXPECT_FALSE(stateFor("b"));
+}
+
 // Guards against a second run of a job whose submission is read later than its stored progress.
 TEST(JobFeed, ProgressWithoutAJobIsKeptForIt)
 {
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -434,9 +434,10 @@
 }
 
 std::optional<jobs::JobState> OwnerSession::stateOf(const engine::QueueId &queue,
-                                                    const engine::JobId &id) const
+                                                    const engine::JobId &id,
+                                                    const AccountId &caller) const
 {
-    return engine::stateOf(state_->engine, queue, id);
+    return engine::stateOf(state_->engine, queue, id, caller);
 }
 
 int OwnerSession::waitingJobs(const engine::QueueId &queue) const
--- a/src/poplarstream/edge/peer_calls.cpp
+++ b/src/poplarstream/edge/peer_calls.cpp
@@ -57,11 +57,14 @@
 void sendToPeer(HttpClient &client, const HttpEndpoint &address, const PeerRequest &peerRequest,
                 Milliseconds deadline, std::function<void(PeerResponse)> done)
 {
-    const json body = {{"kind", static_cast<int>(peerRequest.kind)},
-                       {"shard", peerRequest.shard},
-                       {"queue", peerRequest.queue.text()},
-                       {"job", peerRequest.job.text()},
-                       {"records", recordsJson(peerRequest.records)}};
+    json body = {{"kind", static_cast<int>(peerRequest.kind)},
+                 {"shard", peerRequest.shard},
+                 {"queue", peerRequest.queue.text()},
+                 {"job", peerRequest.job.text()},
+                 {"records", recordsJson(peerRequest.records)}};
+    if (!peerRequest.account.isEmpty()) {
+        body["account"] = peerRequest.account.text();
+    }
     HttpRequest request;
     request.method = "POST";
     request.target = std::string(target);
@@ -96,6 +99,8 @@
         }
         peerRequest.queue = jobs::QueueId(value.at("queue").get<std::string>());
         peerRequest.job = jobs::JobId(value.at("job").get<std::string>());
+        // Absent on a public queue, and in requests of earlier versions.
+        peerRequest.account = AccountId(value.value("account", std::string()));
         for (const json &row : value.at("records")) {
             peerRequest.records.push_back(
                     {row.at(0).get<std::string>(), row.at(1).get<std::string>(), 0});
--- a/src/poplarstream/edge/stored_jobs.cpp
+++ b/src/poplarstream/edge/stored_jobs.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>  // for sort
 #include <set>  // for set
+#include <string>  // for string
+#include <string_view>  // for string_view
 
-#include <fmt/format.h>  // for to_string
+#include <fmt/format.h>  // for format, to_string
 
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
 #include "poplarstream/engine/attempts.hpp"  // for lapseAfter, stopJob
@@ -18,6 +20,9 @@
 
 // Not a hexadecimal digit, so it cannot be part of a job id.
 constexpr char cancellationSuffix = '!';
+// The value of a cancellation. That of a caller with an account has the account behind it.
+constexpr std::string_view cancelled = "cancelled";
+constexpr std::string_view cancelledBy = "cancelled by ";
 
 void logUnreadable(std::string_view log, const StoredRecord &record, const std::string &error)
 {
@@ -26,6 +31,13 @@
                                         {"fault", error}});
 }
 
+// The account whose caller cancelled; empty on a public queue and in records of earlier versions.
+AccountId cancellingAccount(std::string_view value)
+{
+    const bool hasAccount = value.starts_with(cancelledBy);
+    return AccountId(hasAccount ? std::string(value.substr(cancelledBy.size())) : std::string());
+}
+
 }  // namespace
 
 StoredRecord submissionRecord(const jobs::Submission &submission)
@@ -33,9 +45,11 @@
     return {submission.id.text(), jobs::encodeSubmission(submission), 0};
 }
 
-StoredRecord cancellationRecord(const jobs::JobId &id)
+StoredRecord cancellationRecord(const jobs::JobId &id, const AccountId &account)
 {
-    return {id.text() + cancellationSuffix, "cancelled", 0};
+    const std::string value = account.isEmpty() ? std::string(cancelled)
+                                                : fmt::format("{}{}", cancelledBy, account.text());
+    return {id.text() + cancellationSuffix, value, 0};
 }
 
 int jobPartition(const jobs::JobId &id, int partitions)
@@ -65,7 +79,7 @@
     }
     if (record.key.ends_with(cancellationSuffix)) {
         engine::cancelJob(engine, jobs::JobId(record.key.substr(0, record.key.size() - 1)),
-                          now.steady);
+                          now.steady, cancellingAccount(*record.value));
         return;
     }
     Result<jobs::Submission> submission = jobs::decodeSubmission(*record.value);
--- a/src/poplarstream/edge/stored_jobs_test.cpp
+++ b/src/poplarstream/edge/stored_jobs_test.cpp
@@ -8,6 +8,7 @@
 
 #include "poplarstream/edge/session_metrics.hpp"  // for sessionMetrics
 #include "poplarstream/engine/engine_fixture.hpp"  // for EngineFixture, submission, step
+#include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
 
 namespace poplarstream::edge {
 namespace {
@@ -47,5 +48,51 @@
     }
 }
 
+// Guards against a job that another account cancels or takes over by its id, also by a cancellation
+// that is read before the submission.
+TEST(StoredJobs, JobsBelongToTheirAccount)
+{
+    const jobs::JobId id(firstJob);
+    EngineFixture fixture;
+    const auto apply = [&fixture](const StoredRecord &record) {
+        applyJobRecord(fixture.engine, record, {fixture.now, 0});
+    };
+    const auto submitFor = [&apply](const char *account) {
+        jobs::Submission submitted = submission(firstJob, step(2, 1000));
+        submitted.account = AccountId(account);
+        apply(submissionRecord(submitted));
+    };
+    const auto stateFor = [&](const char *account) {
+        return engine::stateOf(fixture.engine, engine::QueueId("proofs"), id, AccountId(account));
+    };
+    const auto cancelByOthers = [&] {
+        apply(cancellationRecord(id, AccountId("b")));
+        apply(cancellationRecord(id));
+    };
+    cancelByOthers();
+    submitFor("a");
+    cancelByOthers();
+    submitFor("b");
+    EXPECT_EQ(stateFor("a"), jobs::JobState::Queued);
+    EXPECT_FALSE(stateFor("b"));
+    apply(cancellationRecord(id, AccountId("a")));
+    EXPECT_EQ(stateFor("a"), jobs::JobState::Cancelled);
+    {
+        SCOPED_TRACE("its own account may cancel it before its submission is read");
+        fixture = EngineFixture();
+        apply(cancellationRecord(id, AccountId("a")));
+        submitFor("a");
+        EXPECT_EQ(stateFor("a"), jobs::JobState::Cancelled);
+        EXPECT_TRUE(fixture.engine.cancelledEarly.empty());
+    }
+    for (const char *value : {"cancelled", "cancelled by b"}) {
+        SCOPED_TRACE("any caller, and a record of an earlier version, cancels one without account");
+        fixture = EngineFixture();
+        submitFor("");
+        apply({std::string(firstJob) + "!", value, 0});
+        EXPECT_EQ(stateFor("a"), jobs::JobState::Cancelled);
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::edge
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -101,6 +101,16 @@
     }
 }
 
+// Applies the cancellations of a job that were read before its submission.
+void applyEarlyCancellations(Engine &engine, const JobId &id, TimePoint now)
+{
+    auto place = engine.cancelledEarly.lower_bound({id, {}});
+    while (place != engine.cancelledEarly.end() && place->first == id) {
+        cancelJob(engine, id, now, place->second);
+        place = engine.cancelledEarly.erase(place);
+    }
+}
+
 }  // namespace
 
 void submitJob(Engine &engine, jobs::Submission submission, const ClockReading &now)
@@ -115,13 +125,11 @@
     engine.waiting.insert(job);
     engine.needsPlan = true;
     recordArrival(engine, job);
-    if (engine.cancelledEarly.erase(id) != 0) {
-        cancelJob(engine, id, now.steady);
-    }
+    applyEarlyCancellations(engine, id, now.steady);
 }
 
-void adoptSettledJob(Engine &engine, const JobId &id, const QueueId &queue, jobs::JobState state,
-                     TimePoint now)
+void adoptSettledJob(Engine &engine, const JobId &id, const jobs::SubmissionOrigin &origin,
+                     jobs::JobState state, TimePoint now)
 {
     const auto [place, isNew] = engine.jobs.try_emplace(id);
     if (!isNew) {
@@ -129,7 +137,8 @@
     }
     jobs::Job &job = place->second;
     job.submission.id = id;
-    job.submission.policy.queue = queue;
+    job.submission.policy.queue = origin.queue;
+    job.submission.account = origin.account;
     job.state = state;
     job.durableState = state;
     job.acceptedAt = now;
@@ -137,17 +146,20 @@
     engine.settled.push_back(id);
 }
 
-void cancelJob(Engine &engine, const JobId &id, TimePoint now)
+void cancelJob(Engine &engine, const JobId &id, TimePoint now,
+               const std::optional<AccountId> &caller)
 {
     jobs::Job *const job = findJob(engine, id);
     if (job == nullptr) {
         if (!engine.beingDeleted.contains(id)
             && engine.cancelledEarly.size() < maxEarlyCancellations) {
-            engine.cancelledEarly.insert(id);
+            engine.cancelledEarly.emplace(id, caller);
         }
         return;
     }
-    if (jobs::cancelJob(*job, now)) {
+    const AccountId &account = job->submission.account;
+    const bool mayCancel = !caller || account.isEmpty() || account == *caller;
+    if (mayCancel && jobs::cancelJob(*job, now)) {
         // The cancellation itself is already stored.
         job->durableState = job->state;
         markDirty(engine, *job);
--- a/src/poplarstream/engine/job_queries.cpp
+++ b/src/poplarstream/engine/job_queries.cpp
@@ -4,13 +4,18 @@
 
 namespace poplarstream::engine {
 
-std::optional<jobs::JobState> stateOf(const Engine &engine, const QueueId &queue, const JobId &id)
+std::optional<jobs::JobState> stateOf(const Engine &engine, const QueueId &queue, const JobId &id,
+                                      const AccountId &caller)
 {
     const auto found = engine.jobs.find(id);
     if (found == engine.jobs.end() || found->second.submission.policy.queue != queue) {
         return {};
     }
     const jobs::Job &job = found->second;
+    const AccountId &account = job.submission.account;
+    if (!account.isEmpty() && !caller.isEmpty() && account != caller) {
+        return {};
+    }
     // A final state that isn't durable yet would be lost if this process failed.
     return jobs::isFinal(job.state) ? job.durableState : job.state;
 }
--- a/src/poplarstream/jobs/codec.cpp
+++ b/src/poplarstream/jobs/codec.cpp
@@ -1,7 +1,10 @@
 #include "poplarstream/jobs/codec.hpp"
 
+#include <initializer_list>  // for initializer_list
 #include <iterator>  // for back_inserter
+#include <map>  // for map
 #include <optional>  // for optional
+#include <utility>  // for exchange, move
 
 #include <fmt/format.h>  // for format
 #include <nlohmann/json.hpp>  // for json
@@ -143,15 +146,21 @@
     job.finishedOccurrences += occurrence.isDone ? 1 : 0;
 }
 
-// Reads one text member of a document and skips the rest.
+// Reads some text members of a document and skips the rest.
 class MemberReader : public nlohmann::json_sax<json>
 {
 public:
-    explicit MemberReader(std::string_view name)
-        : name_(name)
-    {}
+    explicit MemberReader(std::initializer_list<std::string_view> names)
+    {
+        for (const std::string_view name : names) {
+            values_[name] = {};
+        }
+    }
 
-    std::optional<std::string> take() { return std::move(value_); }
+    std::optional<std::string> take(std::string_view name)
+    {
+        return std::exchange(values_.at(name), std::nullopt);
+    }
 
     bool null() override { return true; }
     bool boolean(bool) override { return true; }
@@ -160,8 +169,8 @@
     bool number_float(number_float_t, const string_t &) override { return true; }
     bool string(string_t &value) override
     {
-        if (depth_ == 1 && isNamed_) {
-            value_ = std::move(value);
+        if (depth_ == 1 && wanted_ != nullptr) {
+            *wanted_ = std::move(value);
         }
         return true;
     }
@@ -173,7 +182,8 @@
     }
     bool key(string_t &key) override
     {
-        isNamed_ = depth_ == 1 && key == name_;
+        const auto named = depth_ == 1 ? values_.find(key) : values_.end();
+        wanted_ = named == values_.end() ? nullptr : &named->second;
         return true;
     }
     bool end_object() override
@@ -197,10 +207,9 @@
     }
 
 private:
-    std::string_view name_;
-    std::optional<std::string> value_;
+    std::map<std::string_view, std::optional<std::string>> values_;
+    std::optional<std::string> *wanted_ = nullptr;  // where the value of the next member goes
     int depth_ = 0;
-    bool isNamed_ = false;
 };
 
 }  // namespace
@@ -259,14 +268,18 @@
     }
 }
 
-std::optional<QueueId> queueOfSubmission(std::string_view text)
+std::optional<SubmissionOrigin> originOfSubmission(std::string_view text)
 {
-    MemberReader reader("queue");
+    MemberReader reader({"queue", "account"});
     if (!json::sax_parse(text, &reader)) {
         return {};
     }
-    std::optional<std::string> queue = reader.take();
-    return queue ? std::optional(QueueId(std::move(*queue))) : std::nullopt;
+    std::optional<std::string> queue = reader.take("queue");
+    if (!queue) {
+        return {};
+    }
+    return SubmissionOrigin{QueueId(std::move(*queue)),
+                            AccountId(reader.take("account").value_or(std::string()))};
 }
 
 std::optional<JobState> settledState(std::string_view progress)
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -98,6 +98,8 @@
         zoneSilent,
         zoneHeard,
         jobHeld,
+        callRejected,
+        configurationUnusable,
 };
 
 }  // namespace
