Let the soak use accounts, keys and caps

Cause: the soak had no accounts, so nothing checked keys and caps under faults. Calls without a key, and with unknown, malformed, withdrawn or other accounts' keys are sent beside the callers. Two rules: keys, caps.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,7 @@
         self.is_accepted = False
         self.is_cancelled = False
         self.state = None
+        self.account = None  # whose keys its calls carry
 
     def body(self):
         return {"spec": self.spec, "steps": self.steps}
@@ -28,8 +29,8 @@
 
 
 class Callers:
-    def __init__(self, entries, history, seed):
-        self.entries, self.history = entries, history
+    def __init__(self, entries, history, seed, accounts):
+        self.entries, self.history, self.accounts = entries, history, accounts
         self.random = random.Random(seed)
         self.jobs = {}
         self.session = None
@@ -57,14 +58,27 @@
                 steps.append({"count": rng.randint(1, 3), "cpu": 700, "memMb": 100,
                               "estimatedMs": 200, "after": [0], "antiAffinity": 2})
             job = Job(job_id, queue, steps, always_fails=rng.random() < 0.03)
+        job.account = self.accounts.account_of(job_id)
         self.jobs[job_id] = job
         return job
 
     async def _call(self, method, job, body=None):
+        return await self.call(method, job, body, self.accounts.key_of(job.account))
+
+    async def call(self, method, job, body, key):
         """Returns the status and the JSON body, or (None, None) without a valid response."""
+        sent = self.history.now()
+        status, response = await self._send(method, job, body, key)
+        if job.account is not None:
+            self.history.add("call", method=method, job=job.id, key=key, sent=sent, status=status)
+        return status, response
+
+    async def _send(self, method, job, body, key):
         entry = self.random.choice(self.entries)
         url = "%s/%s/%s" % (entry.front(), job.queue, job.id)
         headers = {"Host": HOST, "X-Time-Remaining-Ms": str(int(REQUEST_TIMEOUT_S * 1000))}
+        if key is not None:
+            headers["Authorization"] = "Bearer " + key
         try:
             async with self.session.request(method, url, json=body, headers=headers) as response:
                 return response.status, await response.json()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -231,6 +231,14 @@
     async def config(self, _):
         await self.write_config()
 
+    async def change_keys(self, accounts, times):
+        start_s = 0.0
+        for at_s in sorted(times):
+            await asyncio.sleep(at_s - start_s)
+            start_s = at_s
+            accounts.change_a_key()
+            await self.write_config()
+
     async def wave(self, fault):
         self.waves += 1
         names = sorted(self.fleet.machines)
@@ -239,10 +247,14 @@
         await self.fleet.request_wave(self.waves, machines, 2 + int(fault.fraction * 3), 10)
 
 
-def config_text(version, pools, standby):
+def config_text(version, pools, standby, accounts):
+    """`accounts` are the rows of the accounts; without any the configuration has none."""
     routes = [{"name": pool, "host": "queues.example", "pathPrefix": "/%s/" % pool,
                "service": pool, "priority": 0, "maxAttempts": 4, "stretch": 2.0,
                "targetCompletionMs": 500} for pool in pools if pool != standby]
     services = [{"name": pool, "standby": pool == standby} for pool in pools]
-    return json.dumps({"version": version, "routes": routes, "services": services,
-                       "limits": {"maxBodyBytes": 262144}}).encode()
+    configuration = {"version": version, "routes": routes, "services": services,
+                     "limits": {"maxBodyBytes": 262144}}
+    if accounts:
+        configuration["tenants"] = accounts
+    return json.dumps(configuration).encode()
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -2,10 +2,16 @@
 
 import collections
 
+from soak.accounts import CPU_CAPS
+
 CANCEL_GRACE_S = 4.0  # from an acknowledged cancellation to the last start that is allowed
 VISIBILITY_GRACE_S = 3.0  # from an acceptance until every entry host must know the job
 WORKER_CPU_MILLI = 4000
 MAX_ATTEMPTS = 4
+CONFIGURATION_DELAY_S = 2.0  # until a change of the configuration must be in force
+# As above and the longest time for which a process may be cut off from the store.
+WITHDRAWAL_GRACE_S = 20.0
+CAP_OVERSHOOT = 1.1
 
 
 def _job_of(task):
@@ -256,8 +262,54 @@
     return breaches
 
 
+def keys(events, jobs):
+    """A call that is accepted with a key that its account does not have, or was withdrawn long
+    ago, or one that is rejected for good although its account has the key."""
+    breaches = []
+    accounts, added, withdrawn = {}, {}, {}
+    for event in events:
+        if event["kind"] == "key-added":
+            accounts[event["key"]], added[event["key"]] = event["account"], event["t"]
+        elif event["kind"] == "key-withdrawn":
+            withdrawn[event["key"]] = event["t"]
+        if event["kind"] != "call" or event["status"] not in (200, 401):
+            continue
+        key, sent = event["key"], event["sent"]
+        name = "%s of %s at %.3f" % (event["method"], event["job"], sent)
+        may_be_held = key in added and sent <= withdrawn.get(key, sent) + WITHDRAWAL_GRACE_S
+        if event["status"] == 200 and not (
+                may_be_held and accounts[key] == jobs[event["job"]].account):
+            breaches.append("%s is accepted without a key of its account" % name)
+        if event["status"] == 401 and key in added and (
+                sent > added[key] + CONFIGURATION_DELAY_S
+                and event["t"] < withdrawn.get(key, event["t"] + 1)):
+            breaches.append("%s is rejected although its account has the key" % name)
+    return breaches
+
+
+def caps(events, jobs):
+    """A start that brings what an account has running above its cap by more than the overshoot
+    and one task."""
+    breaches = []
+    used = collections.Counter()
+    for event in events:
+        job = jobs.get(_job_of(event["task"])) if event["kind"] in ("start", "end") else None
+        if job is None or job.account is None:
+            continue
+        cpu_milli = job.step(_step_of(event["task"]))["cpu"]
+        cap = CPU_CAPS[job.account]
+        if event["kind"] == "end":
+            used[job.account] -= cpu_milli
+            continue
+        used[job.account] += cpu_milli
+        if cap and used[job.account] > cap * CAP_OVERSHOOT + cpu_milli:
+            breaches.append("%s brings %s to %d of %d at %.3f"
+                            % (event["task"], job.account, used[job.account], cap, event["t"]))
+    return breaches
+
+
 RULES = (run_twice, order, limit, budget, asked_for, refusals_true, states_true, all_ended,
-         one_holder, waves_whole, availability)
+         one_holder, waves_whole, availability, keys, caps)
 
 
 def check(events, jobs):
--- a/soak/rules_test.py
+++ b/soak/rules_test.py
@@ -175,6 +175,31 @@
         self.assert_no_breach(starts + first_stop + restart + [
             end(3.0, "k.0.0.1", worker="w1", how="moved")], long_running)
 
+    def test_keys(self):
+        owned = job("k", [{"count": 1, "cpu": 100}])
+        owned.account = "acme"
+        added = [event_at(0.0, "key-added", key=name[:1], account=name)
+                 for name in ("acme", "brook")]
+        added.append(event_at(5.0, "key-withdrawn", key="a", account="acme"))
+
+        def call(sent, key, status):
+            return event_at(sent + 0.1, "call", method="GET", job="k", key=key, sent=sent,
+                            status=status)
+        self.assert_no_breach(added + [
+            call(1.0, "a", 401), call(3.0, "a", 200), call(6.0, "a", 401), call(7.0, "a", 200),
+            call(8.0, None, 401), call(8.0, "b", 410), call(8.0, "x", 503)], owned)
+        for breach in (call(3.0, "a", 401), call(5.0 + rules.WITHDRAWAL_GRACE_S + 1, "a", 200),
+                       call(3.0, None, 200), call(3.0, "x", 200), call(3.0, "b", 200)):
+            self.assert_breach("keys", added + [breach], owned)
+
+    def test_caps(self):
+        owned = job("k", [{"count": 8, "cpu": 1000}])
+        owned.account = "acme"
+        starts = [start(0.1 * i, "k.0.0.%d" % i, worker="w%d" % i) for i in range(8)]
+        self.assert_no_breach(starts[:7], owned)
+        self.assert_breach("caps", starts, owned)
+        self.assert_no_breach(starts[:7] + [end(0.65, "k.0.0.0", worker="w0"), starts[7]], owned)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 import tempfile
 
 from soak import rules
+from soak.accounts import Accounts
 from soak.callers import FINAL_STATES, Callers
 from soak.fleet import Fleet
 from soak.history import History
@@ -43,7 +44,8 @@
                         for number in range(options.processes)]
         self.fleet = Fleet(self.store, self.history, self.describe_task, seed, POOLS, STANDBY,
                            lambda port: zone_of_client(self.entries, port))
-        self.callers = Callers(self.entries, self.history, seed)
+        self.accounts = Accounts(seed, self.history)
+        self.callers = Callers(self.entries, self.history, seed, self.accounts)
         self.version = 0
 
     def describe_task(self, task, run):
@@ -62,7 +64,8 @@
 
     async def write_config(self):
         self.version += self.random.randint(1, 3)
-        await self.store.put("keyed.op", "config", config_text(self.version, POOLS, STANDBY))
+        await self.store.put("keyed.op", "config", config_text(
+            self.version, POOLS, STANDBY, self.accounts.rows()))
 
     async def watch_waves(self):
         seen = set()
@@ -106,7 +109,10 @@
         injector = Injector(self.entries, self.store, self.fleet, self.write_config)
         self.history.add("traffic")
         injections = [asyncio.ensure_future(injector.inject(fault)) for fault in faults]
+        injections.append(asyncio.ensure_future(injector.change_keys(
+            self.accounts, self.accounts.draw_changes(self.options.seconds))))
         faults_over, stop = asyncio.Event(), asyncio.Event()
+        probing = asyncio.ensure_future(self.accounts.probe(self.callers, stop))
         job_tasks = await self.callers.run(self.options.seconds, self.options.rate, faults_over,
                                            stop)
         await asyncio.gather(*injections)
@@ -114,7 +120,7 @@
         faults_over.set()
         await asyncio.wait(job_tasks, timeout=COMPLETION_TIMEOUT_S)
         stop.set()
-        await asyncio.gather(*job_tasks)
+        await asyncio.gather(*job_tasks, probing)
         for job in self.callers.jobs.values():
             if job.is_accepted and job.state not in FINAL_STATES:
                 await self.callers.poll_state(job)
