--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -5,6 +5,7 @@
 #include <string>  // for string
 
 #include "poplarstream/accounts/admission.hpp"  // for Hold
+#include "poplarstream/edge/authentication_log.hpp"  // for AuthenticationLog
 #include "poplarstream/edge/owner_requests.hpp"  // for OwnerRequests
 #include "poplarstream/edge/peer_calls.hpp"  // for PeerRequest, PeerResponse
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
@@ -44,11 +45,12 @@
 
 private:
     void dispatch(const Call &call, const Respond &respond);
-    void submit(const Route &route, const jobs::JobId &id, const Call &call,
-                const Respond &respond);
-    void cancel(const jobs::JobId &id, const Call &call, const Respond &respond);
-    void lookUp(const Route &route, const jobs::JobId &id, const Call &call,
+    void submit(const Route &route, const jobs::JobId &id, const AccountId &account,
+                const Call &call, const Respond &respond);
+    void cancel(const jobs::JobId &id, const AccountId &account, const Call &call,
                 const Respond &respond);
+    void lookUp(const Route &route, const jobs::JobId &id, const AccountId &account,
+                const Call &call, const Respond &respond);
     // When a submission should come back that is rejected since its account is beyond its share.
     std::optional<Milliseconds> rejectionOf(const jobs::Submission &submission) const;
     // The shard of a partition of the job log; 0 while the number of shards is not known.
@@ -57,6 +59,7 @@
 
     Runtime &runtime_;
     CallerHooks hooks_;
+    AuthenticationLog authentications_;
     SubmissionStore submissions_;
     OwnerRequests owners_;
     std::uint64_t rejectedOverShare_ = 0;
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -269,6 +269,15 @@
 inline constexpr EventKind accountUncapped{757, EventLevel::Info, "account-uncapped",
                                            "task run worker inputs",
                                            "None; the cap keeps nothing of the account waiting."};
+inline constexpr EventKind callRejected{
+        760, EventLevel::Warning, "call-rejected", "reason queue count",
+        "If the account complains, compare its key with the configuration in force (200). "
+        "reason=not-current: this process cannot read the store. Written at most once a second; "
+        "`count` is the calls since the last line, `reason` and `queue` are those of the newest."};
+inline constexpr EventKind configurationUnusable{
+        761, EventLevel::Error, "configuration-unusable", "in_force offset fault",
+        "Correct the field that is named and write a higher version; until then the version "
+        "`in_force` stays, 0 if there is none."};
 inline constexpr EventKind storeCircuitOpened{
         770, EventLevel::Warning, "store-circuit-opened", "partition result owner_reached waiting",
         "Check the platform's store. Submissions wait while their callers do. owner_reached=no "
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -78,9 +78,10 @@
     {
         Result<Configuration> decoded = runtime.decode.configuration(*record.value);
         if (!decoded) {
-            logEvent(events::recordUnreadable, {{"stream", "operator"},
-                                                {"offset", fmt::to_string(record.offset)},
-                                                {"fault", decoded.failure().message}});
+            logEvent(events::configurationUnusable,
+                     {{"in_force", fmt::to_string(configuration.version)},
+                      {"offset", fmt::to_string(record.offset)},
+                      {"fault", decoded.failure().message}});
             return;
         }
         if (hasConfiguration && decoded.value().version <= configuration.version) {
@@ -261,7 +262,8 @@
         } else if (request.kind == PeerRequest::Kind::Count) {
             response.kind = PeerResponse::Kind::Count;
             response.count = session->waitingJobs(request.queue);
-        } else if (const auto state = session->stateOf(request.queue, request.job)) {
+        } else if (const auto state =
+                           session->stateOf(request.queue, request.job, request.account)) {
             response.kind = PeerResponse::Kind::State;
             response.state = *state;
         } else {
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -100,6 +100,8 @@
         jobHeld,
         accountCapped,
         accountUncapped,
+        callRejected,
+        configurationUnusable,
         storeCircuitOpened,
         storeCircuitClosed,
         accountHeld,
