Show what the accounts of an owner use and wait for

Change: use, limit, waiting tasks, jobs beyond the rate and holds of the ten accounts with the most processors in use, and a sum of the others.

--- a/bench/owner_benchmark.cpp
+++ b/bench/owner_benchmark.cpp
@@ -41,7 +41,7 @@
 // A fleet at the limit of its owner: 1,100 workers that each run a long-running task and have room
 // for two more tasks, 1,300 tasks a second, and turns that leave most jobs waiting. Shows the
 // microseconds of each kind of work for one task, the responses to polls for one task, and the
-// share of active jobs that wait.
+// share of active jobs that wait. Without accounts and with as many as a large deployment has.
 void overloadedFleet(benchmark::State &state)
 {
     OwnerLoad load;
@@ -53,6 +53,7 @@
     load.tickInterval = Milliseconds{100};
     load.storeDelay = Milliseconds{120};
     load.hasMachines = true;
+    load.accounts = static_cast<int>(state.range(0));
     OwnerWorld world(load, 1);
     world.run(Milliseconds{4000});
     const std::int64_t tasksBefore = world.tasksDone();
@@ -82,6 +83,7 @@
     }
     state.counters["us_per_task"] = all / tasks;
     state.counters["tasks_per_second"] = tasks / seconds;
+    state.counters["accounts_held"] = static_cast<double>(world.engine().capHolds.size());
     state.counters["waiting_share"] = waitingShare / seconds;
     const PollCounts &polls = world.polls();
     state.counters["polls_per_task"] =
@@ -93,7 +95,7 @@
     state.counters["report_delay_ms"] = static_cast<double>(world.meanReportDelay().count());
 }
 
-BENCHMARK(overloadedFleet)->Iterations(36)->Unit(benchmark::kMillisecond);
+BENCHMARK(overloadedFleet)->Arg(0)->Arg(340)->Iterations(36)->Unit(benchmark::kMillisecond);
 
 }  // namespace
 }  // namespace poplarstream::bench
--- a/bench/owner_world.cpp
+++ b/bench/owner_world.cpp
@@ -6,10 +6,11 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/accounts/cap.hpp"  // for limitsOf
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt
 #include "poplarstream/engine/batches.hpp"  // for collectBatch, applyStored
 #include "poplarstream/engine/incarnations.hpp"  // for registerWorker
-#include "poplarstream/engine/job_events.hpp"  // for submitJob, tickJobs
+#include "poplarstream/engine/job_events.hpp"  // for submitJob, tickJobs, configureAccounts
 #include "poplarstream/engine/planning.hpp"  // for planStarts
 #include "poplarstream/engine/worker_events.hpp"  // for handlePollResponse
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
@@ -29,6 +30,8 @@
 constexpr int longRunningTasksPerJob = 25;
 constexpr TimePoint never = TimePoint::max();
 constexpr Milliseconds machinePeriod{100};
+// The largest account reaches it when the pool of its turn is full.
+constexpr jobs::Resources accountCap{600'000, 0, 0};
 
 std::chrono::nanoseconds processorTime()
 {
@@ -50,6 +53,7 @@
     , due_(static_cast<std::size_t>(load.services), 0.0)
 {
     engine_.token.epoch = 7;
+    addAccounts();
     for (int service = 0; service < load.services; ++service) {
         const ServiceId id(serviceName(service));
         engine_.services[id] = {id, false};
@@ -84,6 +88,28 @@
     }
 }
 
+void OwnerWorld::addAccounts()
+{
+    accounts::ClientAccounts accounts;
+    std::map<AccountId, jobs::Resources> limits;
+    for (int i = 0; i < load_.accounts; ++i) {
+        const AccountId id(fmt::format("account-{:03}", i));
+        accounts[id] = {id, 1, accountCap};
+        limits[id] = accounts::limitsOf(accountCap);
+    }
+    engine::configureAccounts(engine_, std::move(accounts), std::move(limits));
+}
+
+AccountId OwnerWorld::nextAccount()
+{
+    if (load_.accounts == 0) {
+        return {};
+    }
+    const double share = std::uniform_real_distribution<double>(0, 1)(accountRandom_);
+    return AccountId(
+            fmt::format("account-{:03}", static_cast<int>(load_.accounts * share * share * share)));
+}
+
 template <class Work>
 void OwnerWorld::measure(OwnerPart part, Work work)
 {
@@ -149,6 +175,7 @@
             submission.policy.stretch = 1.5;
             submission.policy.completionTarget = Milliseconds{600};
             submission.spec.payload = std::string(200, 'p');
+            submission.account = nextAccount();
             jobs::StepSpec step;
             step.count = 8;
             step.need = {8900, 8000, 0};
--- a/bench/owner_world.hpp
+++ b/bench/owner_world.hpp
@@ -23,6 +23,7 @@
     Milliseconds planInterval{8};
     Milliseconds tickInterval{40};
     Milliseconds storeDelay{8};
+    int accounts = 0;  // of the jobs; a few of them have most
     bool hasMachines = false;  // whether machines are planned
 };
 
@@ -86,6 +87,9 @@
     // Adds the processor time of `work` to the costs of `part`.
     template <class Work>
     void measure(OwnerPart part, Work work);
+    void addAccounts();
+    // The account of the next job; empty without accounts.
+    AccountId nextAccount();
     void submitLongRunning(int service);
     void submitArrivals();
     void handleCommands();
@@ -95,6 +99,7 @@
 
     OwnerLoad load_;
     std::mt19937_64 random_;
+    std::mt19937_64 accountRandom_;  // apart, so that the jobs are the same without accounts
     engine::Engine engine_;
     TimePoint now_ = timePoint(1'000'000);
     TimePoint begunAt_ = now_;
--- a/include/poplarstream/accounts/cap.hpp
+++ b/include/poplarstream/accounts/cap.hpp
@@ -44,7 +44,8 @@
 // dropped since.
 bool maySendStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need);
 
-// Amounts as key=value pairs for the decision log; a resource without a limit is `-`.
+// What is used of each resource that has a limit, as key=value pairs for the decision log, each
+// with a space in front.
 std::string capText(const jobs::Resources &use, const jobs::Resources &limits);
 
 }  // namespace poplarstream::accounts
--- a/include/poplarstream/engine/account_shares.hpp
+++ b/include/poplarstream/engine/account_shares.hpp
@@ -13,7 +13,7 @@
 void rankShares(Engine &engine, std::map<ServiceId, std::vector<WaitingStep>> &waiting,
                 TimePoint now);
 
-// Drops what is known of accounts that are no longer configured.
-void pruneShares(Engine &engine);
+// Takes over the weights of a new configuration and drops what is known of removed accounts.
+void configureShares(Engine &engine);
 
 }  // namespace poplarstream::engine
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -153,8 +153,10 @@
         711, EventLevel::Warning, "job-refused", "job reason",
         "See the reason; the response tells the caller whether to retry."};
 inline constexpr EventKind jobCancelled{712, EventLevel::Info, "job-cancelled", "job", "None."};
-inline constexpr EventKind taskPlanned{713, EventLevel::Info, "task-planned",
-                                       "task run worker inputs", "None."};
+inline constexpr EventKind taskPlanned{
+        713, EventLevel::Info, "task-planned", "task run worker inputs",
+        "None; for a job of an account, `inputs` give what the account had in use here, and its "
+        "limit."};
 inline constexpr EventKind taskEnded{714, EventLevel::Info, "task-ended", "task run worker inputs",
                                      "None; end=failed counts as an attempt of the task."};
 inline constexpr EventKind taskReleased{
--- a/src/poplarstream/accounts/cap.cpp
+++ b/src/poplarstream/accounts/cap.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>  // for all_of
 #include <array>  // for array
 #include <cstdint>  // for int64_t
+#include <iterator>  // for back_inserter
 #include <limits>  // for numeric_limits
+#include <string_view>  // for string_view
 
 #include <fmt/format.h>  // for format
 
@@ -57,11 +59,6 @@
     return need;
 }
 
-std::string limitText(std::int64_t limit)
-{
-    return limit == unlimited ? "-" : fmt::to_string(limit);
-}
-
 }  // namespace
 
 jobs::Resources limitsOf(const jobs::Resources &cap)
@@ -115,10 +112,17 @@
 
 std::string capText(const jobs::Resources &use, const jobs::Resources &limits)
 {
-    return fmt::format("used_milli={} limit_milli={} used_mb={} limit_mb={} used_gpus={} "
-                       "limit_gpus={}",
-                       use.cpuMilli, limitText(limits.cpuMilli), use.memoryMb,
-                       limitText(limits.memoryMb), use.gpus, limitText(limits.gpus));
+    std::string text;
+    const auto append = [&](std::string_view unit, Amount amount) {
+        if (limits.*amount != unlimited) {
+            fmt::format_to(std::back_inserter(text), " used_{0}={1} limit_{0}={2}", unit,
+                           use.*amount, limits.*amount);
+        }
+    };
+    append("milli", &jobs::Resources::cpuMilli);
+    append("mb", &jobs::Resources::memoryMb);
+    append("gpus", &jobs::Resources::gpus);
+    return text;
 }
 
 }  // namespace poplarstream::accounts
--- a/src/poplarstream/edge/session_metrics.cpp
+++ b/src/poplarstream/edge/session_metrics.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>  // for format
 
+#include "poplarstream/edge/account_metrics.hpp"  // for accountMetrics
+
 namespace poplarstream::edge {
 
 std::string sessionMetrics(const engine::Engine &engine, int shard, std::uint64_t unusableEntries,
@@ -23,7 +25,7 @@
                             engine::causeText(cause),
                             engine.released.at(static_cast<std::size_t>(cause)));
     }
-    return text;
+    return text + accountMetrics(engine, shard);
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/engine/account_caps.cpp
+++ b/src/poplarstream/engine/account_caps.cpp
@@ -57,7 +57,7 @@
 {
     const auto cap = ownedCap(engine, account);
     return fmt::format(
-            "account={} {}", account.text(),
+            "account={}{}", account.text(),
             accounts::capText(useOf(engine, account), cap ? cap->limits : jobs::Resources{}));
 }
 
--- a/src/poplarstream/engine/account_shares.cpp
+++ b/src/poplarstream/engine/account_shares.cpp
@@ -25,7 +25,7 @@
         auto &own = running[worker.entry.service];
         for (const auto &[ref, decisivePoll] : worker.attempts) {
             const jobs::Job *const job = findJob(engine, ref.task.job);
-            if (job != nullptr && engine.accounts.contains(job->submission.account)) {
+            if (job != nullptr && !job->submission.account.isEmpty()) {
                 own[job->submission.account] += capacityUsedBy(stepOf(*job, ref.task)).cpuMilli;
             }
         }
@@ -33,6 +33,23 @@
     return running;
 }
 
+// The claim of an account; null if the account is not configured.
+accounts::PoolClaim *claimOf(Engine &engine, std::map<AccountId, accounts::PoolClaim> &claims,
+                             const AccountId &account)
+{
+    const auto known = claims.find(account);
+    if (known != claims.end()) {
+        return &known->second;
+    }
+    const auto configured = engine.accounts.find(account);
+    if (configured == engine.accounts.end()) {
+        return nullptr;
+    }
+    accounts::PoolClaim &claim = claims[account];
+    claim.weight = configured->second.weight;
+    return &claim;
+}
+
 void sampleUse(Engine &engine, TimePoint now)
 {
     AccountShares &shares = engine.shares;
@@ -43,8 +60,9 @@
     shares.sampledAt = now;
     RunningMilli running = runningNow(engine);
     for (const auto &[service, accounts] : running) {
+        auto &claims = shares.pools[service];
         for (const auto &[account, milli] : accounts) {
-            shares.pools[service].try_emplace(account);
+            claimOf(engine, claims, account);
         }
     }
     for (auto &[service, claims] : shares.pools) {
@@ -74,18 +92,19 @@
         accounts::PoolClaim *claim = nullptr;
         if (!account.isEmpty()) {
             const auto [place, isNew] = waiting.try_emplace(account, nullptr);
-            if (isNew && engine.accounts.contains(account)) {
-                place->second = &claims[account];
-                place->second->isWaiting = true;
+            if (isNew) {
+                place->second = claimOf(engine, claims, account);
             }
             claim = place->second;
+            if (claim != nullptr) {
+                claim->isWaiting = true;
+            }
         }
         ofSteps.push_back(claim);
     }
     std::vector<accounts::PoolClaim *> all;
     all.reserve(claims.size());
     for (auto &[account, claim] : claims) {
-        claim.weight = engine.accounts.at(account).weight;
         all.push_back(&claim);
     }
     accounts::rankClaims(all);
@@ -124,7 +143,7 @@
     }
 }
 
-void pruneShares(Engine &engine)
+void configureShares(Engine &engine)
 {
     const auto isRemoved = [&engine](const auto &entry) {
         return !engine.accounts.contains(entry.first);
@@ -132,6 +151,9 @@
     std::erase_if(engine.shares.arrivals, isRemoved);
     for (auto &[service, claims] : engine.shares.pools) {
         std::erase_if(claims, isRemoved);
+        for (auto &[account, claim] : claims) {
+            claim.weight = engine.accounts.at(account).weight;
+        }
     }
 }
 
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>  // for max
 
-#include "poplarstream/engine/account_shares.hpp"  // for countArrival, pruneShares
+#include "poplarstream/engine/account_shares.hpp"  // for countArrival, configureShares
 #include "poplarstream/engine/attempts.hpp"  // for attach, stopJob, markDirty, capacityUsedBy
 #include "poplarstream/engine/crashes.hpp"  // for isSuspect
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
@@ -225,7 +225,7 @@
     engine.accounts = std::move(accounts);
     engine.accountLimits = std::move(limits);
     engine.jobShare = jobShare;
-    pruneShares(engine);
+    configureShares(engine);
     engine.needsPlan = true;
 }
 
--- a/src/poplarstream/pools/demand.cpp
+++ b/src/poplarstream/pools/demand.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for count_if, max, min
 #include <cmath>  // for ceil
+#include <unordered_map>  // for unordered_map
 
 #include "poplarstream/engine/account_caps.hpp"  // for ownedCap, useOf
 #include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy
@@ -196,7 +197,7 @@
 std::map<ServiceId, Demand> demandByService(const engine::Engine &engine, TimePoint now)
 {
     std::map<ServiceId, Demand> demands;
-    std::map<AccountId, AccountDemand> accounts;
+    std::unordered_map<AccountId, AccountDemand> accounts;
     for (const jobs::Job *const each : engine.active) {
         const jobs::Job &job = *each;
         if (job.isHeld) {
