Test caps across a takeover

Cause: no test showed that a new owner counts the runs that it takes over for their accounts. Change: the test of stopping and filling runs now takes place at a new owner, which adopts them first.

--- a/src/poplarstream/engine/account_caps_test.cpp
+++ b/src/poplarstream/engine/account_caps_test.cpp
@@ -6,6 +6,7 @@
 
 #include "engine_fixture.hpp"  // for EngineFixture
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
+#include "poplarstream/jobs/codec.hpp"  // for encodeProgress
 
 namespace poplarstream::engine {
 namespace {
@@ -107,25 +108,34 @@
     }
 }
 
-// Guards against the cap passed by the stops under way and by copies: both still run.
-TEST(AccountCaps, StoppingRunsAndFillersCount)
+// Guards against the cap passed by a new owner that does not count what its predecessor started,
+// and by runs that have been told to stop but still go on.
+TEST(AccountCaps, HoldsAfterATakeover)
 {
-    SCOPED_TRACE("given a filling step that takes all of the cap");
-    EngineFixture fixture(2);
-    setCap(fixture.engine, {2000, 0, 0});
+    SCOPED_TRACE("given an owner that takes over a filling step that takes all of the cap");
     jobs::StepSpec filling = test::step(2, 1000);
     filling.fills = true;
-    fixture.submit(submissionOf(firstJob, filling));
-    EXPECT_EQ(fixture.startAll().size(), 2U);
+    EngineFixture previous(2);
+    setCap(previous.engine, {2000, 0, 0});
+    previous.submit(submissionOf(firstJob, filling));
+    const std::vector<StartCommand> starts = previous.startAll();
+    EngineFixture next(2);
+    setCap(next.engine, {2000, 0, 0});
+    next.submit(submissionOf(firstJob, filling));
+    next.submit(submissionOf(secondJob, test::step(1, 1000)));
+    ASSERT_TRUE(adoptProgress(next.engine, JobId(firstJob), jobs::encodeProgress(previous.job()),
+                              next.now, next.now));
+    EXPECT_EQ(useOf(next.engine, account), useOf(previous.engine, account));
+    EXPECT_TRUE(next.start().empty());
     {
-        SCOPED_TRACE("when its job is cancelled, then nothing starts until it has ended");
-        fixture.submit(submissionOf(secondJob, test::step(1, 1000)));
-        cancelJob(fixture.engine, JobId(firstJob), fixture.now);
-        EXPECT_TRUE(fixture.start().empty());
-        fixture.poll();
-        fixture.answer("w1");
-        fixture.answer("w2");
-        EXPECT_EQ(fixture.start().size(), 1U);
+        SCOPED_TRACE("when the step's job is cancelled, then nothing starts until it has ended");
+        cancelJob(next.engine, JobId(firstJob), next.now);
+        EXPECT_TRUE(next.start().empty());
+        next.poll();
+        for (const StartCommand &start : starts) {
+            next.answer(start.target.worker.id.text());
+        }
+        EXPECT_EQ(next.start().size(), 1U);
     }
 }
 
