Tell which pending records are stored, and what waits of each account

Cause: a loan may be told only once its record is stored; an owner asks for loans only for work that waits. Change: the engine numbers the collections of pending records into batches, and notes the newest that is stored and the keys that the store refuses. engine/waiting_work sums the tasks that wait by account.

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -193,6 +193,7 @@
     std::vector<AttemptRef> starts;
     std::vector<std::pair<JobId, jobs::JobState>> states;
     std::vector<std::pair<WorkerIncarnation, std::int64_t>> completions;
+    std::int64_t collection = 0;  // of the pending records in it; 0 if there are none
 
     bool isEmpty() const { return records.empty() && completions.empty(); }
 };
@@ -236,6 +237,9 @@
     std::vector<JobId> forgotten;  // jobs to delete from the store
     std::set<JobId> beingDeleted;  // forgotten; their deletion has not been read from the job log
     std::vector<ProgressRecord> pendingRecords;  // other records for the next batch
+    std::int64_t collections = 0;  // how often pending records were taken into a batch
+    std::int64_t collectionsStored = 0;  // the newest whose batch is stored
+    std::set<std::string> refusedRecords;  // keys of other records that the store has refused
     std::vector<Arrival> arrivals;  // since the forecast last consumed them
     bool needsPlan = false;
     // False while the ownership is unconfirmed: leases are renewed but nothing starts.
--- /dev/null
+++ b/include/poplarstream/engine/waiting_work.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <map>  // for map
+
+#include "poplarstream/accounts/loans.hpp"  // for WaitingWork
+#include "poplarstream/engine/state.hpp"  // for Engine
+
+namespace poplarstream::engine {
+
+// The tasks of each client account that could start now if there were room for them. Visits a
+// bounded number of jobs: the sum may be too low if more of them wait.
+std::map<AccountId, accounts::WaitingWork> waitingWork(const Engine &engine, TimePoint now);
+
+}  // namespace poplarstream::engine
--- a/src/poplarstream/engine/batches.cpp
+++ b/src/poplarstream/engine/batches.cpp
@@ -140,6 +140,7 @@
                 batch.completions.emplace_back(incarnation, worker.completionsSeen);
             }
         }
+        batch.collection = engine.pendingRecords.empty() ? 0 : ++engine.collections;
         for (ProgressRecord &record : engine.pendingRecords) {
             batch.records.push_back(std::move(record));
         }
@@ -154,7 +155,11 @@
         const JobId id{std::string(jobs::jobOfRecord(key))};
         std::erase_if(batch.states, [&id](const auto &entry) { return entry.first == id; });
         jobs::Job *const job = findJob(engine, id);
-        if (job == nullptr || !jobs::failJob(*job, now)) {
+        if (job == nullptr) {
+            engine.refusedRecords.insert(key);
+            continue;
+        }
+        if (!jobs::failJob(*job, now)) {
             continue;
         }
         recordDecision(engine, DecisionKind::JobEnded, {{id, 0, 0, 0}, 0}, {},
@@ -166,6 +171,7 @@
 
 void applyStored(Engine &engine, const Batch &batch, TimePoint now)
 {
+    engine.collectionsStored = std::max(engine.collectionsStored, batch.collection);
     for (const auto &[id, state] : batch.states) {
         if (jobs::Job *const job = findJob(engine, id)) {
             job->durableState = state;
