Lend parts of caps between the owners of shards

Cause: the limits of the engine are equal parts, whatever other owners use. Change: edge/cap_lending keeps the limits, asks other owners through the peer path, stores loans in the progress log and reads them before anything starts. Only with several shards and a cap. Events 760 to 762, metrics poplar_cap_lent and poplar_cap_held. The new kind of a peer response gets the last number: entry hosts of earlier versions know the others. Malformed.PeerRequests took kind 3 for unknown, which it is no more: without the text of a request it is malformed, and kind 4 is checked beside it.

--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -5,6 +5,7 @@
 #include <memory>  // for shared_ptr
 #include <optional>  // for optional
 
+#include "poplarstream/edge/cap_lending.hpp"  // for LoanRespond
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/engine/state.hpp"  // for JobId, QueueId
 #include "poplarstream/ownership/division.hpp"  // for Shard
@@ -43,6 +44,8 @@
     std::function<bool(int shard, std::int64_t wave)> hasCarriedOut;
     // This shard has carried out a wave.
     std::function<void(std::int64_t wave)> carriedOut;
+    // Sends a request for parts of caps to the owner of another shard.
+    std::function<void(int shard, std::string request, LoanRespond done)> requestLoans;
 };
 
 // The work of a process while it owns a shard: loads the shard's jobs from the store, follows the
@@ -71,6 +74,9 @@
                                           const engine::JobId &id) const;
     int waitingJobs(const engine::QueueId &queue) const;
 
+    // Handles the request of another owner for parts of caps.
+    void respondToLoans(const std::string &request, const LoanRespond &done) const;
+
     // Metrics of the shard in the Prometheus text format.
     std::string metrics() const;
 
--- a/include/poplarstream/edge/peer_calls.hpp
+++ b/include/poplarstream/edge/peer_calls.hpp
@@ -34,9 +34,9 @@
         Count,
         Stored,
         NotStored,  // nothing was written
-        Loans,
         NotOwner,  // not the owner, or the owner is still loading: retry
         NoResponse,
+        Loans,  // entry hosts of earlier versions know the numbers of those above
     };
 
     Kind kind = Kind::NoResponse;
--- a/include/poplarstream/edge/shard_owner.hpp
+++ b/include/poplarstream/edge/shard_owner.hpp
@@ -26,6 +26,8 @@
     std::function<void(int shardCount)> divided;
     // The processor time that this process has for a shard, in cores.
     std::function<double(int shard)> processorShare;
+    // Sends a request for parts of caps to the owner of another shard.
+    std::function<void(int shard, std::string request, LoanRespond done)> requestLoans;
 };
 
 // Competes for the ownership of one shard, and runs the shard's jobs while this process owns it.
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -260,5 +260,19 @@
         "Report it: the stored progress of the job could not be read in full, so nothing of it "
         "starts. Let a process that can read it become the owner, or cancel the job and submit it "
         "again under another id if running tasks again does no harm."};
+inline constexpr EventKind capLent{
+        760, EventLevel::Info, "cap-lent",
+        "shard borrower account cpu_milli memory_mb gpus omitted",
+        "None; the amounts are all that the shard has lent the borrower of the account's cap. Of "
+        "760, 761 and 762 each, at most one line is written in a second; `omitted` counts the "
+        "others."};
+inline constexpr EventKind capNotLent{
+        761, EventLevel::Info, "cap-not-lent",
+        "shard borrower account cpu_milli memory_mb gpus omitted",
+        "None; the account has work that waits at the borrower, and this shard has nothing to "
+        "spare of its cap. The amounts are those that were asked for."};
+inline constexpr EventKind capReturned{762, EventLevel::Info, "cap-returned",
+                                       "shard borrower account cpu_milli memory_mb gpus omitted",
+                                       "None; the amounts are what is still lent."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds readinessTimeout{3000};
 // For appends on behalf of other entry hosts, which wait 1 s for the response.
 constexpr Milliseconds peerStoreDeadline{800};
+// For requests for parts of caps, whose response waits for a write to the store.
+constexpr Milliseconds loansDeadline{1000};
 
 }  // namespace
 
@@ -124,6 +126,9 @@
             }
         };
         made.processorShare = [this](int shard) { return processorShareOf(shard); };
+        made.requestLoans = [this](int shard, std::string text, LoanRespond done) {
+            requestLoans(shard, std::move(text), std::move(done));
+        };
         made.divided = [weak = weak_from_this()](int count) {
             // The call comes out of the first shard's controller.
             if (const auto self = weak.lock()) {
@@ -226,6 +231,18 @@
                    });
     }
 
+    void requestLoans(int shard, std::string text, LoanRespond done)
+    {
+        PeerRequest request;
+        request.kind = PeerRequest::Kind::Loans;
+        request.shard = shard;
+        request.loans = std::move(text);
+        sendToOwner(request, loansDeadline, [done = std::move(done)](PeerResponse response) {
+            const bool isAnswered = response.kind == PeerResponse::Kind::Loans;
+            done(isAnswered ? std::optional(std::move(response.loans)) : std::nullopt);
+        });
+    }
+
     // Handles a request as the owner.
     void respondAsOwner(const PeerRequest &request, std::function<void(PeerResponse)> done)
     {
@@ -239,6 +256,15 @@
             storeForPeer(request, std::move(done));
             return;
         }
+        if (request.kind == PeerRequest::Kind::Loans) {
+            session->respondToLoans(request.loans, [done](std::optional<std::string> loans) {
+                PeerResponse response;
+                response.kind = loans ? PeerResponse::Kind::Loans : PeerResponse::Kind::NotOwner;
+                response.loans = std::move(loans).value_or(std::string());
+                done(std::move(response));
+            });
+            return;
+        }
         const LoadMeter::Section section(runtime.load, OwnerWork::Lookups);
         PeerResponse response;
         if (request.kind == PeerRequest::Kind::Count && !session->isCurrent(steadyNow())) {
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -5,7 +5,7 @@
 
 #include <fmt/format.h>  // for format
 
-#include "poplarstream/accounts/cap.hpp"  // for equalPart, limitsOf
+#include "poplarstream/edge/cap_lending.hpp"  // for CapLending
 #include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/command_sender.hpp"  // for CommandSender
 #include "poplarstream/edge/decision_log.hpp"  // for DecisionLog
@@ -85,6 +85,11 @@
                     },
                     [this](int of, std::int64_t wave) { return hooks.hasCarriedOut(of, wave); },
                     [this](std::int64_t wave) { hooks.carriedOut(wave); }})
+        , lending(sharedRuntime, ownShard, engine, previous.epoch,
+                  {[this](int lender, std::string request, LoanRespond done) {
+                       hooks.requestLoans(lender, std::move(request), std::move(done));
+                   },
+                   [this] { schedulePump(); }})
     {
         engine.limits = runtime.settings.limits;
         engine.token.epoch = predecessor.epoch;
@@ -111,8 +116,13 @@
         engine.takenOverAt = now;
         logTakeover(renewedAt - now);
         JobFeedEvents events;
-        events.otherRecord = guarded(
-                [](State &self, const StoredRecord &record) { self.machines.adopt(record); });
+        events.otherRecord = guarded([](State &self, const StoredRecord &record) {
+            if (CapLending::isLoanRecord(record)) {
+                self.lending.adopt(record);
+            } else {
+                self.machines.adopt(record);
+            }
+        });
         events.loaded = guarded([](State &self) { self.handleLoaded(); });
         events.changed = guarded([](State &self) { self.pump(); });
         feed = std::make_unique<JobFeed>(runtime, shard, engine, renewedAt, std::move(events));
@@ -140,6 +150,7 @@
     void handleLoaded()
     {
         isLoaded = true;
+        lending.start();
         for (const auto &[number, wave] : waves) {
             machines.applyWave(wave);
         }
@@ -301,6 +312,7 @@
                          if (result == WriteResult::Superseded) {
                              self.hooks.superseded();
                          } else {
+                             self.lending.handleStored();
                              self.pump();
                          }
                      }));
@@ -368,6 +380,7 @@
     CommandSender sender;
     DecisionLog decisionLog;
     MachineController machines;
+    CapLending lending;
     std::map<std::int64_t, pools::Wave> waves;
     std::unique_ptr<JobFeed> feed;
     std::unique_ptr<LogFollower> registryFollower;
@@ -396,6 +409,7 @@
 void OwnerSession::close()
 {
     state_->isClosed = true;
+    state_->lending.close();
     state_->feed.reset();
     state_->registryFollower.reset();
 }
@@ -407,12 +421,7 @@
         queues[route.policy.queue] = {route.policy};
     }
     engine::configure(state_->engine, std::move(queues), configuration.services);
-    std::map<AccountId, jobs::Resources> limits;
-    for (const auto &[id, account] : configuration.accounts) {
-        limits[id] = accounts::equalPart(accounts::limitsOf(account.cap), state_->shard.index,
-                                         state_->shard.count);
-    }
-    engine::configureAccounts(state_->engine, configuration.accounts, std::move(limits));
+    state_->lending.configure(configuration.accounts);
 }
 
 void OwnerSession::applyWave(const pools::Wave &wave)
@@ -444,10 +453,16 @@
     return engine::waitingJobs(state_->engine, queue);
 }
 
+void OwnerSession::respondToLoans(const std::string &request, const LoanRespond &done) const
+{
+    state_->lending.respond(request, done);
+}
+
 std::string OwnerSession::metrics() const
 {
     return sessionMetrics(state_->engine, state_->shard.index, state_->unusableEntries.count,
-                          state_->feed ? state_->feed->progressWithoutJob() : 0);
+                          state_->feed ? state_->feed->progressWithoutJob() : 0)
+           + state_->lending.metrics();
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/peer_calls.cpp
+++ b/src/poplarstream/edge/peer_calls.cpp
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>  // for json
 
 #include "poplarstream/base/bounded_json.hpp"  // for parseBoundedJsonOrThrow
-#include "poplarstream/base/json_value.hpp"  // for integerFrom
+#include "poplarstream/base/json_value.hpp"  // for integerFrom, textOrEmpty
 #include "poplarstream/edge/settings.hpp"  // for maxJobPartitions
 
 namespace poplarstream::edge {
@@ -34,9 +34,10 @@
     try {
         const json value = parseBoundedJsonOrThrow(response.body);
         PeerResponse peerResponse;
-        peerResponse.kind = enumFrom(value.at("kind"), Kind::NoResponse);
+        peerResponse.kind = enumFrom(value.at("kind"), Kind::Loans);
         peerResponse.state = enumFrom(value.at("state"), jobs::JobState::Cancelled);
         peerResponse.count = integerFrom<int>(value.at("count"), 0);
+        peerResponse.loans = textOrEmpty(value, "loans");
         return peerResponse;
     } catch (const std::exception &) {
         return {};  // NoResponse: the request may have been carried out
@@ -57,11 +58,14 @@
 void sendToPeer(HttpClient &client, const HttpEndpoint &address, const PeerRequest &peerRequest,
                 Milliseconds deadline, std::function<void(PeerResponse)> done)
 {
-    const json body = {{"kind", static_cast<int>(peerRequest.kind)},
-                       {"shard", peerRequest.shard},
-                       {"queue", peerRequest.queue.text()},
-                       {"job", peerRequest.job.text()},
-                       {"records", recordsJson(peerRequest.records)}};
+    json body = {{"kind", static_cast<int>(peerRequest.kind)},
+                 {"shard", peerRequest.shard},
+                 {"queue", peerRequest.queue.text()},
+                 {"job", peerRequest.job.text()},
+                 {"records", recordsJson(peerRequest.records)}};
+    if (!peerRequest.loans.empty()) {
+        body["loans"] = peerRequest.loans;
+    }
     HttpRequest request;
     request.method = "POST";
     request.target = std::string(target);
@@ -89,13 +93,17 @@
     try {
         const json value = parseBoundedJsonOrThrow(request.body);
         PeerRequest peerRequest;
-        peerRequest.kind = enumFrom(value.at("kind"), PeerRequest::Kind::Store);
+        peerRequest.kind = enumFrom(value.at("kind"), PeerRequest::Kind::Loans);
         // Entry hosts of earlier versions name no shard.
         if (const auto shard = value.find("shard"); shard != value.end()) {
             peerRequest.shard = integerFrom<int>(*shard, 0, maxJobPartitions - 1);
         }
         peerRequest.queue = jobs::QueueId(value.at("queue").get<std::string>());
         peerRequest.job = jobs::JobId(value.at("job").get<std::string>());
+        peerRequest.loans = textOrEmpty(value, "loans");
+        if (peerRequest.kind == PeerRequest::Kind::Loans && peerRequest.loans.empty()) {
+            return {};
+        }
         for (const json &row : value.at("records")) {
             peerRequest.records.push_back(
                     {row.at(0).get<std::string>(), row.at(1).get<std::string>(), 0});
@@ -111,9 +119,12 @@
     if (peerResponse.kind == Kind::NoResponse) {
         return jsonResponse(statusBadGateway, "{}");
     }
-    const json value = {{"kind", static_cast<int>(peerResponse.kind)},
-                        {"state", static_cast<int>(peerResponse.state)},
-                        {"count", peerResponse.count}};
+    json value = {{"kind", static_cast<int>(peerResponse.kind)},
+                  {"state", static_cast<int>(peerResponse.state)},
+                  {"count", peerResponse.count}};
+    if (!peerResponse.loans.empty()) {
+        value["loans"] = peerResponse.loans;
+    }
     return jsonResponse(statusOk, value.dump());
 }
 
--- a/src/poplarstream/edge/shard_owner.cpp
+++ b/src/poplarstream/edge/shard_owner.cpp
@@ -106,6 +106,7 @@
             handleLeadershipChange();
         };
         made.hasCarriedOut = hooks.hasCarriedOut;
+        made.requestLoans = hooks.requestLoans;
         made.carriedOut = [this](std::int64_t wave) { leadership->recordCarriedOut(wave); };
         return made;
     }
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -98,6 +98,9 @@
         zoneSilent,
         zoneHeard,
         jobHeld,
+        capLent,
+        capNotLent,
+        capReturned,
 };
 
 }  // namespace
