--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -6,6 +6,7 @@
 #include <optional>  // for optional
 
 #include "poplarstream/accounts/admission.hpp"  // for Holds
+#include "poplarstream/edge/cap_lending.hpp"  // for LoanRespond
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/engine/state.hpp"  // for JobId, QueueId
 #include "poplarstream/ownership/division.hpp"  // for Shard
@@ -46,6 +47,8 @@
     std::function<void(std::int64_t wave)> carriedOut;
     // Tells the entry hosts of which accounts less is to be accepted.
     std::function<void(const accounts::Holds &)> publishHolds;
+    // Sends a request for parts of caps to the owner of another shard.
+    std::function<void(int shard, std::string request, LoanRespond done)> requestLoans;
 };
 
 // The work of a process while it owns a shard: loads the shard's jobs from the store, follows the
@@ -75,6 +78,9 @@
                                           const AccountId &caller) const;
     int waitingJobs(const engine::QueueId &queue) const;
 
+    // Handles the request of another owner for parts of caps.
+    void respondToLoans(const std::string &request, const LoanRespond &done) const;
+
     // Metrics of the shard in the Prometheus text format.
     std::string metrics() const;
 
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -280,6 +280,20 @@
         761, EventLevel::Error, "configuration-unusable", "in_force offset fault",
         "Correct the field that is named and write a higher version; until then the version "
         "`in_force` stays, 0 if there is none."};
+inline constexpr EventKind capLent{
+        763, EventLevel::Info, "cap-lent",
+        "shard borrower account cpu_milli memory_mb gpus omitted",
+        "None; the amounts are all that the shard has lent the borrower of the account's cap. Of "
+        "763, 764 and 765 each, at most one line is written in a second; `omitted` counts the "
+        "others."};
+inline constexpr EventKind capNotLent{
+        764, EventLevel::Info, "cap-not-lent",
+        "shard borrower account cpu_milli memory_mb gpus omitted",
+        "None; the account has work that waits at the borrower, and this shard has nothing to "
+        "spare of its cap. The amounts are those that were asked for."};
+inline constexpr EventKind capReturned{765, EventLevel::Info, "cap-returned",
+                                       "shard borrower account cpu_milli memory_mb gpus omitted",
+                                       "None; the amounts are what is still lent."};
 inline constexpr EventKind storeCircuitOpened{
         770, EventLevel::Warning, "store-circuit-opened", "partition result owner_reached waiting",
         "Check the platform's store. Submissions wait while their callers do. owner_reached=no "
