Answer waiting callers before a stopped process ends

Cause: Submissions, cancellations and lookups wait for the store or an owner for as long as their callers do, up to 30 s.

Change: EntryProcess::leave takes the time at which the process ends. What waits, and what arrives later, is answered by the usual rules 200 ms before. A process that is killed still breaks connections.

Measured: CallerHandler.AnswersBeforeTheProcessEnds failed with an endBy that did nothing (14 more attempts after the stop instead of at most 1) and passes. All CallerHandler, EntryProcess and SubmissionRetry tests pass (19). No run of a whole process with SIGTERM was made.

Conclusion: A stop during an outage or a takeover ends no connection without a response, unless an attempt that began before the stop is still under way.

--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -40,6 +40,9 @@
 
     void handleCall(const Call &call, const Respond &respond);
 
+    // Responds to all callers before `end`, since the process ends then.
+    void leave(TimePoint end);
+
     // Metrics in the Prometheus text format.
     std::string metrics() const;
 
--- a/include/poplarstream/edge/entry_process.hpp
+++ b/include/poplarstream/edge/entry_process.hpp
@@ -29,8 +29,9 @@
     // Gives the ownership to another process after a callback was broken off by an exception.
     void abandonOwnership();
 
-    // Resigns the ownership and reports not ready from now on.
-    void leave();
+    // Resigns the ownership, reports not ready from now on, and responds to all callers before
+    // `end`, when the process ends.
+    void leave(TimePoint end);
 
     // Metrics in the Prometheus text format.
     std::string metrics() const;
--- a/include/poplarstream/edge/owner_requests.hpp
+++ b/include/poplarstream/edge/owner_requests.hpp
@@ -34,6 +34,9 @@
     void ask(const PeerRequest &request, Milliseconds remaining,
              std::function<void(PeerResponse)> done);
 
+    // Calls all callbacks before `end`, since the process ends then; also those of later requests.
+    void endBy(TimePoint end);
+
     // Metrics in the Prometheus text format.
     std::string metrics() const;
 
--- a/include/poplarstream/edge/submission_store.hpp
+++ b/include/poplarstream/edge/submission_store.hpp
@@ -24,6 +24,9 @@
     void store(StoredRecord record, ResponseKind successKind, Milliseconds remaining,
                Respond respond);
 
+    // Responds to all callers before `end`, since the process ends then; also to later ones.
+    void endBy(TimePoint end);
+
     // Metrics in the Prometheus text format.
     std::string metrics() const;
 
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -264,6 +264,12 @@
     }
 }
 
+void CallerHandler::leave(TimePoint end)
+{
+    submissions_.endBy(end);
+    owners_.endBy(end);
+}
+
 std::string CallerHandler::metrics() const
 {
     return authentications_.prometheusText() + submissions_.metrics() + owners_.metrics()
--- a/src/poplarstream/edge/caller_handler_test.cpp
+++ b/src/poplarstream/edge/caller_handler_test.cpp
@@ -192,6 +192,42 @@
     }
 }
 
+// Guards against a process that ends before it has answered callers who would wait for longer.
+TEST(CallerHandler, AnswersBeforeTheProcessEnds)
+{
+    for (const CallKind kind : {CallKind::Submit, CallKind::Lookup}) {
+        SCOPED_TRACE("given a caller that waits for a store, or an owner, that is away");
+        Callers callers(AppendResult::Stored);
+        callers.failingWrites = 1'000'000;
+        Call call;
+        call.kind = kind;
+        call.host = "shop.example";
+        call.path = "/proofs/00000000000000a1";
+        call.body = "x";
+        std::optional<ResponseKind> given;
+        const Respond respond = [&given](const Response &response) { given = response.kind; };
+        callers.handler.handleCall(call, respond);
+        EXPECT_FALSE(given);
+        {
+            SCOPED_TRACE("when the process ends soon, it is answered without another wait");
+            const int calls = callers.writes + callers.ownerCalls;
+            callers.handler.leave(steadyNow());
+            while (!given && callers.io.run_one() > 0) {}
+            EXPECT_EQ(given,
+                      kind == CallKind::Submit ? ResponseKind::Unknown : ResponseKind::Unavailable);
+            EXPECT_LE(callers.writes + callers.ownerCalls, calls + 1);
+        }
+        {
+            SCOPED_TRACE("so is one that calls afterwards");
+            given.reset();
+            callers.handler.handleCall(call, respond);
+            const int calls = callers.writes + callers.ownerCalls;
+            while (!given && callers.io.run_one() > 0) {}
+            EXPECT_EQ(callers.writes + callers.ownerCalls, calls);
+        }
+    }
+}
+
 // Guards against a final refusal of a queue that was added while this process could not read the
 // operator's log.
 TEST(CallerHandler, UnknownQueueIsRefusedForGoodOnlyByACurrentConfiguration)
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -379,9 +379,10 @@
     state_->abandonOwnership();
 }
 
-void EntryProcess::leave()
+void EntryProcess::leave(TimePoint end)
 {
     state_->isLeaving = true;
+    state_->callers.leave(end);
     for (const auto &shard : state_->shards) {
         shard->leave();
     }
--- a/src/poplarstream/edge/entry_process_test.cpp
+++ b/src/poplarstream/edge/entry_process_test.cpp
@@ -243,7 +243,7 @@
     {
         SCOPED_TRACE("when it is stopped, and the responses of the store are lost");
         host.store.isMute = true;
-        host.process->leave();
+        host.process->leave(steadyNow() + Milliseconds{5000});
         ASSERT_TRUE(host.runUntil([&host] { return host.hasResigned(); }));
         {
             SCOPED_TRACE("then it polls no more, although it has not read that it has resigned");
--- a/src/poplarstream/edge/owner_requests.cpp
+++ b/src/poplarstream/edge/owner_requests.cpp
@@ -43,19 +43,21 @@
         , hooks(std::move(given))
     {}
 
+    TimePoint endOf(const Asked &asked) const { return std::min(asked.endsAt, processEnd); }
+
     // A host that reaches neither the store nor the owner leaves its callers time for another one.
     TimePoint lastTryOf(const Asked &asked, TimePoint now) const
     {
-        const TimePoint end = asked.endsAt - responseMargin;
+        const TimePoint end = endOf(asked) - responseMargin;
         const bool isConnected = hooks.logReadAsOf() + connectedPeriod >= now;
         return isConnected
                        ? end
-                       : std::min(end, asked.receivedAt + (asked.endsAt - asked.receivedAt) / 2);
+                       : std::min(end, asked.receivedAt + (endOf(asked) - asked.receivedAt) / 2);
     }
 
     void send(const std::shared_ptr<Asked> &asked)
     {
-        const Milliseconds left = asked->endsAt - steadyNow() - responseMargin;
+        const Milliseconds left = endOf(*asked) - steadyNow() - responseMargin;
         hooks.sendToOwner(asked->request, std::max(std::min(ownerDeadline, left), minDeadline),
                           this->guarded([asked](State &self, const PeerResponse &response) {
                               self.finish(asked, response);
@@ -87,6 +89,7 @@
     OwnerRequestHooks hooks;
     std::size_t waiting = 0;
     std::uint64_t answeredAfterRetry = 0;
+    TimePoint processEnd = TimePoint::max();  // callers are answered before
 };
 
 OwnerRequests::OwnerRequests(Runtime &runtime, OwnerRequestHooks hooks)
@@ -109,6 +112,11 @@
     state_->send(asked);
 }
 
+void OwnerRequests::endBy(TimePoint end)
+{
+    state_->processEnd = end;
+}
+
 std::string OwnerRequests::metrics() const
 {
     return fmt::format("poplar_lookups_waiting {}\npoplar_lookups_answered_after_retry_total {}\n",
--- a/src/poplarstream/edge/submission_store.cpp
+++ b/src/poplarstream/edge/submission_store.cpp
@@ -1,5 +1,6 @@
 #include "poplarstream/edge/submission_store.hpp"
 
+#include <algorithm>  // for min
 #include <map>  // for map
 #include <vector>  // for vector
 
@@ -232,6 +233,7 @@
     WaitingLoad load;
     std::optional<TimePoint> wakeAt;  // of the timer that is set
     bool isPlanDue = false;
+    TimePoint processEnd = TimePoint::max();  // callers are answered before
     std::uint64_t retries = 0;
     std::uint64_t storedAfterRetry = 0;
     std::uint64_t givenUpUnknown = 0;
@@ -257,13 +259,23 @@
     entry.pending.partition = jobPartition(record, state_->runtime.settings.jobPartitions);
     entry.pending.bytes = storedBytes(record);
     entry.pending.receivedAt = steadyNow();
-    entry.pending.endsAt = callerEnd(entry.pending.receivedAt, remaining);
+    entry.pending.endsAt =
+            std::min(callerEnd(entry.pending.receivedAt, remaining), state_->processEnd);
     entry.record = std::make_shared<const StoredRecord>(std::move(record));
     entry.successKind = successKind;
     entry.respond = std::move(respond);
     state_->begin(std::move(entry));
 }
 
+void SubmissionStore::endBy(TimePoint end)
+{
+    state_->processEnd = end;
+    for (auto &[number, entry] : state_->entries) {
+        entry.pending.endsAt = std::min(entry.pending.endsAt, end);
+    }
+    state_->planSoon();
+}
+
 std::string SubmissionStore::metrics() const
 {
     std::string text = fmt::format(
--- a/src/poplarstream/main/entry.cpp
+++ b/src/poplarstream/main/entry.cpp
@@ -106,8 +106,8 @@
         }
         isStopping_ = true;
         logEvent(events::entryHostLeaving, {});
-        process_.leave();
         const Milliseconds grace = runtime_.settings.grace;
+        process_.leave(edge::steadyNow() + grace - killMargin);
         edge::callAfter(runtime_, std::min(unreadyServingTime, grace / 2), [this] {
             for (HttpServer &server : httpServers_) {
                 server.shutdown([this] {
