Refuse no record that an earlier attempt may have stored

Cause: A record that the store refused for good was answered 400 even if an earlier attempt had ended without a known outcome. The job may run then.

Change: The answer is 504 if an attempt of this process may have been stored.

--- a/src/poplarstream/edge/caller_handler_test.cpp
+++ b/src/poplarstream/edge/caller_handler_test.cpp
@@ -136,6 +136,12 @@
         Callers callers(AppendResult::Refused);
         EXPECT_EQ(callers.submit(1), ResponseKind::BadRequest);
     }
+    {
+        SCOPED_TRACE("given a store that refuses it after an attempt that may have stored it");
+        Callers callers(AppendResult::Refused);
+        callers.failingWrites = 1;
+        EXPECT_EQ(callers.submit(1), ResponseKind::Unknown);
+    }
     {
         SCOPED_TRACE("given a store that does not take it now, and a caller without time left");
         Callers callers(AppendResult::NotDone);
--- a/src/poplarstream/edge/submission_store.cpp
+++ b/src/poplarstream/edge/submission_store.cpp
@@ -170,7 +170,9 @@
             finish(number, response);
         } else if (attempt.result == AppendResult::Refused) {
             Response response;
-            response.kind = ResponseKind::BadRequest;
+            // An earlier attempt may have been stored, so that the job runs.
+            response.kind =
+                    entry.pending.mayBeStored ? ResponseKind::Unknown : ResponseKind::BadRequest;
             response.message = "the store refuses the record";
             finish(number, response);
         } else {
