Let falsified properties fail their tests

RapidCheck then prints the counterexample and GoogleTest reports the test as passed.

Properties, seeds and counts are as before. No property uses RC_PRE.

--- a/src/poplarstream/accounts/loan_codec_test.cpp
+++ b/src/poplarstream/accounts/loan_codec_test.cpp
@@ -12,7 +12,7 @@
 TEST(LoanCodec, RoundTrip)
 {
     const AccountId account("a/b \"c\"");
-    rc::check([&](std::uint32_t cpu, std::uint16_t serial, std::uint8_t borrower) {
+    EXPECT_TRUE(rc::check([&](std::uint32_t cpu, std::uint16_t serial, std::uint8_t borrower) {
         const jobs::Resources amount{cpu, 1, 0};
         LoanRequest request;
         request.borrower = borrower % 4;
@@ -33,7 +33,7 @@
         RC_ASSERT(answered->recalled == response.recalled);
         const LoansByShard loans{{request.borrower, {amount, amount, request.id}}};
         RC_ASSERT(decodeLoans(encodeLoans(loans).value()) == loans);
-    });
+    }));
     EXPECT_FALSE(encodeLoans({{1, {}}}));
 }
 
@@ -41,14 +41,14 @@
 // that it cannot read.
 TEST(LoanCodec, MalformedText)
 {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         const auto loans = decodeLoans(test::malformed(R"({"loans":[[1,[2,3,4],[5,6]]]})"));
         for (const auto &[shard, loan] : loans.value_or(LoansByShard())) {
             RC_ASSERT(loan.amount.cpuMilli >= 0 && shard >= 0);
         }
         decodeRequest(test::malformed(encodeRequest({})));
         decodeResponse(test::malformed(encodeResponse({})));
-    });
+    }));
     EXPECT_FALSE(decodeLoans(R"({"loans":[[1,[-2,3,4],[5,6]]]})"));
     EXPECT_FALSE(decodeLoans("null"));
 }
--- a/src/poplarstream/jobs/codec_test.cpp
+++ b/src/poplarstream/jobs/codec_test.cpp
@@ -64,7 +64,7 @@
 // Guards against progress that a new owner reads differently than the previous one wrote it.
 TEST(JobCodec, ProgressRoundTrip)
 {
-    rc::check("a successor reads what the owner wrote", [] {
+    EXPECT_TRUE(rc::check("a successor reads what the owner wrote", [] {
         const int count = *rc::gen::inRange(1, 6);
         Job before = makeJob(submission({stepOf(count), stepOf(2)}), now, unixNow);
         for (int index = 0; index < count; ++index) {
@@ -88,7 +88,7 @@
         RC_ASSERT(encodeProgress(after) == encodeProgress(before));
         RC_ASSERT(after.state == before.state);
         RC_ASSERT(after.occurrences.at(0).remaining == before.occurrences.at(0).remaining);
-    });
+    }));
 }
 
 // Guards against applying part of a malformed record.
--- a/src/poplarstream/jobs/progress_records_test.cpp
+++ b/src/poplarstream/jobs/progress_records_test.cpp
@@ -126,35 +126,37 @@
 // successor that reads other progress than was stored.
 TEST(ProgressRecords, LargeJobsAreStoredInParts)
 {
-    rc::check("a successor reads what was written last, in records that the store takes", [] {
-        const int repeatCount = *rc::gen::element(0, 0, 3);
-        const Submission submitted = submission({7, 2, 5}, repeatCount);
-        Job job = makeJob(submitted, now, unixNow);
-        Stored stored;
-        const int changes = *rc::gen::inRange(1, 120);
-        for (int change = 0; change < changes; ++change) {
-            changeOneTask(job);
-            if (change % 4 != 0 && change + 1 != changes) {
-                continue;
-            }
-            for (const ProgressRecord &record : takeChangedRecords(job, maxRecordBytes)) {
-                RC_ASSERT(record.key.size() + record.value.value_or("").size() <= maxRecordBytes);
-                stored.write(record);
-            }
-            Job successor = makeJob(submitted, now, unixNow);
-            RC_ASSERT(stored.read(successor));
-            RC_ASSERT(successor.state == job.state);
-            expectSameTasks(job, successor);
-            RC_ASSERT(takeChangedRecords(successor, maxRecordBytes).size() == 1U);
-        }
-    });
+    EXPECT_TRUE(rc::check(
+            "a successor reads what was written last, in records that the store takes", [] {
+                const int repeatCount = *rc::gen::element(0, 0, 3);
+                const Submission submitted = submission({7, 2, 5}, repeatCount);
+                Job job = makeJob(submitted, now, unixNow);
+                Stored stored;
+                const int changes = *rc::gen::inRange(1, 120);
+                for (int change = 0; change < changes; ++change) {
+                    changeOneTask(job);
+                    if (change % 4 != 0 && change + 1 != changes) {
+                        continue;
+                    }
+                    for (const ProgressRecord &record : takeChangedRecords(job, maxRecordBytes)) {
+                        RC_ASSERT(record.key.size() + record.value.value_or("").size()
+                                  <= maxRecordBytes);
+                        stored.write(record);
+                    }
+                    Job successor = makeJob(submitted, now, unixNow);
+                    RC_ASSERT(stored.read(successor));
+                    RC_ASSERT(successor.state == job.state);
+                    expectSameTasks(job, successor);
+                    RC_ASSERT(takeChangedRecords(successor, maxRecordBytes).size() == 1U);
+                }
+            }));
 }
 
 // Guards against a second run after an owner that ended while it wrote a large change: what was
 // stored of it must not hide what had been stored before.
 TEST(ProgressRecords, ChangesThatAreStoredInPartLoseNothing)
 {
-    rc::check("no task that was done is open again", [] {
+    EXPECT_TRUE(rc::check("no task that was done is open again", [] {
         const Submission submitted = submission({9, 3}, 0);
         Job job = makeJob(submitted, now, unixNow);
         Stored stored;
@@ -176,7 +178,7 @@
                 RC_ASSERT(isFinal(successor.state) || doneTasks(successor) < 12);
             }
         }
-    });
+    }));
 }
 
 // Ends all tasks of an occurrence with the second run of each.
--- a/src/poplarstream/ownership/division_test.cpp
+++ b/src/poplarstream/ownership/division_test.cpp
@@ -45,12 +45,12 @@
     EXPECT_EQ(shardOfRack(RackId("r1-7"), 1), 0);
     EXPECT_EQ(shardOfRack(RackId("12"), partitions),
               (shardOfRack(RackId("11"), partitions) + 1) % partitions);
-    rc::check([](const std::string &name) {
+    EXPECT_TRUE(rc::check([](const std::string &name) {
         const int shard = shardOfRack(RackId(name), partitions);
         RC_ASSERT(shard >= 0);
         RC_ASSERT(shard < partitions);
         RC_ASSERT(shardOfRack(RackId(name), 1) == 0);
-    });
+    }));
     EXPECT_EQ(shardOfRack(RackId("row-99999999999999999999999999"), partitions),
               shardOfRack(RackId("row-99999999999999999999999999"), partitions));
 }
@@ -92,10 +92,10 @@
     EXPECT_FALSE(decodeDivision(encodeDivision(3), partitions)) << "does not divide the partitions";
     EXPECT_FALSE(decodeDivision(encodeDivision(8), partitions));
     EXPECT_FALSE(decodeDivision("[]", partitions));
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         const auto decoded = decodeDivision(test::malformed(encodeDivision(2)), partitions);
         RC_ASSERT(!decoded || isShardCount(*decoded, partitions));
-    });
+    }));
 }
 
 }  // namespace
--- a/src/poplarstream/ownership/leadership_test.cpp
+++ b/src/poplarstream/ownership/leadership_test.cpp
@@ -774,12 +774,12 @@
 {
     const std::string record = encodeOwnership({});
     ASSERT_TRUE(decodeOwnership(record));
-    rc::check([&record] {
+    EXPECT_TRUE(rc::check([&record] {
         if (const auto decoded = decodeOwnership(test::malformed(record))) {
             RC_ASSERT(decoded->epoch >= 0);
             RC_ASSERT(decoded->sequence >= 0);
         }
-    });
+    }));
 }
 
 // Guards against a process, and each next owner, that is ended by a deeply nested record, since
--- a/src/poplarstream/pools/wave_shares_test.cpp
+++ b/src/poplarstream/pools/wave_shares_test.cpp
@@ -12,7 +12,7 @@
 // many another has, and against a shard that waits for ever.
 TEST(WaveShares, SharesInForceStayWithinTheCap)
 {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         const int shardCount = *rc::gen::inRange(1, 9);
         const int cap = *rc::gen::inRange(1, 30);
         std::set<int> carriedOut;
@@ -31,7 +31,7 @@
             RC_ASSERT(!active.empty());
             carriedOut.insert(*rc::gen::elementOf(active));
         }
-    });
+    }));
 }
 
 // Guards against places of a wave that no shard uses.
