Prefer workers without neighbours that slow a task down

Change: the engine feeds the reports of serving tasks to the table of pairs. The cost of a worker counts the tasks there that the task is known to slow down or to be slowed down by, after suspects and affinity. The images on a worker are counted with its task mix, and the conflicts of a step are looked up once for each choice. Events 760 and 761 say which pair was named and forgotten.

--- a/include/poplarstream/engine/decision.hpp
+++ b/include/poplarstream/engine/decision.hpp
@@ -25,6 +25,8 @@
     TaskLost,  // its worker ended while it ran or may have run there
     TaskGivenUp,  // after several crashes of its workers; its job goes on
     JobEnded,
+    PairNamed,  // an image is known to slow another one down
+    PairForgotten,
 };
 
 // How it is known that a run isn't running and can't start any more.
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -14,6 +14,7 @@
 #include "poplarstream/engine/decision.hpp"  // for Decision, ReleaseCounts
 #include "poplarstream/engine/job_set.hpp"  // for JobSet
 #include "poplarstream/engine/worker_commands.hpp"  // for Command
+#include "poplarstream/interference/pair_table.hpp"  // for PairTable
 #include "poplarstream/jobs/model.hpp"  // for Job, JobId, WorkerIncarnation, Resources, TaskRef
 #include "poplarstream/jobs/progress_records.hpp"  // for ProgressRecord
 
@@ -88,6 +89,7 @@
     int longRunning = 0;
     int serving = 0;  // with a latency target
     int filling = 0;
+    std::map<std::string, int> images;  // of tasks that serve or fill
 };
 
 // A run that was or may have been on a worker, and how long it is known to have been alive there.
@@ -130,6 +132,7 @@
     std::map<AttemptRef, std::int64_t> attempts;
     std::set<AttemptRef> unexpectedAttempts;  // running but in no job; being stopped
     TaskMix mix;  // of `attempts`
+    TimePoint observedAt{};  // when its figures were last taken note of
 
     std::int64_t tokenBump = 0;  // raised to fence commands that got no response
     bool wantsPromptPoll = false;  // the next poll must not wait for a completion
@@ -236,6 +239,7 @@
     std::vector<JobId> forgotten;  // jobs to delete from the store
     std::set<JobId> beingDeleted;  // forgotten; their deletion has not been read from the job log
     std::vector<ProgressRecord> pendingRecords;  // other records for the next batch
+    interference::PairTable interference;  // images that slow each other down
     std::vector<Arrival> arrivals;  // since the forecast last consumed them
     bool needsPlan = false;
     // False while the ownership is unconfirmed: leases are renewed but nothing starts.
--- a/include/poplarstream/interference/pair_table.hpp
+++ b/include/poplarstream/interference/pair_table.hpp
@@ -112,6 +112,9 @@
 Estimate estimateOf(const PairTable &table, const std::string &victim, const std::string &neighbour,
                     TimePoint now);
 
+// The images that are known to slow `image` down or to be slowed down by it.
+std::vector<std::string> conflictsOf(const PairTable &table, const std::string &image);
+
 // Whether `neighbour` is known to slow `victim` down.
 bool isHarmful(const PairTable &table, const std::string &victim, const std::string &neighbour);
 
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -99,6 +99,8 @@
 
 // The progress from which on a task that lasts serves its users.
 inline constexpr int readyPercent = 100;
+// The pace of a filling task at its start.
+inline constexpr int fullPacePercent = 100;
 
 // One start of a task on one worker.
 struct Attempt
@@ -118,6 +120,7 @@
     std::int64_t confirmedClockMs = 0;  // the worker's clock then
     TimePoint aliveAt{};  // send time of the last poll whose response listed it
     std::int64_t load = 0;  // tail latency in ms if the step has a target, else millicores
+    int pacePercent = fullPacePercent;  // at which a filling task works; -1: not known
 };
 
 struct Task
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -260,5 +260,12 @@
         "Report it: the stored progress of the job could not be read in full, so nothing of it "
         "starts. Let a process that can read it become the owner, or cancel the job and submit it "
         "again under another id if running tasks again does no harm."};
+inline constexpr EventKind pairNamed{
+        760, EventLevel::Info, "pair-named", "task run worker inputs",
+        "None; tasks of image `neighbour` slow those of `victim` down (by a factor of e to the "
+        "power of `effect`), so they are kept apart where there is room."};
+inline constexpr EventKind pairForgotten{761, EventLevel::Info, "pair-forgotten",
+                                         "task run worker inputs",
+                                         "None; the two images may share workers again."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -43,6 +43,10 @@
         return events::taskLost;
     case engine::DecisionKind::TaskGivenUp:
         return events::taskGivenUp;
+    case engine::DecisionKind::PairNamed:
+        return events::pairNamed;
+    case engine::DecisionKind::PairForgotten:
+        return events::pairForgotten;
     case engine::DecisionKind::LeaseLapsed:
         break;
     }
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -19,6 +19,7 @@
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
+#include "poplarstream/engine/neighbours.hpp"  // for reviewNeighbours
 #include "poplarstream/engine/plan_pacing.hpp"  // for PlanPacing
 #include "poplarstream/engine/planning.hpp"  // for planStarts
 #include "poplarstream/engine/worker_events.hpp"  // for dropCommands
@@ -189,6 +190,7 @@
                 const LoadMeter::Section section(runtime.load, OwnerWork::Jobs);
                 engine::tickJobs(engine, clockReadingNow());
             }
+            engine::reviewNeighbours(engine, now);
             deleteForgottenJobs();
             engine.needsPlan = true;
         }
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -21,6 +21,13 @@
     mix.longRunning += step.longRunning ? change : 0;
     mix.serving += step.target > Milliseconds{0} ? change : 0;
     mix.filling += step.fills ? change : 0;
+    if (!step.image.empty() && (step.fills || step.target > Milliseconds{0})) {
+        const auto image = mix.images.try_emplace(step.image, 0).first;
+        image->second += change;
+        if (image->second == 0) {
+            mix.images.erase(image);
+        }
+    }
 }
 
 void recordRelease(Engine &engine, const AttemptRef &ref, const WorkerId &worker,
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for find, find_if
 #include <optional>  // for optional
+#include <string>  // for string
 #include <tuple>  // for tuple, make_tuple
 
 #include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy, stepOf, findJob
@@ -25,13 +26,25 @@
            || (step.target > Milliseconds{0} && candidate.hostsFillers);
 }
 
-using Cost = std::tuple<int, int, int, int, int, int, std::int64_t>;
+// The number of tasks on the worker of an image in `conflicts`.
+int conflictsAt(const Worker &worker, const std::vector<std::string> &conflicts)
+{
+    int count = 0;
+    for (const std::string &image : conflicts) {
+        count += countAt(worker.mix.images, image);
+    }
+    return count;
+}
+
+using Cost = std::tuple<int, int, int, int, int, int, int, std::int64_t>;
 
-// Lower is better. Keeps tasks that may take their worker down apart. Avoids workers that will be
-// emptied soon. Long-running tasks share workers with each other but are spread over racks. Prefers
-// the fullest worker, so that idle workers can be given to other pools.
+// Lower is better. Keeps tasks that may take their worker down apart, and tasks of images that slow
+// each other down. Avoids workers that will be emptied soon. Long-running tasks share workers with
+// each other but are spread over racks. Prefers the fullest worker, so that idle workers can be
+// given to other pools.
 Cost costOf(const PlacementCandidate &candidate, const jobs::StepSpec &step,
-            const PlacementCounts &counts, bool isSuspect)
+            const PlacementCounts &counts, const std::vector<std::string> &conflicts,
+            bool isSuspect)
 {
     const WorkerEntry &entry = candidate.worker->entry;
     const bool isRemote = !step.affinityRack.empty() && entry.rack.text() != step.affinityRack;
@@ -40,6 +53,7 @@
     return {candidate.suspects,
             isSuspect ? candidate.attempts : 0,
             isRemote ? 1 : 0,
+            conflictsAt(*candidate.worker, conflicts),
             candidate.worker->isDueForMaintenance ? 1 : 0,
             isFresh ? 1 : 0,
             onRack,
@@ -53,10 +67,11 @@
            && worker.quarantinedUntil <= now;
 }
 
-PlacementCandidate candidateFor(Worker &worker)
+PlacementCandidate candidateFor(const Engine &engine, Worker &worker)
 {
     PlacementCandidate candidate;
     candidate.worker = &worker;
+    candidate.pairs = &engine.interference;
     candidate.freeCapacity = worker.entry.capacity;
     candidate.freeCapacity -= worker.used;
     candidate.attempts = static_cast<int>(worker.attempts.size());
@@ -110,7 +125,7 @@
                 });
         if (own != services.end() && mayGetTasks(worker, now)) {
             byService[static_cast<std::size_t>(own - services.begin())]->push_back(
-                    candidateFor(worker));
+                    candidateFor(engine, worker));
         }
     }
     countSuspects(engine, candidates);
@@ -157,6 +172,9 @@
                                     bool isSuspect)
 {
     const jobs::Resources need = capacityUsedBy(step);
+    const std::vector<std::string> conflicts =
+            candidates.empty() ? std::vector<std::string>{}
+                               : interference::conflictsOf(*candidates.front().pairs, step.image);
     PlacementCandidate *best = nullptr;
     std::optional<Cost> bestCost;
     for (PlacementCandidate &candidate : candidates) {
@@ -172,7 +190,7 @@
             || std::find(avoid.begin(), avoid.end(), incarnation) != avoid.end()) {
             continue;
         }
-        const Cost cost = costOf(candidate, step, counts, isSuspect);
+        const Cost cost = costOf(candidate, step, counts, conflicts, isSuspect);
         if (!bestCost || cost < *bestCost) {
             best = &candidate;
             bestCost = cost;
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -9,6 +9,7 @@
 #include "poplarstream/engine/attempts.hpp"  // for attach, detach, release
 #include "poplarstream/engine/crashes.hpp"  // for recordCrash, recordSilence, clearIfProven
 #include "poplarstream/engine/incarnations.hpp"  // for endIncarnation, restartWorker
+#include "poplarstream/engine/neighbours.hpp"  // for observeNeighbours
 #include "poplarstream/engine/worker_health.hpp"  // for updateWorkerHealth, recordWorkerSuccess
 #include "poplarstream/jobs/commands.hpp"  // for recordCompletion
 #include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt
@@ -284,6 +285,7 @@
     for (const RunningReport &report : response->running) {
         handleRunning(engine, *worker, report, response->clockMs, now);
     }
+    observeNeighbours(engine, *worker, now);
     if (!response->isPartial) {
         releaseMissing(engine, *worker, pollNumber, *response, now);
     }
--- a/src/poplarstream/interference/pair_table.cpp
+++ b/src/poplarstream/interference/pair_table.cpp
@@ -354,6 +354,20 @@
                                       : estimateFrom(found->second, now);
 }
 
+std::vector<std::string> conflictsOf(const PairTable &table, const std::string &image)
+{
+    std::vector<std::string> conflicts;
+    if (table.harmful == 0 || image.empty()) {
+        return conflicts;
+    }
+    for (const auto &[pair, evidence] : table.pairs) {
+        if (evidence.isHarmful && (pair.first == image || pair.second == image)) {
+            conflicts.push_back(pair.first == image ? pair.second : pair.first);
+        }
+    }
+    return conflicts;
+}
+
 bool isHarmful(const PairTable &table, const std::string &victim, const std::string &neighbour)
 {
     if (table.harmful == 0) {
--- a/src/poplarstream/jobs/task_codec.cpp
+++ b/src/poplarstream/jobs/task_codec.cpp
@@ -148,6 +148,7 @@
         attempt.phase = AttemptPhase::StartSent;
         attempt.mayRun = true;
         attempt.isFromPreviousOwner = true;
+        attempt.pacePercent = -1;
         task.attempts.push_back(std::move(attempt));
     }
     if (value.size() > 5) {
