Pace filling tasks that share workers with serving ones

Change: a worker command sets the pace of a filling task. A pace without a confirmation is unknown and is set again; a lost command raises the fencing token. Where paces are in force (bounds.paceMs in the settings), fillers and serving tasks share workers if there is no other room and the pair is not named. Measured: poplar_interference_test (11), poplar_engine_test (80), poplar_edge_test (46) and poplar_platform_test (24) pass.

--- a/include/poplarstream/edge/ports.hpp
+++ b/include/poplarstream/edge/ports.hpp
@@ -131,6 +131,7 @@
     std::function<void(const engine::PollCommand &, std::function<void(PollOutcome)>)> poll;
     std::function<void(const engine::StartCommand &, std::function<void(StartOutcome)>)> start;
     std::function<void(const engine::StopCommand &, std::function<void(engine::StopResult)>)> stop;
+    std::function<void(const engine::PaceCommand &, std::function<void(engine::StopResult)>)> pace;
 };
 
 // A page of the platform's list of machines.
--- a/include/poplarstream/engine/decision.hpp
+++ b/include/poplarstream/engine/decision.hpp
@@ -27,6 +27,8 @@
     JobEnded,
     PairNamed,  // an image is known to slow another one down
     PairForgotten,
+    TaskPaced,  // a filling task is to work below full pace, or at full pace again
+    TaskSeparated,  // a filling task is moved away from serving ones
 };
 
 // How it is known that a run isn't running and can't start any more.
--- a/include/poplarstream/engine/evacuation.hpp
+++ b/include/poplarstream/engine/evacuation.hpp
@@ -4,6 +4,10 @@
 
 namespace poplarstream::engine {
 
+// The number of other tasks of the step that no reachable worker has recently reported as ready.
+int otherTasksNotReady(const Engine &engine, const jobs::Occurrence &occurrence,
+                       const TaskRef &task, TimePoint now);
+
 // Moves long-running tasks off workers that are draining or cordoned. Stops only tasks that can
 // start on another worker. On cordoned workers it also keeps to `mayMiss` of each step; draining
 // workers leave in any case.
--- a/include/poplarstream/engine/placement.hpp
+++ b/include/poplarstream/engine/placement.hpp
@@ -18,6 +18,7 @@
     bool hostsFillers = false;  // runs a filling task
     int attempts = 0;  // that run or may run there
     int suspects = 0;  // of them, of tasks that may take the worker down
+    bool mayShare = false;  // filling and serving tasks may run side by side if need be
     const interference::PairTable *pairs = nullptr;  // images that slow each other down
 };
 
@@ -44,6 +45,8 @@
 // The best candidate for a task of `step`, or null. Skips the workers in `avoid` and, if `rack` is
 // set, all other racks. A suspected task prefers workers without other tasks, and all tasks prefer
 // workers without suspected ones, and without tasks that they slow down or that slow them down.
+// Filling and serving tasks share a worker only where paces are in force, no other worker has room,
+// and they are not known to slow each other down.
 PlacementCandidate *chooseCandidate(std::vector<PlacementCandidate> &candidates,
                                     const jobs::StepSpec &step, const PlacementCounts &counts,
                                     const std::vector<WorkerIncarnation> &avoid, const RackId *rack,
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -14,6 +14,7 @@
 #include "poplarstream/engine/decision.hpp"  // for Decision, ReleaseCounts
 #include "poplarstream/engine/job_set.hpp"  // for JobSet
 #include "poplarstream/engine/worker_commands.hpp"  // for Command
+#include "poplarstream/interference/pace.hpp"  // for PaceControl
 #include "poplarstream/interference/pair_table.hpp"  // for PairTable
 #include "poplarstream/jobs/model.hpp"  // for Job, JobId, WorkerIncarnation, Resources, TaskRef
 #include "poplarstream/jobs/progress_records.hpp"  // for ProgressRecord
@@ -39,6 +40,8 @@
     Milliseconds migration{1500};  // duration of a machine move
     Milliseconds maintenance{2000};  // duration of a machine's maintenance
     std::size_t maxRecordBytes = 262'144;  // that the store takes, key and value
+    Milliseconds paceDelay{0};  // until a new pace of a task takes effect; 0: there are no paces
+    Milliseconds disruption{4000};  // a target may be missed this long because of filling tasks
     double capOvershoot = 0;  // share by which what an account has running may pass its cap
 };
 
@@ -133,6 +136,7 @@
     std::set<AttemptRef> unexpectedAttempts;  // running but in no job; being stopped
     TaskMix mix;  // of `attempts`
     TimePoint observedAt{};  // when its figures were last taken note of
+    interference::PaceControl paceControl;  // of its filling tasks
 
     std::int64_t tokenBump = 0;  // raised to fence commands that got no response
     bool wantsPromptPoll = false;  // the next poll must not wait for a completion
@@ -240,6 +244,9 @@
     std::set<JobId> beingDeleted;  // forgotten; their deletion has not been read from the job log
     std::vector<ProgressRecord> pendingRecords;  // other records for the next batch
     interference::PairTable interference;  // images that slow each other down
+    TimePoint separatedAt{};  // when a filling task was last moved away from serving ones
+    std::uint64_t tasksSeparated = 0;  // for the metrics, as the next
+    std::uint64_t paceCommands = 0;
     std::vector<Arrival> arrivals;  // since the forecast last consumed them
     bool needsPlan = false;
     // False while the ownership is unconfirmed: leases are renewed but nothing starts.
--- a/include/poplarstream/engine/worker_commands.hpp
+++ b/include/poplarstream/engine/worker_commands.hpp
@@ -47,7 +47,16 @@
     int run = 0;
 };
 
-using Command = std::variant<PollCommand, StartCommand, StopCommand>;
+// Sets the pace of a filling task, in percent of what it would use otherwise.
+struct PaceCommand
+{
+    CommandTarget target;
+    jobs::TaskRef task;
+    int run = 0;
+    int percent = 0;
+};
+
+using Command = std::variant<PollCommand, StartCommand, StopCommand, PaceCommand>;
 
 struct RunningReport
 {
@@ -89,6 +98,7 @@
     Unknown,  // no response; the run may still start
 };
 
+// Of a stop command or a pace command.
 enum class StopResult { Accepted, Fenced, OtherIncarnation, Unknown };
 
 }  // namespace poplarstream::engine
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -101,6 +101,7 @@
 inline constexpr int readyPercent = 100;
 // The pace of a filling task at its start.
 inline constexpr int fullPacePercent = 100;
+inline constexpr int unknownPace = -1;  // as a percentage
 
 // One start of a task on one worker.
 struct Attempt
@@ -120,7 +121,8 @@
     std::int64_t confirmedClockMs = 0;  // the worker's clock then
     TimePoint aliveAt{};  // send time of the last poll whose response listed it
     std::int64_t load = 0;  // tail latency in ms if the step has a target, else millicores
-    int pacePercent = fullPacePercent;  // at which a filling task works; -1: not known
+    int pacePercent = fullPacePercent;  // at which a filling task works; or unknownPace
+    TimePoint pacedSince{};  // since when it is to work below full pace; unset: it isn't
 };
 
 struct Task
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -267,5 +267,13 @@
 inline constexpr EventKind pairForgotten{761, EventLevel::Info, "pair-forgotten",
                                          "task run worker inputs",
                                          "None; the two images may share workers again."};
+inline constexpr EventKind taskPaced{
+        762, EventLevel::Info, "task-paced", "task run worker inputs",
+        "None; `load` is the highest tail latency beside it as a part of the target. With "
+        "no_effect=yes the target was missed while nothing filled. If it repeats for one worker, "
+        "add workers to the pool."};
+inline constexpr EventKind taskSeparated{
+        763, EventLevel::Info, "task-separated", "task run worker inputs",
+        "None; the filling task starts on a worker without serving tasks."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/command_sender.cpp
+++ b/src/poplarstream/edge/command_sender.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>  // for to_string
 
 #include "poplarstream/engine/attempts.hpp"  // for findJob
+#include "poplarstream/engine/filler_pace.hpp"  // for handlePaceResult
 #include "poplarstream/engine/worker_events.hpp"  // for handlePollResponse, handleStartResult
 #include "poplarstream/engine/worker_polling.hpp"  // for maxPollWait
 #include "poplarstream/telemetry/event_kinds.hpp"  // for taskEnded, taskNotStarted
@@ -101,6 +102,10 @@
                          state->runtime.load.count(WorkerCallEnd::Stop);
                          engine::handleStopResult(engine, sent, result, steadyNow());
                      }));
+    } else if (const auto *const pace = std::get_if<engine::PaceCommand>(&command)) {
+        workers.pace(*pace, guarded([&engine, sent = *pace](engine::StopResult result) {
+            engine::handlePaceResult(engine, sent, result, steadyNow());
+        }));
     }
 }
 
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -47,6 +47,10 @@
         return events::pairNamed;
     case engine::DecisionKind::PairForgotten:
         return events::pairForgotten;
+    case engine::DecisionKind::TaskPaced:
+        return events::taskPaced;
+    case engine::DecisionKind::TaskSeparated:
+        return events::taskSeparated;
     case engine::DecisionKind::LeaseLapsed:
         break;
     }
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -22,6 +22,7 @@
 #include "poplarstream/engine/neighbours.hpp"  // for reviewNeighbours
 #include "poplarstream/engine/plan_pacing.hpp"  // for PlanPacing
 #include "poplarstream/engine/planning.hpp"  // for planStarts
+#include "poplarstream/engine/separation.hpp"  // for separateFillers
 #include "poplarstream/engine/worker_events.hpp"  // for dropCommands
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
 #include "poplarstream/engine/worker_polling.hpp"  // for pollWorkers
@@ -285,6 +286,7 @@
             const LoadMeter::Section section(runtime.load, OwnerWork::Plan);
             const auto begunAt = std::chrono::steady_clock::now();
             engine::evacuate(engine, now);
+            engine::separateFillers(engine, now);
             engine::planStarts(engine, now);
             engine::recordPlan(planPacing, now,
                                std::chrono::duration_cast<std::chrono::microseconds>(
--- a/src/poplarstream/edge/session_metrics.cpp
+++ b/src/poplarstream/edge/session_metrics.cpp
@@ -18,6 +18,12 @@
                                    shard, engine.jobs.size(), engine.active.size(),
                                    engine.workers.size(), unusableEntries, engine.tasksLost,
                                    engine.runsAdopted, withoutJob, engine.jobsHeld);
+    text += fmt::format("poplar_image_pairs{{shard=\"{0}\"}} {1}\n"
+                        "poplar_image_pairs_harmful{{shard=\"{0}\"}} {2}\n"
+                        "poplar_pace_commands_total{{shard=\"{0}\"}} {3}\n"
+                        "poplar_tasks_separated_total{{shard=\"{0}\"}} {4}\n",
+                        shard, engine.interference.pairs.size(), engine.interference.harmful,
+                        engine.paceCommands, engine.tasksSeparated);
     for (const engine::ReleaseCause cause : engine::allReleaseCauses) {
         text += fmt::format("poplar_tasks_released_total{{shard=\"{}\",cause=\"{}\"}} {}\n", shard,
                             engine::causeText(cause),
--- a/src/poplarstream/engine/evacuation.cpp
+++ b/src/poplarstream/engine/evacuation.cpp
@@ -43,20 +43,6 @@
     }
 }
 
-// The number of other tasks of the step that aren't ready.
-int otherTasksNotReady(const Engine &engine, const jobs::Occurrence &occurrence,
-                       const TaskRef &task, TimePoint now)
-{
-    int missing = 0;
-    const auto &tasks = occurrence.steps[static_cast<std::size_t>(task.step)];
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
-        if (static_cast<int>(index) != task.index && !isReady(engine, tasks[index], now)) {
-            ++missing;
-        }
-    }
-    return missing;
-}
-
 void evacuateTask(Engine &engine, Worker &worker, const AttemptRef &ref, bool isLeaving,
                   TimePoint now)
 {
@@ -93,6 +79,19 @@
 
 }  // namespace
 
+int otherTasksNotReady(const Engine &engine, const jobs::Occurrence &occurrence,
+                       const TaskRef &task, TimePoint now)
+{
+    int missing = 0;
+    const auto &tasks = occurrence.steps[static_cast<std::size_t>(task.step)];
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        if (static_cast<int>(index) != task.index && !isReady(engine, tasks[index], now)) {
+            ++missing;
+        }
+    }
+    return missing;
+}
+
 void evacuate(Engine &engine, TimePoint now)
 {
     std::vector<Worker *> cordoned;
--- a/src/poplarstream/engine/neighbours.cpp
+++ b/src/poplarstream/engine/neighbours.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr Milliseconds figurePeriod{450};  // half a second less the variation of the polls
+constexpr Milliseconds figurePeriod{400};  // half a second less the variation of the polls
 constexpr double fullPace = jobs::fullPacePercent;
 
 struct Present
@@ -53,10 +53,12 @@
         neighbour.image = other.step->image;
         ++neighbour.count;
         // A pace that is not known counts as full; the samples until it is set are few.
-        neighbour.share +=
-                other.attempt->pacePercent < 0 ? 1.0 : other.attempt->pacePercent / fullPace;
+        neighbour.share += other.attempt->pacePercent == jobs::unknownPace
+                                   ? 1.0
+                                   : other.attempt->pacePercent / fullPace;
     }
     std::vector<interference::Neighbour> neighbours;
+    neighbours.reserve(byImage.size());
     for (auto &[image, neighbour] : byImage) {
         neighbours.push_back(std::move(neighbour));
     }
--- a/src/poplarstream/engine/neighbours_test.cpp
+++ b/src/poplarstream/engine/neighbours_test.cpp
@@ -5,34 +5,20 @@
 #include <fmt/format.h>  // for format
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
 
-#include "engine_fixture.hpp"  // for EngineFixture
 #include "poplarstream/base/random.hpp"  // for Random
+#include "serving_fixture.hpp"  // for EngineFixture, servingStep, makeHarmful
 
 namespace poplarstream::engine {
 namespace {
 
 using test::EngineFixture;
 using test::firstJob;
+using test::makeHarmful;
 using test::secondJob;
+using test::servingStep;
 using test::step;
 using test::submission;
 
-jobs::StepSpec servingStep(const std::string &image, std::int64_t cpuMilli = 1000)
-{
-    jobs::StepSpec serving = step(1, cpuMilli);
-    serving.longRunning = true;
-    serving.image = image;
-    serving.target = Milliseconds{50};
-    return serving;
-}
-
-void makeHarmful(Engine &engine, const std::string &victim, const std::string &neighbour)
-{
-    interference::PairEvidence &evidence = engine.interference.pairs[{victim, neighbour}];
-    evidence = {100, std::log(2.0), timePoint(1'000'000), true, {}};
-    ++engine.interference.harmful;
-}
-
 // Guards against tasks that are placed beside those that they slow down though there is room
 // elsewhere, and against tasks that wait since there is none.
 TEST(Neighbours, HarmfulPairsAreKeptApartWhereThereIsRoom)
@@ -43,12 +29,12 @@
         makeHarmful(fixture.engine, "web", "search");
         const std::string images[] = {isVictimFirst ? "web" : "search",
                                       isVictimFirst ? "search" : "web"};
-        fixture.submit(submission(firstJob, servingStep(images[0])));
+        fixture.submit(submission(firstJob, servingStep(images[0], 1000)));
         const auto first = fixture.startAll();
         ASSERT_EQ(first.size(), 1U);
         {
             SCOPED_TRACE("when the other starts, then it gets the other worker");
-            fixture.submit(submission(secondJob, servingStep(images[1])));
+            fixture.submit(submission(secondJob, servingStep(images[1], 1000)));
             const auto second = fixture.startAll();
             ASSERT_EQ(second.size(), 1U);
             EXPECT_NE(second[0].target.worker, first[0].target.worker);
@@ -57,9 +43,9 @@
             SCOPED_TRACE("when only the same worker has room, then it starts there");
             EngineFixture full(1);
             makeHarmful(full.engine, "web", "search");
-            full.submit(submission(firstJob, servingStep(images[0])));
+            full.submit(submission(firstJob, servingStep(images[0], 1000)));
             full.startAll();
-            full.submit(submission(secondJob, servingStep(images[1])));
+            full.submit(submission(secondJob, servingStep(images[1], 1000)));
             EXPECT_EQ(full.startAll().size(), 1U);
         }
     }
@@ -99,7 +85,7 @@
 TEST(Neighbours, ReportsOfServingTasksAreLearnedFrom)
 {
     EngineFixture fixture(1);
-    fixture.submit(submission(firstJob, servingStep("web")));
+    fixture.submit(submission(firstJob, servingStep("web", 1000)));
     const auto starts = fixture.startAll();
     ASSERT_EQ(starts.size(), 1U);
     const auto report = [&](int percent) {
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -6,6 +6,7 @@
 #include <tuple>  // for tuple, make_tuple
 
 #include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy, stepOf, findJob
+#include "poplarstream/engine/filler_pace.hpp"  // for maySharePaced
 #include "poplarstream/jobs/queries.hpp"  // for findTask, isFinal
 
 namespace poplarstream::engine {
@@ -19,7 +20,7 @@
     return found == map.end() ? 0 : found->second;
 }
 
-// Filling tasks would raise the latency of tasks with a latency target on the same worker.
+// Filling tasks may raise the latency of tasks with a latency target on the same worker.
 bool disturbs(const PlacementCandidate &candidate, const jobs::StepSpec &step)
 {
     return (step.fills && candidate.hostsServing)
@@ -36,24 +37,24 @@
     return count;
 }
 
-using Cost = std::tuple<int, int, int, int, int, int, int, std::int64_t>;
+using Cost = std::tuple<int, int, int, int, int, int, int, int, std::int64_t>;
 
-// Lower is better. Keeps tasks that may take their worker down apart, and tasks of images that slow
-// each other down. Avoids workers that will be emptied soon. Long-running tasks share workers with
-// each other but are spread over racks. Prefers the fullest worker, so that idle workers can be
-// given to other pools.
+// Lower is better. Keeps filling and serving tasks apart. Keeps tasks that may take their worker
+// down apart, and tasks of images that slow each other down. Avoids workers that will be emptied
+// soon. Long-running tasks share workers with each other but are spread over racks. Prefers the
+// fullest worker, so that idle workers can be given to other pools.
 Cost costOf(const PlacementCandidate &candidate, const jobs::StepSpec &step,
-            const PlacementCounts &counts, const std::vector<std::string> &conflicts,
-            bool isSuspect)
+            const PlacementCounts &counts, int conflicts, bool isSuspect)
 {
     const WorkerEntry &entry = candidate.worker->entry;
     const bool isRemote = !step.affinityRack.empty() && entry.rack.text() != step.affinityRack;
     const int onRack = step.longRunning ? countAt(counts.onRack, entry.rack) : 0;
     const bool isFresh = step.longRunning && !candidate.hostsLongRunning;
-    return {candidate.suspects,
+    return {disturbs(candidate, step) ? 1 : 0,
+            candidate.suspects,
             isSuspect ? candidate.attempts : 0,
             isRemote ? 1 : 0,
-            conflictsAt(*candidate.worker, conflicts),
+            conflicts,
             candidate.worker->isDueForMaintenance ? 1 : 0,
             isFresh ? 1 : 0,
             onRack,
@@ -72,6 +73,7 @@
     PlacementCandidate candidate;
     candidate.worker = &worker;
     candidate.pairs = &engine.interference;
+    candidate.mayShare = maySharePaced(engine.limits);
     candidate.freeCapacity = worker.entry.capacity;
     candidate.freeCapacity -= worker.used;
     candidate.attempts = static_cast<int>(worker.attempts.size());
@@ -185,12 +187,16 @@
         const WorkerIncarnation &incarnation = candidate.worker->entry.incarnation;
         const bool isFull =
                 step.antiAffinity > 0 && countAt(counts.onWorker, incarnation) >= step.antiAffinity;
-        if (isFull || !isSuitable(candidate, step) || disturbs(candidate, step)
+        if (isFull || !isSuitable(candidate, step)
             || (rack != nullptr && candidate.worker->entry.rack != *rack)
             || std::find(avoid.begin(), avoid.end(), incarnation) != avoid.end()) {
             continue;
         }
-        const Cost cost = costOf(candidate, step, counts, conflicts, isSuspect);
+        const int conflictsHere = conflictsAt(*candidate.worker, conflicts);
+        if (disturbs(candidate, step) && (!candidate.mayShare || conflictsHere > 0)) {
+            continue;
+        }
+        const Cost cost = costOf(candidate, step, counts, conflictsHere, isSuspect);
         if (!bestCost || cost < *bestCost) {
             best = &candidate;
             bestCost = cost;
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -8,6 +8,7 @@
 
 #include "poplarstream/engine/attempts.hpp"  // for attach, detach, release
 #include "poplarstream/engine/crashes.hpp"  // for recordCrash, recordSilence, clearIfProven
+#include "poplarstream/engine/filler_pace.hpp"  // for paceFillers
 #include "poplarstream/engine/incarnations.hpp"  // for endIncarnation, restartWorker
 #include "poplarstream/engine/neighbours.hpp"  // for observeNeighbours
 #include "poplarstream/engine/worker_health.hpp"  // for updateWorkerHealth, recordWorkerSuccess
@@ -286,6 +287,7 @@
         handleRunning(engine, *worker, report, response->clockMs, now);
     }
     observeNeighbours(engine, *worker, now);
+    paceFillers(engine, *worker, now);
     if (!response->isPartial) {
         releaseMissing(engine, *worker, pollNumber, *response, now);
     }
--- a/src/poplarstream/interference/pair_table.cpp
+++ b/src/poplarstream/interference/pair_table.cpp
@@ -1,7 +1,9 @@
 #include "poplarstream/interference/pair_table.hpp"
 
-#include <algorithm>  // for all_of, clamp, find_if, min, min_element
-#include <cmath>  // for log, exp, sqrt, abs
+#include <algorithm>  // for all_of, clamp, find_if, min
+#include <cmath>  // for log, abs
+
+#include "poplarstream/interference/pair_evidence.hpp"  // for addEvidence, evidenceOf, square
 
 namespace poplarstream::interference {
 
@@ -20,110 +22,20 @@
 constexpr double figureDeviation = 0.25;
 constexpr double driftDeviation = 0.15;
 constexpr double workerDeviation = 0.35;
-// Without evidence an effect is assumed to be around 0 with this deviation.
-constexpr double priorDeviation = 0.5;
-constexpr double noEffectDeviation = 0.2;
-constexpr double maxEffect = 1.5;  // a single comparison counts no more than this
-// Named when the effect exceeds a factor of 1.15 by two deviations, until it is within one of none.
-constexpr double harmfulEffect = 0.14;
-constexpr double harmfulDeviations = 2.0;
-constexpr double harmlessDeviations = 1.0;
-// Precision falls by a factor e in this time.
-constexpr Milliseconds memory{180'000};
-constexpr double negligiblePrecision = 0.5;
 // Each worker contributes one comparison with other workers in this time, since repeated ones would
 // only confirm how fast the worker itself is. For the same reason, one counts no more than
 // `maxWorkerEffect` while the speed of the worker is not known.
-constexpr Milliseconds workerInterval = memory;
+constexpr Milliseconds workerInterval = evidenceMemory;
 constexpr double maxWorkerEffect = 0.5;
 // A situation without a report for this long has ended.
 constexpr Milliseconds situationMemory{10'000};
 constexpr Milliseconds cleaningInterval{1000};
-constexpr std::size_t maxPairs = 256;
 constexpr std::size_t maxImages = 256;
 constexpr std::size_t maxWorkers = 1024;
 constexpr std::size_t maxSituations = 4096;
 constexpr std::size_t maxComparedWorkers = 64;  // of a pair
 constexpr double fullShare = 0.75;  // a pace above this counts as full
 
-double square(double value)
-{
-    return value * value;
-}
-
-double decayed(const PairEvidence &evidence, TimePoint now)
-{
-    const auto age = static_cast<double>((now - evidence.updatedAt).count());
-    return evidence.precision * std::exp(-age / static_cast<double>(memory.count()));
-}
-
-Estimate estimateFrom(const PairEvidence &evidence, TimePoint now)
-{
-    const double precision = decayed(evidence, now);
-    const double total = precision + 1.0 / square(priorDeviation);
-    return {evidence.effect * precision / total, 1.0 / std::sqrt(total)};
-}
-
-void judge(PairTable &table, const ImagePair &pair, PairEvidence &evidence, TimePoint now)
-{
-    const Estimate estimate = estimateFrom(evidence, now);
-    const bool isHarmful =
-            evidence.isHarmful
-                    ? estimate.effect > harmlessDeviations * estimate.deviation
-                    : estimate.effect - harmfulDeviations * estimate.deviation > harmfulEffect;
-    if (isHarmful == evidence.isHarmful) {
-        return;
-    }
-    evidence.isHarmful = isHarmful;
-    if (isHarmful) {
-        ++table.harmful;
-    } else {
-        --table.harmful;
-    }
-    table.changes.push_back({pair.first, pair.second, isHarmful, estimate});
-}
-
-void erasePair(PairTable &table, std::map<ImagePair, PairEvidence>::iterator at, TimePoint now)
-{
-    if (at->second.isHarmful) {
-        --table.harmful;
-        table.changes.push_back(
-                {at->first.first, at->first.second, false, estimateFrom(at->second, now)});
-    }
-    table.pairs.erase(at);
-}
-
-PairEvidence &evidenceOf(PairTable &table, const ImagePair &pair, TimePoint now)
-{
-    const auto found = table.pairs.find(pair);
-    if (found != table.pairs.end()) {
-        return found->second;
-    }
-    if (table.pairs.size() >= maxPairs) {
-        // Harmful pairs stay, then those with the most evidence.
-        const auto least = std::min_element(
-                table.pairs.begin(), table.pairs.end(), [now](const auto &left, const auto &right) {
-                    return std::pair(left.second.isHarmful, decayed(left.second, now))
-                           < std::pair(right.second.isHarmful, decayed(right.second, now));
-                });
-        erasePair(table, least, now);
-    }
-    return table.pairs[pair];
-}
-
-void addEvidence(PairTable &table, const ImagePair &pair, double effect, double variance,
-                 TimePoint now)
-{
-    PairEvidence &evidence = evidenceOf(table, pair, now);
-    const double before = decayed(evidence, now);
-    const double added = 1.0 / variance;
-    const double value = std::clamp(effect, -maxEffect, maxEffect);
-    evidence.effect = (evidence.effect * before + value * added) / (before + added);
-    evidence.precision = before + added;
-    evidence.updatedAt = now;
-    judge(table, pair, evidence, now);
-}
-
 void addTo(TailMean &mean, double value, int remembered, TimePoint now)
 {
     mean.samples = std::min(mean.samples + 1, remembered);
@@ -315,12 +227,6 @@
     }
 }
 
-void recordNoEffect(PairTable &table, const std::string &victim, const std::string &neighbour,
-                    TimePoint now)
-{
-    addEvidence(table, {victim, neighbour}, 0, square(noEffectDeviation), now);
-}
-
 void clean(PairTable &table, TimePoint now)
 {
     if (now < table.cleanedAt + cleaningInterval) {
@@ -331,50 +237,14 @@
         return each.second.tail.updatedAt + situationMemory < now;
     });
     std::erase_if(table.workers,
-                  [now](const auto &each) { return each.second.updatedAt + memory < now; });
+                  [now](const auto &each) { return each.second.updatedAt + evidenceMemory < now; });
     std::erase_if(table.alone,
-                  [now](const auto &each) { return each.second.updatedAt + memory < now; });
-    for (auto at = table.pairs.begin(); at != table.pairs.end();) {
-        const auto next = std::next(at);
-        std::erase_if(at->second.comparedOn,
+                  [now](const auto &each) { return each.second.updatedAt + evidenceMemory < now; });
+    for (auto &[pair, evidence] : table.pairs) {
+        std::erase_if(evidence.comparedOn,
                       [now](const auto &each) { return each.second + workerInterval <= now; });
-        judge(table, at->first, at->second, now);
-        if (!at->second.isHarmful && decayed(at->second, now) < negligiblePrecision) {
-            erasePair(table, at, now);
-        }
-        at = next;
-    }
-}
-
-Estimate estimateOf(const PairTable &table, const std::string &victim, const std::string &neighbour,
-                    TimePoint now)
-{
-    const auto found = table.pairs.find({victim, neighbour});
-    return found == table.pairs.end() ? Estimate{0, priorDeviation}
-                                      : estimateFrom(found->second, now);
-}
-
-std::vector<std::string> conflictsOf(const PairTable &table, const std::string &image)
-{
-    std::vector<std::string> conflicts;
-    if (table.harmful == 0 || image.empty()) {
-        return conflicts;
-    }
-    for (const auto &[pair, evidence] : table.pairs) {
-        if (evidence.isHarmful && (pair.first == image || pair.second == image)) {
-            conflicts.push_back(pair.first == image ? pair.second : pair.first);
-        }
-    }
-    return conflicts;
-}
-
-bool isHarmful(const PairTable &table, const std::string &victim, const std::string &neighbour)
-{
-    if (table.harmful == 0) {
-        return false;
     }
-    const auto found = table.pairs.find({victim, neighbour});
-    return found != table.pairs.end() && found->second.isHarmful;
+    cleanPairs(table, now);
 }
 
 }  // namespace poplarstream::interference
--- a/src/poplarstream/interference/pair_table_test.cpp
+++ b/src/poplarstream/interference/pair_table_test.cpp
@@ -136,9 +136,6 @@
 
 void report(const char *name, const Outcome &outcome)
 {
-    ::testing::Test::RecordProperty(name, fmt::format("busy={} quiet={} of {} seeds, until_ms={}",
-                                                      outcome.busy, outcome.quiet, seeds,
-                                                      outcome.until.count()));
     fmt::print("{}: busy={} quiet={} of {} seeds, until_ms={}\n", name, outcome.busy, outcome.quiet,
                seeds, outcome.until.count());
 }
--- a/src/poplarstream/jobs/task_codec.cpp
+++ b/src/poplarstream/jobs/task_codec.cpp
@@ -148,7 +148,7 @@
         attempt.phase = AttemptPhase::StartSent;
         attempt.mayRun = true;
         attempt.isFromPreviousOwner = true;
-        attempt.pacePercent = -1;
+        attempt.pacePercent = unknownPace;
         task.attempts.push_back(std::move(attempt));
     }
     if (value.size() > 5) {
