Do not take paced tasks for stalled ones

Cause: a filling task at pace 0 makes no progress; after 1.2 s it would be stopped as stalled, and three of them would quarantine their worker. Change: tasks below full pace are not suspected, and the time without progress starts anew at full pace. Filling tasks that end by themselves count as neighbours from their start, as their percentage is progress.

--- a/src/poplarstream/engine/filler_pace.cpp
+++ b/src/poplarstream/engine/filler_pace.cpp
@@ -138,9 +138,10 @@
         const AttemptRef &ref = *runs.fillers[i].ref;
         const bool isFull = percent == jobs::fullPacePercent;
         const bool wasFull = attempt.pacedSince == TimePoint{};
-        if (isFull) {
+        if (isFull && !wasFull) {
             attempt.pacedSince = {};
-        } else if (wasFull) {
+            attempt.progressedAt = now;  // it could not make progress before
+        } else if (!isFull && wasFull) {
             attempt.pacedSince = now;
         }
         // The steps between are not logged.
--- a/src/poplarstream/engine/neighbours.cpp
+++ b/src/poplarstream/engine/neighbours.cpp
@@ -32,7 +32,7 @@
             continue;
         }
         const jobs::StepSpec &step = stepOf(engine.jobs.at(ref.task.job), ref.task);
-        const bool isUp = attempt->percent >= jobs::readyPercent
+        const bool isUp = !step.longRunning || attempt->percent >= jobs::readyPercent
                           || (step.fills && attempt->pacePercent != jobs::fullPacePercent);
         if (isUp && !step.image.empty() && (step.fills || step.target > Milliseconds{0})) {
             present.push_back({&ref, attempt, &step});
--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -26,9 +26,11 @@
 constexpr std::size_t stragglersBeforeQuarantine = 3;
 
 // Whether the attempt is without progress for so long that it is stalled if its worker confirms it.
+// A task that is to work below full pace may make none.
 bool isSuspected(const jobs::Attempt &attempt, TimePoint now)
 {
     return attempt.phase == jobs::AttemptPhase::Running && attempt.percent >= 0
+           && attempt.pacedSince == TimePoint{}
            && now >= std::max(attempt.progressedAt, attempt.startedAt) + stallTimeout;
 }
 
