Let the simulated workers take paces

Cause: the simulated deployment visits all commands, so poplar_pools_test did not build with the pace command. Change: its workers check the token of a pace and confirm it.

--- a/src/poplarstream/pools/simulated_deployment.hpp
+++ b/src/poplarstream/pools/simulated_deployment.hpp
@@ -8,6 +8,7 @@
 #include <random>  // for mt19937_64
 
 #include "poplarstream/engine/engine_fixture.hpp"  // for submission, step
+#include "poplarstream/engine/filler_pace.hpp"  // for handlePaceResult
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
 #include "poplarstream/jobs/queries.hpp"  // for isFinal
 #include "poplarstream/pools/planning.hpp"  // for applyMachineList
@@ -456,6 +457,20 @@
         });
     }
 
+    // No simulated task fills, so a pace has no effect beyond its response.
+    void carryOutOne(const engine::PaceCommand &pace, const auto &respond)
+    {
+        bool isOther = false;
+        SimulatedWorker *const worker = workerAt(pace.target, isOther);
+        if (worker == nullptr && !isOther) {
+            return;
+        }
+        const auto result = isOther ? engine::StopResult::OtherIncarnation : worker->pace(pace);
+        respond([this, pace, result](Owner &owner) {
+            handlePaceResult(owner.engine, pace, result, now_);
+        });
+    }
+
     // What the owner learns of a command without a response.
     std::function<void(Owner &)> noResponse(const engine::Command &command, bool isUnsent)
     {
@@ -469,6 +484,8 @@
                                   0, now_);
             } else if (const auto *const stop = std::get_if<engine::StopCommand>(&command)) {
                 handleStopResult(owner.engine, *stop, engine::StopResult::Unknown, now_);
+            } else if (const auto *const pace = std::get_if<engine::PaceCommand>(&command)) {
+                handlePaceResult(owner.engine, *pace, engine::StopResult::Unknown, now_);
             }
         };
     }
--- a/src/poplarstream/pools/simulated_worker.hpp
+++ b/src/poplarstream/pools/simulated_worker.hpp
@@ -236,6 +236,11 @@
         return StopResult::Accepted;
     }
 
+    StopResult pace(const engine::PaceCommand &command)
+    {
+        return accepts(command.target.fencingToken) ? StopResult::Accepted : StopResult::Fenced;
+    }
+
     // Returns false if the token is too low.
     bool poll(const PollCommand &command, TimePoint now, Respond respond)
     {
