--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -15,6 +15,8 @@
 #include "poplarstream/engine/decision.hpp"  // for Decision, ReleaseCounts
 #include "poplarstream/engine/job_set.hpp"  // for JobSet
 #include "poplarstream/engine/worker_commands.hpp"  // for Command
+#include "poplarstream/interference/pace.hpp"  // for PaceControl
+#include "poplarstream/interference/pair_table.hpp"  // for PairTable
 #include "poplarstream/jobs/model.hpp"  // for Job, JobId, WorkerIncarnation, Resources, TaskRef
 #include "poplarstream/jobs/progress_records.hpp"  // for ProgressRecord
 
@@ -39,6 +41,8 @@
     Milliseconds migration{1500};  // duration of a machine move
     Milliseconds maintenance{2000};  // duration of a machine's maintenance
     std::size_t maxRecordBytes = 262'144;  // that the store takes, key and value
+    Milliseconds paceDelay{0};  // until a new pace of a task takes effect; 0: there are no paces
+    Milliseconds disruption{4000};  // a target may be missed this long because of filling tasks
     double capOvershoot = 0;  // share by which what an account has running may pass its cap
 };
 
@@ -89,6 +93,7 @@
     int longRunning = 0;
     int serving = 0;  // with a latency target
     int filling = 0;
+    std::map<std::string, int> images;  // of tasks that serve or fill
 };
 
 // A run that was or may have been on a worker, and how long it is known to have been alive there.
@@ -155,6 +160,8 @@
     // Running but in no job; being stopped.
     std::map<AttemptRef, AccountNeed> unexpectedAttempts;
     TaskMix mix;  // of `attempts`
+    TimePoint observedAt{};  // when its figures were last taken note of
+    interference::PaceControl paceControl;  // of its filling tasks
 
     std::int64_t tokenBump = 0;  // raised to fence commands that got no response
     bool wantsPromptPoll = false;  // the next poll must not wait for a completion
@@ -269,6 +276,10 @@
     std::int64_t collections = 0;  // how often pending records were taken into a batch
     std::int64_t collectionsStored = 0;  // the newest whose batch is stored
     std::set<std::string> refusedRecords;  // keys of other records that the store has refused
+    interference::PairTable interference;  // images that slow each other down
+    TimePoint separatedAt{};  // when a filling task was last moved away from serving ones
+    std::uint64_t tasksSeparated = 0;  // for the metrics, as the next
+    std::uint64_t paceCommands = 0;
     std::vector<Arrival> arrivals;  // since the forecast last consumed them
     bool needsPlan = false;
     // False while the ownership is unconfirmed: leases are renewed but nothing starts.
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -308,5 +308,20 @@
         "account's weight or add machines."};
 inline constexpr EventKind accountAdmitted{773, EventLevel::Info, "account-admitted",
                                            "account shard", "None."};
+inline constexpr EventKind pairNamed{
+        780, EventLevel::Info, "pair-named", "task run worker inputs",
+        "None; tasks of image `neighbour` slow those of `victim` down (by a factor of e to the "
+        "power of `effect`), so they are kept apart where there is room."};
+inline constexpr EventKind pairForgotten{781, EventLevel::Info, "pair-forgotten",
+                                         "task run worker inputs",
+                                         "None; the two images may share workers again."};
+inline constexpr EventKind taskPaced{
+        782, EventLevel::Info, "task-paced", "task run worker inputs",
+        "None; `load` is the highest tail latency beside it as a part of the target. With "
+        "no_effect=yes the target was missed while nothing filled. If it repeats for one worker, "
+        "add workers to the pool."};
+inline constexpr EventKind taskSeparated{
+        783, EventLevel::Info, "task-separated", "task run worker inputs",
+        "None; the filling task starts on a worker without serving tasks."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -47,6 +47,14 @@
         return events::accountCapped;
     case engine::DecisionKind::AccountFree:
         return events::accountUncapped;
+    case engine::DecisionKind::PairNamed:
+        return events::pairNamed;
+    case engine::DecisionKind::PairForgotten:
+        return events::pairForgotten;
+    case engine::DecisionKind::TaskPaced:
+        return events::taskPaced;
+    case engine::DecisionKind::TaskSeparated:
+        return events::taskSeparated;
     case engine::DecisionKind::LeaseLapsed:
         break;
     }
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -21,8 +21,10 @@
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
+#include "poplarstream/engine/neighbours.hpp"  // for reviewNeighbours
 #include "poplarstream/engine/plan_pacing.hpp"  // for PlanPacing
 #include "poplarstream/engine/planning.hpp"  // for planStarts
+#include "poplarstream/engine/separation.hpp"  // for separateFillers
 #include "poplarstream/engine/worker_events.hpp"  // for dropCommands
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
 #include "poplarstream/engine/worker_polling.hpp"  // for pollWorkers
@@ -202,6 +204,7 @@
                 const LoadMeter::Section section(runtime.load, OwnerWork::Jobs);
                 engine::tickJobs(engine, clockReadingNow());
             }
+            engine::reviewNeighbours(engine, now);
             deleteForgottenJobs();
             engine.needsPlan = true;
         }
@@ -332,6 +335,7 @@
             const LoadMeter::Section section(runtime.load, OwnerWork::Plan);
             const auto begunAt = std::chrono::steady_clock::now();
             engine::evacuate(engine, now);
+            engine::separateFillers(engine, now);
             engine::planStarts(engine, now);
             engine::recordPlan(planPacing, now,
                                std::chrono::duration_cast<std::chrono::microseconds>(
