--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -106,6 +106,9 @@
 
 // The progress from which on a task that lasts serves its users.
 inline constexpr int readyPercent = 100;
+// The pace of a filling task at its start.
+inline constexpr int fullPacePercent = 100;
+inline constexpr int unknownPace = -1;  // as a percentage
 
 // One start of a task on one worker.
 struct Attempt
@@ -125,6 +128,8 @@
     std::int64_t confirmedClockMs = 0;  // the worker's clock then
     TimePoint aliveAt{};  // send time of the last poll whose response listed it
     std::int64_t load = 0;  // tail latency in ms if the step has a target, else millicores
+    int pacePercent = fullPacePercent;  // at which a filling task works; or unknownPace
+    TimePoint pacedSince{};  // since when it is to work below full pace; unset: it isn't
 };
 
 struct Task
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -109,6 +109,10 @@
         storeCircuitClosed,
         accountHeld,
         accountAdmitted,
+        pairNamed,
+        pairForgotten,
+        taskPaced,
+        taskSeparated,
 };
 
 }  // namespace
