Report all waiting work of an account to its loans

Cause: waitingWork counted filling steps without processor time, though their runs count in full for their account, so an owner that had lent its part never asked for it back for them. It visited 2000 jobs of all accounts together, so an account behind the backlog of another was not seen to wait. It included gangs that no cap lets start: the owner was given the whole cap for them and kept it from the other owners.

Change: Count steps as accountUse does, bound the jobs of each account instead of all, and leave out gangs that canGangFit rejects.

Conclusion: Each of the three left jobs of an account waiting at one owner while it had room in its cap.

--- a/src/poplarstream/engine/waiting_work.cpp
+++ b/src/poplarstream/engine/waiting_work.cpp
@@ -1,33 +1,47 @@
 #include "poplarstream/engine/waiting_work.hpp"
 
 #include <algorithm>  // for count_if, max
+#include <optional>  // for optional
+#include <unordered_map>  // for unordered_map
 
-#include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy
+#include "poplarstream/engine/account_caps.hpp"  // for ownedCap
 #include "poplarstream/jobs/queries.hpp"  // for isFinal, isStepReady, isWaiting
 
 namespace poplarstream::engine {
 
 namespace {
 
-// Bounds the time of one call. Owners with more waiting jobs lack whole parts of a cap anyway.
-constexpr std::size_t maxJobsVisited = 2'000;
+// Of one account; bounds the time of one call. With more waiting jobs it lacks whole parts of its
+// cap anyway.
+constexpr std::size_t maxJobsOfAccount = 2'000;
+
+struct AccountWork
+{
+    std::optional<accounts::OwnedCap> cap;
+    accounts::WaitingWork work;
+    std::size_t jobsVisited = 0;
+};
 
 jobs::Resources times(const jobs::Resources &need, std::int64_t count)
 {
     return {need.cpuMilli * count, need.memoryMb * count, need.gpus * count};
 }
 
-void addStep(accounts::WaitingWork &work, const jobs::StepSpec &spec, std::int64_t count)
+void addStep(AccountWork &account, const jobs::StepSpec &spec, std::int64_t count)
 {
-    const jobs::Resources need = capacityUsedBy(spec);
-    work.total += times(need, count);
-    const jobs::Resources together = spec.gang ? times(need, count) : need;
+    // Other owners would part with the whole cap for a gang that can't start even then.
+    if (spec.gang && account.cap && !accounts::canGangFit(*account.cap, spec.need, spec.count)) {
+        return;
+    }
+    accounts::WaitingWork &work = account.work;
+    work.total += times(spec.need, count);
+    const jobs::Resources together = spec.gang ? times(spec.need, count) : spec.need;
     for (const auto field : accounts::resourceFields) {
         work.widest.*field = std::max(work.widest.*field, together.*field);
     }
 }
 
-void addJob(accounts::WaitingWork &work, const jobs::Job &job, TimePoint now)
+void addJob(AccountWork &account, const jobs::Job &job, TimePoint now)
 {
     for (const auto &[number, occurrence] : job.occurrences) {
         for (std::size_t i = 0; !occurrence.isDone && i < occurrence.steps.size(); ++i) {
@@ -41,7 +55,7 @@
                         return jobs::isWaiting(task) && task.notBefore <= now;
                     });
             if (count > 0) {
-                addStep(work, job.submission.spec.steps[i], count);
+                addStep(account, job.submission.spec.steps[i], count);
             }
         }
     }
@@ -51,16 +65,23 @@
 
 std::map<AccountId, accounts::WaitingWork> waitingWork(const Engine &engine, TimePoint now)
 {
-    std::map<AccountId, accounts::WaitingWork> waiting;
-    std::size_t visited = 0;
+    std::unordered_map<AccountId, AccountWork> found;
     for (const jobs::Job *const job : engine.waiting) {
-        if (++visited > maxJobsVisited) {
-            break;
-        }
         const AccountId &account = job->submission.account;
-        if (!account.isEmpty() && !job->isHeld && !jobs::isFinal(job->state)) {
-            addJob(waiting[account], *job, now);
+        if (account.isEmpty() || job->isHeld || jobs::isFinal(job->state)) {
+            continue;
         }
+        const auto [place, isNew] = found.try_emplace(account);
+        if (isNew) {
+            place->second.cap = ownedCap(engine, account);
+        }
+        if (++place->second.jobsVisited <= maxJobsOfAccount) {
+            addJob(place->second, *job, now);
+        }
+    }
+    std::map<AccountId, accounts::WaitingWork> waiting;
+    for (const auto &[account, entry] : found) {
+        waiting[account] = entry.work;
     }
     return waiting;
 }
