Judge each resource of a cap by itself for a wide task

Cause: An owner may pass a cap by a task if it holds all of the cap. That was asked of all resources together. An owner borrows only what it lacks, so with caps on processors and memory it held all processors but not all memory, and a task wider than the cap (or than the room beside other runs) never started with several shards.

Change: The overshoot by one task depends on the resource that is passed. No other owner can start anything that needs this resource.

Conclusion: A task that is wide in one resource needs all of that one.

--- a/src/poplarstream/accounts/cap.cpp
+++ b/src/poplarstream/accounts/cap.cpp
@@ -42,12 +42,18 @@
                    : limit + static_cast<std::int64_t>(static_cast<double>(limit) * overshoot);
 }
 
-// Whether `use` passes the limit no further than it may. An owner of the whole cap may pass it by
-// one task more.
+// Whether the owner has all of the resource, so that no other owner starts anything that needs it.
+bool holdsAll(const OwnedCap &cap, Amount amount)
+{
+    return cap.limits.*amount >= cap.whole.*amount;
+}
+
+// Whether `use` passes the limit no further than it may. An owner of all of the resource may pass
+// it by one task more.
 bool isWithinOvershoot(const OwnedCap &cap, Amount amount, std::int64_t use,
                        const jobs::Resources &need)
 {
-    const std::int64_t oneTask = holdsWholeCap(cap) ? need.*amount : 0;
+    const std::int64_t oneTask = holdsAll(cap, amount) ? need.*amount : 0;
     return use - oneTask <= raised(cap.limits.*amount, cap.overshoot);
 }
 
@@ -72,11 +78,6 @@
             partOf(limits.gpus, shard, shards)};
 }
 
-bool holdsWholeCap(const OwnedCap &cap)
-{
-    return cap.whole.fits(cap.limits);
-}
-
 bool mayStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need)
 {
     return holdsForEach([&](Amount amount) {
--- a/src/poplarstream/accounts/cap_test.cpp
+++ b/src/poplarstream/accounts/cap_test.cpp
@@ -72,5 +72,28 @@
     }));
 }
 
+// Guards against a task wider than the cap of one resource that never starts: an owner borrows only
+// of the resources that it lacks, so that it does not hold the whole cap of the others.
+TEST(Cap, OwnerOfAllProcessorsStartsAWideTask)
+{
+    SCOPED_TRACE("given an owner with all processors and half of the memory of a cap");
+    OwnedCap cap{{4000, 500, 0}, limitsOf({4000, 1000, 1}), 0.1};
+    {
+        SCOPED_TRACE("then a task that is wider than the processors starts, but not a second one");
+        EXPECT_TRUE(mayStart(cap, {}, {6000, 100, 0}));
+        EXPECT_TRUE(maySendStart(cap, {6000, 100, 0}, {6000, 100, 0}));
+        EXPECT_FALSE(mayStart(cap, {6000, 100, 0}, {6000, 100, 0}));
+    }
+    {
+        SCOPED_TRACE("and one that passes the memory by more than the overshoot does not");
+        EXPECT_FALSE(mayStart(cap, {}, {1000, 600, 0}));
+    }
+    {
+        SCOPED_TRACE("and without all processors the wide one does not");
+        cap.limits.cpuMilli = 3999;
+        EXPECT_FALSE(mayStart(cap, {}, {6000, 100, 0}));
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::accounts
