Keep no room for gangs that tasks that last keep out

Cause: Room was kept for a gang if it fits once all other runs of its account have ended. Tasks that last do not end, so beside them a gang of almost the whole cap held back all other work of its account for as long as it waited, also with most of the cap free. With several shards its owner also took the parts of the other owners.

Change: Count the use of tasks that last apart, and keep and borrow room only for gangs that fit beside it. canGangFit takes what lasts.

Measured: AccountCaps.GangBesideTasksThatLastKeepsNoRoom failed before (no start) and passes; poplar_engine_test 89 of 89, poplar_accounts_test 18 of 18 pass.

Conclusion: Such a gang waits until the job that lasts is cancelled; the rest of its account goes on.

--- a/include/poplarstream/accounts/cap.hpp
+++ b/include/poplarstream/accounts/cap.hpp
@@ -35,8 +35,10 @@
 bool mayStartGang(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need,
                   int members);
 
-// Whether the gang may start if the account runs nothing and this owner holds the whole cap.
-bool canGangFit(const OwnedCap &cap, const jobs::Resources &need, int members);
+// Whether the gang may start if the account runs nothing but `lasting` and this owner holds the
+// whole cap.
+bool canGangFit(const OwnedCap &cap, const jobs::Resources &lasting, const jobs::Resources &need,
+                int members);
 
 // Whether a start that was decided earlier may be sent. `use` includes it. The limits may have
 // dropped since.
--- a/include/poplarstream/engine/account_caps.hpp
+++ b/include/poplarstream/engine/account_caps.hpp
@@ -36,13 +36,16 @@
 // What the account has running here.
 jobs::Resources useOf(const Engine &engine, const AccountId &account);
 
+// The part of that which does not end by itself.
+jobs::Resources longRunningUseOf(const Engine &engine, const AccountId &account);
+
 // Whether the cap of the job's account lets a task of `step` start. Notes in the account's gate if
 // it does not.
 bool passesGate(Engine &engine, AccountGates &gates, const jobs::Job &job,
                 const jobs::StepSpec &step);
 
-// The same for all tasks of a gang at once. If they may start once other runs of the account have
-// ended here, room is kept for them.
+// The same for all tasks of a gang at once. If they may start once those runs of the account that
+// end by themselves have ended here, room is kept for them.
 bool passesGateAsGang(Engine &engine, AccountGates &gates, const jobs::Job &job,
                       const jobs::StepSpec &step);
 
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -117,6 +117,7 @@
 {
     AccountId account;  // empty: counted for none
     jobs::Resources need;
+    bool isLongRunning = false;
 };
 
 // An account of which something may not start because of its cap.
@@ -235,6 +236,7 @@
     // What the runs of each account reserve on this owner's workers, from their planned start until
     // they are known to have ended.
     std::map<AccountId, jobs::Resources> accountUse;
+    std::map<AccountId, jobs::Resources> longRunningUse;  // the part of tasks that last
     // What each account may have running on this owner's workers: its part of the cap, as
     // accounts::limitsOf gives it. An account without an entry may start nothing.
     std::map<AccountId, jobs::Resources> accountLimits;
--- a/src/poplarstream/accounts/cap.cpp
+++ b/src/poplarstream/accounts/cap.cpp
@@ -100,9 +100,10 @@
     });
 }
 
-bool canGangFit(const OwnedCap &cap, const jobs::Resources &need, int members)
+bool canGangFit(const OwnedCap &cap, const jobs::Resources &lasting, const jobs::Resources &need,
+                int members)
 {
-    return mayStartGang({cap.whole, cap.whole, cap.overshoot}, {}, need, members);
+    return mayStartGang({cap.whole, cap.whole, cap.overshoot}, lasting, need, members);
 }
 
 bool maySendStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need)
--- a/src/poplarstream/engine/account_caps.cpp
+++ b/src/poplarstream/engine/account_caps.cpp
@@ -85,6 +85,12 @@
     return use == engine.accountUse.end() ? jobs::Resources{} : use->second;
 }
 
+jobs::Resources longRunningUseOf(const Engine &engine, const AccountId &account)
+{
+    const auto use = engine.longRunningUse.find(account);
+    return use == engine.longRunningUse.end() ? jobs::Resources{} : use->second;
+}
+
 bool passesGate(Engine &engine, AccountGates &gates, const jobs::Job &job,
                 const jobs::StepSpec &step)
 {
@@ -114,11 +120,12 @@
     if (accounts::mayStartGang(*gate.cap, takenOf(gate), step.need, step.count)) {
         return true;
     }
-    if (!accounts::canGangFit(*gate.cap, step.need, step.count)) {
+    if (!accounts::canGangFit(*gate.cap, {}, step.need, step.count)) {
         return holdBack(gate, HoldReason::GangWiderThanCap);
     }
     // What other owners hold does not become free by keeping this owner's part free.
-    if (accounts::mayStartGang(*gate.cap, {}, step.need, step.count)) {
+    if (accounts::mayStartGang(*gate.cap, longRunningUseOf(engine, account), step.need,
+                               step.count)) {
         for (int member = 0; member < step.count; ++member) {
             gate.reserved += step.need;
         }
--- a/src/poplarstream/engine/account_caps_test.cpp
+++ b/src/poplarstream/engine/account_caps_test.cpp
@@ -6,6 +6,7 @@
 
 #include "engine_fixture.hpp"  // for EngineFixture
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
+#include "poplarstream/engine/waiting_work.hpp"  // for waitingWork
 #include "poplarstream/jobs/codec.hpp"  // for encodeProgress
 
 namespace poplarstream::engine {
@@ -197,6 +198,39 @@
     }
 }
 
+// Guards against narrow tasks that wait for ever behind a gang that does not fit beside tasks that
+// last: the room that is kept for it would never be enough.
+TEST(AccountCaps, GangBesideTasksThatLastKeepsNoRoom)
+{
+    SCOPED_TRACE("given a cap of 4 cores, a task of 1 core that lasts and a gang of 4");
+    EngineFixture fixture(4);
+    setCap(fixture.engine, {4000, 0, 0});
+    jobs::StepSpec lasting = test::step(1, 1000);
+    lasting.longRunning = true;
+    fixture.submit(submissionOf(firstJob, lasting));
+    EXPECT_EQ(fixture.startAll().size(), 1U);
+    jobs::Submission gang = submissionOf(secondJob, gangOf(4, 1000));
+    gang.policy.priority = -1;
+    fixture.submit(gang);
+    fixture.submit(submissionOf("00000000000000c3", test::step(1, 1000)));
+    {
+        SCOPED_TRACE("then the narrow task starts, and owners are not asked for room for the gang");
+        const std::vector<StartCommand> starts = fixture.startAll();
+        ASSERT_EQ(starts.size(), 1U);
+        EXPECT_EQ(starts[0].task.job, JobId("00000000000000c3"));
+        EXPECT_TRUE(waitingWork(fixture.engine, fixture.now).at(account).total.fits({}));
+    }
+    {
+        SCOPED_TRACE("when both jobs have ended, then the gang starts");
+        cancelJob(fixture.engine, JobId(firstJob), fixture.now);
+        cancelJob(fixture.engine, JobId("00000000000000c3"), fixture.now);
+        fixture.poll();
+        fixture.answerPolls();
+        EXPECT_TRUE(fixture.engine.longRunningUse.empty());
+        EXPECT_EQ(fixture.start().size(), 4U);
+    }
+}
+
 // Guards against starts beyond a cap that dropped while their write was in flight.
 TEST(AccountCaps, DropsWhileBeingWritten)
 {
--- a/src/poplarstream/engine/account_use.cpp
+++ b/src/poplarstream/engine/account_use.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-// Empty if the job or the step of the run is not known.
+// Empty if the job or the step of the run is not known. The run is stopped, so that it does not
+// last.
 AccountNeed needOf(Engine &engine, const TaskRef &task)
 {
     const jobs::Job *const job = findJob(engine, task.job);
@@ -19,24 +20,36 @@
                                : AccountNeed{};
 }
 
+void subtract(std::map<AccountId, jobs::Resources> &uses, const AccountNeed &run)
+{
+    const auto use = uses.find(run.account);
+    if (use == uses.end()) {
+        return;
+    }
+    use->second -= run.need;
+    if (use->second == jobs::Resources{}) {
+        uses.erase(use);
+    }
+}
+
 }  // namespace
 
 void countUse(Engine &engine, const AccountNeed &run)
 {
-    if (!run.account.isEmpty()) {
-        engine.accountUse[run.account] += run.need;
+    if (run.account.isEmpty()) {
+        return;
+    }
+    engine.accountUse[run.account] += run.need;
+    if (run.isLongRunning) {
+        engine.longRunningUse[run.account] += run.need;
     }
 }
 
 void uncountUse(Engine &engine, const AccountNeed &run)
 {
-    const auto use = engine.accountUse.find(run.account);
-    if (use == engine.accountUse.end()) {
-        return;
-    }
-    use->second -= run.need;
-    if (use->second == jobs::Resources{}) {
-        engine.accountUse.erase(use);
+    subtract(engine.accountUse, run);
+    if (run.isLongRunning) {
+        subtract(engine.longRunningUse, run);
     }
 }
 
--- a/src/poplarstream/engine/attempts.cpp
+++ b/src/poplarstream/engine/attempts.cpp
@@ -93,7 +93,7 @@
     if (worker.attempts.emplace(std::move(ref), decisivePoll).second) {
         worker.used += capacityUsedBy(step);
         countInMix(worker.mix, step, 1);
-        countUse(engine, {job.submission.account, step.need});
+        countUse(engine, {job.submission.account, step.need, step.longRunning});
     }
 }
 
@@ -108,7 +108,7 @@
     const jobs::StepSpec &step = stepOf(*job, ref.task);
     worker->used -= capacityUsedBy(step);
     countInMix(worker->mix, step, -1);
-    uncountUse(engine, {job->submission.account, step.need});
+    uncountUse(engine, {job->submission.account, step.need, step.longRunning});
     if (worker->attempts.empty()) {
         worker->idleSince = now;
     }
--- a/src/poplarstream/engine/waiting_work.cpp
+++ b/src/poplarstream/engine/waiting_work.cpp
@@ -4,7 +4,7 @@
 #include <optional>  // for optional
 #include <unordered_map>  // for unordered_map
 
-#include "poplarstream/engine/account_caps.hpp"  // for ownedCap
+#include "poplarstream/engine/account_caps.hpp"  // for ownedCap, longRunningUseOf
 #include "poplarstream/jobs/queries.hpp"  // for isFinal, isStepReady, isWaiting
 
 namespace poplarstream::engine {
@@ -18,6 +18,7 @@
 struct AccountWork
 {
     std::optional<accounts::OwnedCap> cap;
+    jobs::Resources longRunning;  // in use by tasks that last
     accounts::WaitingWork work;
     std::size_t jobsVisited = 0;
 };
@@ -30,7 +31,8 @@
 void addStep(AccountWork &account, const jobs::StepSpec &spec, std::int64_t count)
 {
     // Other owners would part with the whole cap for a gang that can't start even then.
-    if (spec.gang && account.cap && !accounts::canGangFit(*account.cap, spec.need, spec.count)) {
+    if (spec.gang && account.cap
+        && !accounts::canGangFit(*account.cap, account.longRunning, spec.need, spec.count)) {
         return;
     }
     accounts::WaitingWork &work = account.work;
@@ -74,6 +76,7 @@
         const auto [place, isNew] = found.try_emplace(account);
         if (isNew) {
             place->second.cap = ownedCap(engine, account);
+            place->second.longRunning = longRunningUseOf(engine, account);
         }
         if (++place->second.jobsVisited <= maxJobsOfAccount) {
             addJob(place->second, *job, now);
