Lend on beside a record of loans that cannot be read

Cause: A lender that cannot read its loans of an account left the account out of its responses. A borrower that holds some of it takes such a response for that of a superseded owner and drops it, so between these two owners no account could be borrowed or given back any more.

Change: Such a response repeats what the borrower keeps of the account.

Conclusion: A damaged record holds up its own account only.

--- a/src/poplarstream/accounts/loan_lending.cpp
+++ b/src/poplarstream/accounts/loan_lending.cpp
@@ -92,6 +92,10 @@
         setAmount(response.held, account, amount);
         setAmount(response.recalled, account, recallOf(book, account, amount, request));
     }
+    // Whatever is held of these counts as lent. Without them the borrower would drop the response.
+    for (const AccountId &account : book.unreadable) {
+        setAmount(response.held, account, amountOf(request.kept, account));
+    }
     // An owner that lacks its own part gets it back, unless this one waits for it with wider work.
     for (const auto &[account, wanted] : request.wanted) {
         const auto own = book.wideSince.find(account);
--- a/src/poplarstream/accounts/loans_test.cpp
+++ b/src/poplarstream/accounts/loans_test.cpp
@@ -168,6 +168,37 @@
     }
 }
 
+// Guards against a borrower that drops all responses of a lender because one record of the lender's
+// loans cannot be read: without the account, the response looks like that of a superseded owner.
+TEST(Loans, UnreadableRecordKeepsNoOtherLoanBack)
+{
+    SCOPED_TRACE("given a lender that cannot read what it has lent of one account");
+    const AccountId other("b");
+    LoanBook lender = makeLoanBook(0, 2, 1);
+    LoanBook borrower = makeLoanBook(1, 2, 1);
+    for (const AccountId &each : {account, other}) {
+        lender.limits[each] = limitsOf({16, 0, 0});
+        borrower.limits[each] = limitsOf({16, 0, 0});
+    }
+    lender.unreadable.insert(account);
+    borrower.lenders.at(0).held[account] = {3, 0, 0};
+    borrower.waiting[other] = {{12, 0, 0}, {12, 0, 0}};
+    const auto requests = beginRequests(borrower, timePoint(1000));
+    ASSERT_EQ(requests.size(), 1U);
+    {
+        SCOPED_TRACE("when another account is borrowed, then the borrower has it");
+        const HandledRequest handled = handleRequest(lender, requests[0].second, timePoint(1000));
+        ASSERT_TRUE(handled.response);
+        EXPECT_TRUE(handleResponse(borrower, 0, *handled.response, timePoint(1000)));
+        EXPECT_GE(limitOf(borrower, other).cpuMilli, 12);
+    }
+    {
+        SCOPED_TRACE("and of the first it holds as much as before, which the lender does not use");
+        EXPECT_EQ(limitOf(borrower, account).cpuMilli, 11);
+        EXPECT_EQ(limitOf(lender, account).cpuMilli, 0);
+    }
+}
+
 // Guards against owners that wait for each other's parts for ever, because each has a task that is
 // wider than its part.
 TEST(Loans, WideTasksOfTwoOwnersTakeTurns)
