Keep no part of a cap for work that the whole cap does not hold

Cause: Work wider than its owner's part goes first and is not asked for its loans, until it fits. A task wider than the whole cap never fits, so while no worker had room for it, its owner kept all parts, and the account's narrow tasks at other owners waited with nothing of it running.

Change: Work counts as wide only while its owner can get more of the cap.

Measured: Loans.TaskWiderThanTheCapKeepsNoNarrowOneWaiting failed before and passes; poplar_accounts_test 20 of 20 pass, with Loans.WideTasksOfTwoOwnersTakeTurns and Loans.NoPartIsUsedTwice.

Conclusion: The owner asks for the parts again after the narrow tasks.

--- a/src/poplarstream/accounts/loan_borrowing.cpp
+++ b/src/poplarstream/accounts/loan_borrowing.cpp
@@ -78,12 +78,18 @@
     return isNew ? jobs::Resources{} : unusedFor(window->second, spare, now);
 }
 
+// Whether the account has work that needs more than this owner's part and than it may use now. If
+// the whole cap is not enough, nothing is gained by keeping it from the others.
 bool isWide(const LoanBook &book, const AccountId &account, const WaitingWork &waiting)
 {
-    const jobs::Resources part = equalPart(amountOf(book.limits, account), book.shard, book.shards);
+    const jobs::Resources cap = amountOf(book.limits, account);
+    const jobs::Resources limit = limitOf(book, account);
     jobs::Resources wanted = amountOf(book.use, account);
     wanted += waiting.widest;
-    return !waiting.widest.fits(part) && !wanted.fits(limitOf(book, account));
+    return !waiting.widest.fits(equalPart(cap, book.shard, book.shards))
+           && std::any_of(resourceFields.begin(), resourceFields.end(), [&](const Field field) {
+                  return wanted.*field > limit.*field && limit.*field < cap.*field;
+              });
 }
 
 // Whether the other owner may not know what it holds.
--- a/src/poplarstream/accounts/loans_test.cpp
+++ b/src/poplarstream/accounts/loans_test.cpp
@@ -168,6 +168,32 @@
     }
 }
 
+// Guards against an owner that keeps the whole cap for a task that no worker has room for, while
+// the account's narrow tasks at another owner wait.
+TEST(Loans, TaskWiderThanTheCapKeepsNoNarrowOneWaiting)
+{
+    SCOPED_TRACE("given a cap of 160, a task of 200 at one owner that is not started, and later");
+    World world(1, 2, limitsOf({160, 0, 0}));
+    const jobs::Resources wide{200, 0, 0};
+    const jobs::Resources narrow{2, 0, 0};
+    std::vector<WaitingWork> waiting{{wide, wide}, {}};
+    constexpr int periods = 20;
+    for (int i = 0; i < periods; ++i) {
+        quietPeriod(world, waiting);
+    }
+    EXPECT_EQ(limitOf(world.shards[0].present().book, account).cpuMilli, 160);
+    {
+        SCOPED_TRACE("when a narrow task waits at the other, then there is room for it soon");
+        waiting[1] = {narrow, narrow};
+        bool hasRoom = false;
+        for (int i = 0; i < periods && !hasRoom; ++i) {
+            quietPeriod(world, waiting);
+            hasRoom = narrow.fits(limitOf(world.shards[1].present().book, account));
+        }
+        EXPECT_TRUE(hasRoom);
+    }
+}
+
 // Guards against a borrower that drops all responses of a lender because one record of the lender's
 // loans cannot be read: without the account, the response looks like that of a superseded owner.
 TEST(Loans, UnreadableRecordKeepsNoOtherLoanBack)
