Hold nothing back for a resource that it does not need

Cause: A task was held back if its account had more of any resource running than its limit, also of one that the task does not use. After the cap on accelerators had dropped below what lasts, or at a new owner that does not know its loans yet, tasks without accelerators waited.

Change: mayStart, mayStartGang and maySendStart compare the resources of which something is needed.

Measured: Cap.ResourceThatIsNotNeededHoldsNothingBack failed before and passes; poplar_accounts_test 21 of 21, poplar_engine_test 89 of 89 pass.

Conclusion: Such a start cannot bring the account further above its cap.

--- a/include/poplarstream/accounts/cap.hpp
+++ b/include/poplarstream/accounts/cap.hpp
@@ -23,11 +23,11 @@
 
 // Whether a task that needs `need` may start beside `use`, what the account has running.
 //
-// In each resource the task fits into the limit, or less than half of the limit is used. The second
-// is for tasks wider than half of the cap, which would wait behind narrow ones for ever. It passes
-// the limit by less than one task if the owner holds the whole cap of the resource, and otherwise
-// at most by the overshoot: the sum over several owners that each pass theirs by a task would break
-// the cap.
+// In each resource that it needs the task fits into the limit, or less than half of the limit is
+// used. The second is for tasks wider than half of the cap, which would wait behind narrow ones for
+// ever. It passes the limit by less than one task if the owner holds the whole cap of the resource,
+// and otherwise at most by the overshoot: the sum over several owners that each pass theirs by a
+// task would break the cap.
 bool mayStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need);
 
 // The same for a gang, whose tasks start together. It fits into the limits as a whole. If the
--- a/src/poplarstream/accounts/cap.cpp
+++ b/src/poplarstream/accounts/cap.cpp
@@ -29,10 +29,13 @@
 constexpr std::array<Amount, 3> amounts = {&jobs::Resources::cpuMilli, &jobs::Resources::memoryMb,
                                            &jobs::Resources::gpus};
 
+// Whether `predicate` holds for each resource of which something is needed. What runs may exceed
+// the limit of another one, after it has dropped.
 template <class Predicate>
-bool holdsForEach(Predicate predicate)
+bool holdsForEach(const jobs::Resources &need, Predicate predicate)
 {
-    return std::all_of(amounts.begin(), amounts.end(), predicate);
+    return std::all_of(amounts.begin(), amounts.end(),
+                       [&](Amount amount) { return need.*amount == 0 || predicate(amount); });
 }
 
 std::int64_t raised(std::int64_t limit, double overshoot)
@@ -80,7 +83,7 @@
 
 bool mayStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need)
 {
-    return holdsForEach([&](Amount amount) {
+    return holdsForEach(need, [&](Amount amount) {
         const std::int64_t limit = cap.limits.*amount;
         const std::int64_t after = use.*amount + need.*amount;
         return after <= limit
@@ -94,7 +97,7 @@
     jobs::Resources after = timesCount(need, members);
     const bool isIdle = use == jobs::Resources{};
     after += use;
-    return holdsForEach([&](Amount amount) {
+    return holdsForEach(need, [&](Amount amount) {
         return after.*amount <= cap.limits.*amount
                || (isIdle && isWithinOvershoot(cap, amount, after.*amount, need));
     });
@@ -109,7 +112,7 @@
 bool maySendStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need)
 {
     return holdsForEach(
-            [&](Amount amount) { return isWithinOvershoot(cap, amount, use.*amount, need); });
+            need, [&](Amount amount) { return isWithinOvershoot(cap, amount, use.*amount, need); });
 }
 
 std::string capText(const jobs::Resources &use, const jobs::Resources &limits)
--- a/src/poplarstream/accounts/cap_test.cpp
+++ b/src/poplarstream/accounts/cap_test.cpp
@@ -95,5 +95,22 @@
     }
 }
 
+// Guards against tasks without accelerators that wait for as long as their account has more of
+// these running than it may: after the cap has dropped, or at a new owner that does not know its
+// loans yet.
+TEST(Cap, ResourceThatIsNotNeededHoldsNothingBack)
+{
+    SCOPED_TRACE("given an account with two accelerators in use of one");
+    const OwnedCap cap{{4000, 1000, 1}, limitsOf({4000, 1000, 1}), 0};
+    const jobs::Resources use{1000, 100, 2};
+    const jobs::Resources need{1000, 100, 0};
+    EXPECT_TRUE(mayStart(cap, use, need));
+    EXPECT_TRUE(mayStartGang(cap, use, need, 3));
+    jobs::Resources after = use;
+    after += need;
+    EXPECT_TRUE(maySendStart({{4000, 1000, 0}, cap.whole, 0}, after, need));
+    EXPECT_FALSE(mayStart(cap, use, {1000, 100, 1}));
+}
+
 }  // namespace
 }  // namespace poplarstream::accounts
