Keep room for a gang for a bounded time while the cap is half free

Cause: While a gang waits for runs of its account, narrow tasks wait behind it.

Change: Once less than half of the limits has been used for 1.5 s, narrow tasks start until half is used. Then room is kept again.

Measured: AccountCaps.RoomForAGangIsKeptForABoundedTime failed before and passes; poplar_engine_test 90 of 90 pass.

--- a/include/poplarstream/engine/account_caps.hpp
+++ b/include/poplarstream/engine/account_caps.hpp
@@ -23,8 +23,10 @@
     std::optional<accounts::OwnedCap> cap;  // none: the account is not configured
     const jobs::Resources *use = nullptr;  // entry of the account in Engine::accountUse
     // Kept free for gangs that wait for the account's runs to end: tasks that rank lower would take
-    // what becomes free before a gang fits.
+    // what becomes free before a gang fits. After some time with less than half of the limits in
+    // use it is not kept: the runs that a gang waits for may take long.
     jobs::Resources reserved;
+    bool isRoomForGangsKept = true;
     HoldReason held = HoldReason::None;  // why something was held back in this plan
 };
 
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -125,6 +125,8 @@
 {
     TimePoint since{};
     TimePoint heldAt{};  // of the last plan that held something back
+    std::optional<TimePoint> halfFreeSince;  // less than half of its limits has been used since
+    bool isRoomForGangsKept = true;  // see AccountGate::reserved
 };
 
 // What accounts have got lately. A new owner begins with what runs then.
--- a/src/poplarstream/engine/account_caps.cpp
+++ b/src/poplarstream/engine/account_caps.cpp
@@ -13,6 +13,10 @@
 // held all the while. Otherwise each plan would log a change.
 constexpr Milliseconds holdMemory{2000};
 
+// For as long room is kept for gangs while less than half of the limits is used. Deployments may
+// require that an account with that much room has no job without runs for 3 s.
+constexpr Milliseconds longestHalfFree{1500};
+
 std::string_view reasonText(HoldReason reason)
 {
     switch (reason) {
@@ -34,6 +38,9 @@
     if (isNew) {
         place->second.cap = ownedCap(engine, account);
         place->second.use = &engine.accountUse[account];
+        const auto hold = engine.capHolds.find(account);
+        place->second.isRoomForGangsKept =
+                hold == engine.capHolds.end() || hold->second.isRoomForGangsKept;
     }
     return place->second;
 }
@@ -46,6 +53,26 @@
     return taken;
 }
 
+bool isHalfFree(const AccountGate &gate)
+{
+    jobs::Resources twice = *gate.use;
+    twice += *gate.use;
+    const jobs::Resources &limits = gate.cap->limits;
+    return twice.cpuMilli < limits.cpuMilli && twice.memoryMb < limits.memoryMb
+           && (twice.gpus == 0 || twice.gpus < limits.gpus);
+}
+
+void updateHold(CapHold &hold, const AccountGate &gate, TimePoint now)
+{
+    hold.heldAt = now;
+    if (!gate.cap || !isHalfFree(gate)) {
+        hold.halfFreeSince.reset();
+    } else if (!hold.halfFreeSince) {
+        hold.halfFreeSince = now;
+    }
+    hold.isRoomForGangsKept = !hold.halfFreeSince || now < *hold.halfFreeSince + longestHalfFree;
+}
+
 // Keeps the reason of the first thing that was held back: it ranks highest.
 bool holdBack(AccountGate &gate, HoldReason reason)
 {
@@ -102,7 +129,8 @@
     if (!gate.cap) {
         return holdBack(gate, HoldReason::NotConfigured);
     }
-    return accounts::mayStart(*gate.cap, takenOf(gate), step.need)
+    const bool ignoresGangs = !gate.isRoomForGangsKept && isHalfFree(gate);
+    return accounts::mayStart(*gate.cap, ignoresGangs ? *gate.use : takenOf(gate), step.need)
            || holdBack(gate, HoldReason::Cap);
 }
 
@@ -164,16 +192,17 @@
 void recordHolds(Engine &engine, const AccountGates &gates, TimePoint now)
 {
     for (const auto &[account, gate] : gates) {
-        uncountUse(engine, {account, {}});  // drops the entry if nothing of it was started
         if (gate.held == HoldReason::None) {
+            uncountUse(engine, {account, {}});  // drops the entry if nothing of it was started
             continue;
         }
-        const auto [place, isNew] = engine.capHolds.try_emplace(account, CapHold{now, now});
-        place->second.heldAt = now;
+        const auto [place, isNew] = engine.capHolds.try_emplace(account, CapHold{now, now, {}});
+        updateHold(place->second, gate, now);
         if (isNew) {
             recordHold(engine, DecisionKind::AccountHeld, account,
                        fmt::format("reason={}", reasonText(gate.held)));
         }
+        uncountUse(engine, {account, {}});
     }
     for (auto hold = engine.capHolds.begin(); hold != engine.capHolds.end();) {
         if (hold->second.heldAt + holdMemory > now) {
--- a/src/poplarstream/engine/account_caps_test.cpp
+++ b/src/poplarstream/engine/account_caps_test.cpp
@@ -231,6 +231,35 @@
     }
 }
 
+// Guards against a narrow task that waits for seconds behind a gang while most of the cap is free,
+// because a run that the gang waits for takes long.
+TEST(AccountCaps, RoomForAGangIsKeptForABoundedTime)
+{
+    SCOPED_TRACE("given a cap of 4 cores of which 1 is used, a gang of 4 and a narrow task");
+    EngineFixture fixture(4);
+    setCap(fixture.engine, {4000, 0, 0});
+    fixture.submit(submissionOf(firstJob, test::step(1, 1000)));
+    EXPECT_EQ(fixture.startAll().size(), 1U);
+    jobs::Submission gang = submissionOf(secondJob, gangOf(4, 1000));
+    gang.policy.priority = -1;
+    fixture.submit(gang);
+    fixture.submit(submissionOf("00000000000000c3", test::step(2, 1000)));
+    {
+        SCOPED_TRACE("then room is kept for a second");
+        EXPECT_TRUE(fixture.start().empty());
+        fixture.now += Milliseconds{1000};
+        EXPECT_TRUE(fixture.start().empty());
+    }
+    {
+        SCOPED_TRACE("and after two, narrow tasks start until half of the cap is used");
+        fixture.now += Milliseconds{1000};
+        fixture.start();
+        EXPECT_EQ(fixture.start().size(), 1U);
+        EXPECT_TRUE(fixture.start().empty());
+        EXPECT_EQ(useOf(fixture.engine, account).cpuMilli, 2000);
+    }
+}
+
 // Guards against starts beyond a cap that dropped while their write was in flight.
 TEST(AccountCaps, DropsWhileBeingWritten)
 {
