--- a/src/poplarstream/accounts/cap.cpp
+++ b/src/poplarstream/accounts/cap.cpp
@@ -29,10 +29,13 @@
 constexpr std::array<Amount, 3> amounts = {&jobs::Resources::cpuMilli, &jobs::Resources::memoryMb,
                                            &jobs::Resources::gpus};
 
+// Whether `predicate` holds for each resource of which something is needed. What runs may exceed
+// the limit of another one, after it has dropped.
 template <class Predicate>
-bool holdsForEach(Predicate predicate)
+bool holdsForEach(const jobs::Resources &need, Predicate predicate)
 {
-    return std::all_of(amounts.begin(), amounts.end(), predicate);
+    return std::all_of(amounts.begin(), amounts.end(),
+                       [&](Amount amount) { return need.*amount == 0 || predicate(amount); });
 }
 
 std::int64_t raised(std::int64_t limit, double overshoot)
@@ -42,12 +45,18 @@
                    : limit + static_cast<std::int64_t>(static_cast<double>(limit) * overshoot);
 }
 
-// Whether `use` passes the limit no further than it may. An owner of the whole cap may pass it by
-// one task more.
+// Whether the owner has all of the resource, so that no other owner starts anything that needs it.
+bool holdsAll(const OwnedCap &cap, Amount amount)
+{
+    return cap.limits.*amount >= cap.whole.*amount;
+}
+
+// Whether `use` passes the limit no further than it may. An owner of all of the resource may pass
+// it by one task more.
 bool isWithinOvershoot(const OwnedCap &cap, Amount amount, std::int64_t use,
                        const jobs::Resources &need)
 {
-    const std::int64_t oneTask = holdsWholeCap(cap) ? need.*amount : 0;
+    const std::int64_t oneTask = holdsAll(cap, amount) ? need.*amount : 0;
     return use - oneTask <= raised(cap.limits.*amount, cap.overshoot);
 }
 
@@ -72,14 +81,9 @@
             partOf(limits.gpus, shard, shards)};
 }
 
-bool holdsWholeCap(const OwnedCap &cap)
-{
-    return cap.whole.fits(cap.limits);
-}
-
 bool mayStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need)
 {
-    return holdsForEach([&](Amount amount) {
+    return holdsForEach(need, [&](Amount amount) {
         const std::int64_t limit = cap.limits.*amount;
         const std::int64_t after = use.*amount + need.*amount;
         return after <= limit
@@ -93,21 +97,22 @@
     jobs::Resources after = timesCount(need, members);
     const bool isIdle = use == jobs::Resources{};
     after += use;
-    return holdsForEach([&](Amount amount) {
+    return holdsForEach(need, [&](Amount amount) {
         return after.*amount <= cap.limits.*amount
                || (isIdle && isWithinOvershoot(cap, amount, after.*amount, need));
     });
 }
 
-bool canGangFit(const OwnedCap &cap, const jobs::Resources &need, int members)
+bool canGangFit(const OwnedCap &cap, const jobs::Resources &lasting, const jobs::Resources &need,
+                int members)
 {
-    return mayStartGang({cap.whole, cap.whole, cap.overshoot}, {}, need, members);
+    return mayStartGang({cap.whole, cap.whole, cap.overshoot}, lasting, need, members);
 }
 
 bool maySendStart(const OwnedCap &cap, const jobs::Resources &use, const jobs::Resources &need)
 {
     return holdsForEach(
-            [&](Amount amount) { return isWithinOvershoot(cap, amount, use.*amount, need); });
+            need, [&](Amount amount) { return isWithinOvershoot(cap, amount, use.*amount, need); });
 }
 
 std::string capText(const jobs::Resources &use, const jobs::Resources &limits)
--- a/src/poplarstream/accounts/cap_test.cpp
+++ b/src/poplarstream/accounts/cap_test.cpp
@@ -72,5 +72,45 @@
     }));
 }
 
+// Guards against a task wider than the cap of one resource that never starts: an owner borrows only
+// of the resources that it lacks, so that it does not hold the whole cap of the others.
+TEST(Cap, OwnerOfAllProcessorsStartsAWideTask)
+{
+    SCOPED_TRACE("given an owner with all processors and half of the memory of a cap");
+    OwnedCap cap{{4000, 500, 0}, limitsOf({4000, 1000, 1}), 0.1};
+    {
+        SCOPED_TRACE("then a task that is wider than the processors starts, but not a second one");
+        EXPECT_TRUE(mayStart(cap, {}, {6000, 100, 0}));
+        EXPECT_TRUE(maySendStart(cap, {6000, 100, 0}, {6000, 100, 0}));
+        EXPECT_FALSE(mayStart(cap, {6000, 100, 0}, {6000, 100, 0}));
+    }
+    {
+        SCOPED_TRACE("and one that passes the memory by more than the overshoot does not");
+        EXPECT_FALSE(mayStart(cap, {}, {1000, 600, 0}));
+    }
+    {
+        SCOPED_TRACE("and without all processors the wide one does not");
+        cap.limits.cpuMilli = 3999;
+        EXPECT_FALSE(mayStart(cap, {}, {6000, 100, 0}));
+    }
+}
+
+// Guards against tasks without accelerators that wait for as long as their account has more of
+// these running than it may: after the cap has dropped, or at a new owner that does not know its
+// loans yet.
+TEST(Cap, ResourceThatIsNotNeededHoldsNothingBack)
+{
+    SCOPED_TRACE("given an account with two accelerators in use of one");
+    const OwnedCap cap{{4000, 1000, 1}, limitsOf({4000, 1000, 1}), 0};
+    const jobs::Resources use{1000, 100, 2};
+    const jobs::Resources need{1000, 100, 0};
+    EXPECT_TRUE(mayStart(cap, use, need));
+    EXPECT_TRUE(mayStartGang(cap, use, need, 3));
+    jobs::Resources after = use;
+    after += need;
+    EXPECT_TRUE(maySendStart({{4000, 1000, 0}, cap.whole, 0}, after, need));
+    EXPECT_FALSE(mayStart(cap, use, {1000, 100, 1}));
+}
+
 }  // namespace
 }  // namespace poplarstream::accounts
--- a/src/poplarstream/engine/account_caps_test.cpp
+++ b/src/poplarstream/engine/account_caps_test.cpp
@@ -6,6 +6,7 @@
 
 #include "engine_fixture.hpp"  // for EngineFixture
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
+#include "poplarstream/engine/waiting_work.hpp"  // for waitingWork
 #include "poplarstream/jobs/codec.hpp"  // for encodeProgress
 
 namespace poplarstream::engine {
@@ -197,6 +198,68 @@
     }
 }
 
+// Guards against narrow tasks that wait for ever behind a gang that does not fit beside tasks that
+// last: the room that is kept for it would never be enough.
+TEST(AccountCaps, GangBesideTasksThatLastKeepsNoRoom)
+{
+    SCOPED_TRACE("given a cap of 4 cores, a task of 1 core that lasts and a gang of 4");
+    EngineFixture fixture(4);
+    setCap(fixture.engine, {4000, 0, 0});
+    jobs::StepSpec lasting = test::step(1, 1000);
+    lasting.longRunning = true;
+    fixture.submit(submissionOf(firstJob, lasting));
+    EXPECT_EQ(fixture.startAll().size(), 1U);
+    jobs::Submission gang = submissionOf(secondJob, gangOf(4, 1000));
+    gang.policy.priority = -1;
+    fixture.submit(gang);
+    fixture.submit(submissionOf("00000000000000c3", test::step(1, 1000)));
+    {
+        SCOPED_TRACE("then the narrow task starts, and owners are not asked for room for the gang");
+        const std::vector<StartCommand> starts = fixture.startAll();
+        ASSERT_EQ(starts.size(), 1U);
+        EXPECT_EQ(starts[0].task.job, JobId("00000000000000c3"));
+        EXPECT_TRUE(waitingWork(fixture.engine, fixture.now).at(account).total.fits({}));
+    }
+    {
+        SCOPED_TRACE("when both jobs have ended, then the gang starts");
+        cancelJob(fixture.engine, JobId(firstJob), fixture.now);
+        cancelJob(fixture.engine, JobId("00000000000000c3"), fixture.now);
+        fixture.poll();
+        fixture.answerPolls();
+        EXPECT_TRUE(fixture.engine.longRunningUse.empty());
+        EXPECT_EQ(fixture.start().size(), 4U);
+    }
+}
+
+// Guards against a narrow task that waits for seconds behind a gang while most of the cap is free,
+// because a run that the gang waits for takes long.
+TEST(AccountCaps, RoomForAGangIsKeptForABoundedTime)
+{
+    SCOPED_TRACE("given a cap of 4 cores of which 1 is used, a gang of 4 and a narrow task");
+    EngineFixture fixture(4);
+    setCap(fixture.engine, {4000, 0, 0});
+    fixture.submit(submissionOf(firstJob, test::step(1, 1000)));
+    EXPECT_EQ(fixture.startAll().size(), 1U);
+    jobs::Submission gang = submissionOf(secondJob, gangOf(4, 1000));
+    gang.policy.priority = -1;
+    fixture.submit(gang);
+    fixture.submit(submissionOf("00000000000000c3", test::step(2, 1000)));
+    {
+        SCOPED_TRACE("then room is kept for a second");
+        EXPECT_TRUE(fixture.start().empty());
+        fixture.now += Milliseconds{1000};
+        EXPECT_TRUE(fixture.start().empty());
+    }
+    {
+        SCOPED_TRACE("and after two, narrow tasks start until half of the cap is used");
+        fixture.now += Milliseconds{1000};
+        fixture.start();
+        EXPECT_EQ(fixture.start().size(), 1U);
+        EXPECT_TRUE(fixture.start().empty());
+        EXPECT_EQ(useOf(fixture.engine, account).cpuMilli, 2000);
+    }
+}
+
 // Guards against starts beyond a cap that dropped while their write was in flight.
 TEST(AccountCaps, DropsWhileBeingWritten)
 {
