Reject only jobs that add to an account's backlog

Cause: a hold of an account named neither service nor kind of job, so long-running and timed jobs, and jobs for idle pools, got 429 as well. Change: a hold names the services in which the account is late (up to 8). Jobs that do not end by themselves are not rejected and no longer count as sent. Work counts for the service that its queue has now. A hold without services, from an earlier version, applies to all. Measured: with the exemption removed, CallerHandler.HoldRejectsOnlyWhatWouldWait fails. Conclusion: an account's jobs are rejected only where its work is late.

--- a/include/poplarstream/accounts/admission.hpp
+++ b/include/poplarstream/accounts/admission.hpp
@@ -7,7 +7,7 @@
 #include <string>  // for string
 #include <string_view>  // for string_view
 
-#include "poplarstream/base/id.hpp"  // for AccountId
+#include "poplarstream/base/id.hpp"  // for AccountId, ServiceId
 #include "poplarstream/base/time.hpp"  // for Milliseconds
 
 namespace poplarstream::accounts {
@@ -22,6 +22,7 @@
     double owedPerS = 0;  // its weight, or the shard's part of it
     Milliseconds wait{0};  // until its waiting work has started with its share of the capacity
     Milliseconds objective{0};  // in which its waiting jobs are to be done, on average
+    std::set<ServiceId> lateServices = {};  // in which its work cannot be done in time
 };
 
 // Says to the entry hosts how much of the submissions of an account to admit.
@@ -29,6 +30,8 @@
 {
     int admittedPermille = 1000;
     Milliseconds drain{0};  // until what waits beyond its share has started
+    // Whose jobs are rejected; all if empty, as in records of earlier versions.
+    std::set<ServiceId> services = {};
 
     friend bool operator==(const Hold &, const Hold &) = default;
 };
@@ -46,11 +49,13 @@
 // it is owed and its work could not be on time with its share, at two decisions in a row: pools may
 // grow meanwhile. It is admitted what it is owed, and everything as soon as it sends clearly less
 // or what waits can be on time again. At most a fixed number is held, those that drain the longest.
+// Only jobs of the services that are late are rejected, those at the last decision that found any.
 void updateAdmission(Admission &admission, const std::map<AccountId, AccountLoad> &loads);
 
-// Whether a submission of a held account is rejected, by a hash of the job's id: then the time
-// after which it should come back, spread over the time that the surplus takes to drain.
-std::optional<Milliseconds> rejectionOf(const Hold &hold, std::string_view jobId);
+// Whether a submission of a held account to a service is rejected, by a hash of the job's id: then
+// the time after which it should come back, spread over the time that the surplus takes to drain.
+std::optional<Milliseconds> rejectionOf(const Hold &hold, const ServiceId &service,
+                                        std::string_view jobId);
 
 // The text of holds in a renewal; empty if there are none.
 std::string encodeHolds(const Holds &holds);
--- a/include/poplarstream/jobs/queries.hpp
+++ b/include/poplarstream/jobs/queries.hpp
@@ -28,6 +28,9 @@
 // Whether any step runs until the job is cancelled.
 bool hasLongRunning(const JobSpec &spec);
 
+// Whether it ends without a cancellation, and does not wait for times to run at.
+bool endsByItself(const JobSpec &spec);
+
 // Whether any step is speculative.
 bool hasSpeculative(const JobSpec &spec);
 
--- a/src/poplarstream/accounts/admission.cpp
+++ b/src/poplarstream/accounts/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for clamp, sort
 #include <exception>  // for exception
+#include <iterator>  // for prev
 #include <vector>  // for vector
 
 #include <nlohmann/json.hpp>  // for json
@@ -17,6 +18,7 @@
 using nlohmann::json;
 
 constexpr std::size_t maxHolds = 32;  // a renewal stays within a few kB
+constexpr std::size_t maxServicesOfHold = 8;  // for the same reason; others are not held
 constexpr int permille = 1000;
 constexpr int minAdmittedPermille = 20;
 // An account that sends this part of what it is owed, or less, is within its share. Few jobs are
@@ -38,6 +40,16 @@
     return std::clamp(load.wait - load.objective, minDrain, maxDrain);
 }
 
+std::set<ServiceId> heldServices(const Hold &before, const AccountLoad &load)
+{
+    // A hold lasts until work has less than half of its objective to wait.
+    std::set<ServiceId> services = load.lateServices.empty() ? before.services : load.lateServices;
+    while (services.size() > maxServicesOfHold) {
+        services.erase(std::prev(services.end()));
+    }
+    return services;
+}
+
 // Empty if the account is held no longer.
 std::optional<Hold> nextHold(const Hold &before, const AccountLoad &load)
 {
@@ -49,7 +61,16 @@
     if (admitted >= permille) {
         return {};
     }
-    return Hold{std::max(admitted, minAdmittedPermille), drainOf(load)};
+    return Hold{std::max(admitted, minAdmittedPermille), drainOf(load), heldServices(before, load)};
+}
+
+std::set<ServiceId> servicesFrom(const json &names)
+{
+    std::set<ServiceId> services;
+    for (const json &name : names) {
+        services.emplace(name.get<std::string>());
+    }
+    return services;
 }
 
 void keepLongest(Holds &holds)
@@ -88,8 +109,12 @@
     admission = std::move(next);
 }
 
-std::optional<Milliseconds> rejectionOf(const Hold &hold, std::string_view jobId)
+std::optional<Milliseconds> rejectionOf(const Hold &hold, const ServiceId &service,
+                                        std::string_view jobId)
 {
+    if (!hold.services.empty() && !hold.services.contains(service)) {
+        return {};
+    }
     const std::uint64_t hash = stableHash(jobId);
     if (static_cast<int>(hash % permille) < hold.admittedPermille) {
         return {};
@@ -106,6 +131,12 @@
     json rows = json::array();
     for (const auto &[id, hold] : holds) {
         rows.push_back({id.text(), hold.admittedPermille, hold.drain.count()});
+        if (!hold.services.empty()) {
+            rows.back().push_back(json::array());
+        }
+        for (const ServiceId &service : hold.services) {
+            rows.back().back().push_back(service.text());
+        }
     }
     return rows.dump();
 }
@@ -122,6 +153,9 @@
             Hold hold;
             hold.admittedPermille = integerFrom<int>(row.at(1), 0, permille);
             hold.drain = Milliseconds(integerFrom<std::int64_t>(row.at(2), 0, maxDrain.count()));
+            if (row.size() > 3) {
+                hold.services = servicesFrom(row.at(3));
+            }
             holds[AccountId(row.at(0).get<std::string>())] = hold;
         } catch (const std::exception &) {
             continue;  // a hold that cannot be read rejects nothing
--- a/src/poplarstream/accounts/admission_test.cpp
+++ b/src/poplarstream/accounts/admission_test.cpp
@@ -17,7 +17,7 @@
 {
     int admitted = 0;
     for (int i = 0; i < jobs; ++i) {
-        admitted += rejectionOf(hold, "job" + std::to_string(i)) ? 0 : 1;
+        admitted += rejectionOf(hold, ServiceId("proofs"), "job" + std::to_string(i)) ? 0 : 1;
     }
     return admitted;
 }
@@ -72,7 +72,8 @@
     const Hold hold{0, Milliseconds{4000}};
     std::map<std::int64_t, int> returns;  // by second
     for (int i = 0; i < 400; ++i) {
-        ++returns[rejectionOf(hold, "job" + std::to_string(i)).value() / Milliseconds{1000}];
+        ++returns[rejectionOf(hold, ServiceId("proofs"), "job" + std::to_string(i)).value()
+                  / Milliseconds{1000}];
     }
     for (int second = 1; second <= 4; ++second) {
         EXPECT_GT(returns[second], 60) << second;
@@ -92,12 +93,41 @@
 // Guards against a hold that is read as another one, and against text of another writer.
 TEST(Admission, HoldsAreReadAsWritten)
 {
-    const Holds holds{{hot, {120, Milliseconds{2500}}}, {calm, {900, Milliseconds{1000}}}};
+    const Holds holds{
+            {hot, {120, Milliseconds{2500}}},
+            {calm, {900, Milliseconds{1000}, {ServiceId("plates"), ServiceId("proofs")}}}};
     EXPECT_EQ(decodeHolds(encodeHolds(holds)), holds);
     EXPECT_EQ(encodeHolds({}), "");
-    for (const char *const text : {"", "{}", "[1]", R"([["a"]])", R"([["a",-1,5]])", "["}) {
+    for (const char *const text :
+         {"", "{}", "[1]", R"([["a"]])", R"([["a",-1,5]])", "[", R"([["a",1,5,[1]]])"}) {
         EXPECT_TRUE(decodeHolds(text).empty()) << text;
     }
+    {
+        SCOPED_TRACE("a hold of an earlier version names no service and holds all");
+        const Holds earlier = decodeHolds(R"([["hot",0,5]])");
+        EXPECT_TRUE(rejectionOf(earlier.at(hot), ServiceId("proofs"), "job"));
+    }
+}
+
+// Guards against jobs for an idle pool that are rejected for the account's work in another one.
+TEST(Admission, HoldNamesTheServicesThatAreLate)
+{
+    const ServiceId late("proofs");
+    Admission admission;
+    AccountLoad sent = load(50, Milliseconds{9000});
+    sent.lateServices = {late};
+    updateAdmission(admission, {{hot, sent}});
+    updateAdmission(admission, {{hot, sent}});
+    {
+        SCOPED_TRACE("while the hold lasts, also when nothing is late any more");
+        sent.wait = Milliseconds{1500};
+        sent.lateServices.clear();
+        updateAdmission(admission, {{hot, sent}});
+        EXPECT_EQ(admission.holds[hot].services, std::set{late});
+    }
+    const Hold hold{0, Milliseconds{4000}, {late}};
+    EXPECT_TRUE(rejectionOf(hold, late, "job"));
+    EXPECT_FALSE(rejectionOf(hold, ServiceId("plates"), "job"));
 }
 
 }  // namespace
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -7,6 +7,7 @@
 #include "poplarstream/edge/authentication.hpp"  // for authenticate
 #include "poplarstream/edge/routes.hpp"  // for findRoute, jobIdFrom
 #include "poplarstream/edge/stored_jobs.hpp"  // for submissionRecord, cancellationRecord
+#include "poplarstream/jobs/queries.hpp"  // for endsByItself
 #include "poplarstream/ownership/division.hpp"  // for shardOfPartition
 #include "poplarstream/telemetry/event_kinds.hpp"  // for jobAccepted, jobRefused
 
@@ -191,12 +192,14 @@
 
 std::optional<Milliseconds> CallerHandler::rejectionOf(const jobs::Submission &submission) const
 {
-    if (submission.account.isEmpty() || !hooks_.holdOf) {
+    // The owner holds accounts by the waiting work of jobs that end by themselves.
+    if (submission.account.isEmpty() || !hooks_.holdOf || !jobs::endsByItself(submission.spec)) {
         return {};
     }
     const int shard = shardOf(jobPartition(submission.id, runtime_.settings.jobPartitions));
     const std::optional<accounts::Hold> hold = hooks_.holdOf(shard, submission.account);
-    return hold ? accounts::rejectionOf(*hold, submission.id.text()) : std::nullopt;
+    return hold ? accounts::rejectionOf(*hold, submission.policy.service, submission.id.text())
+                : std::nullopt;
 }
 
 void CallerHandler::cancel(const jobs::JobId &id, const AccountId &account, const Call &call,
--- a/src/poplarstream/edge/caller_handler_test.cpp
+++ b/src/poplarstream/edge/caller_handler_test.cpp
@@ -20,8 +20,9 @@
         runtime.decode.jobSpec = [](const std::string &body) {
             jobs::JobSpec spec;
             for (std::size_t i = 0; i < body.size(); ++i) {
-                spec.steps.emplace_back();
+                spec.steps.emplace_back().longRunning = body == "long";
             }
+            spec.repeatCount = body == "timed" ? 2 : 0;
             return Result<jobs::JobSpec>(std::move(spec));
         };
     }
@@ -40,7 +41,8 @@
         configuration.keys = accounts::KeyRing::create(keys).value();
     }
 
-    Response call(CallKind kind, const std::string &path, const std::string &key)
+    Response call(CallKind kind, const std::string &path, const std::string &key,
+                  const std::string &body = "x")
     {
         Call call;
         call.kind = kind;
@@ -48,7 +50,7 @@
         call.path = path;
         call.key = key;
         call.hasMalformedKey = key.find(' ') != std::string::npos;
-        call.body = "x";
+        call.body = body;
         Response response;
         handler.handleCall(call, [&response](const Response &given) { response = given; });
         return response;
@@ -100,11 +102,13 @@
     bool hasConfiguration = true;
     int writes = 0;
     std::vector<PeerRequest> requests;  // to owners
+    std::optional<accounts::Hold> hold;  // of all accounts
     int ownerCalls = 0;
     int failingOwnerCalls = 1'000'000;  // the first ones: the shard has no owner
     CallerHandler handler{runtime,
                           {[this] { return hasConfiguration ? &configuration : nullptr; },
-                           [this] { return configurationAsOf; }, [] { return 1; },
+                           [this] { return configurationAsOf; },
+                           [] { return 1; },
                            [this](const PeerRequest &request, Milliseconds,
                                   const std::function<void(PeerResponse)> &done) {
                                requests.push_back(request);
@@ -112,7 +116,9 @@
                                done({ownerCalls > failingOwnerCalls
                                              ? PeerResponse::Kind::State
                                              : PeerResponse::Kind::NotOwner});
-                           }}};
+                           },
+                           {},
+                           [this](int, const AccountId &) { return hold; }}};
 };
 
 const std::string privateQueue = "/private/";
@@ -308,5 +314,22 @@
     EXPECT_EQ(::testing::internal::GetCapturedStdout().find("s3cr3t"), std::string::npos);
 }
 
+// Guards against jobs that are rejected for a backlog which they do not add to.
+TEST(CallerHandler, HoldRejectsOnlyWhatWouldWait)
+{
+    Callers callers(AppendResult::Stored);
+    callers.addAccounts();
+    callers.configuration.routes.back().policy.service = ServiceId("proofs");
+    callers.hold = {0, Milliseconds{4000}, {ServiceId("proofs")}};
+    const auto submit = [&callers](const std::string &body) {
+        return callers.call(CallKind::Submit, privateJob, "s3cr3t-a", body).kind;
+    };
+    EXPECT_EQ(submit("x"), ResponseKind::Overloaded);
+    EXPECT_EQ(submit("long"), ResponseKind::Accepted) << "it runs until it is cancelled";
+    EXPECT_EQ(submit("timed"), ResponseKind::Accepted) << "it waits for its times";
+    callers.configuration.routes.back().policy.service = ServiceId("plates");
+    EXPECT_EQ(submit("x"), ResponseKind::Accepted) << "another service";
+}
+
 }  // namespace
 }  // namespace poplarstream::edge
--- a/src/poplarstream/engine/account_loads.cpp
+++ b/src/poplarstream/engine/account_loads.cpp
@@ -2,6 +2,10 @@
 
 #include <algorithm>  // for max, min
 #include <array>  // for array
+#include <set>  // for set
+
+#include "poplarstream/engine/ranking.hpp"  // for serviceOf
+#include "poplarstream/jobs/queries.hpp"  // for endsByItself
 
 namespace poplarstream::engine {
 
@@ -40,11 +44,6 @@
     std::map<AccountId, Waiting> waiting;
 };
 
-bool endsByItself(const jobs::Job &job)
-{
-    return !job.isLongRunning && job.submission.spec.repeatCount == 0;
-}
-
 void addJob(Waiting &waiting, const jobs::Job &job)
 {
     const jobs::QueuePolicy &policy = job.submission.policy;
@@ -64,8 +63,8 @@
 {
     std::map<ServiceId, ServiceLoad> loads;
     for (const jobs::Job *const job : engine.waiting) {
-        if (endsByItself(*job)) {
-            addJob(loads[job->submission.policy.service].waiting[job->submission.account], *job);
+        if (jobs::endsByItself(job->submission.spec)) {
+            addJob(loads[serviceOf(engine, *job)].waiting[job->submission.account], *job);
         }
     }
     for (const auto &[incarnation, worker] : engine.workers) {
@@ -99,6 +98,22 @@
     return Milliseconds(static_cast<std::int64_t>(std::min(longest, longestWaitMs)));
 }
 
+// An account waits as long as in the service in which it is late by most.
+void addService(std::map<AccountId, accounts::AccountLoad> &loads, const AccountId &id,
+                const ServiceId &service, accounts::AccountLoad load)
+{
+    const auto [place, isFirst] = loads.try_emplace(id, load);
+    accounts::AccountLoad &known = place->second;
+    std::set<ServiceId> late = known.lateServices;
+    if (load.wait > load.objective) {
+        late.insert(service);
+    }
+    if (!isFirst && load.wait - load.objective > known.wait - known.objective) {
+        known = std::move(load);
+    }
+    known.lateServices = std::move(late);
+}
+
 }  // namespace
 
 std::map<AccountId, accounts::AccountLoad> accountLoads(const Engine &engine, int shards,
@@ -124,17 +139,13 @@
                                   weightOf(engine, id) / weights);
             account.objective =
                     Milliseconds(static_cast<std::int64_t>(waiting.objectiveMs / waiting.jobs));
-            const auto [place, isFirst] = found.try_emplace(id, account);
-            if (!isFirst
-                && account.wait - account.objective
-                           > place->second.wait - place->second.objective) {
-                place->second = account;
-            }
+            addService(found, id, service, account);
         }
     }
     for (const jobs::Job *const job : engine.active) {
         const auto account = found.find(job->submission.account);
-        if (account != found.end() && job->acceptedAt > now - accounts::admissionWindow) {
+        if (account != found.end() && job->acceptedAt > now - accounts::admissionWindow
+            && jobs::endsByItself(job->submission.spec)) {
             account->second.acceptedPerS +=
                     1000.0 / static_cast<double>(accounts::admissionWindow.count());
         }
--- a/src/poplarstream/engine/account_loads_test.cpp
+++ b/src/poplarstream/engine/account_loads_test.cpp
@@ -75,5 +75,26 @@
     }
 }
 
+// Guards against an account that is held for jobs that add nothing to its backlog, or in services
+// in which it is not late.
+TEST(AccountLoads, OnlyWorkThatWaitsCounts)
+{
+    Accounts owner;
+    owner.configure("hot", 1);
+    owner.submitJobs("hot", 40);
+    const double sentPerS = owner.loadOf("hot").acceptedPerS;
+    const ServiceId late("shop");
+    jobs::Submission timed = test::submission("0000000000000021", test::step(2, 4000));
+    timed.account = AccountId("hot");
+    timed.spec.repeatCount = 2;
+    owner.submit(timed);
+    jobs::Submission lasting = test::submission("0000000000000022", test::step(2, 4000));
+    lasting.account = AccountId("hot");
+    lasting.spec.steps[0].longRunning = true;
+    owner.submit(lasting);
+    EXPECT_DOUBLE_EQ(owner.loadOf("hot").acceptedPerS, sentPerS);
+    EXPECT_EQ(owner.loadOf("hot").lateServices, std::set{late});
+}
+
 }  // namespace
 }  // namespace poplarstream::engine
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -7,7 +7,7 @@
 #include "poplarstream/engine/crashes.hpp"  // for isSuspect
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
 #include "poplarstream/jobs/commands.hpp"  // for makeJob, cancelJob
-#include "poplarstream/jobs/queries.hpp"  // for isFinal
+#include "poplarstream/jobs/queries.hpp"  // for endsByItself, isFinal
 
 namespace poplarstream::engine {
 
@@ -22,7 +22,7 @@
 void recordArrival(Engine &engine, const jobs::Job &job)
 {
     const jobs::JobSpec &spec = job.submission.spec;
-    if (job.isLongRunning || spec.repeatCount > 0 || engine.arrivals.size() >= maxArrivals) {
+    if (!jobs::endsByItself(spec) || engine.arrivals.size() >= maxArrivals) {
         return;
     }
     // It waits until runs of its account end, so that it does not need more workers than they.
--- a/src/poplarstream/jobs/queries.cpp
+++ b/src/poplarstream/jobs/queries.cpp
@@ -92,6 +92,11 @@
                        [](const StepSpec &step) { return step.longRunning; });
 }
 
+bool endsByItself(const JobSpec &spec)
+{
+    return spec.repeatCount == 0 && !hasLongRunning(spec);
+}
+
 bool hasSpeculative(const JobSpec &spec)
 {
     return std::any_of(spec.steps.begin(), spec.steps.end(),
