Let callers of a public queue cancel its jobs of accounts

Cause: a cancellation without an account never cancelled a job of one, though its caller got 200. A queue may become public while such a job runs. Change: a cancellation without an account stores its queue. The owner applies it to a job of an account if that is the job's queue and it is public in the owner's configuration. Records of earlier versions are applied as before, and earlier versions read the new value as one without an account. Measured: with the rule disabled, StoredJobs.CallersOfAPublicQueueCancelItsJobs fails. Conclusion: such jobs can be cancelled, and a public queue gives no access to jobs of other queues.

--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -50,8 +50,8 @@
     void dispatch(const Call &call, const Respond &respond);
     void submit(const Route &route, const jobs::JobId &id, const AccountId &account,
                 const Call &call, const Respond &respond);
-    void cancel(const jobs::JobId &id, const AccountId &account, const Call &call,
-                const Respond &respond);
+    void cancel(const Route &route, const jobs::JobId &id, const AccountId &account,
+                const Call &call, const Respond &respond);
     void lookUp(const Route &route, const jobs::JobId &id, const AccountId &account,
                 const Call &call, const Respond &respond);
     // When a submission should come back that is rejected since its account is beyond its share.
--- a/include/poplarstream/edge/stored_jobs.hpp
+++ b/include/poplarstream/edge/stored_jobs.hpp
@@ -10,10 +10,9 @@
 
 namespace poplarstream::edge {
 
-// The record of the job log that submits a job, and the one that cancels it for a caller of
-// `account`, which is empty on a public queue.
+// The record of the job log that submits a job, and the one that cancels it.
 StoredRecord submissionRecord(const jobs::Submission &submission);
-StoredRecord cancellationRecord(const jobs::JobId &id, const AccountId &account = {});
+StoredRecord cancellationRecord(const jobs::JobId &id, const engine::Canceller &caller = {});
 
 // The partition of the job log that holds the records of a job.
 int jobPartition(const jobs::JobId &id, int partitions);
--- a/include/poplarstream/engine/job_events.hpp
+++ b/include/poplarstream/engine/job_events.hpp
@@ -22,11 +22,11 @@
 
 // Cancels a job. A cancellation that is read before its submission applies once that is read.
 //
-// `caller` is the account of the caller who cancels it, empty on a public queue. A job that belongs
-// to an account is cancelled by its callers only: the cancellation does not name the queue, so a
-// caller of a public queue could give the id of any job. Without `caller` each job is cancelled.
+// A job that belongs to an account is cancelled by that account, and by callers without one on its
+// queue if that is public now: else a caller of a public queue could cancel any job by its id.
+// Without `caller` each job is cancelled.
 void cancelJob(Engine &engine, const JobId &id, TimePoint now,
-               const std::optional<AccountId> &caller = {});
+               const std::optional<Canceller> &caller = {});
 
 // Notes that the submission of a forgotten job is no longer in the job log.
 void confirmDeletion(Engine &engine, const JobId &id);
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -190,6 +190,16 @@
 struct Queue
 {
     jobs::QueuePolicy policy;
+    bool isPublic = true;  // callers need no key
+};
+
+// Who cancels a job.
+struct Canceller
+{
+    AccountId account;  // empty if the caller had none
+    QueueId queue;  // that was called; empty if it is not known, or does not matter
+
+    friend auto operator<=>(const Canceller &, const Canceller &) = default;
 };
 
 // A submitted job that is to run at once, as input for the demand forecast.
@@ -254,7 +264,7 @@
     JobSet dirty{jobs::JobIndex::Unstored};
     std::deque<JobId> settled;  // no longer active, in this order
     // Cancelled, as cancelJob() was called, before their submission was read.
-    std::set<std::pair<JobId, std::optional<AccountId>>> cancelledEarly;
+    std::set<std::pair<JobId, std::optional<Canceller>>> cancelledEarly;
     std::map<WorkerIncarnation, Worker> workers;
     std::map<WorkerId, WorkerIncarnation> newestIncarnations;
     std::vector<Command> commands;
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -142,7 +142,7 @@
         lookUp(*route, *id, authenticated.account, call, respond);
         break;
     case CallKind::Cancel:
-        cancel(*id, authenticated.account, call, respond);
+        cancel(*route, *id, authenticated.account, call, respond);
         break;
     case CallKind::Other:
         respond(makeResponse(ResponseKind::BadRequest, "no such method"));
@@ -202,12 +202,12 @@
                 : std::nullopt;
 }
 
-void CallerHandler::cancel(const jobs::JobId &id, const AccountId &account, const Call &call,
-                           const Respond &respond)
+void CallerHandler::cancel(const Route &route, const jobs::JobId &id, const AccountId &account,
+                           const Call &call, const Respond &respond)
 {
     logEvent(events::jobCancelled, {{"job", id.text()}});
-    submissions_.store(cancellationRecord(id, account), ResponseKind::Cancelled, call.remaining,
-                       respond);
+    submissions_.store(cancellationRecord(id, {account, route.policy.queue}),
+                       ResponseKind::Cancelled, call.remaining, respond);
 }
 
 void CallerHandler::lookUp(const Route &route, const jobs::JobId &id, const AccountId &account,
--- a/src/poplarstream/edge/caller_handler_test.cpp
+++ b/src/poplarstream/edge/caller_handler_test.cpp
@@ -310,6 +310,9 @@
         SCOPED_TRACE("on a public queue there is none, whatever the key");
         callers.call(CallKind::Cancel, "/proofs/00000000000000a1", "s3cr3t-a");
         EXPECT_EQ(callers.written.back().value, "cancelled");
+        callers.configuration.routes.front().policy.queue = jobs::QueueId("proofs");
+        callers.call(CallKind::Cancel, "/proofs/00000000000000a1", "s3cr3t-a");
+        EXPECT_EQ(callers.written.back().value, "cancelled through proofs");
     }
     EXPECT_EQ(::testing::internal::GetCapturedStdout().find("s3cr3t"), std::string::npos);
 }
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -462,7 +462,9 @@
 {
     std::map<engine::QueueId, engine::Queue> queues;
     for (const Route &route : configuration.routes) {
-        queues[route.policy.queue] = {route.policy};
+        engine::Queue &queue = queues[route.policy.queue];
+        queue.policy = route.policy;
+        queue.isPublic = queue.isPublic && route.isPublic;
     }
     engine::configure(state_->engine, std::move(queues), configuration.services);
     state_->lending.configure(configuration.accounts);
--- a/src/poplarstream/edge/stored_jobs.cpp
+++ b/src/poplarstream/edge/stored_jobs.cpp
@@ -20,9 +20,11 @@
 
 // Not a hexadecimal digit, so it cannot be part of a job id.
 constexpr char cancellationSuffix = '!';
-// The value of a cancellation. That of a caller with an account has the account behind it.
+// The value of a cancellation, followed by the account of its caller or, without one, by the queue.
+// Earlier versions store no queue, and take a value with one for a cancellation without an account.
 constexpr std::string_view cancelled = "cancelled";
 constexpr std::string_view cancelledBy = "cancelled by ";
+constexpr std::string_view cancelledThrough = "cancelled through ";
 
 void logUnreadable(std::string_view log, const StoredRecord &record, const std::string &error)
 {
@@ -31,11 +33,24 @@
                                         {"fault", error}});
 }
 
-// The account whose caller cancelled; empty on a public queue and in records of earlier versions.
-AccountId cancellingAccount(std::string_view value)
+engine::Canceller cancellerFrom(std::string_view value)
 {
-    const bool hasAccount = value.starts_with(cancelledBy);
-    return AccountId(hasAccount ? std::string(value.substr(cancelledBy.size())) : std::string());
+    engine::Canceller caller;
+    if (value.starts_with(cancelledBy)) {
+        caller.account = AccountId(std::string(value.substr(cancelledBy.size())));
+    } else if (value.starts_with(cancelledThrough)) {
+        caller.queue = jobs::QueueId(std::string(value.substr(cancelledThrough.size())));
+    }
+    return caller;
+}
+
+std::string textOf(const engine::Canceller &caller)
+{
+    if (!caller.account.isEmpty()) {
+        return fmt::format("{}{}", cancelledBy, caller.account.text());
+    }
+    return caller.queue.isEmpty() ? std::string(cancelled)
+                                  : fmt::format("{}{}", cancelledThrough, caller.queue.text());
 }
 
 }  // namespace
@@ -45,11 +60,9 @@
     return {submission.id.text(), jobs::encodeSubmission(submission), 0};
 }
 
-StoredRecord cancellationRecord(const jobs::JobId &id, const AccountId &account)
+StoredRecord cancellationRecord(const jobs::JobId &id, const engine::Canceller &caller)
 {
-    const std::string value = account.isEmpty() ? std::string(cancelled)
-                                                : fmt::format("{}{}", cancelledBy, account.text());
-    return {id.text() + cancellationSuffix, value, 0};
+    return {id.text() + cancellationSuffix, textOf(caller), 0};
 }
 
 int jobPartition(const jobs::JobId &id, int partitions)
@@ -79,7 +92,7 @@
     }
     if (record.key.ends_with(cancellationSuffix)) {
         engine::cancelJob(engine, jobs::JobId(record.key.substr(0, record.key.size() - 1)),
-                          now.steady, cancellingAccount(*record.value));
+                          now.steady, cancellerFrom(*record.value));
         return;
     }
     Result<jobs::Submission> submission = jobs::decodeSubmission(*record.value);
--- a/src/poplarstream/edge/stored_jobs_test.cpp
+++ b/src/poplarstream/edge/stored_jobs_test.cpp
@@ -66,7 +66,7 @@
         return engine::stateOf(fixture.engine, engine::QueueId("proofs"), id, AccountId(account));
     };
     const auto cancelByOthers = [&] {
-        apply(cancellationRecord(id, AccountId("b")));
+        apply(cancellationRecord(id, {AccountId("b"), {}}));
         apply(cancellationRecord(id));
     };
     cancelByOthers();
@@ -75,12 +75,12 @@
     submitFor("b");
     EXPECT_EQ(stateFor("a"), jobs::JobState::Queued);
     EXPECT_FALSE(stateFor("b"));
-    apply(cancellationRecord(id, AccountId("a")));
+    apply(cancellationRecord(id, {AccountId("a"), {}}));
     EXPECT_EQ(stateFor("a"), jobs::JobState::Cancelled);
     {
         SCOPED_TRACE("its own account may cancel it before its submission is read");
         fixture = EngineFixture();
-        apply(cancellationRecord(id, AccountId("a")));
+        apply(cancellationRecord(id, {AccountId("a"), {}}));
         submitFor("a");
         EXPECT_EQ(stateFor("a"), jobs::JobState::Cancelled);
         EXPECT_TRUE(fixture.engine.cancelledEarly.empty());
@@ -94,5 +94,31 @@
     }
 }
 
+// Guards against a job of an account that nobody can cancel once its queue needs no key any more,
+// and against callers of a public queue who cancel jobs of other queues.
+TEST(StoredJobs, CallersOfAPublicQueueCancelItsJobs)
+{
+    const jobs::JobId id(firstJob);
+    const engine::QueueId proofs("proofs");
+    const auto stateAfter = [&](bool isPublic, const StoredRecord &cancellation) {
+        EngineFixture fixture;
+        fixture.engine.queues[proofs].isPublic = isPublic;
+        jobs::Submission submitted = submission(firstJob, step(2, 1000));
+        submitted.account = AccountId("a");
+        applyJobRecord(fixture.engine, submissionRecord(submitted), {fixture.now, 0});
+        applyJobRecord(fixture.engine, cancellation, {fixture.now, 0});
+        return engine::stateOf(fixture.engine, proofs, id, AccountId("a"));
+    };
+    const auto through = [&id](const char *queue, const char *account = "") {
+        return cancellationRecord(id, {AccountId(account), engine::QueueId(queue)});
+    };
+    EXPECT_EQ(stateAfter(true, through("proofs")), jobs::JobState::Cancelled);
+    EXPECT_EQ(stateAfter(false, through("proofs")), jobs::JobState::Queued) << "not public now";
+    EXPECT_EQ(stateAfter(true, through("plates")), jobs::JobState::Queued) << "another queue";
+    EXPECT_EQ(stateAfter(true, through("")), jobs::JobState::Queued) << "of an earlier version";
+    EXPECT_EQ(stateAfter(true, through("proofs", "b")), jobs::JobState::Queued);
+    EXPECT_EQ(stateAfter(false, through("proofs", "a")), jobs::JobState::Cancelled);
+}
+
 }  // namespace
 }  // namespace poplarstream::edge
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -106,6 +106,18 @@
     }
 }
 
+bool mayCancel(const Engine &engine, const jobs::Job &job, const Canceller &caller)
+{
+    const AccountId &account = job.submission.account;
+    if (account.isEmpty() || account == caller.account) {
+        return true;
+    }
+    const QueueId &queue = job.submission.policy.queue;
+    const auto found = engine.queues.find(queue);
+    return caller.account.isEmpty() && caller.queue == queue && found != engine.queues.end()
+           && found->second.isPublic;
+}
+
 // Applies the cancellations of a job that were read before its submission.
 void applyEarlyCancellations(Engine &engine, const JobId &id, TimePoint now)
 {
@@ -153,7 +165,7 @@
 }
 
 void cancelJob(Engine &engine, const JobId &id, TimePoint now,
-               const std::optional<AccountId> &caller)
+               const std::optional<Canceller> &caller)
 {
     jobs::Job *const job = findJob(engine, id);
     if (job == nullptr) {
@@ -163,9 +175,7 @@
         }
         return;
     }
-    const AccountId &account = job->submission.account;
-    const bool mayCancel = !caller || account.isEmpty() || account == *caller;
-    if (mayCancel && jobs::cancelJob(*job, now)) {
+    if ((!caller || mayCancel(engine, *job, *caller)) && jobs::cancelJob(*job, now)) {
         // The cancellation itself is already stored.
         job->durableState = job->state;
         markDirty(engine, *job);
