Give no final answer while the newest configuration is unusable

Cause: if the newest version could not be decoded, the older one counted as current, so a key or queue of the newest version got 401 or 404. Change: until a version that is not older than the one in force is read, unknown keys and queues get 503. Conclusion: callers try again; deployments whose configurations can be read are served as before.

--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -29,6 +29,9 @@
     std::function<bool(int shard)> isOwner = {};
     // What the owner of a shard has said about an account. Without it, all is accepted.
     std::function<std::optional<accounts::Hold>(int shard, const AccountId &)> holdOf = {};
+    // Whether the newest version of the configuration could not be read, so that an older one is in
+    // force. Without it, it is taken to have been read.
+    std::function<bool()> isConfigurationUnusable = {};
 };
 
 // Handles the requests of callers: stores submissions and cancellations, and gets the state of jobs
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -107,10 +107,12 @@
         return;
     }
     const Route *const route = findRoute(configuration->routes, call.host, call.path);
-    // A queue or key that was added since may be missing. Its callers would not try again after a
-    // final answer.
+    // A queue or key that was added since, or by a version that could not be read, may be missing.
+    // Its callers would not try again after a final answer.
+    const bool isUnusable = hooks_.isConfigurationUnusable && hooks_.isConfigurationUnusable();
     const bool isCurrent =
-            hooks_.configurationAsOf() + runtime_.settings.configurationDelay >= steadyNow();
+            !isUnusable
+            && hooks_.configurationAsOf() + runtime_.settings.configurationDelay >= steadyNow();
     const AuthenticatedCall authenticated = authenticate(*configuration, isCurrent, route, call);
     authentications_.record(authenticated.authentication,
                             route == nullptr ? "-" : route->policy.queue.text(), steadyNow());
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -39,7 +39,8 @@
                        sendToOwner(request, deadline, std::move(done));
                    },
                    [this](int shard) { return isOwnerOf(shard); },
-                   [this](int shard, const AccountId &account) { return holdOf(shard, account); }})
+                   [this](int shard, const AccountId &account) { return holdOf(shard, account); },
+                   [this] { return isNewestUnusable; }})
     {
         for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
             peerAppends.push_back(std::make_unique<GroupAppend>(
@@ -80,6 +81,7 @@
     {
         Result<Configuration> decoded = runtime.decode.configuration(*record.value);
         if (!decoded) {
+            isNewestUnusable = true;
             logEvent(events::configurationUnusable,
                      {{"in_force", fmt::to_string(configuration.version)},
                       {"offset", fmt::to_string(record.offset)},
@@ -87,8 +89,11 @@
             return;
         }
         if (hasConfiguration && decoded.value().version <= configuration.version) {
+            // An operator may store the version in force again to withdraw an unusable one.
+            isNewestUnusable = isNewestUnusable && decoded.value().version != configuration.version;
             return;
         }
+        isNewestUnusable = false;
         configuration = std::move(decoded).value();
         hasConfiguration = true;
         logEvent(events::configurationInForce, {{"config", fmt::to_string(configuration.version)},
@@ -320,6 +325,7 @@
     HttpClient &peers;
     Configuration configuration;
     bool hasConfiguration = false;
+    bool isNewestUnusable = false;  // a version that was read since could not be decoded
     std::map<std::int64_t, pools::Wave> waves;
     // For other entry hosts, while this process is the owner; one for each partition.
     std::vector<std::unique_ptr<GroupAppend>> peerAppends;
--- a/src/poplarstream/edge/entry_process_test.cpp
+++ b/src/poplarstream/edge/entry_process_test.cpp
@@ -60,6 +60,41 @@
         };
     }
 
+    // Reads configurations of the form VERSION:KEY, of a queue and an account with that key.
+    void useVersions()
+    {
+        runtime.decode.isConfiguration = [](const std::string &key) { return key == "config"; };
+        runtime.decode.configuration = [](const std::string &text) -> Result<Configuration> {
+            if (text == "unusable") {
+                return Failure{"version 9: account a: weight: not a number", {}};
+            }
+            Configuration configuration;
+            configuration.version = std::stoll(text);
+            configuration.routes.push_back({"shop.example", "/proofs/", {}, false});
+            configuration.keys =
+                    accounts::KeyRing::create(
+                            std::vector<accounts::AccountKeys>{
+                                    {AccountId("a"), {text.substr(text.find(':') + 1)}}})
+                            .value();
+            return configuration;
+        };
+    }
+
+    void storeConfiguration(const std::string &text)
+    {
+        std::vector<StoredRecord> &log = store.logs[{Log::Operator, 0}];
+        log.push_back({"config", text, static_cast<std::int64_t>(log.size())});
+    }
+
+    // The answer to a lookup of a malformed job id: BadRequest if the call is accepted.
+    ResponseKind lookUp(const std::string &key, const std::string &path = "/proofs/none")
+    {
+        ResponseKind kind = ResponseKind::Unavailable;
+        process->handleCall({CallKind::Lookup, "shop.example", path, key},
+                            [&kind](const Response &response) { kind = response.kind; });
+        return kind;
+    }
+
     bool hasResigned()
     {
         const std::vector<StoredRecord> &log = store.logs[{Log::Ownership, 0}];
@@ -188,33 +223,14 @@
 {
     SCOPED_TRACE("given a process whose configurations are VERSION:KEY");
     Host host(1, 30);
-    host.runtime.decode.isConfiguration = [](const std::string &key) { return key == "config"; };
-    host.runtime.decode.configuration = [](const std::string &text) -> Result<Configuration> {
-        if (text == "unusable") {
-            return Failure{"version 9: account a: weight: not a number", {}};
-        }
-        Configuration configuration;
-        configuration.version = std::stoll(text);
-        configuration.routes.push_back({"shop.example", "/proofs/", {}, false});
-        configuration.keys = accounts::KeyRing::create(
-                                     std::vector<accounts::AccountKeys>{
-                                             {AccountId("a"), {text.substr(text.find(':') + 1)}}})
-                                     .value();
-        return configuration;
-    };
-    // A call that is accepted is answered with the fault in its job id.
+    host.useVersions();
     const auto accepts = [&host](const std::string &key) {
-        bool isAccepted = false;
-        host.process->handleCall({CallKind::Lookup, "shop.example", "/proofs/none", key},
-                                 [&isAccepted](const Response &response) {
-                                     isAccepted = response.kind == ResponseKind::BadRequest;
-                                 });
-        return isAccepted;
+        return host.lookUp(key) == ResponseKind::BadRequest;
     };
     ::testing::internal::CaptureStdout();
     for (const char *text : {"4:s3cr3t-1", "6:s3cr3t-2", "5:s3cr3t-1", "unusable"}) {
-        std::vector<StoredRecord> &log = host.store.logs[{Log::Operator, 0}];
-        log.push_back({"config", text, static_cast<std::int64_t>(log.size())});
+        host.storeConfiguration(text);
+        const std::vector<StoredRecord> &log = host.store.logs[{Log::Operator, 0}];
         int turns = 0;
         EXPECT_TRUE(host.runUntil([&] {
             return accepts(log.size() == 1 ? "s3cr3t-1" : "s3cr3t-2") && ++turns > 20;
@@ -231,6 +247,34 @@
             << text;
 }
 
+// Guards against a final answer to callers whose key or queue is in a version that this process
+// cannot read.
+TEST(EntryProcess, UnusableConfigurationMakesNoAnswerFinal)
+{
+    Host host(1, 30);
+    host.useVersions();
+    const auto isReached = [&host](ResponseKind forOtherKey, ResponseKind forOtherQueue) {
+        return host.runUntil([&] {
+            return host.lookUp("s3cr3t-2") == forOtherKey
+                   && host.lookUp("s3cr3t-1", "/plates/none") == forOtherQueue;
+        });
+    };
+    host.storeConfiguration("4:s3cr3t-1");
+    EXPECT_TRUE(isReached(ResponseKind::Unauthorized, ResponseKind::NoSuchQueue));
+    host.storeConfiguration("unusable");
+    EXPECT_TRUE(isReached(ResponseKind::Unavailable, ResponseKind::Unavailable));
+    EXPECT_EQ(host.lookUp("s3cr3t-1"), ResponseKind::BadRequest) << "known keys are served on";
+    {
+        SCOPED_TRACE("until a version can be read, or the one in force is stored again");
+        host.storeConfiguration("5:s3cr3t-1");
+        EXPECT_TRUE(isReached(ResponseKind::Unauthorized, ResponseKind::NoSuchQueue));
+        host.storeConfiguration("unusable");
+        EXPECT_TRUE(isReached(ResponseKind::Unavailable, ResponseKind::Unavailable));
+        host.storeConfiguration("5:s3cr3t-1");
+        EXPECT_TRUE(isReached(ResponseKind::Unauthorized, ResponseKind::NoSuchQueue));
+    }
+}
+
 // Guards against tasks that run twice beside each other (review/3): a stopped owner whose
 // resignation is stored, but not answered, must not renew the leases of the workers any more.
 TEST(EntryProcess, ResignedOwnerRenewsNoLeases)
