Bound what waits to be appended over all partitions

Cause: the limit of 16 MB applied to each partition, 64 MB for four of them. Change: each partition has an equal part of the 16 MB, so that a slow one takes nothing from the others. Submissions that are sent again and those of other entry hosts have 16 MB each. Measured: with the limit for each partition, GroupAppend.WhatWaitsIsBounded fails. Conclusion: the sum is bounded. A deployment with one partition is served as before.

--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -42,9 +42,11 @@
                    [this](int shard, const AccountId &account) { return holdOf(shard, account); },
                    [this] { return isNewestUnusable; }})
     {
-        for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
+        const int count = runtime.settings.jobPartitions;
+        for (int partition = 0; partition < count; ++partition) {
             peerAppends.push_back(std::make_unique<GroupAppend>(
-                    runtime.store, partition, peerStoreDeadline, runtime.settings.maxCallBytes));
+                    runtime.store, JobPartition{partition, count}, peerStoreDeadline,
+                    runtime.settings.maxCallBytes));
         }
     }
 
--- a/src/poplarstream/edge/group_append.cpp
+++ b/src/poplarstream/edge/group_append.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-// Of 160 MB that an entry host has. Entry hosts whose callers still wait send their records again.
+// For all partitions together, of 160 MB that an entry host has: once for its own submissions that
+// are sent again and once for those of other entry hosts, which send them again if callers wait.
 constexpr std::size_t maxWaitingBytes = 16'000'000;
 // A call takes further records up to this size, so that none waits for the transfer of many others.
 constexpr std::size_t targetBytesPerCall = 1'000'000;
@@ -36,10 +37,11 @@
         bool isAlone = false;  // shares no call
     };
 
-    State(StorePort port, int part, Milliseconds callDeadline, std::size_t maxCallBytes,
+    State(StorePort port, JobPartition part, Milliseconds callDeadline, std::size_t maxCallBytes,
           int callLimit)
         : store(std::move(port))
-        , partition(part)
+        , partition(part.index)
+        , maxWaiting(maxWaitingBytes / static_cast<std::size_t>(part.count))
         , deadline(callDeadline)
         , maxBytes(std::min(maxCallBytes, targetBytesPerCall))
         , maxCallsInFlight(callLimit)
@@ -110,6 +112,7 @@
 
     StorePort store;
     int partition;
+    std::size_t maxWaiting;  // bytes
     Milliseconds deadline;
     std::size_t maxBytes;  // of a shared call
     int maxCallsInFlight;
@@ -118,7 +121,7 @@
     int callsInFlight = 0;
 };
 
-GroupAppend::GroupAppend(StorePort store, int partition, Milliseconds deadline,
+GroupAppend::GroupAppend(StorePort store, JobPartition partition, Milliseconds deadline,
                          std::size_t maxCallBytes, int maxCallsInFlight)
     : state_(std::make_shared<State>(std::move(store), partition, deadline, maxCallBytes,
                                      maxCallsInFlight))
@@ -131,7 +134,7 @@
 
 void GroupAppend::append(std::vector<StoredRecord> records, std::function<void(AppendOutcome)> done)
 {
-    if (state_->waitingBytes > maxWaitingBytes) {
+    if (state_->waitingBytes > state_->maxWaiting) {
         done({AppendResult::NotDone});
         return;
     }
--- a/src/poplarstream/edge/group_append_test.cpp
+++ b/src/poplarstream/edge/group_append_test.cpp
@@ -28,15 +28,19 @@
 
 struct Callers
 {
-    Store store;
-    GroupAppend appends{store.port(), 2, Milliseconds{800}, 2'097'152};
-    std::vector<AppendResult> results;
+    explicit Callers(int partitions = 1)
+        : appends(store.port(), {2, partitions}, Milliseconds{800}, 2'097'152)
+    {}
 
     void append(const std::string &key, std::size_t bytes = 10)
     {
         appends.append({{key, std::string(bytes, 'x'), 0}},
                        [this](const AppendOutcome &outcome) { results.push_back(outcome.result); });
     }
+
+    Store store;
+    GroupAppend appends;
+    std::vector<AppendResult> results;
 };
 
 // Guards against a slow store that rejects most of the submissions that arrive at once.
@@ -110,14 +114,17 @@
 // is slow.
 TEST(GroupAppend, WhatWaitsIsBounded)
 {
-    Callers callers;
-    for (int i = 0; i < 300; ++i) {
-        callers.append("job" + std::to_string(i), 100'000);
-    }
-    const auto refused =
-            std::count(callers.results.begin(), callers.results.end(), AppendResult::NotDone);
-    EXPECT_GT(refused, 100);
-    EXPECT_LT(refused, 150) << "16 MB wait";
+    const auto refusedOf = [](int partitions) {
+        Callers callers(partitions);
+        for (int i = 0; i < 300; ++i) {
+            callers.append("job" + std::to_string(i), 100'000);
+        }
+        return std::count(callers.results.begin(), callers.results.end(), AppendResult::NotDone);
+    };
+    EXPECT_GT(refusedOf(1), 100);
+    EXPECT_LT(refusedOf(1), 150) << "16 MB wait";
+    EXPECT_GT(refusedOf(4), 230) << "4 MB, since three other partitions wait as well";
+    EXPECT_LT(refusedOf(4), 270);
 }
 
 TEST(StoreHealth, SlowAndFailedCallsAreTrouble)
--- a/src/poplarstream/edge/store_attempts.cpp
+++ b/src/poplarstream/edge/store_attempts.cpp
@@ -51,10 +51,11 @@
         : runtime(sharedRuntime)
         , hooks(std::move(given))
     {
-        for (int partition = 0; partition < runtime.settings.jobPartitions; ++partition) {
+        const int count = runtime.settings.jobPartitions;
+        for (int partition = 0; partition < count; ++partition) {
             retryAppends.push_back(std::make_unique<GroupAppend>(
-                    runtime.store, partition, storeDeadline, runtime.settings.maxCallBytes,
-                    retryCallsInFlight));
+                    runtime.store, JobPartition{partition, count}, storeDeadline,
+                    runtime.settings.maxCallBytes, retryCallsInFlight));
         }
     }
 
