Keep one copy of the deadlines of calls to owners

Cause: ownerDeadline, minDeadline and their arithmetic existed twice, the type of sendToOwner three times. Change: callDeadline and ownerDeadline in submission_retry, SendToOwner in peer_calls. Conclusion: no change of behaviour.

--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -7,7 +7,7 @@
 #include "poplarstream/accounts/admission.hpp"  // for Hold
 #include "poplarstream/edge/authentication_log.hpp"  // for AuthenticationLog
 #include "poplarstream/edge/owner_requests.hpp"  // for OwnerRequests
-#include "poplarstream/edge/peer_calls.hpp"  // for PeerRequest, PeerResponse
+#include "poplarstream/edge/peer_calls.hpp"  // for SendToOwner, PeerRequest
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/edge/submission_store.hpp"  // for SubmissionStore
 
@@ -23,8 +23,7 @@
     // The number of shards of the deployment; 0 while it is not known.
     std::function<int()> shardCount;
     // Sends a request to the owner of its shard, which may be this process.
-    std::function<void(const PeerRequest &, Milliseconds, std::function<void(PeerResponse)>)>
-            sendToOwner;
+    SendToOwner sendToOwner;
     // Whether this process is the owner of a shard. Without it, it is taken not to be.
     std::function<bool(int shard)> isOwner = {};
     // What the owner of a shard has said about an account. Without it, all is accepted.
--- a/include/poplarstream/edge/owner_requests.hpp
+++ b/include/poplarstream/edge/owner_requests.hpp
@@ -4,7 +4,7 @@
 #include <memory>  // for shared_ptr
 #include <string>  // for string
 
-#include "poplarstream/edge/peer_calls.hpp"  // for PeerRequest, PeerResponse
+#include "poplarstream/edge/peer_calls.hpp"  // for SendToOwner, PeerRequest
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 
 namespace poplarstream::edge {
@@ -13,8 +13,7 @@
 struct OwnerRequestHooks
 {
     // Sends a request to the owner of its shard, which may be this process.
-    std::function<void(const PeerRequest &, Milliseconds, std::function<void(PeerResponse)>)>
-            sendToOwner;
+    SendToOwner sendToOwner;
     // The time up to which all changes of the operator's log have been read.
     std::function<TimePoint()> logReadAsOf;
 };
--- a/include/poplarstream/edge/peer_calls.hpp
+++ b/include/poplarstream/edge/peer_calls.hpp
@@ -46,6 +46,11 @@
     bool isAnswered = false;  // the other entry host has responded, whatever it said; not sent
 };
 
+// Sends a request to the owner of its shard and calls the function once, after that time at the
+// latest.
+using SendToOwner = std::function<void(const PeerRequest &, Milliseconds deadline,
+                                       std::function<void(PeerResponse)>)>;
+
 // Sends a request to the entry host at `address`. Calls `done` once.
 void sendToPeer(HttpClient &client, const HttpEndpoint &address, const PeerRequest &request,
                 Milliseconds deadline, std::function<void(PeerResponse)> done);
--- a/include/poplarstream/edge/store_attempts.hpp
+++ b/include/poplarstream/edge/store_attempts.hpp
@@ -4,7 +4,7 @@
 #include <memory>  // for shared_ptr
 #include <optional>  // for optional
 
-#include "poplarstream/edge/peer_calls.hpp"  // for PeerRequest, PeerResponse
+#include "poplarstream/edge/peer_calls.hpp"  // for SendToOwner, PeerRequest
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/edge/store_circuit.hpp"  // for StorePath
 
@@ -16,8 +16,7 @@
     // The shard of a partition of the job log; 0 while the number of shards is not known.
     std::function<int(int partition)> shardOf;
     // Sends a request to the owner of its shard, which may be this process.
-    std::function<void(const PeerRequest &, Milliseconds, std::function<void(PeerResponse)>)>
-            sendToOwner;
+    SendToOwner sendToOwner;
     // Whether this process is the owner of a shard. Without it, it is taken not to be.
     std::function<bool(int shard)> isOwner;
 };
--- a/include/poplarstream/edge/submission_retry.hpp
+++ b/include/poplarstream/edge/submission_retry.hpp
@@ -16,6 +16,13 @@
 // Part of a caller's remaining time that is reserved for the response.
 inline constexpr Milliseconds responseMargin{200};
 
+// Of a request to an owner on behalf of a caller.
+inline constexpr Milliseconds ownerDeadline{1000};
+
+// The deadline of a call on behalf of a caller who waits for `remaining`: `limit` at most, and
+// leaving time for the response.
+Milliseconds callDeadline(Milliseconds limit, Milliseconds remaining);
+
 // Until when a caller waits that says how long it will. Nothing waits here for longer than half a
 // minute, whatever a caller says.
 TimePoint callerEnd(TimePoint receivedAt, Milliseconds remaining);
--- a/src/poplarstream/edge/owner_requests.cpp
+++ b/src/poplarstream/edge/owner_requests.cpp
@@ -1,19 +1,17 @@
 #include "poplarstream/edge/owner_requests.hpp"
 
-#include <algorithm>  // for max, min
+#include <algorithm>  // for min
 
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/store_circuit.hpp"  // for retryDelay
-#include "poplarstream/edge/submission_retry.hpp"  // for responseMargin, callerEnd
+#include "poplarstream/edge/submission_retry.hpp"  // for callDeadline, callerEnd
 
 namespace poplarstream::edge {
 
 namespace {
 
-constexpr Milliseconds ownerDeadline{1000};
-constexpr Milliseconds minDeadline{50};
 // Lookups are small; what they cost while they wait is the connection of their caller.
 constexpr std::size_t maxWaitingRequests = 2000;
 // The store was read within this time, so it is the owner that is away and not this host.
@@ -57,8 +55,8 @@
 
     void send(const std::shared_ptr<Asked> &asked)
     {
-        const Milliseconds left = endOf(*asked) - steadyNow() - responseMargin;
-        hooks.sendToOwner(asked->request, std::max(std::min(ownerDeadline, left), minDeadline),
+        const Milliseconds left = endOf(*asked) - steadyNow();
+        hooks.sendToOwner(asked->request, callDeadline(ownerDeadline, left),
                           this->guarded([asked](State &self, const PeerResponse &response) {
                               self.finish(asked, response);
                           }));
--- a/src/poplarstream/edge/store_attempts.cpp
+++ b/src/poplarstream/edge/store_attempts.cpp
@@ -1,29 +1,21 @@
 #include "poplarstream/edge/store_attempts.hpp"
 
-#include <algorithm>  // for max, min
 #include <vector>  // for vector
 
 #include "poplarstream/edge/closable.hpp"  // for Closable
 #include "poplarstream/edge/group_append.hpp"  // for GroupAppend
 #include "poplarstream/edge/store_health.hpp"  // for StoreHealth
-#include "poplarstream/edge/submission_retry.hpp"  // for responseMargin
+#include "poplarstream/edge/submission_retry.hpp"  // for callDeadline, ownerDeadline
 
 namespace poplarstream::edge {
 
 namespace {
 
 constexpr Milliseconds storeDeadline{1000};
-constexpr Milliseconds ownerDeadline{1000};
-constexpr Milliseconds minDeadline{50};
 // One call at a time for what waited: the first tells whether the store is back, the second takes
 // everything else.
 constexpr int retryCallsInFlight = 1;
 
-Milliseconds boundedDeadline(Milliseconds limit, Milliseconds remaining)
-{
-    return std::max(std::min(limit, remaining - responseMargin), minDeadline);
-}
-
 // The result of an attempt by the owner. A response that makes no sense says nothing.
 AppendResult resultOf(const PeerResponse &response)
 {
@@ -102,7 +94,7 @@
         request.partition = record.partition;
         request.records = {*record.record};
         const TimePoint sentAt = steadyNow();
-        request.deadline = boundedDeadline(storeDeadline, record.endsAt - sentAt);
+        request.deadline = callDeadline(storeDeadline, record.endsAt - sentAt);
         health.begin(sentAt);
         runtime.store.append(std::move(request),
                              guarded([sentAt, done](State &self, const AppendOutcome &outcome) {
@@ -129,7 +121,7 @@
         request.shard = hooks.shardOf(record.partition);
         request.records = {*record.record};
         const bool isOwnRequest = isOwner(record);
-        hooks.sendToOwner(request, boundedDeadline(ownerDeadline, record.endsAt - steadyNow()),
+        hooks.sendToOwner(request, callDeadline(ownerDeadline, record.endsAt - steadyNow()),
                           [isOwnRequest, done](const PeerResponse &response) {
                               done({resultOf(response), StorePath::ThroughOwner,
                                     isOwnRequest || response.isAnswered,
--- a/src/poplarstream/edge/submission_retry.cpp
+++ b/src/poplarstream/edge/submission_retry.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/edge/submission_retry.hpp"
 
-#include <algorithm>  // for clamp, min, sort
+#include <algorithm>  // for clamp, max, min, sort
 #include <tuple>  // for tuple
 
 #include "poplarstream/base/rendezvous.hpp"  // for stableHash
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr Milliseconds minDeadline{50};
 // An entry host has 160 MB, and a waiting record of some kB has its caller's connection besides.
 constexpr std::size_t maxWaitingRecords = 2000;
 constexpr std::size_t maxWaitingBytes = 16'000'000;
@@ -119,6 +120,11 @@
 
 }  // namespace
 
+Milliseconds callDeadline(Milliseconds limit, Milliseconds remaining)
+{
+    return std::max(std::min(limit, remaining - responseMargin), minDeadline);
+}
+
 TimePoint callerEnd(TimePoint receivedAt, Milliseconds remaining)
 {
     return receivedAt + std::clamp(remaining, Milliseconds{0}, longestWait);
