--- a/include/poplarstream/edge/caller_handler.hpp
+++ b/include/poplarstream/edge/caller_handler.hpp
@@ -7,7 +7,7 @@
 #include "poplarstream/accounts/admission.hpp"  // for Hold
 #include "poplarstream/edge/authentication_log.hpp"  // for AuthenticationLog
 #include "poplarstream/edge/owner_requests.hpp"  // for OwnerRequests
-#include "poplarstream/edge/peer_calls.hpp"  // for PeerRequest, PeerResponse
+#include "poplarstream/edge/peer_calls.hpp"  // for SendToOwner, PeerRequest
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/edge/submission_store.hpp"  // for SubmissionStore
 
@@ -23,12 +23,14 @@
     // The number of shards of the deployment; 0 while it is not known.
     std::function<int()> shardCount;
     // Sends a request to the owner of its shard, which may be this process.
-    std::function<void(const PeerRequest &, Milliseconds, std::function<void(PeerResponse)>)>
-            sendToOwner;
+    SendToOwner sendToOwner;
     // Whether this process is the owner of a shard. Without it, it is taken not to be.
     std::function<bool(int shard)> isOwner = {};
     // What the owner of a shard has said about an account. Without it, all is accepted.
     std::function<std::optional<accounts::Hold>(int shard, const AccountId &)> holdOf = {};
+    // Whether the newest version of the configuration could not be read, so that an older one is in
+    // force. Without it, it is taken to have been read.
+    std::function<bool()> isConfigurationUnusable = {};
 };
 
 // Handles the requests of callers: stores submissions and cancellations, and gets the state of jobs
@@ -50,8 +52,8 @@
     void dispatch(const Call &call, const Respond &respond);
     void submit(const Route &route, const jobs::JobId &id, const AccountId &account,
                 const Call &call, const Respond &respond);
-    void cancel(const jobs::JobId &id, const AccountId &account, const Call &call,
-                const Respond &respond);
+    void cancel(const Route &route, const jobs::JobId &id, const AccountId &account,
+                const Call &call, const Respond &respond);
     void lookUp(const Route &route, const jobs::JobId &id, const AccountId &account,
                 const Call &call, const Respond &respond);
     // When a submission should come back that is rejected since its account is beyond its share.
--- a/src/poplarstream/edge/caller_handler.cpp
+++ b/src/poplarstream/edge/caller_handler.cpp
@@ -7,6 +7,7 @@
 #include "poplarstream/edge/authentication.hpp"  // for authenticate
 #include "poplarstream/edge/routes.hpp"  // for findRoute, jobIdFrom
 #include "poplarstream/edge/stored_jobs.hpp"  // for submissionRecord, cancellationRecord
+#include "poplarstream/jobs/queries.hpp"  // for endsByItself
 #include "poplarstream/ownership/division.hpp"  // for shardOfPartition
 #include "poplarstream/telemetry/event_kinds.hpp"  // for jobAccepted, jobRefused
 
@@ -106,10 +107,12 @@
         return;
     }
     const Route *const route = findRoute(configuration->routes, call.host, call.path);
-    // A queue or key that was added since may be missing. Its callers would not try again after a
-    // final answer.
+    // A queue or key that was added since, or by a version that could not be read, may be missing.
+    // Its callers would not try again after a final answer.
+    const bool isUnusable = hooks_.isConfigurationUnusable && hooks_.isConfigurationUnusable();
     const bool isCurrent =
-            hooks_.configurationAsOf() + runtime_.settings.configurationDelay >= steadyNow();
+            !isUnusable
+            && hooks_.configurationAsOf() + runtime_.settings.configurationDelay >= steadyNow();
     const AuthenticatedCall authenticated = authenticate(*configuration, isCurrent, route, call);
     authentications_.record(authenticated.authentication,
                             route == nullptr ? "-" : route->policy.queue.text(), steadyNow());
@@ -141,7 +144,7 @@
         lookUp(*route, *id, authenticated.account, call, respond);
         break;
     case CallKind::Cancel:
-        cancel(*id, authenticated.account, call, respond);
+        cancel(*route, *id, authenticated.account, call, respond);
         break;
     case CallKind::Other:
         respond(makeResponse(ResponseKind::BadRequest, "no such method"));
@@ -191,20 +194,22 @@
 
 std::optional<Milliseconds> CallerHandler::rejectionOf(const jobs::Submission &submission) const
 {
-    if (submission.account.isEmpty() || !hooks_.holdOf) {
+    // The owner holds accounts by the waiting work of jobs that end by themselves.
+    if (submission.account.isEmpty() || !hooks_.holdOf || !jobs::endsByItself(submission.spec)) {
         return {};
     }
     const int shard = shardOf(jobPartition(submission.id, runtime_.settings.jobPartitions));
     const std::optional<accounts::Hold> hold = hooks_.holdOf(shard, submission.account);
-    return hold ? accounts::rejectionOf(*hold, submission.id.text()) : std::nullopt;
+    return hold ? accounts::rejectionOf(*hold, submission.policy.service, submission.id.text())
+                : std::nullopt;
 }
 
-void CallerHandler::cancel(const jobs::JobId &id, const AccountId &account, const Call &call,
-                           const Respond &respond)
+void CallerHandler::cancel(const Route &route, const jobs::JobId &id, const AccountId &account,
+                           const Call &call, const Respond &respond)
 {
     logEvent(events::jobCancelled, {{"job", id.text()}});
-    submissions_.store(cancellationRecord(id, account), ResponseKind::Cancelled, call.remaining,
-                       respond);
+    submissions_.store(cancellationRecord(id, {account, route.policy.queue}),
+                       ResponseKind::Cancelled, call.remaining, respond);
 }
 
 void CallerHandler::lookUp(const Route &route, const jobs::JobId &id, const AccountId &account,
--- a/src/poplarstream/engine/job_events.cpp
+++ b/src/poplarstream/engine/job_events.cpp
@@ -7,7 +7,7 @@
 #include "poplarstream/engine/crashes.hpp"  // for isSuspect
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
 #include "poplarstream/jobs/commands.hpp"  // for makeJob, cancelJob
-#include "poplarstream/jobs/queries.hpp"  // for isFinal
+#include "poplarstream/jobs/queries.hpp"  // for endsByItself, isFinal
 
 namespace poplarstream::engine {
 
@@ -22,7 +22,7 @@
 void recordArrival(Engine &engine, const jobs::Job &job)
 {
     const jobs::JobSpec &spec = job.submission.spec;
-    if (job.isLongRunning || spec.repeatCount > 0 || engine.arrivals.size() >= maxArrivals) {
+    if (!jobs::endsByItself(spec) || engine.arrivals.size() >= maxArrivals) {
         return;
     }
     // It waits until runs of its account end, so that it does not need more workers than they.
@@ -106,6 +106,18 @@
     }
 }
 
+bool mayCancel(const Engine &engine, const jobs::Job &job, const Canceller &caller)
+{
+    const AccountId &account = job.submission.account;
+    if (account.isEmpty() || account == caller.account) {
+        return true;
+    }
+    const QueueId &queue = job.submission.policy.queue;
+    const auto found = engine.queues.find(queue);
+    return caller.account.isEmpty() && caller.queue == queue && found != engine.queues.end()
+           && found->second.isPublic;
+}
+
 // Applies the cancellations of a job that were read before its submission.
 void applyEarlyCancellations(Engine &engine, const JobId &id, TimePoint now)
 {
@@ -153,7 +165,7 @@
 }
 
 void cancelJob(Engine &engine, const JobId &id, TimePoint now,
-               const std::optional<AccountId> &caller)
+               const std::optional<Canceller> &caller)
 {
     jobs::Job *const job = findJob(engine, id);
     if (job == nullptr) {
@@ -163,9 +175,7 @@
         }
         return;
     }
-    const AccountId &account = job->submission.account;
-    const bool mayCancel = !caller || account.isEmpty() || account == *caller;
-    if (mayCancel && jobs::cancelJob(*job, now)) {
+    if ((!caller || mayCancel(engine, *job, *caller)) && jobs::cancelJob(*job, now)) {
         // The cancellation itself is already stored.
         job->durableState = job->state;
         markDirty(engine, *job);
