Let the soak lose the store while a zone is cut off

Both were drawn independently, and the end of one store fault also ended another one that overlapped it.

Change: half of the zone cuts come with a loss of the store (503, resets or silence) that starts during the cut and ends at most 2 s after it. It is drawn by a generator of its own, so that the other faults of a seed stay the same. Overlapping store faults last until each has ended, so a seed with such faults now meets a store that is away for longer.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -26,6 +26,12 @@
 # An owner polls for up to 8 s after its last confirmed write, and a lease lasts 6 s: cuts may end
 # in each phase of a takeover.
 ZONE_CUT_MIN_S, ZONE_CUT_MAX_S = 4.0, 15.0
+# Share of the zone cuts during which the store goes away for all processes.
+STORE_LOSS_RATIO = 0.5
+STORE_LOSS_MIN_S, STORE_LOSS_MAX_S = 2.0, 6.0
+# From the end of a zone cut until the store is back. rules.WITHDRAWAL_GRACE_S relies on the sum of
+# this time and the longest zone cut.
+STORE_LOSS_AFTER_CUT_MAX_S = 2.0
 
 
 class Fault:
@@ -83,6 +89,23 @@
     return faults
 
 
+def draw_store_losses(seed, zone_cuts):
+    """Draws for some of the zone cuts a loss of the store that starts while the zone is cut off and
+    ends before or shortly after the zone is reachable again. Uses a generator of its own, so that
+    the other faults of a seed stay the same."""
+    rng = random.Random("store losses of %s" % seed)
+    losses = []
+    for cut in zone_cuts:
+        if rng.random() >= STORE_LOSS_RATIO:
+            continue
+        kind = rng.choice(("store_busy", "store_reset", "store_silent"))
+        start_s = cut.start_s + rng.uniform(0.0, 0.8) * cut.duration_s
+        latest_end_s = cut.start_s + cut.duration_s + STORE_LOSS_AFTER_CUT_MAX_S
+        duration_s = min(rng.uniform(STORE_LOSS_MIN_S, STORE_LOSS_MAX_S), latest_end_s - start_s)
+        losses.append(Fault(kind, start_s, duration_s, rng.random()))
+    return losses
+
+
 class Injector:
     """Injects faults into the processes, store and machines of a soak, and reverts them.
 
@@ -93,6 +116,7 @@
         self.entries, self.store, self.fleet = entries, store, fleet
         self.write_config = write_config
         self.waves = 0
+        self.store_modes = []  # of the store faults in force, the newest last
 
     async def inject(self, fault):
         await asyncio.sleep(fault.start_s)
@@ -139,9 +163,13 @@
         self._chosen_entry(fault).stop_for(signal.SIGTERM, 0.2)
 
     async def _set_store_mode(self, mode, fault):
+        # The end of one fault must not end another one that overlaps it.
+        applied = (mode, fault)
+        self.store_modes.append(applied)
         self.store.mode = mode
         await asyncio.sleep(fault.duration_s)
-        self.store.mode = "up"
+        self.store_modes.remove(applied)
+        self.store.mode = self.store_modes[-1][0] if self.store_modes else "up"
 
     async def store_busy(self, fault):
         await self._set_store_mode("busy", fault)
--- a/soak/zone_cuts_test.py
+++ b/soak/zone_cuts_test.py
@@ -4,11 +4,14 @@
 import os
 import types
 import unittest
+import unittest.mock
 
+from soak import plan
 from soak.proxy import Proxy
 from soak.zone_cuts import PLATFORM, ZoneCuts, find_process
 
 RESPONSE_TIMEOUT_S = 2.0
+REAL_SLEEP = asyncio.sleep
 HELD_S = 0.3  # within which a connection that is not cut responds
 
 
@@ -99,5 +102,52 @@
         self.assertEqual(self.received, [])
 
 
+class StoreLosses(unittest.TestCase):
+    """Guards against soaks that never lose the store while a zone is cut off."""
+
+    def test_start_during_a_zone_cut_and_end_soon_after_it(self):
+        lost = 0
+        for seed in range(200):
+            cuts = [fault for fault in plan.draw_zone_cuts(seed, 12.0)
+                    if isinstance(fault, plan.ZoneCut)]
+            losses = plan.draw_store_losses(seed, cuts)
+            self.assertLessEqual(len(losses), len(cuts))
+            for loss in losses:
+                during = [cut for cut in cuts if cut.start_s <= loss.start_s
+                          < cut.start_s + cut.duration_s]
+                self.assertTrue(during)
+                end_s = max(cut.start_s + cut.duration_s for cut in during)
+                self.assertLessEqual(loss.start_s + loss.duration_s,
+                                     end_s + plan.STORE_LOSS_AFTER_CUT_MAX_S + 1e-6)
+            lost += bool(losses)
+        self.assertGreater(lost, 50)
+
+    def test_end_of_one_store_fault_keeps_an_overlapping_one(self):
+        store = types.SimpleNamespace(mode="up")
+        injector = plan.Injector([], store, None, None)
+        waits = {}
+
+        async def play():
+            async def wait(duration_s):
+                waits[duration_s] = asyncio.get_running_loop().create_future()
+                await waits[duration_s]
+            with unittest.mock.patch.object(plan.asyncio, "sleep", wait):
+                long = asyncio.ensure_future(
+                    injector.store_silent(plan.Fault("store_silent", 0.0, 6.0, 0.0)))
+                short = asyncio.ensure_future(
+                    injector.store_busy(plan.Fault("store_busy", 0.0, 1.0, 0.0)))
+                while len(waits) < 2:
+                    await REAL_SLEEP(0)
+                self.assertEqual(store.mode, "busy")
+                waits[1.0].set_result(None)
+                await short
+                self.assertEqual(store.mode, "silent")
+                waits[6.0].set_result(None)
+                await long
+                self.assertEqual(store.mode, "up")
+
+        asyncio.run(play())
+
+
 if __name__ == "__main__":
     unittest.main()
