Say when a task waits although workers have room for it

Cause: not looked for here. Placement passed over workers silently, so that the logs could not tell a conflict of images from quarantine, a cordon, a silent worker or missing room. Change: the conditions of placement that do not depend on room have names (PlacementObstacle), used by the decision and by the report. Once a second the owner looks for steps whose tasks have waited for 3 s although workers have room: line 784 with the number of workers per obstacle, the metrics poplar_steps_unplaced and poplar_tasks_unplaced_total, and /explain/JOB on the metrics address (`poplarstream explain`). Placement itself is as before.

--- a/include/poplarstream/edge/entry_process.hpp
+++ b/include/poplarstream/edge/entry_process.hpp
@@ -3,6 +3,7 @@
 #include <functional>  // for function
 #include <memory>  // for shared_ptr
 
+#include "poplarstream/adapters/http_message.hpp"  // for HttpRequest, HttpResponse
 #include "poplarstream/edge/peer_calls.hpp"  // for PeerRequest, PeerResponse
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 
@@ -33,6 +34,10 @@
     // `end`, when the process ends.
     void leave(TimePoint end);
 
+    // Handles a request on the metrics address: `/explain/ID` says in sentences what the tasks of a
+    // job do or wait for, if this process owns its shard; any other path gives the metrics.
+    HttpResponse respondToOperator(const HttpRequest &request) const;
+
     // Metrics in the Prometheus text format.
     std::string metrics() const;
 
--- a/include/poplarstream/edge/owner_session.hpp
+++ b/include/poplarstream/edge/owner_session.hpp
@@ -81,6 +81,9 @@
     // Handles the request of another owner for parts of caps.
     void respondToLoans(const std::string &request, const LoanRespond &done) const;
 
+    // What the job's tasks do or wait for, see engine::explainJob.
+    std::vector<std::string> explainJob(const engine::JobId &id) const;
+
     // Metrics of the shard in the Prometheus text format.
     std::string metrics() const;
 
--- a/include/poplarstream/engine/decision.hpp
+++ b/include/poplarstream/engine/decision.hpp
@@ -30,6 +30,7 @@
     PairNamed,  // an image is known to slow another one down
     PairForgotten,
     TaskPaced,  // a filling task is to work below full pace, or at full pace again
+    TaskUnplaced,  // tasks of a step wait although workers have room for them
     TaskSeparated,  // a filling task is moved away from serving ones
 };
 
--- a/include/poplarstream/engine/placement.hpp
+++ b/include/poplarstream/engine/placement.hpp
@@ -8,7 +8,19 @@
 
 namespace poplarstream::engine {
 
-// A worker that may get tasks, with its free capacity.
+// Why a worker may not get a task for now, though it may have room for it.
+enum class PlacementObstacle {
+    None,
+    Unreachable,  // it does not respond, or has not responded to this owner yet
+    Draining,
+    Cordoned,  // it is being emptied for maintenance or a move
+    UnknownRuns,  // it runs tasks of no job, which are being stopped
+    Quarantined,
+    Failed,  // the task failed there
+    Neighbours,  // filling and serving tasks that must not share a worker
+};
+
+// A worker with its free capacity.
 struct PlacementCandidate
 {
     Worker *worker = nullptr;
@@ -30,6 +42,9 @@
 std::map<ServiceId, std::vector<PlacementCandidate>>
 placementCandidates(Engine &engine, std::span<const ServiceId *const> services, TimePoint now);
 
+// All workers of a service in the registry, also those that may get no tasks.
+std::vector<PlacementCandidate> listedWorkers(Engine &engine, const ServiceId &service);
+
 // The number of tasks of one step and occurrence on each worker and each rack.
 struct PlacementCounts
 {
@@ -52,6 +67,15 @@
                                     const std::vector<WorkerIncarnation> &avoid, const RackId *rack,
                                     bool isSuspect = false);
 
+// Whether the worker has the free capacity and the label for a task of `step`, and fewer tasks of
+// it than the step allows.
+bool hasRoomFor(const PlacementCandidate &candidate, const jobs::StepSpec &step,
+                const PlacementCounts &counts);
+
+// Why a worker with room doesn't get a task that failed on the workers in `avoid`.
+PlacementObstacle obstacleAt(const PlacementCandidate &candidate, const jobs::StepSpec &step,
+                             std::span<const WorkerIncarnation> avoid, TimePoint now);
+
 // Whether the worker has the labels that `step` requires. Ignores free capacity.
 bool isSuitable(const PlacementCandidate &candidate, const jobs::StepSpec &step);
 
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -134,6 +134,23 @@
     bool isRoomForGangsKept = true;  // see AccountGate::reserved
 };
 
+// One step of one occurrence of a job.
+struct StepPlace
+{
+    JobId job;
+    int occurrence = 0;
+    int step = 0;
+
+    friend auto operator<=>(const StepPlace &, const StepPlace &) = default;
+};
+
+// A step with tasks that wait although workers have room for them.
+struct UnplacedStep
+{
+    TimePoint since{};
+    int tasks = 0;  // that were reported; 0: the wait was too short yet
+};
+
 // What accounts have got lately. A new owner begins with what runs then.
 struct AccountShares
 {
@@ -284,6 +301,9 @@
     std::size_t workersAdopted = 0;  // workers that first became known by such a run
     std::size_t jobsHeld = 0;  // their stored progress could not be read in full
     std::uint64_t tasksLost = 0;  // runs that were lost with their workers, for the metrics
+    std::map<StepPlace, UnplacedStep> unplaced;  // as of the last review
+    TimePoint unplacedReviewedAt{};
+    std::uint64_t tasksUnplaced = 0;  // that were reported, for the metrics
     std::vector<JobId> forgotten;  // jobs to delete from the store
     std::set<JobId> beingDeleted;  // forgotten; their deletion has not been read from the job log
     std::vector<ProgressRecord> pendingRecords;  // other records for the next batch
--- a/include/poplarstream/jobs/queries.hpp
+++ b/include/poplarstream/jobs/queries.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>  // for optional
+#include <span>  // for span
 #include <string_view>  // for string_view
 
 #include "poplarstream/jobs/model.hpp"  // for Job, Occurrence, Task, TaskRef
@@ -12,6 +13,9 @@
 // Whether a task has no run and is to get one.
 bool isWaiting(const Task &task);
 
+// The number of waiting tasks that may be started now.
+int countDue(std::span<const Task> tasks, TimePoint now);
+
 // Whether all steps that `step` depends on are done.
 bool isStepReady(const Job &job, const Occurrence &occurrence, int step);
 
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -323,5 +323,11 @@
 inline constexpr EventKind taskSeparated{
         783, EventLevel::Info, "task-separated", "task run worker inputs",
         "None; the filling task starts on a worker without serving tasks."};
+inline constexpr EventKind taskUnplaced{
+        784, EventLevel::Warning, "task-unplaced", "task run worker inputs",
+        "`tasks` of the step of `task` have been waiting for `waits_ms` although `with_room` of "
+        "the "
+        "service's `workers` have room. The other fields count these by what keeps the tasks off "
+        "them; OPERATIONS.md says what to do about each."};
 
 }  // namespace poplarstream::events
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -53,6 +53,8 @@
         return events::pairForgotten;
     case engine::DecisionKind::TaskPaced:
         return events::taskPaced;
+    case engine::DecisionKind::TaskUnplaced:
+        return events::taskUnplaced;
     case engine::DecisionKind::TaskSeparated:
         return events::taskSeparated;
     case engine::DecisionKind::LeaseLapsed:
--- a/src/poplarstream/edge/entry_process.cpp
+++ b/src/poplarstream/edge/entry_process.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for max
 
 #include <fmt/format.h>  // for format
+#include <fmt/ranges.h>  // for join
 
 #include "poplarstream/edge/caller_handler.hpp"  // for CallerHandler
 #include "poplarstream/edge/division_choice.hpp"  // for DivisionChoice
@@ -22,6 +23,7 @@
 constexpr Milliseconds peerStoreDeadline{800};
 // For requests for parts of caps, whose response waits for a write to the store.
 constexpr Milliseconds loansDeadline{1000};
+constexpr std::string_view explainPath = "/explain/";
 
 }  // namespace
 
@@ -396,6 +398,25 @@
     }
 }
 
+HttpResponse EntryProcess::respondToOperator(const HttpRequest &request) const
+{
+    const HttpHeaders plainText{{"Content-Type", "text/plain"}};
+    if (!request.target.starts_with(explainPath)) {
+        return {200, plainText, metrics()};
+    }
+    const engine::JobId id(request.target.substr(explainPath.size()));
+    for (const auto &shard : state_->shards) {
+        const OwnerSession *const session = shard->session();
+        const std::vector<std::string> lines =
+                session == nullptr ? std::vector<std::string>{} : session->explainJob(id);
+        if (!lines.empty()) {
+            return {200, plainText, fmt::format("{}\n", fmt::join(lines, "\n"))};
+        }
+    }
+    return {404, plainText,
+            "No such job on the shards that this process owns; ask the other entry hosts.\n"};
+}
+
 std::string EntryProcess::metrics() const
 {
     std::string sessions;
--- a/src/poplarstream/edge/entry_process_test.cpp
+++ b/src/poplarstream/edge/entry_process_test.cpp
@@ -9,6 +9,7 @@
 
 #include "poplarstream/adapters/http_client.hpp"  // for HttpClient
 #include "poplarstream/edge/store_fixture.hpp"  // for Store
+#include "poplarstream/edge/stored_jobs.hpp"  // for submissionRecord
 #include "poplarstream/ownership/leadership.hpp"  // for encodeOwnership
 
 namespace poplarstream::edge {
@@ -166,6 +167,39 @@
     }
 }
 
+// Guards against operators who can't learn from the owner why a job doesn't run.
+TEST(EntryProcess, OwnerExplainsJobs)
+{
+    SCOPED_TRACE("given an owner of a job that has no workers");
+    Host host(1, 30);
+    jobs::Submission submission;
+    submission.id = jobs::JobId("00000000000000a1");
+    submission.policy.queue = jobs::QueueId("proofs");
+    submission.policy.service = ServiceId("shop");
+    submission.spec.steps = {{.count = 2}};
+    host.store.logs[{Log::Jobs, 0}].push_back(submissionRecord(submission));
+    const auto ask = [&host](const std::string &target) {
+        return host.process->respondToOperator({.target = target});
+    };
+    ASSERT_TRUE(host.ownsInTime(1));
+    ASSERT_TRUE(host.runUntil([&] { return ask("/explain/00000000000000a1").status == 200; }));
+    {
+        SCOPED_TRACE("then it says what the job waits for");
+        EXPECT_EQ(ask("/explain/00000000000000a1").body,
+                  "Job 00000000000000a1 of queue proofs is queued.\n"
+                  "Occurrence 0, step 0: 2 tasks, 0 done, 0 with a run, 0 given up, 2 due for a "
+                  "start. Service shop has 0 workers, 0 of them with room.\n");
+    }
+    {
+        SCOPED_TRACE("and names no job that it does not know, also for a malformed path");
+        for (const char *const target :
+             {"/explain/00000000000000b2", "/explain/", "/explain/../metrics"}) {
+            EXPECT_EQ(ask(target).status, 404U) << target;
+        }
+        EXPECT_NE(ask("/metrics").body.find("poplar_tasks_unplaced_total"), std::string::npos);
+    }
+}
+
 // Guards against a takeover after which the log does not tell which process the owner has followed.
 TEST(EntryProcess, TakeoverNamesThePredecessor)
 {
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -19,12 +19,14 @@
 #include "poplarstream/edge/worker_registry.hpp"  // for applyRegistry, logUnusableEntries
 #include "poplarstream/engine/account_loads.hpp"  // for accountLoads
 #include "poplarstream/engine/evacuation.hpp"  // for evacuate
+#include "poplarstream/engine/explain_job.hpp"  // for explainJob
 #include "poplarstream/engine/job_events.hpp"  // for submitJob, cancelJob, tickJobs
 #include "poplarstream/engine/job_queries.hpp"  // for stateOf, waitingJobs
 #include "poplarstream/engine/neighbours.hpp"  // for reviewNeighbours
 #include "poplarstream/engine/plan_pacing.hpp"  // for PlanPacing
 #include "poplarstream/engine/planning.hpp"  // for planStarts
 #include "poplarstream/engine/separation.hpp"  // for separateFillers
+#include "poplarstream/engine/unplaced_tasks.hpp"  // for reviewUnplacedTasks
 #include "poplarstream/engine/worker_events.hpp"  // for dropCommands
 #include "poplarstream/engine/worker_health.hpp"  // for rescheduleStragglers
 #include "poplarstream/engine/worker_polling.hpp"  // for pollWorkers
@@ -205,6 +207,7 @@
                 engine::tickJobs(engine, clockReadingNow());
             }
             engine::reviewNeighbours(engine, now);
+            engine::reviewUnplacedTasks(engine, now);
             deleteForgottenJobs();
             engine.needsPlan = true;
         }
@@ -505,6 +508,11 @@
     state_->lending.respond(request, done);
 }
 
+std::vector<std::string> OwnerSession::explainJob(const engine::JobId &id) const
+{
+    return engine::explainJob(state_->engine, id, steadyNow());
+}
+
 std::string OwnerSession::metrics() const
 {
     return sessionMetrics(state_->engine, state_->shard.index, state_->unusableEntries.count,
--- a/src/poplarstream/edge/session_metrics.cpp
+++ b/src/poplarstream/edge/session_metrics.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/edge/account_metrics.hpp"  // for accountMetrics
+#include "poplarstream/engine/unplaced_tasks.hpp"  // for reportedSteps
 
 namespace poplarstream::edge {
 
@@ -23,9 +24,12 @@
     text += fmt::format("poplar_image_pairs{{shard=\"{0}\"}} {1}\n"
                         "poplar_image_pairs_harmful{{shard=\"{0}\"}} {2}\n"
                         "poplar_pace_commands_total{{shard=\"{0}\"}} {3}\n"
-                        "poplar_tasks_separated_total{{shard=\"{0}\"}} {4}\n",
+                        "poplar_tasks_separated_total{{shard=\"{0}\"}} {4}\n"
+                        "poplar_steps_unplaced{{shard=\"{0}\"}} {5}\n"
+                        "poplar_tasks_unplaced_total{{shard=\"{0}\"}} {6}\n",
                         shard, engine.interference.pairs.size(), engine.interference.harmful,
-                        engine.paceCommands, engine.tasksSeparated);
+                        engine.paceCommands, engine.tasksSeparated, engine::reportedSteps(engine),
+                        engine.tasksUnplaced);
     for (const engine::ReleaseCause cause : engine::allReleaseCauses) {
         text += fmt::format("poplar_tasks_released_total{{shard=\"{}\",cause=\"{}\"}} {}\n", shard,
                             engine::causeText(cause),
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -61,11 +61,37 @@
             candidate.freeCapacity.cpuMilli};
 }
 
+bool isListed(const Worker &worker)
+{
+    return worker.isListed && !worker.isGone;
+}
+
+// Why a listed worker gets no tasks at all.
+PlacementObstacle obstacleOf(const Worker &worker, TimePoint now)
+{
+    return worker.reachability != Reachability::Reachable ? PlacementObstacle::Unreachable
+           : worker.entry.isDraining                      ? PlacementObstacle::Draining
+           : worker.isCordoned                            ? PlacementObstacle::Cordoned
+           : !worker.unexpectedAttempts.empty()           ? PlacementObstacle::UnknownRuns
+           : worker.quarantinedUntil > now                ? PlacementObstacle::Quarantined
+                                                          : PlacementObstacle::None;
+}
+
 bool mayGetTasks(const Worker &worker, TimePoint now)
 {
-    return worker.isListed && !worker.isGone && worker.reachability == Reachability::Reachable
-           && !worker.entry.isDraining && !worker.isCordoned && worker.unexpectedAttempts.empty()
-           && worker.quarantinedUntil <= now;
+    return isListed(worker) && obstacleOf(worker, now) == PlacementObstacle::None;
+}
+
+bool contains(std::span<const WorkerIncarnation> workers, const PlacementCandidate &candidate)
+{
+    return std::find(workers.begin(), workers.end(), candidate.worker->entry.incarnation)
+           != workers.end();
+}
+
+// Whether filling and serving tasks would share the worker where they must not.
+bool isKeptApart(const PlacementCandidate &candidate, const jobs::StepSpec &step, int conflicts)
+{
+    return disturbs(candidate, step) && (!candidate.mayShare || conflicts > 0);
 }
 
 PlacementCandidate candidateFor(const Engine &engine, Worker &worker)
@@ -141,6 +167,17 @@
     return std::move(placementCandidates(engine, services, now).at(service));
 }
 
+std::vector<PlacementCandidate> listedWorkers(Engine &engine, const ServiceId &service)
+{
+    std::vector<PlacementCandidate> candidates;
+    for (auto &[incarnation, worker] : engine.workers) {
+        if (worker.entry.service == service && isListed(worker)) {
+            candidates.push_back(candidateFor(engine, worker));
+        }
+    }
+    return candidates;
+}
+
 bool needsCounts(const jobs::StepSpec &step)
 {
     return step.antiAffinity > 0 || step.longRunning;
@@ -168,32 +205,50 @@
            || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
 }
 
+bool hasRoomFor(const PlacementCandidate &candidate, const jobs::StepSpec &step,
+                const PlacementCounts &counts)
+{
+    // Most candidates fail the first test.
+    return capacityUsedBy(step).fits(candidate.freeCapacity)
+           && (step.antiAffinity <= 0
+               || countAt(counts.onWorker, candidate.worker->entry.incarnation) < step.antiAffinity)
+           && isSuitable(candidate, step);
+}
+
+PlacementObstacle obstacleAt(const PlacementCandidate &candidate, const jobs::StepSpec &step,
+                             std::span<const WorkerIncarnation> avoid, TimePoint now)
+{
+    const PlacementObstacle own = obstacleOf(*candidate.worker, now);
+    if (own != PlacementObstacle::None) {
+        return own;
+    }
+    if (contains(avoid, candidate)) {
+        return PlacementObstacle::Failed;
+    }
+    const int conflicts =
+            conflictsAt(*candidate.worker, interference::conflictsOf(*candidate.pairs, step.image));
+    return isKeptApart(candidate, step, conflicts) ? PlacementObstacle::Neighbours
+                                                   : PlacementObstacle::None;
+}
+
 PlacementCandidate *chooseCandidate(std::vector<PlacementCandidate> &candidates,
                                     const jobs::StepSpec &step, const PlacementCounts &counts,
                                     const std::vector<WorkerIncarnation> &avoid, const RackId *rack,
                                     bool isSuspect)
 {
-    const jobs::Resources need = capacityUsedBy(step);
     const std::vector<std::string> conflicts =
             candidates.empty() ? std::vector<std::string>{}
                                : interference::conflictsOf(*candidates.front().pairs, step.image);
     PlacementCandidate *best = nullptr;
     std::optional<Cost> bestCost;
     for (PlacementCandidate &candidate : candidates) {
-        // Most candidates fail the first test.
-        if (!need.fits(candidate.freeCapacity)) {
-            continue;
-        }
-        const WorkerIncarnation &incarnation = candidate.worker->entry.incarnation;
-        const bool isFull =
-                step.antiAffinity > 0 && countAt(counts.onWorker, incarnation) >= step.antiAffinity;
-        if (isFull || !isSuitable(candidate, step)
+        if (!hasRoomFor(candidate, step, counts)
             || (rack != nullptr && candidate.worker->entry.rack != *rack)
-            || std::find(avoid.begin(), avoid.end(), incarnation) != avoid.end()) {
+            || contains(avoid, candidate)) {
             continue;
         }
         const int conflictsHere = conflictsAt(*candidate.worker, conflicts);
-        if (disturbs(candidate, step) && (!candidate.mayShare || conflictsHere > 0)) {
+        if (isKeptApart(candidate, step, conflictsHere)) {
             continue;
         }
         const Cost cost = costOf(candidate, step, counts, conflictsHere, isSuspect);
--- a/src/poplarstream/engine/waiting_work.cpp
+++ b/src/poplarstream/engine/waiting_work.cpp
@@ -1,11 +1,11 @@
 #include "poplarstream/engine/waiting_work.hpp"
 
-#include <algorithm>  // for count_if, max
+#include <algorithm>  // for max
 #include <optional>  // for optional
 #include <unordered_map>  // for unordered_map
 
 #include "poplarstream/engine/account_caps.hpp"  // for ownedCap, longRunningUseOf
-#include "poplarstream/jobs/queries.hpp"  // for isFinal, isStepReady, isWaiting
+#include "poplarstream/jobs/queries.hpp"  // for countDue, isFinal, isStepReady
 
 namespace poplarstream::engine {
 
@@ -51,12 +51,7 @@
                 || !jobs::isStepReady(job, occurrence, static_cast<int>(i))) {
                 continue;
             }
-            const auto &tasks = occurrence.steps[i];
-            const auto count =
-                    std::count_if(tasks.begin(), tasks.end(), [now](const jobs::Task &task) {
-                        return jobs::isWaiting(task) && task.notBefore <= now;
-                    });
-            if (count > 0) {
+            if (const int count = jobs::countDue(occurrence.steps[i], now); count > 0) {
                 addStep(account, job.submission.spec.steps[i], count);
             }
         }
--- a/src/poplarstream/jobs/queries.cpp
+++ b/src/poplarstream/jobs/queries.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/jobs/queries.hpp"
 
-#include <algorithm>  // for all_of, any_of, max, find_if
+#include <algorithm>  // for all_of, any_of, count_if, max, find_if
 
 #include <boost/container/small_vector.hpp>  // for small_vector
 
@@ -60,6 +60,13 @@
     return !task.isDone && !task.isGivenUp && task.attempts.empty();
 }
 
+int countDue(std::span<const Task> tasks, TimePoint now)
+{
+    return static_cast<int>(std::count_if(tasks.begin(), tasks.end(), [now](const Task &task) {
+        return isWaiting(task) && task.notBefore <= now;
+    }));
+}
+
 bool isStepReady(const Job &job, const Occurrence &occurrence, int step)
 {
     const auto &after = job.submission.spec.steps[static_cast<std::size_t>(step)].after;
--- a/src/poplarstream/main/command_line.cpp
+++ b/src/poplarstream/main/command_line.cpp
@@ -120,7 +120,10 @@
     if (command == "explain") {
         return fmt::format("usage: poplarstream explain ID --operators IP:PORT --token-file FILE\n"
                            "Prints the recorded decisions about a host, run, wave, change or "
-                           "request.\n{}",
+                           "request.\n"
+                           "On the users' platform: what the tasks of job ID wait for, from the "
+                           "metrics address\n"
+                           "of the entry host that owns its shard, without a token.\n{}",
                            operatorOptions);
     }
     if (command == "events") {
--- a/src/poplarstream/main/entry.cpp
+++ b/src/poplarstream/main/entry.cpp
@@ -91,8 +91,8 @@
                                process_.handlePeerRequest(request, respond);
                            })
                && listenOn(settings.metrics,
-                           [this](const HttpRequest &, const HttpRespond &respond) {
-                               respond({200, {{"Content-Type", "text/plain"}}, process_.metrics()});
+                           [this](const HttpRequest &request, const HttpRespond &respond) {
+                               respond(process_.respondToOperator(request));
                            });
     }
 
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -113,6 +113,7 @@
         pairForgotten,
         taskPaced,
         taskSeparated,
+        taskUnplaced,
 };
 
 }  // namespace
