Start lasting tasks beside a conflict when no other worker has room

Cause: a pair of images named as harmful, and on deployments without paces that act in time any sharing of filling and serving tasks, was a condition of placement without a second choice. A test asserted it. Change: how tasks share a worker is the first part of its cost (Sharing); conflict comes last, after workers on which the task failed and after other racks for gangs, and never for copies. Where no pace acts in time, lasting filling tasks are stopped beside a target that stays missed and rest for 4 s, within mayMiss. Evacuation and the restart of stalled tasks had the same condition and take the same way out. What has to share is paced, and parted when there is room again, as before. Tests: the four of Sharing and two of FillerPace fail with the condition put back, and pass without it. FillerPace.SharesOnlyWherePacesAreInForce asserted the fault: that a filling task waits for good on a deployment without paces or with a named pair. Its cases now assert that it starts, that it is paced or rests beside a missed target, and that other room comes first.

--- a/include/poplarstream/engine/filler_pace.hpp
+++ b/include/poplarstream/engine/filler_pace.hpp
@@ -6,9 +6,9 @@
 
 namespace poplarstream::engine {
 
-// Whether filling tasks may run beside serving ones where there is no other room: the deployment
-// has paces, and they take effect well within the time that a target may be missed.
-bool maySharePaced(const EngineLimits &limits);
+// Whether the deployment has paces, and they take effect well within the time that a target may be
+// missed because of filling tasks.
+bool arePacesInTime(const EngineLimits &limits);
 
 // The highest tail latency of the tasks on a worker that serve, as a part of their target, from its
 // last report. 0 if no such task has started up, empty if none has a figure.
--- a/include/poplarstream/engine/placement.hpp
+++ b/include/poplarstream/engine/placement.hpp
@@ -17,7 +17,13 @@
     UnknownRuns,  // it runs tasks of no job, which are being stopped
     Quarantined,
     Failed,  // the task failed there
-    Neighbours,  // filling and serving tasks that must not share a worker
+};
+
+// How filling and serving tasks would share a worker, from best to worst.
+enum class Sharing {
+    None,  // there is only one kind
+    Paced,  // paces protect the serving tasks in time
+    Harmful,  // they are known to slow each other down, or no pace acts in time
 };
 
 // A worker with its free capacity.
@@ -30,7 +36,7 @@
     bool hostsFillers = false;  // runs a filling task
     int attempts = 0;  // that run or may run there
     int suspects = 0;  // of them, of tasks that may take the worker down
-    bool mayShare = false;  // filling and serving tasks may run side by side if need be
+    bool isPaced = false;  // paces protect serving tasks from filling ones in time
     const interference::PairTable *pairs = nullptr;  // images that slow each other down
 };
 
@@ -57,24 +63,35 @@
 
 PlacementCounts countPlacements(const Engine &engine, const jobs::Occurrence &occurrence, int step);
 
-// The best candidate for a task of `step`, or null. Skips the workers in `avoid` and, if `rack` is
-// set, all other racks. A suspected task prefers workers without other tasks, and all tasks prefer
-// workers without suspected ones, and without tasks that they slow down or that slow them down.
-// Filling and serving tasks share a worker only where paces are in force, no other worker has room,
-// and they are not known to slow each other down.
+// Which candidates a task may get.
+struct PlacementLimits
+{
+    std::span<const WorkerIncarnation> avoid = {};  // workers to skip
+    const RackId *rack = nullptr;  // if set, all other racks are skipped
+    Sharing worstSharing = Sharing::Harmful;
+    bool isSuspect = false;  // the task may take its worker down
+};
+
+// The best candidate for a task of `step`, or null. A suspected task prefers workers without other
+// tasks, and all tasks prefer workers without suspected ones, and without tasks that they slow down
+// or that slow them down. Filling and serving tasks share a worker where no other has room, and
+// where they are known to slow each other down only as the last resort: a lasting task must not
+// wait for good beside free capacity.
 PlacementCandidate *chooseCandidate(std::vector<PlacementCandidate> &candidates,
                                     const jobs::StepSpec &step, const PlacementCounts &counts,
-                                    const std::vector<WorkerIncarnation> &avoid, const RackId *rack,
-                                    bool isSuspect = false);
+                                    const PlacementLimits &limits);
+
+// Whether tasks of `step` fill, or serve with a latency target.
+bool fillsOrServes(const jobs::StepSpec &step);
 
 // Whether the worker has the free capacity and the label for a task of `step`, and fewer tasks of
 // it than the step allows.
 bool hasRoomFor(const PlacementCandidate &candidate, const jobs::StepSpec &step,
                 const PlacementCounts &counts);
 
-// Why a worker with room doesn't get a task that failed on the workers in `avoid`.
-PlacementObstacle obstacleAt(const PlacementCandidate &candidate, const jobs::StepSpec &step,
-                             std::span<const WorkerIncarnation> avoid, TimePoint now);
+// Why a worker with room doesn't get a task that failed on the workers in `failedOn`.
+PlacementObstacle obstacleAt(const PlacementCandidate &candidate,
+                             std::span<const WorkerIncarnation> failedOn, TimePoint now);
 
 // Whether the worker has the labels that `step` requires. Ignores free capacity.
 bool isSuitable(const PlacementCandidate &candidate, const jobs::StepSpec &step);
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -182,6 +182,7 @@
     TaskMix mix;  // of `attempts`
     TimePoint observedAt{};  // when its figures were last taken note of
     interference::PaceControl paceControl;  // of its filling tasks
+    TimePoint targetMissedSince{};  // unset: no serving task there is over its target
 
     std::int64_t tokenBump = 0;  // raised to fence commands that got no response
     bool wantsPromptPoll = false;  // the next poll must not wait for a completion
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -320,9 +320,11 @@
         "None; `load` is the highest tail latency beside it as a part of the target. With "
         "no_effect=yes the target was missed while nothing filled. If it repeats for one worker, "
         "add workers to the pool."};
-inline constexpr EventKind taskSeparated{
-        783, EventLevel::Info, "task-separated", "task run worker inputs",
-        "None; the filling task starts on a worker without serving tasks."};
+inline constexpr EventKind taskSeparated{783, EventLevel::Info, "task-separated",
+                                         "task run worker inputs",
+                                         "None; the filling task starts on a worker without "
+                                         "serving tasks, or, where no pace acts in "
+                                         "time and there is none, after a rest of 4 s."};
 inline constexpr EventKind taskUnplaced{
         784, EventLevel::Warning, "task-unplaced", "task run worker inputs",
         "`tasks` of the step of `task` have been waiting for `waits_ms` although `with_room` of "
--- a/src/poplarstream/engine/evacuation.cpp
+++ b/src/poplarstream/engine/evacuation.cpp
@@ -63,9 +63,10 @@
     std::vector<PlacementCandidate> candidates =
             placementCandidates(engine, serviceOf(engine, job), now);
     const PlacementCounts counts = countPlacements(engine, occurrence, ref.task.step);
+    const WorkerIncarnation avoid[] = {attempt->worker};
     // Beyond its account's cap, as after a change of the cap, it could not start elsewhere.
     if (mayRestart(engine, job, step)
-        && chooseCandidate(candidates, step, counts, {attempt->worker}, nullptr) != nullptr) {
+        && chooseCandidate(candidates, step, counts, {.avoid = avoid}) != nullptr) {
         stopAttempt(engine, ref, now);
     } else {
         hold(worker, {ref.task, missing, false});
--- a/src/poplarstream/engine/filler_pace.cpp
+++ b/src/poplarstream/engine/filler_pace.cpp
@@ -101,7 +101,7 @@
 
 }  // namespace
 
-bool maySharePaced(const EngineLimits &limits)
+bool arePacesInTime(const EngineLimits &limits)
 {
     return limits.paceDelay > Milliseconds{0} && limits.paceDelay <= maxPaceDelay
            && limits.disruption >= shortestDisruption;
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -6,7 +6,7 @@
 #include <tuple>  // for tuple, make_tuple
 
 #include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy, stepOf, findJob
-#include "poplarstream/engine/filler_pace.hpp"  // for maySharePaced
+#include "poplarstream/engine/filler_pace.hpp"  // for arePacesInTime
 #include "poplarstream/jobs/queries.hpp"  // for findTask, isFinal
 
 namespace poplarstream::engine {
@@ -20,13 +20,6 @@
     return found == map.end() ? 0 : found->second;
 }
 
-// Filling tasks may raise the latency of tasks with a latency target on the same worker.
-bool disturbs(const PlacementCandidate &candidate, const jobs::StepSpec &step)
-{
-    return (step.fills && candidate.hostsServing)
-           || (step.target > Milliseconds{0} && candidate.hostsFillers);
-}
-
 // The number of tasks on the worker of an image in `conflicts`.
 int conflictsAt(const Worker &worker, const std::vector<std::string> &conflicts)
 {
@@ -37,20 +30,30 @@
     return count;
 }
 
-using Cost = std::tuple<int, int, int, int, int, int, int, int, std::int64_t>;
+// `conflicts` counts the tasks there that slow a task of `step` down or are slowed down by it.
+Sharing sharingAt(const PlacementCandidate &candidate, const jobs::StepSpec &step, int conflicts)
+{
+    const bool isShared = (step.fills && candidate.hostsServing)
+                          || (step.target > Milliseconds{0} && candidate.hostsFillers);
+    return !isShared                             ? Sharing::None
+           : candidate.isPaced && conflicts == 0 ? Sharing::Paced
+                                                 : Sharing::Harmful;
+}
+
+using Cost = std::tuple<Sharing, int, int, int, int, int, int, int, std::int64_t>;
 
 // Lower is better. Keeps filling and serving tasks apart. Keeps tasks that may take their worker
 // down apart, and tasks of images that slow each other down. Avoids workers that will be emptied
 // soon. Long-running tasks share workers with each other but are spread over racks. Prefers the
 // fullest worker, so that idle workers can be given to other pools.
 Cost costOf(const PlacementCandidate &candidate, const jobs::StepSpec &step,
-            const PlacementCounts &counts, int conflicts, bool isSuspect)
+            const PlacementCounts &counts, Sharing sharing, int conflicts, bool isSuspect)
 {
     const WorkerEntry &entry = candidate.worker->entry;
     const bool isRemote = !step.affinityRack.empty() && entry.rack.text() != step.affinityRack;
     const int onRack = step.longRunning ? countAt(counts.onRack, entry.rack) : 0;
     const bool isFresh = step.longRunning && !candidate.hostsLongRunning;
-    return {disturbs(candidate, step) ? 1 : 0,
+    return {sharing,
             candidate.suspects,
             isSuspect ? candidate.attempts : 0,
             isRemote ? 1 : 0,
@@ -88,18 +91,12 @@
            != workers.end();
 }
 
-// Whether filling and serving tasks would share the worker where they must not.
-bool isKeptApart(const PlacementCandidate &candidate, const jobs::StepSpec &step, int conflicts)
-{
-    return disturbs(candidate, step) && (!candidate.mayShare || conflicts > 0);
-}
-
 PlacementCandidate candidateFor(const Engine &engine, Worker &worker)
 {
     PlacementCandidate candidate;
     candidate.worker = &worker;
     candidate.pairs = &engine.interference;
-    candidate.mayShare = maySharePaced(engine.limits);
+    candidate.isPaced = arePacesInTime(engine.limits);
     candidate.freeCapacity = worker.entry.capacity;
     candidate.freeCapacity -= worker.used;
     candidate.attempts = static_cast<int>(worker.attempts.size());
@@ -215,26 +212,23 @@
            && isSuitable(candidate, step);
 }
 
-PlacementObstacle obstacleAt(const PlacementCandidate &candidate, const jobs::StepSpec &step,
-                             std::span<const WorkerIncarnation> avoid, TimePoint now)
+PlacementObstacle obstacleAt(const PlacementCandidate &candidate,
+                             std::span<const WorkerIncarnation> failedOn, TimePoint now)
 {
     const PlacementObstacle own = obstacleOf(*candidate.worker, now);
-    if (own != PlacementObstacle::None) {
-        return own;
-    }
-    if (contains(avoid, candidate)) {
-        return PlacementObstacle::Failed;
-    }
-    const int conflicts =
-            conflictsAt(*candidate.worker, interference::conflictsOf(*candidate.pairs, step.image));
-    return isKeptApart(candidate, step, conflicts) ? PlacementObstacle::Neighbours
-                                                   : PlacementObstacle::None;
+    return own == PlacementObstacle::None && contains(failedOn, candidate)
+                   ? PlacementObstacle::Failed
+                   : own;
+}
+
+bool fillsOrServes(const jobs::StepSpec &step)
+{
+    return step.fills || step.target > Milliseconds{0};
 }
 
 PlacementCandidate *chooseCandidate(std::vector<PlacementCandidate> &candidates,
                                     const jobs::StepSpec &step, const PlacementCounts &counts,
-                                    const std::vector<WorkerIncarnation> &avoid, const RackId *rack,
-                                    bool isSuspect)
+                                    const PlacementLimits &limits)
 {
     const std::vector<std::string> conflicts =
             candidates.empty() ? std::vector<std::string>{}
@@ -243,15 +237,16 @@
     std::optional<Cost> bestCost;
     for (PlacementCandidate &candidate : candidates) {
         if (!hasRoomFor(candidate, step, counts)
-            || (rack != nullptr && candidate.worker->entry.rack != *rack)
-            || contains(avoid, candidate)) {
+            || (limits.rack != nullptr && candidate.worker->entry.rack != *limits.rack)
+            || contains(limits.avoid, candidate)) {
             continue;
         }
         const int conflictsHere = conflictsAt(*candidate.worker, conflicts);
-        if (isKeptApart(candidate, step, conflictsHere)) {
+        const Sharing sharing = sharingAt(candidate, step, conflictsHere);
+        if (sharing > limits.worstSharing) {
             continue;
         }
-        const Cost cost = costOf(candidate, step, counts, conflictsHere, isSuspect);
+        const Cost cost = costOf(candidate, step, counts, sharing, conflictsHere, limits.isSuspect);
         if (!bestCost || cost < *bestCost) {
             best = &candidate;
             bestCost = cost;
--- a/src/poplarstream/engine/placement_report.cpp
+++ b/src/poplarstream/engine/placement_report.cpp
@@ -29,8 +29,6 @@
         {PlacementObstacle::UnknownRuns, "unknown_runs", "still run tasks of no known job"},
         {PlacementObstacle::Quarantined, "quarantined", "are in quarantine after failures"},
         {PlacementObstacle::Failed, "failed_there", "have just failed one of its tasks"},
-        {PlacementObstacle::Neighbours, "neighbours",
-         "host tasks that must not share a worker with it"},
 };
 
 // How many tasks of the step fit on the candidate, at most `limit`.
@@ -69,7 +67,7 @@
         if (slots > 0) {
             ++report.withRoom;
             report.slots += slots;
-            ++report.obstacles[obstacleAt(candidate, spec, failedOn, now)];
+            ++report.obstacles[obstacleAt(candidate, failedOn, now)];
         }
     }
     return report;
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -89,6 +89,30 @@
                || task.notBefore + failedWorkerAvoidance <= now);
 }
 
+// The best candidate for a waiting task. Prefers a worker on which the task failed to one where
+// filling and serving tasks harm each other, and waits for the former while it may not be used yet.
+PlacementCandidate *candidateFor(std::vector<PlacementCandidate> &candidates,
+                                 const jobs::Task &task, const jobs::StepSpec &step,
+                                 const PlacementCounts &counts, TimePoint now)
+{
+    const bool mayRetry = mayRetryOnFailedWorker(task, step, candidates, now);
+    PlacementLimits limits{.isSuspect = isSuspect(task)};
+    for (const Sharing worst : {Sharing::Paced, Sharing::Harmful}) {
+        limits.worstSharing = worst;
+        limits.avoid = task.failedOn;
+        PlacementCandidate *found = chooseCandidate(candidates, step, counts, limits);
+        if (found == nullptr && mayRetry) {
+            limits.avoid = {};
+            found = chooseCandidate(candidates, step, counts, limits);
+        }
+        const bool mayHarm = fillsOrServes(step) && (mayRetry || task.failedOn.empty());
+        if (found != nullptr || !mayHarm) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
 // Which of the waiting tasks of a step were placed.
 struct PlacedTasks
 {
@@ -118,11 +142,7 @@
         if (!passesGate(engine, gates, place.job, step)) {
             return placed;  // as tasks of the account end, the others follow
         }
-        PlacementCandidate *candidate =
-                chooseCandidate(candidates, step, counts, task.failedOn, nullptr, isSuspect(task));
-        if (candidate == nullptr && mayRetryOnFailedWorker(task, step, candidates, now)) {
-            candidate = chooseCandidate(candidates, step, counts, {}, nullptr, isSuspect(task));
-        }
+        PlacementCandidate *const candidate = candidateFor(candidates, task, step, counts, now);
         if (candidate != nullptr) {
             addAttempt(engine, place, index, task.lastRun + 1, *candidate, counts, now);
             placed.any = true;
@@ -139,14 +159,13 @@
 // Indexes of the candidates for all tasks of a gang, or none if they don't all fit.
 std::vector<std::size_t> candidatesForGang(const std::vector<PlacementCandidate> &candidates,
                                            const jobs::StepSpec &step, std::size_t count,
-                                           const RackId *rack, bool isSuspect)
+                                           const PlacementLimits &limits)
 {
     std::vector<PlacementCandidate> trial = candidates;
     PlacementCounts counts;
     std::vector<std::size_t> chosen;
     for (std::size_t i = 0; i < count; ++i) {
-        PlacementCandidate *const candidate =
-                chooseCandidate(trial, step, counts, {}, rack, isSuspect);
+        PlacementCandidate *const candidate = chooseCandidate(trial, step, counts, limits);
         if (candidate == nullptr) {
             return {};
         }
@@ -157,9 +176,10 @@
     return chosen;
 }
 
-std::vector<std::size_t> candidatesForGang(const std::vector<PlacementCandidate> &candidates,
-                                           const jobs::StepSpec &step, std::size_t count,
-                                           bool isSuspect)
+// The same, on one rack if the step asks for it and a rack has room.
+std::vector<std::size_t> candidatesOnFewRacks(const std::vector<PlacementCandidate> &candidates,
+                                              const jobs::StepSpec &step, std::size_t count,
+                                              PlacementLimits limits)
 {
     if (step.sameRack) {
         std::set<RackId> racks;
@@ -167,13 +187,14 @@
             racks.insert(candidate.worker->entry.rack);
         }
         for (const RackId &rack : racks) {
-            if (auto chosen = candidatesForGang(candidates, step, count, &rack, isSuspect);
-                !chosen.empty()) {
+            limits.rack = &rack;
+            if (auto chosen = candidatesForGang(candidates, step, count, limits); !chosen.empty()) {
                 return chosen;
             }
         }
+        limits.rack = nullptr;
     }
-    return candidatesForGang(candidates, step, count, nullptr, isSuspect);
+    return candidatesForGang(candidates, step, count, limits);
 }
 
 PlacedTasks planGang(Engine &engine, const StepRef &place,
@@ -197,8 +218,12 @@
     if (!passesGateAsGang(engine, gates, place.job, step)) {
         return {};
     }
-    const std::vector<std::size_t> chosen =
-            candidatesForGang(candidates, step, tasks.size(), hasSuspect);
+    PlacementLimits limits{.worstSharing = Sharing::Paced, .isSuspect = hasSuspect};
+    std::vector<std::size_t> chosen = candidatesOnFewRacks(candidates, step, tasks.size(), limits);
+    if (chosen.empty() && fillsOrServes(step)) {
+        limits.worstSharing = Sharing::Harmful;
+        chosen = candidatesOnFewRacks(candidates, step, tasks.size(), limits);
+    }
     if (chosen.empty()) {
         return {.any = false, .all = false};
     }
@@ -247,8 +272,11 @@
                         continue;
                     }
                     PlacementCounts counts = countPlacements(engine, occurrence, place.step);
-                    PlacementCandidate *const candidate = chooseCandidate(
-                            own->second, step, counts, {task.attempts[0].worker}, nullptr);
+                    // A copy is not worth harming other tasks.
+                    const WorkerIncarnation avoid[] = {task.attempts[0].worker};
+                    PlacementCandidate *const candidate =
+                            chooseCandidate(own->second, step, counts,
+                                            {.avoid = avoid, .worstSharing = Sharing::Paced});
                     if (candidate != nullptr) {
                         addAttempt(engine, place, index, task.lastRun + 1, *candidate, counts, now);
                     }
--- a/src/poplarstream/engine/separation.cpp
+++ b/src/poplarstream/engine/separation.cpp
@@ -8,9 +8,10 @@
 #include "poplarstream/engine/account_caps.hpp"  // for mayRestart
 #include "poplarstream/engine/attempts.hpp"  // for findAttempt, stepOf, stopAttempt
 #include "poplarstream/engine/evacuation.hpp"  // for otherTasksNotReady
-#include "poplarstream/engine/filler_pace.hpp"  // for highestLoad
+#include "poplarstream/engine/filler_pace.hpp"  // for arePacesInTime, highestLoad
 #include "poplarstream/engine/placement.hpp"  // for chooseCandidate, countPlacements
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
+#include "poplarstream/jobs/queries.hpp"  // for findTask
 
 namespace poplarstream::engine {
 
@@ -22,6 +23,12 @@
 // A task that has just started is not moved again.
 constexpr Milliseconds shortestStay{15'000};
 constexpr Milliseconds separationInterval{1000};
+// Where no pace acts in time, a target that is missed for longer than this stops the filling tasks.
+// A stop and the reports of the worker take up to 2 s more, and a target may be missed for 4 s.
+constexpr Milliseconds missedTolerance{1000};
+// A task that was stopped so rests for this time, unless it has room elsewhere: less than the 9 s
+// that a lasting task may be away.
+constexpr Milliseconds restAfterHarm{4000};
 
 // Whether the task is known to slow down a serving task on its worker.
 bool harmsNeighbour(const Engine &engine, const Worker &worker, const jobs::StepSpec &step)
@@ -37,22 +44,36 @@
 {
     std::vector<PlacementCandidate> candidates =
             placementCandidates(engine, serviceOf(engine, job), now);
-    for (PlacementCandidate &candidate : candidates) {
-        candidate.mayShare = false;
-    }
     const PlacementCounts counts =
             countPlacements(engine, job.occurrences.at(ref.task.occurrence), ref.task.step);
-    return chooseCandidate(candidates, stepOf(job, ref.task), counts, {worker}, nullptr) != nullptr;
+    const WorkerIncarnation avoid[] = {worker};
+    return chooseCandidate(candidates, stepOf(job, ref.task), counts,
+                           {.avoid = avoid, .worstSharing = Sharing::None})
+           != nullptr;
 }
 
-bool shouldMove(Engine &engine, const Worker &worker, const AttemptRef &ref, TimePoint now)
+// Whether the task runs, and may be stopped to spare serving tasks. Gangs and tasks that end by
+// themselves would lose their work.
+bool mayBeStopped(Engine &engine, const AttemptRef &ref, TimePoint now)
 {
     const jobs::Job &job = engine.jobs.at(ref.task.job);
     const jobs::StepSpec &step = stepOf(job, ref.task);
     const jobs::Attempt *const attempt = findAttempt(engine, ref);
     if (!step.fills || step.target > Milliseconds{0} || !step.longRunning || step.gang
-        || attempt == nullptr || attempt->phase != jobs::AttemptPhase::Running
-        || attempt->confirmedAt + shortestStay > now) {
+        || attempt == nullptr || attempt->phase != jobs::AttemptPhase::Running) {
+        return false;
+    }
+    const int missing =
+            otherTasksNotReady(engine, job.occurrences.at(ref.task.occurrence), ref.task, now);
+    return missing < std::max(step.mayMiss, 1) && mayRestart(engine, job, step);
+}
+
+bool shouldMove(Engine &engine, const Worker &worker, const AttemptRef &ref, TimePoint now)
+{
+    const jobs::Job &job = engine.jobs.at(ref.task.job);
+    const jobs::StepSpec &step = stepOf(job, ref.task);
+    const jobs::Attempt *const attempt = findAttempt(engine, ref);
+    if (attempt == nullptr || attempt->confirmedAt + shortestStay > now) {
         return false;
     }
     const bool isPaced = attempt->pacedSince != TimePoint{};
@@ -61,14 +82,55 @@
     if (!isLong && !((isPaced || isOver) && harmsNeighbour(engine, worker, step))) {
         return false;
     }
-    const int missing =
-            otherTasksNotReady(engine, job.occurrences.at(ref.task.occurrence), ref.task, now);
-    return missing < std::max(step.mayMiss, 1) && mayRestart(engine, job, step)
+    return mayBeStopped(engine, ref, now)
            && hasOtherRoom(engine, job, ref, worker.entry.incarnation, now);
 }
 
+void recordSeparation(Engine &engine, const Worker &worker, const AttemptRef &ref, TimePoint now)
+{
+    const jobs::Attempt &attempt = *findAttempt(engine, ref);
+    ++engine.tasksSeparated;
+    recordDecision(engine, DecisionKind::TaskSeparated, ref, worker.entry.incarnation.id,
+                   fmt::format("pace={} paced_ms={} missed_ms={}", attempt.pacePercent,
+                               ageMs(attempt.pacedSince, now),
+                               ageMs(worker.targetMissedSince, now)));
+}
+
+// Stops the filling tasks on a worker where a target has been missed for some time.
+void stopFillers(Engine &engine, Worker &worker, TimePoint now)
+{
+    if (worker.targetMissedSince == TimePoint{}
+        || now < worker.targetMissedSince + missedTolerance) {
+        return;
+    }
+    const auto attempts = worker.attempts;
+    for (const auto &[ref, decisivePoll] : attempts) {
+        if (!mayBeStopped(engine, ref, now)) {
+            continue;
+        }
+        const bool hasRoom = hasOtherRoom(engine, engine.jobs.at(ref.task.job), ref,
+                                          worker.entry.incarnation, now);
+        if (!hasRoom) {
+            jobs::findTask(engine.jobs.at(ref.task.job), ref.task)->notBefore = now + restAfterHarm;
+        }
+        recordSeparation(engine, worker, ref, now);
+        stopAttempt(engine, ref, now);
+    }
+}
+
 }  // namespace
 
+void noteTargets(Engine &engine, Worker &worker, TimePoint now)
+{
+    const bool isMissed = worker.mix.serving > 0 && highestLoad(engine, worker).value_or(0) > 1;
+    worker.targetMissedSince = !isMissed                                 ? TimePoint{}
+                               : worker.targetMissedSince == TimePoint{} ? now
+                                                                         : worker.targetMissedSince;
+    if (isMissed && worker.mix.filling > 0 && !arePacesInTime(engine.limits) && engine.mayStart) {
+        stopFillers(engine, worker, now);
+    }
+}
+
 void separateFillers(Engine &engine, TimePoint now)
 {
     if (now < engine.separatedAt + separationInterval || !engine.mayStart) {
@@ -83,11 +145,7 @@
             if (shouldMove(engine, worker, ref, now)) {
                 const AttemptRef moved = ref;
                 engine.separatedAt = now;
-                ++engine.tasksSeparated;
-                recordDecision(engine, DecisionKind::TaskSeparated, moved, incarnation.id,
-                               fmt::format("pace={} paced_ms={}",
-                                           findAttempt(engine, moved)->pacePercent,
-                                           ageMs(findAttempt(engine, moved)->pacedSince, now)));
+                recordSeparation(engine, worker, moved, now);
                 stopAttempt(engine, moved, now);
                 return;
             }
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -12,6 +12,7 @@
 #include "poplarstream/engine/filler_pace.hpp"  // for paceFillers
 #include "poplarstream/engine/incarnations.hpp"  // for endIncarnation, restartWorker
 #include "poplarstream/engine/neighbours.hpp"  // for observeNeighbours
+#include "poplarstream/engine/separation.hpp"  // for noteTargets
 #include "poplarstream/engine/worker_health.hpp"  // for updateWorkerHealth, recordWorkerSuccess
 #include "poplarstream/jobs/commands.hpp"  // for recordCompletion
 #include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt
@@ -295,6 +296,7 @@
     }
     observeNeighbours(engine, *worker, now);
     paceFillers(engine, *worker, now);
+    noteTargets(engine, *worker, now);
     if (!response->isPartial) {
         releaseMissing(engine, *worker, pollNumber, *response, now);
     }
--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -106,8 +106,9 @@
             placementCandidates(engine, serviceOf(engine, job), now);
     const PlacementCounts counts =
             countPlacements(engine, job.occurrences.at(ref.task.occurrence), ref.task.step);
+    const WorkerIncarnation avoid[] = {attempt.worker};
     if (mayRestart(engine, job, step)
-        && chooseCandidate(candidates, step, counts, {attempt.worker}, nullptr) != nullptr) {
+        && chooseCandidate(candidates, step, counts, {.avoid = avoid}) != nullptr) {
         stopAttempt(engine, ref, now);
     }
 }
--- a/src/poplarstream/engine/worker_polling.cpp
+++ b/src/poplarstream/engine/worker_polling.cpp
@@ -19,7 +19,7 @@
 // While a suspected task may be about to take its worker down, the worker's responses show in time
 // that it does not, should the worker end for another reason.
 constexpr Milliseconds suspectPollWait{50};
-// Where filling tasks run beside serving ones, their paces follow the figures of half a second.
+// Where filling tasks run beside serving ones, the owner follows the figures of half a second.
 constexpr Milliseconds sharedPollWait{450};
 // A worker that is not back after this time is forgotten; most restart within seconds.
 constexpr Milliseconds lapsedRunMemory{60'000};
@@ -40,10 +40,9 @@
     return false;
 }
 
-bool needsPaces(const Engine &engine, const Worker &worker)
+bool isShared(const Worker &worker)
 {
-    return engine.limits.paceDelay > Milliseconds{0} && worker.mix.serving > 0
-           && worker.mix.filling > 0;
+    return worker.mix.serving > 0 && worker.mix.filling > 0;
 }
 
 void sendPoll(Engine &engine, Worker &worker, TimePoint now)
@@ -65,7 +64,7 @@
         && !worker.wantsPromptPoll) {
         poll.wait = hasUnprovenSuspect(engine, worker) ? suspectPollWait
                     : hasStartingTask(engine, worker)  ? startingTaskPollWait
-                    : needsPaces(engine, worker)       ? sharedPollWait
+                    : isShared(worker)                 ? sharedPollWait
                                                        : maxPollWait;
     }
     worker.wantsPromptPoll = false;
