Let lasting tasks use quarantined workers as the last resort

What callers saw: no case has shown it. Quarantine doubles from 1.5 to 12 s and excluded the worker altogether. Change: a lasting task without any other worker gets one in quarantine, 1.5 s after that worker's last failure or refusal at the earliest. Tasks with a limit of attempts, gangs, copies and evacuations are placed as before.

--- a/include/poplarstream/engine/placement.hpp
+++ b/include/poplarstream/engine/placement.hpp
@@ -31,6 +31,7 @@
 {
     Worker *worker = nullptr;
     jobs::Resources freeCapacity;
+    bool isQuarantined = false;  // gets lasting tasks that have no other worker, and nothing else
     bool hostsLongRunning = false;  // runs a long-running task
     bool hostsServing = false;  // runs a task with a latency target
     bool hostsFillers = false;  // runs a filling task
@@ -40,7 +41,8 @@
     const interference::PairTable *pairs = nullptr;  // images that slow each other down
 };
 
-// The workers of a service that may get a task now.
+// The workers of a service that may get a task now, with those in quarantine that may get one as
+// the last resort.
 std::vector<PlacementCandidate> placementCandidates(Engine &engine, const ServiceId &service,
                                                     TimePoint now);
 
@@ -49,7 +51,8 @@
 placementCandidates(Engine &engine, std::span<const ServiceId *const> services, TimePoint now);
 
 // All workers of a service in the registry, also those that may get no tasks.
-std::vector<PlacementCandidate> listedWorkers(Engine &engine, const ServiceId &service);
+std::vector<PlacementCandidate> listedWorkers(Engine &engine, const ServiceId &service,
+                                              TimePoint now);
 
 // The number of tasks of one step and occurrence on each worker and each rack.
 struct PlacementCounts
@@ -69,6 +72,7 @@
     std::span<const WorkerIncarnation> avoid = {};  // workers to skip
     const RackId *rack = nullptr;  // if set, all other racks are skipped
     Sharing worstSharing = Sharing::Harmful;
+    bool mayUseQuarantined = false;
     bool isSuspect = false;  // the task may take its worker down
 };
 
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -202,7 +202,8 @@
     std::int64_t completionsStored = 0;  // highest one whose effect is durable
     TimePoint idleSince{};
     std::set<JobId> failedJobs;  // jobs with a run that failed there since the last success
-    TimePoint quarantinedUntil{};  // gets no tasks before
+    TimePoint quarantinedAt{};  // when the last quarantine began
+    TimePoint quarantinedUntil{};  // gets no tasks before, but as the last resort
     int quarantineCount = 0;  // each doubles the next quarantine, up to a limit
     TimePoint silentSince{};  // when it last stopped responding
     std::vector<ExposedRun> lapsedRuns;  // there when its leases expired, until it responds
--- a/include/poplarstream/engine/worker_health.hpp
+++ b/include/poplarstream/engine/worker_health.hpp
@@ -15,6 +15,11 @@
 // Keeps new tasks off a worker for a while, longer each time.
 void quarantine(Engine &engine, Worker &worker, TimePoint now);
 
+// Whether a worker in quarantine may get a task that loses little by a failure and has no other
+// worker. False for the time of a first quarantine, so that such tasks are not started on a worker
+// that refuses them without end.
+bool mayTryQuarantined(const Worker &worker, TimePoint now);
+
 // Finds tasks without progress on workers that respond. Stops those that can start elsewhere and
 // quarantines workers with several of them. Tasks of speculative steps get a copy instead.
 void rescheduleStragglers(Engine &engine, TimePoint now);
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -7,6 +7,7 @@
 
 #include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy, stepOf, findJob
 #include "poplarstream/engine/filler_pace.hpp"  // for arePacesInTime
+#include "poplarstream/engine/worker_health.hpp"  // for mayTryQuarantined
 #include "poplarstream/jobs/queries.hpp"  // for findTask, isFinal
 
 namespace poplarstream::engine {
@@ -82,7 +83,12 @@
 
 bool mayGetTasks(const Worker &worker, TimePoint now)
 {
-    return isListed(worker) && obstacleOf(worker, now) == PlacementObstacle::None;
+    if (!isListed(worker)) {
+        return false;
+    }
+    const PlacementObstacle obstacle = obstacleOf(worker, now);
+    return obstacle == PlacementObstacle::None
+           || (obstacle == PlacementObstacle::Quarantined && mayTryQuarantined(worker, now));
 }
 
 bool contains(std::span<const WorkerIncarnation> workers, const PlacementCandidate &candidate)
@@ -91,10 +97,11 @@
            != workers.end();
 }
 
-PlacementCandidate candidateFor(const Engine &engine, Worker &worker)
+PlacementCandidate candidateFor(const Engine &engine, Worker &worker, TimePoint now)
 {
     PlacementCandidate candidate;
     candidate.worker = &worker;
+    candidate.isQuarantined = worker.quarantinedUntil > now;
     candidate.pairs = &engine.interference;
     candidate.isPaced = arePacesInTime(engine.limits);
     candidate.freeCapacity = worker.entry.capacity;
@@ -150,7 +157,7 @@
                 });
         if (own != services.end() && mayGetTasks(worker, now)) {
             byService[static_cast<std::size_t>(own - services.begin())]->push_back(
-                    candidateFor(engine, worker));
+                    candidateFor(engine, worker, now));
         }
     }
     countSuspects(engine, candidates);
@@ -164,12 +171,13 @@
     return std::move(placementCandidates(engine, services, now).at(service));
 }
 
-std::vector<PlacementCandidate> listedWorkers(Engine &engine, const ServiceId &service)
+std::vector<PlacementCandidate> listedWorkers(Engine &engine, const ServiceId &service,
+                                              TimePoint now)
 {
     std::vector<PlacementCandidate> candidates;
     for (auto &[incarnation, worker] : engine.workers) {
         if (worker.entry.service == service && isListed(worker)) {
-            candidates.push_back(candidateFor(engine, worker));
+            candidates.push_back(candidateFor(engine, worker, now));
         }
     }
     return candidates;
@@ -238,7 +246,8 @@
     for (PlacementCandidate &candidate : candidates) {
         if (!hasRoomFor(candidate, step, counts)
             || (limits.rack != nullptr && candidate.worker->entry.rack != *limits.rack)
-            || contains(limits.avoid, candidate)) {
+            || contains(limits.avoid, candidate)
+            || (candidate.isQuarantined && !limits.mayUseQuarantined)) {
             continue;
         }
         const int conflictsHere = conflictsAt(*candidate.worker, conflicts);
--- a/src/poplarstream/engine/placement_report.cpp
+++ b/src/poplarstream/engine/placement_report.cpp
@@ -61,7 +61,7 @@
     const auto first = std::find_if(tasks.begin(), tasks.end(), jobs::isWaiting);
     const std::vector<WorkerIncarnation> failedOn =
             first == tasks.end() ? std::vector<WorkerIncarnation>{} : first->failedOn;
-    for (const PlacementCandidate &candidate : listedWorkers(engine, serviceOf(engine, job))) {
+    for (const PlacementCandidate &candidate : listedWorkers(engine, serviceOf(engine, job), now)) {
         ++report.workers;
         const int slots = slotsAt(candidate, spec, counts, report.waiting);
         if (slots > 0) {
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -1,6 +1,6 @@
 #include "poplarstream/engine/planning.hpp"
 
-#include <algorithm>  // for max
+#include <algorithm>  // for count_if, max
 
 #include <fmt/format.h>  // for format
 
@@ -84,13 +84,19 @@
 bool mayRetryOnFailedWorker(const jobs::Task &task, const jobs::StepSpec &step,
                             const std::vector<PlacementCandidate> &candidates, TimePoint now)
 {
-    return !task.failedOn.empty()
-           && (step.longRunning || task.failedOn.size() >= candidates.size()
-               || task.notBefore + failedWorkerAvoidance <= now);
+    if (task.failedOn.empty()) {
+        return false;
+    }
+    const auto sound = static_cast<std::size_t>(std::count_if(
+            candidates.begin(), candidates.end(),
+            [](const PlacementCandidate &candidate) { return !candidate.isQuarantined; }));
+    return step.longRunning || task.failedOn.size() >= sound
+           || task.notBefore + failedWorkerAvoidance <= now;
 }
 
 // The best candidate for a waiting task. Prefers a worker on which the task failed to one where
 // filling and serving tasks harm each other, and waits for the former while it may not be used yet.
+// A lasting task that has no other worker may get one in quarantine: its failures are not limited.
 PlacementCandidate *candidateFor(std::vector<PlacementCandidate> &candidates,
                                  const jobs::Task &task, const jobs::StepSpec &step,
                                  const PlacementCounts &counts, TimePoint now)
@@ -106,11 +112,20 @@
             found = chooseCandidate(candidates, step, counts, limits);
         }
         const bool mayHarm = fillsOrServes(step) && (mayRetry || task.failedOn.empty());
-        if (found != nullptr || !mayHarm) {
+        if (found != nullptr) {
             return found;
         }
+        if (!mayHarm) {
+            break;
+        }
+    }
+    if (!step.longRunning) {
+        return nullptr;
     }
-    return nullptr;
+    limits.worstSharing = Sharing::Harmful;
+    limits.avoid = {};
+    limits.mayUseQuarantined = true;
+    return chooseCandidate(candidates, step, counts, limits);
 }
 
 // Which of the waiting tasks of a step were placed.
--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -152,10 +152,16 @@
     recordDecision(engine, DecisionKind::WorkerQuarantined, {}, worker.entry.incarnation.id,
                    fmt::format("failed_jobs={} suspicions={}", worker.failedJobs.size(),
                                worker.quarantineCount));
+    worker.quarantinedAt = now;
     worker.quarantinedUntil = now + firstQuarantine * (1 << worker.quarantineCount);
     worker.quarantineCount = std::min(worker.quarantineCount + 1, maxQuarantineDoublings);
 }
 
+bool mayTryQuarantined(const Worker &worker, TimePoint now)
+{
+    return worker.quarantinedAt + firstQuarantine <= now;
+}
+
 void rescheduleStragglers(Engine &engine, TimePoint now)
 {
     const std::map<WorkerIncarnation, std::vector<AttemptRef>> stalledByWorker =
--- a/src/poplarstream/engine/worker_health_test.cpp
+++ b/src/poplarstream/engine/worker_health_test.cpp
@@ -1,6 +1,7 @@
 #include "poplarstream/engine/worker_health.hpp"
 
 #include <algorithm>  // for find, max
+#include <map>  // for map
 #include <random>  // for mt19937_64
 
 #include <gtest/gtest.h>  // for TEST, EXPECT_EQ
@@ -198,5 +199,49 @@
     }
 }
 
+// Guards against lasting tasks that wait for the end of a long quarantine although no other worker
+// is left: they may be away for 9 s at most.
+TEST(WorkerHealth, LastingTasksUseQuarantinedWorkersAsLastResort)
+{
+    for (const StartResult refusal : {StartResult::Started, StartResult::Unhealthy}) {
+        SCOPED_TRACE(refusal == StartResult::Started
+                             ? "given workers on which all tasks fail for half a minute"
+                             : "given workers that refuse all starts for half a minute");
+        EngineFixture fixture;
+        jobs::StepSpec lasting = step(1, 1000);
+        lasting.longRunning = true;
+        fixture.submit(submission(firstJob, lasting));
+        fixture.submit(submission(test::secondJob, lasting));
+        std::map<WorkerIncarnation, std::int64_t> ends;
+        TimePoint startedAt = fixture.now;
+        Milliseconds longestWait{0};
+        int starts = 0;
+        for (const TimePoint end = fixture.now + Milliseconds{30'000}; fixture.now < end;) {
+            fixture.now += Milliseconds{100};
+            std::map<WorkerIncarnation, std::vector<CompletionReport>> failed;
+            for (const StartCommand &start : fixture.start()) {
+                ++starts;
+                longestWait = std::max(longestWait, fixture.now - startedAt);
+                startedAt = fixture.now;
+                fixture.answerStart(start, refusal);
+                if (refusal == StartResult::Started) {
+                    const WorkerIncarnation &worker = start.target.worker;
+                    failed[worker].push_back({++ends[worker], start.task, start.run,
+                                              jobs::AttemptResult::Failed, ""});
+                }
+            }
+            for (const PollCommand &command : fixture.poll()) {
+                fixture.answer(command.target.worker.id.text(), {}, failed[command.target.worker]);
+            }
+            fixture.store();
+        }
+        EXPECT_LT(std::max(longestWait, fixture.now - startedAt), Milliseconds{9000});
+        {
+            SCOPED_TRACE("then they are not started on them without end either");
+            EXPECT_LT(starts, 100);
+        }
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream::engine
