Ask for the permission of each order right before it is written

Cause: a permission with a time limit was checked once for a batch of orders, and the HTTP client wrote calls that had waited for a connection without looking at their deadline, which timers notice late after a freeze. Change: MachineController asks for each order, and hands the port a function that the HTTP client calls right before it writes (HttpCallOptions::mayWrite). The client writes nothing after a call's deadline, by CLOCK_BOOTTIME, for all calls. What is held back is reported as not sent, logged (720, permitted_ms_ago, result=withheld) and counted. Two tests of the client that write at their very deadline now use a clock that stands still, since the client would otherwise withhold the request when a millisecond passes; they assert what they did.

--- a/include/poplarstream/adapters/http_client.hpp
+++ b/include/poplarstream/adapters/http_client.hpp
@@ -7,7 +7,8 @@
 #include <string_view>  // for string_view
 
 #include "poplarstream/adapters/http_message.hpp"  // for HttpRequest, HttpResponse, HttpEndpoint
-#include "poplarstream/base/time.hpp"  // for Milliseconds
+#include "poplarstream/base/boot_clock.hpp"  // for bootTime
+#include "poplarstream/base/time.hpp"  // for Milliseconds, TimePoint
 #include "poplarstream/base/verdict.hpp"  // for Verdict
 
 namespace boost::asio {
@@ -23,6 +24,8 @@
     Milliseconds connectTimeout{1000};
     std::uint32_t headerBytes = 16 * 1024;
     std::uint64_t bodyBytes = 8 * 1024 * 1024;
+    // Must go on while the process is paused, so that no request is written after its deadline.
+    std::function<TimePoint()> clock = bootTime;
 };
 
 // How far a request got.
@@ -41,6 +44,7 @@
     DeadlinePassed,
     ConnectionLost,
     InvalidResponse,  // not HTTP, too large, without a length, or for another request
+    Withheld,  // the caller no longer permitted the request when it was about to be written
     BadRequest,  // a header or the target cannot be written
     Cancelled,
 };
@@ -56,12 +60,17 @@
 
 struct HttpCallOptions
 {
-    // Covers waiting for a connection, connecting, sending and receiving. A response that has
-    // arrived by then is still read.
+    // Covers waiting for a connection, connecting, sending and receiving. Nothing is written after
+    // it, also if the process was paused meanwhile. A response that has arrived by then is still
+    // read.
     Milliseconds deadline{1000};
     // When not empty, the response must repeat the request's value of this header. If it does not,
     // the call fails with InvalidResponse and its connection is closed.
     std::string echoHeader;
+    // When set, asked right before the request is written, which may be long after send() returned.
+    // If it returns false, the call ends as NotSent with HttpError::Withheld. Must not use the
+    // client.
+    std::function<bool()> mayWrite;
 };
 
 struct HttpClientCounts
@@ -71,6 +80,7 @@
     std::uint64_t unresponsiveConnections = 0;  // closed after a probe or a call timed out
     std::uint64_t staleConnections = 0;  // found closed, or with unexpected input, before reuse
     std::uint64_t invalidResponses = 0;
+    std::uint64_t withheldRequests = 0;  // not written, after their deadline or without permission
 };
 
 // Connections of one endpoint. `open` includes the others.
--- a/include/poplarstream/edge/machine_controller.hpp
+++ b/include/poplarstream/edge/machine_controller.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>  // for function
 #include <memory>  // for shared_ptr
+#include <string>  // for string
 
 #include "poplarstream/edge/runtime.hpp"  // for Runtime
 #include "poplarstream/engine/state.hpp"  // for Engine
@@ -13,6 +14,8 @@
 {
     // Whether this process may send commands now.
     std::function<bool()> mayIssueCommands;
+    // When the newest confirmed renewal was sent.
+    std::function<TimePoint()> confirmedAt;
     // Renews the ownership at once, in a record that names the machines. Not every machine checks
     // fencing tokens, so commands of an owner that was replaced during a network partition must be
     // unlikely.
@@ -40,6 +43,9 @@
 
     void applyWave(const pools::Wave &wave);
 
+    // Metrics in the Prometheus text format.
+    std::string metrics() const;
+
     // Begins to send commands. A machine in `cooldownUntil`, which an earlier owner commanded
     // recently, gets none before the time given there.
     void start(std::map<pools::MachineId, TimePoint> cooldownUntil);
--- a/include/poplarstream/edge/ports.hpp
+++ b/include/poplarstream/edge/ports.hpp
@@ -146,7 +146,10 @@
 struct MachinePort
 {
     std::function<void(const std::string &page, std::function<void(MachinePage)>)> list;
-    std::function<void(const pools::MachineCommand &, std::function<void(pools::CommandResult)>)>
+    // Sends a command unless `mayWrite`, which is asked right before it leaves, returns false; then
+    // the result is NotDone.
+    std::function<void(const pools::MachineCommand &, std::function<bool()> mayWrite,
+                       std::function<void(pools::CommandResult)>)>
             command;
 };
 
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -173,10 +173,13 @@
 inline constexpr EventKind decisionsSuppressed{
         719, EventLevel::Warning, "decisions-suppressed", "count",
         "None; the log is bounded under load. The counters on the metrics page are complete."};
-inline constexpr EventKind machineOrdered{720, EventLevel::Info, "machine-ordered",
-                                          "machine order to result",
-                                          "None; a command that was not carried out is repeated or "
-                                          "given up, depending on its result."};
+inline constexpr EventKind machineOrdered{
+        720, EventLevel::Info, "machine-ordered", "machine order to result permitted_ms_ago",
+        "None; a command that was not carried out is repeated or "
+        "given up, depending on its result. `permitted_ms_ago` is "
+        "the age of the permission when the command was written; "
+        ""
+        "withheld: it had run out by then."};
 inline constexpr EventKind waveReported{721, EventLevel::Info, "wave-reported", "wave completed",
                                         "None."};
 inline constexpr EventKind poolSized{
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -42,6 +42,7 @@
         self.waves = {}  # wave -> (machine names, cap)
         self.is_slow = False
         self.maintained = {}  # wave -> names of the machines whose maintenance has started
+        self.order_waiters = []  # futures of next_order()
         for pool, count in pools.items():
             for _ in range(count):
                 name = "m%d" % (len(self.machines) + 1)
@@ -146,6 +147,16 @@
         token = int(request.headers["X-Fencing-Token"])
         self.history.add("machine-order", machine=machine.name, holder=holder, token=token,
                          order=command)
+        for waiting in self.order_waiters:
+            if not waiting.done():
+                waiting.set_result(holder)
+        self.order_waiters.clear()
+
+    async def next_order(self):
+        """Waits for an order and returns the name of its sender."""
+        waiting = asyncio.get_running_loop().create_future()
+        self.order_waiters.append(waiting)
+        return await waiting
 
     async def _move(self, request):
         if self.is_slow:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -34,6 +34,14 @@
 STORE_LOSS_AFTER_CUT_MAX_S = 2.0
 
 
+# Share of the soaks in which the process that orders a machine is paused as its order arrives, for
+# longer than an ownership is valid, so that the rest of its batch would follow a successor's orders.
+ORDER_PAUSE_RATIO = 0.4
+ORDER_PAUSE_MIN_S, ORDER_PAUSE_MAX_S = 4.0, 8.0
+# A deployment without moves or waves sends no orders.
+ORDER_TIMEOUT_S = 10.0
+
+
 class Fault:
     def __init__(self, kind, start_s, duration_s, fraction):
         # `fraction` in [0, 1) selects the target or the strength of the fault.
@@ -106,6 +114,17 @@
     return losses
 
 
+def draw_order_pauses(seed, seconds):
+    """Draws pauses at the moment of a batch of orders, the first one at that of the early wave. Uses
+    a generator of its own, so that the other faults of a seed stay the same."""
+    rng = random.Random("order pauses of %s" % seed)
+    if rng.random() >= ORDER_PAUSE_RATIO:
+        return []
+    return [Fault("pause_at_order", start_s, rng.uniform(ORDER_PAUSE_MIN_S, ORDER_PAUSE_MAX_S),
+                  rng.random())
+            for start_s in (0.0, rng.uniform(0.0, seconds))]
+
+
 class Injector:
     """Injects faults into the processes, store and machines of a soak, and reverts them.
 
@@ -159,6 +178,19 @@
         await asyncio.sleep(fault.duration_s)
         entry.signal(signal.SIGCONT)
 
+    async def pause_at_order(self, fault):
+        """Pauses the process whose order for a machine arrives next; another wave soon follows."""
+        try:
+            name = await asyncio.wait_for(self.fleet.next_order(), ORDER_TIMEOUT_S)
+        except asyncio.TimeoutError:
+            return
+        entry = next(entry for entry in self.entries if entry.name == name)
+        entry.signal(signal.SIGSTOP)
+        self.fleet.history.add("paused-at-order", holder=name)
+        await self.wave(fault)
+        await asyncio.sleep(fault.duration_s)
+        entry.signal(signal.SIGCONT)
+
     async def restart(self, fault):
         self._chosen_entry(fault).stop_for(signal.SIGTERM, 0.2)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,8 +12,8 @@
 from soak.callers import FINAL_STATES, Callers
 from soak.fleet import Fleet
 from soak.history import History
-from soak.plan import (Injector, ZoneCut, config_text, draw_faults, draw_store_losses,
-                       draw_zone_cuts)
+from soak.plan import (Injector, ZoneCut, config_text, draw_faults, draw_order_pauses,
+                       draw_store_losses, draw_zone_cuts)
 from soak.processes import EntryProcess, default_binary, loopback_network, zone_of_client
 from soak.serving import serve
 from soak.store import Store
@@ -106,6 +106,7 @@
         await self._submit_until_accepted()
         faults = draw_faults(self.random, self.options.seconds, self.options.faults)
         faults += self.zone_cuts
+        faults += draw_order_pauses(self.seed, self.options.seconds)
         faults += draw_store_losses(
             self.seed, [fault for fault in self.zone_cuts if isinstance(fault, ZoneCut)])
         (self.folder / "faults.txt").write_text("".join("%s\n" % fault for fault in faults))
--- a/src/poplarstream/adapters/http_call.hpp
+++ b/src/poplarstream/adapters/http_call.hpp
@@ -31,6 +31,7 @@
     std::uint64_t number = 0;
     HttpEndpoint endpoint;
     boost::asio::steady_timer deadline;
+    TimePoint writeBefore{};  // by the clock of the client's limits
     HttpRequest request;
     HttpCallOptions options;
     HttpCallback callback;
--- a/src/poplarstream/adapters/http_client.cpp
+++ b/src/poplarstream/adapters/http_client.cpp
@@ -73,6 +73,7 @@
                                                std::move(callback));
         call->number = ++lastCall;
         call->endpoint = endpoint;
+        call->writeBefore = limits.clock() + call->options.deadline;
         calls[call->number] = call;
         waitForDeadline(call, call->options.deadline);
         return call;
@@ -159,6 +160,16 @@
         }
     }
 
+    // Timers run late after a pause, so the deadline is checked here as well.
+    HttpError reasonToWithhold(const HttpCall &call) const
+    {
+        if (limits.clock() > call.writeBefore) {
+            return HttpError::DeadlinePassed;
+        }
+        return call.options.mayWrite && !call.options.mayWrite() ? HttpError::Withheld
+                                                                 : HttpError::None;
+    }
+
     // Assigns waiting calls to idle connections and opens connections for the rest.
     void pump(const HttpEndpoint &endpoint)
     {
@@ -170,7 +181,12 @@
             }
             const Call call = pool.waiting.front();
             pool.waiting.pop_front();
-            idle->startCall(call, Phase::Busy);
+            if (const HttpError reason = reasonToWithhold(*call); reason != HttpError::None) {
+                ++counts.withheldRequests;
+                reject(call, reason);
+            } else {
+                idle->startCall(call, Phase::Busy);
+            }
         }
         while (pool.count(Phase::Connecting) < pool.waiting.size()
                && pool.connections.size() < limits.connectionsPerEndpoint) {
@@ -397,6 +413,8 @@
         return "no answer in time";
     case HttpError::ConnectionLost:
         return "connection lost";
+    case HttpError::Withheld:
+        return "no longer permitted";
     case HttpError::InvalidResponse:
         return "invalid answer";
     case HttpError::BadRequest:
--- a/src/poplarstream/adapters/http_client_test.cpp
+++ b/src/poplarstream/adapters/http_client_test.cpp
@@ -28,16 +28,18 @@
     }
 
     // Sends `GET /N`, where N is the index of its outcome.
-    std::uint64_t send(Milliseconds deadline = Milliseconds{5000}, const std::string &echo = "")
+    std::uint64_t send(Milliseconds deadline = Milliseconds{5000}, const std::string &echo = "",
+                       std::function<bool()> mayWrite = {})
     {
         const std::size_t index = outcomes.size();
         outcomes.emplace_back();
         HttpRequest request{"GET", "/" + std::to_string(index), {}, {}, {}};
         request.headers.push_back({"Poplar-Request-Id", "r" + std::to_string(index)});
-        return client().send(endpoint, request, {deadline, echo}, [this, index](HttpOutcome out) {
-            EXPECT_FALSE(outcomes[index]) << "called twice";
-            outcomes[index] = std::move(out);
-        });
+        return client().send(endpoint, request, {deadline, echo, std::move(mayWrite)},
+                             [this, index](HttpOutcome out) {
+                                 EXPECT_FALSE(outcomes[index]) << "called twice";
+                                 outcomes[index] = std::move(out);
+                             });
     }
 
     bool runUntilEnded(std::size_t index)
@@ -339,6 +341,7 @@
     constexpr std::size_t calls = 300;
     limits.connectionsPerEndpoint = calls;
     limits.waitingPerEndpoint = calls;
+    limits.clock = [] { return timePoint(0); };  // all requests are written at their deadline
     for (std::size_t i = 0; i < calls; ++i) {
         send();
     }
@@ -368,6 +371,7 @@
 // read what has arrived.
 TEST_F(HttpClientTest, PartOfAResponseDoesNotHoldTheCall)
 {
+    limits.clock = [] { return timePoint(0); };  // the request is written at its deadline
     send();
     ASSERT_TRUE(runUntilReceived(0, "GET /0"));
     server.peers[0]->send(okResponse("first"));
@@ -378,5 +382,74 @@
     expect(1, HttpDelivery::MayHaveBeenSent, HttpError::DeadlinePassed);
 }
 
+// Guards against an order that leaves a paused process after its time: a request that waited for a
+// connection during the pause must not be written, and must be reported as not sent.
+TEST_F(HttpClientTest, NothingIsWrittenAfterItsDeadline)
+{
+    SCOPED_TRACE("given two requests whose connections are busy, and two that wait for one");
+    TimePoint now = timePoint(1'000'000);
+    limits.clock = [&now] { return now; };
+    send();
+    send();
+    ASSERT_TRUE(runUntilReceived(0, "GET /0"));
+    ASSERT_TRUE(runUntilReceived(1, "GET /1"));
+    send(Milliseconds{1500});
+    send(Milliseconds{60'000});
+    {
+        SCOPED_TRACE("when the process is paused for longer than the deadline of the third");
+        now += Milliseconds{5000};
+        server.peers[0]->send(okResponse("late"));
+        ASSERT_TRUE(runUntilEnded(2));
+        {
+            SCOPED_TRACE("then it is not written, and the fourth takes its connection");
+            expect(2, HttpDelivery::NotSent, HttpError::DeadlinePassed);
+            ASSERT_TRUE(runUntilReceived(0, "GET /3"));
+            EXPECT_FALSE(server.peers[0]->has("GET /2"));
+            EXPECT_EQ(client().counts().withheldRequests, 1U);
+            server.peers[0]->send(okResponse("fine"));
+            ASSERT_TRUE(runUntilEnded(3));
+            expect(3, HttpDelivery::Answered, HttpError::None);
+        }
+    }
+    {
+        SCOPED_TRACE("when the clock is set back, then requests are written as before");
+        now -= Milliseconds{100'000};
+        send();
+        ASSERT_TRUE(runUntilReceived(0, "GET /4"));
+    }
+}
+
+// Guards against an order under a permission that has run out while the order waited for a
+// connection or for the end of a connect.
+TEST_F(HttpClientTest, PermissionIsAskedRightBeforeWriting)
+{
+    SCOPED_TRACE("given a request that waits for the connect to its endpoint");
+    bool isPermitted = true;
+    const auto mayWrite = [&isPermitted] { return isPermitted; };
+    send(Milliseconds{5000}, "", mayWrite);
+    EXPECT_FALSE(outcomes[0]);
+    {
+        SCOPED_TRACE("when its permission ends, then it is not sent, and the connection is kept");
+        isPermitted = false;
+        ASSERT_TRUE(runUntilEnded(0));
+        expect(0, HttpDelivery::NotSent, HttpError::Withheld);
+        isPermitted = true;
+        send(Milliseconds{5000}, "", mayWrite);
+        ASSERT_TRUE(runUntilReceived(0, "GET /1"));
+        EXPECT_FALSE(server.peers[0]->has("GET /0"));
+        EXPECT_EQ(client().counts().connects, 1U);
+    }
+    {
+        SCOPED_TRACE("when an idle connection is there, then no callback runs within send()");
+        server.peers[0]->send(okResponse("fine"));
+        ASSERT_TRUE(runUntilEnded(1));
+        isPermitted = false;
+        send(Milliseconds{5000}, "", mayWrite);
+        EXPECT_FALSE(outcomes[2]);
+        ASSERT_TRUE(runUntilEnded(2));
+        expect(2, HttpDelivery::NotSent, HttpError::Withheld);
+    }
+}
+
 }  // namespace
 }  // namespace poplarstream
--- a/src/poplarstream/edge/machine_controller.cpp
+++ b/src/poplarstream/edge/machine_controller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for copy_if, max
 #include <iterator>  // for back_inserter
+#include <optional>  // for optional
 
 #include <fmt/format.h>  // for format
 
@@ -58,6 +59,13 @@
                                           : std::string("no-site"));
 }
 
+// What became of the permission of a command that was handed to the platform's port.
+struct Permission
+{
+    bool isWithheld = false;  // it had run out when the command was about to be written
+    std::optional<Milliseconds> age;  // when the command was written; empty if it was not
+};
+
 }  // namespace
 
 struct MachineController::State : Closable<MachineController::State>
@@ -157,37 +165,58 @@
         for (const pools::MachineCommand &command : commands) {
             machineIds.push_back(command.machine.text());
         }
-        hooks.confirm(
-                std::move(machineIds),
-                guarded([commands = std::move(commands)](State &self, bool isConfirmed) {
-                    const bool maySend = isConfirmed && self.hooks.mayIssueCommands();
-                    for (const pools::MachineCommand &command : commands) {
-                        if (maySend && pools::mayBeSent(self.machines, self.engine, command)) {
-                            self.send(command);
-                        } else {
-                            pools::handleCommandResult(self.machines, self.engine, command,
-                                                       pools::CommandResult::NotDone, steadyNow());
-                        }
-                    }
-                }));
+        hooks.confirm(std::move(machineIds),
+                      guarded([commands = std::move(commands)](State &self, bool isConfirmed) {
+                          for (const pools::MachineCommand &command : commands) {
+                              if (isConfirmed && self.maySend(command)) {
+                                  self.send(command);
+                              } else {
+                                  ++self.withheld;
+                                  pools::handleCommandResult(self.machines, self.engine, command,
+                                                             pools::CommandResult::NotDone,
+                                                             steadyNow());
+                              }
+                          }
+                      }));
+    }
+
+    // Asked for each command anew: the process may have been paused since the last one, and another
+    // owner may command the machine meanwhile.
+    bool maySend(const pools::MachineCommand &command)
+    {
+        return hooks.mayIssueCommands() && pools::mayBeSent(machines, engine, command);
     }
 
     void send(const pools::MachineCommand &command)
     {
-        runtime.machines.command(command,
-                                 guarded([command](State &self, pools::CommandResult result) {
-                                     self.handleResult(command, result);
-                                 }));
+        const auto permission = std::make_shared<Permission>();
+        const auto mayWrite = [weak = weak_from_this(), command, permission] {
+            const auto self = weak.lock();
+            permission->isWithheld = !self || self->isClosed || !self->maySend(command);
+            if (!permission->isWithheld) {
+                permission->age = steadyNow() - self->hooks.confirmedAt();
+            }
+            return !permission->isWithheld;
+        };
+        runtime.machines.command(
+                command, mayWrite,
+                guarded([command, permission](State &self, pools::CommandResult result) {
+                    self.withheld += permission->isWithheld ? 1 : 0;
+                    self.handleResult(command, result, *permission);
+                }));
     }
 
-    void handleResult(const pools::MachineCommand &command, pools::CommandResult result)
+    void handleResult(const pools::MachineCommand &command, pools::CommandResult result,
+                      const Permission &permission)
     {
         const bool isMove = command.kind == pools::MachineCommand::Kind::Move;
         logEvent(events::machineOrdered,
                  {{"machine", command.machine.text()},
                   {"order", isMove ? "move" : "upkeep"},
                   {"to", isMove ? command.pool.text() : fmt::to_string(command.wave)},
-                  {"result", std::string(resultText(result))}});
+                  {"result", std::string(permission.isWithheld ? "withheld" : resultText(result))},
+                  {"permitted_ms_ago",
+                   permission.age ? fmt::to_string(permission.age->count()) : std::string()}});
         const auto wave =
                 pools::handleCommandResult(machines, engine, command, result, steadyNow());
         if (wave) {
@@ -321,6 +350,7 @@
     std::map<std::int64_t, bool> reportedWaves;  // whether the stored report says completed
     std::set<std::int64_t> reportsInFlight;
     TimePoint loggedAt{};
+    std::uint64_t withheld = 0;  // commands that were not sent, as they were not permitted any more
     bool hasList = false;
 };
 
@@ -369,6 +399,12 @@
     }
 }
 
+std::string MachineController::metrics() const
+{
+    return fmt::format("poplar_machine_commands_withheld_total{{shard=\"{}\"}} {}\n",
+                       state_->shard.index, state_->withheld);
+}
+
 void MachineController::start(std::map<pools::MachineId, TimePoint> cooldownUntil)
 {
     state_->machines.cooldownUntil = std::move(cooldownUntil);
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -86,6 +86,7 @@
         , sender(sharedRuntime)
         , machines(sharedRuntime, ownShard, engine, previous.epoch,
                    {[this] { return isLoaded && hooks.mayIssueCommands(); },
+                    [this] { return hooks.confirmedAt(); },
                     [this](std::vector<std::string> machineIds, std::function<void(bool)> done) {
                         hooks.confirm(std::move(machineIds), std::move(done));
                     },
@@ -517,7 +518,7 @@
 {
     return sessionMetrics(state_->engine, state_->shard.index, state_->unusableEntries.count,
                           state_->feed ? state_->feed->progressWithoutJob() : 0)
-           + state_->lending.metrics();
+           + state_->machines.metrics() + state_->lending.metrics();
 }
 
 }  // namespace poplarstream::edge
--- a/src/poplarstream/edge/runtime.cpp
+++ b/src/poplarstream/edge/runtime.cpp
@@ -1,21 +1,19 @@
 #include "poplarstream/edge/runtime.hpp"
 
 #include <chrono>  // for system_clock
-#include <ctime>  // for clock_gettime, CLOCK_BOOTTIME
 #include <exception>  // for exception
 #include <memory>  // for make_shared
 
 #include <boost/asio/steady_timer.hpp>  // for steady_timer
 
+#include "poplarstream/base/boot_clock.hpp"  // for bootTime
 #include "poplarstream/telemetry/event_kinds.hpp"  // for callbackFailed
 
 namespace poplarstream::edge {
 
 TimePoint steadyNow()
 {
-    timespec time{};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return timePoint(time.tv_sec * 1000 + time.tv_nsec / 1'000'000);
+    return bootTime();
 }
 
 std::int64_t unixNowMs()
