Count a crash for a start whose connection ended with the worker

A task that takes its worker down before the start is answered was started 38 times in 30 s, and its job stayed running; most workers were down most of the time. Cause: a crash counts only for a confirmed start. A start without an answer in time, which may have gone to a dead worker, and one whose connection ended under it were one result, so neither counted. Change: StartResult::ConnectionLost. Why it works: a connection ends with the process at its other end, so the worker was there when the start arrived. Test: Crashes.CrashBeforeTheStartIsAnsweredCounts; with ConnectionLost treated as Unknown, its task takes all eight workers down.

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -106,7 +106,9 @@
     TimePoint recordedAt{};
     Milliseconds aliveFor{0};
     int percent = -1;
-    bool isKnownToStart = false;  // the worker has confirmed the start or listed the run
+    // When the worker confirmed the start, listed the run, or ended the connection with the start
+    // on it; unset: the start may not have reached it.
+    TimePoint reachedAt{};
 };
 
 // A worker that stopped responding.
--- a/include/poplarstream/engine/worker_commands.hpp
+++ b/include/poplarstream/engine/worker_commands.hpp
@@ -95,7 +95,8 @@
     NoTicket,
     Unhealthy,  // overloaded or faulty; the run didn't start
     Refused,  // malformed or for another incarnation; the run didn't start
-    Unknown,  // no response; the run may still start
+    ConnectionLost,  // the connection ended with the command on it; the run may still start
+    Unknown,  // no response in time; the run may still start
 };
 
 // Of a stop command or a pace command.
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -124,6 +124,7 @@
     int percent = -1;  // last reported progress; -1: none
     TimePoint progressedAt{};  // when the percentage last changed
     bool isStraggler = false;  // makes no progress although its worker responds
+    TimePoint brokenOffAt{};  // when the connection ended on which its start was sent
     TimePoint confirmedAt{};  // when a worker first confirmed to this owner that it runs
     std::int64_t confirmedClockMs = 0;  // the worker's clock then
     TimePoint aliveAt{};  // send time of the last poll whose response listed it
--- a/src/poplarstream/edge/command_sender.cpp
+++ b/src/poplarstream/edge/command_sender.cpp
@@ -39,7 +39,8 @@
     {
         const TimePoint now = steadyNow();
         const bool isStarted = result == engine::StartResult::Started;
-        const bool isUnknown = result == engine::StartResult::Unknown;
+        const bool isUnknown = result == engine::StartResult::Unknown
+                               || result == engine::StartResult::ConnectionLost;
         const char *const outcome = isStarted ? "started" : isUnknown ? "not-known" : "refused";
         runtime.durations.record("start-order", outcome, now - sentAt);
         const jobs::Job *const job = engine::findJob(engine, id);
--- a/src/poplarstream/engine/crashes.cpp
+++ b/src/poplarstream/engine/crashes.cpp
@@ -44,11 +44,11 @@
                            std::max<std::int64_t>(worker.clockMs - attempt.confirmedClockMs, 0)};
 }
 
-// How long after the confirmed start the worker stopped responding, by this owner's clock.
+// How long after the start the worker stopped responding, by this owner's clock.
 Milliseconds silentAfter(const ExposedRun &run, const Worker &worker, TimePoint now)
 {
     const TimePoint silentAt = worker.silentSince == TimePoint{} ? now : worker.silentSince;
-    return silentAt - run.confirmedAt;
+    return silentAt - run.reachedAt;
 }
 
 ExposedRun exposedRun(const AttemptRef &ref, const jobs::Attempt &attempt, const Worker &worker,
@@ -61,7 +61,9 @@
     run.aliveAt = attempt.aliveAt;
     run.percent = attempt.percent;
     run.aliveFor = survived(attempt, worker);
-    run.isKnownToStart = attempt.confirmedAt != TimePoint{};
+    // A connection that ends with the start on it had a living worker at its other end until then.
+    // A start without a response in time may have been sent to one that was gone already.
+    run.reachedAt = attempt.confirmedAt != TimePoint{} ? attempt.confirmedAt : attempt.brokenOffAt;
     run.recordedAt = now;
     return run;
 }
@@ -169,7 +171,7 @@
         const int jobSuspicion =
                 isShared || total <= 0 ? suspicion : static_cast<int>(1000 * weights[id] / total);
         const bool mayHaveCaused =
-                run.isKnownToStart && silentAfter(run, worker, now) <= silenceWindow;
+                run.reachedAt != TimePoint{} && silentAfter(run, worker, now) <= silenceWindow;
         const jobs::CrashEffect effect =
                 candidate.weight > 0 ? jobs::recordCrash(*candidate.job, run.ref.task,
                                                          {suspicion, isShared ? 0 : jobSuspicion,
@@ -182,7 +184,9 @@
                                    "alive_ms_ago={} percent={}",
                                    candidate.task->crashes, suspicion, candidates.size() - 1,
                                    isShared, run.aliveFor.count(),
-                                   run.isKnownToStart ? silentAfter(run, worker, now).count() : -1,
+                                   run.reachedAt != TimePoint{}
+                                           ? silentAfter(run, worker, now).count()
+                                           : -1,
                                    ageMs(run.sentAt, now), ageMs(run.confirmedAt, now),
                                    ageMs(run.aliveAt, now), run.percent));
         if (candidate.weight > 0) {
--- a/src/poplarstream/engine/crashes_test.cpp
+++ b/src/poplarstream/engine/crashes_test.cpp
@@ -197,6 +197,45 @@
     EXPECT_FALSE(jobs::isFinal(fixture.job().state));
 }
 
+// Guards against a task that is started without end since it takes its worker down before that has
+// answered the start; and against blaming a task whose start found no worker any more.
+TEST(Crashes, CrashBeforeTheStartIsAnsweredCounts)
+{
+    for (const bool isSameId : {true, false}) {
+        for (const StartResult result : {StartResult::ConnectionLost, StartResult::Unknown}) {
+            SCOPED_TRACE(result == StartResult::ConnectionLost
+                                 ? "given workers that end the connection with the start on it"
+                                 : "given workers that leave the start without an answer");
+            EngineFixture fixture(8);
+            fixture.submit(submission(firstJob, step(1, 1000)));
+            int starts = 0;
+            for (int round = 0; round < 8; ++round) {
+                const auto sent = fixture.start();
+                if (sent.empty()) {
+                    break;
+                }
+                ++starts;
+                const WorkerIncarnation worker = sent.at(0).target.worker;
+                fixture.now += Milliseconds{5};
+                fixture.answerStart(sent[0], result);
+                fixture.poll();
+                handlePollResponse(fixture.engine, worker,
+                                   fixture.engine.workers.at(worker).pollNumber, {}, fixture.now);
+                fixture.now += Milliseconds{400};
+                if (isSameId) {
+                    crash(fixture, worker);
+                } else {
+                    endIncarnation(fixture.engine, worker, EndEvidence::MachineAbsent, fixture.now);
+                }
+            }
+            const bool isBlamed = result == StartResult::ConnectionLost;
+            EXPECT_EQ(fixture.job().state,
+                      isBlamed ? jobs::JobState::Failed : jobs::JobState::Running);
+            EXPECT_EQ(starts, isBlamed ? 2 : 8);
+        }
+    }
+}
+
 // Guards against blaming a task whose start the worker refused, and which thus never ran there.
 TEST(Crashes, RefusedStartsDoNotCount)
 {
--- a/src/poplarstream/engine/incarnations.cpp
+++ b/src/poplarstream/engine/incarnations.cpp
@@ -64,6 +64,7 @@
         detach(engine, ref, from, now);
         attempt->worker = next.entry.incarnation;
         attempt->confirmedAt = {};
+        attempt->brokenOffAt = {};
         attach(engine, next, job, ref, next.pollNumber + 1);
         markDirty(engine, job);
     }
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -68,6 +68,8 @@
         return "unhealthy";
     case StartResult::Refused:
         return "refused";
+    case StartResult::ConnectionLost:
+        return "connection-lost";
     case StartResult::Unknown:
         break;
     }
@@ -336,9 +338,15 @@
             engine.jobs.at(ref.task.job).hasBegun = true;
         }
         return;
+    case StartResult::ConnectionLost:
+        if (attempt != nullptr) {
+            attempt->brokenOffAt = now;
+        }
+        [[fallthrough]];
     case StartResult::Unknown:
         recordDecision(engine, DecisionKind::StartUnanswered, ref, incarnation.id,
-                       fmt::format("sent_ms_ago={} token={} last_poll={}",
+                       fmt::format("result={} sent_ms_ago={} token={} last_poll={}",
+                                   resultText(result),
                                    attempt == nullptr ? 0 : (now - attempt->startedAt).count(),
                                    currentToken(engine, *worker), worker->pollNumber));
         invalidateSentCommands(engine, *worker);
