Soak: find the process of a connection beside closed ones of its port

Cause: find_process took the first row of the local port in the kernel's table, also that of a closed connection in TIME-WAIT, which has no socket. Change: it looks at all rows of the port that have a socket. Test: Processes.test_closed_connections_of_the_port_are_passed_over fails without the change.

--- a/soak/zone_cuts.py
+++ b/soak/zone_cuts.py
@@ -40,24 +40,25 @@
 
     All processes of a soak connect from 127.0.0.1, so the address does not tell them apart.
     """
-    inode = _socket_inode(port)
-    if inode is None:
-        return None
+    sockets = {"socket:[%s]" % inode for inode in _socket_inodes(port)}
     for pid in pids:
         try:
             for descriptor in os.listdir("/proc/%d/fd" % pid):
-                if os.readlink("/proc/%d/fd/%s" % (pid, descriptor)) == "socket:[%s]" % inode:
+                if os.readlink("/proc/%d/fd/%s" % (pid, descriptor)) in sockets:
                     return pid
         except OSError:
             pass  # the process has ended or closed the descriptor meanwhile
     return None
 
 
-def _socket_inode(port):
+def _socket_inodes(port):
+    """Returns the inodes of the sockets that use the local port. Closed connections in TIME-WAIT,
+    which may have used the port before, have none."""
     suffix = ":%04X" % port
+    inodes = []
     with open("/proc/net/tcp") as table:
         for line in table:
             fields = line.split()
-            if fields[1].endswith(suffix):
-                return fields[9]
-    return None
+            if fields[1].endswith(suffix) and fields[9] != "0":
+                inodes.append(fields[9])
+    return inodes
--- a/soak/zone_cuts_test.py
+++ b/soak/zone_cuts_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import socket
 import types
 import unittest
 import unittest.mock
@@ -48,6 +49,31 @@
         self.assertFalse(cuts.hides_workers("z1"))
 
 
+class Processes(unittest.TestCase):
+    """Guards against a cut that misses a connection, since a closed one has used its port before."""
+
+    HEADER = "  sl  local_address rem_address   st tx_queue rx_queue tr tm->when retrnsmt   uid\n"
+    ROW = "%4d: 0100007F:%04X 0100007F:1F90 %02X 00000000:00000000 00:00000000 00000000 0 0 %s 1\n"
+    ESTABLISHED, TIME_WAIT = 1, 6
+
+    def find(self, rows):
+        table = self.HEADER + "".join(
+            self.ROW % (number, *row) for number, row in enumerate(rows))
+        with unittest.mock.patch("soak.zone_cuts.open", unittest.mock.mock_open(read_data=table),
+                                 create=True):
+            return find_process(40000, [os.getpid()])
+
+    def test_closed_connections_of_the_port_are_passed_over(self):
+        with socket.socket() as connection:
+            inode = os.fstat(connection.fileno()).st_ino
+            live = (40000, self.ESTABLISHED, inode)
+            closed = (40000, self.TIME_WAIT, 0)
+            for rows in ([live], [closed, live], [live, closed], [closed, closed, live]):
+                self.assertEqual(self.find(rows), os.getpid())
+            for rows in ([], [closed], [(40001, self.ESTABLISHED, inode)]):
+                self.assertIsNone(self.find(rows))
+
+
 class Connections(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.received = []
