Simplify the choice of a worker, and count only permissions that ran out

The choice of a worker for a waiting task was a loop with flags; a comment gave a time that no run had shown; commands that were never confirmed counted as withheld. Change: the choice reads as its order: apart or paced, then in conflict, then in quarantine. Only confirmed commands that are not sent count as withheld.

--- a/src/poplarstream/edge/machine_controller.cpp
+++ b/src/poplarstream/edge/machine_controller.cpp
@@ -171,7 +171,7 @@
                               if (isConfirmed && self.maySend(command)) {
                                   self.send(command);
                               } else {
-                                  ++self.withheld;
+                                  self.withheld += isConfirmed ? 1 : 0;
                                   pools::handleCommandResult(self.machines, self.engine, command,
                                                              pools::CommandResult::NotDone,
                                                              steadyNow());
@@ -350,7 +350,7 @@
     std::map<std::int64_t, bool> reportedWaves;  // whether the stored report says completed
     std::set<std::int64_t> reportsInFlight;
     TimePoint loggedAt{};
-    std::uint64_t withheld = 0;  // commands that were not sent, as they were not permitted any more
+    std::uint64_t withheld = 0;  // commands that were confirmed, but not permitted any more
     bool hasList = false;
 };
 
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -102,30 +102,25 @@
                                  const PlacementCounts &counts, TimePoint now)
 {
     const bool mayRetry = mayRetryOnFailedWorker(task, step, candidates, now);
-    PlacementLimits limits{.isSuspect = isSuspect(task)};
-    for (const Sharing worst : {Sharing::Paced, Sharing::Harmful}) {
-        limits.worstSharing = worst;
-        limits.avoid = task.failedOn;
-        PlacementCandidate *found = chooseCandidate(candidates, step, counts, limits);
-        if (found == nullptr && mayRetry) {
-            limits.avoid = {};
-            found = chooseCandidate(candidates, step, counts, limits);
-        }
-        const bool mayHarm = fillsOrServes(step) && (mayRetry || task.failedOn.empty());
-        if (found != nullptr) {
+    const auto choose = [&](Sharing worst) {
+        PlacementLimits limits{
+                .avoid = task.failedOn, .worstSharing = worst, .isSuspect = isSuspect(task)};
+        PlacementCandidate *const found = chooseCandidate(candidates, step, counts, limits);
+        if (found != nullptr || !mayRetry) {
             return found;
         }
-        if (!mayHarm) {
-            break;
-        }
+        limits.avoid = {};
+        return chooseCandidate(candidates, step, counts, limits);
+    };
+    PlacementCandidate *found = choose(Sharing::Paced);
+    if (found == nullptr && fillsOrServes(step) && (mayRetry || task.failedOn.empty())) {
+        found = choose(Sharing::Harmful);
     }
-    if (!step.longRunning) {
-        return nullptr;
+    if (found == nullptr && step.longRunning) {
+        found = chooseCandidate(candidates, step, counts,
+                                {.mayUseQuarantined = true, .isSuspect = isSuspect(task)});
     }
-    limits.worstSharing = Sharing::Harmful;
-    limits.avoid = {};
-    limits.mayUseQuarantined = true;
-    return chooseCandidate(candidates, step, counts, limits);
+    return found;
 }
 
 // Which of the waiting tasks of a step were placed.
--- a/src/poplarstream/engine/separation.cpp
+++ b/src/poplarstream/engine/separation.cpp
@@ -96,13 +96,9 @@
                                ageMs(worker.targetMissedSince, now)));
 }
 
-// Stops the filling tasks on a worker where a target has been missed for some time.
-void stopFillers(Engine &engine, Worker &worker, TimePoint now)
+// Stops the filling tasks on a worker, and lets those without other room rest.
+void stopFillers(Engine &engine, const Worker &worker, TimePoint now)
 {
-    if (worker.targetMissedSince == TimePoint{}
-        || now < worker.targetMissedSince + missedTolerance) {
-        return;
-    }
     const auto attempts = worker.attempts;
     for (const auto &[ref, decisivePoll] : attempts) {
         if (!mayBeStopped(engine, ref, now)) {
@@ -123,10 +119,15 @@
 void noteTargets(Engine &engine, Worker &worker, TimePoint now)
 {
     const bool isMissed = worker.mix.serving > 0 && highestLoad(engine, worker).value_or(0) > 1;
-    worker.targetMissedSince = !isMissed                                 ? TimePoint{}
-                               : worker.targetMissedSince == TimePoint{} ? now
-                                                                         : worker.targetMissedSince;
-    if (isMissed && worker.mix.filling > 0 && !arePacesInTime(engine.limits) && engine.mayStart) {
+    if (!isMissed) {
+        worker.targetMissedSince = {};
+        return;
+    }
+    if (worker.targetMissedSince == TimePoint{}) {
+        worker.targetMissedSince = now;
+    }
+    if (worker.mix.filling > 0 && now >= worker.targetMissedSince + missedTolerance
+        && !arePacesInTime(engine.limits) && engine.mayStart) {
         stopFillers(engine, worker, now);
     }
 }
--- a/src/poplarstream/engine/unplaced_tasks.cpp
+++ b/src/poplarstream/engine/unplaced_tasks.cpp
@@ -17,7 +17,7 @@
 // A task that waits longer than this although there is room is reported.
 constexpr Milliseconds reportedWait{3000};
 constexpr Milliseconds reviewInterval{1000};
-// Workers that one review looks at, over all steps. Takes less than a millisecond.
+// Workers that one review looks at, over all steps. Bounds its time.
 constexpr std::size_t maxWorkerVisits = 10'000;
 
 bool isUnplaced(const PlacementReport &report, const jobs::StepSpec &step)
