Say what a quarantine is based on, and count quarantined workers

Change: 730 names the last run, the cause (failures, refused-start, stalled-tasks), the age of that run, the time since the previous quarantine began, the length, and how many workers of the service are out. Metric poplar_workers_quarantined by service. No logic is changed.

--- a/include/poplarstream/edge/session_metrics.hpp
+++ b/include/poplarstream/edge/session_metrics.hpp
@@ -11,6 +11,6 @@
 // Metrics of an owner session in the Prometheus text format. `unusableEntries` counts the entries
 // of the registry that could not be read, `withoutJob` the jobs whose submission has not been read.
 std::string sessionMetrics(const engine::Engine &engine, int shard, std::uint64_t unusableEntries,
-                           std::size_t withoutJob);
+                           std::size_t withoutJob, TimePoint now);
 
 }  // namespace poplarstream::edge
--- a/include/poplarstream/engine/worker_health.hpp
+++ b/include/poplarstream/engine/worker_health.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <map>  // for map
+
 #include "poplarstream/engine/state.hpp"  // for Engine, Worker
 
 namespace poplarstream::engine {
@@ -12,8 +14,20 @@
 // Clears what was held against a worker, since it has started a task that lasts, which serves now.
 void recordWorkerSuccess(Worker &worker);
 
-// Keeps new tasks off a worker for a while, longer each time.
-void quarantine(Engine &engine, Worker &worker, TimePoint now);
+// Why a worker is put into quarantine.
+enum class QuarantineCause {
+    Failures,  // runs of several jobs failed there
+    RefusedStart,
+    StalledTasks,
+};
+
+// Keeps new tasks off a worker for a while, longer each time. `run` is the last of the runs that it
+// is based on, `startedAt` when that was planned.
+void quarantine(Engine &engine, Worker &worker, QuarantineCause cause, const AttemptRef &run,
+                TimePoint startedAt, TimePoint now);
+
+// The number of workers in the registry that are in quarantine, of each service that has any.
+std::map<ServiceId, int> quarantinedWorkers(const Engine &engine, TimePoint now);
 
 // Whether a worker in quarantine may get a task that loses little by a failure and has no other
 // worker. False for the time of a first quarantine, so that such tasks are not started on a worker
--- a/src/poplarstream/edge/owner_session.cpp
+++ b/src/poplarstream/edge/owner_session.cpp
@@ -517,7 +517,7 @@
 std::string OwnerSession::metrics() const
 {
     return sessionMetrics(state_->engine, state_->shard.index, state_->unusableEntries.count,
-                          state_->feed ? state_->feed->progressWithoutJob() : 0)
+                          state_->feed ? state_->feed->progressWithoutJob() : 0, steadyNow())
            + state_->machines.metrics() + state_->lending.metrics();
 }
 
--- a/src/poplarstream/edge/session_metrics.cpp
+++ b/src/poplarstream/edge/session_metrics.cpp
@@ -4,11 +4,12 @@
 
 #include "poplarstream/edge/account_metrics.hpp"  // for accountMetrics
 #include "poplarstream/engine/unplaced_tasks.hpp"  // for reportedSteps
+#include "poplarstream/engine/worker_health.hpp"  // for quarantinedWorkers
 
 namespace poplarstream::edge {
 
 std::string sessionMetrics(const engine::Engine &engine, int shard, std::uint64_t unusableEntries,
-                           std::size_t withoutJob)
+                           std::size_t withoutJob, TimePoint now)
 {
     std::string text = fmt::format("poplar_jobs_known{{shard=\"{0}\"}} {1}\n"
                                    "poplar_jobs_active{{shard=\"{0}\"}} {2}\n"
@@ -35,6 +36,10 @@
                             engine::causeText(cause),
                             engine.released.at(static_cast<std::size_t>(cause)));
     }
+    for (const auto &[service, count] : engine::quarantinedWorkers(engine, now)) {
+        text += fmt::format("poplar_workers_quarantined{{shard=\"{}\",service=\"{}\"}} {}\n", shard,
+                            service.text(), count);
+    }
     return text + accountMetrics(engine, shard);
 }
 
--- a/src/poplarstream/edge/stored_jobs_test.cpp
+++ b/src/poplarstream/edge/stored_jobs_test.cpp
@@ -43,7 +43,8 @@
         for (const char *const id : {firstJob, secondJob}) {
             EXPECT_NE(log.find(fmt::format("752 job-held job={}", id)), std::string::npos) << log;
         }
-        EXPECT_NE(sessionMetrics(fixture.engine, 0, 0, 0).find("poplar_jobs_held{shard=\"0\"} 2\n"),
+        EXPECT_NE(sessionMetrics(fixture.engine, 0, 0, 0, fixture.now)
+                          .find("poplar_jobs_held{shard=\"0\"} 2\n"),
                   std::string::npos);
     }
 }
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -357,7 +357,8 @@
         worker->nextPollAt = now;
         return;
     case StartResult::Unhealthy:
-        quarantine(engine, *worker, now);
+        quarantine(engine, *worker, QuarantineCause::RefusedStart, ref,
+                   attempt == nullptr ? now : attempt->startedAt, now);
         break;
     case StartResult::Fenced:
     case StartResult::Stale:
--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -1,11 +1,12 @@
 #include "poplarstream/engine/worker_health.hpp"
 
 #include <algorithm>  // for max, min, sort
+#include <string_view>  // for string_view
 
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/engine/account_caps.hpp"  // for mayRestart
-#include "poplarstream/engine/attempts.hpp"  // for findAttempt, stopAttempt, stepOf
+#include "poplarstream/engine/attempts.hpp"  // for ageMs, findAttempt, stopAttempt, stepOf
 #include "poplarstream/engine/placement.hpp"  // for placementCandidates, chooseCandidate
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
 #include "poplarstream/jobs/queries.hpp"  // for isFinal, findTask
@@ -87,6 +88,38 @@
     return stalled;
 }
 
+std::string_view causeText(QuarantineCause cause)
+{
+    switch (cause) {
+    case QuarantineCause::Failures:
+        return "failures";
+    case QuarantineCause::RefusedStart:
+        return "refused-start";
+    case QuarantineCause::StalledTasks:
+        break;
+    }
+    return "stalled-tasks";
+}
+
+// The workers of one service in the registry.
+struct ServiceWorkers
+{
+    int listed = 0;
+    int quarantined = 0;
+};
+
+ServiceWorkers workersOf(const Engine &engine, const ServiceId &service, TimePoint now)
+{
+    ServiceWorkers counts;
+    for (const auto &[incarnation, worker] : engine.workers) {
+        if (worker.entry.service == service && worker.isListed && !worker.isGone) {
+            ++counts.listed;
+            counts.quarantined += worker.quarantinedUntil > now ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
 void reschedule(Engine &engine, jobs::Job &job, const AttemptRef &ref, jobs::Attempt &attempt,
                 TimePoint now)
 {
@@ -137,7 +170,8 @@
     if (report.result == jobs::AttemptResult::Failed) {
         worker.failedJobs.insert(report.task.job);
         if (worker.failedJobs.size() >= failedJobsBeforeQuarantine) {
-            quarantine(engine, worker, now);
+            quarantine(engine, worker, QuarantineCause::Failures, {report.task, report.run},
+                       attempt->startedAt, now);
         }
     } else if (report.result == jobs::AttemptResult::Done) {
         worker.failedJobs.clear();
@@ -147,16 +181,34 @@
     }
 }
 
-void quarantine(Engine &engine, Worker &worker, TimePoint now)
+void quarantine(Engine &engine, Worker &worker, QuarantineCause cause, const AttemptRef &run,
+                TimePoint startedAt, TimePoint now)
 {
-    recordDecision(engine, DecisionKind::WorkerQuarantined, {}, worker.entry.incarnation.id,
-                   fmt::format("failed_jobs={} suspicions={}", worker.failedJobs.size(),
-                               worker.quarantineCount));
+    const Milliseconds length = firstQuarantine * (1 << worker.quarantineCount);
+    const TimePoint previousAt = worker.quarantinedAt;
     worker.quarantinedAt = now;
-    worker.quarantinedUntil = now + firstQuarantine * (1 << worker.quarantineCount);
+    worker.quarantinedUntil = now + length;
+    const ServiceWorkers workers = workersOf(engine, worker.entry.service, now);
+    recordDecision(engine, DecisionKind::WorkerQuarantined, run, worker.entry.incarnation.id,
+                   fmt::format("cause={} failed_jobs={} suspicions={} lasts_ms={} run_age_ms={} "
+                               "previous_ms_ago={} workers={} quarantined={}",
+                               causeText(cause), worker.failedJobs.size(), worker.quarantineCount,
+                               length.count(), ageMs(startedAt, now), ageMs(previousAt, now),
+                               workers.listed, workers.quarantined));
     worker.quarantineCount = std::min(worker.quarantineCount + 1, maxQuarantineDoublings);
 }
 
+std::map<ServiceId, int> quarantinedWorkers(const Engine &engine, TimePoint now)
+{
+    std::map<ServiceId, int> counts;
+    for (const auto &[incarnation, worker] : engine.workers) {
+        if (worker.isListed && !worker.isGone && worker.quarantinedUntil > now) {
+            ++counts[worker.entry.service];
+        }
+    }
+    return counts;
+}
+
 bool mayTryQuarantined(const Worker &worker, TimePoint now)
 {
     return worker.quarantinedAt + firstQuarantine <= now;
@@ -169,7 +221,9 @@
     for (const auto &[incarnation, stalled] : stalledByWorker) {
         Worker &worker = engine.workers.at(incarnation);
         if (stalled.size() >= stragglersBeforeQuarantine && worker.quarantinedUntil <= now) {
-            quarantine(engine, worker, now);
+            const jobs::Attempt *const last = findAttempt(engine, stalled.back());
+            quarantine(engine, worker, QuarantineCause::StalledTasks, stalled.back(),
+                       last == nullptr ? now : last->startedAt, now);
         }
         for (const AttemptRef &ref : stalled) {
             if (jobs::Attempt *const attempt = findAttempt(engine, ref)) {
