Ignore runs from before a quarantine as evidence after it

Cause: a quarantine doubles with each repetition, and each failure or refusal of a run that had begun before the quarantine was such a repetition; what was held against the worker stayed after it. A batch of runs that failed together put its worker out for 12 s. Class: stale evidence, which is counted again after the verdict based on it. Change: a run says something of a worker only if it was planned after the last quarantine began; what is held against it is cleared then. That holds for successes too, and for ends that another worker reports. Ruled out: a lower limit of the doubling, which keeps the same evidence. Measured: RunsFromBeforeItDoNotProlongIt failed before (12 s) and holds. In DueTasksStartAlthoughAllWorkersAreSuspected the waits beside failing workers end within 3 s, and beside refusing ones fall from 11.98 s to 4.48 s. The other two tests still fail.

--- a/include/poplarstream/engine/worker_health.hpp
+++ b/include/poplarstream/engine/worker_health.hpp
@@ -11,8 +11,13 @@
 void updateWorkerHealth(Engine &engine, Worker &worker, const CompletionReport &report,
                         TimePoint now);
 
+// Whether a run that was planned at `startedAt` says something about the state of the worker now.
+// One from before its last quarantine doesn't: the quarantine was based on it or on its like.
+bool isEvidence(const Worker &worker, TimePoint startedAt);
+
 // Clears what was held against a worker, since it has started a task that lasts, which serves now.
-void recordWorkerSuccess(Worker &worker);
+// The task was planned at `startedAt`.
+void recordWorkerSuccess(Worker &worker, TimePoint startedAt);
 
 // Why a worker is put into quarantine.
 enum class QuarantineCause {
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -168,7 +168,7 @@
         const bool serves =
                 report.percent >= jobs::readyPercent && stepOf(*job, report.task).longRunning;
         if (serves && attempt->percent < jobs::readyPercent) {
-            recordWorkerSuccess(worker);
+            recordWorkerSuccess(worker, attempt->startedAt);
         }
         attempt->percent = report.percent;
         attempt->progressedAt = now;
@@ -357,8 +357,10 @@
         worker->nextPollAt = now;
         return;
     case StartResult::Unhealthy:
-        quarantine(engine, *worker, QuarantineCause::RefusedStart, ref,
-                   attempt == nullptr ? now : attempt->startedAt, now);
+        if (attempt == nullptr || !isEvidence(*worker, attempt->startedAt)) {
+            break;
+        }
+        quarantine(engine, *worker, QuarantineCause::RefusedStart, ref, attempt->startedAt, now);
         break;
     case StartResult::Fenced:
     case StartResult::Stale:
--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -148,10 +148,17 @@
 
 }  // namespace
 
-void recordWorkerSuccess(Worker &worker)
+bool isEvidence(const Worker &worker, TimePoint startedAt)
 {
-    worker.failedJobs.clear();
-    worker.quarantineCount = 0;
+    return worker.quarantinedAt == TimePoint{} || startedAt > worker.quarantinedAt;
+}
+
+void recordWorkerSuccess(Worker &worker, TimePoint startedAt)
+{
+    if (isEvidence(worker, startedAt)) {
+        worker.failedJobs.clear();
+        worker.quarantineCount = 0;
+    }
 }
 
 void updateWorkerHealth(Engine &engine, Worker &worker, const CompletionReport &report,
@@ -159,7 +166,8 @@
 {
     const jobs::Job &job = engine.jobs.at(report.task.job);
     const jobs::Attempt *const attempt = findAttempt(engine, {report.task, report.run});
-    if (attempt == nullptr) {
+    if (attempt == nullptr || attempt->worker != worker.entry.incarnation
+        || !isEvidence(worker, attempt->startedAt)) {
         return;
     }
     const bool hasServed =
@@ -195,6 +203,7 @@
                                causeText(cause), worker.failedJobs.size(), worker.quarantineCount,
                                length.count(), ageMs(startedAt, now), ageMs(previousAt, now),
                                workers.listed, workers.quarantined));
+    worker.failedJobs.clear();
     worker.quarantineCount = std::min(worker.quarantineCount + 1, maxQuarantineDoublings);
 }
 
