Try workers in quarantine when no other can take due work

Cause: a worker in quarantine got nothing but lasting tasks. Where all workers of a service were out, tasks with a limit of attempts and gangs waited for the end of the quarantines, also long after the fault. Change: a worker on which a run succeeds that was begun after its quarantine began is trusted again at once; one whose quarantine ends without that gets one task each 0.5 s until then, not a batch. Ruled out: attempts without a bound of their rate, which spend the attempts of all waiting jobs on workers that refuse or fail; waiting for a proof by another task, which never comes where the last attempts are all that is left.

--- a/include/poplarstream/engine/decision.hpp
+++ b/include/poplarstream/engine/decision.hpp
@@ -18,6 +18,7 @@
     TaskStopped,
     TaskStalled,  // makes no progress
     WorkerQuarantined,
+    WorkerTrusted,  // a run has succeeded there after a quarantine
     WorkerEnded,  // its incarnation has ended
     WorkerUnresponsive,
     WorkerRecovered,
--- a/include/poplarstream/engine/placement.hpp
+++ b/include/poplarstream/engine/placement.hpp
@@ -16,9 +16,24 @@
     Cordoned,  // it is being emptied for maintenance or a move
     UnknownRuns,  // it runs tasks of no job, which are being stopped
     Quarantined,
+    Probation,  // it has just been tried after a quarantine
     Failed,  // the task failed there
 };
 
+// How far a worker is trusted, from best to worst.
+enum class Trust {
+    Full,
+    Probation,  // its quarantine is over, but nothing has succeeded there since
+    Quarantined,
+};
+
+// Which workers in quarantine a task may get that has no other.
+enum class LastResort {
+    None,
+    Trial,  // those of which a trial is due
+    Any,  // at a limited rate
+};
+
 // How filling and serving tasks would share a worker, from best to worst.
 enum class Sharing {
     None,  // there is only one kind
@@ -31,7 +46,9 @@
 {
     Worker *worker = nullptr;
     jobs::Resources freeCapacity;
-    bool isQuarantined = false;  // gets lasting tasks that have no other worker, and nothing else
+    Trust trust = Trust::Full;
+    bool isTrialDue = false;  // a worker that is not trusted fully may get a task
+    bool isLastResortDue = false;  // it may get one that has waited for too long
     bool hostsLongRunning = false;  // runs a long-running task
     bool hostsServing = false;  // runs a task with a latency target
     bool hostsFillers = false;  // runs a filling task
@@ -41,8 +58,7 @@
     const interference::PairTable *pairs = nullptr;  // images that slow each other down
 };
 
-// The workers of a service that may get a task now, with those in quarantine that may get one as
-// the last resort.
+// The workers of a service that may get a task now, with those in quarantine.
 std::vector<PlacementCandidate> placementCandidates(Engine &engine, const ServiceId &service,
                                                     TimePoint now);
 
@@ -72,15 +88,16 @@
     std::span<const WorkerIncarnation> avoid = {};  // workers to skip
     const RackId *rack = nullptr;  // if set, all other racks are skipped
     Sharing worstSharing = Sharing::Harmful;
-    bool mayUseQuarantined = false;
+    LastResort lastResort = LastResort::None;
     bool isSuspect = false;  // the task may take its worker down
 };
 
-// The best candidate for a task of `step`, or null. A suspected task prefers workers without other
-// tasks, and all tasks prefer workers without suspected ones, and without tasks that they slow down
-// or that slow them down. Filling and serving tasks share a worker where no other has room, and
-// where they are known to slow each other down only as the last resort: a lasting task must not
-// wait for good beside free capacity.
+// The best candidate for a task of `step`, or null. Workers on probation come after trusted ones
+// and get one task at a time, and those in quarantine only as the last resort. A suspected task
+// prefers workers without other tasks, and all tasks prefer workers without suspected ones, and
+// without tasks that they slow down or that slow them down. Filling and serving tasks share a
+// worker where no other has room, and where they are known to slow each other down only as the last
+// resort: a lasting task must not wait for good beside free capacity.
 PlacementCandidate *chooseCandidate(std::vector<PlacementCandidate> &candidates,
                                     const jobs::StepSpec &step, const PlacementCounts &counts,
                                     const PlacementLimits &limits);
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -206,7 +206,9 @@
     std::set<JobId> failedJobs;  // jobs with a run that failed there since the last success
     TimePoint quarantinedAt{};  // when the last quarantine began
     TimePoint quarantinedUntil{};  // gets no tasks before, but as the last resort
-    int quarantineCount = 0;  // each doubles the next quarantine, up to a limit
+    // Quarantines since the last success. Each doubles the next one, up to a limit.
+    int quarantineCount = 0;
+    TimePoint triedAt{};  // when it last got a task while it was not trusted fully
     TimePoint silentSince{};  // when it last stopped responding
     std::vector<ExposedRun> lapsedRuns;  // there when its leases expired, until it responds
 };
--- a/include/poplarstream/engine/worker_health.hpp
+++ b/include/poplarstream/engine/worker_health.hpp
@@ -2,6 +2,7 @@
 
 #include <map>  // for map
 
+#include "poplarstream/engine/placement.hpp"  // for Trust
 #include "poplarstream/engine/state.hpp"  // for Engine, Worker
 
 namespace poplarstream::engine {
@@ -15,9 +16,9 @@
 // One from before its last quarantine doesn't: the quarantine was based on it or on its like.
 bool isEvidence(const Worker &worker, TimePoint startedAt);
 
-// Clears what was held against a worker, since it has started a task that lasts, which serves now.
-// The task was planned at `startedAt`.
-void recordWorkerSuccess(Worker &worker, TimePoint startedAt);
+// Clears what was held against a worker and ends its quarantine, since a run that was planned at
+// `startedAt` has succeeded there.
+void recordWorkerSuccess(Engine &engine, Worker &worker, TimePoint startedAt, TimePoint now);
 
 // Why a worker is put into quarantine.
 enum class QuarantineCause {
@@ -34,10 +35,14 @@
 // The number of workers in the registry that are in quarantine, of each service that has any.
 std::map<ServiceId, int> quarantinedWorkers(const Engine &engine, TimePoint now);
 
-// Whether a worker in quarantine may get a task that loses little by a failure and has no other
-// worker. False for the time of a first quarantine, so that such tasks are not started on a worker
-// that refuses them without end.
-bool mayTryQuarantined(const Worker &worker, TimePoint now);
+Trust trustIn(const Worker &worker, TimePoint now);
+
+// Whether a worker that is not trusted fully may be tried with a task. A quarantine lasts for the
+// time of a first one at least, and a trial is given time to show a result.
+bool isTrialDue(const Worker &worker, TimePoint now);
+
+// Whether it may get a task that has waited for trusted workers for too long.
+bool isLastResortDue(const Worker &worker, TimePoint now);
 
 // Finds tasks without progress on workers that respond. Stops those that can start elsewhere and
 // quarantines workers with several of them. Tasks of speculative steps get a copy instead.
--- a/include/poplarstream/jobs/model.hpp
+++ b/include/poplarstream/jobs/model.hpp
@@ -146,6 +146,8 @@
     std::vector<Attempt> attempts;  // more than one only for speculative steps
     std::vector<WorkerIncarnation> failedOn;  // workers on which it failed
     TimePoint notBefore{};  // earliest restart after a failure
+    // Since when it has been waiting beside workers that are not trusted; unset: it hasn't.
+    TimePoint heldSince{};
 };
 
 // One execution of all steps. A job that doesn't repeat has only occurrence 0.
--- a/src/poplarstream/edge/decision_log.cpp
+++ b/src/poplarstream/edge/decision_log.cpp
@@ -33,6 +33,8 @@
         return events::jobEnded;
     case engine::DecisionKind::WorkerQuarantined:
         return events::workerSuspected;
+    case engine::DecisionKind::WorkerTrusted:
+        return events::workerTrusted;
     case engine::DecisionKind::WorkerEnded:
         return events::workerEnded;
     case engine::DecisionKind::WorkerUnresponsive:
--- a/src/poplarstream/engine/faulty_fleet.hpp
+++ b/src/poplarstream/engine/faulty_fleet.hpp
@@ -28,7 +28,8 @@
     FateRule fate = [](const StartCommand &, TimePoint) { return Fate::Done; };
     EngineFixture fixture;
     std::size_t starts = 0;
-    // The longest time for which a task of a step that was ready had no run.
+    // The longest time for which a task of a step that was ready had no run and no worker was asked
+    // to start one.
     Milliseconds longestWait{0};
     // When each worker was put into quarantine.
     std::multimap<std::string, TimePoint> quarantines;
@@ -76,6 +77,7 @@
     {
         for (StartCommand &command : fixture.start()) {
             ++starts;
+            waiting_.erase(command.task);
             const Fate what = fate(command, fixture.now);
             fixture.answerStart(command, what == Fate::Refused ? StartResult::Unhealthy
                                                                : StartResult::Started);
--- a/src/poplarstream/engine/placement.cpp
+++ b/src/poplarstream/engine/placement.cpp
@@ -7,7 +7,7 @@
 
 #include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy, stepOf, findJob
 #include "poplarstream/engine/filler_pace.hpp"  // for arePacesInTime
-#include "poplarstream/engine/worker_health.hpp"  // for mayTryQuarantined
+#include "poplarstream/engine/worker_health.hpp"  // for trustIn, isTrialDue
 #include "poplarstream/jobs/queries.hpp"  // for findTask, isFinal
 
 namespace poplarstream::engine {
@@ -41,7 +41,7 @@
                                                  : Sharing::Harmful;
 }
 
-using Cost = std::tuple<Sharing, int, int, int, int, int, int, int, std::int64_t>;
+using Cost = std::tuple<Sharing, Trust, int, int, int, int, int, int, int, std::int64_t>;
 
 // Lower is better. Keeps filling and serving tasks apart. Keeps tasks that may take their worker
 // down apart, and tasks of images that slow each other down. Avoids workers that will be emptied
@@ -55,6 +55,7 @@
     const int onRack = step.longRunning ? countAt(counts.onRack, entry.rack) : 0;
     const bool isFresh = step.longRunning && !candidate.hostsLongRunning;
     return {sharing,
+            candidate.trust,
             candidate.suspects,
             isSuspect ? candidate.attempts : 0,
             isRemote ? 1 : 0,
@@ -77,8 +78,10 @@
            : worker.entry.isDraining                      ? PlacementObstacle::Draining
            : worker.isCordoned                            ? PlacementObstacle::Cordoned
            : !worker.unexpectedAttempts.empty()           ? PlacementObstacle::UnknownRuns
-           : worker.quarantinedUntil > now                ? PlacementObstacle::Quarantined
-                                                          : PlacementObstacle::None;
+           : trustIn(worker, now) == Trust::Quarantined   ? PlacementObstacle::Quarantined
+           : trustIn(worker, now) == Trust::Probation && !isTrialDue(worker, now)
+                   ? PlacementObstacle::Probation
+                   : PlacementObstacle::None;
 }
 
 bool mayGetTasks(const Worker &worker, TimePoint now)
@@ -87,8 +90,23 @@
         return false;
     }
     const PlacementObstacle obstacle = obstacleOf(worker, now);
-    return obstacle == PlacementObstacle::None
-           || (obstacle == PlacementObstacle::Quarantined && mayTryQuarantined(worker, now));
+    return obstacle == PlacementObstacle::None || obstacle == PlacementObstacle::Quarantined
+           || obstacle == PlacementObstacle::Probation;
+}
+
+// Whether the worker is trusted enough for a task that may use `lastResort`.
+bool isTrusted(const PlacementCandidate &candidate, LastResort lastResort)
+{
+    switch (candidate.trust) {
+    case Trust::Full:
+        return true;
+    case Trust::Probation:
+        return candidate.isTrialDue || (lastResort == LastResort::Any && candidate.isLastResortDue);
+    case Trust::Quarantined:
+        break;
+    }
+    return (lastResort != LastResort::None && candidate.isTrialDue)
+           || (lastResort == LastResort::Any && candidate.isLastResortDue);
 }
 
 bool contains(std::span<const WorkerIncarnation> workers, const PlacementCandidate &candidate)
@@ -101,7 +119,9 @@
 {
     PlacementCandidate candidate;
     candidate.worker = &worker;
-    candidate.isQuarantined = worker.quarantinedUntil > now;
+    candidate.trust = trustIn(worker, now);
+    candidate.isTrialDue = isTrialDue(worker, now);
+    candidate.isLastResortDue = isLastResortDue(worker, now);
     candidate.pairs = &engine.interference;
     candidate.isPaced = arePacesInTime(engine.limits);
     candidate.freeCapacity = worker.entry.capacity;
@@ -246,8 +266,7 @@
     for (PlacementCandidate &candidate : candidates) {
         if (!hasRoomFor(candidate, step, counts)
             || (limits.rack != nullptr && candidate.worker->entry.rack != *limits.rack)
-            || contains(limits.avoid, candidate)
-            || (candidate.isQuarantined && !limits.mayUseQuarantined)) {
+            || contains(limits.avoid, candidate) || !isTrusted(candidate, limits.lastResort)) {
             continue;
         }
         const int conflictsHere = conflictsAt(*candidate.worker, conflicts);
--- a/src/poplarstream/engine/placement_report.cpp
+++ b/src/poplarstream/engine/placement_report.cpp
@@ -28,6 +28,7 @@
         {PlacementObstacle::Cordoned, "cordoned", "are being emptied for maintenance or a move"},
         {PlacementObstacle::UnknownRuns, "unknown_runs", "still run tasks of no known job"},
         {PlacementObstacle::Quarantined, "quarantined", "are in quarantine after failures"},
+        {PlacementObstacle::Probation, "probation", "have just been tried after a quarantine"},
         {PlacementObstacle::Failed, "failed_there", "have just failed one of its tasks"},
 };
 
--- a/src/poplarstream/engine/planning.cpp
+++ b/src/poplarstream/engine/planning.cpp
@@ -1,12 +1,14 @@
 #include "poplarstream/engine/planning.hpp"
 
-#include <algorithm>  // for count_if, max
+#include <algorithm>  // for any_of, count_if, max
+#include <utility>  // for move
 
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/engine/account_caps.hpp"  // for passesGate, AccountGates
 #include "poplarstream/engine/attempts.hpp"  // for attach, markDirty, capacityUsedBy
 #include "poplarstream/engine/crashes.hpp"  // for isSuspect
+#include "poplarstream/engine/last_resort.hpp"  // for lastResortFor, noteHeld
 #include "poplarstream/engine/placement.hpp"  // for chooseCandidate, placementCandidates
 #include "poplarstream/engine/ranking.hpp"  // for rankWaitingSteps, WaitingStep
 #include "poplarstream/jobs/queries.hpp"  // for isWaiting
@@ -30,18 +32,46 @@
     int step;
 };
 
+// What the tasks of one service are placed on during one plan.
+struct Pool
+{
+    std::vector<PlacementCandidate> candidates;
+    bool hasDistrusted = false;  // some of them are in quarantine or on probation
+};
+
 // What tasks are placed by during one plan.
 struct Plan
 {
-    std::map<ServiceId, std::vector<PlacementCandidate>> candidates;
+    std::map<ServiceId, Pool> pools;
     AccountGates gates;
 };
 
+Pool poolOf(std::vector<PlacementCandidate> candidates)
+{
+    const bool hasDistrusted = std::any_of(
+            candidates.begin(), candidates.end(),
+            [](const PlacementCandidate &candidate) { return candidate.trust != Trust::Full; });
+    return {std::move(candidates), hasDistrusted};
+}
+
 TaskRef taskRefOf(const StepRef &place, std::size_t index)
 {
     return {place.job.submission.id, place.occurrenceNumber, place.step, static_cast<int>(index)};
 }
 
+std::string_view trustText(Trust trust)
+{
+    switch (trust) {
+    case Trust::Probation:
+        return " trust=probation";
+    case Trust::Quarantined:
+        return " trust=quarantined";
+    case Trust::Full:
+        break;
+    }
+    return "";
+}
+
 void addAttempt(Engine &engine, const StepRef &place, std::size_t index, int run,
                 PlacementCandidate &candidate, PlacementCounts &counts, TimePoint now)
 {
@@ -61,6 +91,12 @@
     candidate.hostsLongRunning = candidate.hostsLongRunning || step.longRunning;
     candidate.hostsServing = candidate.hostsServing || step.target > Milliseconds{0};
     candidate.hostsFillers = candidate.hostsFillers || step.fills;
+    if (candidate.trust != Trust::Full) {
+        candidate.worker->triedAt = now;
+        candidate.isTrialDue = false;
+        candidate.isLastResortDue = false;
+    }
+    task.heldSince = {};
     if (needsCounts(step)) {
         ++counts.onWorker[candidate.worker->entry.incarnation];
         ++counts.onRack[candidate.worker->entry.rack];
@@ -68,9 +104,9 @@
     AttemptRef ref{taskRefOf(place, index), run};
     recordDecision(
             engine, DecisionKind::TaskPlanned, ref, candidate.worker->entry.incarnation.id, [&] {
-                return fmt::format("room_milli={} token={}{}", candidate.freeCapacity.cpuMilli,
+                return fmt::format("room_milli={} token={}{}{}", candidate.freeCapacity.cpuMilli,
                                    currentToken(engine, *candidate.worker),
-                                   accountText(engine, place.job));
+                                   trustText(candidate.trust), accountText(engine, place.job));
             });
     attach(engine, *candidate.worker, place.job, std::move(ref), noDecisivePoll);
     if (place.job.state == jobs::JobState::Queued) {
@@ -89,22 +125,24 @@
     }
     const auto sound = static_cast<std::size_t>(std::count_if(
             candidates.begin(), candidates.end(),
-            [](const PlacementCandidate &candidate) { return !candidate.isQuarantined; }));
+            [](const PlacementCandidate &candidate) { return candidate.trust == Trust::Full; }));
     return step.longRunning || task.failedOn.size() >= sound
            || task.notBefore + failedWorkerAvoidance <= now;
 }
 
 // The best candidate for a waiting task. Prefers a worker on which the task failed to one where
 // filling and serving tasks harm each other, and waits for the former while it may not be used yet.
-// A lasting task that has no other worker may get one in quarantine: its failures are not limited.
-PlacementCandidate *candidateFor(std::vector<PlacementCandidate> &candidates,
-                                 const jobs::Task &task, const jobs::StepSpec &step,
-                                 const PlacementCounts &counts, TimePoint now)
+PlacementCandidate *candidateFor(Pool &pool, const jobs::Job &job, const jobs::Task &task,
+                                 const jobs::StepSpec &step, const PlacementCounts &counts,
+                                 TimePoint now)
 {
+    std::vector<PlacementCandidate> &candidates = pool.candidates;
     const bool mayRetry = mayRetryOnFailedWorker(task, step, candidates, now);
-    const auto choose = [&](Sharing worst) {
-        PlacementLimits limits{
-                .avoid = task.failedOn, .worstSharing = worst, .isSuspect = isSuspect(task)};
+    const auto choose = [&](Sharing worst, LastResort lastResort) {
+        PlacementLimits limits{.avoid = task.failedOn,
+                               .worstSharing = worst,
+                               .lastResort = lastResort,
+                               .isSuspect = isSuspect(task)};
         PlacementCandidate *const found = chooseCandidate(candidates, step, counts, limits);
         if (found != nullptr || !mayRetry) {
             return found;
@@ -112,13 +150,15 @@
         limits.avoid = {};
         return chooseCandidate(candidates, step, counts, limits);
     };
-    PlacementCandidate *found = choose(Sharing::Paced);
+    PlacementCandidate *found = choose(Sharing::Paced, LastResort::None);
     if (found == nullptr && fillsOrServes(step) && (mayRetry || task.failedOn.empty())) {
-        found = choose(Sharing::Harmful);
+        found = choose(Sharing::Harmful, LastResort::None);
     }
-    if (found == nullptr && step.longRunning) {
-        found = chooseCandidate(candidates, step, counts,
-                                {.mayUseQuarantined = true, .isSuspect = isSuspect(task)});
+    if (found == nullptr && pool.hasDistrusted) {
+        const LastResort lastResort = lastResortFor(job, task, step, candidates, now);
+        if (lastResort != LastResort::None) {
+            found = choose(Sharing::Harmful, lastResort);
+        }
     }
     return found;
 }
@@ -130,8 +170,7 @@
     bool all = true;
 };
 
-PlacedTasks planTasks(Engine &engine, const StepRef &place,
-                      std::vector<PlacementCandidate> &candidates, AccountGates &gates,
+PlacedTasks planTasks(Engine &engine, const StepRef &place, Pool &pool, AccountGates &gates,
                       TimePoint now)
 {
     const jobs::StepSpec &step =
@@ -144,23 +183,37 @@
                                      : PlacementCounts{};
     auto &tasks = place.occurrence.steps[static_cast<std::size_t>(place.step)];
     PlacedTasks placed;
+    bool onlyOverdue = false;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const jobs::Task &task = tasks[index];
         if (!jobs::isWaiting(task) || task.notBefore > now) {
             continue;
         }
+        const bool isOverdue = pool.hasDistrusted && isHeldTooLong(task, now);
+        if (onlyOverdue && !isOverdue && task.failedOn.empty()) {
+            continue;
+        }
         if (!passesGate(engine, gates, place.job, step)) {
             return placed;  // as tasks of the account end, the others follow
         }
-        PlacementCandidate *const candidate = candidateFor(candidates, task, step, counts, now);
+        PlacementCandidate *const candidate =
+                candidateFor(pool, place.job, task, step, counts, now);
         if (candidate != nullptr) {
             addAttempt(engine, place, index, task.lastRun + 1, *candidate, counts, now);
             placed.any = true;
             continue;
         }
         placed.all = false;
+        if (pool.hasDistrusted && !onlyOverdue) {
+            noteHeld(tasks, now);
+        }
+        // The other tasks of the step have the same needs. Only those that have been held for too
+        // long have more workers.
         if (task.failedOn.empty()) {
-            return placed;  // the other tasks of the step have the same needs
+            if (!pool.hasDistrusted || isOverdue) {
+                return placed;
+            }
+            onlyOverdue = true;
         }
     }
     return placed;
@@ -207,10 +260,10 @@
     return candidatesForGang(candidates, step, count, limits);
 }
 
-PlacedTasks planGang(Engine &engine, const StepRef &place,
-                     std::vector<PlacementCandidate> &candidates, AccountGates &gates,
+PlacedTasks planGang(Engine &engine, const StepRef &place, Pool &pool, AccountGates &gates,
                      TimePoint now)
 {
+    std::vector<PlacementCandidate> &candidates = pool.candidates;
     const jobs::StepSpec &step =
             place.job.submission.spec.steps[static_cast<std::size_t>(place.step)];
     auto &tasks = place.occurrence.steps[static_cast<std::size_t>(place.step)];
@@ -234,6 +287,16 @@
         limits.worstSharing = Sharing::Harmful;
         chosen = candidatesOnFewRacks(candidates, step, tasks.size(), limits);
     }
+    if (chosen.empty() && pool.hasDistrusted) {
+        limits.worstSharing = Sharing::Harmful;
+        limits.lastResort = lastResortForGang(place.job, tasks, step, candidates, now);
+        if (limits.lastResort != LastResort::None) {
+            chosen = candidatesOnFewRacks(candidates, step, tasks.size(), limits);
+        }
+        if (chosen.empty()) {
+            noteHeld(tasks, now);
+        }
+    }
     if (chosen.empty()) {
         return {.any = false, .all = false};
     }
@@ -262,8 +325,8 @@
         if (!job.hasSpeculative || job.state != jobs::JobState::Running) {
             continue;
         }
-        const auto own = plan.candidates.find(serviceOf(engine, job));
-        if (own == plan.candidates.end()) {
+        const auto own = plan.pools.find(serviceOf(engine, job));
+        if (own == plan.pools.end()) {
             continue;
         }
         for (auto &[number, occurrence] : job.occurrences) {
@@ -285,7 +348,7 @@
                     // A copy is not worth harming other tasks.
                     const WorkerIncarnation avoid[] = {task.attempts[0].worker};
                     PlacementCandidate *const candidate =
-                            chooseCandidate(own->second, step, counts,
+                            chooseCandidate(own->second.candidates, step, counts,
                                             {.avoid = avoid, .worstSharing = Sharing::Paced});
                     if (candidate != nullptr) {
                         addAttempt(engine, place, index, task.lastRun + 1, *candidate, counts, now);
@@ -323,10 +386,12 @@
         services.push_back(&service);
     }
     Plan plan;
-    plan.candidates = placementCandidates(engine, services, now);
+    for (auto &[service, candidates] : placementCandidates(engine, services, now)) {
+        plan.pools.emplace(service, poolOf(std::move(candidates)));
+    }
     for (const auto &[service, steps] : ranked) {
-        auto &own = plan.candidates.at(service);
-        jobs::Resources largest = largestFreeCapacity(own);
+        Pool &own = plan.pools.at(service);
+        jobs::Resources largest = largestFreeCapacity(own.candidates);
         bool hasPlaced = false;  // since `largest` was computed
         for (const WaitingStep &waiting : steps) {
             const StepRef place{*waiting.job, waiting.job->occurrences.at(waiting.occurrence),
@@ -342,7 +407,7 @@
             // Capacity only shrinks during a plan. Without this, each of the many steps that no
             // longer fit visits all candidates.
             if (hasPlaced && !placed.all) {
-                largest = largestFreeCapacity(own);
+                largest = largestFreeCapacity(own.candidates);
                 hasPlaced = false;
             }
         }
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -168,7 +168,7 @@
         const bool serves =
                 report.percent >= jobs::readyPercent && stepOf(*job, report.task).longRunning;
         if (serves && attempt->percent < jobs::readyPercent) {
-            recordWorkerSuccess(worker, attempt->startedAt);
+            recordWorkerSuccess(engine, worker, attempt->startedAt, now);
         }
         attempt->percent = report.percent;
         attempt->progressedAt = now;
--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -19,6 +19,10 @@
 constexpr std::size_t failedJobsBeforeQuarantine = 2;
 constexpr Milliseconds firstQuarantine{1500};
 constexpr int maxQuarantineDoublings = 3;
+// Between tasks for a worker that is not trusted fully. Most failing runs end sooner than the
+// first; the second bounds what is lost where all workers of a service fail.
+constexpr Milliseconds trialInterval{500};
+constexpr Milliseconds lastResortInterval{100};
 
 // A task without progress for `stallTimeout` is stalled, if a response of its worker at least
 // `stallConfirmation` after the last progress confirms it.
@@ -153,12 +157,22 @@
     return worker.quarantinedAt == TimePoint{} || startedAt > worker.quarantinedAt;
 }
 
-void recordWorkerSuccess(Worker &worker, TimePoint startedAt)
+void recordWorkerSuccess(Engine &engine, Worker &worker, TimePoint startedAt, TimePoint now)
 {
-    if (isEvidence(worker, startedAt)) {
-        worker.failedJobs.clear();
-        worker.quarantineCount = 0;
+    if (!isEvidence(worker, startedAt)) {
+        return;
     }
+    worker.failedJobs.clear();
+    if (trustIn(worker, now) != Trust::Full) {
+        recordDecision(
+                engine, DecisionKind::WorkerTrusted, {}, worker.entry.incarnation.id,
+                fmt::format("suspicions={} quarantined_ms_ago={} left_ms={}",
+                            worker.quarantineCount, ageMs(worker.quarantinedAt, now),
+                            std::max(worker.quarantinedUntil - now, Milliseconds{0}).count()));
+        worker.quarantinedUntil = std::min(worker.quarantinedUntil, now);
+        engine.needsPlan = true;
+    }
+    worker.quarantineCount = 0;
 }
 
 void updateWorkerHealth(Engine &engine, Worker &worker, const CompletionReport &report,
@@ -184,7 +198,7 @@
     } else if (report.result == jobs::AttemptResult::Done) {
         worker.failedJobs.clear();
         if (!attempt->isStraggler && !stepOf(job, report.task).longRunning) {
-            worker.quarantineCount = 0;
+            recordWorkerSuccess(engine, worker, attempt->startedAt, now);
         }
     }
 }
@@ -218,9 +232,21 @@
     return counts;
 }
 
-bool mayTryQuarantined(const Worker &worker, TimePoint now)
+Trust trustIn(const Worker &worker, TimePoint now)
+{
+    return worker.quarantinedUntil > now ? Trust::Quarantined
+           : worker.quarantineCount > 0  ? Trust::Probation
+                                         : Trust::Full;
+}
+
+bool isTrialDue(const Worker &worker, TimePoint now)
+{
+    return worker.quarantinedAt + firstQuarantine <= now && worker.triedAt + trialInterval <= now;
+}
+
+bool isLastResortDue(const Worker &worker, TimePoint now)
 {
-    return worker.quarantinedAt + firstQuarantine <= now;
+    return worker.triedAt + lastResortInterval <= now;
 }
 
 void rescheduleStragglers(Engine &engine, TimePoint now)
