Blame a worker only for failures that a sound one is unlikely to have

Cause: two jobs that failed on a worker without a success in between put it into quarantine, also where queries of that kind fail on every worker. All workers of a service were condemned again and again, by queries whose failures said nothing of them. Class: a base rate that is ignored. Change: the owner keeps the last runs of each kind (image, or else queue). The failure rate of a kind counts failures on workers that have since succeeded with a run begun later, so that workers that fail everything don't raise it. Ruled out: the share of all failing runs, which would excuse workers while all of a service fail; comparing the same task on two workers only, which learns nothing where each worker has failed something.

--- /dev/null
+++ b/include/poplarstream/engine/run_outcomes.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string_view>  // for string_view
+
+#include "poplarstream/engine/state.hpp"  // for Engine, Worker
+
+namespace poplarstream::engine {
+
+// What tasks have in common that fail for the same reason: their image, or else the queue of their
+// job.
+std::string_view kindOf(const jobs::Job &job, const jobs::StepSpec &step);
+
+// Takes note of a run of the given kind that has failed or succeeded. `startedAt` is when it was
+// planned.
+void recordOutcome(Engine &engine, Worker &worker, std::string_view kind, bool isFailed,
+                   TimePoint startedAt, TimePoint now);
+
+// The share of runs of a kind that fail on sound workers, from those of the last seconds. A failure
+// counts if its worker has since succeeded with a run that was begun later: then the worker was
+// sound. Failures on workers that fail everything don't count. A few percent if nothing is known.
+double failureRate(const Engine &engine, std::string_view kind, TimePoint now);
+
+// The likelihood that a sound worker fails all that has failed on this one since its last success.
+double likelihoodIfSound(const Engine &engine, const Worker &worker, TimePoint now);
+
+}  // namespace poplarstream::engine
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>  // for int64_t
 #include <deque>  // for deque
+#include <functional>  // for less
 #include <limits>  // for numeric_limits
 #include <map>  // for map
 #include <optional>  // for optional
@@ -111,6 +112,14 @@
     TimePoint reachedAt{};
 };
 
+// The end of a run, for the failure rate of its kind.
+struct RunOutcome
+{
+    WorkerIncarnation worker;
+    TimePoint endedAt{};
+    bool isFailed = false;
+};
+
 // A worker that stopped responding.
 struct RackSilence
 {
@@ -203,7 +212,9 @@
     std::int64_t completionsSeen = 0;  // highest processed completion number
     std::int64_t completionsStored = 0;  // highest one whose effect is durable
     TimePoint idleSince{};
-    std::set<JobId> failedJobs;  // jobs with a run that failed there since the last success
+    // Jobs with a run that failed there since the last success, with the kind of that run.
+    std::map<JobId, std::string> failedJobs;
+    TimePoint provenSince{};  // when the newest run that has succeeded there was planned
     TimePoint quarantinedAt{};  // when the last quarantine began
     TimePoint quarantinedUntil{};  // gets no tasks before, but as the last resort
     // Quarantines since the last success. Each doubles the next one, up to a limit.
@@ -299,6 +310,8 @@
     // Of the most frequent kinds, so many may be queued at a time.
     std::size_t decisionAllowance = std::numeric_limits<std::size_t>::max();
     std::size_t decisionsOmitted = 0;  // not queued for that reason
+    // The last runs of each kind, oldest first. See run_outcomes.hpp.
+    std::map<std::string, std::deque<RunOutcome>, std::less<>> outcomes;
     std::set<TaskRef> suspects;  // tasks that may have taken a worker down
     std::deque<RackSilence> silences;  // of the last seconds, oldest first
     TimePoint takenOverAt{};  // when this owner shut out its predecessor
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -12,6 +12,7 @@
 #include "poplarstream/engine/filler_pace.hpp"  // for paceFillers
 #include "poplarstream/engine/incarnations.hpp"  // for endIncarnation, restartWorker
 #include "poplarstream/engine/neighbours.hpp"  // for observeNeighbours
+#include "poplarstream/engine/run_outcomes.hpp"  // for recordOutcome, kindOf
 #include "poplarstream/engine/separation.hpp"  // for noteTargets
 #include "poplarstream/engine/worker_health.hpp"  // for updateWorkerHealth, recordWorkerSuccess
 #include "poplarstream/jobs/commands.hpp"  // for recordCompletion
@@ -168,6 +169,8 @@
         const bool serves =
                 report.percent >= jobs::readyPercent && stepOf(*job, report.task).longRunning;
         if (serves && attempt->percent < jobs::readyPercent) {
+            recordOutcome(engine, worker, kindOf(*job, stepOf(*job, report.task)), false,
+                          attempt->startedAt, now);
             recordWorkerSuccess(engine, worker, attempt->startedAt, now);
         }
         attempt->percent = report.percent;
--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -9,14 +9,19 @@
 #include "poplarstream/engine/attempts.hpp"  // for ageMs, findAttempt, stopAttempt, stepOf
 #include "poplarstream/engine/placement.hpp"  // for placementCandidates, chooseCandidate
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
+#include "poplarstream/engine/run_outcomes.hpp"  // for recordOutcome, likelihoodIfSound
 #include "poplarstream/jobs/queries.hpp"  // for isFinal, findTask
 
 namespace poplarstream::engine {
 
 namespace {
 
-// A worker is quarantined when runs of this many jobs fail there without a success in between.
+// A worker is quarantined when runs of this many jobs fail there without a success in between, and
+// a sound worker is unlikely to fail all of them.
 constexpr std::size_t failedJobsBeforeQuarantine = 2;
+constexpr double unlikely = 0.02;
+// More of them add nothing: the rates that they are compared with are estimates.
+constexpr std::size_t maxFailedJobs = 16;
 constexpr Milliseconds firstQuarantine{1500};
 constexpr int maxQuarantineDoublings = 3;
 // Between tasks for a worker that is not trusted fully. Most failing runs end sooner than the
@@ -184,20 +189,26 @@
         || !isEvidence(worker, attempt->startedAt)) {
         return;
     }
-    const bool hasServed =
-            stepOf(job, report.task).longRunning && attempt->percent >= jobs::readyPercent;
+    const jobs::StepSpec &step = stepOf(job, report.task);
+    const bool hasServed = step.longRunning && attempt->percent >= jobs::readyPercent;
     if (report.result == jobs::AttemptResult::Failed && hasServed) {
         return;  // it may fail at any time, on any worker
     }
+    const std::string_view kind = kindOf(job, step);
     if (report.result == jobs::AttemptResult::Failed) {
-        worker.failedJobs.insert(report.task.job);
-        if (worker.failedJobs.size() >= failedJobsBeforeQuarantine) {
+        recordOutcome(engine, worker, kind, true, attempt->startedAt, now);
+        if (worker.failedJobs.size() < maxFailedJobs) {
+            worker.failedJobs.try_emplace(report.task.job, kind);
+        }
+        if (worker.failedJobs.size() >= failedJobsBeforeQuarantine
+            && likelihoodIfSound(engine, worker, now) <= unlikely) {
             quarantine(engine, worker, QuarantineCause::Failures, {report.task, report.run},
                        attempt->startedAt, now);
         }
     } else if (report.result == jobs::AttemptResult::Done) {
         worker.failedJobs.clear();
-        if (!attempt->isStraggler && !stepOf(job, report.task).longRunning) {
+        if (!attempt->isStraggler && !step.longRunning) {
+            recordOutcome(engine, worker, kind, false, attempt->startedAt, now);
             recordWorkerSuccess(engine, worker, attempt->startedAt, now);
         }
     }
@@ -212,9 +223,11 @@
     worker.quarantinedUntil = now + length;
     const ServiceWorkers workers = workersOf(engine, worker.entry.service, now);
     recordDecision(engine, DecisionKind::WorkerQuarantined, run, worker.entry.incarnation.id,
-                   fmt::format("cause={} failed_jobs={} suspicions={} lasts_ms={} run_age_ms={} "
+                   fmt::format("cause={} failed_jobs={} likelihood={:.4f} suspicions={} "
+                               "lasts_ms={} run_age_ms={} "
                                "previous_ms_ago={} workers={} quarantined={}",
-                               causeText(cause), worker.failedJobs.size(), worker.quarantineCount,
+                               causeText(cause), worker.failedJobs.size(),
+                               likelihoodIfSound(engine, worker, now), worker.quarantineCount,
                                length.count(), ageMs(startedAt, now), ageMs(previousAt, now),
                                workers.listed, workers.quarantined));
     worker.failedJobs.clear();
