Weigh what survives on a worker against what fails there

Cause: failures are known earlier than successes, so of a batch of runs begun together the few that fail come first, without a success in between; and a task that has failed on one worker is likely to fail on the next, which was held against that one too. Class: censored observations. Change: a verdict falls after all ends and running tasks of a response are known. Runs that were begun no earlier than the failed ones and have outlived them count for the worker, by the likelihood ratio of a sound worker against one that fails nine runs of ten. Tasks that have failed before are a kind of their own. 730 tells the survivors.

--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -120,6 +120,24 @@
     bool isFailed = false;
 };
 
+// The runs of one job that failed in a streak.
+struct FailedJob
+{
+    std::string kind;
+    int runs = 0;
+};
+
+// What has failed on a worker since its last success or the beginning of its last quarantine.
+struct FailureStreak
+{
+    std::map<JobId, FailedJob> jobs;
+    TimePoint firstStartedAt{};  // when the earliest of the runs was planned
+    Milliseconds longestRun{0};  // from its planned start until its end was known
+    AttemptRef last;
+    TimePoint lastStartedAt{};
+    bool isReviewed = true;
+};
+
 // A worker that stopped responding.
 struct RackSilence
 {
@@ -212,8 +230,7 @@
     std::int64_t completionsSeen = 0;  // highest processed completion number
     std::int64_t completionsStored = 0;  // highest one whose effect is durable
     TimePoint idleSince{};
-    // Jobs with a run that failed there since the last success, with the kind of that run.
-    std::map<JobId, std::string> failedJobs;
+    FailureStreak failures;
     TimePoint provenSince{};  // when the newest run that has succeeded there was planned
     TimePoint quarantinedAt{};  // when the last quarantine began
     TimePoint quarantinedUntil{};  // gets no tasks before, but as the last resort
--- a/include/poplarstream/engine/worker_health.hpp
+++ b/include/poplarstream/engine/worker_health.hpp
@@ -12,6 +12,11 @@
 void updateWorkerHealth(Engine &engine, Worker &worker, const CompletionReport &report,
                         TimePoint now);
 
+// Puts a worker into quarantine if what has failed there speaks against it. Must be called after
+// all completions and running tasks of a response have been handled: a worker may have failed a few
+// of many runs, and failures are often known before successes.
+void reviewFailures(Engine &engine, Worker &worker, TimePoint now);
+
 // Whether a run that was planned at `startedAt` says something about the state of the worker now.
 // One from before its last quarantine doesn't: the quarantine was based on it or on its like.
 bool isEvidence(const Worker &worker, TimePoint startedAt);
--- a/include/poplarstream/telemetry/event_kinds.hpp
+++ b/include/poplarstream/telemetry/event_kinds.hpp
@@ -225,13 +225,13 @@
                                     "If `crashes` and `suspicion` of one task rise from worker to "
                                     "worker, the task takes its workers down and its job is given "
                                     "up: tell its owner. shared=true points to the rack."};
-inline constexpr EventKind workerTrusted{738, EventLevel::Info, "worker-trusted",
-                                         "task run worker inputs", "None."};
 inline constexpr EventKind taskGivenUp{
         737, EventLevel::Error, "task-given-up", "task run worker inputs",
         "Tell the owner of the job: the task takes its workers down and is not started any more; "
         "the "
         "other tasks go on. See 736 of the task. Waves wait as if the task were away."};
+inline constexpr EventKind workerTrusted{738, EventLevel::Info, "worker-trusted",
+                                         "task run worker inputs", "None."};
 inline constexpr EventKind workerEntryUnusable{
         745, EventLevel::Warning, "worker-entry-unusable", "entry fault",
         "Find out who writes the entry. Its worker gets no new task until a usable entry comes; "
--- a/src/poplarstream/engine/faulty_fleet.hpp
+++ b/src/poplarstream/engine/faulty_fleet.hpp
@@ -16,23 +16,29 @@
 // What becomes of a start.
 enum class Fate { Done, Failed, Refused };
 
+// A quarantine of a worker.
+struct Quarantine
+{
+    TimePoint at{};
+    int failures = 0;  // of runs on that worker that were known then
+};
+
 // Workers that run each task for `runTime` and end it as `fate` says. A failing task ends after
-// `failTime`; a lasting one that does not fail becomes ready after `runTime` and runs on.
+// `failTime()`; a lasting one that does not fail becomes ready after `runTime` and runs on.
 class FaultyFleet
 {
 public:
     using FateRule = std::function<Fate(const StartCommand &command, TimePoint now)>;
 
     Milliseconds runTime{500};
-    Milliseconds failTime{50};
+    std::function<Milliseconds()> failTime = [] { return Milliseconds{50}; };
     FateRule fate = [](const StartCommand &, TimePoint) { return Fate::Done; };
     EngineFixture fixture;
     std::size_t starts = 0;
     // The longest time for which a task of a step that was ready had no run and no worker was asked
     // to start one.
     Milliseconds longestWait{0};
-    // When each worker was put into quarantine.
-    std::multimap<std::string, TimePoint> quarantines;
+    std::multimap<std::string, Quarantine> quarantines;  // by worker, in their order
 
     explicit FaultyFleet(int workers)
         : fixture(workers)
@@ -69,6 +75,7 @@
         TimePoint startedAt{};
         bool fails = false;
         bool lasts = false;
+        Milliseconds failTime{0};
     };
 
     static constexpr Milliseconds stepLength{20};
@@ -85,7 +92,7 @@
                 const bool lasts =
                         stepOf(fixture.engine.jobs.at(command.task.job), command.task).longRunning;
                 runs_[command.target.worker].push_back(
-                        {std::move(command), fixture.now, what == Fate::Failed, lasts});
+                        {std::move(command), fixture.now, what == Fate::Failed, lasts, failTime()});
             }
         }
         for (const StopCommand &stop : fixture.take<StopCommand>()) {
@@ -104,7 +111,7 @@
                 const Milliseconds age = fixture.now - run.startedAt;
                 const bool isStopped =
                         std::find(stopped_.begin(), stopped_.end(), ref) != stopped_.end();
-                if (isStopped || (run.fails && age >= failTime)
+                if (isStopped || (run.fails && age >= run.failTime)
                     || (!run.fails && !run.lasts && age >= runTime)) {
                     ended.push_back({++numbers_[poll.target.worker], ref.task, ref.run,
                                      isStopped   ? jobs::AttemptResult::Stopped
@@ -127,7 +134,8 @@
     void measureWaits()
     {
         std::map<TaskRef, TimePoint> waiting;
-        for (const auto &[id, job] : fixture.engine.jobs) {
+        for (const jobs::Job *const waitingJob : fixture.engine.waiting) {
+            const jobs::Job &job = *waitingJob;
             for (const auto &[number, occurrence] : job.occurrences) {
                 for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
                     const int step = static_cast<int>(i);
@@ -135,7 +143,7 @@
                         continue;
                     }
                     for (std::size_t index = 0; index < occurrence.steps[i].size(); ++index) {
-                        const TaskRef ref{id, number, step, static_cast<int>(index)};
+                        const TaskRef ref{job.submission.id, number, step, static_cast<int>(index)};
                         if (jobs::isWaiting(occurrence.steps[i][index])) {
                             const auto since = waiting_.find(ref);
                             waiting[ref] = since == waiting_.end() ? fixture.now : since->second;
@@ -151,15 +159,22 @@
     void noteQuarantines()
     {
         for (const Decision &decision : fixture.engine.decisions) {
+            int &failures = failures_[decision.worker.text()];
             if (decision.kind == DecisionKind::WorkerQuarantined) {
-                quarantines.emplace(decision.worker.text(), fixture.now);
+                // The end of the last of them is recorded after it.
+                quarantines.emplace(decision.worker.text(), Quarantine{fixture.now, failures + 1});
             }
+            failures += decision.kind == DecisionKind::TaskEnded
+                                        && decision.inputs.starts_with("end=failed")
+                                ? 1
+                                : 0;
         }
         fixture.engine.decisions.clear();
     }
 
     std::map<WorkerIncarnation, std::vector<Run>> runs_;
     std::map<WorkerIncarnation, std::int64_t> numbers_;
+    std::map<std::string, int> failures_;
     std::vector<AttemptRef> stopped_;
     std::map<TaskRef, TimePoint> waiting_;
 };
--- a/src/poplarstream/engine/worker_events.cpp
+++ b/src/poplarstream/engine/worker_events.cpp
@@ -14,7 +14,7 @@
 #include "poplarstream/engine/neighbours.hpp"  // for observeNeighbours
 #include "poplarstream/engine/run_outcomes.hpp"  // for recordOutcome, kindOf
 #include "poplarstream/engine/separation.hpp"  // for noteTargets
-#include "poplarstream/engine/worker_health.hpp"  // for updateWorkerHealth, recordWorkerSuccess
+#include "poplarstream/engine/worker_health.hpp"  // for updateWorkerHealth, reviewFailures
 #include "poplarstream/jobs/commands.hpp"  // for recordCompletion
 #include "poplarstream/jobs/queries.hpp"  // for findTask, findAttempt
 
@@ -169,8 +169,9 @@
         const bool serves =
                 report.percent >= jobs::readyPercent && stepOf(*job, report.task).longRunning;
         if (serves && attempt->percent < jobs::readyPercent) {
-            recordOutcome(engine, worker, kindOf(*job, stepOf(*job, report.task)), false,
-                          attempt->startedAt, now);
+            const std::string kind =
+                    kindOf(*job, stepOf(*job, report.task), *jobs::findTask(*job, report.task));
+            recordOutcome(engine, worker, kind, false, attempt->startedAt, now);
             recordWorkerSuccess(engine, worker, attempt->startedAt, now);
         }
         attempt->percent = report.percent;
@@ -299,6 +300,7 @@
     for (const RunningReport &report : response->running) {
         handleRunning(engine, *worker, report, response->clockMs, now);
     }
+    reviewFailures(engine, *worker, now);
     observeNeighbours(engine, *worker, now);
     paceFillers(engine, *worker, now);
     noteTargets(engine, *worker, now);
--- a/src/poplarstream/engine/worker_health.cpp
+++ b/src/poplarstream/engine/worker_health.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for max, min, sort
 #include <string_view>  // for string_view
+#include <utility>  // for exchange
 
 #include <fmt/format.h>  // for format
 
@@ -9,7 +10,7 @@
 #include "poplarstream/engine/attempts.hpp"  // for ageMs, findAttempt, stopAttempt, stepOf
 #include "poplarstream/engine/placement.hpp"  // for placementCandidates, chooseCandidate
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
-#include "poplarstream/engine/run_outcomes.hpp"  // for recordOutcome, likelihoodIfSound
+#include "poplarstream/engine/run_outcomes.hpp"  // for recordOutcome, weighFailures
 #include "poplarstream/jobs/queries.hpp"  // for isFinal, findTask
 
 namespace poplarstream::engine {
@@ -17,9 +18,9 @@
 namespace {
 
 // A worker is quarantined when runs of this many jobs fail there without a success in between, and
-// a sound worker is unlikely to fail all of them.
+// it is so much more likely that it is bad.
 constexpr std::size_t failedJobsBeforeQuarantine = 2;
-constexpr double unlikely = 0.02;
+constexpr double maxLikelihoodRatio = 0.025;
 // More of them add nothing: the rates that they are compared with are estimates.
 constexpr std::size_t maxFailedJobs = 16;
 constexpr Milliseconds firstQuarantine{1500};
@@ -129,6 +130,23 @@
     return counts;
 }
 
+void noteFailure(FailureStreak &streak, const CompletionReport &report, std::string_view kind,
+                 TimePoint startedAt, TimePoint now)
+{
+    if (streak.jobs.empty() || startedAt < streak.firstStartedAt) {
+        streak.firstStartedAt = startedAt;
+    }
+    streak.longestRun = std::max(streak.longestRun, now - startedAt);
+    streak.last = {report.task, report.run};
+    streak.lastStartedAt = startedAt;
+    streak.isReviewed = false;
+    if (streak.jobs.size() < maxFailedJobs || streak.jobs.contains(report.task.job)) {
+        FailedJob &job = streak.jobs[report.task.job];
+        job.kind = kind;
+        ++job.runs;
+    }
+}
+
 void reschedule(Engine &engine, jobs::Job &job, const AttemptRef &ref, jobs::Attempt &attempt,
                 TimePoint now)
 {
@@ -167,7 +185,7 @@
     if (!isEvidence(worker, startedAt)) {
         return;
     }
-    worker.failedJobs.clear();
+    worker.failures = {};
     if (trustIn(worker, now) != Trust::Full) {
         recordDecision(
                 engine, DecisionKind::WorkerTrusted, {}, worker.entry.incarnation.id,
@@ -180,10 +198,23 @@
     worker.quarantineCount = 0;
 }
 
+void reviewFailures(Engine &engine, Worker &worker, TimePoint now)
+{
+    if (std::exchange(worker.failures.isReviewed, true)
+        || worker.failures.jobs.size() < failedJobsBeforeQuarantine) {
+        return;
+    }
+    if (weighFailures(engine, worker, now).likelihoodRatio <= maxLikelihoodRatio) {
+        const FailureStreak &streak = worker.failures;
+        quarantine(engine, worker, QuarantineCause::Failures, streak.last, streak.lastStartedAt,
+                   now);
+    }
+}
+
 void updateWorkerHealth(Engine &engine, Worker &worker, const CompletionReport &report,
                         TimePoint now)
 {
-    const jobs::Job &job = engine.jobs.at(report.task.job);
+    jobs::Job &job = engine.jobs.at(report.task.job);
     const jobs::Attempt *const attempt = findAttempt(engine, {report.task, report.run});
     if (attempt == nullptr || attempt->worker != worker.entry.incarnation
         || !isEvidence(worker, attempt->startedAt)) {
@@ -194,19 +225,12 @@
     if (report.result == jobs::AttemptResult::Failed && hasServed) {
         return;  // it may fail at any time, on any worker
     }
-    const std::string_view kind = kindOf(job, step);
+    const std::string kind = kindOf(job, step, *jobs::findTask(job, report.task));
     if (report.result == jobs::AttemptResult::Failed) {
         recordOutcome(engine, worker, kind, true, attempt->startedAt, now);
-        if (worker.failedJobs.size() < maxFailedJobs) {
-            worker.failedJobs.try_emplace(report.task.job, kind);
-        }
-        if (worker.failedJobs.size() >= failedJobsBeforeQuarantine
-            && likelihoodIfSound(engine, worker, now) <= unlikely) {
-            quarantine(engine, worker, QuarantineCause::Failures, {report.task, report.run},
-                       attempt->startedAt, now);
-        }
+        noteFailure(worker.failures, report, kind, attempt->startedAt, now);
     } else if (report.result == jobs::AttemptResult::Done) {
-        worker.failedJobs.clear();
+        worker.failures = {};
         if (!attempt->isStraggler && !step.longRunning) {
             recordOutcome(engine, worker, kind, false, attempt->startedAt, now);
             recordWorkerSuccess(engine, worker, attempt->startedAt, now);
@@ -222,15 +246,16 @@
     worker.quarantinedAt = now;
     worker.quarantinedUntil = now + length;
     const ServiceWorkers workers = workersOf(engine, worker.entry.service, now);
+    const FailureEvidence evidence = weighFailures(engine, worker, now);
     recordDecision(engine, DecisionKind::WorkerQuarantined, run, worker.entry.incarnation.id,
-                   fmt::format("cause={} failed_jobs={} likelihood={:.4f} suspicions={} "
-                               "lasts_ms={} run_age_ms={} "
-                               "previous_ms_ago={} workers={} quarantined={}",
-                               causeText(cause), worker.failedJobs.size(),
-                               likelihoodIfSound(engine, worker, now), worker.quarantineCount,
-                               length.count(), ageMs(startedAt, now), ageMs(previousAt, now),
-                               workers.listed, workers.quarantined));
-    worker.failedJobs.clear();
+                   fmt::format("cause={} failed_jobs={} survivors={} likelihood={:.4f} "
+                               "suspicions={} lasts_ms={} run_age_ms={} previous_ms_ago={} "
+                               "workers={} quarantined={}",
+                               causeText(cause), evidence.failedJobs, evidence.survivors,
+                               evidence.likelihoodRatio, worker.quarantineCount, length.count(),
+                               ageMs(startedAt, now), ageMs(previousAt, now), workers.listed,
+                               workers.quarantined));
+    worker.failures = {};
     worker.quarantineCount = std::min(worker.quarantineCount + 1, maxQuarantineDoublings);
 }
 
--- a/src/poplarstream/telemetry/event_catalogue.cpp
+++ b/src/poplarstream/telemetry/event_catalogue.cpp
@@ -90,6 +90,7 @@
         startUnanswered,
         taskLost,
         taskGivenUp,
+        workerTrusted,
         workerEntryUnusable,
         progressRefused,
         takeoverBegun,
