--- a/src/poplarstream/engine/quarantine_test.cpp
+++ b/src/poplarstream/engine/quarantine_test.cpp
@@ -1,4 +1,5 @@
 #include <string>  // for string
+#include <vector>  // for vector
 
 #include <fmt/format.h>  // for format
 #include <gtest/gtest.h>  // for TEST, EXPECT_LE
@@ -69,6 +70,41 @@
     }
 }
 
+// Guards against a sound worker that is condemned for the few of many runs that fail: their ends
+// are known before the successes of the others (issue 56).
+TEST(Quarantine, RunsThatSurviveSpeakForTheirWorker)
+{
+    for (const int count : {2, 8}) {
+        SCOPED_TRACE(fmt::format("given a worker that runs tasks of {} jobs", count));
+        EngineFixture fixture(1);
+        for (int i = 1; i <= count; ++i) {
+            fixture.submit(submission(jobId(i), step(1, 500)));
+        }
+        const std::vector<StartCommand> starts = fixture.startAll();
+        ASSERT_EQ(starts.size(), static_cast<std::size_t>(count));
+        {
+            SCOPED_TRACE("when two of them fail");
+            std::vector<RunningReport> running;
+            std::vector<CompletionReport> ended;
+            for (const StartCommand &start : starts) {
+                if (ended.size() < 2) {
+                    ended.push_back({static_cast<std::int64_t>(ended.size()) + 1, start.task,
+                                     start.run, jobs::AttemptResult::Failed, ""});
+                } else {
+                    running.push_back({start.task, start.run, "", 10, 0});
+                }
+            }
+            fixture.now += Milliseconds{100};
+            fixture.poll();
+            fixture.answer("w1", running, ended);
+            {
+                SCOPED_TRACE("then it is suspected only if none runs on");
+                EXPECT_EQ(fixture.worker("w1").quarantinedUntil > fixture.now, count == 2);
+            }
+        }
+    }
+}
+
 // Guards against jobs that have nothing running although they are due and workers have room, since
 // all workers of their service are in quarantine, also long after the fault (issue 56).
 TEST(Quarantine, DueTasksStartAlthoughAllWorkersAreSuspected)
