Count the longest wait beside room by service and cause

Operators saw of work that waits beside room only how many steps do, and lines 784. poplar_longest_wait_beside_room_ms tells for how long, by service and by what keeps the tasks off most of the workers with room. Measured: UnplacedTasks.WaitBesideRoomIsReportedWithItsReasons expects 22 s for a cordoned worker, and nothing once the wait is over.

--- a/include/poplarstream/engine/placement_report.hpp
+++ b/include/poplarstream/engine/placement_report.hpp
@@ -21,6 +21,9 @@
 PlacementReport reportPlacement(Engine &engine, const jobs::Job &job, int occurrence, int step,
                                 TimePoint now);
 
+// The obstacle that holds for most of the workers with room, as in a log line.
+std::string mainObstacle(const PlacementReport &report);
+
 // The obstacles of a report as fields of a log line, each with a space before it.
 std::string obstacleFields(const PlacementReport &report);
 
--- a/include/poplarstream/engine/state.hpp
+++ b/include/poplarstream/engine/state.hpp
@@ -178,6 +178,8 @@
 {
     TimePoint since{};
     int tasks = 0;  // that were reported; 0: the wait was too short yet
+    ServiceId service;
+    std::string cause;  // what keeps them off most of the workers with room, as line 784 names it
 };
 
 // What accounts have got lately. A new owner begins with what runs then.
--- a/src/poplarstream/edge/session_metrics.cpp
+++ b/src/poplarstream/edge/session_metrics.cpp
@@ -3,7 +3,7 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/edge/account_metrics.hpp"  // for accountMetrics
-#include "poplarstream/engine/unplaced_tasks.hpp"  // for reportedSteps
+#include "poplarstream/engine/unplaced_tasks.hpp"  // for reportedSteps, longestWaits
 #include "poplarstream/engine/worker_health.hpp"  // for quarantinedWorkers
 
 namespace poplarstream::edge {
@@ -40,6 +40,11 @@
         text += fmt::format("poplar_workers_quarantined{{shard=\"{}\",service=\"{}\"}} {}\n", shard,
                             service.text(), count);
     }
+    for (const auto &[key, wait] : engine::longestWaits(engine, now)) {
+        text += fmt::format("poplar_longest_wait_beside_room_ms{{shard=\"{}\",service=\"{}\",cause="
+                            "\"{}\"}} {}\n",
+                            shard, key.first.text(), key.second, wait.count());
+    }
     return text + accountMetrics(engine, shard);
 }
 
--- a/src/poplarstream/engine/placement_report.cpp
+++ b/src/poplarstream/engine/placement_report.cpp
@@ -74,6 +74,20 @@
     return report;
 }
 
+std::string mainObstacle(const PlacementReport &report)
+{
+    std::string_view main;
+    int most = 0;
+    for (const ObstacleName &name : obstacleNames) {
+        const auto found = report.obstacles.find(name.obstacle);
+        if (found != report.obstacles.end() && found->second > most) {
+            main = name.key;
+            most = found->second;
+        }
+    }
+    return std::string(main);
+}
+
 std::string obstacleFields(const PlacementReport &report)
 {
     std::string text;
--- a/src/poplarstream/engine/unplaced_tasks.cpp
+++ b/src/poplarstream/engine/unplaced_tasks.cpp
@@ -6,7 +6,7 @@
 #include <fmt/format.h>  // for format
 
 #include "poplarstream/engine/attempts.hpp"  // for capacityUsedBy, recordDecision
-#include "poplarstream/engine/placement_report.hpp"  // for reportPlacement, obstacleFields
+#include "poplarstream/engine/placement_report.hpp"  // for reportPlacement, mainObstacle
 #include "poplarstream/engine/ranking.hpp"  // for serviceOf
 #include "poplarstream/jobs/queries.hpp"  // for countDue, isFinal, isStepReady, isWaiting
 
@@ -85,7 +85,9 @@
         return;
     }
     const auto known = engine.unplaced.find(place);
-    UnplacedStep entry = known == engine.unplaced.end() ? UnplacedStep{now, 0} : known->second;
+    UnplacedStep entry = known == engine.unplaced.end() ? UnplacedStep{now} : known->second;
+    entry.service = service;
+    entry.cause = mainObstacle(report);
     if (entry.tasks == 0 && entry.since + reportedWait <= now) {
         entry.tasks = report.waiting;
         recordUnplaced(engine, job, place, report, entry.since, now);
@@ -129,4 +131,15 @@
                           [](const auto &entry) { return entry.second.tasks > 0; }));
 }
 
+std::map<std::pair<ServiceId, std::string>, Milliseconds> longestWaits(const Engine &engine,
+                                                                       TimePoint now)
+{
+    std::map<std::pair<ServiceId, std::string>, Milliseconds> longest;
+    for (const auto &[place, step] : engine.unplaced) {
+        Milliseconds &wait = longest[{step.service, step.cause}];
+        wait = std::max(wait, now - step.since);
+    }
+    return longest;
+}
+
 }  // namespace poplarstream::engine
--- a/src/poplarstream/engine/unplaced_tasks_test.cpp
+++ b/src/poplarstream/engine/unplaced_tasks_test.cpp
@@ -69,6 +69,13 @@
         EXPECT_EQ(fixture.engine.tasksUnplaced, 1U);
         EXPECT_EQ(reportedSteps(fixture.engine), 1U);
     }
+    {
+        SCOPED_TRACE("then the longest wait is known by service and reason");
+        const auto waits = longestWaits(fixture.engine, fixture.now);
+        ASSERT_EQ(waits.size(), 1U);
+        EXPECT_EQ(waits.begin()->first, std::pair(ServiceId("shop"), std::string("cordoned")));
+        EXPECT_EQ(waits.begin()->second, Milliseconds{22'000});
+    }
     {
         SCOPED_TRACE("then an explanation names the same reasons");
         EXPECT_TRUE(isSaid(explainJob(fixture.engine, JobId(firstJob), fixture.now),
@@ -79,6 +86,7 @@
         SCOPED_TRACE("when a worker may get tasks again, then the wait is over");
         fixture.worker("w1").isCordoned = false;
         EXPECT_TRUE(reviewFor(fixture, Milliseconds{2000}).empty());
+        EXPECT_TRUE(longestWaits(fixture.engine, fixture.now).empty());
         EXPECT_EQ(reportedSteps(fixture.engine), 0U);
         EXPECT_EQ(fixture.engine.tasksUnplaced, 1U);
         EXPECT_TRUE(isSaid(explainJob(fixture.engine, JobId(firstJob), fixture.now),
