--- a/soak/rules.py
+++ b/soak/rules.py
@@ -12,6 +12,8 @@
 # As above and the longest time for which a process may be cut off from the store.
 WITHDRAWAL_GRACE_S = 20.0
 CAP_OVERSHOOT = 1.1
+FINISH_S = 14.0  # from the last fault until work that is due may not stand any more
+STANDING_S = 3.0  # for which a job that could run may have nothing running then
 
 
 def _job_of(task):
@@ -308,8 +310,74 @@
     return breaches
 
 
+def due_work_runs(events, jobs):
+    """A job with nothing running for a while, long after the last fault, while under half of its
+    service's capacity is in use."""
+    calm = next((event["t"] + FINISH_S for event in events if event["kind"] == "faults-over"), None)
+    if calm is None:
+        return []
+    breaches = []
+    for job in jobs.values():
+        if not job.is_accepted or job.is_cancelled or job.is_long_running:
+            continue
+        for begin, end in _idle_spans(events, job):
+            begin = max(begin, calm)
+            if end - begin > STANDING_S and not _is_half_used(events, jobs, job.queue, begin, end):
+                breaches.append("%s has nothing running from %.3f to %.3f" % (job.id, begin, end))
+    return breaches
+
+
+def _idle_spans(events, job):
+    """The spans in which nothing of a job runs, from its acceptance until it has ended."""
+    required = sum(step["count"] for step in job.steps)
+    running, done, spans = set(), set(), []
+    idle_since = None
+    for event in events:
+        kind = event["kind"]
+        if kind == "submit-answer" and event["job"] == job.id and event["status"] == 200:
+            idle_since = event["t"] if idle_since is None and not running else idle_since
+        elif kind == "state" and event["job"] == job.id and event["state"] == "failed":
+            break
+        elif kind in ("start", "end") and _job_of(event["task"]) == job.id:
+            run = (event["task"], event["run"], event["worker"])
+            if kind == "start":
+                if idle_since is not None:
+                    spans.append((idle_since, event["t"]))
+                running.add(run)
+                idle_since = None
+            else:
+                running.discard(run)
+                if event["how"] == "done":
+                    done.add(event["task"])
+                idle_since = event["t"] if not running else None
+        if len(done) >= required:
+            return spans
+    return spans + ([(idle_since, event["t"])] if idle_since is not None else [])
+
+
+def _is_half_used(events, jobs, service, begin, end):
+    """Whether half of a service's capacity is in use at any time of a span."""
+    used, machines = {}, {}
+    for event in events:
+        if event["t"] > begin:
+            capacity = WORKER_CPU_MILLI * sum(each == service for each in machines.values())
+            if event["t"] > end or 2 * sum(used.values()) >= capacity:
+                return event["t"] <= end
+        if event["kind"] == "life":
+            machines[event["machine"]] = event["service"]
+        elif event["kind"] in ("start", "end") and _job_of(event["task"]) in jobs:
+            job = jobs[_job_of(event["task"])]
+            if job.queue == service:
+                run = (event["task"], event["run"], event["worker"])
+                if event["kind"] == "start":
+                    used[run] = job.step(_step_of(event["task"]))["cpu"]
+                else:
+                    used.pop(run, None)
+    return False
+
+
 RULES = (run_twice, order, limit, budget, asked_for, refusals_true, states_true, all_ended,
-         one_holder, waves_whole, availability, keys, caps)
+         one_holder, waves_whole, availability, keys, caps, due_work_runs)
 
 
 def check(events, jobs):
--- a/soak/rules_test.py
+++ b/soak/rules_test.py
@@ -63,6 +63,35 @@
         self.assert_breach("run_twice",
                            self.with_events(start(0.5, "j.0.0.0", run=2, worker="w3")))
 
+    def test_due_work_that_stands(self):
+        # Guards against jobs that have nothing running although workers have room (issue 56).
+        def history(second_start, used_elsewhere=0):
+            events = [event_at(0.0, "life", worker="w1", machine="m1", service="alpha"),
+                      event_at(0.1, "submit-answer", job="j", status=200),
+                      event_at(1.0, "faults-over"), start(20.0, "j.0.0.0"),
+                      start(20.0, "j.0.0.1", worker="w2")]
+            if used_elsewhere:
+                events += [event_at(20.0, "submit-answer", job="k", status=200),
+                           start(20.0, "k.0.0.0", worker="w3"), end(60.0, "k.0.0.0", worker="w3")]
+            return sorted(events + [
+                end(20.5, "j.0.0.0"), end(20.5, "j.0.0.1", worker="w2"),
+                start(second_start, "j.0.1.0"), end(second_start + 1, "j.0.1.0")],
+                key=lambda event: event["t"])
+
+        other = job("k", [{"count": 1, "cpu": 2000}])
+        # The first start comes 5 s after work may not stand any more.
+        self.assert_breach("due_work_runs", history(21.0))
+        early = [event for event in history(21.0) if event["kind"] != "faults-over"]
+        self.assert_no_breach(early + [event_at(22.5, "faults-over")])
+        late = [event_at(5.0, "faults-over") if event["kind"] == "faults-over" else event
+                for event in history(26.0)]
+        late.sort(key=lambda event: event["t"])
+        self.assert_breach("due_work_runs", late)
+        busy = [event_at(5.0, "faults-over") if event["kind"] == "faults-over" else event
+                for event in history(26.0, used_elsewhere=2000)]
+        busy.sort(key=lambda event: event["t"])
+        self.assert_no_breach(busy, job(), other)
+
     def test_run_beside_one_that_is_out_of_reach(self):
         # Guards against a takeover while a worker that the new owner cannot reach lives on: its
         # run counts until it ends, by the end of its lease at the latest.
